Lay the workspace: packages, interfaces, tool settings, test runner

Cause: the repository was empty. Change: thirteen packages with layering held by import-linter, pinned dependencies, core (ids, errors, logs, JSON with comments), the key-value interface, the environment document, the grant and heartbeat messages and the endpoint protocol page. Conclusion: the interfaces are fixed well enough to build the parts side by side.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of the behave run."""
--- /dev/null
+++ b/packages/administration/poplarwick_administration/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API and operator command line."""
--- /dev/null
+++ b/packages/bench/poplarwick_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool, fault proxy and invariant checks."""
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Environment documents: model, checks, storage and distribution."""
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -0,0 +1,246 @@
+"""The document that describes one environment."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from poplarwick_core import ids
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Positive = Annotated[int, msgspec.Meta(gt=0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all parts of the document."""
+
+
+class Limits(_Section, frozen=True):
+    """Limits of one organisation over the whole fleet.
+
+    Attributes:
+        max_concurrent: Requests in progress at the same time.
+        requests_per_s: Sustained rate of requests.
+        tokens_per_s: Sustained rate of prompt and output tokens.
+    """
+
+    max_concurrent: Positive = 1_000
+    requests_per_s: Positive = 1_000
+    tokens_per_s: Positive = 10_000_000
+
+
+class ApiKey(_Section, frozen=True):
+    """A caller's key, stored as a digest only.
+
+    Attributes:
+        id: Name of the key, shown in logs and audit entries.
+        sha256: Hexadecimal SHA-256 digest of the secret.
+        revoked: Whether the key is refused.
+    """
+
+    id: Name
+    sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+    revoked: bool = False
+
+
+class Organisation(_Section, frozen=True):
+    """A customer of the platform.
+
+    Attributes:
+        id: Unique id.
+        keys: Accepted caller keys.
+        weight: Share of the fleet relative to other organisations.
+        limits: Limits over the whole fleet.
+    """
+
+    id: Name
+    keys: tuple[ApiKey, ...]
+    weight: Positive = 1
+    limits: Limits = Limits()
+
+
+class ColdStart(_Section, frozen=True):
+    """What an endpoint in a cold start carries.
+
+    Attributes:
+        concurrent: Requests in progress that a cold endpoint carries.
+        tokens: Prompt tokens in progress that a cold endpoint carries.
+    """
+
+    concurrent: Positive = 2
+    tokens: Positive = 16_384
+
+
+class Model(_Section, frozen=True):
+    """A model that callers name.
+
+    Attributes:
+        id: Unique id.
+        context_tokens: Longest prompt plus output.
+        memory_tokens: KV cache of one engine, in tokens.
+        prefill_tokens_per_s: Prefill rate of one warm engine.
+        decode_tokens_per_s: Decode rate of one stream.
+        max_batch: Streams that one warm engine runs at once.
+        cold_start: What a cold engine carries.
+        timeout_s: Default time within which a request ends.
+        max_timeout_s: Longest time that a caller may ask for.
+        spreads_prompts: Whether several engines can share one prompt.
+    """
+
+    id: Name
+    context_tokens: Positive
+    memory_tokens: Positive
+    prefill_tokens_per_s: Positive = 20_000
+    decode_tokens_per_s: Positive = 50
+    max_batch: Positive = 64
+    cold_start: ColdStart = ColdStart()
+    timeout_s: Seconds = 120.0
+    max_timeout_s: Seconds = 3_600.0
+    spreads_prompts: bool = False
+
+
+class Route(_Section, frozen=True):
+    """Paths of a plain service.
+
+    Attributes:
+        path: Path prefix below the service's own path.
+        methods: Accepted HTTP methods.
+        idempotent: Whether a call may be repeated without harm.
+    """
+
+    path: Annotated[str, msgspec.Meta(pattern=r"^/[^?#]*$")]
+    methods: tuple[str, ...] = ("GET",)
+    idempotent: bool = True
+
+
+class Service(_Section, frozen=True):
+    """A plain service routed under `/services/<id>`.
+
+    Attributes:
+        id: Unique id.
+        routes: Accepted paths; the longest matching prefix decides.
+        max_concurrent: Requests in progress at one warm endpoint.
+        cold_start: What a cold endpoint carries.
+        timeout_s: Time within which a call ends.
+    """
+
+    id: Name
+    routes: tuple[Route, ...]
+    max_concurrent: Positive = 32
+    cold_start: ColdStart = ColdStart()
+    timeout_s: Seconds = 30.0
+
+
+class Domain(_Section, frozen=True):
+    """A failure domain.
+
+    Attributes:
+        id: Unique id.
+        region: Region that holds the domain.
+        in_service: Whether its endpoints receive new work.
+    """
+
+    id: Name
+    region: Name
+    in_service: bool = True
+
+
+class Endpoint(_Section, frozen=True):
+    """One replica of a model engine or a plain service.
+
+    Attributes:
+        id: Unique id.
+        address: Host and port.
+        domain: Failure domain that holds the endpoint.
+        model: Model served, for engines.
+        service: Service served, for plain services.
+        checks_epochs: Whether it refuses orders with an old fencing number.
+        in_service: Whether the endpoint receives new work.
+    """
+
+    id: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}$")]
+    domain: Name
+    model: Name | None = None
+    service: Name | None = None
+    checks_epochs: bool = False
+    in_service: bool = True
+
+
+class Document(_Section, frozen=True, kw_only=True):
+    """All that operators say about one environment.
+
+    Attributes:
+        environment: Name of the environment, such as `production`.
+        organisations: Customers.
+        models: Models.
+        services: Plain services.
+        domains: Failure domains.
+        endpoints: Replicas of engines and plain services.
+        instances_out: Instances that operators took out of service.
+    """
+
+    environment: Name
+    organisations: tuple[Organisation, ...]
+    models: tuple[Model, ...] = ()
+    services: tuple[Service, ...] = ()
+    domains: tuple[Domain, ...]
+    endpoints: tuple[Endpoint, ...]
+    instances_out: tuple[str, ...] = ()
+
+
+class View:
+    """Indexed read-only access to one version of a document.
+
+    Attributes:
+        version: Version number; it grows with each accepted change.
+        document: The document itself.
+    """
+
+    def __init__(self, version: int, document: Document) -> None:
+        self.version = version
+        self.document = document
+        self._organisations = {o.id: o for o in document.organisations}
+        self._models = {m.id: m for m in document.models}
+        self._services = {s.id: s for s in document.services}
+        self._domains = {d.id: d for d in document.domains}
+        self._endpoints = {e.id: e for e in document.endpoints}
+        self._keys = {
+            key.sha256: organisation
+            for organisation in document.organisations
+            for key in organisation.keys
+            if not key.revoked
+        }
+
+    def find_organisation(
+        self, organisation: ids.OrganisationId
+    ) -> Organisation | None:
+        """Returns the organisation, or None if it is unknown."""
+        return self._organisations.get(organisation)
+
+    def find_key_owner(self, sha256: str) -> Organisation | None:
+        """Returns the organisation that a key's digest belongs to."""
+        return self._keys.get(sha256)
+
+    def find_model(self, model: ids.ModelId) -> Model | None:
+        """Returns the model, or None if it is unknown."""
+        return self._models.get(model)
+
+    def find_service(self, service: ids.ServiceId) -> Service | None:
+        """Returns the plain service, or None if it is unknown."""
+        return self._services.get(service)
+
+    def find_domain(self, domain: ids.DomainId) -> Domain | None:
+        """Returns the failure domain, or None if it is unknown."""
+        return self._domains.get(domain)
+
+    def find_endpoint(self, endpoint: ids.EndpointId) -> Endpoint | None:
+        """Returns the endpoint, or None if it is unknown."""
+        return self._endpoints.get(endpoint)
+
+    def is_in_service(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint may receive new work."""
+        domain = self._domains.get(endpoint.domain)
+        return endpoint.in_service and domain is not None and domain.in_service
--- /dev/null
+++ b/packages/core/poplarwick_core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, errors, clocks, logging and settings shared by every package."""
--- /dev/null
+++ b/packages/core/poplarwick_core/ids.py
@@ -0,0 +1,56 @@
+"""Identifier types shared by every package."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+"""One running entry instance of the system."""
+
+EndpointId = NewType("EndpointId", str)
+"""One model engine replica or one plain-service replica."""
+
+OrganisationId = NewType("OrganisationId", str)
+"""A customer of the shared platform."""
+
+DomainId = NewType("DomainId", str)
+"""A failure domain."""
+
+RegionId = NewType("RegionId", str)
+"""A geographic region holding one or more failure domains."""
+
+ModelId = NewType("ModelId", str)
+"""A model that callers name in their requests."""
+
+ServiceId = NewType("ServiceId", str)
+"""A plain HTTP service routed beside the model engines."""
+
+RequestId = NewType("RequestId", str)
+"""One request of a caller, as shown in headers and logs."""
+
+StreamId = NewType("StreamId", str)
+"""One generation stream at an engine."""
+
+GrantId = NewType("GrantId", str)
+"""Permission to send one request to one endpoint."""
+
+Epoch = NewType("Epoch", int)
+"""Fencing number of one tenure; later tenures have higher numbers."""
+
+ID_BYTES = 12
+
+
+def make_request_id() -> RequestId:
+    """Returns a new random request id."""
+    return RequestId("req-" + secrets.token_hex(ID_BYTES))
+
+
+def make_stream_id() -> StreamId:
+    """Returns a new random stream id."""
+    return StreamId("str-" + secrets.token_hex(ID_BYTES))
+
+
+def make_grant_id() -> GrantId:
+    """Returns a new random grant id."""
+    return GrantId("gr-" + secrets.token_hex(ID_BYTES))
--- /dev/null
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -0,0 +1,84 @@
+"""Reading of settings and documents written in JSON with comments."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+import pyjson5
+
+from poplarwick_core import errors
+
+T = TypeVar("T")
+
+_PATH_SUFFIX = re.compile(r" - at `(?P<path>.+)`$")
+
+
+def read_file(path: pathlib.Path, kind: type[T]) -> T:
+    """Reads and checks a file.
+
+    Args:
+        path: File written in JSON with comments.
+        kind: msgspec type that the content must match.
+
+    Returns:
+        The checked content.
+
+    Raises:
+        errors.DocumentError: The file cannot be read or is not valid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.DocumentError(str(path), "$", str(error)) from error
+    return decode(text, kind, str(path))
+
+
+def decode(text: str, kind: type[T], source: str) -> T:
+    """Parses and checks a text in JSON with comments.
+
+    Args:
+        text: The text.
+        kind: msgspec type that the content must match.
+        source: Name of the text's origin, shown in errors.
+
+    Returns:
+        The checked content.
+
+    Raises:
+        errors.DocumentError: The text is not valid.
+    """
+    return convert(parse(text, source), kind, source)
+
+
+def parse(text: str, source: str) -> Any:
+    """Parses a text in JSON with comments without checking its fields.
+
+    Raises:
+        errors.DocumentError: The text is not well formed.
+    """
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        raise errors.DocumentError(
+            source, "$", f"not valid JSON with comments: {error}"
+        ) from error
+
+
+def convert(value: Any, kind: type[T], source: str) -> T:
+    """Checks a parsed value against a msgspec type.
+
+    Raises:
+        errors.DocumentError: A field is unknown, missing or out of range.
+    """
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        message = str(error)
+        match = _PATH_SUFFIX.search(message)
+        path = match.group("path") if match else "$"
+        problem = message[: match.start()] if match else message
+        raise errors.DocumentError(source, path, problem) from error
--- /dev/null
+++ b/packages/core/poplarwick_core/logs.py
@@ -0,0 +1,68 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import datetime
+import sys
+from typing import Any
+
+from loguru import logger
+
+_NEEDS_QUOTES = frozenset(" =\"'\n\r\t\\")
+
+
+def configure_logs(level: str = "INFO", **bound: str) -> None:
+    """Sends all events to standard error.
+
+    Args:
+        level: Lowest level that is written.
+        **bound: Fields added to every line, such as the instance id.
+    """
+    logger.remove()
+    logger.configure(extra={"bound": bound})
+    logger.add(sys.stderr, level=level, format=_format_record)
+
+
+def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
+    """Writes one event.
+
+    Args:
+        event: Name of the event, in lower case with underscores.
+        level: Level name of the event.
+        **fields: Values shown as key=value; None values are left out. Keys
+            and prompts must never be passed.
+    """
+    logger.opt(depth=1).bind(event=event, fields=fields).log(level, event)
+
+
+def _format_record(record: Any) -> str:
+    extra = record["extra"]
+    time = record["time"].astimezone(datetime.UTC)
+    pairs = {
+        "time": time.strftime("%Y-%m-%dT%H:%M:%S.%fZ"),
+        "level": record["level"].name.lower(),
+        "event": extra.get("event", record["message"]),
+        **extra.get("bound", {}),
+        **extra.get("fields", {}),
+    }
+    line = " ".join(
+        f"{key}={_format_value(value)}"
+        for key, value in pairs.items()
+        if value is not None
+    )
+    # Loguru formats the returned text once more, so braces are doubled.
+    return (
+        line.replace("{", "{{").replace("}", "}}").replace("<", r"\<")
+        + "\n{exception}"
+    )
+
+
+def _format_value(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and not _NEEDS_QUOTES.intersection(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{escaped}"'
--- /dev/null
+++ b/packages/dispatch/poplarwick_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, scheduling and grants at the owner of an endpoint."""
--- /dev/null
+++ b/packages/endpoints/poplarwick_endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/packages/entry/poplarwick_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Caller-facing HTTP API."""
--- /dev/null
+++ b/packages/node/poplarwick_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs every role of an instance."""
--- /dev/null
+++ b/packages/outcomes/poplarwick_outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes, idempotency claims and answer streams."""
--- /dev/null
+++ b/packages/ownership/poplarwick_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Leased, fenced ownership of endpoints and claim shards."""
--- /dev/null
+++ b/packages/peers/poplarwick_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and membership between instances."""
--- /dev/null
+++ b/packages/peers/poplarwick_peers/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and services; see packages/peers/proto."""
--- /dev/null
+++ b/packages/platform/poplarwick_platform/kv.py
@@ -0,0 +1,195 @@
+"""Interface of the platform's key-value service.
+
+The service offers compare-and-swap transactions, leases and watches. Values
+hold up to one megabyte. A call that raises `UnknownResultError` may have
+taken effect.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import AsyncIterator
+from typing import NewType
+from typing import Protocol
+
+from poplarwick_core import errors
+
+LeaseId = NewType("LeaseId", int)
+Revision = NewType("Revision", int)
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class KvError(errors.PoplarwickError):
+    """A call of the key-value service did not succeed."""
+
+
+class UnavailableError(KvError):
+    """The service could not be reached; the call had no effect."""
+
+
+class UnknownResultError(KvError):
+    """The answer was lost; the call may have taken effect."""
+
+
+class BudgetError(KvError):
+    """The client's call budget is spent; nothing was sent."""
+
+
+class CompactedError(KvError):
+    """A watch asked for revisions that the service no longer holds."""
+
+
+class LeaseLostError(KvError):
+    """The lease has expired or was revoked."""
+
+
+class Purpose(enum.Enum):
+    """Why a call is made; calls are counted and ranked by it.
+
+    Members come in order of priority, the most important first.
+    """
+
+    FENCING = "fencing"
+    CLAIM = "claim"
+    LEASE = "lease"
+    CONFIGURATION = "configuration"
+    HOUSEKEEPING = "housekeeping"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One stored key.
+
+    Attributes:
+        key: The key.
+        value: The stored bytes.
+        create_revision: Revision at which the key came to exist.
+        mod_revision: Revision of the last write of the key.
+        lease: Lease that the key hangs on, or None.
+    """
+
+    key: str
+    value: bytes
+    create_revision: Revision
+    mod_revision: Revision
+    lease: LeaseId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyAbsent:
+    """Condition: the key does not exist."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyUnchanged:
+    """Condition: the key was last written at `mod_revision`."""
+
+    key: str
+    mod_revision: Revision
+
+
+Condition = KeyAbsent | KeyUnchanged
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Operation: stores a value, optionally bound to a lease."""
+
+    key: str
+    value: bytes
+    lease: LeaseId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delete:
+    """Operation: removes a key."""
+
+    key: str
+
+
+Operation = Put | Delete
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Result of a read: entries and the revision they were read at."""
+
+    entries: tuple[Entry, ...]
+    revision: Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """Result of a transaction whose conditions held."""
+
+    revision: Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Result of a transaction whose conditions did not hold.
+
+    Attributes:
+        revision: Revision at which the conditions were checked.
+        current: Entries, as they are, of the keys named in the conditions.
+    """
+
+    revision: Revision
+    current: tuple[Entry, ...]
+
+
+TransactionResult = Committed | Conflict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One watched change; `entry` is None when the key was removed."""
+
+    key: str
+    entry: Entry | None
+    revision: Revision
+
+
+class KvClient(Protocol):
+    """Client of the key-value service."""
+
+    async def read(
+        self, key: str, purpose: Purpose, *, is_prefix: bool = False
+    ) -> Snapshot:
+        """Reads one key, or all keys that begin with `key`."""
+        ...
+
+    async def commit(
+        self,
+        conditions: tuple[Condition, ...],
+        operations: tuple[Operation, ...],
+        purpose: Purpose,
+    ) -> TransactionResult:
+        """Applies all operations if all conditions hold."""
+        ...
+
+    async def grant_lease(self, ttl_s: int, purpose: Purpose) -> LeaseId:
+        """Creates a lease that expires unless it is kept alive."""
+        ...
+
+    async def keep_alive(self, lease: LeaseId) -> float:
+        """Renews a lease and returns its time to live in seconds."""
+        ...
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """Ends a lease and removes its keys."""
+        ...
+
+    def watch(
+        self, key: str, start: Revision, *, is_prefix: bool = False
+    ) -> AsyncIterator[tuple[Change, ...]]:
+        """Yields changes from revision `start` on, in order.
+
+        Raises:
+            CompactedError: The revisions are gone; read again, then watch.
+        """
+        ...
--- /dev/null
+++ b/packages/standins/poplarwick_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines and plain services."""
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,155 @@
+"""Runs linters, unit tests and behave features and counts their results.
+
+The last line printed reads `N passed, N failed`. Tests named in KNOWN-RED.txt
+are run and printed but do not count as failures.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import pathlib
+import subprocess
+import sys
+import tempfile
+import xml.etree.ElementTree as ElementTree
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+KNOWN_RED_PREFIX = "test:"
+STEP_TIMEOUT_S = 1200
+
+LINTERS = {
+    "format": ["ruff", "format", "--check", "."],
+    "style": ["ruff", "check", "."],
+    "types": [
+        "mypy",
+        *sorted(
+            str(p)
+            for p in ROOT.glob("packages/*/*/")
+            if (p / "py.typed").exists()
+        ),
+    ],
+    "layers": ["lint-imports"],
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Counts of finished tests.
+
+    Attributes:
+        passed: Number of tests that passed.
+        failed: Names of the tests that failed.
+        known_red: Names of the failed tests listed in KNOWN-RED.txt.
+    """
+
+    passed: int = 0
+    failed: list[str] = dataclasses.field(default_factory=list)
+    known_red: list[str] = dataclasses.field(default_factory=list)
+
+
+def main() -> int:
+    """Runs the chosen steps and returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", choices=("lint", "unit", "features"))
+    only = parser.parse_args().only
+    tally = Tally()
+    known = _read_known_red()
+    if only in (None, "lint"):
+        _run_linters(tally)
+    if only in (None, "unit"):
+        _run_unit_tests(tally, known)
+    if only in (None, "features"):
+        _run_features(tally, known)
+    for name in tally.known_red:
+        print(f"known red: {name}")
+    for name in tally.failed:
+        print(f"failed: {name}")
+    print(f"{tally.passed} passed, {len(tally.failed)} failed")
+    return 1 if tally.failed or not tally.passed else 0
+
+
+def _read_known_red() -> set[str]:
+    if not KNOWN_RED_FILE.exists():
+        return set()
+    lines = KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines()
+    return {
+        line.removeprefix(KNOWN_RED_PREFIX).strip()
+        for line in lines
+        if line.startswith(KNOWN_RED_PREFIX)
+    }
+
+
+def _run_linters(tally: Tally) -> None:
+    for name, command in LINTERS.items():
+        print(f"== {name}", flush=True)
+        if _run(command) == 0:
+            tally.passed += 1
+        else:
+            tally.failed.append(f"lint {name}")
+
+
+def _run_unit_tests(tally: Tally, known: set[str]) -> None:
+    print("== unit tests", flush=True)
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "unit.xml"
+        code = _run(["pytest", f"--junitxml={report}", "packages"])
+        if not report.exists():
+            tally.failed.append(f"unit tests ended with code {code}")
+            return
+        before = len(tally.failed) + len(tally.known_red)
+        _count_report(report, tally, known)
+        if code != 0 and len(tally.failed) + len(tally.known_red) == before:
+            tally.failed.append(f"unit tests ended with code {code}")
+
+
+def _run_features(tally: Tally, known: set[str]) -> None:
+    print("== features", flush=True)
+    with tempfile.TemporaryDirectory() as folder:
+        code = _run(
+            [
+                "behave",
+                "--format",
+                "progress2",
+                "--no-capture",
+                "--junit",
+                "--junit-directory",
+                folder,
+                "features",
+            ]
+        )
+        before = len(tally.failed) + len(tally.known_red)
+        for report in sorted(pathlib.Path(folder).glob("*.xml")):
+            _count_report(report, tally, known)
+        if code != 0 and len(tally.failed) + len(tally.known_red) == before:
+            tally.failed.append(f"features ended with code {code}")
+
+
+def _count_report(report: pathlib.Path, tally: Tally, known: set[str]) -> None:
+    for case in ElementTree.parse(report).getroot().iter("testcase"):
+        name = f"{case.get('classname')}::{case.get('name')}"
+        broken = case.find("failure") is not None
+        broken = broken or case.find("error") is not None
+        if case.find("skipped") is not None and not broken:
+            continue
+        if not broken:
+            tally.passed += 1
+        elif name in known:
+            tally.known_red.append(name)
+        else:
+            tally.failed.append(name)
+
+
+def _run(command: list[str]) -> int:
+    try:
+        done = subprocess.run(
+            command, cwd=ROOT, timeout=STEP_TIMEOUT_S, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return 124
+    return done.returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
