--- /dev/null
+++ b/packages/node/poplarwick_node/settings.py
@@ -0,0 +1,129 @@
+"""Settings of one instance."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+from poplarwick_core import jsonc
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all parts of the settings."""
+
+
+class Listen(_Section, frozen=True):
+    """Addresses that the instance listens on.
+
+    Attributes:
+        callers: HTTP for callers.
+        peers: gRPC for other instances.
+        administration: HTTP for operators.
+    """
+
+    callers: Address
+    peers: Address
+    administration: Address
+
+
+class Tls(_Section, frozen=True):
+    """Certificate files, read again when they change.
+
+    Attributes:
+        certificate: Certificate chain in PEM form.
+        key: Private key in PEM form.
+        authority: Certificates that peers' certificates must chain to.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class Administrator(_Section, frozen=True):
+    """An operator who may use the administration API.
+
+    Attributes:
+        name: Name shown in the audit trail.
+        role: What the operator may do.
+        token_sha256: Hexadecimal SHA-256 digest of the operator's token.
+    """
+
+    name: Name
+    role: Annotated[str, msgspec.Meta(pattern="^(viewer|operator)$")]
+    token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Timing(_Section, frozen=True):
+    """Periods of the control protocols.
+
+    Attributes:
+        lease_ttl_s: Lifetime of the instance's lease.
+        heartbeat_s: Period of heartbeats between instances.
+        balancer_delay_s: Time from readiness off until the balancer has
+            stopped sending new requests.
+    """
+
+    lease_ttl_s: Annotated[int, msgspec.Meta(ge=2, le=60)] = 10
+    heartbeat_s: Seconds = 0.5
+    balancer_delay_s: Annotated[float, msgspec.Meta(ge=0, le=300)] = 2.0
+
+
+class Log(_Section, frozen=True):
+    """Logging.
+
+    Attributes:
+        level: Lowest level that is written.
+    """
+
+    level: Annotated[
+        str, msgspec.Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+    ] = "INFO"
+
+
+class Settings(_Section, frozen=True, kw_only=True):
+    """All settings of one instance.
+
+    Attributes:
+        instance: Unique id of the instance.
+        environment: Environment whose document the instance follows.
+        domain: Failure domain of the instance.
+        region: Region of the instance.
+        listen: Addresses that the instance listens on.
+        key_value: Addresses of the platform's key-value service.
+        instance_list: Address of the platform's list of instances.
+        weight_store: Address of the platform's weight store.
+        caller_tls: Certificate files towards callers; None means plain HTTP.
+        peer_tls: Certificate files between instances; None means no TLS.
+        administrators: Operators who may use the administration API.
+        timing: Periods of the control protocols.
+        log: Logging.
+    """
+
+    instance: Name
+    environment: Name
+    domain: Name
+    region: Name
+    listen: Listen
+    key_value: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    instance_list: Address
+    weight_store: Address | None = None
+    caller_tls: Tls | None = None
+    peer_tls: Tls | None = None
+    administrators: tuple[Administrator, ...] = ()
+    timing: Timing = Timing()
+    log: Log = Log()
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        errors.DocumentError: The file cannot be read or is not valid.
+    """
+    return jsonc.read_file(path, Settings)
