Store documents in versions and serve the administration API

Cause: nothing kept an environment's document or let operators change it. Change: DocumentStore (one compare-and-swap a change, lost answers resolved under the same conditions and by change id), Follower (one watch, versions only go up), semantic checks with line and path, administration API with bearer tokens, commands 'document check', 'push' and 'show', examples.

--- /dev/null
+++ b/packages/administration/tests/test_api.py
@@ -0,0 +1,165 @@
+"""Tests for the administration API and the commands that use it."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import fake_kv
+import pytest
+import texts
+from aiohttp import test_utils
+from poplarwick_administration import access
+from poplarwick_administration import api
+from poplarwick_administration import client
+from poplarwick_administration import main
+from poplarwick_administration import messages
+from poplarwick_configuration import follower
+
+WAIT_S = 20
+OPERATOR = access.Operator(
+    "anna", access.Role.OPERATOR, access.digest_token("secret")
+)
+VIEWER = access.Operator(
+    "bert", access.Role.VIEWER, access.digest_token("seen")
+)
+SELF = messages.InstanceMessage(
+    instance="i1", domain="d1", region="r1", state="alive", version=1
+)
+
+
+@contextlib.asynccontextmanager
+async def serve(service):
+    async with follower.Follower(service, "trial") as documents:
+        application = api.make_application(
+            service,
+            documents,
+            instance="i1",
+            environment="trial",
+            operators=(OPERATOR, VIEWER),
+            read_fleet=lambda: (SELF,),
+        )
+        async with test_utils.TestServer(application) as server:
+            yield f"{server.host}:{server.port}"
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, WAIT_S))
+
+
+async def call(server, token, **options):
+    async with client.AdministrationClient(server, token) as administration:
+        return await administration.push_document(
+            "trial", texts.make_text(), **options
+        )
+
+
+def test_pushed_document_is_read_back_as_written():
+    async def check():
+        async with serve(fake_kv.FakeKv()) as server:
+            accepted = await call(server, "secret", change_id="c1")
+            assert accepted.version == 1
+            async with client.AdministrationClient(server, "seen") as viewer:
+                shown = await viewer.read_document("trial")
+                assert shown.text == texts.make_text()
+                assert shown.head.author == "anna"
+                status = await viewer.read_status()
+                assert status.instances == (SELF,)
+
+    run(check())
+
+
+@pytest.mark.parametrize(
+    ("token", "kind"),
+    [
+        ("wrong", messages.ErrorKind.UNAUTHENTICATED),
+        ("", messages.ErrorKind.UNAUTHENTICATED),
+        ("seen", messages.ErrorKind.FORBIDDEN),
+    ],
+)
+def test_push_without_the_right_is_refused(token, kind):
+    async def check():
+        service = fake_kv.FakeKv()
+        async with serve(service) as server:
+            with pytest.raises(client.RefusedError) as caught:
+                await call(server, token, change_id="c1")
+            assert caught.value.body.kind is kind
+        assert service.commits == 0
+
+    run(check())
+
+
+def test_every_route_needs_a_token():
+    async def check():
+        async with (
+            serve(fake_kv.FakeKv()) as server,
+            aiohttp.ClientSession() as session,
+        ):
+            for path in (
+                "/v1/status",
+                "/v1/environments/trial/document",
+                "/nowhere",
+            ):
+                async with session.get(f"http://{server}{path}") as answer:
+                    assert answer.status == 401, path
+
+    run(check())
+
+
+def test_superseded_push_tells_the_other_change():
+    async def check():
+        async with serve(fake_kv.FakeKv()) as server:
+            await call(server, "secret", change_id="c1")
+            with pytest.raises(client.RefusedError) as caught:
+                await call(server, "secret", change_id="c2", expected_version=0)
+            assert caught.value.body.kind is messages.ErrorKind.SUPERSEDED
+            assert caught.value.body.head.change_id == "c1"
+
+    run(check())
+
+
+@pytest.fixture
+def files(tmp_path):
+    (tmp_path / "token").write_text("secret\n")
+    (tmp_path / "good.jsonc").write_text(texts.make_text())
+    (tmp_path / "bad.jsonc").write_text(texts.make_text(domains=[]))
+    return tmp_path
+
+
+def test_check_command_tells_problems_by_exit_code(files, capsys):
+    assert main.main(["document", "check", str(files / "good.jsonc")]) == 0
+    assert main.main(["document", "check", str(files / "bad.jsonc")]) == 2
+    assert "bad.jsonc:" in capsys.readouterr().err
+    assert main.main(["document", "check", str(files / "none.jsonc")]) == 2
+
+
+def push(files, server, name):
+    return main.main(
+        [
+            "document",
+            "push",
+            str(files / name),
+            "--server",
+            server,
+            "--token-file",
+            str(files / "token"),
+            "--environment",
+            "trial",
+        ]
+    )
+
+
+def test_push_command_stores_the_document(files, capsys):
+    async def check():
+        async with serve(fake_kv.FakeKv()) as server:
+            good = await asyncio.to_thread(push, files, server, "good.jsonc")
+            bad = await asyncio.to_thread(push, files, server, "bad.jsonc")
+            assert (good, bad) == (0, 2)
+
+    run(check())
+    assert "trial: version 1 is stored" in capsys.readouterr().out
+
+
+def test_push_command_fails_when_no_server_answers(files, capsys):
+    port = test_utils.unused_port()
+    assert push(files, f"127.0.0.1:{port}", "good.jsonc") == 1
+    assert "--change-id" in capsys.readouterr().err
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/_keys.py
@@ -0,0 +1,60 @@
+"""Keys under which one environment's document is stored."""
+
+from __future__ import annotations
+
+import dataclasses
+
+VERSION_DIGITS = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keys:
+    """Names of the keys of one environment.
+
+    Attributes:
+        environment: Name of the environment.
+    """
+
+    environment: str
+
+    @property
+    def state(self) -> str:
+        """Prefix of the keys that each change is conditioned on."""
+        return f"configuration/{self.environment}/state/"
+
+    @property
+    def head(self) -> str:
+        """Record of the newest version."""
+        return self.state + "head"
+
+    @property
+    def compaction(self) -> str:
+        """Written whenever unused sections are removed."""
+        return self.state + "compaction"
+
+    @property
+    def versions(self) -> str:
+        """Prefix of the records of all kept versions."""
+        return f"configuration/{self.environment}/versions/"
+
+    @property
+    def changes(self) -> str:
+        """Prefix of the version numbers by change id."""
+        return f"configuration/{self.environment}/changes/"
+
+    @property
+    def sections(self) -> str:
+        """Prefix of the sections by digest."""
+        return f"configuration/{self.environment}/sections/"
+
+    def version(self, version: int) -> str:
+        """Record of one version."""
+        return f"{self.versions}{version:0{VERSION_DIGITS}d}"
+
+    def change(self, change_id: str) -> str:
+        """Version number that a change made."""
+        return self.changes + change_id
+
+    def section(self, digest: str) -> str:
+        """Content of one section."""
+        return self.sections + digest
--- /dev/null
+++ b/packages/core/poplarwick_core/_positions.py
@@ -0,0 +1,137 @@
+"""Places of values inside a text in JSON with comments."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+
+import pyjson5
+
+_TOKEN = re.compile(
+    r"""
+    (?P<skip>[\s\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)
+    |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
+    |(?P<mark>[{}\[\]:,])
+    |(?P<word>[^\s{}\[\]:,"'/]+)
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duplicate:
+    """A key that stands twice in one object.
+
+    Attributes:
+        path: Path of the value.
+        line: Line of the second occurrence.
+        first_line: Line of the first occurrence.
+    """
+
+    path: str
+    line: int
+    first_line: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Positions:
+    """Lines of all values of one text.
+
+    Attributes:
+        lines: Line number, counted from 1, by path such as `$.models[0].id`.
+        duplicates: Keys that stand twice in one object.
+    """
+
+    lines: dict[str, int]
+    duplicates: tuple[Duplicate, ...]
+
+    def find_line(self, path: str) -> int | None:
+        """Returns the line of a path or of its nearest known parent."""
+        while path:
+            if path in self.lines:
+                return self.lines[path]
+            path = path[: max(path.rfind("."), path.rfind("["), 0)]
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class _Container:
+    path: str
+    is_object: bool
+    index: int = 0
+    key: str | None = None
+    keys: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def make_child_path(self) -> str:
+        if self.is_object:
+            return f"{self.path}.{self.key}"
+        return f"{self.path}[{self.index}]"
+
+
+class _Scanner:
+    """Walks over the tokens of a text that is known to be well formed."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._line = 1
+        self._stack: list[_Container] = []
+        self._lines: dict[str, int] = {}
+        self._duplicates: list[Duplicate] = []
+
+    def scan(self) -> Positions:
+        for match in _TOKEN.finditer(self._text):
+            token = match.group()
+            match match.lastgroup:
+                case "mark":
+                    self._take_mark(token)
+                case "string" | "word":
+                    self._take_scalar(token)
+            self._line += token.count("\n")
+        return Positions(self._lines, tuple(self._duplicates))
+
+    def _take_mark(self, mark: str) -> None:
+        top = self._stack[-1] if self._stack else None
+        if mark in "{[":
+            path = self._record_value()
+            self._stack.append(_Container(path, mark == "{"))
+        elif mark in "}]" and self._stack:
+            self._stack.pop()
+        elif mark == "," and top is not None:
+            top.index += 1
+            top.key = None
+
+    def _take_scalar(self, token: str) -> None:
+        top = self._stack[-1] if self._stack else None
+        if top is not None and top.is_object and top.key is None:
+            self._take_key(top, _decode_key(token))
+        else:
+            self._record_value()
+
+    def _take_key(self, top: _Container, key: str) -> None:
+        top.key = key
+        if key in top.keys:
+            path = top.make_child_path()
+            first_line = top.keys[key]
+            self._duplicates.append(Duplicate(path, self._line, first_line))
+        top.keys[key] = self._line
+
+    def _record_value(self) -> str:
+        path = self._stack[-1].make_child_path() if self._stack else "$"
+        self._lines[path] = self._line
+        return path
+
+
+def scan_positions(text: str) -> Positions:
+    """Returns the places of all values of a well-formed text."""
+    return _Scanner(text).scan()
+
+
+def find_line_of_offset(text: str, offset: int) -> int:
+    """Returns the line number, counted from 1, of a character offset."""
+    return text.count("\n", 0, offset) + 1
+
+
+def _decode_key(token: str) -> str:
+    if token[0] not in "\"'":
+        return token
+    return str(pyjson5.decode(token))
--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -10,11 +10,14 @@
 import msgspec
 import pyjson5
 
+from poplarwick_core import _positions
 from poplarwick_core import errors
 
 T = TypeVar("T")
 
 _PATH_SUFFIX = re.compile(r" - at `(?P<path>.+)`$")
+_UNKNOWN_FIELD = re.compile(r"unknown field `(?P<field>.+)`")
+_OFFSET = re.compile(r" near (?P<offset>\d+)")
 
 
 def read_file(path: pathlib.Path, kind: type[T]) -> T:
@@ -48,12 +51,36 @@
     Returns:
         The checked content.
 
+    Raises:
+        errors.DocumentError: The text is not valid.
+    """
+    value = parse(text, source)
+    positions = _positions.scan_positions(text)
+    if positions.duplicates:
+        raise _make_duplicate_error(positions.duplicates[0], source)
+    try:
+        return convert(value, kind, source)
+    except errors.DocumentError as error:
+        line = _find_error_line(error, positions)
+        raise errors.DocumentError(
+            source, error.path, error.problem, line
+        ) from error
+
+
+def decode_checked(text: str, kind: type[T], source: str) -> T:
+    """Decodes a text that `decode` accepted before, without finding lines.
+
     Raises:
         errors.DocumentError: The text is not valid.
     """
     return convert(parse(text, source), kind, source)
 
 
+def find_lines(text: str) -> _positions.Positions:
+    """Returns the line of each value of a well-formed text."""
+    return _positions.scan_positions(text)
+
+
 def parse(text: str, source: str) -> Any:
     """Parses a text in JSON with comments without checking its fields.
 
@@ -64,7 +91,10 @@
         return pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
         raise errors.DocumentError(
-            source, "$", f"not valid JSON with comments: {error}"
+            source,
+            "$",
+            f"not valid JSON with comments: {error.message}",
+            _find_syntax_line(text, str(error.message)),
         ) from error
 
 
@@ -82,3 +112,31 @@
         path = match.group("path") if match else "$"
         problem = message[: match.start()] if match else message
         raise errors.DocumentError(source, path, problem) from error
+
+
+def _find_syntax_line(text: str, message: str) -> int | None:
+    match = _OFFSET.search(message)
+    if match is None:
+        return None
+    offset = int(match.group("offset"))
+    return _positions.find_line_of_offset(text, offset)
+
+
+def _find_error_line(
+    error: errors.DocumentError, positions: _positions.Positions
+) -> int | None:
+    match = _UNKNOWN_FIELD.search(error.problem)
+    if match is not None:
+        return positions.find_line(f"{error.path}.{match.group('field')}")
+    return positions.find_line(error.path)
+
+
+def _make_duplicate_error(
+    duplicate: _positions.Duplicate, source: str
+) -> errors.DocumentError:
+    return errors.DocumentError(
+        source,
+        duplicate.path,
+        f"the field stands twice, first on line {duplicate.first_line}",
+        duplicate.line,
+    )
