Tell line, found and allowed values of each document error

Cause: errors named a path only, accepted keys that stand twice, and patterns ending in $ let a trailing line break through. Change: a position scanner gives the line of each value; messages name what was found and what is allowed; double keys are refused; patterns end in \Z; integers are bounded. A value in place of a digest is never shown. Conclusion: settings and documents share the reader, so both gain.

--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -7,8 +7,8 @@
 import msgspec
 from poplarwick_core import ids
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Positive = Annotated[int, msgspec.Meta(gt=0)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
+Positive = Annotated[int, msgspec.Meta(gt=0, le=1_000_000_000_000)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
@@ -41,7 +41,7 @@
     """
 
     id: Name
-    sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+    sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
     revoked: bool = False
 
 
@@ -110,7 +110,7 @@
         idempotent: Whether a call may be repeated without harm.
     """
 
-    path: Annotated[str, msgspec.Meta(pattern=r"^/[^?#]*$")]
+    path: Annotated[str, msgspec.Meta(pattern=r"^/[^?#\s]*\Z")]
     methods: tuple[str, ...] = ("GET",)
     idempotent: bool = True
 
@@ -161,7 +161,7 @@
     """
 
     id: Name
-    address: Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}$")]
+    address: Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}\Z")]
     domain: Name
     model: Name | None = None
     service: Name | None = None
--- a/packages/core/poplarwick_core/_positions.py
+++ b/packages/core/poplarwick_core/_positions.py
@@ -132,6 +132,8 @@
 
 
 def _decode_key(token: str) -> str:
-    if token[0] not in "\"'":
-        return token
-    return str(pyjson5.decode(token))
+    if token[0] in "\"'":
+        return str(pyjson5.decode(token))
+    if "\\" in token:
+        return str(pyjson5.decode(f'"{token}"'))
+    return token
--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -10,13 +10,14 @@
 import msgspec
 import pyjson5
 
+from poplarwick_core import _explanations
 from poplarwick_core import _positions
 from poplarwick_core import errors
 
 T = TypeVar("T")
 
 _PATH_SUFFIX = re.compile(r" - at `(?P<path>.+)`$")
-_UNKNOWN_FIELD = re.compile(r"unknown field `(?P<field>.+)`")
+_QUOTED_NAME = re.compile(r"b'(?P<name>[^']+)'")
 _OFFSET = re.compile(r" near (?P<offset>\d+)")
 
 
@@ -58,13 +59,7 @@
     positions = _positions.scan_positions(text)
     if positions.duplicates:
         raise _make_duplicate_error(positions.duplicates[0], source)
-    try:
-        return convert(value, kind, source)
-    except errors.DocumentError as error:
-        line = _find_error_line(error, positions)
-        raise errors.DocumentError(
-            source, error.path, error.problem, line
-        ) from error
+    return _convert(value, kind, source, positions)
 
 
 def decode_checked(text: str, kind: type[T], source: str) -> T:
@@ -90,11 +85,12 @@
     try:
         return pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
+        message = _QUOTED_NAME.sub(r"\g<name>", str(error.message))
         raise errors.DocumentError(
             source,
             "$",
-            f"not valid JSON with comments: {error.message}",
-            _find_syntax_line(text, str(error.message)),
+            f"not valid JSON with comments: {message}",
+            _find_syntax_line(text, message),
         ) from error
 
 
@@ -104,14 +100,29 @@
     Raises:
         errors.DocumentError: A field is unknown, missing or out of range.
     """
+    return _convert(value, kind, source, None)
+
+
+def _convert(
+    value: Any,
+    kind: type[T],
+    source: str,
+    positions: _positions.Positions | None,
+) -> T:
     try:
         return msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
         message = str(error)
         match = _PATH_SUFFIX.search(message)
         path = match.group("path") if match else "$"
-        problem = message[: match.start()] if match else message
-        raise errors.DocumentError(source, path, problem) from error
+        message = message[: match.start()] if match else message
+        problem = _explanations.explain(message, path, value, kind)
+        line = None
+        if positions is not None:
+            field = _explanations.find_unknown_field(message)
+            place = path if field is None else f"{path}.{field}"
+            line = positions.find_line(place)
+        raise errors.DocumentError(source, path, problem, line) from error
 
 
 def _find_syntax_line(text: str, message: str) -> int | None:
@@ -119,16 +130,7 @@
     if match is None:
         return None
     offset = int(match.group("offset"))
-    return _positions.find_line_of_offset(text, offset)
-
-
-def _find_error_line(
-    error: errors.DocumentError, positions: _positions.Positions
-) -> int | None:
-    match = _UNKNOWN_FIELD.search(error.problem)
-    if match is not None:
-        return positions.find_line(f"{error.path}.{match.group('field')}")
-    return positions.find_line(error.path)
+    return _positions.find_line_of_offset(text, max(offset - 1, 0))
 
 
 def _make_duplicate_error(
--- a/packages/core/tests/test_jsonc.py
+++ b/packages/core/tests/test_jsonc.py
@@ -1,7 +1,12 @@
 """Tests for reading JSON with comments."""
 
+import json
+import typing
+
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
@@ -31,3 +36,147 @@
 def test_text_that_is_not_json_is_refused():
     with pytest.raises(errors.DocumentError, match="not valid JSON"):
         jsonc.decode('{"name": ', Item, "x.json")
+
+
+class Group(msgspec.Struct, forbid_unknown_fields=True):
+    items: tuple[Item, ...]
+    spare: Item | None = None
+
+
+@pytest.mark.parametrize(
+    ("text", "path", "line", "problem"),
+    [
+        (
+            '{"items": [\n{"name": "a", "weight": 1,\n"wieght": 2}]}',
+            "$.items[0]",
+            3,
+            "found the unknown field `wieght`; allowed: name, weight",
+        ),
+        (
+            '{"items": [],\n"spare": {"name": "a", "weight": 1, "x": 2}}',
+            "$.spare",
+            2,
+            "found the unknown field `x`; allowed: name, weight",
+        ),
+        (
+            '{"items": [\n\n{"name": "a",\n"weight": "much"}]}',
+            "$.items[0].weight",
+            4,
+            "found `'much'`; allowed: `int`",
+        ),
+        (
+            '{"items": [\n{"name": "a"}]}',
+            "$.items[0]",
+            2,
+            "the required field `weight` is missing",
+        ),
+        (
+            '{"items": [],\n/* two\nlines */ "items": []}',
+            "$.items",
+            3,
+            "the field stands twice, first on line 1",
+        ),
+        (
+            '{"items": [\n}',
+            "$",
+            2,
+            "not valid JSON with comments: Expected JSON5Value near 13",
+        ),
+    ],
+)
+def test_error_names_line_path_and_what_is_allowed(text, path, line, problem):
+    with pytest.raises(errors.DocumentError) as caught:
+        jsonc.decode(text, Group, "x.json")
+    error = caught.value
+    assert (error.path, error.line) == (path, line)
+    assert error.problem.startswith(problem)
+    assert str(error).startswith(f"x.json:{line}: {path}: ")
+
+
+class Secret(msgspec.Struct):
+    sha256: typing.Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+
+
+def test_secret_in_place_of_its_digest_is_not_shown():
+    with pytest.raises(errors.DocumentError) as caught:
+        jsonc.decode('{"sha256": "hush"}', Secret, "x.json")
+    assert "hush" not in str(caught.value)
+    assert "found 4 characters" in caught.value.problem
+
+
+KEYS = strategies.text(
+    strategies.characters(exclude_categories=["Cs"]), max_size=6
+)
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(10**6), 10**6)
+    | KEYS,
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(KEYS, inner, max_size=4)
+    ),
+    max_leaves=20,
+)
+SPACES = strategies.sampled_from(
+    ["", " ", "\n", "\t\n ", '// c " } :\n', "/* ] \n , */", "\r\n"]
+)
+
+
+class Writer:
+    """Writes values with comments and notes the line of each."""
+
+    def __init__(self, draw):
+        self.draw = draw
+        self.text = ""
+        self.lines = {}
+
+    def write(self, value, path="$"):
+        self.text += self.draw(SPACES)
+        self.lines[path] = self.text.count("\n") + 1
+        if isinstance(value, dict):
+            self.text += "{"
+            for key, inner in value.items():
+                self.text += self.draw(SPACES) + json.dumps(key)
+                self.text += self.draw(SPACES) + ":"
+                self.write(inner, f"{path}.{key}")
+                self.text += self.draw(SPACES) + ","
+            self.text += "}"
+        elif isinstance(value, list):
+            self.text += "["
+            for index, inner in enumerate(value):
+                self.write(inner, f"{path}[{index}]")
+                self.text += self.draw(SPACES) + ","
+            self.text += "]"
+        else:
+            self.text += json.dumps(value)
+        self.text += self.draw(SPACES)
+
+
+@hypothesis.given(VALUES, strategies.data())
+def test_lines_are_found_among_comments(value, data):
+    writer = Writer(data.draw)
+    writer.write(value)
+    assert jsonc.parse(writer.text, "x.json") == value
+    positions = jsonc.find_lines(writer.text)
+    assert positions.lines == writer.lines
+    assert positions.duplicates == ()
+
+
+@hypothesis.given(
+    strategies.text()
+    | strategies.text(strategies.sampled_from("{}[]:,\"'/*\\\n ae1-"))
+)
+def test_any_text_gives_a_value_or_a_document_error(text):
+    try:
+        value = jsonc.parse(text, "x.json")
+    except errors.DocumentError as error:
+        assert error.line is None or error.line >= 1
+    else:
+        lines = jsonc.find_lines(text).lines
+        assert "$" in lines, (value, lines)
+
+
+def test_deep_nesting_is_refused():
+    with pytest.raises(errors.DocumentError, match="nesting"):
+        jsonc.parse("[" * 100_000, "x.json")
--- a/packages/node/poplarwick_node/settings.py
+++ b/packages/node/poplarwick_node/settings.py
@@ -8,8 +8,8 @@
 import msgspec
 from poplarwick_core import jsonc
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}\Z")]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
 
 
@@ -55,8 +55,8 @@
     """
 
     name: Name
-    role: Annotated[str, msgspec.Meta(pattern="^(viewer|operator)$")]
-    token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+    role: Annotated[str, msgspec.Meta(pattern=r"^(viewer|operator)\Z")]
+    token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 
 class Timing(_Section, frozen=True):
@@ -82,7 +82,7 @@
     """
 
     level: Annotated[
-        str, msgspec.Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+        str, msgspec.Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)\Z")
     ] = "INFO"
 
 
