--- a/packages/administration/poplarwick_administration/api.py
+++ b/packages/administration/poplarwick_administration/api.py
@@ -10,7 +10,9 @@
 import result
 import uuid6
 from aiohttp import web
+from poplarwick_configuration import changes
 from poplarwick_configuration import document
+from poplarwick_configuration import failures
 from poplarwick_configuration import follower
 from poplarwick_configuration import record
 from poplarwick_configuration import store
@@ -94,11 +96,11 @@
         documents = store.DocumentStore(self.client, environment)
         try:
             stored = await documents.load_text(_read_version(request))
-        except store.MissingError as error:
+        except failures.MissingError as error:
             raise _make_error(
                 404, messages.ErrorKind.NOT_FOUND, str(error)
             ) from error
-        except (store.UnavailableError, record.RecordError) as error:
+        except failures.StoreError as error:
             raise _make_error(
                 503, messages.ErrorKind.NOT_STORED, str(error)
             ) from error
@@ -239,7 +241,7 @@
     return int(digits)
 
 
-def _name_outcome(pushed: store.PushResult) -> str:
+def _name_outcome(pushed: changes.ChangeResult) -> str:
     match pushed:
         case result.Ok(accepted):
             return type(accepted).__name__
@@ -257,9 +259,9 @@
     return ApiError(status, messages.ErrorMessage(kind=kind, message=message))
 
 
-def _make_refusal(refusal: store.Refusal) -> ApiError:
+def _make_refusal(refusal: changes.Refusal) -> ApiError:
     match refusal:
-        case store.Invalid(problems):
+        case changes.Invalid(problems):
             return ApiError(
                 422,
                 messages.ErrorMessage(
@@ -273,7 +275,7 @@
                     ),
                 ),
             )
-        case store.Superseded(expected_version, head):
+        case changes.Superseded(expected_version, head):
             return ApiError(
                 409,
                 messages.ErrorMessage(
@@ -282,11 +284,21 @@
                     head=make_version_message(head) if head else None,
                 ),
             )
-        case store.NotStored(reason):
+        case changes.NotStored(reason):
             return _make_error(
                 503, messages.ErrorKind.NOT_STORED, f"not stored: {reason}"
             )
-        case store.Unresolved(change_id, reason):
+        case changes.UnknownTarget(target):
+            return _make_error(
+                404, messages.ErrorKind.NOT_FOUND, f"{target} is not known"
+            )
+        case changes.LeavesIdle(names):
+            return _make_error(
+                409,
+                messages.ErrorKind.LEAVES_IDLE,
+                "no endpoint would be left in service for " + ", ".join(names),
+            )
+        case changes.Unresolved(change_id, reason):
             return _make_error(
                 503,
                 messages.ErrorKind.UNRESOLVED,
--- a/packages/administration/poplarwick_administration/messages.py
+++ b/packages/administration/poplarwick_administration/messages.py
@@ -21,6 +21,9 @@
         NOT_FOUND: What the call names does not exist.
         INVALID: The document has problems.
         SUPERSEDED: Another change came first.
+        LEAVES_IDLE: A model or service would have no endpoint in service.
+        NEVER_IN_FORCE: The version was never in force in its environment.
+        TOO_MANY_CALLS: The caller exceeds its rate.
         NOT_STORED: The key-value service could not be reached.
         UNRESOLVED: The change may have been stored; repeat it to learn.
     """
@@ -31,6 +34,9 @@
     NOT_FOUND = "not_found"
     INVALID = "invalid"
     SUPERSEDED = "superseded"
+    LEAVES_IDLE = "leaves_idle"
+    NEVER_IN_FORCE = "never_in_force"
+    TOO_MANY_CALLS = "too_many_calls"
     NOT_STORED = "not_stored"
     UNRESOLVED = "unresolved"
 
--- a/packages/configuration/poplarwick_configuration/_keys.py
+++ b/packages/configuration/poplarwick_configuration/_keys.py
@@ -47,6 +47,16 @@
         """Prefix of the sections by digest."""
         return f"configuration/{self.environment}/sections/"
 
+    @property
+    def refusals(self) -> str:
+        """Prefix of the records of refused changes."""
+        return f"configuration/{self.environment}/refusals/"
+
+    def confirmation(self, version: int) -> str:
+        """Written once a version has been in force at all instances."""
+        number = f"{version:0{VERSION_DIGITS}d}"
+        return f"configuration/{self.environment}/confirmed/{number}"
+
     def version(self, version: int) -> str:
         """Record of one version."""
         return f"{self.versions}{version:0{VERSION_DIGITS}d}"
--- a/packages/configuration/poplarwick_configuration/check.py
+++ b/packages/configuration/poplarwick_configuration/check.py
@@ -58,7 +58,7 @@
     findings = tuple(_find_problems(parsed))
     if not findings:
         return ()
-    lines = jsonc.find_lines(text)
+    lines = jsonc.find_positions(text)
     return tuple(
         Problem(source, lines.find_line(f.path), f.path, f.message)
         for f in findings
@@ -100,24 +100,21 @@
 def _check_keys(parsed: document.Document) -> Iterator[_Finding]:
     digests: list[tuple[str, str]] = []
     for index, organisation in enumerate(parsed.organisations):
-        base = f"$.organisations[{index}].keys"
-        names = (
-            (k.id, f"{base}[{i}].id") for i, k in _enumerate_keys(organisation)
-        )
-        yield from _find_duplicates(names, "key id")
-        digests += [
-            (key.sha256, f"{base}[{i}].sha256")
-            for i, key in _enumerate_keys(organisation)
-        ]
+        groups = {
+            "keys": organisation.keys,
+            "administrators": organisation.administrators,
+        }
+        for group, keys in groups.items():
+            base = f"$.organisations[{index}].{group}"
+            names = ((k.id, f"{base}[{i}].id") for i, k in enumerate(keys))
+            yield from _find_duplicates(names, "key id")
+            digests += [
+                (key.sha256, f"{base}[{i}].sha256")
+                for i, key in enumerate(keys)
+            ]
     yield from _find_duplicates(digests, "key digest")
 
 
-def _enumerate_keys(
-    organisation: document.Organisation,
-) -> Iterable[tuple[int, document.ApiKey]]:
-    return enumerate(organisation.keys)
-
-
 def _check_models(parsed: document.Document) -> Iterator[_Finding]:
     for index, model in enumerate(parsed.models):
         base = f"$.models[{index}]"
--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 import msgspec
+from poplarwick_core import clock
 from poplarwick_core import ids
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
@@ -32,17 +33,20 @@
 
 
 class ApiKey(_Section, frozen=True):
-    """A caller's key, stored as a digest only.
+    """A caller's key or an administrator's token, stored as a digest only.
 
     Attributes:
         id: Name of the key, shown in logs and audit entries.
         sha256: Hexadecimal SHA-256 digest of the secret.
         revoked: Whether the key is refused.
+        expires_s: Time from which the key is refused, in seconds since the
+            Unix epoch; None means never.
     """
 
     id: Name
     sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
     revoked: bool = False
+    expires_s: Annotated[float, msgspec.Meta(gt=0, le=1e12)] | None = None
 
 
 class Organisation(_Section, frozen=True):
@@ -53,12 +57,14 @@
         keys: Accepted caller keys.
         weight: Share of the fleet relative to other organisations.
         limits: Limits over the whole fleet.
+        administrators: Tokens of those who may manage the organisation.
     """
 
     id: Name
     keys: tuple[ApiKey, ...]
     weight: Positive = 1
     limits: Limits = Limits()
+    administrators: tuple[ApiKey, ...] = ()
 
 
 class ColdStart(_Section, frozen=True):
@@ -169,6 +175,13 @@
     in_service: bool = True
 
 
+def is_current(key: ApiKey) -> bool:
+    """Returns whether a key has neither been revoked nor expired."""
+    if key.revoked:
+        return False
+    return key.expires_s is None or clock.wall_time_s() < key.expires_s
+
+
 class Document(_Section, frozen=True, kw_only=True):
     """All that operators say about one environment.
 
@@ -208,11 +221,17 @@
         self._domains = {d.id: d for d in document.domains}
         self._endpoints = {e.id: e for e in document.endpoints}
         self._keys = {
-            key.sha256: organisation
+            key.sha256: (key, organisation)
             for organisation in document.organisations
             for key in organisation.keys
             if not key.revoked
         }
+        self._administrators = {
+            key.sha256: (key, organisation)
+            for organisation in document.organisations
+            for key in organisation.administrators
+            if not key.revoked
+        }
 
     def find_organisation(
         self, organisation: ids.OrganisationId
@@ -222,7 +241,15 @@
 
     def find_key_owner(self, sha256: str) -> Organisation | None:
         """Returns the organisation that a key's digest belongs to."""
-        return self._keys.get(sha256)
+        found = self._keys.get(sha256)
+        return found[1] if found and is_current(found[0]) else None
+
+    def find_administrator(
+        self, sha256: str
+    ) -> tuple[ApiKey, Organisation] | None:
+        """Returns the administrator that a token's digest belongs to."""
+        found = self._administrators.get(sha256)
+        return found if found and is_current(found[0]) else None
 
     def find_model(self, model: ids.ModelId) -> Model | None:
         """Returns the model, or None if it is unknown."""
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/edit.py
@@ -0,0 +1,97 @@
+"""Small edits of a document's text that leave the rest as written."""
+
+from __future__ import annotations
+
+import msgspec
+from poplarwick_core import errors
+from poplarwick_core import jsonc
+
+from poplarwick_configuration import document
+
+
+class EditError(errors.PoplarwickError):
+    """The document has no place for the edit."""
+
+
+def add_key(text: str, organisation: str, key: document.ApiKey) -> str:
+    """Returns the text with one more key of an organisation.
+
+    Raises:
+        EditError: The organisation is unknown or has a key of that id.
+    """
+    index, parsed = _find_organisation(text, organisation)
+    if any(k.id == key.id for k in parsed.keys):
+        raise EditError(f"{organisation} has a key {key.id} already")
+    path = f"$.organisations[{index}].keys"
+    encoded = msgspec.json.encode(_strip_defaults(key)).decode()
+    return _append(text, path, len(parsed.keys), encoded)
+
+
+def replace_key(text: str, organisation: str, key: document.ApiKey) -> str:
+    """Returns the text with the key of the same id replaced.
+
+    Raises:
+        EditError: The organisation or the key is unknown.
+    """
+    index, parsed = _find_organisation(text, organisation)
+    names = [k.id for k in parsed.keys]
+    if key.id not in names:
+        raise EditError(f"{organisation} has no key {key.id}")
+    path = f"$.organisations[{index}].keys[{names.index(key.id)}]"
+    encoded = msgspec.json.encode(_strip_defaults(key)).decode()
+    return _replace(text, path, encoded)
+
+
+def cut_organisation(text: str, organisation: str) -> str:
+    """Returns the section of an organisation as written.
+
+    Raises:
+        EditError: The organisation is unknown.
+    """
+    index, _ = _find_organisation(text, organisation)
+    span = jsonc.find_positions(text).spans[f"$.organisations[{index}]"]
+    return text[span.start : span.end]
+
+
+def replace_organisation(text: str, organisation: str, section: str) -> str:
+    """Returns the text with the section of an organisation replaced.
+
+    Raises:
+        EditError: The organisation is unknown.
+    """
+    index, _ = _find_organisation(text, organisation)
+    return _replace(text, f"$.organisations[{index}]", section)
+
+
+def _find_organisation(
+    text: str, organisation: str
+) -> tuple[int, document.Organisation]:
+    parsed = jsonc.decode_checked(text, document.Document, "document")
+    for index, found in enumerate(parsed.organisations):
+        if found.id == organisation:
+            return index, found
+    raise EditError(f"the document has no organisation {organisation}")
+
+
+def _replace(text: str, path: str, value: str) -> str:
+    span = jsonc.find_positions(text).spans[path]
+    return text[: span.start] + value + text[span.end :]
+
+
+def _append(text: str, path: str, count: int, value: str) -> str:
+    """Adds an item behind the last one, before a comma and comments."""
+    spans = jsonc.find_positions(text).spans
+    if count:
+        place = spans[f"{path}[{count - 1}]"].end
+        return f"{text[:place]}, {value}{text[place:]}"
+    place = spans[path].start + 1
+    return f"{text[:place]}{value}{text[place:]}"
+
+
+def _strip_defaults(key: document.ApiKey) -> dict[str, object]:
+    fields: dict[str, object] = {"id": key.id, "sha256": key.sha256}
+    if key.revoked:
+        fields["revoked"] = True
+    if key.expires_s is not None:
+        fields["expires_s"] = key.expires_s
+    return fields
--- a/packages/configuration/poplarwick_configuration/store.py
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -1,103 +1,31 @@
 """Documents in the key-value service.
 
 Each change is one compare-and-swap transaction over the head, the record of
-the new version, the change id and the sections that are new. A transaction
-whose answer is lost is sent again under the same conditions, so it can take
-effect once at most, and the change id tells whether it did.
+the new version, the change id and the sections that are new.
 """
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
-import random
 from collections.abc import Mapping
 
+import msgspec
 import result
+import uuid6
 from poplarwick_core import clock
-from poplarwick_core import errors
 from poplarwick_core import jsonc
 from poplarwick_platform import kv
 
+from poplarwick_configuration import _committer
 from poplarwick_configuration import _keys
-from poplarwick_configuration import check
+from poplarwick_configuration import _planning
+from poplarwick_configuration import changes
 from poplarwick_configuration import document
+from poplarwick_configuration import failures
+from poplarwick_configuration import marks
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
 
-MAX_TRANSACTION_BYTES = 500_000
-MAX_TRANSACTION_OPERATIONS = 64
-MAX_ATTEMPTS = 5
-RETRY_DELAY_S = 0.1
-
-
-class StoreError(errors.PoplarwickError):
-    """The store could not be read."""
-
-
-class UnavailableError(StoreError):
-    """The key-value service did not answer."""
-
-
-class MissingError(StoreError):
-    """The asked version or one of its sections is not stored."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accepted:
-    """The change is stored.
-
-    Attributes:
-        version: Version that the change made.
-        was_stored_before: Whether an earlier push of the same change id had
-            stored it already.
-    """
-
-    version: int
-    was_stored_before: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Invalid:
-    """Refusal: the document has problems; nothing was stored."""
-
-    problems: tuple[check.Problem, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Superseded:
-    """Refusal: another change came first; nothing was stored.
-
-    Attributes:
-        expected_version: Version that the change was based on.
-        head: Record of the version in its place, or None if there is none.
-    """
-
-    expected_version: int
-    head: record.VersionRecord | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotStored:
-    """Refusal: the service could not be reached; nothing was stored."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unresolved:
-    """The answer was lost for good; the change may have been stored.
-
-    Pushing again under the same change id tells.
-    """
-
-    change_id: str
-    reason: str
-
-
-Refusal = Invalid | Superseded | NotStored | Unresolved
-PushResult = result.Result[Accepted, Refusal]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredText:
@@ -125,16 +53,6 @@
     revision: kv.Revision
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _State:
-    head: record.VersionRecord | None
-    conditions: tuple[kv.Condition, ...]
-
-    @property
-    def version(self) -> int:
-        return self.head.version if self.head is not None else 0
-
-
 class DocumentStore:
     """The stored versions of one environment's document.
 
@@ -159,10 +77,8 @@
         author: str,
         change_id: str,
         expected_version: int | None = None,
-        action: record.Action = record.Action.PUSH,
-        detail: str = "",
-    ) -> PushResult:
-        """Stores a new version of the document.
+    ) -> changes.ChangeResult:
+        """Stores a new text of the document.
 
         Args:
             text: The document as written.
@@ -170,39 +86,62 @@
             change_id: Idempotency key; pushing it again changes nothing.
             expected_version: Version that the change is based on; None means
                 the newest one at the time of the call.
-            action: How the version comes to be.
-            detail: What the operator asked for, in words.
 
         Returns:
             What became of the change.
         """
-        problems = self._check(text)
-        if problems:
-            return result.Err(Invalid(problems))
-        change = _Change(
-            text, author, change_id, expected_version, action, detail
+        change = changes.NewText(text, expected_version)
+        return await self.make_change(
+            change, author=author, change_id=change_id
+        )
+
+    async def make_change(
+        self,
+        change: changes.Change,
+        *,
+        author: str,
+        change_id: str,
+        time_s: float | None = None,
+        known: Mapping[str, bytes] | None = None,
+    ) -> changes.ChangeResult:
+        """Makes any change of the document.
+
+        Args:
+            change: The change.
+            author: Operator who makes it.
+            change_id: Idempotency key; the same change again changes nothing.
+            time_s: When the operator asked for it; None means now.
+            known: Sections by digest that need not be read again.
+
+        Returns:
+            What became of the change.
+        """
+        if isinstance(change, changes.NewText):
+            problems = _planning.check_text(change.text, self.environment)
+            if problems:
+                return result.Err(changes.Invalid(problems))
+        request = _planning.Request(
+            change,
+            author,
+            change_id,
+            clock.wall_time_s() if time_s is None else time_s,
         )
-        attempt = _Attempt()
-        while True:
-            try:
-                outcome = await self._try_push(change, attempt)
-            except kv.KvError as error:
-                attempt.count_failure(error)
-            else:
-                if outcome is not None:
-                    return outcome
-                attempt.count_race()
-            if attempt.count >= MAX_ATTEMPTS:
-                return attempt.give_up(change_id)
-            delay_s = RETRY_DELAY_S * attempt.count
-            await asyncio.sleep(delay_s * random.random())
+
+        async def read_document(
+            version_record: record.VersionRecord,
+        ) -> document.Document:
+            text = await self.read_text(version_record, known)
+            return jsonc.decode_checked(text, document.Document, "document")
+
+        committer = _committer.Committer(self._kv, self._keys, read_document)
+        return await committer.commit(request)
 
     async def read_head(self) -> Head:
         """Reads the record of the newest version.
 
         Raises:
-            UnavailableError: The service did not answer.
-            record.RecordError: The stored record is not valid.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: The stored record is not valid.
         """
         snapshot = await self._read(self._keys.head)
         head = None
@@ -214,13 +153,14 @@
         """Reads the record of one version.
 
         Raises:
-            MissingError: The version was never made or is no longer kept.
-            UnavailableError: The service did not answer.
-            record.RecordError: The stored record is not valid.
+            failures.MissingError: There is no such version, or it is no
+                longer kept.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: The stored record is not valid.
         """
         snapshot = await self._read(self._keys.version(version))
         if not snapshot.entries:
-            raise MissingError(
+            raise failures.MissingError(
                 f"version {version} of {self.environment} is not stored"
             )
         return record.decode_record(snapshot.entries[0].value)
@@ -229,8 +169,8 @@
         """Reads the records of all kept versions, the oldest first.
 
         Raises:
-            UnavailableError: The service did not answer.
-            record.RecordError: A stored record is not valid.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
         """
         snapshot = await self._read(self._keys.versions, is_prefix=True)
         return tuple(record.decode_record(e.value) for e in snapshot.entries)
@@ -247,8 +187,8 @@
             known: Sections by digest that need not be read again.
 
         Raises:
-            MissingError: A section is not stored or its content is wrong.
-            UnavailableError: The service did not answer.
+            failures.MissingError: A section is not stored or is wrong.
+            failures.UnavailableError: The service did not answer.
         """
         parts = []
         for digest in version_record.sections:
@@ -256,35 +196,92 @@
             parts.append(part or await self.read_section(digest))
         return join_sections(version_record, parts)
 
+    async def confirm(self, version: int, instance: str) -> None:
+        """Notes that a version has been in force at all instances.
+
+        Args:
+            version: The version.
+            instance: Instance that has seen it so.
+
+        Raises:
+            failures.UnavailableError: The note may not be stored.
+        """
+        key = self._keys.confirmation(version)
+        try:
+            await self._kv.commit(
+                (kv.KeyAbsent(key),),
+                (kv.Put(key, instance.encode()),),
+                kv.Purpose.CONFIGURATION,
+            )
+        except kv.KvError as error:
+            raise failures.UnavailableError(str(error)) from error
+
+    async def is_confirmed(self, version: int) -> bool:
+        """Returns whether a version has been in force at all instances.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+        """
+        snapshot = await self._read(self._keys.confirmation(version))
+        return bool(snapshot.entries)
+
+    async def record_refusal(self, refusal: record.RefusalRecord) -> None:
+        """Adds a refused change to the audit trail.
+
+        Raises:
+            failures.UnavailableError: The refusal may not be recorded.
+        """
+        key = self._keys.refusals + str(uuid6.uuid7())
+        try:
+            await self._kv.commit(
+                (),
+                (kv.Put(key, msgspec.json.encode(refusal)),),
+                kv.Purpose.HOUSEKEEPING,
+            )
+        except kv.KvError as error:
+            raise failures.UnavailableError(str(error)) from error
+
+    async def read_refusals(self) -> tuple[record.RefusalRecord, ...]:
+        """Reads the refused changes in the audit trail, the oldest first.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
+        """
+        snapshot = await self._read(self._keys.refusals, is_prefix=True)
+        return tuple(record.decode_refusal(e.value) for e in snapshot.entries)
+
     async def read_section(self, digest: str) -> bytes:
         """Reads one section.
 
         Raises:
-            MissingError: The section is not stored or its content is wrong.
-            UnavailableError: The service did not answer.
+            failures.MissingError: The section is not stored or is wrong.
+            failures.UnavailableError: The service did not answer.
         """
         snapshot = await self._read(self._keys.section(digest))
         if not snapshot.entries:
-            raise MissingError(f"section {digest} is not stored")
+            raise failures.MissingError(f"section {digest} is not stored")
         content = snapshot.entries[0].value
         if sections.digest_bytes(content) != digest:
-            raise MissingError(f"section {digest} has other content")
+            raise failures.MissingError(f"section {digest} has other content")
         return content
 
     async def load_text(self, version: int | None = None) -> StoredText:
         """Reads a version as written; None means the newest one.
 
         Raises:
-            MissingError: There is no such version.
-            UnavailableError: The service did not answer.
-            record.RecordError: A stored record is not valid.
+            failures.MissingError: There is no such version.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
         """
         if version is not None:
             version_record = await self.read_record(version)
         else:
             head = (await self.read_head()).record
             if head is None:
-                raise MissingError(f"{self.environment} has no document")
+                raise failures.MissingError(
+                    f"{self.environment} has no document"
+                )
             version_record = head
         return StoredText(version_record, await self.read_text(version_record))
 
@@ -292,152 +289,21 @@
         """Reads a version; None means the newest one.
 
         Raises:
-            MissingError: There is no such version.
-            UnavailableError: The service did not answer.
-            record.RecordError: A stored record is not valid.
+            failures.MissingError: There is no such version.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
             errors.DocumentError: The stored text is not valid.
         """
         stored = await self.load_text(version)
         return make_view(self.environment, stored)
 
-    def _check(self, text: str) -> tuple[check.Problem, ...]:
-        source = f"{self.environment} document"
-        problems = check.check_document(text, source)
-        if problems:
-            return problems
-        parsed = jsonc.decode_checked(text, document.Document, source)
-        if parsed.environment == self.environment:
-            return ()
-        path = "$.environment"
-        line = jsonc.find_lines(text).find_line(path)
-        message = f'found "{parsed.environment}"; "{self.environment}"'
-        return (check.Problem(source, line, path, message),)
-
-    async def _try_push(
-        self, change: _Change, attempt: _Attempt
-    ) -> PushResult | None:
-        stored = await self._find_change(change.change_id)
-        if stored is not None:
-            return result.Ok(Accepted(stored, attempt.count == 0))
-        # Once a transaction may have been sent, it is repeated under the same
-        # conditions; else two transactions of one change could both succeed.
-        state = attempt.state or await self._read_state()
-        if attempt.base_version is None:
-            attempt.base_version = change.expected_version
-        if attempt.base_version is None:
-            attempt.base_version = state.version
-        if state.version != attempt.base_version:
-            return result.Err(Superseded(attempt.base_version, state.head))
-        attempt.state = state
-        new_record, operations = self._make_operations(change, state)
-        operations = await self._write_ahead(operations)
-        change_key = self._keys.change(change.change_id)
-        conditions = (*state.conditions, kv.KeyAbsent(change_key))
-        committed = await self._commit(conditions, operations, attempt)
-        if isinstance(committed, kv.Committed):
-            return result.Ok(Accepted(new_record.version))
-        return await self._resolve_conflict(change, attempt)
-
-    async def _commit(
-        self,
-        conditions: tuple[kv.Condition, ...],
-        operations: tuple[kv.Put, ...],
-        attempt: _Attempt,
-    ) -> kv.TransactionResult:
-        try:
-            return await self._kv.commit(
-                conditions, operations, kv.Purpose.CONFIGURATION
-            )
-        except kv.UnknownResultError:
-            attempt.was_sent = True
-            raise
-
-    async def _resolve_conflict(
-        self, change: _Change, attempt: _Attempt
-    ) -> PushResult | None:
-        stored = await self._find_change(change.change_id)
-        if stored is not None:
-            return result.Ok(Accepted(stored))
-        # The conditions can never hold again: nothing sent can take effect.
-        attempt.state = None
-        attempt.was_sent = False
-        return None
-
-    async def _find_change(self, change_id: str) -> int | None:
-        snapshot = await self._kv.read(
-            self._keys.change(change_id), kv.Purpose.CONFIGURATION
-        )
-        return int(snapshot.entries[0].value) if snapshot.entries else None
-
-    async def _read_state(self) -> _State:
-        snapshot = await self._kv.read(
-            self._keys.state, kv.Purpose.CONFIGURATION, is_prefix=True
-        )
-        entries = {entry.key: entry for entry in snapshot.entries}
-        conditions: list[kv.Condition] = []
-        for key in (self._keys.head, self._keys.compaction):
-            entry = entries.get(key)
-            if entry is None:
-                conditions.append(kv.KeyAbsent(key))
-            else:
-                conditions.append(kv.KeyUnchanged(key, entry.mod_revision))
-        head_entry = entries.get(self._keys.head)
-        head = record.decode_record(head_entry.value) if head_entry else None
-        return _State(head, tuple(conditions))
-
-    def _make_operations(
-        self, change: _Change, state: _State
-    ) -> tuple[record.VersionRecord, tuple[kv.Put, ...]]:
-        parts = sections.split_text(change.text)
-        digests = tuple(sections.digest_bytes(part) for part in parts)
-        new_record = record.VersionRecord(
-            version=state.version + 1,
-            digest=sections.digest_bytes(change.text.encode()),
-            sections=digests,
-            author=change.author,
-            change_id=change.change_id,
-            action=change.action,
-            detail=change.detail,
-            time_s=clock.wall_time_s(),
-        )
-        stored = set(state.head.sections) if state.head else set()
-        new_parts = {
-            digest: part
-            for digest, part in zip(digests, parts, strict=True)
-            if digest not in stored
-        }
-        encoded = record.encode_record(new_record)
-        version = str(new_record.version).encode()
-        return new_record, (
-            *(kv.Put(self._keys.section(d), p) for d, p in new_parts.items()),
-            kv.Put(self._keys.version(new_record.version), encoded),
-            kv.Put(self._keys.change(change.change_id), version),
-            kv.Put(self._keys.head, encoded),
-        )
-
-    async def _write_ahead(
-        self, operations: tuple[kv.Put, ...]
-    ) -> tuple[kv.Put, ...]:
-        """Writes sections that do not fit and returns what is left to write.
-
-        Sections are named by their content, so a section without a version
-        does no harm.
-        """
-        remaining = list(operations)
-        while not _fits(remaining):
-            batch = [remaining.pop(0)]
-            while _fits([*batch, remaining[0]]):
-                batch.append(remaining.pop(0))
-            await self._kv.commit((), tuple(batch), kv.Purpose.CONFIGURATION)
-        return tuple(remaining)
-
     async def _read(self, key: str, *, is_prefix: bool = False) -> kv.Snapshot:
         try:
             return await self._kv.read(
                 key, kv.Purpose.CONFIGURATION, is_prefix=is_prefix
             )
         except kv.KvError as error:
-            raise UnavailableError(
+            raise failures.UnavailableError(
                 f"{self.environment} document: {error}"
             ) from error
 
@@ -448,11 +314,11 @@
     """Returns the text of a version from its sections.
 
     Raises:
-        MissingError: The sections do not give the recorded text.
+        failures.MissingError: The sections do not give the recorded text.
     """
     data = b"".join(parts)
     if sections.digest_bytes(data) != version_record.digest:
-        raise MissingError(
+        raise failures.MissingError(
             f"sections of version {version_record.version} do not match"
         )
     return data.decode()
@@ -466,48 +332,5 @@
     """
     source = f"{environment} version {stored.record.version}"
     parsed = jsonc.decode_checked(stored.text, document.Document, source)
-    return document.View(stored.record.version, parsed)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Change:
-    text: str
-    author: str
-    change_id: str
-    expected_version: int | None
-    action: record.Action
-    detail: str
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    """What is known about the transactions sent for one change so far."""
-
-    count: int = 0
-    base_version: int | None = None
-    was_sent: bool = False
-    state: _State | None = None
-    reason: str = ""
-
-    def count_failure(self, error: kv.KvError) -> None:
-        self.count += 1
-        self.reason = str(error)
-        if not self.was_sent:
-            self.state = None
-
-    def count_race(self) -> None:
-        self.count += 1
-        self.reason = "another transaction came first"
-
-    def give_up(self, change_id: str) -> PushResult:
-        if self.was_sent:
-            return result.Err(Unresolved(change_id, self.reason))
-        return result.Err(NotStored(self.reason))
-
-
-def _fits(operations: list[kv.Put]) -> bool:
-    size = sum(len(operation.value) for operation in operations)
-    return (
-        size <= MAX_TRANSACTION_BYTES
-        and len(operations) <= MAX_TRANSACTION_OPERATIONS
-    )
+    effective = marks.apply_marks(parsed, stored.record.out)
+    return document.View(stored.record.version, effective)
--- a/packages/configuration/tests/test_store.py
+++ b/packages/configuration/tests/test_store.py
@@ -6,6 +6,8 @@
 import fake_kv
 import pytest
 import texts
+from poplarwick_configuration import _committer
+from poplarwick_configuration import changes
 from poplarwick_configuration import follower
 from poplarwick_configuration import sections
 from poplarwick_configuration import store
@@ -22,7 +24,7 @@
         documents = store.DocumentStore(fake_kv.FakeKv(), "trial")
         text = texts.make_text()
         pushed = await push(documents, text, "c1")
-        assert pushed.unwrap() == store.Accepted(1)
+        assert pushed.unwrap() == changes.Accepted(1)
         stored = await documents.load_text()
         assert stored.text == text
         assert (stored.record.author, stored.record.change_id) == (
@@ -41,7 +43,7 @@
         await push(documents, texts.make_text(), "c1")
         await push(documents, texts.make_text(weight=2), "c2")
         again = await push(documents, texts.make_text(), "c1")
-        assert again.unwrap() == store.Accepted(1, was_stored_before=True)
+        assert again.unwrap() == changes.Accepted(1, was_stored_before=True)
         assert (await documents.read_head()).record.version == 2
 
     asyncio.run(run())
@@ -56,7 +58,7 @@
             documents, texts.make_text(weight=3), "c3", expected_version=1
         )
         refusal = late.unwrap_err()
-        assert isinstance(refusal, store.Superseded)
+        assert isinstance(refusal, changes.Superseded)
         assert (refusal.head.version, refusal.head.change_id) == (2, "c2")
 
     asyncio.run(run())
@@ -91,7 +93,7 @@
         service.is_down = True
         documents = store.DocumentStore(service, "trial")
         refusal = (await push(documents, texts.make_text(), "c1")).unwrap_err()
-        assert isinstance(refusal, store.NotStored)
+        assert isinstance(refusal, changes.NotStored)
 
     asyncio.run(run())
 
@@ -135,7 +137,7 @@
             if pushed.is_ok():
                 log[change_id] = pushed.unwrap().version
                 break
-            if not isinstance(pushed.unwrap_err(), store.Unresolved):
+            if not isinstance(pushed.unwrap_err(), changes.Unresolved):
                 log[change_id] = None
                 break
 
@@ -144,7 +146,7 @@
 def test_racing_operators_with_lost_answers_lose_and_double_nothing(
     seed, monkeypatch
 ):
-    monkeypatch.setattr(store, "RETRY_DELAY_S", 0.0)
+    monkeypatch.setattr(_committer, "RETRY_DELAY_S", 0.0)
     monkeypatch.setattr(follower, "MIN_RETRY_DELAY_S", 0.0)
     monkeypatch.setattr(follower, "MAX_RETRY_DELAY_S", 0.0)
 
--- a/packages/core/poplarwick_core/_positions.py
+++ b/packages/core/poplarwick_core/_positions.py
@@ -33,16 +33,31 @@
     first_line: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """Where a value stands in the text.
+
+    Attributes:
+        start: Offset of its first character.
+        end: Offset behind its last character.
+    """
+
+    start: int
+    end: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Positions:
-    """Lines of all values of one text.
+    """Places of all values of one text.
 
     Attributes:
         lines: Line number, counted from 1, by path such as `$.models[0].id`.
+        spans: Place in the text by path.
         duplicates: Keys that stand twice in one object.
     """
 
     lines: dict[str, int]
+    spans: dict[str, Span]
     duplicates: tuple[Duplicate, ...]
 
     def find_line(self, path: str) -> int | None:
@@ -76,6 +91,7 @@
         self._line = 1
         self._stack: list[_Container] = []
         self._lines: dict[str, int] = {}
+        self._spans: dict[str, Span] = {}
         self._duplicates: list[Duplicate] = []
 
     def scan(self) -> Positions:
@@ -83,29 +99,30 @@
             token = match.group()
             match match.lastgroup:
                 case "mark":
-                    self._take_mark(token)
+                    self._take_mark(token, match.start())
                 case "string" | "word":
-                    self._take_scalar(token)
+                    self._take_scalar(token, match.start())
             self._line += token.count("\n")
-        return Positions(self._lines, tuple(self._duplicates))
+        return Positions(self._lines, self._spans, tuple(self._duplicates))
 
-    def _take_mark(self, mark: str) -> None:
+    def _take_mark(self, mark: str, offset: int) -> None:
         top = self._stack[-1] if self._stack else None
         if mark in "{[":
-            path = self._record_value()
+            path = self._record_value(offset, offset + 1)
             self._stack.append(_Container(path, mark == "{"))
         elif mark in "}]" and self._stack:
-            self._stack.pop()
+            path = self._stack.pop().path
+            self._spans[path] = Span(self._spans[path].start, offset + 1)
         elif mark == "," and top is not None:
             top.index += 1
             top.key = None
 
-    def _take_scalar(self, token: str) -> None:
+    def _take_scalar(self, token: str, offset: int) -> None:
         top = self._stack[-1] if self._stack else None
         if top is not None and top.is_object and top.key is None:
             self._take_key(top, _decode_key(token))
         else:
-            self._record_value()
+            self._record_value(offset, offset + len(token))
 
     def _take_key(self, top: _Container, key: str) -> None:
         top.key = key
@@ -115,9 +132,10 @@
             self._duplicates.append(Duplicate(path, self._line, first_line))
         top.keys[key] = self._line
 
-    def _record_value(self) -> str:
+    def _record_value(self, start: int, end: int) -> str:
         path = self._stack[-1].make_child_path() if self._stack else "$"
         self._lines[path] = self._line
+        self._spans[path] = Span(start, end)
         return path
 
 
--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -71,8 +71,8 @@
     return convert(parse(text, source), kind, source)
 
 
-def find_lines(text: str) -> _positions.Positions:
-    """Returns the line of each value of a well-formed text."""
+def find_positions(text: str) -> _positions.Positions:
+    """Returns the place of each value of a well-formed text."""
     return _positions.scan_positions(text)
 
 
--- a/packages/core/tests/test_jsonc.py
+++ b/packages/core/tests/test_jsonc.py
@@ -158,8 +158,15 @@
     writer = Writer(data.draw)
     writer.write(value)
     assert jsonc.parse(writer.text, "x.json") == value
-    positions = jsonc.find_lines(writer.text)
+    positions = jsonc.find_positions(writer.text)
     assert positions.lines == writer.lines
+    span = positions.spans["$"]
+    assert jsonc.parse(writer.text[span.start : span.end], "x") == value
+    if isinstance(value, list):
+        for index, inner in enumerate(value):
+            span = positions.spans[f"$[{index}]"]
+            part = writer.text[span.start : span.end]
+            assert jsonc.parse(part, "x") == inner
     assert positions.duplicates == ()
 
 
@@ -173,7 +180,7 @@
     except errors.DocumentError as error:
         assert error.line is None or error.line >= 1
     else:
-        lines = jsonc.find_lines(text).lines
+        lines = jsonc.find_positions(text).lines
         assert "$" in lines, (value, lines)
 
 
