Serve the whole administration API and hold marks in an outage

Cause: taking a domain out must work while the key-value service is out, and teams need promotion, rollback, audit and key changes over HTTP.

--- /dev/null
+++ b/packages/administration/poplarwick_administration/_changes.py
@@ -0,0 +1,133 @@
+"""Makes changes on behalf of API calls and keeps the audit trail."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+from poplarwick_configuration import changes
+from poplarwick_configuration import difference
+from poplarwick_configuration import failures
+from poplarwick_configuration import record
+from poplarwick_configuration import store
+from poplarwick_core import clock
+from poplarwick_core import logs
+from poplarwick_platform import kv
+
+from poplarwick_administration import access
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Desk:
+    """Opens the store of any environment and makes changes there.
+
+    Attributes:
+        client: Client of the key-value service.
+    """
+
+    client: kv.KvClient
+
+    def open_store(self, environment: str) -> store.DocumentStore:
+        """Returns the stored documents of an environment."""
+        return store.DocumentStore(self.client, environment)
+
+    async def change_text(
+        self,
+        environment: str,
+        change: changes.NewText,
+        operator: access.Operator,
+        change_id: str,
+    ) -> messages.AcceptedMessage:
+        """Stores a new text.
+
+        Raises:
+            refusals.ApiError: The change was refused.
+        """
+        documents = self.open_store(environment)
+        made = await documents.make_change(
+            change, author=operator.name, change_id=change_id
+        )
+        match made:
+            case result.Ok(accepted):
+                _log(environment, change.action, operator, change_id)
+                return messages.AcceptedMessage(
+                    environment=environment,
+                    version=accepted.version,
+                    change_id=change_id,
+                    was_stored_before=accepted.was_stored_before,
+                )
+            case result.Err(refusal):
+                await self.note_refusal(
+                    environment, change.action, operator, change_id, refusal
+                )
+                if isinstance(refusal, changes.Superseded):
+                    raise await self._make_superseded(documents, refusal)
+                raise refusals.make_refusal(refusal)
+
+    async def note_refusal(
+        self,
+        environment: str,
+        action: record.Action,
+        operator: access.Operator,
+        change_id: str,
+        refusal: changes.Refusal,
+    ) -> None:
+        """Logs a refusal and adds it to the audit trail if it can be."""
+        reason = type(refusal).__name__.lower()
+        _log(environment, action, operator, change_id, reason)
+        if isinstance(refusal, changes.NotStored | changes.Unresolved):
+            return
+        refused = record.RefusalRecord(
+            author=operator.name,
+            change_id=change_id,
+            action=action.value,
+            reason=reason,
+            time_s=clock.wall_time_s(),
+        )
+        try:
+            await self.open_store(environment).record_refusal(refused)
+        except failures.StoreError as error:
+            logs.log_event("audit_entry_lost", "WARNING", reason=error)
+
+    async def _make_superseded(
+        self, documents: store.DocumentStore, refusal: changes.Superseded
+    ) -> refusals.ApiError:
+        """Returns the refusal with what the other operator changed."""
+        differences: tuple[messages.DifferenceMessage, ...] = ()
+        try:
+            if refusal.head is not None and refusal.expected_version > 0:
+                old = await documents.load_text(refusal.expected_version)
+                new = await documents.read_text(refusal.head)
+                differences = list_differences(old.text, new)
+        except failures.StoreError as error:
+            logs.log_event("conflict_not_shown", "WARNING", reason=error)
+        return refusals.make_superseded(refusal, differences)
+
+
+def list_differences(
+    before: str | None, after: str
+) -> tuple[messages.DifferenceMessage, ...]:
+    """Returns the API's form of what differs between two documents."""
+    return tuple(
+        messages.DifferenceMessage(path=d.path, before=d.before, after=d.after)
+        for d in difference.compare_texts(before, after)
+    )
+
+
+def _log(
+    environment: str,
+    action: record.Action,
+    operator: access.Operator,
+    change_id: str,
+    reason: str = "accepted",
+) -> None:
+    logs.log_event(
+        "configuration_change",
+        environment=environment,
+        action=action.value,
+        operator=operator.name,
+        change=change_id,
+        result=reason,
+    )
--- /dev/null
+++ b/packages/administration/poplarwick_administration/_organisations.py
@@ -0,0 +1,175 @@
+"""API calls about one organisation's section and its keys."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+from collections.abc import Callable
+from typing import ParamSpec
+
+import msgspec
+from aiohttp import web
+from poplarwick_configuration import changes
+from poplarwick_configuration import document
+from poplarwick_configuration import edit
+from poplarwick_configuration import record
+from poplarwick_configuration import store
+from poplarwick_core import clock
+from poplarwick_core import errors
+from poplarwick_core import jsonc
+
+from poplarwick_administration import _changes
+from poplarwick_administration import _guard
+from poplarwick_administration import _requests
+from poplarwick_administration import access
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
+
+SECRET_BYTES = 32
+SECRET_PREFIX = "pw-"
+OPERATOR_FIELDS = ("id", "weight", "limits")
+
+P = ParamSpec("P")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrganisationCalls:
+    """Handlers of calls about one organisation.
+
+    Attributes:
+        desk: Makes the changes.
+    """
+
+    desk: _changes.Desk
+
+    async def get_section(self, request: web.Request) -> web.Response:
+        """Returns the section as written."""
+        name = _requests.read_name(request, "organisation")
+        if not access.may_view(_guard.get_operator(request)):
+            _guard.require_manager(request, name)
+        stored = await self._load(request)
+        text = _edit(edit.cut_organisation, stored.text, name)
+        return _guard.respond(
+            messages.SectionMessage(version=stored.record.version, text=text)
+        )
+
+    async def put_section(self, request: web.Request) -> web.Response:
+        """Replaces the section."""
+        name = _requests.read_name(request, "organisation")
+        operator = _guard.require_manager(request, name)
+        section = await _requests.read_text(request)
+        stored = await self._load(request)
+        _check_section(operator, stored.text, name, section)
+        text = edit.replace_organisation(stored.text, name, section)
+        return _guard.respond(
+            await self._change(request, stored, text, f"section of {name}")
+        )
+
+    async def issue_key(self, request: web.Request) -> web.Response:
+        """Makes a new caller key, in place of an old one if asked."""
+        name = _requests.read_name(request, "organisation")
+        _guard.require_manager(request, name)
+        asked = await _requests.read_message(request, messages.KeyRequest)
+        stored = await self._load(request)
+        secret = SECRET_PREFIX + secrets.token_urlsafe(SECRET_BYTES)
+        key = document.ApiKey(asked.id, access.digest_token(secret))
+        text = _edit(edit.add_key, stored.text, name, key)
+        detail = f"key {asked.id} of {name} issued"
+        if asked.replaces is not None:
+            old = _find_key(stored.text, name, asked.replaces)
+            expires_s = clock.wall_time_s() + asked.overlap_s
+            old = msgspec.structs.replace(old, expires_s=expires_s)
+            text = _edit(edit.replace_key, text, name, old)
+            detail += f" in place of {asked.replaces}"
+        accepted = await self._change(request, stored, text, detail)
+        if accepted.was_stored_before:
+            raise refusals.make_error(
+                messages.ErrorKind.SUPERSEDED,
+                f"key {asked.id} was issued by an earlier call, which alone "
+                "was told its secret; revoke it and issue another",
+            )
+        return _guard.respond(
+            messages.KeyMessage(
+                organisation=name,
+                id=asked.id,
+                secret=secret,
+                version=accepted.version,
+            )
+        )
+
+    async def revoke_key(self, request: web.Request) -> web.Response:
+        """Makes a key refused from now on."""
+        name = _requests.read_name(request, "organisation")
+        _guard.require_manager(request, name)
+        key_id = _requests.read_name(request, "key")
+        stored = await self._load(request)
+        key = _find_key(stored.text, name, key_id)
+        key = msgspec.structs.replace(key, revoked=True)
+        text = _edit(edit.replace_key, stored.text, name, key)
+        return _guard.respond(
+            await self._change(
+                request, stored, text, f"key {key_id} of {name} revoked"
+            )
+        )
+
+    async def _load(self, request: web.Request) -> store.StoredText:
+        environment = _requests.read_environment(request)
+        return await self.desk.open_store(environment).load_text()
+
+    async def _change(
+        self,
+        request: web.Request,
+        stored: store.StoredText,
+        text: str,
+        detail: str,
+    ) -> messages.AcceptedMessage:
+        change = changes.NewText(
+            text, stored.record.version, record.Action.EDIT, detail
+        )
+        return await self.desk.change_text(
+            _requests.read_environment(request),
+            change,
+            _guard.get_operator(request),
+            _requests.read_change_id(request),
+        )
+
+
+def _edit(
+    function: Callable[P, str], *arguments: P.args, **options: P.kwargs
+) -> str:
+    try:
+        return function(*arguments, **options)
+    except edit.EditError as error:
+        raise refusals.make_error(
+            messages.ErrorKind.NOT_FOUND, str(error)
+        ) from error
+
+
+def _find_key(text: str, organisation: str, key_id: str) -> document.ApiKey:
+    parsed = jsonc.decode_checked(text, document.Document, "document")
+    for found in parsed.organisations:
+        for key in found.keys:
+            if (found.id, key.id) == (organisation, key_id):
+                return key
+    raise refusals.make_error(
+        messages.ErrorKind.NOT_FOUND, f"{organisation} has no key {key_id}"
+    )
+
+
+def _check_section(
+    operator: access.Operator, text: str, name: str, section: str
+) -> None:
+    """Refuses a section that is not valid or goes beyond the role."""
+    try:
+        new = jsonc.decode(section, document.Organisation, f"section {name}")
+    except errors.DocumentError as error:
+        raise refusals.make_bad_request(str(error)) from error
+    old_text = _edit(edit.cut_organisation, text, name)
+    old = jsonc.decode(old_text, document.Organisation, f"section {name}")
+    fields = ("id",) if access.may_change(operator) else OPERATOR_FIELDS
+    for field in fields:
+        if getattr(new, field) != getattr(old, field):
+            raise refusals.make_error(
+                messages.ErrorKind.FORBIDDEN,
+                f"{operator.name} may not change the field {field}",
+            )
--- /dev/null
+++ b/packages/administration/poplarwick_administration/_service.py
@@ -0,0 +1,139 @@
+"""API calls that take parts out of service, and the state of the fleet."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import result
+from aiohttp import web
+from poplarwick_configuration import changes
+from poplarwick_configuration import follower
+from poplarwick_configuration import record
+from poplarwick_configuration import service
+
+from poplarwick_administration import _changes
+from poplarwick_administration import _guard
+from poplarwick_administration import _requests
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
+
+FleetReader = Callable[[], tuple[messages.InstanceMessage, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCalls:
+    """Handlers of calls about what is in service.
+
+    Attributes:
+        desk: Makes the changes.
+        control: Takes out and puts back in the instance's own environment.
+        documents: Follower of that environment.
+        instance: This instance.
+        environment: Environment that this instance follows.
+        read_fleet: Returns what is known about all instances.
+    """
+
+    desk: _changes.Desk
+    control: service.ServiceControl
+    documents: follower.Follower
+    instance: str
+    environment: str
+    read_fleet: FleetReader
+
+    async def take_out(self, request: web.Request) -> web.Response:
+        """Takes a target out of service."""
+        operator = _guard.require_operator(request)
+        self._require_own_environment(request)
+        change_id = _requests.read_change_id(request)
+        made = await self.control.take_out(
+            _requests.read_target(request),
+            author=operator.name,
+            change_id=change_id,
+            is_forced=_requests.read_flag(request, "force"),
+        )
+        match made:
+            case result.Ok(changes.Accepted() as accepted):
+                return self._accept(accepted, change_id)
+            case result.Ok(service.Held() as held):
+                return _guard.respond(self._describe_held(held), status=202)
+            case result.Err(refusal):
+                await self.desk.note_refusal(
+                    self.environment,
+                    record.Action.OUT,
+                    operator,
+                    change_id,
+                    refusal,
+                )
+                raise refusals.make_refusal(refusal)
+        raise AssertionError
+
+    async def put_in(self, request: web.Request) -> web.Response:
+        """Puts a target back into service."""
+        operator = _guard.require_operator(request)
+        self._require_own_environment(request)
+        change_id = _requests.read_change_id(request)
+        made = await self.control.put_in(
+            _requests.read_target(request),
+            author=operator.name,
+            change_id=change_id,
+        )
+        match made:
+            case result.Ok(accepted):
+                return self._accept(accepted, change_id)
+            case result.Err(refusal):
+                await self.desk.note_refusal(
+                    self.environment,
+                    record.Action.IN,
+                    operator,
+                    change_id,
+                    refusal,
+                )
+                raise refusals.make_refusal(refusal)
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Returns the state of the fleet as seen here."""
+        _guard.require_viewer(request)
+        stored = self.documents.stored
+        out = stored.record.out if stored is not None else ()
+        return _guard.respond(
+            messages.StatusMessage(
+                instance=self.instance,
+                environment=self.environment,
+                version=self.documents.version,
+                is_connected=self.documents.is_connected,
+                out=tuple(str(mark.target) for mark in out),
+                held=tuple(str(m.target) for m in self.documents.held),
+                instances=self.read_fleet(),
+            )
+        )
+
+    def _require_own_environment(self, request: web.Request) -> None:
+        environment = _requests.read_environment(request)
+        if environment != self.environment:
+            raise refusals.make_error(
+                messages.ErrorKind.NOT_FOUND,
+                f"this instance follows {self.environment}; ask an instance "
+                f"of {environment}",
+            )
+
+    def _accept(
+        self, accepted: changes.Accepted, change_id: str
+    ) -> web.Response:
+        return _guard.respond(
+            messages.AcceptedMessage(
+                environment=self.environment,
+                version=accepted.version,
+                change_id=change_id,
+                was_stored_before=accepted.was_stored_before,
+            )
+        )
+
+    def _describe_held(self, held: service.Held) -> messages.HeldMessage:
+        return messages.HeldMessage(
+            environment=self.environment,
+            change_id=held.mark.change_id,
+            held_by=held.held_by or (self.instance,),
+            missing=held.missing,
+            message=f"{held.mark.target} is out: in force, not yet stored",
+        )
--- a/packages/administration/poplarwick_administration/access.py
+++ b/packages/administration/poplarwick_administration/access.py
@@ -6,6 +6,8 @@
 import enum
 import hashlib
 
+from poplarwick_configuration import document
+
 BEARER_PREFIX = "Bearer "
 
 
@@ -15,10 +17,13 @@
     Attributes:
         VIEWER: Read everything; documents hold digests, never secrets.
         OPERATOR: Read and change everything.
+        ORGANISATION_ADMINISTRATOR: Read and change the section of one
+            organisation, but not its weight and limits.
     """
 
     VIEWER = "viewer"
     OPERATOR = "operator"
+    ORGANISATION_ADMINISTRATOR = "organisation_administrator"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,23 +34,60 @@
         name: Name shown in the audit trail.
         role: What the operator may do.
         token_sha256: Hexadecimal SHA-256 digest of the bearer token.
+        organisation: The organisation of an organisation administrator.
     """
 
     name: str
     role: Role
     token_sha256: str
+    organisation: str | None = None
 
 
 def find_operator(
-    operators: tuple[Operator, ...], authorization: str
+    operators: tuple[Operator, ...],
+    view: document.View | None,
+    authorization: str,
 ) -> Operator | None:
-    """Returns the operator whose token an `Authorization` header carries."""
+    """Returns whose token an `Authorization` header carries.
+
+    Args:
+        operators: Operators named in the instance's settings.
+        view: Document with the organisations' administrators.
+        authorization: Value of the header.
+    """
     if not authorization.startswith(BEARER_PREFIX):
         return None
     token = authorization.removeprefix(BEARER_PREFIX).strip()
     digest = digest_token(token)
     # Digests of random tokens are compared, so the time taken tells nothing.
-    return next((o for o in operators if o.token_sha256 == digest), None)
+    for operator in operators:
+        if operator.token_sha256 == digest:
+            return operator
+    found = view.find_administrator(digest) if view is not None else None
+    if found is None:
+        return None
+    key, organisation = found
+    return Operator(
+        f"{organisation.id}/{key.id}",
+        Role.ORGANISATION_ADMINISTRATOR,
+        digest,
+        organisation.id,
+    )
+
+
+def may_view(operator: Operator) -> bool:
+    """Returns whether an operator may read everything."""
+    return operator.role in (Role.VIEWER, Role.OPERATOR)
+
+
+def may_change(operator: Operator) -> bool:
+    """Returns whether an operator may change everything."""
+    return operator.role is Role.OPERATOR
+
+
+def may_manage(operator: Operator, organisation: str) -> bool:
+    """Returns whether an operator may change an organisation's section."""
+    return may_change(operator) or operator.organisation == organisation
 
 
 def digest_token(token: str) -> str:
--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -9,7 +9,7 @@
 import msgspec
 from poplarwick_core import errors
 
-from poplarwick_administration import api
+from poplarwick_administration import _requests
 from poplarwick_administration import messages
 
 TIMEOUT_S = 30.0
@@ -77,9 +77,9 @@
             RefusedError: The change was refused.
             UnreachableError: No answer came; push again under the same id.
         """
-        headers = {api.CHANGE_ID_HEADER: change_id}
+        headers = {_requests.CHANGE_ID_HEADER: change_id}
         if expected_version is not None:
-            headers[api.EXPECTED_VERSION_HEADER] = f'"{expected_version}"'
+            headers[_requests.EXPECTED_VERSION_HEADER] = f'"{expected_version}"'
         return await self._call(
             "PUT",
             f"/v1/environments/{environment}/document",
--- /dev/null
+++ b/packages/administration/poplarwick_administration/confirmation.py
@@ -0,0 +1,81 @@
+"""Notes which versions have been in force at all instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+from poplarwick_configuration import failures
+from poplarwick_configuration import follower
+from poplarwick_configuration import store
+from poplarwick_core import logs
+
+from poplarwick_administration import messages
+from poplarwick_administration._service import FleetReader
+
+POLL_PERIOD_S = 0.25
+GONE_STATES = frozenset({"dead"})
+
+
+def is_in_force(
+    version: int, instances: tuple[messages.InstanceMessage, ...]
+) -> bool:
+    """Returns whether all living instances have exactly this version."""
+    living = [one for one in instances if one.state not in GONE_STATES]
+    return bool(living) and all(one.version == version for one in living)
+
+
+class Confirmer:
+    """Stores a note once a version is in force at all instances.
+
+    Of all instances the one with the lowest id writes the note.
+    """
+
+    def __init__(
+        self,
+        documents: follower.Follower,
+        stored: store.DocumentStore,
+        instance: str,
+        read_fleet: FleetReader,
+    ) -> None:
+        self._documents = documents
+        self._store = stored
+        self._instance = instance
+        self._read_fleet = read_fleet
+
+    async def run_beside(self, _: web.Application) -> AsyncIterator[None]:
+        """Runs while the application does."""
+        task = asyncio.create_task(self._run())
+        yield
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    async def _run(self) -> None:
+        confirmed = 0
+        while True:
+            await self._documents.wait_for_version(confirmed + 1)
+            version = self._documents.version
+            fleet = self._read_fleet()
+            if not is_in_force(version, fleet):
+                await asyncio.sleep(POLL_PERIOD_S)
+                continue
+            if await self._confirm(version, fleet):
+                confirmed = version
+            else:
+                await asyncio.sleep(POLL_PERIOD_S)
+
+    async def _confirm(
+        self, version: int, fleet: tuple[messages.InstanceMessage, ...]
+    ) -> bool:
+        if min(one.instance for one in fleet) != self._instance:
+            return True
+        try:
+            await self._store.confirm(version, self._instance)
+        except failures.StoreError as error:
+            logs.log_event("confirmation_lost", "WARNING", reason=error)
+            return False
+        logs.log_event("configuration_in_force_everywhere", version=version)
+        return True
--- a/packages/configuration/poplarwick_configuration/edit.py
+++ b/packages/configuration/poplarwick_configuration/edit.py
@@ -56,11 +56,16 @@
 def replace_organisation(text: str, organisation: str, section: str) -> str:
     """Returns the text with the section of an organisation replaced.
 
+    What stands around the object in `section` is left out, since a comment
+    there could hide the text that follows.
+
     Raises:
         EditError: The organisation is unknown.
     """
     index, _ = _find_organisation(text, organisation)
-    return _replace(text, f"$.organisations[{index}]", section)
+    span = jsonc.find_positions(section).spans["$"]
+    value = section[span.start : span.end]
+    return _replace(text, f"$.organisations[{index}]", value)
 
 
 def _find_organisation(
