Add the entry, transport and TLS parts of the thin path

Cause: no request could be served. Conclusion: the library's silent retry of PUT and DELETE is switched off.

--- /dev/null
+++ b/packages/core/poplarwick_core/tls.py
@@ -0,0 +1,131 @@
+"""TLS settings whose certificate files are read again when they change."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import pathlib
+import ssl
+import types
+from typing import Self
+
+from poplarwick_core import errors
+from poplarwick_core import logs
+
+RELOAD_PERIOD_S = 5.0
+
+
+class TlsError(errors.PoplarwickError):
+    """A certificate file cannot be read or does not fit its key."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CertificateFiles:
+    """Files in PEM form.
+
+    Attributes:
+        certificate: Certificate chain of this process.
+        key: Private key of this process.
+        authority: Certificates that the other side's must chain to.
+    """
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path | None = None
+
+
+class TlsContext:
+    """Holds a TLS context up to date while its own context is open.
+
+    Args:
+        files: Files in PEM form.
+        purpose: Side that this process takes.
+        require_peer: Whether the other side must show a certificate.
+        reload_period_s: Time between two looks at the files.
+    """
+
+    def __init__(
+        self,
+        files: CertificateFiles,
+        purpose: ssl.Purpose,
+        *,
+        require_peer: bool,
+        reload_period_s: float = RELOAD_PERIOD_S,
+    ) -> None:
+        self._files = files
+        self._reload_period_s = reload_period_s
+        self._task: asyncio.Task[None] | None = None
+        self.context = _make_context(files, purpose, require_peer)
+        self._read_times = self._read_file_times()
+
+    async def __aenter__(self) -> Self:
+        self._task = asyncio.create_task(self._reload_forever())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def reload_if_changed(self) -> bool:
+        """Reads the files again if one has changed.
+
+        New connections use the new certificate; open ones go on. Files that
+        do not fit together are logged and read again at the next look.
+
+        Returns:
+            Whether new files are in force.
+        """
+        times = self._read_file_times()
+        if times == self._read_times:
+            return False
+        try:
+            self.context.load_cert_chain(
+                self._files.certificate, self._files.key
+            )
+            if self._files.authority is not None:
+                self.context.load_verify_locations(self._files.authority)
+        except (OSError, ssl.SSLError) as error:
+            logs.log_event("certificate_reload_failed", "ERROR", reason=error)
+            return False
+        self._read_times = times
+        logs.log_event("certificate_reloaded", file=self._files.certificate)
+        return True
+
+    def _read_file_times(self) -> tuple[int, ...]:
+        paths = (self._files.certificate, self._files.key, self._files.authority)
+        times = []
+        for path in paths:
+            try:
+                times.append(path.stat().st_mtime_ns if path else 0)
+            except OSError:
+                times.append(-1)
+        return tuple(times)
+
+    async def _reload_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._reload_period_s)
+            self.reload_if_changed()
+
+
+def _make_context(
+    files: CertificateFiles, purpose: ssl.Purpose, require_peer: bool
+) -> ssl.SSLContext:
+    context = ssl.create_default_context(purpose)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(files.certificate, files.key)
+        if files.authority is not None:
+            context.load_verify_locations(files.authority)
+    except (OSError, ssl.SSLError) as error:
+        raise TlsError(f"{files.certificate}: {error}") from error
+    # Instances are addressed by IP; the authority alone says who is a peer.
+    context.check_hostname = False
+    if require_peer:
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- /dev/null
+++ b/packages/endpoints/poplarwick_endpoints/generation.py
@@ -0,0 +1,174 @@
+"""Streaming requests to model engines."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+from typing import AsyncIterator
+
+import aiohttp
+
+from poplarwick_core import clock
+from poplarwick_core import errors
+from poplarwick_core import ids
+
+STREAM_HEADER = "Endpoint-Stream"
+EPOCH_HEADER = "Endpoint-Epoch"
+PRIORITY_HEADER = "Endpoint-Priority"
+DEADLINE_HEADER = "Endpoint-Deadline"
+
+CONNECT_TIMEOUT_S = 2.0
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+"""Errors raised before any byte of a request was sent."""
+
+MAX_ERROR_BYTES = 65_536
+READ_BUFFER_BYTES = 65_536
+
+
+class GenerationError(errors.PoplarwickError):
+    """A generation request did not succeed."""
+
+
+class NotRunError(GenerationError):
+    """The engine was not reached; it surely did not run the request."""
+
+
+class RefusedError(GenerationError):
+    """The engine answered that it will not run the request.
+
+    Attributes:
+        status: HTTP status of the answer.
+        body: Body of the answer.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"the engine answered with status {status}")
+        self.status = status
+        self.body = body
+
+
+class BrokenError(GenerationError):
+    """The connection broke; the engine may have run the request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where and under which identity a request is sent.
+
+    Attributes:
+        address: Host and port of the endpoint.
+        stream: Identity of the stream.
+        epoch: Fencing number of the endpoint's owner.
+        priority: Priority at the engine, higher first.
+    """
+
+    address: str
+    stream: ids.StreamId
+    epoch: ids.Epoch
+    priority: int = 0
+
+    def make_headers(self, deadline: clock.Deadline) -> dict[str, str]:
+        """Returns the headers that go with every request and order."""
+        return {
+            STREAM_HEADER: self.stream,
+            EPOCH_HEADER: str(self.epoch),
+            PRIORITY_HEADER: str(self.priority),
+            DEADLINE_HEADER: f"{max(deadline.remaining_s, 0):.3f}",
+        }
+
+
+def make_session(connections: int = 0) -> aiohttp.ClientSession:
+    """Returns a session for calls to endpoints.
+
+    Args:
+        connections: Largest number of connections; 0 means no limit, since
+            grants bound the requests in progress.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=CONNECT_TIMEOUT_S
+    )
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=connections),
+        timeout=timeout,
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+    )
+    # The library repeats GET, PUT and DELETE on a lost connection, which may
+    # run a call twice. There is no public switch; a test guards this one.
+    session._retry_connection = False
+    return session
+
+
+@contextlib.asynccontextmanager
+async def open_generation(
+    session: aiohttp.ClientSession,
+    target: Target,
+    path: str,
+    body: bytes,
+    deadline: clock.Deadline,
+) -> AsyncIterator[aiohttp.StreamReader]:
+    """Starts a generation stream and yields its raw events.
+
+    Args:
+        session: Session for calls to endpoints.
+        target: Endpoint and identity of the stream.
+        path: Path of the published API.
+        body: JSON body; it asks for a streamed answer.
+        deadline: Time at which the request must have ended.
+
+    Yields:
+        The body of the answer.
+
+    Raises:
+        NotRunError: The engine was not reached.
+        RefusedError: The engine refused the request.
+        BrokenError: The connection broke; the engine may run it.
+    """
+    headers = target.make_headers(deadline)
+    headers["Content-Type"] = "application/json"
+    url = f"http://{target.address}{path}"
+    request = session.post(url, data=body, headers=headers)
+    async with _open(request) as content:
+        yield content
+
+
+@contextlib.asynccontextmanager
+async def resume_generation(
+    session: aiohttp.ClientSession,
+    target: Target,
+    next_seq: int,
+    deadline: clock.Deadline,
+) -> AsyncIterator[aiohttp.StreamReader]:
+    """Goes on with a stream at the sequence number `next_seq`.
+
+    Raises:
+        RefusedError: The engine does not hold the stream.
+        NotRunError: The engine was not reached.
+        BrokenError: The connection broke.
+    """
+    url = f"http://{target.address}/control/streams/{target.stream}"
+    request = session.get(
+        url,
+        params={"after": str(next_seq - 1)},
+        headers=target.make_headers(deadline),
+    )
+    async with _open(request) as content:
+        yield content
+
+
+@contextlib.asynccontextmanager
+async def _open(
+    request: contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse],
+) -> AsyncIterator[aiohttp.StreamReader]:
+    try:
+        async with request as response:
+            if response.status != 200:
+                raise RefusedError(
+                    response.status,
+                    await response.content.read(MAX_ERROR_BYTES),
+                )
+            yield response.content
+    except CONNECT_ERRORS as error:
+        raise NotRunError(str(error)) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise BrokenError(str(error)) from error
--- /dev/null
+++ b/packages/entry/poplarwick_entry/answers.py
@@ -0,0 +1,210 @@
+"""Answers to callers: streamed as generated, or gathered into one body."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Protocol
+
+from aiohttp import web
+import msgspec
+
+from poplarwick_core import ids
+from poplarwick_core import outcome
+from poplarwick_entry import headers
+from poplarwick_entry import parameters
+from poplarwick_entry import problems
+from poplarwick_outcomes import stream
+
+_DATA = b"data:"
+
+
+class Answer(Protocol):
+    """Receives the events of one answer."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller may already have seen a part."""
+        ...
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The response that the handler returns."""
+        ...
+
+    async def begin(self, endpoint: ids.EndpointId) -> None:
+        """Notes that an endpoint serves the request."""
+        ...
+
+    async def write(self, events: bytes) -> None:
+        """Takes whole events; waits while the caller reads slowly."""
+        ...
+
+    async def finish(self) -> None:
+        """Ends a whole answer."""
+        ...
+
+    async def fail(self, problem: problems.Problem) -> None:
+        """Ends an answer of which the caller has seen a part."""
+        ...
+
+
+class StreamedAnswer:
+    """Passes events on as server-sent events.
+
+    Args:
+        request: The caller's request.
+        checked: The checked parameters.
+        instance: This instance.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        checked: parameters.Parameters,
+        instance: ids.InstanceId,
+    ) -> None:
+        self._request = request
+        self._response = web.StreamResponse()
+        self._response.content_type = "text/event-stream"
+        self._response.headers["Cache-Control"] = "no-store"
+        self._response.headers[headers.REQUEST_ID] = checked.request
+        self._response.headers[headers.INSTANCE] = instance
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the response headers were sent."""
+        return self._response.prepared
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The streamed response."""
+        return self._response
+
+    async def begin(self, endpoint: ids.EndpointId) -> None:
+        """Names the endpoint in the headers until they are sent."""
+        if not self._response.prepared:
+            self._response.headers[headers.ENDPOINT] = endpoint
+
+    async def write(self, events: bytes) -> None:
+        """Sends events; waits while the caller's buffer is full."""
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        await self._response.write(events)
+
+    async def finish(self) -> None:
+        """Sends the outcome as a comment, then the end mark."""
+        comment = _make_outcome_comment(outcome.Outcome.COMPLETE)
+        await self.write(comment + stream.END_MARK)
+        await self._response.write_eof()
+
+    async def fail(self, problem: problems.Problem) -> None:
+        """Sends the outcome and an error event, and no end mark."""
+        comment = _make_outcome_comment(problem.outcome)
+        await self.write(comment + b"data: " + problem.encode_body() + b"\n\n")
+        await self._response.write_eof()
+
+
+class GatheredAnswer:
+    """Gathers events into the body of one response.
+
+    Args:
+        checked: The checked parameters.
+        instance: This instance.
+    """
+
+    def __init__(
+        self, checked: parameters.Parameters, instance: ids.InstanceId
+    ) -> None:
+        self._checked = checked
+        self._instance = instance
+        self._endpoint = ids.EndpointId("")
+        self._texts: list[str] = []
+        self._finish_reason: str | None = None
+        self._created = 0
+        self._tokens = 0
+        self._response = web.Response()
+
+    @property
+    def has_begun(self) -> bool:
+        """Always false: the caller sees nothing before the end."""
+        return False
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The response; complete once `finish` was called."""
+        return self._response
+
+    async def begin(self, endpoint: ids.EndpointId) -> None:
+        """Starts over with the answer of another endpoint."""
+        self._endpoint = endpoint
+        self._texts.clear()
+        self._tokens = 0
+
+    async def write(self, events: bytes) -> None:
+        """Keeps the text of the events."""
+        for event in events.split(b"\n\n"):
+            if event.startswith(_DATA):
+                self._take(msgspec.json.decode(event[len(_DATA) :]))
+
+    async def finish(self) -> None:
+        """Builds the response."""
+        self._response = web.Response(
+            body=json.dumps(self._make_body(), ensure_ascii=False).encode(),
+            content_type="application/json",
+        )
+        reply = self._response.headers
+        reply[headers.REQUEST_ID] = self._checked.request
+        reply[headers.INSTANCE] = self._instance
+        reply[headers.ENDPOINT] = self._endpoint
+        reply[headers.OUTCOME] = outcome.Outcome.COMPLETE.value
+
+    async def fail(self, problem: problems.Problem) -> None:
+        """Raises the problem, since the caller has seen nothing."""
+        raise problem
+
+    def _take(self, event: dict[str, Any]) -> None:
+        self._created = event.get("created", self._created)
+        self._tokens += event.get("tokens", 1)
+        for choice in event.get("choices", ()):
+            match self._checked.api:
+                case parameters.Api.COMPLETIONS:
+                    text = choice.get("text")
+                case parameters.Api.CHAT:
+                    text = choice.get("delta", {}).get("content")
+            if text:
+                self._texts.append(text)
+            self._finish_reason = choice.get("finish_reason") or (
+                self._finish_reason
+            )
+
+    def _make_body(self) -> dict[str, Any]:
+        text = "".join(self._texts)
+        choice: dict[str, Any] = {
+            "index": 0,
+            "finish_reason": self._finish_reason,
+            "logprobs": None,
+        }
+        match self._checked.api:
+            case parameters.Api.COMPLETIONS:
+                kind = "text_completion"
+                choice["text"] = text
+            case parameters.Api.CHAT:
+                kind = "chat.completion"
+                choice["message"] = {"role": "assistant", "content": text}
+        prompt_tokens = self._checked.prompt_tokens
+        return {
+            "id": self._checked.request,
+            "object": kind,
+            "created": self._created,
+            "model": self._checked.model.id,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": self._tokens,
+                "total_tokens": prompt_tokens + self._tokens,
+            },
+        }
+
+
+def _make_outcome_comment(ended: outcome.Outcome) -> bytes:
+    return f": {headers.OUTCOME.lower()} {ended.value}\n\n".encode()
--- /dev/null
+++ b/packages/entry/poplarwick_entry/application.py
@@ -0,0 +1,132 @@
+"""HTTP application that callers talk to."""
+
+from __future__ import annotations
+
+from typing import Awaitable, Callable
+
+from aiohttp import web
+import msgspec
+
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_core import outcome
+from poplarwick_entry import authentication
+from poplarwick_entry import completions
+from poplarwick_entry import context
+from poplarwick_entry import headers
+from poplarwick_entry import parameters
+from poplarwick_entry import problems
+from poplarwick_entry import services
+
+MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_HEADER_FIELD_BYTES = 8_190
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class ModelCard(msgspec.Struct):
+    """One model in the published list of models."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "poplarwick"
+    created: int = 0
+
+
+class ModelList(msgspec.Struct):
+    """The published list of models."""
+
+    data: list[ModelCard]
+    object: str = "list"
+
+
+def make_application(entry: context.EntryContext) -> web.Application:
+    """Returns the application that serves callers."""
+    application = web.Application(
+        client_max_size=MAX_BODY_BYTES, middlewares=[_answer_problems]
+    )
+    application[context.CONTEXT_KEY] = entry
+    routes = application.router
+    routes.add_post(
+        parameters.Api.COMPLETIONS.value, completions.handle_completions
+    )
+    routes.add_post(parameters.Api.CHAT.value, completions.handle_chat)
+    routes.add_get("/v1/models", _list_models)
+    routes.add_get("/v1/models/{model}", _show_model)
+    routes.add_route("*", "/services/{service}{path:.*}", services.handle_call)
+    routes.add_get("/health/live", _check_liveness)
+    routes.add_get("/health/ready", _check_readiness)
+    return application
+
+
+@web.middleware
+async def _answer_problems(
+    request: web.Request, handler: _Handler
+) -> web.StreamResponse:
+    entry = request.app[context.CONTEXT_KEY]
+    try:
+        response = await handler(request)
+    except problems.Problem as problem:
+        logs.log_event(
+            "request_refused",
+            code=problem.code,
+            status=problem.status,
+            outcome=problem.outcome.value,
+        )
+        response = problem.make_response()
+    except web.HTTPException as error:
+        response = _translate(error).make_response()
+    if not response.prepared:
+        response.headers[headers.INSTANCE] = entry.instance
+    return response
+
+
+def _translate(error: web.HTTPException) -> problems.Problem:
+    match error.status:
+        case 404:
+            code, text = "not_found", "there is nothing at this path"
+        case 405:
+            code, text = "method_not_allowed", "the method is not allowed here"
+        case 413:
+            code = "body_too_large"
+            text = f"the body may have at most {MAX_BODY_BYTES} bytes"
+        case _:
+            code, text = "bad_request", error.reason
+    return problems.Problem(
+        error.status, code, text, outcome=outcome.Outcome.NOT_RUN
+    )
+
+
+async def _list_models(request: web.Request) -> web.Response:
+    view = request.app[context.CONTEXT_KEY].require_view()
+    authentication.authenticate(request, view)
+    cards = [ModelCard(model.id) for model in view.document.models]
+    return _answer_json(ModelList(cards))
+
+
+async def _show_model(request: web.Request) -> web.Response:
+    view = request.app[context.CONTEXT_KEY].require_view()
+    authentication.authenticate(request, view)
+    model = view.find_model(ids.ModelId(request.match_info["model"]))
+    if model is None:
+        raise problems.Problem(
+            404, "model_not_found", "the model does not exist", "model"
+        )
+    return _answer_json(ModelCard(model.id))
+
+
+async def _check_liveness(request: web.Request) -> web.Response:
+    return web.Response(text="live\n")
+
+
+async def _check_readiness(request: web.Request) -> web.Response:
+    reason = request.app[context.CONTEXT_KEY].read_readiness()
+    if reason is None:
+        return web.Response(text="ready\n")
+    return web.Response(status=503, text=f"not ready: {reason}\n")
+
+
+def _answer_json(value: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
--- /dev/null
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -0,0 +1,273 @@
+"""Obtains permission to send a request to an endpoint."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import types
+from typing import Self
+
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import outcome
+from poplarwick_dispatch import dispatcher
+from poplarwick_dispatch import router
+from poplarwick_endpoints import generation
+from poplarwick_entry import problems
+from poplarwick_entry import reports
+from poplarwick_peers import membership
+from poplarwick_peers import transport
+from poplarwick_peers.wire import grant_grpc
+from poplarwick_peers.wire import grant_pb2
+
+MAX_HOPS = 4
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_MAX_S = 3.0
+
+_STATUS_BY_REASON = {
+    grant_pb2.REFUSAL_NOT_OWNER: 503,
+    grant_pb2.REFUSAL_NO_ROOM: 503,
+    grant_pb2.REFUSAL_DEADLINE: 503,
+    grant_pb2.REFUSAL_LIMIT: 429,
+    grant_pb2.REFUSAL_TOO_LONG: 400,
+    grant_pb2.REFUSAL_DRAINING: 503,
+    grant_pb2.REFUSAL_CANCELLED: 503,
+}
+_CODE_BY_REASON = {
+    grant_pb2.REFUSAL_NOT_OWNER: "no_capacity",
+    grant_pb2.REFUSAL_NO_ROOM: "no_capacity",
+    grant_pb2.REFUSAL_DEADLINE: "deadline_unreachable",
+    grant_pb2.REFUSAL_LIMIT: "limit_exceeded",
+    grant_pb2.REFUSAL_TOO_LONG: "prompt_too_long",
+    grant_pb2.REFUSAL_DRAINING: "no_capacity",
+    grant_pb2.REFUSAL_CANCELLED: "no_capacity",
+}
+_FINAL_REASONS = frozenset((
+    grant_pb2.REFUSAL_LIMIT,
+    grant_pb2.REFUSAL_TOO_LONG,
+))
+_RANK = (
+    grant_pb2.REFUSAL_DEADLINE,
+    grant_pb2.REFUSAL_NO_ROOM,
+    grant_pb2.REFUSAL_DRAINING,
+    grant_pb2.REFUSAL_CANCELLED,
+    grant_pb2.REFUSAL_NOT_OWNER,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs of an endpoint.
+
+    Attributes:
+        request: Id of the request.
+        organisation: Organisation that is charged.
+        model: Model, for generation; else empty.
+        service: Plain service, for calls; else empty.
+        prompt_tokens: Estimated length of the prompt.
+        output_tokens: Longest answer that may be generated.
+        priority: Priority within the organisation, higher first.
+        deadline: Time at which the request must have ended.
+        prefix_digests: Digests of growing prompt prefixes.
+    """
+
+    request: ids.RequestId
+    organisation: ids.OrganisationId
+    deadline: clock.Deadline
+    model: str = ""
+    service: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    priority: int = 0
+    prefix_digests: tuple[int, ...] = ()
+
+
+class HeldGrant:
+    """Permission to send one request to one endpoint.
+
+    Leaving its context reports the end of the request; without an earlier
+    call of a `note_` method the request counts as cancelled.
+
+    Attributes:
+        endpoint: The endpoint.
+        target: Address and identity for the request.
+    """
+
+    def __init__(
+        self,
+        grant: grant_pb2.Grant,
+        instance: ids.InstanceId,
+        priority: int,
+        reporter: reports.Reporter,
+    ) -> None:
+        self.endpoint = ids.EndpointId(grant.endpoint)
+        self.target = generation.Target(
+            address=grant.address,
+            stream=ids.StreamId(grant.stream_id),
+            epoch=ids.Epoch(grant.epoch),
+            priority=priority,
+        )
+        self._grant = grant
+        self._instance = instance
+        self._reporter = reporter
+        self._end = grant_pb2.GrantReport(
+            grant_id=grant.grant_id, kind=grant_pb2.REPORT_CANCELLED
+        )
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._reporter.send(self._instance, self._end)
+
+    def note_first_token(self, elapsed_s: float) -> None:
+        """Reports the time from sending to the first token."""
+        report = grant_pb2.GrantReport(
+            grant_id=self._grant.grant_id,
+            kind=grant_pb2.REPORT_FIRST_TOKEN,
+            first_token_s=elapsed_s,
+        )
+        self._reporter.send(self._instance, report)
+
+    def note_end(
+        self,
+        kind: grant_pb2.ReportKind.ValueType,
+        *,
+        output_tokens: int = 0,
+        detail: str = "",
+    ) -> None:
+        """Sets how the request ended."""
+        self._end.kind = kind
+        self._end.output_tokens = output_tokens
+        self._end.detail = detail
+
+
+class GrantBroker:
+    """Asks dispatchers for grants.
+
+    Args:
+        members: View of the other instances.
+        router: Ranks the dispatchers to ask.
+        local: Dispatcher of this instance.
+        channels: Connections to other instances.
+        reporter: Sends reports about granted requests.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        router: router.Router,
+        local: dispatcher.Dispatcher,
+        channels: transport.ChannelPool,
+        reporter: reports.Reporter,
+    ) -> None:
+        self._members = members
+        self._router = router
+        self._local = local
+        self._channels = channels
+        self._reporter = reporter
+
+    async def acquire(
+        self, demand: Demand, excluded: frozenset[ids.EndpointId], version: int
+    ) -> HeldGrant:
+        """Waits for a grant.
+
+        Args:
+            demand: What the request needs.
+            excluded: Endpoints already tried.
+            version: Version of the configuration in force here.
+
+        Raises:
+            problems.Problem: No dispatcher grants the request; nothing ran.
+        """
+        request = self._make_request(demand, excluded, version)
+        refusal = grant_pb2.Refusal(
+            reason=grant_pb2.REFUSAL_NOT_OWNER,
+            detail="no instance owns an endpoint that serves this",
+        )
+        ranked = self._router.rank(request, self._members.members)
+        for hop, instance in enumerate(ranked[:MAX_HOPS]):
+            if demand.deadline.has_passed:
+                break
+            request.hops = hop
+            request.timeout_s = demand.deadline.remaining_s
+            reply = await self._ask(instance, request)
+            if reply is None:
+                continue
+            self._router.note_rooms(instance, reply.room)
+            if reply.HasField("grant"):
+                return HeldGrant(
+                    reply.grant, instance, demand.priority, self._reporter
+                )
+            refusal = _choose_refusal(refusal, reply.refusal)
+            if refusal.reason in _FINAL_REASONS:
+                break
+        raise make_problem(refusal)
+
+    def _make_request(
+        self, demand: Demand, excluded: frozenset[ids.EndpointId], version: int
+    ) -> grant_pb2.AcquireRequest:
+        return grant_pb2.AcquireRequest(
+            request_id=demand.request,
+            organisation=demand.organisation,
+            model=demand.model,
+            service=demand.service,
+            prompt_tokens=demand.prompt_tokens,
+            output_tokens=demand.output_tokens,
+            prefix_digests=demand.prefix_digests,
+            priority=demand.priority,
+            entry_instance=self._members.own.instance,
+            configuration_version=version,
+            excluded_endpoints=sorted(excluded),
+        )
+
+    async def _ask(
+        self, instance: ids.InstanceId, request: grant_pb2.AcquireRequest
+    ) -> grant_pb2.AcquireReply | None:
+        if instance == self._members.own.instance:
+            return await self._local.acquire(request)
+        member = self._members.find(instance)
+        if member is None:
+            return None
+        stub = grant_grpc.GrantServiceStub(self._channels.get(member.address))
+        try:
+            return await stub.Acquire(request, timeout=request.timeout_s)
+        except transport.CALL_ERRORS:
+            # A grant whose reply was lost is never used; it expires.
+            return None
+
+
+def make_problem(refusal: grant_pb2.Refusal) -> problems.Problem:
+    """Returns the answer for a request that no dispatcher granted."""
+    status = _STATUS_BY_REASON.get(refusal.reason, 503)
+    retry_after_s: float | None = refusal.retry_after_s
+    if status == 400:
+        retry_after_s = None
+    elif not retry_after_s:
+        retry_after_s = random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+    return problems.Problem(
+        status=status,
+        code=_CODE_BY_REASON.get(refusal.reason, "no_capacity"),
+        message=refusal.detail or "no endpoint has room for the request",
+        outcome=outcome.Outcome.NOT_RUN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _choose_refusal(
+    earlier: grant_pb2.Refusal, later: grant_pb2.Refusal
+) -> grant_pb2.Refusal:
+    """Returns the refusal that tells the caller most."""
+    if later.reason in _FINAL_REASONS:
+        return later
+    order = {reason: place for place, reason in enumerate(_RANK)}
+    if order.get(later.reason, len(_RANK)) <= order.get(
+        earlier.reason, len(_RANK)
+    ):
+        return later
+    return earlier
--- /dev/null
+++ b/packages/entry/poplarwick_entry/headers.py
@@ -0,0 +1,17 @@
+"""Names and limits of the headers that callers send and receive."""
+
+from __future__ import annotations
+
+AUTHORIZATION = "Authorization"
+PRIORITY = "Poplarwick-Priority"
+TIMEOUT = "Poplarwick-Timeout"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+REQUEST_ID = "Poplarwick-Request"
+OUTCOME = "Poplarwick-Outcome"
+ENDPOINT = "Poplarwick-Endpoint"
+INSTANCE = "Poplarwick-Instance"
+RETRY_AFTER = "Retry-After"
+
+MIN_PRIORITY = -10
+MAX_PRIORITY = 10
--- /dev/null
+++ b/packages/entry/poplarwick_entry/parameters.py
@@ -0,0 +1,268 @@
+"""Parsing and checking of completion requests."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+from typing import Annotated
+
+import msgspec
+import xxhash
+
+from poplarwick_configuration import document
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_entry import headers
+from poplarwick_entry import problems
+
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+FIRST_PREFIX_BYTES = 4_096
+PREFIX_GROWTH = 4
+MAX_PREFIXES = 6
+
+
+class Api(enum.Enum):
+    """The two published ways to ask for generated text."""
+
+    COMPLETIONS = "/v1/completions"
+    CHAT = "/v1/chat/completions"
+
+
+class _Body(msgspec.Struct):
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    prompt: msgspec.Raw | None = None
+    messages: msgspec.Raw | None = None
+    max_tokens: Annotated[int, msgspec.Meta(gt=0)] | None = None
+    max_completion_tokens: Annotated[int, msgspec.Meta(gt=0)] | None = None
+    stream: bool | None = None
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[msgspec.Raw] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parameters:
+    """A checked completion request.
+
+    Attributes:
+        request: Id of the request.
+        api: The API that was called.
+        organisation: Organisation that the caller belongs to.
+        model: Model that was named.
+        body: Body of the request in JSON.
+        prompt_tokens: Estimated length of the prompt.
+        output_tokens: Longest answer that may be generated.
+        is_streamed: Whether the caller reads the answer as it comes.
+        priority: Priority within the organisation, higher first.
+        deadline: Time at which the request must have ended.
+        prefix_digests: Digests of growing prefixes, the shortest first.
+    """
+
+    request: ids.RequestId
+    api: Api
+    organisation: document.Organisation
+    model: document.Model
+    body: bytes
+    prompt_tokens: int
+    output_tokens: int
+    is_streamed: bool
+    priority: int
+    deadline: clock.Deadline
+    prefix_digests: tuple[int, ...]
+
+
+def parse_completion(
+    api: Api,
+    body: bytes,
+    organisation: document.Organisation,
+    view: document.View,
+    *,
+    priority: str | None,
+    timeout: str | None,
+) -> Parameters:
+    """Checks a completion request.
+
+    Args:
+        api: The API that was called.
+        body: Body as received.
+        organisation: Organisation that the caller belongs to.
+        view: Configuration in force.
+        priority: Value of the priority header.
+        timeout: Value of the timeout header.
+
+    Returns:
+        The checked request.
+
+    Raises:
+        problems.Problem: A field or header is not valid.
+    """
+    fields = _decode_body(body)
+    model = view.find_model(ids.ModelId(fields.model))
+    if model is None:
+        raise problems.Problem(
+            404,
+            "model_not_found",
+            f"the model {fields.model!r} does not exist",
+            "model",
+        )
+    prompt = _read_prompt(api, fields)
+    prompt_tokens = math.ceil(len(prompt) / BYTES_PER_TOKEN)
+    output_tokens = _read_output_tokens(fields, model)
+    _check_length(prompt_tokens, output_tokens, model)
+    timeout_s = parse_timeout(timeout, model.timeout_s, model.max_timeout_s)
+    return Parameters(
+        request=ids.make_request_id(),
+        api=api,
+        organisation=organisation,
+        model=model,
+        body=body if fields.stream else _force_stream(body),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        is_streamed=bool(fields.stream),
+        priority=parse_priority(priority),
+        deadline=clock.make_deadline(timeout_s),
+        prefix_digests=_digest_prefixes(fields.model, prompt),
+    )
+
+
+def parse_priority(value: str | None) -> int:
+    """Parses the priority header; absent means 0.
+
+    Raises:
+        problems.Problem: The value is not a whole number in range.
+    """
+    if value is None:
+        return 0
+    try:
+        priority = int(value)
+    except ValueError:
+        priority = headers.MAX_PRIORITY + 1
+    if not headers.MIN_PRIORITY <= priority <= headers.MAX_PRIORITY:
+        raise problems.Problem(
+            400,
+            "invalid_priority",
+            f"{headers.PRIORITY} must be a whole number from "
+            f"{headers.MIN_PRIORITY} to {headers.MAX_PRIORITY}",
+            headers.PRIORITY,
+        )
+    return priority
+
+
+def parse_timeout(
+    value: str | None, default_s: float, longest_s: float
+) -> float:
+    """Parses the timeout header, in seconds.
+
+    Raises:
+        problems.Problem: The value is not a positive number in range.
+    """
+    if value is None:
+        return default_s
+    try:
+        timeout_s = float(value)
+    except ValueError:
+        timeout_s = math.nan
+    if not 0 < timeout_s <= longest_s:
+        raise problems.Problem(
+            400,
+            "invalid_timeout",
+            f"{headers.TIMEOUT} must be above 0 and at most {longest_s:g} s",
+            headers.TIMEOUT,
+        )
+    return timeout_s
+
+
+def _decode_body(body: bytes) -> _Body:
+    try:
+        body.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise problems.Problem(
+            400, "invalid_utf8", f"the body is not UTF-8: {error.reason}"
+        ) from error
+    try:
+        return msgspec.json.decode(body, type=_Body)
+    except msgspec.ValidationError as error:
+        raise problems.Problem(
+            400, "invalid_field", str(error), _find_param(str(error))
+        ) from error
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise problems.Problem(
+            400, "invalid_json", f"the body is not valid JSON: {error}"
+        ) from error
+
+
+def _find_param(message: str) -> str | None:
+    _, found, path = message.partition("`$.")
+    return path.rstrip("`") if found else None
+
+
+def _read_prompt(api: Api, fields: _Body) -> bytes:
+    match api:
+        case Api.COMPLETIONS:
+            name, raw = "prompt", fields.prompt
+        case Api.CHAT:
+            name, raw = "messages", fields.messages
+    if raw is None:
+        raise problems.Problem(
+            400, "missing_field", f"the field {name!r} is required", name
+        )
+    prompt = bytes(raw)
+    _check_prompt(api, name, prompt)
+    return prompt
+
+
+def _check_prompt(api: Api, name: str, prompt: bytes) -> None:
+    try:
+        match api:
+            case Api.COMPLETIONS:
+                is_empty = not msgspec.json.decode(prompt, type=str)
+            case Api.CHAT:
+                is_empty = not msgspec.json.decode(prompt, type=list[_Message])
+    except msgspec.ValidationError as error:
+        raise problems.Problem(
+            400, "invalid_field", f"{name}: {error}", name
+        ) from error
+    if is_empty:
+        raise problems.Problem(
+            400, "invalid_field", f"the field {name!r} is empty", name
+        )
+
+
+def _read_output_tokens(fields: _Body, model: document.Model) -> int:
+    asked = fields.max_completion_tokens or fields.max_tokens
+    return asked or min(DEFAULT_OUTPUT_TOKENS, model.context_tokens)
+
+
+def _check_length(
+    prompt_tokens: int, output_tokens: int, model: document.Model
+) -> None:
+    if prompt_tokens + output_tokens > model.context_tokens:
+        raise problems.Problem(
+            400,
+            "context_length_exceeded",
+            f"the prompt has about {prompt_tokens} tokens and asks for "
+            f"{output_tokens} more; the limit is {model.context_tokens}",
+        )
+
+
+def _force_stream(body: bytes) -> bytes:
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields["stream"] = msgspec.Raw(b"true")
+    return msgspec.json.encode(fields)
+
+
+def _digest_prefixes(model: str, prompt: bytes) -> tuple[int, ...]:
+    digest = xxhash.xxh3_64(model.encode())
+    digests = []
+    start, end = 0, FIRST_PREFIX_BYTES
+    while len(digests) < MAX_PREFIXES:
+        digest.update(prompt[start:end])
+        digests.append(digest.intdigest())
+        if end >= len(prompt):
+            break
+        start, end = end, end * PREFIX_GROWTH
+    return tuple(digests)
--- /dev/null
+++ b/packages/entry/poplarwick_entry/reports.py
@@ -0,0 +1,135 @@
+"""Reports about granted requests, batched for each dispatcher."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from typing import Self
+
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_dispatch import dispatcher
+from poplarwick_peers import membership
+from poplarwick_peers import transport
+from poplarwick_peers.wire import grant_grpc
+from poplarwick_peers.wire import grant_pb2
+
+FLUSH_DELAY_S = 0.005
+SEND_TIMEOUT_S = 2.0
+RETRY_DELAY_S = 0.2
+MAX_TRIES = 5
+MAX_BATCH = 256
+
+
+class Reporter:
+    """Sends reports to dispatchers, one task for each remote dispatcher.
+
+    A report that cannot be delivered is dropped after a few tries; the
+    dispatcher then finds the end of the stream by asking the endpoint.
+
+    Args:
+        own: This instance.
+        local: Dispatcher of this instance.
+        channels: Connections to other instances.
+        members: View of the other instances.
+    """
+
+    def __init__(
+        self,
+        own: ids.InstanceId,
+        local: dispatcher.Dispatcher,
+        channels: transport.ChannelPool,
+        members: membership.Membership,
+    ) -> None:
+        self._own = own
+        self._local = local
+        self._channels = channels
+        self._members = members
+        self._queues: dict[
+            ids.InstanceId, asyncio.Queue[grant_pb2.GrantReport]
+        ] = {}
+        self._tasks: dict[ids.InstanceId, asyncio.Task[None]] = {}
+        self._local_tasks: set[asyncio.Task[grant_pb2.ReportReply]] = set()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    async def flush(self) -> None:
+        """Waits until all reports so far were sent or dropped."""
+        await asyncio.gather(*(queue.join() for queue in self._queues.values()))
+        await asyncio.gather(*self._local_tasks, return_exceptions=True)
+
+    def send(
+        self, instance: ids.InstanceId, report: grant_pb2.GrantReport
+    ) -> None:
+        """Queues a report for the dispatcher of an instance."""
+        if instance == self._own:
+            self._send_local(report)
+            return
+        queue = self._queues.get(instance)
+        if queue is None:
+            queue = self._queues[instance] = asyncio.Queue()
+        self._ensure_task(instance, queue)
+        queue.put_nowait(report)
+
+    def _send_local(self, report: grant_pb2.GrantReport) -> None:
+        request = grant_pb2.ReportRequest(reports=[report])
+        task = asyncio.ensure_future(self._local.report(request))
+        self._local_tasks.add(task)
+        task.add_done_callback(self._local_tasks.discard)
+
+    def _ensure_task(
+        self,
+        instance: ids.InstanceId,
+        queue: asyncio.Queue[grant_pb2.GrantReport],
+    ) -> None:
+        task = self._tasks.get(instance)
+        if task is None or task.done():
+            self._tasks[instance] = asyncio.create_task(
+                self._deliver(instance, queue)
+            )
+
+    async def _deliver(
+        self,
+        instance: ids.InstanceId,
+        queue: asyncio.Queue[grant_pb2.GrantReport],
+    ) -> None:
+        while True:
+            batch = [await queue.get()]
+            await asyncio.sleep(FLUSH_DELAY_S)
+            while not queue.empty() and len(batch) < MAX_BATCH:
+                batch.append(queue.get_nowait())
+            await self._deliver_batch(instance, batch)
+            for _ in batch:
+                queue.task_done()
+
+    async def _deliver_batch(
+        self, instance: ids.InstanceId, batch: list[grant_pb2.GrantReport]
+    ) -> None:
+        request = grant_pb2.ReportRequest(reports=batch)
+        for attempt in range(MAX_TRIES):
+            member = self._members.find(instance)
+            if member is None:
+                break
+            stub = grant_grpc.GrantServiceStub(
+                self._channels.get(member.address)
+            )
+            try:
+                await stub.Report(request, timeout=SEND_TIMEOUT_S)
+            except transport.CALL_ERRORS:
+                await asyncio.sleep(RETRY_DELAY_S * (attempt + 1))
+            else:
+                return
+        logs.log_event(
+            "reports_dropped", "WARNING", instance=instance, count=len(batch)
+        )
--- /dev/null
+++ b/packages/peers/poplarwick_peers/transport.py
@@ -0,0 +1,125 @@
+"""gRPC connections between instances."""
+
+from __future__ import annotations
+
+import ssl
+import types
+from typing import Any, Protocol, Self
+
+from grpclib import client
+from grpclib import exceptions
+from grpclib import server
+
+from poplarwick_core import errors
+
+
+class PeerError(errors.PoplarwickError):
+    """A call to another instance did not succeed.
+
+    Attributes:
+        may_have_run: Whether the other instance may have acted on the call.
+    """
+
+    def __init__(self, message: str, *, may_have_run: bool) -> None:
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+CALL_ERRORS = (
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    OSError,
+    TimeoutError,
+)
+"""What a gRPC call may raise when the peer or the path to it fails."""
+
+
+class Service(Protocol):
+    """A generated grpclib service."""
+
+    def __mapping__(self) -> Any:
+        """Returns the handlers by method path."""
+        ...
+
+
+class PeerServer:
+    """Serves gRPC to other instances while its context is open.
+
+    Args:
+        address: Host and port to listen on.
+        services: Generated services with their handlers.
+        tls: TLS settings that demand a certificate of the peer, or None.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        services: tuple[Service, ...],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._host, self._port = split_address(address)
+        self._server = server.Server(list(services))
+        self._tls = tls
+
+    async def __aenter__(self) -> Self:
+        await self._server.start(self._host, self._port, ssl=self._tls)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class ChannelPool:
+    """Keeps one connection for each address while its context is open.
+
+    Args:
+        tls: TLS settings with this instance's certificate, or None.
+    """
+
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self._tls = tls
+        self._channels: dict[str, client.Channel] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def get(self, address: str) -> client.Channel:
+        """Returns the channel to an address; it connects on first use."""
+        channel = self._channels.get(address)
+        if channel is None:
+            host, port = split_address(address)
+            channel = client.Channel(host, port, ssl=self._tls)
+            self._channels[address] = channel
+        return channel
+
+    def retain(self, addresses: frozenset[str]) -> None:
+        """Closes the channels to all other addresses."""
+        for address in tuple(self._channels):
+            if address not in addresses:
+                self._channels.pop(address).close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `host:port`; IPv6 hosts stand in brackets.
+
+    Raises:
+        ValueError: There is no port or it is not a number.
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
