--- /dev/null
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -0,0 +1,370 @@
+"""Client of a key-value service that speaks the etcd v3 JSON gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import ssl
+from collections.abc import AsyncIterator
+from types import TracebackType
+from typing import Self
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from poplarwick_core import logs
+
+from poplarwick_platform import _gateway_messages as messages
+from poplarwick_platform import kv
+
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+WATCH_IDLE_TIMEOUT_S = 15.0
+WATCH_RETRY_MIN_S = 0.1
+WATCH_RETRY_MAX_S = 2.0
+INSTANCE_HEADER = "x-poplarwick-instance"
+_LEASE_ID_BITS = 62
+_CODE_NOT_FOUND = 5
+_CODE_RESOURCE_EXHAUSTED = 8
+_HTTP_OK = 200
+_HTTP_SERVER_ERROR = 500
+_HTTP_TOO_MANY_REQUESTS = 429
+
+Reply = TypeVar("Reply", bound=messages.Message)
+
+
+def connect(
+    addresses: tuple[str, ...],
+    *,
+    instance: str = "",
+    timeout_s: float = CALL_TIMEOUT_S,
+    tls: ssl.SSLContext | None = None,
+) -> GatewayClient:
+    """Returns a client; entering it opens its connections.
+
+    Args:
+        addresses: Host and port of each member of the service.
+        instance: Id of this instance, told to the service.
+        timeout_s: Time after which a call counts as unanswered.
+        tls: TLS context, or None for plain HTTP.
+    """
+    return GatewayClient(addresses, instance, timeout_s, tls)
+
+
+class GatewayClient:
+    """Implements `kv.KvClient` over HTTP.
+
+    Attributes:
+        timeout_s: Time in seconds after which a call counts as unanswered.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        instance: str = "",
+        timeout_s: float = CALL_TIMEOUT_S,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        scheme = "https" if tls else "http"
+        self.timeout_s = timeout_s
+        self._bases = [f"{scheme}://{address}" for address in addresses]
+        self._headers = {INSTANCE_HEADER: instance} if instance else {}
+        self._tls = tls
+        self._preferred = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=self._tls or True),
+            headers=self._headers,
+            timeout=aiohttp.ClientTimeout(
+                total=self.timeout_s,
+                sock_connect=min(CONNECT_TIMEOUT_S, self.timeout_s),
+            ),
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(
+        self, key: str, purpose: kv.Purpose, *, is_prefix: bool = False
+    ) -> kv.Snapshot:
+        """Reads one key, or all keys that begin with `key`."""
+        reply = await self._call(
+            "/v3/kv/range",
+            _make_range(key, is_prefix),
+            messages.RangeReply,
+            purpose,
+            is_write=False,
+        )
+        return kv.Snapshot(
+            tuple(_make_entry(found) for found in reply.kvs),
+            kv.Revision(reply.header.revision),
+        )
+
+    async def commit(
+        self,
+        conditions: tuple[kv.Condition, ...],
+        operations: tuple[kv.Operation, ...],
+        purpose: kv.Purpose,
+    ) -> kv.TransactionResult:
+        """Applies all operations if all conditions hold."""
+        request = messages.TxnRequest(
+            compare=tuple(_make_compare(c) for c in conditions),
+            success=tuple(_make_operation(o) for o in operations),
+            failure=tuple(
+                messages.RequestOp(request_range=_make_range(c.key, False))
+                for c in conditions
+            ),
+        )
+        reply = await self._call(
+            "/v3/kv/txn", request, messages.TxnReply, purpose, is_write=True
+        )
+        revision = kv.Revision(reply.header.revision)
+        if reply.succeeded:
+            return kv.Committed(revision)
+        ranges = (r.response_range for r in reply.responses)
+        return kv.Conflict(
+            revision,
+            tuple(_make_entry(kvs) for r in ranges if r for kvs in r.kvs),
+        )
+
+    async def grant_lease(self, ttl_s: int, purpose: kv.Purpose) -> kv.LeaseId:
+        """Creates a lease that expires unless it is kept alive."""
+        request = messages.LeaseGrantRequest(
+            id=str(secrets.randbits(_LEASE_ID_BITS) + 1), ttl=str(ttl_s)
+        )
+        reply = await self._call(
+            "/v3/lease/grant",
+            request,
+            messages.LeaseReply,
+            purpose,
+            is_write=True,
+        )
+        return kv.LeaseId(reply.id)
+
+    async def keep_alive(self, lease: kv.LeaseId) -> float:
+        """Renews a lease and returns its time to live in seconds."""
+        reply = await self._call(
+            "/v3/lease/keepalive",
+            messages.LeaseRequest(id=str(lease)),
+            messages.KeepAliveReply,
+            kv.Purpose.LEASE,
+            is_write=True,
+        )
+        if reply.result.ttl <= 0:
+            raise kv.LeaseLostError(f"lease {lease} is gone")
+        return float(reply.result.ttl)
+
+    async def revoke_lease(self, lease: kv.LeaseId) -> None:
+        """Ends a lease and removes its keys."""
+        await self._call(
+            "/v3/lease/revoke",
+            messages.LeaseRequest(id=str(lease)),
+            messages.Empty,
+            kv.Purpose.LEASE,
+            is_write=True,
+        )
+
+    async def watch(
+        self, key: str, start: kv.Revision, *, is_prefix: bool = False
+    ) -> AsyncIterator[tuple[kv.Change, ...]]:
+        """Yields changes from revision `start` on, in order.
+
+        A cut connection is opened again after a jittered pause.
+        """
+        pause_s = WATCH_RETRY_MIN_S
+        while True:
+            try:
+                async for result in self._open_watch(key, start, is_prefix):
+                    pause_s = WATCH_RETRY_MIN_S
+                    if result.canceled:
+                        raise kv.CompactedError(
+                            f"history before {result.compact_revision} is gone"
+                        )
+                    if result.events:
+                        yield tuple(_make_change(e) for e in result.events)
+                    start = kv.Revision(max(start, _find_next_revision(result)))
+            except kv.UnavailableError as error:
+                logs.log_event("watch_lost", level="DEBUG", reason=error)
+            await asyncio.sleep(random.uniform(0, pause_s))
+            pause_s = min(2 * pause_s, WATCH_RETRY_MAX_S)
+
+    async def _open_watch(
+        self, key: str, start: kv.Revision, is_prefix: bool
+    ) -> AsyncIterator[messages.WatchResult]:
+        session = self._open_session()
+        wanted = _make_range(key, is_prefix)
+        request = messages.WatchRequest(
+            messages.WatchCreateRequest(
+                key=wanted.key,
+                range_end=wanted.range_end,
+                start_revision=str(start),
+                progress_notify=True,
+            )
+        )
+        base = self._bases[self._preferred]
+        try:
+            async with session.post(
+                base + "/v3/watch",
+                data=msgspec.json.encode(request),
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                    sock_read=WATCH_IDLE_TIMEOUT_S,
+                ),
+                read_bufsize=4 * kv.MAX_VALUE_BYTES,
+            ) as response:
+                if response.status != _HTTP_OK:
+                    raise kv.UnavailableError(f"watch: {response.status}")
+                async for line in response.content:
+                    yield _decode(line, messages.WatchReply).result
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            self._prefer_next(base)
+            raise kv.UnavailableError(f"watch: {error!r}") from error
+
+    async def _call(
+        self,
+        path: str,
+        request: messages.Message,
+        kind: type[Reply],
+        purpose: kv.Purpose,
+        *,
+        is_write: bool,
+    ) -> Reply:
+        body = msgspec.json.encode(request)
+        problem: Exception | None = None
+        for _ in self._bases:
+            base = self._bases[self._preferred]
+            try:
+                return await self._send(base + path, body, kind)
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as error:
+                problem = error
+                self._prefer_next(base)
+            except (
+                aiohttp.ClientError,
+                TimeoutError,
+                kv.UnknownResultError,
+            ) as error:
+                self._prefer_next(base)
+                if is_write:
+                    raise kv.UnknownResultError(f"{path}: {error!r}") from error
+                problem = error
+        raise kv.UnavailableError(f"{path}: {problem!r}") from problem
+
+    async def _send(self, url: str, body: bytes, kind: type[Reply]) -> Reply:
+        session = self._open_session()
+        async with session.post(url, data=body) as response:
+            content = await response.read()
+            if response.status == _HTTP_OK:
+                return _decode(content, kind)
+            raise _make_error(response.status, content)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            raise kv.UnavailableError("the client is closed")
+        return self._session
+
+    def _prefer_next(self, failed: str) -> None:
+        if self._bases[self._preferred] == failed:
+            self._preferred = (self._preferred + 1) % len(self._bases)
+
+
+def _make_error(status: int, content: bytes) -> kv.KvError:
+    try:
+        reply = _decode(content, messages.ErrorReply)
+    except kv.UnknownResultError:
+        reply = messages.ErrorReply(message=f"status {status}")
+    if (
+        reply.code == _CODE_RESOURCE_EXHAUSTED
+        or status == _HTTP_TOO_MANY_REQUESTS
+    ):
+        return kv.UnavailableError(reply.message)
+    if reply.code == _CODE_NOT_FOUND and "lease" in reply.message:
+        return kv.LeaseLostError(reply.message)
+    if status >= _HTTP_SERVER_ERROR:
+        return kv.UnknownResultError(reply.message)
+    return kv.KvError(reply.message)
+
+
+def _decode(content: bytes, kind: type[Reply]) -> Reply:
+    try:
+        return msgspec.json.decode(content, type=kind, strict=False)
+    except msgspec.DecodeError as error:
+        raise kv.UnknownResultError(f"malformed reply: {error}") from error
+
+
+def _make_range(key: str, is_prefix: bool) -> messages.RangeRequest:
+    start = key.encode()
+    return messages.RangeRequest(
+        start, _find_prefix_end(start) if is_prefix else b""
+    )
+
+
+def _find_prefix_end(prefix: bytes) -> bytes:
+    """Returns the first key after all keys with this prefix.
+
+    UTF-8 never contains the byte 0xff, so the last byte can grow by one.
+    """
+    return prefix[:-1] + bytes((prefix[-1] + 1,)) if prefix else b"\0"
+
+
+def _make_compare(condition: kv.Condition) -> messages.Compare:
+    match condition:
+        case kv.KeyAbsent(key):
+            return messages.Compare(key.encode(), "0")
+        case kv.KeyUnchanged(key, mod_revision):
+            return messages.Compare(key.encode(), str(mod_revision))
+
+
+def _make_operation(operation: kv.Operation) -> messages.RequestOp:
+    match operation:
+        case kv.Put(key, value, lease):
+            return messages.RequestOp(
+                request_put=messages.PutRequest(
+                    key.encode(), value, str(lease or 0)
+                )
+            )
+        case kv.Delete(key):
+            return messages.RequestOp(
+                request_delete_range=messages.DeleteRangeRequest(key.encode())
+            )
+
+
+def _make_entry(found: messages.KeyValue) -> kv.Entry:
+    return kv.Entry(
+        key=found.key.decode(),
+        value=found.value,
+        create_revision=kv.Revision(found.create_revision),
+        mod_revision=kv.Revision(found.mod_revision),
+        lease=kv.LeaseId(found.lease) if found.lease else None,
+    )
+
+
+def _make_change(event: messages.Event) -> kv.Change:
+    is_removal = event.type == "DELETE"
+    return kv.Change(
+        key=event.kv.key.decode(),
+        entry=None if is_removal else _make_entry(event.kv),
+        revision=kv.Revision(event.kv.mod_revision),
+    )
+
+
+def _find_next_revision(result: messages.WatchResult) -> int:
+    if result.events:
+        return result.events[-1].kv.mod_revision + 1
+    if result.created:
+        return 0
+    return result.header.revision + 1
--- /dev/null
+++ b/packages/standins/poplarwick_standins/_http.py
@@ -0,0 +1,47 @@
+"""Serving of stand-ins over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+async def serve_application(
+    application: web.Application, listen: str, *, prints: bool = True
+) -> None:
+    """Serves an application until cancelled.
+
+    Args:
+        application: The application.
+        listen: Host and port; port 0 takes a free one.
+        prints: Whether to print `listening HOST:PORT` once it is open.
+    """
+    runner = await start_application(application, listen)
+    try:
+        if prints:
+            print(f"listening {find_address(runner)}", flush=True)
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+async def start_application(
+    application: web.Application, listen: str
+) -> web.AppRunner:
+    """Starts an application; the caller cleans the runner up."""
+    host, _, port = listen.rpartition(":")
+    runner = web.AppRunner(
+        application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+    )
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
+
+
+def find_address(runner: web.AppRunner) -> str:
+    """Returns host and port that a started application listens on."""
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
