--- /dev/null
+++ b/packages/platform/poplarwick_platform/instances.py
@@ -0,0 +1,91 @@
+"""Client of the platform's lagging list of instances."""
+
+from __future__ import annotations
+
+import enum
+from types import TracebackType
+from typing import Self
+
+import aiohttp
+import msgspec
+from poplarwick_core import errors
+from poplarwick_core import ids
+
+READ_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+
+
+class InstanceListError(errors.PoplarwickError):
+    """The list could not be read."""
+
+
+class ListedState(enum.Enum):
+    """What the platform says about an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One instance as the platform shows it, some seconds late.
+
+    Attributes:
+        instance: Unique id; a restarted process keeps it.
+        address: Host and port of the peer protocol.
+        domain: Failure domain of the instance.
+        region: Region of the instance.
+        state: What the platform says about it.
+    """
+
+    instance: ids.InstanceId
+    address: str
+    domain: ids.DomainId
+    region: ids.RegionId
+    state: ListedState = ListedState.LIVE
+
+
+class InstanceListClient:
+    """Reads the list over HTTP.
+
+    Args:
+        address: Host and port of the list.
+        timeout_s: Time in seconds after which a read has failed.
+    """
+
+    def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
+        self._url = f"http://{address}/instances"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self) -> tuple[ListedInstance, ...]:
+        """Returns the listed instances.
+
+        Raises:
+            InstanceListError: The list cannot be reached or is malformed.
+        """
+        if self._session is None:
+            raise InstanceListError("the client is closed")
+        try:
+            async with self._session.get(self._url) as response:
+                if response.status != _HTTP_OK:
+                    raise InstanceListError(f"status {response.status}")
+                content = await response.read()
+            return msgspec.json.decode(content, type=tuple[ListedInstance, ...])
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise InstanceListError(repr(error)) from error
+        except msgspec.DecodeError as error:
+            raise InstanceListError(f"malformed list: {error}") from error
