Give places at endpoints through their owner

Cause: nothing admitted requests yet. Change: Dispatcher with exact books for each endpoint, a queue by length class, organisation and urgency, truthful refusals and freeing of cancelled waits; Router with rendezvous hashing and hints; EngineClient of the control protocol. Grant carries a priority (field 8). Open: expiry of grants, take-over, limits, cold start.

--- /dev/null
+++ b/packages/dispatch/poplarwick_dispatch/fairness.py
@@ -0,0 +1,61 @@
+"""Weighted fair shares between organisations.
+
+The virtual token counter of Sheng et al., Fairness in Serving Large Language
+Models, OSDI 2024: the organisation that has received least service relative
+to its weight is served first, and one that was idle gains no credit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from poplarwick_core import ids
+
+
+class ServiceCounters:
+    """Service received by each organisation, divided by its weight."""
+
+    def __init__(self) -> None:
+        self._received: dict[ids.OrganisationId, float] = {}
+        self._weights: dict[ids.OrganisationId, int] = {}
+        self._floor = 0.0
+
+    def set_weights(self, weights: dict[ids.OrganisationId, int]) -> None:
+        """Replaces the weights and forgets organisations without one."""
+        self._weights = weights
+        for organisation in tuple(self._received):
+            if organisation not in weights:
+                del self._received[organisation]
+
+    def activate(
+        self,
+        organisation: ids.OrganisationId,
+        active: Iterable[ids.OrganisationId],
+    ) -> None:
+        """Lifts an organisation that was idle to the least of the active.
+
+        Args:
+            organisation: The organisation whose work begins to wait.
+            active: Organisations with waiting work.
+        """
+        levels = [self.read(other) for other in active]
+        floor = min(levels, default=self._floor)
+        self._received[organisation] = max(self.read(organisation), floor)
+
+    def charge(self, organisation: ids.OrganisationId, cost_s: float) -> None:
+        """Counts service; a negative cost gives back what was not used."""
+        level = self.read(organisation)
+        if cost_s > 0:
+            self._floor = max(self._floor, level)
+        weight = self._weights.get(organisation, 1)
+        self._received[organisation] = level + cost_s / weight
+
+    def read(self, organisation: ids.OrganisationId) -> float:
+        """Returns the service received, relative to the weight."""
+        return self._received.get(organisation, 0.0)
+
+    def order(
+        self, organisations: Iterable[ids.OrganisationId]
+    ) -> list[ids.OrganisationId]:
+        """Returns the organisations, the least served first."""
+        return sorted(organisations, key=self.read)
--- /dev/null
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -0,0 +1,278 @@
+"""All endpoints of one target that this instance owns, and their queue."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from poplarwick_core import ids
+from poplarwick_peers.wire import grant_pb2
+
+from poplarwick_dispatch import bookings
+from poplarwick_dispatch import books
+from poplarwick_dispatch import capacity
+from poplarwick_dispatch import fairness
+from poplarwick_dispatch import queue
+from poplarwick_dispatch import refusals
+
+GRANT_TTL_S = 5.0
+END_MARGIN_S = 5.0
+LONG_HORIZON_S = 15.0
+INTERFERENCE_S = 0.05
+QUEUE_BOUND_S = {
+    capacity.LengthClass.SHORT: 2.0,
+    capacity.LengthClass.MEDIUM: 15.0,
+    capacity.LengthClass.LONG: 600.0,
+}
+CLASS_PRIORITY = {
+    capacity.LengthClass.SHORT: 20,
+    capacity.LengthClass.MEDIUM: 10,
+    capacity.LengthClass.LONG: 0,
+}
+
+_LONG = capacity.LengthClass.LONG
+
+
+class Pool:
+    """Orders the waiting requests of one target and gives them places.
+
+    Attributes:
+        target: The model or plain service.
+        limits: What one warm endpoint carries.
+        books: Accounts of the endpoints owned by this instance.
+        queues: Waiting requests by length class.
+        counters: Service received by each organisation.
+
+    Args:
+        target: The model or plain service.
+        limits: What one warm endpoint carries.
+        grants: Books by grant, shared by all pools of the instance.
+        now_s: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        target: capacity.Target,
+        limits: capacity.Capacity,
+        grants: dict[ids.GrantId, books.EndpointBook],
+        now_s: Callable[[], float],
+    ) -> None:
+        self.target = target
+        self.limits = limits
+        self.books: dict[ids.EndpointId, books.EndpointBook] = {}
+        self.queues = {c: queue.ClassQueue() for c in capacity.LengthClass}
+        self.counters = fairness.ServiceCounters()
+        self._grants = grants
+        self._now_s = now_s
+
+    @property
+    def has_service(self) -> bool:
+        """Whether any endpoint receives new work."""
+        return any(book.in_service for book in self.books.values())
+
+    @property
+    def waiters(self) -> Iterator[queue.Waiter]:
+        """All waiting requests."""
+        for class_queue in self.queues.values():
+            yield from class_queue
+
+    def admit(self, waiter: queue.Waiter) -> None:
+        """Grants a request, lets it wait, or refuses it."""
+        if waiter.latest_start_s < self._now_s():
+            self._refuse_late(waiter)
+            return
+        class_queue = self.queues[waiter.cost.length_class]
+        if len(class_queue) == 0 and self._try_grant(waiter):
+            return
+        wait_s = self.estimate_wait_s(waiter)
+        if self._now_s() + wait_s > waiter.latest_start_s:
+            self._refuse_full(waiter, wait_s)
+            return
+        self.counters.activate(waiter.organisation, class_queue.organisations)
+        class_queue.add(waiter)
+        self._shed(class_queue, waiter.cost.length_class)
+        self.pump()
+
+    def leave(self, waiter: queue.Waiter) -> bool:
+        """Takes a request out of the queue; returns whether it waited."""
+        return self.queues[waiter.cost.length_class].remove(waiter)
+
+    def expire(self, waiter: queue.Waiter) -> None:
+        """Refuses a waiting request that can no longer end in time."""
+        if self.leave(waiter):
+            self._refuse_late(waiter)
+
+    def refuse_all(self, reason: grant_pb2.RefusalReason, detail: str) -> None:
+        """Refuses all that waits, so that it moves elsewhere."""
+        for waiter in tuple(self.waiters):
+            self.leave(waiter)
+            _reply(waiter, refusals.make_refusal(reason, detail))
+
+    def pump(self) -> None:
+        """Grants whatever fits, the shortest class first."""
+        for class_queue in self.queues.values():
+            while self._grant_next(class_queue):
+                pass
+
+    def estimate_wait_s(self, waiter: queue.Waiter) -> float:
+        """Returns the time that a request would wait in the queue."""
+        length_class = waiter.cost.length_class
+        work_s = self.queues[length_class].work_s
+        endpoints = sum(book.in_service for book in self.books.values())
+        if length_class is _LONG:
+            endpoints = min(endpoints, self.count_long_endpoints())
+        return work_s / max(endpoints, 1)
+
+    def count_long_endpoints(self) -> int:
+        """Returns how many endpoints may prefill long prompts now.
+
+        The number grows with the prefill time of the long prompts at hand, so
+        that each of these endpoints works on them for `LONG_HORIZON_S`.
+        """
+        running_s = sum(
+            book.estimate_wait_s(_LONG) for book in self.books.values()
+        )
+        work_s = self.queues[_LONG].work_s + running_s
+        return max(1, math.ceil(work_s / LONG_HORIZON_S))
+
+    def make_room(self) -> grant_pb2.Room:
+        """Returns the hint about free capacity that rides on replies."""
+        endpoints = max(len(self.books), 1)
+        waiting_s = sum(q.work_s for q in self.queues.values())
+        open_books = [b for b in self.books.values() if b.in_service]
+        return grant_pb2.Room(
+            model=self.target.model or "",
+            service=self.target.service or "",
+            queue_s=waiting_s / endpoints,
+            free_tokens=max((b.free_tokens for b in open_books), default=0),
+        )
+
+    def _grant_next(self, class_queue: queue.ClassQueue) -> bool:
+        for organisation in self.counters.order(class_queue.organisations):
+            waiter = class_queue.find_first(organisation)
+            if waiter is not None and self._try_grant(waiter):
+                class_queue.remove(waiter)
+                return True
+        return False
+
+    def _try_grant(self, waiter: queue.Waiter) -> bool:
+        book = self._choose(waiter)
+        if book is None:
+            return False
+        booking = self._book(book, waiter)
+        self.counters.charge(waiter.organisation, waiter.cost.engine_s)
+        _reply(waiter, self._make_grant(book, booking, waiter))
+        return True
+
+    def _choose(self, waiter: queue.Waiter) -> books.EndpointBook | None:
+        excluded = frozenset(waiter.request.excluded_endpoints)
+        candidates = [
+            book
+            for book in self._list_allowed(waiter.cost.length_class)
+            if book.in_service
+            and book.id not in excluded
+            and book.has_room(waiter.cost)
+            and book.tenure.is_valid()
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda b: _score(b, waiter.cost))
+
+    def _list_allowed(
+        self, length_class: capacity.LengthClass
+    ) -> list[books.EndpointBook]:
+        allowed = list(self.books.values())
+        if length_class is not _LONG:
+            return allowed
+        allowed.sort(key=lambda book: book.id)
+        return allowed[: self.count_long_endpoints()]
+
+    def _book(
+        self, book: books.EndpointBook, waiter: queue.Waiter
+    ) -> bookings.Booking:
+        now_s = self._now_s()
+        grant = ids.make_grant_id()
+        booking = bookings.Booking(
+            grant=grant,
+            stream=bookings.make_stream(
+                grant, ids.InstanceId(waiter.request.entry_instance)
+            ),
+            endpoint=book.id,
+            organisation=waiter.organisation,
+            entry=ids.InstanceId(waiter.request.entry_instance),
+            cost=waiter.cost,
+            granted_at_s=now_s,
+            expires_at_s=now_s + GRANT_TTL_S,
+            ends_at_s=waiter.ends_at_s + END_MARGIN_S,
+        )
+        book.add(booking)
+        self._grants[grant] = book
+        return booking
+
+    def release(
+        self, book: books.EndpointBook, booking: bookings.Booking
+    ) -> None:
+        """Frees a place; the caller pumps afterwards."""
+        self._grants.pop(booking.grant, None)
+        book.remove(booking)
+
+    def _make_grant(
+        self,
+        book: books.EndpointBook,
+        booking: bookings.Booking,
+        waiter: queue.Waiter,
+    ) -> grant_pb2.AcquireReply:
+        length_class = waiter.cost.length_class
+        grant = grant_pb2.Grant(
+            grant_id=booking.grant,
+            endpoint=book.id,
+            address=book.endpoint.address,
+            stream_id=booking.stream,
+            epoch=book.tenure.epoch,
+            expires_s=GRANT_TTL_S,
+            queued_s=booking.granted_at_s - waiter.arrived_at_s,
+            priority=CLASS_PRIORITY[length_class] + waiter.request.priority,
+        )
+        return grant_pb2.AcquireReply(grant=grant)
+
+    def _shed(
+        self,
+        class_queue: queue.ClassQueue,
+        length_class: capacity.LengthClass,
+    ) -> None:
+        bound_s = QUEUE_BOUND_S[length_class] * max(len(self.books), 1)
+        while class_queue.work_s > bound_s and len(class_queue) > 1:
+            over = self.counters.order(class_queue.organisations)[-1]
+            victim = class_queue.find_last(over)
+            if victim is None:
+                return
+            class_queue.remove(victim)
+            self._refuse_full(victim, self.estimate_wait_s(victim))
+
+    def _refuse_full(self, waiter: queue.Waiter, wait_s: float) -> None:
+        reply = refusals.make_refusal(
+            grant_pb2.REFUSAL_NO_ROOM, "the queue is full", wait_s
+        )
+        _reply(waiter, reply)
+
+    def _refuse_late(self, waiter: queue.Waiter) -> None:
+        needed_s = waiter.ends_at_s - waiter.latest_start_s
+        reply = refusals.make_refusal(
+            grant_pb2.REFUSAL_DEADLINE,
+            f"needs about {needed_s:.1f} s, more than is left",
+            self.estimate_wait_s(waiter),
+        )
+        _reply(waiter, reply)
+
+
+def _score(book: books.EndpointBook, cost: capacity.Cost) -> tuple[float, int]:
+    wait_s = book.estimate_wait_s(cost.length_class)
+    if book.has_long_prefill and cost.length_class is not _LONG:
+        wait_s += INTERFERENCE_S
+    return (wait_s, len(book.bookings))
+
+
+def _reply(waiter: queue.Waiter, reply: grant_pb2.AcquireReply) -> None:
+    if not waiter.reply.done():
+        waiter.reply.set_result(reply)
--- /dev/null
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -0,0 +1,125 @@
+"""Chooses which instances to ask for a place, in which order."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import xxhash
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_peers import membership
+from poplarwick_peers.wire import grant_pb2
+
+MAX_HOPS = 4
+HINT_TTL_S = 2.0
+BUSY_QUEUE_S = 0.5
+LONG_PROMPT_TOKENS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hint:
+    queue_s: float
+    free_tokens: int
+    at_s: float
+
+
+class Router:
+    """Ranks instances by prompt prefix and by hints about their room.
+
+    It keeps one hint for each pair of peer and target, never a row for an
+    endpoint. Hints only change the order: the owner decides.
+
+    Args:
+        now_s: Monotonic clock.
+    """
+
+    def __init__(self, now_s: Callable[[], float] = clock.now_s) -> None:
+        self._now_s = now_s
+        self._hints: dict[tuple[ids.InstanceId, str], _Hint] = {}
+        self._absent: dict[tuple[ids.InstanceId, str], float] = {}
+
+    def rank(
+        self,
+        request: grant_pb2.AcquireRequest,
+        members: Iterable[membership.Member],
+    ) -> list[ids.InstanceId]:
+        """Returns the instances to ask, the best first.
+
+        Args:
+            request: What is asked for.
+            members: Live instances of the region.
+
+        Returns:
+            At most `MAX_HOPS` instances.
+        """
+        target = request.model or request.service
+        ranked = _rank_by_hash(_make_key(request), members)
+        present = [i for i in ranked if not self._is_absent(i, target)]
+        chosen = present or ranked
+        chosen.sort(key=lambda i: self._is_busy(i, target, request))
+        return chosen[:MAX_HOPS]
+
+    def note_rooms(
+        self, instance: ids.InstanceId, rooms: Iterable[grant_pb2.Room]
+    ) -> None:
+        """Remembers the hints that came with a reply or heartbeat."""
+        now_s = self._now_s()
+        for room in rooms:
+            key = (instance, room.model or room.service)
+            self._hints[key] = _Hint(room.queue_s, room.free_tokens, now_s)
+            self._absent.pop(key, None)
+
+    def note_refusal(
+        self,
+        instance: ids.InstanceId,
+        target: str,
+        reason: grant_pb2.RefusalReason,
+    ) -> None:
+        """Remembers that an instance has no endpoint or no room."""
+        now_s = self._now_s()
+        if reason == grant_pb2.REFUSAL_NOT_OWNER:
+            self._absent[(instance, target)] = now_s
+
+    def forget(self, instance: ids.InstanceId) -> None:
+        """Drops all hints of an instance that left."""
+        for hints in (self._hints, self._absent):
+            for key in [k for k in hints if k[0] == instance]:
+                del hints[key]
+
+    def _is_absent(self, instance: ids.InstanceId, target: str) -> bool:
+        at_s = self._absent.get((instance, target))
+        return at_s is not None and self._now_s() - at_s < HINT_TTL_S
+
+    def _is_busy(
+        self,
+        instance: ids.InstanceId,
+        target: str,
+        request: grant_pb2.AcquireRequest,
+    ) -> bool:
+        hint = self._hints.get((instance, target))
+        if hint is None or self._now_s() - hint.at_s > HINT_TTL_S:
+            return False
+        if hint.queue_s > BUSY_QUEUE_S:
+            return True
+        needed = request.prompt_tokens + request.output_tokens
+        return bool(request.model) and hint.free_tokens < needed
+
+
+def _make_key(request: grant_pb2.AcquireRequest) -> bytes:
+    target = (request.model or request.service).encode()
+    if request.prefix_digests:
+        return target + request.prefix_digests[0].to_bytes(8, "big")
+    return target + request.request_id.encode()
+
+
+def _rank_by_hash(
+    key: bytes, members: Iterable[membership.Member]
+) -> list[ids.InstanceId]:
+    """Orders by rendezvous hash (Thaler and Ravishankar, 1998)."""
+    return sorted(
+        (member.instance for member in members),
+        key=lambda instance: xxhash.xxh3_64_intdigest(key + instance.encode()),
+        reverse=True,
+    )
--- /dev/null
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,183 @@
+"""Tests of the dispatcher's grants and refusals."""
+
+from __future__ import annotations
+
+import asyncio
+
+import dispatch_fakes as fakes
+import pytest
+from poplarwick_dispatch import dispatcher as dispatchers
+from poplarwick_peers.wire import grant_pb2
+
+
+def test_grant_names_endpoint_stream_and_epoch():
+    async def main():
+        async with fakes.Bed() as bed:
+            reply = await bed.acquire()
+            grant = reply.grant
+            assert bed.view.find_endpoint(grant.endpoint) is not None
+            assert grant.epoch == 1
+            assert grant.stream_id.endswith(".i2")
+            assert grant.expires_s > 0
+            assert reply.room[0].model == "m"
+
+    fakes.run(main())
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"model": "other"}, grant_pb2.REFUSAL_NOT_OWNER),
+        ({"prompt": 1_000_001}, grant_pb2.REFUSAL_TOO_LONG),
+        ({"timeout_s": 1.0, "output": 100}, grant_pb2.REFUSAL_DEADLINE),
+    ],
+)
+def test_refusal_reasons(changes, reason):
+    async def main():
+        async with fakes.Bed() as bed:
+            reply = await bed.acquire(**changes)
+            assert reply.refusal.reason == reason
+            assert reply.refusal.retry_after_s > 0
+
+    fakes.run(main())
+
+
+def test_waiting_request_is_granted_after_report():
+    async def main():
+        view = fakes.make_view(endpoints=1, model=fakes.make_model(max_batch=1))
+        async with fakes.Bed(view) as bed:
+            first = (await bed.acquire()).grant
+            waiting = asyncio.create_task(bed.acquire())
+            await asyncio.sleep(1)
+            assert not waiting.done()
+            await bed.report(first, grant_pb2.REPORT_COMPLETE)
+            assert (await waiting).grant.queued_s == pytest.approx(1)
+
+    fakes.run(main())
+
+
+def test_waiting_request_is_refused_when_it_cannot_end_in_time():
+    async def main():
+        view = fakes.make_view(endpoints=1, model=fakes.make_model(max_batch=1))
+        async with fakes.Bed(view) as bed:
+            await bed.acquire()
+            start_s = fakes.now_s()
+            reply = await bed.acquire(timeout_s=10.0)
+            assert reply.refusal.reason == grant_pb2.REFUSAL_DEADLINE
+            assert fakes.now_s() - start_s == pytest.approx(10 - 2.05)
+
+    fakes.run(main())
+
+
+def test_cancelled_wait_and_late_cancel_free_the_place():
+    async def main():
+        view = fakes.make_view(endpoints=1, model=fakes.make_model(max_batch=1))
+        async with fakes.Bed(view) as bed:
+            first = (await bed.acquire()).grant
+            leaver = asyncio.create_task(bed.acquire())
+            await asyncio.sleep(1)
+            leaver.cancel()
+            racer = asyncio.create_task(bed.acquire())
+            await asyncio.sleep(1)
+            await bed.report(first, grant_pb2.REPORT_COMPLETE)
+            racer.cancel()  # Granted, but its task has not run yet.
+            await asyncio.gather(leaver, racer, return_exceptions=True)
+            reply = await bed.acquire()
+            assert reply.HasField("grant")
+
+    fakes.run(main())
+
+
+def test_out_of_service_moves_waiting_work_and_keeps_running_work():
+    async def main():
+        model = fakes.make_model(max_batch=1)
+        async with fakes.Bed(fakes.make_view(endpoints=1, model=model)) as bed:
+            first = (await bed.acquire()).grant
+            waiting = asyncio.create_task(bed.acquire())
+            await asyncio.sleep(0.1)
+            bed.dispatcher.apply_view(
+                fakes.make_view(2, endpoints=1, model=model, out=("d1",))
+            )
+            refusal = (await waiting).refusal
+            assert refusal.reason == grant_pb2.REFUSAL_NO_ROOM
+            reply = await bed.acquire()
+            assert reply.refusal.reason == grant_pb2.REFUSAL_NO_ROOM
+            done = await bed.report(first, grant_pb2.REPORT_COMPLETE)
+            assert not done.unknown_grants
+            bed.dispatcher.apply_view(fakes.make_view(1, model=model))
+            reply = await bed.acquire()
+            assert reply.refusal.reason == grant_pb2.REFUSAL_NO_ROOM
+
+    fakes.run(main())
+
+
+def test_invalid_tenure_gives_no_place():
+    async def main():
+        view = fakes.make_view(endpoints=0)
+        async with fakes.Bed(view) as bed:
+            valid = [True]
+            bed.dispatcher.apply_view(fakes.make_view(2, endpoints=1))
+            bed.engines["127.0.0.1:9000"] = fakes.FakeEngine()
+            held = fakes.make_tenure("e0", is_valid=lambda: valid[0])
+            await bed.dispatcher.begin_tenure(held)
+            assert (await bed.acquire()).HasField("grant")
+            valid[0] = False
+            reply = await bed.acquire(timeout_s=4.0)
+            assert reply.HasField("refusal")
+            await bed.dispatcher.end_tenure(held, is_planned=False)
+            reply = await bed.acquire()
+            assert reply.refusal.reason == grant_pb2.REFUSAL_NOT_OWNER
+
+    fakes.run(main())
+
+
+def test_drain_refuses_waiting_and_new_requests():
+    async def main():
+        model = fakes.make_model(max_batch=1)
+        async with fakes.Bed(fakes.make_view(endpoints=1, model=model)) as bed:
+            await bed.acquire()
+            waiting = asyncio.create_task(bed.acquire())
+            await asyncio.sleep(0.1)
+            bed.dispatcher.drain()
+            for reply in (await waiting, await bed.acquire()):
+                assert reply.refusal.reason == grant_pb2.REFUSAL_DRAINING
+
+    fakes.run(main())
+
+
+def test_unknown_grant_is_told():
+    async def main():
+        async with fakes.Bed() as bed:
+            grant = grant_pb2.Grant(grant_id="gr-none")
+            reply = await bed.report(grant, grant_pb2.REPORT_COMPLETE)
+            assert list(reply.unknown_grants) == ["gr-none"]
+
+    fakes.run(main())
+
+
+def test_service_call_is_limited_by_concurrency():
+    async def main():
+        async with fakes.Bed() as bed:
+            replies = [
+                await bed.acquire(model="", service="s", prompt=0, output=0)
+                for _ in range(32)
+            ]
+            assert all(r.grant.endpoint == "s0" for r in replies)
+            task = asyncio.create_task(
+                bed.acquire(model="", service="s", timeout_s=2.0)
+            )
+            assert (await task).HasField("refusal")
+
+    fakes.run(main())
+
+
+def test_first_version_has_no_view():
+    async def main():
+        subject = dispatchers.Dispatcher(
+            fakes.SELF, make_control=lambda address: fakes.FakeEngine()
+        )
+        async with subject:
+            reply = await subject.acquire(fakes.make_request())
+            assert reply.refusal.reason == grant_pb2.REFUSAL_NOT_OWNER
+
+    fakes.run(main())
--- /dev/null
+++ b/packages/dispatch/tests/test_router.py
@@ -0,0 +1,66 @@
+"""Tests of the choice of instances."""
+
+from __future__ import annotations
+
+import dispatch_fakes as fakes
+from poplarwick_core import ids
+from poplarwick_dispatch import router as routers
+from poplarwick_peers import membership
+from poplarwick_peers.wire import grant_pb2
+
+MEMBERS = tuple(
+    membership.Member(f"i{n}", f"127.0.0.1:{n}", "d1", "r1", 1)
+    for n in range(8)
+)
+
+
+def _rank(subject, digest=7, members=MEMBERS):
+    request = fakes.make_request(prefix_digests=[digest])
+    return subject.rank(request, members)
+
+
+def test_rank_follows_the_prefix_and_moves_little_when_a_member_leaves():
+    subject = routers.Router()
+    firsts = {d: _rank(subject, d)[0] for d in range(1, 400)}
+    assert len(set(firsts.values())) == len(MEMBERS)
+    left = MEMBERS[1:]
+    moved = [
+        d
+        for d, first in firsts.items()
+        if first != "i0" and _rank(subject, d, left)[0] != first
+    ]
+    assert moved == []
+
+
+def test_busy_instance_comes_later_until_the_hint_expires():
+    time_s = [0.0]
+    subject = routers.Router(lambda: time_s[0])
+    ranked = _rank(subject)
+    room = grant_pb2.Room(model="m", queue_s=9.0, free_tokens=10**6)
+    subject.note_rooms(ranked[0], [room])
+    assert _rank(subject)[0] == ranked[1]
+    time_s[0] += routers.HINT_TTL_S + 1
+    assert _rank(subject) == ranked
+
+
+def test_instance_without_memory_or_endpoint_is_passed_over():
+    subject = routers.Router()
+    ranked = _rank(subject)
+    room = grant_pb2.Room(model="m", queue_s=0.0, free_tokens=10)
+    subject.note_rooms(ranked[0], [room])
+    subject.note_refusal(ranked[1], "m", grant_pb2.REFUSAL_NOT_OWNER)
+    assert _rank(subject)[0] == ranked[2]
+    assert ranked[1] not in _rank(subject)
+
+
+def test_hops_are_bounded():
+    assert len(_rank(routers.Router())) == routers.MAX_HOPS
+
+
+def test_forgotten_instance_leaves_no_hint():
+    subject = routers.Router()
+    ranked = _rank(subject)
+    room = grant_pb2.Room(model="m", queue_s=9.0)
+    subject.note_rooms(ranked[0], [room])
+    subject.forget(ids.InstanceId(ranked[0]))
+    assert _rank(subject) == ranked
--- /dev/null
+++ b/packages/endpoints/poplarwick_endpoints/engine.py
@@ -0,0 +1,270 @@
+"""Client of the control protocol of one model engine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from poplarwick_core import ids
+
+from poplarwick_endpoints import errors
+from poplarwick_endpoints import messages
+
+CALL_TIMEOUT_S = 5.0
+EPOCH_HEADER = "Endpoint-Epoch"
+STREAM_HEADER = "Endpoint-Stream"
+PRIORITY_HEADER = "Endpoint-Priority"
+DEADLINE_HEADER = "Endpoint-Deadline"
+
+_Answer = TypeVar("_Answer")
+
+
+class EngineControl(Protocol):
+    """Control calls of one engine; every call raises `EndpointError`."""
+
+    async def read_state(self) -> messages.EngineState:
+        """Returns the exact state."""
+        ...
+
+    async def read_report(self) -> messages.EngineReport:
+        """Returns the lagging load report."""
+        ...
+
+    async def read_cache_events(
+        self, after: int, wait_s: float
+    ) -> messages.CacheEvents:
+        """Waits for changes of the prefix cache after a number."""
+        ...
+
+    async def cancel(
+        self, stream: ids.StreamId, epoch: ids.Epoch
+    ) -> messages.CancelState:
+        """Stops a stream and frees its memory; idempotent."""
+        ...
+
+    async def prefill(
+        self,
+        stream: ids.StreamId,
+        prompt: str,
+        epoch: ids.Epoch,
+        *,
+        handle: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """Prefills one segment of a prompt without decoding."""
+        ...
+
+    async def export_cache(
+        self, stream: ids.StreamId, epoch: ids.Epoch
+    ) -> messages.Handle:
+        """Exports the KV cache of a stream."""
+        ...
+
+    async def import_cache(
+        self,
+        stream: ids.StreamId,
+        handle: str,
+        source: str,
+        epoch: ids.Epoch,
+    ) -> None:
+        """Copies the exported cache of another engine."""
+        ...
+
+    async def release_cache(self, handle: str, epoch: ids.Epoch) -> None:
+        """Frees an exported cache; idempotent."""
+        ...
+
+    async def give_order(
+        self,
+        kind: messages.OrderKind,
+        value: str,
+        order_id: str,
+        epoch: ids.Epoch,
+    ) -> None:
+        """Changes what the engine runs; idempotent by `order_id`."""
+        ...
+
+
+MakeControl = Callable[[str], EngineControl]
+"""Returns the control client of the engine at an address."""
+
+
+class EngineClient:
+    """Talks to one engine over a session that others share.
+
+    Attributes:
+        address: Host and port of the engine.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.address = address
+        self._session = session
+        self._root = f"http://{address}"
+
+    async def read_state(self) -> messages.EngineState:
+        """Returns the exact state."""
+        return await self._get("/control/state", messages.EngineState)
+
+    async def read_report(self) -> messages.EngineReport:
+        """Returns the lagging load report."""
+        return await self._get("/control/report", messages.EngineReport)
+
+    async def read_cache_events(
+        self, after: int, wait_s: float
+    ) -> messages.CacheEvents:
+        """Waits for changes of the prefix cache after a number."""
+        return await self._get(
+            f"/control/cache-events?after={after}&wait_s={wait_s}",
+            messages.CacheEvents,
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+
+    async def cancel(
+        self, stream: ids.StreamId, epoch: ids.Epoch
+    ) -> messages.CancelState:
+        """Stops a stream and frees its memory; idempotent."""
+        path = f"/control/streams/{stream}/cancel"
+        answer = await self._post(path, {}, messages.CancelAnswer, epoch)
+        return answer.state
+
+    async def prefill(
+        self,
+        stream: ids.StreamId,
+        prompt: str,
+        epoch: ids.Epoch,
+        *,
+        handle: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """Prefills one segment of a prompt without decoding."""
+        body: dict[str, str] = {"stream": stream, "prompt": prompt}
+        if handle is not None:
+            body["handle"] = handle
+        await self._post(
+            "/control/prefill", body, dict, epoch, timeout_s=timeout_s
+        )
+
+    async def export_cache(
+        self, stream: ids.StreamId, epoch: ids.Epoch
+    ) -> messages.Handle:
+        """Exports the KV cache of a stream."""
+        body = {"stream": stream}
+        return await self._post(
+            "/control/kv/export", body, messages.Handle, epoch
+        )
+
+    async def import_cache(
+        self,
+        stream: ids.StreamId,
+        handle: str,
+        source: str,
+        epoch: ids.Epoch,
+    ) -> None:
+        """Copies the exported cache of another engine."""
+        body = {"handle": handle, "source": source, "stream": stream}
+        await self._post("/control/kv/import", body, dict, epoch)
+
+    async def release_cache(self, handle: str, epoch: ids.Epoch) -> None:
+        """Frees an exported cache; idempotent."""
+        body = {"handle": handle}
+        await self._post("/control/kv/release", body, dict, epoch)
+
+    async def give_order(
+        self,
+        kind: messages.OrderKind,
+        value: str,
+        order_id: str,
+        epoch: ids.Epoch,
+    ) -> None:
+        """Changes what the engine runs; idempotent by `order_id`."""
+        body = {"kind": kind.value, "value": value, "order_id": order_id}
+        await self._post("/control/orders", body, dict, epoch)
+
+    async def _get(
+        self,
+        path: str,
+        answer_type: type[_Answer],
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _Answer:
+        return await self._call("GET", path, answer_type, timeout_s)
+
+    async def _post(
+        self,
+        path: str,
+        body: Mapping[str, str],
+        answer_type: type[_Answer],
+        epoch: ids.Epoch,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _Answer:
+        return await self._call(
+            "POST",
+            path,
+            answer_type,
+            timeout_s,
+            json=body,
+            headers={EPOCH_HEADER: str(epoch)},
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        answer_type: type[_Answer],
+        timeout_s: float,
+        **options: Any,
+    ) -> _Answer:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.request(
+                method, self._root + path, timeout=timeout, **options
+            ) as response:
+                content = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.EndpointUnreachableError(
+                f"{self.address}: {error!r}"
+            ) from error
+        if response.status >= 300:
+            raise make_error(response.status, content)
+        try:
+            return msgspec.json.decode(content, type=answer_type)
+        except msgspec.MsgspecError as error:
+            raise errors.UnexpectedAnswerError(
+                response.status, str(error)
+            ) from error
+
+
+class _ErrorDetail(msgspec.Struct, frozen=True):
+    type: str = ""
+    epoch: int = 0
+
+
+class _ErrorBody(msgspec.Struct, frozen=True):
+    error: _ErrorDetail = _ErrorDetail()
+
+
+def make_error(status: int, content: bytes) -> errors.EndpointError:
+    """Returns the error that an answer of an endpoint stands for.
+
+    Args:
+        status: HTTP status.
+        content: Body of the answer.
+    """
+    try:
+        detail = msgspec.json.decode(content, type=_ErrorBody).error
+    except msgspec.MsgspecError:
+        detail = _ErrorDetail()
+    match detail.type:
+        case "stale_epoch":
+            return errors.StaleEpochError(detail.epoch)
+        case "stream_exists":
+            return errors.StreamExistsError("the stream exists")
+        case "overloaded" | "cold_overload":
+            return errors.OverloadedError(detail.type)
+    return errors.UnexpectedAnswerError(status, detail.type)
