--- a/packages/standins/poplarwick_standins/engine.py
+++ b/packages/standins/poplarwick_standins/engine.py
@@ -1,13 +1,39 @@
-"""Stand-in: see `main.KINDS`."""
+"""Stand-in of a model engine; docs/ENDPOINT_PROTOCOL.md says what it speaks."""
 
 from __future__ import annotations
 
 import argparse
+import asyncio
+
+from poplarwick_standins import _batch
+from poplarwick_standins import _engine_http
+from poplarwick_standins import _engine_settings
+from poplarwick_standins import _serving
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds the options of this kind."""
+    parser.add_argument(
+        "--time-scale",
+        type=float,
+        help="engine seconds in one second; goes before the settings",
+    )
 
 
 async def serve(arguments: argparse.Namespace) -> None:
-    """Serves until cancelled."""
+    """Serves until cancelled.
+
+    Raises:
+        errors.DocumentError: The settings are not valid.
+    """
+    settings = _engine_settings.read_settings(arguments.settings)
+    if arguments.time_scale:
+        settings = _engine_settings.replace_time_scale(
+            settings, arguments.time_scale
+        )
+    batch = _batch.Batch(settings)
+    app = _engine_http.make_application(batch)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(batch.run())
+        group.create_task(batch.run_reports())
+        group.create_task(_serving.serve_application(app, arguments.listen))
