Let the lifecycle decide what a caller is told

Cause: entry had its own table of outcomes beside outcomes.verdicts. Change: entry raises endings; the one place in outcomes turns them into a status, header and body. Conclusion: one decision place.

--- a/features/steps/documents.py
+++ b/features/steps/documents.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+
 from poplarwick_configuration import document
 from poplarwick_core import errors
 from poplarwick_core import jsonc
--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import ids
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
--- a/packages/core/poplarwick_core/tls.py
+++ b/packages/core/poplarwick_core/tls.py
@@ -98,7 +98,11 @@
         return True
 
     def _read_file_times(self) -> tuple[int, ...]:
-        paths = (self._files.certificate, self._files.key, self._files.authority)
+        paths = (
+            self._files.certificate,
+            self._files.key,
+            self._files.authority,
+        )
         times = []
         for path in paths:
             try:
--- a/packages/core/tests/test_jsonc.py
+++ b/packages/core/tests/test_jsonc.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
--- a/packages/dispatch/poplarwick_dispatch/bookings.py
+++ b/packages/dispatch/poplarwick_dispatch/bookings.py
@@ -6,7 +6,6 @@
 import enum
 
 from poplarwick_core import ids
-
 from poplarwick_dispatch import capacity
 
 
--- a/packages/dispatch/poplarwick_dispatch/books.py
+++ b/packages/dispatch/poplarwick_dispatch/books.py
@@ -4,10 +4,9 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
-from poplarwick_ownership import tenure as tenures
-
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import capacity
+from poplarwick_ownership import tenure as tenures
 
 PREFILL_BUDGET_S = 0.5
 MEDIUM_PREFILL_BUDGET_S = 5.0
--- a/packages/dispatch/poplarwick_dispatch/dispatcher.py
+++ b/packages/dispatch/poplarwick_dispatch/dispatcher.py
@@ -7,21 +7,21 @@
 from collections.abc import Callable
 
 import grpclib.server
+
 from poplarwick_configuration import document
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_endpoints import engine
-from poplarwick_ownership import tenure as tenures
-from poplarwick_peers.wire import grant_grpc
-from poplarwick_peers.wire import grant_pb2
-
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import pool as pools
 from poplarwick_dispatch import queue
 from poplarwick_dispatch import refusals
+from poplarwick_endpoints import engine
+from poplarwick_ownership import tenure as tenures
+from poplarwick_peers.wire import grant_grpc
+from poplarwick_peers.wire import grant_pb2
 
 
 def _always_live(instance: ids.InstanceId) -> bool:
--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -7,14 +7,13 @@
 from collections.abc import Iterator
 
 from poplarwick_core import ids
-from poplarwick_peers.wire import grant_pb2
-
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import fairness
 from poplarwick_dispatch import queue
 from poplarwick_dispatch import refusals
+from poplarwick_peers.wire import grant_pb2
 
 GRANT_TTL_S = 5.0
 END_MARGIN_S = 5.0
--- a/packages/dispatch/poplarwick_dispatch/queue.py
+++ b/packages/dispatch/poplarwick_dispatch/queue.py
@@ -9,9 +9,8 @@
 from collections.abc import Iterator
 
 from poplarwick_core import ids
-from poplarwick_peers.wire import grant_pb2
-
 from poplarwick_dispatch import capacity
+from poplarwick_peers.wire import grant_pb2
 
 AGEING_S = {
     capacity.LengthClass.SHORT: 5.0,
--- a/packages/dispatch/poplarwick_dispatch/router.py
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 import xxhash
+
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_peers import membership
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 import dispatch_fakes as fakes
 import pytest
+
 from poplarwick_dispatch import dispatcher as dispatchers
 from poplarwick_peers.wire import grant_pb2
 
--- a/packages/dispatch/tests/test_router.py
+++ b/packages/dispatch/tests/test_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dispatch_fakes as fakes
+
 from poplarwick_core import ids
 from poplarwick_dispatch import router as routers
 from poplarwick_peers import membership
--- a/packages/endpoints/poplarwick_endpoints/engine.py
+++ b/packages/endpoints/poplarwick_endpoints/engine.py
@@ -10,8 +10,8 @@
 
 import aiohttp
 import msgspec
-from poplarwick_core import ids
 
+from poplarwick_core import ids
 from poplarwick_endpoints import errors
 from poplarwick_endpoints import messages
 
--- a/packages/endpoints/poplarwick_endpoints/generation.py
+++ b/packages/endpoints/poplarwick_endpoints/generation.py
@@ -4,28 +4,22 @@
 
 import contextlib
 import dataclasses
-from typing import AsyncIterator
+from collections.abc import AsyncIterator
 
 import aiohttp
 
 from poplarwick_core import clock
-from poplarwick_core import errors
 from poplarwick_core import ids
+from poplarwick_endpoints import engine
+from poplarwick_endpoints import errors
 
-STREAM_HEADER = "Endpoint-Stream"
-EPOCH_HEADER = "Endpoint-Epoch"
-PRIORITY_HEADER = "Endpoint-Priority"
-DEADLINE_HEADER = "Endpoint-Deadline"
-
-CONNECT_TIMEOUT_S = 2.0
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised before any byte of a request was sent."""
 
 MAX_ERROR_BYTES = 65_536
-READ_BUFFER_BYTES = 65_536
 
 
-class GenerationError(errors.PoplarwickError):
+class GenerationError(errors.EndpointError):
     """A generation request did not succeed."""
 
 
@@ -70,35 +64,13 @@
     def make_headers(self, deadline: clock.Deadline) -> dict[str, str]:
         """Returns the headers that go with every request and order."""
         return {
-            STREAM_HEADER: self.stream,
-            EPOCH_HEADER: str(self.epoch),
-            PRIORITY_HEADER: str(self.priority),
-            DEADLINE_HEADER: f"{max(deadline.remaining_s, 0):.3f}",
+            engine.STREAM_HEADER: self.stream,
+            engine.EPOCH_HEADER: str(self.epoch),
+            engine.PRIORITY_HEADER: str(self.priority),
+            engine.DEADLINE_HEADER: f"{max(deadline.remaining_s, 0):.3f}",
         }
 
 
-def make_session(connections: int = 0) -> aiohttp.ClientSession:
-    """Returns a session for calls to endpoints.
-
-    Args:
-        connections: Largest number of connections; 0 means no limit, since
-            grants bound the requests in progress.
-    """
-    timeout = aiohttp.ClientTimeout(
-        total=None, sock_connect=CONNECT_TIMEOUT_S
-    )
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=connections),
-        timeout=timeout,
-        auto_decompress=False,
-        read_bufsize=READ_BUFFER_BYTES,
-    )
-    # The library repeats GET, PUT and DELETE on a lost connection, which may
-    # run a call twice. There is no public switch; a test guards this one.
-    session._retry_connection = False
-    return session
-
-
 @contextlib.asynccontextmanager
 async def open_generation(
     session: aiohttp.ClientSession,
--- a/packages/endpoints/tests/test_engine.py
+++ b/packages/endpoints/tests/test_engine.py
@@ -7,6 +7,7 @@
 
 import pytest
 from aiohttp import web
+
 from poplarwick_endpoints import engine
 from poplarwick_endpoints import errors
 from poplarwick_endpoints import messages
--- a/packages/entry/poplarwick_entry/answers.py
+++ b/packages/entry/poplarwick_entry/answers.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
-from aiohttp import web
 import msgspec
+from aiohttp import web
 
 from poplarwick_core import ids
 from poplarwick_core import outcome
 from poplarwick_entry import headers
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
+from poplarwick_outcomes import replies
 from poplarwick_outcomes import stream
+from poplarwick_outcomes import verdicts
 
 _DATA = b"data:"
 
@@ -43,7 +46,7 @@
         """Ends a whole answer."""
         ...
 
-    async def fail(self, problem: problems.Problem) -> None:
+    async def fail(self, verdict: verdicts.Verdict) -> None:
         """Ends an answer of which the caller has seen a part."""
         ...
 
@@ -97,10 +100,10 @@
         await self.write(comment + stream.END_MARK)
         await self._response.write_eof()
 
-    async def fail(self, problem: problems.Problem) -> None:
+    async def fail(self, verdict: verdicts.Verdict) -> None:
         """Sends the outcome and an error event, and no end mark."""
-        comment = _make_outcome_comment(problem.outcome)
-        await self.write(comment + b"data: " + problem.encode_body() + b"\n\n")
+        comment = _make_outcome_comment(verdict.outcome)
+        await self.write(comment + replies.encode_event(verdict))
         await self._response.write_eof()
 
 
@@ -156,11 +159,11 @@
         reply[headers.REQUEST_ID] = self._checked.request
         reply[headers.INSTANCE] = self._instance
         reply[headers.ENDPOINT] = self._endpoint
-        reply[headers.OUTCOME] = outcome.Outcome.COMPLETE.value
+        reply[replies.OUTCOME_HEADER] = outcome.Outcome.COMPLETE.value
 
-    async def fail(self, problem: problems.Problem) -> None:
-        """Raises the problem, since the caller has seen nothing."""
-        raise problem
+    async def fail(self, verdict: verdicts.Verdict) -> None:
+        """Answers with the verdict, since the caller has seen nothing."""
+        self._response = problems.make_response(verdict)
 
     def _take(self, event: dict[str, Any]) -> None:
         self._created = event.get("created", self._created)
@@ -207,4 +210,4 @@
 
 
 def _make_outcome_comment(ended: outcome.Outcome) -> bytes:
-    return f": {headers.OUTCOME.lower()} {ended.value}\n\n".encode()
+    return f": {replies.OUTCOME_HEADER.lower()} {ended.value}\n\n".encode()
--- a/packages/entry/poplarwick_entry/application.py
+++ b/packages/entry/poplarwick_entry/application.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 
-from aiohttp import web
 import msgspec
+from aiohttp import web
+from loguru import logger
 
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_core import outcome
 from poplarwick_entry import authentication
 from poplarwick_entry import completions
 from poplarwick_entry import context
@@ -17,6 +18,7 @@
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
 from poplarwick_entry import services
+from poplarwick_outcomes import verdicts
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_HEADER_FIELD_BYTES = 8_190
@@ -66,35 +68,48 @@
     entry = request.app[context.CONTEXT_KEY]
     try:
         response = await handler(request)
-    except problems.Problem as problem:
-        logs.log_event(
-            "request_refused",
-            code=problem.code,
-            status=problem.status,
-            outcome=problem.outcome.value,
-        )
-        response = problem.make_response()
+    except problems.RequestEnded as ended:
+        response = _answer_ending(request, ended.ending)
     except web.HTTPException as error:
-        response = _translate(error).make_response()
+        response = _answer_ending(request, _translate(error))
+    except Exception as error:
+        logger.opt(exception=error).error("request_crashed")
+        ending = verdicts.Refused(
+            verdicts.Reason.INTERNAL, "an internal error ended the request"
+        )
+        response = _answer_ending(request, ending)
     if not response.prepared:
         response.headers[headers.INSTANCE] = entry.instance
     return response
 
 
-def _translate(error: web.HTTPException) -> problems.Problem:
+def _answer_ending(
+    request: web.Request, ending: verdicts.Ending
+) -> web.Response:
+    verdict = context.find_lifecycle(request).end(ending)
+    logs.log_event(
+        "request_ended",
+        code=verdict.code,
+        status=verdict.status,
+        outcome=verdict.outcome.value,
+    )
+    return problems.make_response(verdict)
+
+
+def _translate(error: web.HTTPException) -> verdicts.Ending:
     match error.status:
         case 404:
-            code, text = "not_found", "there is nothing at this path"
+            reason = verdicts.Reason.NOT_FOUND
+            text = "there is nothing at this path"
         case 405:
-            code, text = "method_not_allowed", "the method is not allowed here"
+            reason = verdicts.Reason.METHOD_NOT_ALLOWED
+            text = "the method is not allowed here"
         case 413:
-            code = "body_too_large"
+            reason = verdicts.Reason.TOO_LARGE
             text = f"the body may have at most {MAX_BODY_BYTES} bytes"
         case _:
-            code, text = "bad_request", error.reason
-    return problems.Problem(
-        error.status, code, text, outcome=outcome.Outcome.NOT_RUN
-    )
+            reason, text = verdicts.Reason.INVALID, error.reason
+    return verdicts.Refused(reason, text)
 
 
 async def _list_models(request: web.Request) -> web.Response:
@@ -109,8 +124,8 @@
     authentication.authenticate(request, view)
     model = view.find_model(ids.ModelId(request.match_info["model"]))
     if model is None:
-        raise problems.Problem(
-            404, "model_not_found", "the model does not exist", "model"
+        raise problems.refuse(
+            verdicts.Reason.MODEL_NOT_FOUND, "the model does not exist", "model"
         )
     return _answer_json(ModelCard(model.id))
 
--- a/packages/entry/poplarwick_entry/authentication.py
+++ b/packages/entry/poplarwick_entry/authentication.py
@@ -9,6 +9,7 @@
 from poplarwick_configuration import document
 from poplarwick_entry import headers
 from poplarwick_entry import problems
+from poplarwick_outcomes import verdicts
 
 _SCHEME = "bearer"
 MAX_KEY_BYTES = 512
@@ -20,17 +21,20 @@
     """Returns the organisation whose key the request carries.
 
     Raises:
-        problems.Problem: The key is missing, malformed or unknown.
+        problems.RequestEnded: The key is missing, malformed or unknown.
     """
     value = request.headers.get(headers.AUTHORIZATION, "")
     scheme, _, key = value.partition(" ")
     key = key.strip()
     if scheme.lower() != _SCHEME or not key or len(key) > MAX_KEY_BYTES:
-        raise problems.Problem(
-            401, "missing_key", "the Authorization header must be 'Bearer KEY'"
+        raise problems.refuse(
+            verdicts.Reason.UNAUTHENTICATED,
+            "the Authorization header must be 'Bearer KEY'",
         )
     digest = hashlib.sha256(key.encode("utf-8", "surrogateescape"))
     organisation = view.find_key_owner(digest.hexdigest())
     if organisation is None:
-        raise problems.Problem(401, "unknown_key", "the key is not accepted")
+        raise problems.refuse(
+            verdicts.Reason.UNAUTHENTICATED, "the key is not accepted"
+        )
     return organisation
--- a/packages/entry/poplarwick_entry/completions.py
+++ b/packages/entry/poplarwick_entry/completions.py
@@ -43,8 +43,9 @@
         answer = answers.StreamedAnswer(request, checked, entry.instance)
     else:
         answer = answers.GatheredAnswer(checked, entry.instance)
+    lifecycle = context.begin_lifecycle(request, is_idempotent=True)
     demand = _make_demand(checked)
-    await relay.run(entry, demand, checked, answer)
+    await relay.run(entry, demand, checked, answer, lifecycle)
     return answer.response
 
 
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Callable
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
@@ -12,6 +12,8 @@
 from poplarwick_core import ids
 from poplarwick_entry import grants
 from poplarwick_entry import problems
+from poplarwick_outcomes import lifecycle
+from poplarwick_outcomes import verdicts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,17 +40,33 @@
         """Returns the configuration in force.
 
         Raises:
-            problems.Problem: No configuration is known yet.
+            problems.RequestEnded: No configuration is known yet.
         """
         view = self.read_view()
         if view is None:
-            raise problems.Problem(
-                503,
-                "not_ready",
+            raise problems.refuse(
+                verdicts.Reason.NOT_READY,
                 "this instance has no configuration yet",
                 retry_after_s=1.0,
             )
         return view
 
 
+LIFECYCLE_KEY = web.RequestKey("lifecycle", lifecycle.Lifecycle)
 CONTEXT_KEY = web.AppKey("entry_context", EntryContext)
+
+
+def begin_lifecycle(
+    request: web.Request, *, is_idempotent: bool
+) -> lifecycle.Lifecycle:
+    """Starts the lifecycle of a request that was read and checked."""
+    begun = lifecycle.Lifecycle(is_idempotent=is_idempotent)
+    begun.admit()
+    request[LIFECYCLE_KEY] = begun
+    return begun
+
+
+def find_lifecycle(request: web.Request) -> lifecycle.Lifecycle:
+    """Returns the lifecycle, a new one for a request not yet checked."""
+    found = request.get(LIFECYCLE_KEY)
+    return found or lifecycle.Lifecycle(is_idempotent=False)
--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -9,12 +9,12 @@
 
 from poplarwick_core import clock
 from poplarwick_core import ids
-from poplarwick_core import outcome
 from poplarwick_dispatch import dispatcher
 from poplarwick_dispatch import router
 from poplarwick_endpoints import generation
 from poplarwick_entry import problems
 from poplarwick_entry import reports
+from poplarwick_outcomes import verdicts
 from poplarwick_peers import membership
 from poplarwick_peers import transport
 from poplarwick_peers.wire import grant_grpc
@@ -24,28 +24,18 @@
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 3.0
 
-_STATUS_BY_REASON = {
-    grant_pb2.REFUSAL_NOT_OWNER: 503,
-    grant_pb2.REFUSAL_NO_ROOM: 503,
-    grant_pb2.REFUSAL_DEADLINE: 503,
-    grant_pb2.REFUSAL_LIMIT: 429,
-    grant_pb2.REFUSAL_TOO_LONG: 400,
-    grant_pb2.REFUSAL_DRAINING: 503,
-    grant_pb2.REFUSAL_CANCELLED: 503,
+_REASONS = {
+    grant_pb2.REFUSAL_DEADLINE: verdicts.Reason.DEADLINE,
+    grant_pb2.REFUSAL_LIMIT: verdicts.Reason.LIMIT,
+    grant_pb2.REFUSAL_TOO_LONG: verdicts.Reason.TOO_LONG,
+    grant_pb2.REFUSAL_DRAINING: verdicts.Reason.DRAINING,
 }
-_CODE_BY_REASON = {
-    grant_pb2.REFUSAL_NOT_OWNER: "no_capacity",
-    grant_pb2.REFUSAL_NO_ROOM: "no_capacity",
-    grant_pb2.REFUSAL_DEADLINE: "deadline_unreachable",
-    grant_pb2.REFUSAL_LIMIT: "limit_exceeded",
-    grant_pb2.REFUSAL_TOO_LONG: "prompt_too_long",
-    grant_pb2.REFUSAL_DRAINING: "no_capacity",
-    grant_pb2.REFUSAL_CANCELLED: "no_capacity",
-}
-_FINAL_REASONS = frozenset((
-    grant_pb2.REFUSAL_LIMIT,
-    grant_pb2.REFUSAL_TOO_LONG,
-))
+_FINAL_REASONS = frozenset(
+    (
+        grant_pb2.REFUSAL_LIMIT,
+        grant_pb2.REFUSAL_TOO_LONG,
+    )
+)
 _RANK = (
     grant_pb2.REFUSAL_DEADLINE,
     grant_pb2.REFUSAL_NO_ROOM,
@@ -136,7 +126,7 @@
 
     def note_end(
         self,
-        kind: grant_pb2.ReportKind.ValueType,
+        kind: grant_pb2.ReportKind,
         *,
         output_tokens: int = 0,
         detail: str = "",
@@ -183,7 +173,7 @@
             version: Version of the configuration in force here.
 
         Raises:
-            problems.Problem: No dispatcher grants the request; nothing ran.
+            problems.RequestEnded: No dispatcher grants the request.
         """
         request = self._make_request(demand, excluded, version)
         refusal = grant_pb2.Refusal(
@@ -204,10 +194,13 @@
                 return HeldGrant(
                     reply.grant, instance, demand.priority, self._reporter
                 )
+            self._router.note_refusal(
+                instance, demand.model or demand.service, reply.refusal.reason
+            )
             refusal = _choose_refusal(refusal, reply.refusal)
             if refusal.reason in _FINAL_REASONS:
                 break
-        raise make_problem(refusal)
+        raise make_error(refusal)
 
     def _make_request(
         self, demand: Demand, excluded: frozenset[ids.EndpointId], version: int
@@ -242,19 +235,17 @@
             return None
 
 
-def make_problem(refusal: grant_pb2.Refusal) -> problems.Problem:
-    """Returns the answer for a request that no dispatcher granted."""
-    status = _STATUS_BY_REASON.get(refusal.reason, 503)
+def make_error(refusal: grant_pb2.Refusal) -> problems.RequestEnded:
+    """Returns the error for a request that no dispatcher granted."""
+    reason = _REASONS.get(refusal.reason, verdicts.Reason.NO_ROOM)
     retry_after_s: float | None = refusal.retry_after_s
-    if status == 400:
+    if reason is verdicts.Reason.TOO_LONG:
         retry_after_s = None
     elif not retry_after_s:
         retry_after_s = random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
-    return problems.Problem(
-        status=status,
-        code=_CODE_BY_REASON.get(refusal.reason, "no_capacity"),
-        message=refusal.detail or "no endpoint has room for the request",
-        outcome=outcome.Outcome.NOT_RUN,
+    return problems.refuse(
+        reason,
+        refusal.detail or "no endpoint has room for the request",
         retry_after_s=retry_after_s,
     )
 
--- a/packages/entry/poplarwick_entry/headers.py
+++ b/packages/entry/poplarwick_entry/headers.py
@@ -8,10 +8,8 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
 REQUEST_ID = "Poplarwick-Request"
-OUTCOME = "Poplarwick-Outcome"
 ENDPOINT = "Poplarwick-Endpoint"
 INSTANCE = "Poplarwick-Instance"
-RETRY_AFTER = "Retry-After"
 
 MIN_PRIORITY = -10
 MAX_PRIORITY = 10
--- a/packages/entry/poplarwick_entry/parameters.py
+++ b/packages/entry/poplarwick_entry/parameters.py
@@ -15,6 +15,7 @@
 from poplarwick_core import ids
 from poplarwick_entry import headers
 from poplarwick_entry import problems
+from poplarwick_outcomes import verdicts
 
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 256
@@ -98,14 +99,13 @@
         The checked request.
 
     Raises:
-        problems.Problem: A field or header is not valid.
+        problems.RequestEnded: A field or header is not valid.
     """
     fields = _decode_body(body)
     model = view.find_model(ids.ModelId(fields.model))
     if model is None:
-        raise problems.Problem(
-            404,
-            "model_not_found",
+        raise problems.refuse(
+            verdicts.Reason.MODEL_NOT_FOUND,
             f"the model {fields.model!r} does not exist",
             "model",
         )
@@ -133,7 +133,7 @@
     """Parses the priority header; absent means 0.
 
     Raises:
-        problems.Problem: The value is not a whole number in range.
+        problems.RequestEnded: The value is not a whole number in range.
     """
     if value is None:
         return 0
@@ -142,9 +142,8 @@
     except ValueError:
         priority = headers.MAX_PRIORITY + 1
     if not headers.MIN_PRIORITY <= priority <= headers.MAX_PRIORITY:
-        raise problems.Problem(
-            400,
-            "invalid_priority",
+        raise problems.refuse(
+            verdicts.Reason.INVALID,
             f"{headers.PRIORITY} must be a whole number from "
             f"{headers.MIN_PRIORITY} to {headers.MAX_PRIORITY}",
             headers.PRIORITY,
@@ -158,7 +157,7 @@
     """Parses the timeout header, in seconds.
 
     Raises:
-        problems.Problem: The value is not a positive number in range.
+        problems.RequestEnded: The value is not a positive number in range.
     """
     if value is None:
         return default_s
@@ -167,9 +166,8 @@
     except ValueError:
         timeout_s = math.nan
     if not 0 < timeout_s <= longest_s:
-        raise problems.Problem(
-            400,
-            "invalid_timeout",
+        raise problems.refuse(
+            verdicts.Reason.INVALID,
             f"{headers.TIMEOUT} must be above 0 and at most {longest_s:g} s",
             headers.TIMEOUT,
         )
@@ -180,18 +178,18 @@
     try:
         body.decode("utf-8")
     except UnicodeDecodeError as error:
-        raise problems.Problem(
-            400, "invalid_utf8", f"the body is not UTF-8: {error.reason}"
+        raise problems.refuse(
+            verdicts.Reason.INVALID, f"the body is not UTF-8: {error.reason}"
         ) from error
     try:
         return msgspec.json.decode(body, type=_Body)
     except msgspec.ValidationError as error:
-        raise problems.Problem(
-            400, "invalid_field", str(error), _find_param(str(error))
+        raise problems.refuse(
+            verdicts.Reason.INVALID, str(error), _find_param(str(error))
         ) from error
     except (msgspec.DecodeError, RecursionError) as error:
-        raise problems.Problem(
-            400, "invalid_json", f"the body is not valid JSON: {error}"
+        raise problems.refuse(
+            verdicts.Reason.INVALID, f"the body is not valid JSON: {error}"
         ) from error
 
 
@@ -207,8 +205,8 @@
         case Api.CHAT:
             name, raw = "messages", fields.messages
     if raw is None:
-        raise problems.Problem(
-            400, "missing_field", f"the field {name!r} is required", name
+        raise problems.refuse(
+            verdicts.Reason.INVALID, f"the field {name!r} is required", name
         )
     prompt = bytes(raw)
     _check_prompt(api, name, prompt)
@@ -223,12 +221,12 @@
             case Api.CHAT:
                 is_empty = not msgspec.json.decode(prompt, type=list[_Message])
     except msgspec.ValidationError as error:
-        raise problems.Problem(
-            400, "invalid_field", f"{name}: {error}", name
+        raise problems.refuse(
+            verdicts.Reason.INVALID, f"{name}: {error}", name
         ) from error
     if is_empty:
-        raise problems.Problem(
-            400, "invalid_field", f"the field {name!r} is empty", name
+        raise problems.refuse(
+            verdicts.Reason.INVALID, f"the field {name!r} is empty", name
         )
 
 
@@ -241,9 +239,8 @@
     prompt_tokens: int, output_tokens: int, model: document.Model
 ) -> None:
     if prompt_tokens + output_tokens > model.context_tokens:
-        raise problems.Problem(
-            400,
-            "context_length_exceeded",
+        raise problems.refuse(
+            verdicts.Reason.TOO_LONG,
             f"the prompt has about {prompt_tokens} tokens and asks for "
             f"{output_tokens} more; the limit is {model.context_tokens}",
         )
@@ -257,7 +254,7 @@
 
 def _digest_prefixes(model: str, prompt: bytes) -> tuple[int, ...]:
     digest = xxhash.xxh3_64(model.encode())
-    digests = []
+    digests: list[int] = []
     start, end = 0, FIRST_PREFIX_BYTES
     while len(digests) < MAX_PREFIXES:
         digest.update(prompt[start:end])
--- a/packages/entry/poplarwick_entry/relay.py
+++ b/packages/entry/poplarwick_entry/relay.py
@@ -9,14 +9,15 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_core import outcome
 from poplarwick_endpoints import generation
 from poplarwick_entry import answers
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
+from poplarwick_outcomes import lifecycle as lifecycles
 from poplarwick_outcomes import stream
+from poplarwick_outcomes import verdicts
 from poplarwick_peers.wire import grant_pb2
 
 MAX_ATTEMPTS = 3
@@ -24,7 +25,7 @@
 RESUME_DELAY_S = 0.05
 
 _CALLER_FAULTS = frozenset((400, 404, 413, 422))
-_BUSY = frozenset((429, 503))
+_BUSY = frozenset((409, 429, 503))
 
 
 async def run(
@@ -32,6 +33,7 @@
     demand: grants.Demand,
     checked: parameters.Parameters,
     answer: answers.Answer,
+    lifecycle: lifecycles.Lifecycle,
 ) -> None:
     """Runs a request until the answer is whole.
 
@@ -43,31 +45,30 @@
         demand: What the request needs of an endpoint.
         checked: The checked request.
         answer: Receives the events.
+        lifecycle: Lifecycle of the request.
 
     Raises:
-        problems.Problem: The request ended without a whole answer and the
-            caller has seen nothing of it.
+        problems.RequestEnded: The request ended without a whole answer and
+            the caller has seen nothing of it.
     """
     excluded: frozenset[ids.EndpointId] = frozenset()
-    earlier: problems.Problem | None = None
+    ending: verdicts.Ending = verdicts.DeadlinePassed()
     for _ in range(MAX_ATTEMPTS):
         version = entry.require_view().version
-        try:
-            held = await entry.broker.acquire(demand, excluded, version)
-        except problems.Problem as problem:
-            raise problems.keep_truth(problem, earlier) from earlier
-        ended = await _run_once(entry, held, checked, answer)
-        if ended is None:
+        held = await entry.broker.acquire(demand, excluded, version)
+        lifecycle.grant()
+        ending = await _run_once(entry, held, checked, answer, lifecycle)
+        if isinstance(ending, verdicts.Whole):
+            lifecycle.end(ending)
             return
-        earlier = problems.keep_truth(ended, earlier)
         if answer.has_begun:
-            await answer.fail(earlier)
+            await answer.fail(lifecycle.end(ending))
             return
-        if ended.status in _CALLER_FAULTS or demand.deadline.has_passed:
+        is_final = isinstance(ending, verdicts.Refused)
+        if is_final or demand.deadline.has_passed:
             break
         excluded |= {held.endpoint}
-    if earlier is not None:
-        raise earlier
+    raise problems.RequestEnded(ending)
 
 
 async def _run_once(
@@ -75,16 +76,16 @@
     held: grants.HeldGrant,
     checked: parameters.Parameters,
     answer: answers.Answer,
-) -> problems.Problem | None:
-    """Runs a request at one endpoint; returns None for a whole answer."""
+    lifecycle: lifecycles.Lifecycle,
+) -> verdicts.Ending:
     try:
         async with held, asyncio.timeout(checked.deadline.remaining_s):
-            await _Run(entry, held, checked, answer).run()
+            await _Run(entry, held, checked, answer, lifecycle).run()
     except TimeoutError:
-        return _make_timeout_problem()
-    except problems.Problem as problem:
-        return problem
-    return None
+        return verdicts.DeadlinePassed()
+    except problems.RequestEnded as ended:
+        return ended.ending
+    return verdicts.Whole()
 
 
 class _Run:
@@ -96,7 +97,9 @@
         held: grants.HeldGrant,
         checked: parameters.Parameters,
         answer: answers.Answer,
+        lifecycle: lifecycles.Lifecycle,
     ) -> None:
+        self._lifecycle = lifecycle
         self._entry = entry
         self._held = held
         self._checked = checked
@@ -107,12 +110,16 @@
     async def run(self) -> None:
         """Relays the answer, resuming it after broken connections."""
         self._sent_s = clock.now_s()
+        self._lifecycle.send()
         try:
             await self._read_first_connection()
             await self._resume_until_whole()
         except generation.NotRunError as error:
+            self._lifecycle.note_refusal()
             self._held.note_end(grant_pb2.REPORT_NOT_SENT, detail="connect")
-            raise _make_unreachable_problem() from error
+            raise problems.RequestEnded(
+                verdicts.EndpointRefused("the endpoint could not be reached")
+            ) from error
         except generation.RefusedError as error:
             raise self._refuse(error) from error
         self._held.note_end(
@@ -144,7 +151,7 @@
             await asyncio.sleep(RESUME_DELAY_S * attempt)
             await self._resume()
         if not self._reader.is_whole:
-            raise self._make_broken_problem()
+            raise self._make_lost_error()
 
     async def _resume(self) -> None:
         self._reader.resume()
@@ -160,7 +167,7 @@
         except (generation.BrokenError, generation.NotRunError):
             self._reader.end()
         except generation.RefusedError as error:
-            raise self._make_broken_problem() from error
+            raise self._make_lost_error() from error
 
     async def _relay(self, content: aiohttp.StreamReader) -> None:
         reader = self._reader
@@ -174,43 +181,36 @@
             if not events:
                 continue
             if is_first:
+                self._lifecycle.stream()
                 self._held.note_first_token(clock.now_s() - self._sent_s)
             await self._answer.write(events)
 
-    def _refuse(self, error: generation.RefusedError) -> problems.Problem:
+    def _refuse(self, error: generation.RefusedError) -> problems.RequestEnded:
         detail = f"status_{error.status}"
-        if error.status in _BUSY or error.status == 409:
+        if error.status in _BUSY:
+            self._lifecycle.note_refusal()
             self._held.note_end(grant_pb2.REPORT_NOT_SENT, detail=detail)
-            return problems.Problem(
-                503,
-                "no_capacity",
-                "the endpoint has no room for the request",
-                retry_after_s=1.0,
+            return problems.RequestEnded(
+                verdicts.EndpointRefused("the endpoint has no room")
             )
         self._held.note_end(grant_pb2.REPORT_FAILED, detail=detail)
         if error.status in _CALLER_FAULTS:
-            return problems.Problem(
-                error.status,
-                "refused_by_engine",
-                "the engine refused the request",
-                outcome=outcome.Outcome.FAILED,
+            self._lifecycle.note_refusal()
+            return problems.refuse(
+                verdicts.Reason.INVALID, "the engine refused the request"
             )
-        return self._make_broken_problem()
+        return self._make_lost_error()
 
-    def _make_broken_problem(self) -> problems.Problem:
+    def _make_lost_error(self) -> problems.RequestEnded:
         fault = self._reader.fault
-        detail = fault.value if fault is not None else "broken"
+        self._lifecycle.note_loss()
         self._held.note_end(
             grant_pb2.REPORT_FAILED,
             output_tokens=self._reader.tokens,
-            detail=detail,
+            detail=fault.value if fault is not None else "broken",
         )
-        return problems.Problem(
-            502,
-            "endpoint_broken",
-            "the engine's answer broke off; the request may be repeated",
-            outcome=outcome.Outcome.FAILED,
-            retry_after_s=1.0,
+        return problems.RequestEnded(
+            verdicts.ConnectionLost("the engine's answer broke off")
         )
 
     def _log_break(self) -> None:
@@ -234,22 +234,3 @@
             prompt_tokens=self._checked.prompt_tokens,
             output_tokens=self._reader.tokens,
         )
-
-
-def _make_timeout_problem() -> problems.Problem:
-    return problems.Problem(
-        504,
-        "timeout",
-        "the request did not end within its time; it may be repeated",
-        outcome=outcome.Outcome.FAILED,
-        retry_after_s=1.0,
-    )
-
-
-def _make_unreachable_problem() -> problems.Problem:
-    return problems.Problem(
-        503,
-        "endpoint_unreachable",
-        "the endpoint could not be reached",
-        retry_after_s=1.0,
-    )
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -7,9 +7,9 @@
 import urllib.parse
 
 import aiohttp
-from aiohttp import web
 import multidict
 import yarl
+from aiohttp import web
 
 from poplarwick_configuration import document
 from poplarwick_core import clock
@@ -23,22 +23,27 @@
 from poplarwick_entry import headers
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
+from poplarwick_outcomes import lifecycle as lifecycles
+from poplarwick_outcomes import replies
+from poplarwick_outcomes import verdicts
 from poplarwick_peers.wire import grant_pb2
 
 MAX_ATTEMPTS = 3
 COST_TOKENS = 1
 
-_HOP_BY_HOP = frozenset((
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-))
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
 _NOT_FORWARDED = _HOP_BY_HOP | {
     "authorization",
     "content-length",
@@ -85,7 +90,10 @@
     view = entry.require_view()
     organisation = authentication.authenticate(request, view)
     call = await _parse_call(request, organisation, view)
-    return await _send_with_retries(entry, view, call)
+    lifecycle = context.begin_lifecycle(
+        request, is_idempotent=call.route.idempotent
+    )
+    return await _send_with_retries(entry, view, call, lifecycle)
 
 
 async def _parse_call(
@@ -95,8 +103,8 @@
 ) -> Call:
     service = view.find_service(ids.ServiceId(request.match_info["service"]))
     if service is None:
-        raise problems.Problem(
-            404, "service_not_found", "the service does not exist"
+        raise problems.refuse(
+            verdicts.Reason.NOT_FOUND, "the service does not exist"
         )
     raw_path = request.rel_url.raw_path.removeprefix(f"/services/{service.id}")
     check_path(raw_path)
@@ -127,7 +135,7 @@
     """Refuses paths that an endpoint might read as another path.
 
     Raises:
-        problems.Problem: The path holds dot segments, empty segments,
+        problems.RequestEnded: The path holds dot segments, empty segments,
             encoded separators or control characters.
     """
     for segment in raw_path.split("/")[1:]:
@@ -140,12 +148,12 @@
             or _UNSAFE_SEGMENT.search(decoded) is not None
         )
         if is_unsafe:
-            raise problems.Problem(
-                400, "invalid_path", "the path holds a segment not allowed"
+            raise problems.refuse(
+                verdicts.Reason.INVALID, "the path holds a segment not allowed"
             )
     if "//" in raw_path:
-        raise problems.Problem(
-            400, "invalid_path", "the path holds an empty segment"
+        raise problems.refuse(
+            verdicts.Reason.INVALID, "the path holds an empty segment"
         )
 
 
@@ -155,21 +163,22 @@
     """Returns the route with the longest matching path prefix.
 
     Raises:
-        problems.Problem: No route matches the path or the method.
+        problems.RequestEnded: No route matches the path or the method.
     """
     matching = [
         route for route in service.routes if _matches(route.path, raw_path)
     ]
     if not matching:
-        raise problems.Problem(
-            404, "route_not_found", "the service has no such route"
+        raise problems.refuse(
+            verdicts.Reason.NOT_FOUND, "the service has no such route"
         )
     longest = max(len(route.path) for route in matching)
     for route in matching:
         if len(route.path) == longest and method in route.methods:
             return route
-    raise problems.Problem(
-        405, "method_not_allowed", "the route does not accept this method"
+    raise problems.refuse(
+        verdicts.Reason.METHOD_NOT_ALLOWED,
+        "the route does not accept this method",
     )
 
 
@@ -194,10 +203,33 @@
 
 
 async def _send_with_retries(
-    entry: context.EntryContext, view: document.View, call: Call
-) -> web.StreamResponse:
+    entry: context.EntryContext,
+    view: document.View,
+    call: Call,
+    lifecycle: lifecycles.Lifecycle,
+) -> web.Response:
     excluded: frozenset[ids.EndpointId] = frozenset()
-    demand = grants.Demand(
+    demand = _make_demand(call)
+    ending: verdicts.Ending = verdicts.DeadlinePassed()
+    for _ in range(MAX_ATTEMPTS):
+        held = await entry.broker.acquire(demand, excluded, view.version)
+        lifecycle.grant()
+        try:
+            async with held:
+                response = await _send(entry, call, held, lifecycle)
+        except problems.RequestEnded as ended:
+            ending = ended.ending
+        else:
+            lifecycle.end(verdicts.Whole(response.status))
+            return response
+        if call.deadline.has_passed or not lifecycle.may_send:
+            break
+        excluded |= {held.endpoint}
+    raise problems.RequestEnded(ending)
+
+
+def _make_demand(call: Call) -> grants.Demand:
+    return grants.Demand(
         request=call.request,
         organisation=ids.OrganisationId(call.organisation.id),
         deadline=call.deadline,
@@ -205,91 +237,65 @@
         prompt_tokens=COST_TOKENS,
         priority=call.priority,
     )
-    earlier: problems.Problem | None = None
-    for _ in range(MAX_ATTEMPTS):
-        try:
-            held = await entry.broker.acquire(demand, excluded, view.version)
-        except problems.Problem as problem:
-            raise problems.keep_truth(problem, earlier) from earlier
-        try:
-            async with held:
-                return await _send(entry, call, held)
-        except problems.Problem as problem:
-            earlier = problems.keep_truth(problem, earlier)
-            if not _may_repeat(problem, call):
-                raise earlier from problem
-        excluded |= {held.endpoint}
-    assert earlier is not None
-    raise earlier
-
-
-def _may_repeat(problem: problems.Problem, call: Call) -> bool:
-    if call.deadline.has_passed:
-        return False
-    did_not_run = problem.outcome is outcome.Outcome.NOT_RUN
-    return did_not_run or call.route.idempotent
 
 
 async def _send(
-    entry: context.EntryContext, call: Call, held: grants.HeldGrant
+    entry: context.EntryContext,
+    call: Call,
+    held: grants.HeldGrant,
+    lifecycle: lifecycles.Lifecycle,
 ) -> web.Response:
-    url = yarl.URL(f"http://{held.target.address}{call.path}", encoded=True)
-    passed = call.headers.copy()
-    passed.update(held.target.make_headers(call.deadline))
     remaining_s = call.deadline.remaining_s
     if remaining_s <= 0:
         held.note_end(grant_pb2.REPORT_NOT_SENT)
-        raise problems.Problem(504, "timeout", "no time is left for the call")
-    timeout = aiohttp.ClientTimeout(total=remaining_s)
+        raise problems.RequestEnded(verdicts.DeadlinePassed())
+    lifecycle.send()
     try:
         async with entry.session.request(
             call.method,
-            url,
-            headers=passed,
+            yarl.URL(f"http://{held.target.address}{call.path}", encoded=True),
+            headers=_make_headers(call, held),
             data=call.body,
-            timeout=timeout,
+            timeout=aiohttp.ClientTimeout(total=remaining_s),
             allow_redirects=False,
         ) as response:
             body = await response.read()
     except generation.CONNECT_ERRORS as error:
+        lifecycle.note_refusal()
         held.note_end(grant_pb2.REPORT_NOT_SENT, detail="connect")
-        raise problems.Problem(
-            503,
-            "endpoint_unreachable",
-            "the endpoint could not be reached",
-            retry_after_s=1.0,
+        raise problems.RequestEnded(
+            verdicts.EndpointRefused("the endpoint could not be reached")
         ) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        lifecycle.note_loss()
         held.note_end(grant_pb2.REPORT_FAILED, detail=type(error).__name__)
-        raise _make_broken_problem(call, error) from error
+        raise problems.RequestEnded(_describe_loss(error)) from error
     held.note_end(grant_pb2.REPORT_COMPLETE)
+    _log_end(call, held, response.status)
+    return _make_answer(response, body, call, held)
+
+
+def _make_headers(
+    call: Call, held: grants.HeldGrant
+) -> multidict.CIMultiDict[str]:
+    passed = call.headers.copy()
+    passed.update(held.target.make_headers(call.deadline))
+    return passed
+
+
+def _describe_loss(error: Exception) -> verdicts.Ending:
+    if isinstance(error, TimeoutError):
+        return verdicts.DeadlinePassed()
+    return verdicts.ConnectionLost("the connection to the endpoint was lost")
+
+
+def _log_end(call: Call, held: grants.HeldGrant, status: int) -> None:
     logs.log_event(
         "call_complete",
         request=call.request,
         organisation=call.organisation.id,
         endpoint=held.endpoint,
-        status=response.status,
-    )
-    return _make_answer(response, body, call, held)
-
-
-def _make_broken_problem(call: Call, error: Exception) -> problems.Problem:
-    is_timeout = isinstance(error, TimeoutError)
-    status = 504 if is_timeout else 502
-    code = "timeout" if is_timeout else "endpoint_broken"
-    if call.route.idempotent:
-        return problems.Problem(
-            status,
-            code,
-            "the call failed; it may be repeated",
-            outcome=outcome.Outcome.FAILED,
-            retry_after_s=1.0,
-        )
-    return problems.Problem(
-        status,
-        code,
-        "the call may have run; it must not be repeated blindly",
-        outcome=outcome.Outcome.UNKNOWN,
+        status=status,
     )
 
 
@@ -303,6 +309,6 @@
     for name, value in select_headers(response.headers).items():
         answer.headers.add(name, value)
     answer.headers[headers.REQUEST_ID] = call.request
-    answer.headers[headers.OUTCOME] = outcome.Outcome.COMPLETE.value
+    answer.headers[replies.OUTCOME_HEADER] = outcome.Outcome.COMPLETE.value
     answer.headers[headers.ENDPOINT] = held.endpoint
     return answer
--- a/packages/node/poplarwick_node/settings.py
+++ b/packages/node/poplarwick_node/settings.py
@@ -6,6 +6,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import jsonc
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
--- a/packages/outcomes/poplarwick_outcomes/lifecycle.py
+++ b/packages/outcomes/poplarwick_outcomes/lifecycle.py
@@ -5,8 +5,8 @@
 import enum
 
 import transitions
-from poplarwick_core import errors
 
+from poplarwick_core import errors
 from poplarwick_outcomes import verdicts
 
 
--- a/packages/outcomes/poplarwick_outcomes/stream.py
+++ b/packages/outcomes/poplarwick_outcomes/stream.py
@@ -11,6 +11,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import ids
 
 MAX_EVENT_BYTES = 1_048_576
--- a/packages/outcomes/poplarwick_outcomes/verdicts.py
+++ b/packages/outcomes/poplarwick_outcomes/verdicts.py
@@ -21,6 +21,8 @@
     INVALID = "invalid_request"
     UNAUTHENTICATED = "unknown_key"
     NOT_FOUND = "not_found"
+    MODEL_NOT_FOUND = "model_not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     TOO_LARGE = "too_large"
     TOO_LONG = "context_length_exceeded"
     SLOW_SENDER = "request_timeout"
@@ -28,6 +30,7 @@
     NO_ROOM = "no_room"
     DEADLINE = "deadline_too_near"
     DRAINING = "draining"
+    NOT_READY = "not_ready"
     KEY_REQUIRED = "idempotency_key_required"
     KEY_INVALID = "idempotency_key_invalid"
     KEY_EXPIRED = "idempotency_key_expired"
@@ -40,6 +43,8 @@
     Reason.INVALID: 400,
     Reason.UNAUTHENTICATED: 401,
     Reason.NOT_FOUND: 404,
+    Reason.MODEL_NOT_FOUND: 404,
+    Reason.METHOD_NOT_ALLOWED: 405,
     Reason.TOO_LARGE: 413,
     Reason.TOO_LONG: 400,
     Reason.SLOW_SENDER: 408,
@@ -47,6 +52,7 @@
     Reason.NO_ROOM: 503,
     Reason.DEADLINE: 503,
     Reason.DRAINING: 503,
+    Reason.NOT_READY: 503,
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_INVALID: 400,
     Reason.KEY_EXPIRED: 410,
--- a/packages/outcomes/tests/test_lifecycle.py
+++ b/packages/outcomes/tests/test_lifecycle.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+
 from poplarwick_core.outcome import Outcome
 from poplarwick_outcomes import lifecycle
 from poplarwick_outcomes import replies
--- a/packages/outcomes/tests/test_stream.py
+++ b/packages/outcomes/tests/test_stream.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from poplarwick_core import ids
 from poplarwick_outcomes import stream
 
--- a/packages/peers/poplarwick_peers/transport.py
+++ b/packages/peers/poplarwick_peers/transport.py
@@ -4,7 +4,9 @@
 
 import ssl
 import types
-from typing import Any, Protocol, Self
+from typing import Any
+from typing import Protocol
+from typing import Self
 
 from grpclib import client
 from grpclib import exceptions
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -13,8 +13,8 @@
 
 import aiohttp
 import msgspec
-from poplarwick_core import logs
 
+from poplarwick_core import logs
 from poplarwick_platform import _gateway_messages as messages
 from poplarwick_platform import kv
 
--- a/packages/platform/poplarwick_platform/instances.py
+++ b/packages/platform/poplarwick_platform/instances.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import msgspec
+
 from poplarwick_core import errors
 from poplarwick_core import ids
 
--- a/packages/platform/tests/test_gateway.py
+++ b/packages/platform/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 import pytest
+
 from poplarwick_platform import gateway
 from poplarwick_platform import kv
 from poplarwick_standins import _http
--- a/packages/platform/tests/test_instances.py
+++ b/packages/platform/tests/test_instances.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+
 from poplarwick_platform import instances
 from poplarwick_standins import _http
 from poplarwick_standins import instances as instances_standin
--- a/packages/standins/poplarwick_standins/_engine_settings.py
+++ b/packages/standins/poplarwick_standins/_engine_settings.py
@@ -6,6 +6,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import jsonc
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
--- a/packages/standins/poplarwick_standins/_kv_faults.py
+++ b/packages/standins/poplarwick_standins/_kv_faults.py
@@ -8,6 +8,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import clock
 
 WINDOW_S = 1.0
--- a/packages/standins/poplarwick_standins/_kv_store.py
+++ b/packages/standins/poplarwick_standins/_kv_store.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 import sortedcontainers
-from poplarwick_core import clock
 
+from poplarwick_core import clock
 from poplarwick_standins import _kv_messages as messages
 
 MAX_VALUE_BYTES = 1_000_000
--- a/packages/standins/poplarwick_standins/instances.py
+++ b/packages/standins/poplarwick_standins/instances.py
@@ -14,9 +14,9 @@
 
 import msgspec
 from aiohttp import web
+
 from poplarwick_core import clock
 from poplarwick_core import jsonc
-
 from poplarwick_standins import _http
 
 
--- a/packages/standins/poplarwick_standins/kv.py
+++ b/packages/standins/poplarwick_standins/kv.py
@@ -18,8 +18,8 @@
 
 import msgspec
 from aiohttp import web
-from poplarwick_core import jsonc
 
+from poplarwick_core import jsonc
 from poplarwick_standins import _http
 from poplarwick_standins import _kv_faults
 from poplarwick_standins import _kv_messages as messages
--- a/packages/standins/poplarwick_standins/service.py
+++ b/packages/standins/poplarwick_standins/service.py
@@ -11,8 +11,8 @@
 
 import msgspec
 from aiohttp import web
-from poplarwick_core import jsonc
 
+from poplarwick_core import jsonc
 from poplarwick_standins import _execution_log
 from poplarwick_standins import _serving
 
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 from aiohttp import test_utils
+
 from poplarwick_standins import _batch
 from poplarwick_standins import _engine_http
 from poplarwick_standins import _engine_settings
--- a/packages/standins/tests/test_service.py
+++ b/packages/standins/tests/test_service.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 from aiohttp import test_utils
+
 from poplarwick_standins import service
 
 
