--- /dev/null
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -0,0 +1,251 @@
+"""Callers that record exactly what they were told."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import msgspec
+from poplarwick_core import outcome
+from poplarwick_standins import answers
+
+OUTCOME_HEADER = "Poplarwick-Outcome"
+ENDPOINT_HEADER = "Poplarwick-Endpoint"
+INSTANCE_HEADER = "Poplarwick-Instance"
+REQUEST_HEADER = "Poplarwick-Request"
+TIMEOUT_HEADER = "Poplarwick-Timeout"
+KEY_HEADER = "Idempotency-Key"
+
+TextSink = Callable[[str], None]
+
+_OUTCOME_COMMENT = f": {OUTCOME_HEADER.lower()} ".encode()
+_DATA = b"data: "
+_END_MARK = b"[DONE]"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Call:
+    """One call as a caller means it.
+
+    Attributes:
+        name: Unique name in a run.
+        organisation: Organisation that calls.
+        body: Body of the request.
+        path: Path of the request.
+        method: HTTP method.
+        secret: Secret key of the organisation.
+        timeout_s: Time within which the call must end; None names none.
+        key: Idempotency key, if it has one.
+    """
+
+    name: str
+    organisation: str
+    body: dict[str, Any]
+    secret: str
+    path: str = "/v1/completions"
+    method: str = "POST"
+    timeout_s: float | None = None
+    key: str | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Record:
+    """What one attempt of a call came to, in the caller's eyes.
+
+    Attributes:
+        name: Name of the call.
+        organisation: Organisation that called.
+        due_s: Monotonic time at which the call was due.
+        sent_at_s: Wall time at which it was sent.
+        first_token_s: Seconds from due to the first token; None without one.
+        ended_s: Seconds from due to the end.
+        status: HTTP status; 0 if no answer came.
+        outcome: What the caller was told; None if it was told nothing.
+        code: Code of the error, if there was one.
+        text: Text received.
+        tokens: Tokens received.
+        is_whole: Whether the answer had its end mark or full body.
+        endpoint: Endpoint named by the answer.
+        instance: Instance named by the answer.
+        request: Request id named by the answer.
+        retry_after_s: Pause that the answer asks for.
+        timeout_s: Time within which the call had to end.
+        key: Idempotency key.
+        gaps_s: Pauses between the events of a stream.
+    """
+
+    name: str
+    organisation: str
+    due_s: float
+    sent_at_s: float
+    first_token_s: float | None = None
+    ended_s: float = 0.0
+    status: int = 0
+    outcome: outcome.Outcome | None = None
+    code: str = ""
+    text: str = ""
+    tokens: int = 0
+    is_whole: bool = False
+    endpoint: str = ""
+    instance: str = ""
+    request: str = ""
+    retry_after_s: float | None = None
+    timeout_s: float | None = None
+    key: str | None = None
+    gaps_s: list[float] = dataclasses.field(default_factory=list)
+
+
+class Caller:
+    """Sends calls to one address.
+
+    Attributes:
+        session: HTTP client.
+        address: Host and port of an instance.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.session = session
+        self.address = address
+
+    async def send(
+        self,
+        call: Call,
+        due_s: float | None = None,
+        on_text: TextSink | None = None,
+    ) -> Record:
+        """Sends a call once and records what came back.
+
+        Args:
+            call: The call.
+            due_s: Monotonic time at which the call was due; None means now.
+            on_text: Told each piece of text as it comes.
+        """
+        record = Record(
+            name=call.name,
+            organisation=call.organisation,
+            due_s=time.monotonic() if due_s is None else due_s,
+            sent_at_s=time.time(),
+            timeout_s=call.timeout_s,
+            key=call.key,
+        )
+        try:
+            async with self.session.request(
+                call.method,
+                f"http://{self.address}{call.path}",
+                data=msgspec.json.encode(call.body) if call.body else None,
+                headers=make_headers(call),
+            ) as response:
+                await _read(response, record, on_text)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            record.code = record.code or type(error).__name__
+        record.ended_s = time.monotonic() - record.due_s
+        return record
+
+
+def make_headers(call: Call) -> dict[str, str]:
+    """Returns the request headers of a call."""
+    headers = {"Authorization": f"Bearer {call.secret}"}
+    if call.body:
+        headers["Content-Type"] = "application/json"
+    if call.timeout_s is not None:
+        headers[TIMEOUT_HEADER] = f"{call.timeout_s:g}"
+    if call.key is not None:
+        headers[KEY_HEADER] = call.key
+    return headers
+
+
+def matches(call: Call, record: Record) -> bool:
+    """Returns whether a whole answer is the one that the call must get."""
+    expected = answers.make_answer(call.body, call.body["max_tokens"])
+    return record.text == expected
+
+
+async def _read(
+    response: aiohttp.ClientResponse, record: Record, on_text: TextSink | None
+) -> None:
+    headers = response.headers
+    record.status = response.status
+    record.endpoint = headers.get(ENDPOINT_HEADER, "")
+    record.instance = headers.get(INSTANCE_HEADER, "")
+    record.request = headers.get(REQUEST_HEADER, "")
+    if OUTCOME_HEADER in headers:
+        record.outcome = outcome.Outcome(headers[OUTCOME_HEADER])
+    if "Retry-After" in headers:
+        record.retry_after_s = float(headers["Retry-After"])
+    if response.content_type == "text/event-stream":
+        await _read_events(response, record, on_text)
+    else:
+        _read_body(await response.read(), record)
+
+
+async def _read_events(
+    response: aiohttp.ClientResponse, record: Record, on_text: TextSink | None
+) -> None:
+    last_s = 0.0
+    buffered = b""
+    async for part in response.content.iter_any():
+        now_s = time.monotonic()
+        *events, buffered = (buffered + part).split(b"\n\n")
+        tokens, length = record.tokens, len(record.text)
+        for event in events:
+            _take_event(event, record)
+        if on_text is not None:
+            on_text(record.text[length:])
+        if record.tokens == tokens:
+            continue
+        if record.first_token_s is None:
+            record.first_token_s = now_s - record.due_s
+        else:
+            record.gaps_s.append(now_s - last_s)
+        last_s = now_s
+
+
+def _take_event(event: bytes, record: Record) -> None:
+    if event.startswith(_OUTCOME_COMMENT):
+        word = event.removeprefix(_OUTCOME_COMMENT).decode().strip()
+        record.outcome = outcome.Outcome(word)
+        return
+    if not event.startswith(_DATA):
+        return
+    data = event.removeprefix(_DATA)
+    if data == _END_MARK:
+        record.is_whole = True
+        record.outcome = record.outcome or outcome.Outcome.COMPLETE
+        return
+    fields = msgspec.json.decode(data)
+    if "error" in fields:
+        _take_error(fields["error"], record)
+        return
+    for choice in fields.get("choices", ()):
+        record.text += _read_text(choice)
+    record.tokens += fields.get("tokens", 1)
+
+
+def _read_body(body: bytes, record: Record) -> None:
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        fields = None
+    if isinstance(fields, dict) and "error" in fields and record.status >= 400:
+        _take_error(fields["error"], record)
+        return
+    record.is_whole = record.status == 200
+    if not isinstance(fields, dict) or "choices" not in fields:
+        record.text = body.decode(errors="replace")
+        return
+    record.text = "".join(_read_text(c) for c in fields["choices"])
+    record.tokens = fields.get("usage", {}).get("completion_tokens", 0)
+
+
+def _take_error(error: dict[str, Any], record: Record) -> None:
+    record.code = str(error.get("code") or error.get("type"))
+    if error.get("outcome"):
+        record.outcome = outcome.Outcome(error["outcome"])
+
+
+def _read_text(choice: dict[str, Any]) -> str:
+    message = choice.get("delta") or choice.get("message") or choice
+    return str(message.get("text") or message.get("content") or "")
--- /dev/null
+++ b/packages/bench/poplarwick_bench/demo.py
@@ -0,0 +1,105 @@
+"""An embedded system to try: answers one prompt, then stays up."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+import time
+
+import msgspec
+from poplarwick_core import cli
+from poplarwick_standins import engine_settings
+
+from poplarwick_bench import caller
+from poplarwick_bench import fleet
+from poplarwick_bench import lab
+
+ORGANISATION = "labels"
+MAX_TOKENS = 64
+
+
+async def run(text: str, *, once: bool) -> int:
+    """Starts the system and sends a prompt through an instance.
+
+    Args:
+        text: The prompt.
+        once: Whether to end after the answer.
+
+    Returns:
+        The exit code.
+    """
+    began_s = time.monotonic()
+    plan = fleet.Plan(
+        engine=engine_settings.EngineSettings(models=(fleet.MODEL,))
+    )
+    async with lab.Lab() as own_lab:
+        system = fleet.Fleet(own_lab, plan)
+        await system.start()
+        print(f"system ready after {time.monotonic() - began_s:.1f} s\n")
+        is_whole = await _send(system, text)
+        _print_addresses(system)
+        if not once:
+            await _wait_for_interrupt()
+    return cli.ExitCode.OK if is_whole else cli.ExitCode.FAILURE
+
+
+async def _send(system: fleet.Fleet, text: str) -> bool:
+    call = caller.Call(
+        name="demo",
+        organisation=ORGANISATION,
+        secret=fleet.make_secret(ORGANISATION),
+        body={
+            "model": fleet.MODEL,
+            "prompt": text,
+            "max_tokens": MAX_TOKENS,
+            "stream": True,
+        },
+    )
+    sender = caller.Caller(system.lab.session, system.nodes[0].address)
+    record = await sender.send(call, on_text=_print_text)
+    print("\n")
+    if not record.is_whole:
+        print(f"no whole answer: status {record.status}, {record.code}")
+        print(f"logs: {system.lab.folder}")
+        return False
+    first_ms = (record.first_token_s or 0.0) * 1_000
+    print(f"time to first token: {first_ms:.1f} ms")
+    print(f"served by: {record.endpoint} through {record.instance}")
+    return True
+
+
+def _print_text(text: str) -> None:
+    sys.stdout.write(text)
+    sys.stdout.flush()
+
+
+def _print_addresses(system: fleet.Fleet) -> None:
+    print("\ninstances:")
+    for node in system.node_settings:
+        listen = node.listen
+        print(
+            f"  {node.instance} callers {listen.callers}"
+            f" administration {listen.administration}"
+        )
+    print(f"key-value service: {system.kv.address}")
+    for child in system.engines + system.services:
+        print(f"{child.name}: {child.address}")
+    print(f"operator token: {fleet.OPERATOR_TOKEN}")
+    print(f"logs: {system.lab.folder}")
+    body = {"model": fleet.MODEL, "prompt": "Hello", "max_tokens": 16}
+    secret = fleet.make_secret(ORGANISATION)
+    print(
+        "\ntry:\n"
+        f"  curl http://{system.nodes[0].address}/v1/completions \\\n"
+        f"    -H 'Authorization: Bearer {secret}' \\\n"
+        f"    -H 'Content-Type: application/json' \\\n"
+        f"    -d '{msgspec.json.encode(body).decode()}'"
+    )
+
+
+async def _wait_for_interrupt() -> None:
+    print("\nCtrl-C ends the system.", flush=True)
+    # asyncio.run cancels the main task on Ctrl-C, so that the lab cleans up.
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.Event().wait()
--- /dev/null
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -0,0 +1,319 @@
+"""A whole system in a lab: platform, endpoints and instances."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+
+import aiohttp
+import msgspec
+import uuid6
+from poplarwick_configuration import document
+from poplarwick_core import errors
+from poplarwick_node import settings
+from poplarwick_standins import engine_settings
+from poplarwick_standins import instances
+from poplarwick_standins import service
+
+from poplarwick_bench import lab
+from poplarwick_bench import process
+
+REGION = "eu-central"
+ENVIRONMENT = "bench"
+MODEL = "writer"
+SERVICE = "orders"
+OPERATOR_TOKEN = "bench-operator-token"
+PUSH_TIMEOUT_S = 30.0
+PUSH_PAUSE_S = 0.1
+
+
+class FleetError(errors.PoplarwickError):
+    """The system could not be set up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """Size and settings of a system.
+
+    Attributes:
+        instances: Number of instances.
+        engines: Number of model engines.
+        services: Number of plain service replicas.
+        domains: Number of failure domains, filled in turn.
+        weights: Weight of each organisation, by id.
+        limits: Limits of organisations, by id, where not the defaults.
+        model: Model that all engines serve.
+        engine: Settings of each engine.
+        service: Settings of each plain service.
+        routes: Routes of the plain service.
+        checks_epochs: Whether endpoints check fencing numbers.
+        timing: Periods of the control protocols.
+        log_level: Lowest level that instances log.
+    """
+
+    instances: int = 2
+    engines: int = 3
+    services: int = 1
+    domains: int = 2
+    weights: dict[str, int] = dataclasses.field(
+        default_factory=lambda: {"labels": 1}
+    )
+    limits: dict[str, document.Limits] = dataclasses.field(default_factory=dict)
+    model: document.Model = document.Model(
+        id=MODEL, context_tokens=400_000, memory_tokens=400_000
+    )
+    engine: engine_settings.EngineSettings = engine_settings.EngineSettings()
+    service: service.ServiceSettings = service.ServiceSettings()
+    routes: tuple[document.Route, ...] = (
+        document.Route(path="/stock", methods=("GET",)),
+        document.Route(path="/orders", methods=("POST",), idempotent=False),
+    )
+    checks_epochs: bool = False
+    timing: settings.Timing = settings.Timing()
+    log_level: str = "INFO"
+
+
+class Fleet:
+    """The running system.
+
+    Attributes:
+        lab: Lab that the processes belong to.
+        plan: Size and settings.
+        kv: Key-value service.
+        instance_list: List of instances.
+        engines: Model engines, in the order of their endpoint ids.
+        services: Plain services, in the order of their endpoint ids.
+        nodes: Instances.
+        document: Document in force.
+    """
+
+    def __init__(self, own_lab: lab.Lab, plan: Plan) -> None:
+        self.lab = own_lab
+        self.plan = plan
+        self.kv: process.Process
+        self.instance_list: process.Process
+        self.engines: list[process.Process] = []
+        self.services: list[process.Process] = []
+        self.nodes: list[process.Process] = []
+        self.document: document.Document
+        self.node_settings: list[settings.Settings] = []
+
+    async def start(self) -> None:
+        """Starts everything and waits until all instances are ready."""
+        await self.start_platform()
+        await self.start_nodes()
+        await self.push(self.document)
+        await self.wait_ready()
+
+    async def start_platform(self) -> None:
+        """Starts the platform's stand-ins and the endpoints."""
+        await self._start_standins()
+        self.document = make_document(self)
+
+    async def start_nodes(self) -> None:
+        """Starts the instances and lists them."""
+        plan = self.plan
+        found = lab.find_free_addresses(3 * plan.instances)
+        for index in range(plan.instances):
+            callers, peers, administration = found[3 * index : 3 * index + 3]
+            listen = settings.Listen(callers, peers, administration)
+            node = make_node_settings(self, index, listen)
+            self.node_settings.append(node)
+            await self.list_instance(node)
+        starts = (self.lab.start_node(node) for node in self.node_settings)
+        self.nodes = list(await asyncio.gather(*starts))
+        waits = (
+            self.lab.wait_ready(node.address, "/health/live")
+            for node in self.nodes
+        )
+        await asyncio.gather(*waits)
+
+    async def wait_ready(self) -> None:
+        """Waits until every instance serves callers."""
+        waits = (self.lab.wait_ready(node.address) for node in self.nodes)
+        await asyncio.gather(*waits)
+
+    async def list_instance(self, node: settings.Settings) -> None:
+        """Adds an instance to the platform's list."""
+        listed = instances.ListedInstance(
+            instance=node.instance,
+            address=node.listen.peers,
+            domain=node.domain,
+            region=node.region,
+        )
+        url = f"http://{self.instance_list.address}/instances"
+        body = msgspec.json.encode(listed)
+        async with self.lab.session.post(url, data=body) as response:
+            response.raise_for_status()
+
+    async def push(self, new: document.Document, node: int = 0) -> int:
+        """Stores a document through an instance; returns the version.
+
+        Raises:
+            FleetError: It was refused, or no answer came in time.
+        """
+        address = self.node_settings[node].listen.administration
+        url = f"http://{address}/v1/environments/{ENVIRONMENT}/document"
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_TOKEN}",
+            "Idempotency-Key": str(uuid6.uuid7()),
+        }
+        data = msgspec.json.encode(new)
+        try:
+            async with asyncio.timeout(PUSH_TIMEOUT_S):
+                version = await self._push(url, headers, data)
+        except TimeoutError as error:
+            raise FleetError("the document was not accepted") from error
+        self.document = new
+        return version
+
+    async def _push(
+        self, url: str, headers: dict[str, str], data: bytes
+    ) -> int:
+        while True:
+            try:
+                async with self.lab.session.put(
+                    url, data=data, headers=headers
+                ) as response:
+                    body = await response.read()
+                    if response.status < 300:
+                        return int(msgspec.json.decode(body)["version"])
+                    if response.status < 500:
+                        raise FleetError(f"document refused: {body.decode()}")
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(PUSH_PAUSE_S)
+
+    async def _start_standins(self) -> None:
+        plan = self.plan
+        start = self.lab.start_standin
+        self.kv, self.instance_list = await asyncio.gather(
+            start("kv", "kv"), start("instances", "instances")
+        )
+        self.engines = list(
+            await asyncio.gather(
+                *(
+                    start("engine", name, self._make_engine_settings(name))
+                    for name in name_engines(plan)
+                )
+            )
+        )
+        self.services = list(
+            await asyncio.gather(
+                *(
+                    start("service", name, self._make_service_settings(name))
+                    for name in name_services(plan)
+                )
+            )
+        )
+
+    def _make_engine_settings(self, name: str) -> msgspec.Struct:
+        path = self.lab.folder / f"{name}.executions"
+        return msgspec.structs.replace(
+            self.plan.engine, execution_log=str(path)
+        )
+
+    def _make_service_settings(self, name: str) -> msgspec.Struct:
+        path = self.lab.folder / f"{name}.executions"
+        return msgspec.structs.replace(
+            self.plan.service, execution_log=str(path)
+        )
+
+
+def name_engines(plan: Plan) -> list[str]:
+    """Returns the endpoint ids of the engines."""
+    return [f"engine-{index}" for index in range(plan.engines)]
+
+
+def name_services(plan: Plan) -> list[str]:
+    """Returns the endpoint ids of the plain services."""
+    return [f"service-{index}" for index in range(plan.services)]
+
+
+def name_domains(plan: Plan) -> list[str]:
+    """Returns the ids of the failure domains."""
+    return [f"domain-{chr(ord('a') + i)}" for i in range(plan.domains)]
+
+
+def make_secret(organisation: str) -> str:
+    """Returns the secret key of an organisation's callers."""
+    return f"key-of-{organisation}"
+
+
+def make_document(fleet: Fleet) -> document.Document:
+    """Returns the document that describes the running endpoints."""
+    plan = fleet.plan
+    return document.Document(
+        environment=ENVIRONMENT,
+        organisations=tuple(
+            _make_organisation(plan, name) for name in plan.weights
+        ),
+        models=(plan.model,),
+        services=(document.Service(id=SERVICE, routes=plan.routes),),
+        domains=tuple(
+            document.Domain(name, REGION) for name in name_domains(plan)
+        ),
+        endpoints=tuple(
+            _make_endpoint(plan, index, child, model=plan.model.id)
+            for index, child in enumerate(fleet.engines)
+        )
+        + tuple(
+            _make_endpoint(plan, index, child, service=SERVICE)
+            for index, child in enumerate(fleet.services)
+        ),
+    )
+
+
+def make_node_settings(
+    fleet: Fleet, index: int, listen: settings.Listen
+) -> settings.Settings:
+    """Returns the settings of one instance."""
+    domains = name_domains(fleet.plan)
+    operator = settings.Administrator(
+        "bench", "operator", _digest(OPERATOR_TOKEN)
+    )
+    return settings.Settings(
+        instance=f"instance-{index}",
+        environment=ENVIRONMENT,
+        domain=domains[index % len(domains)],
+        region=REGION,
+        listen=listen,
+        key_value=(fleet.kv.address,),
+        instance_list=fleet.instance_list.address,
+        administrators=(operator,),
+        timing=fleet.plan.timing,
+        log=settings.Log(fleet.plan.log_level),
+    )
+
+
+def _make_organisation(plan: Plan, name: str) -> document.Organisation:
+    return document.Organisation(
+        id=name,
+        keys=(document.ApiKey("first", _digest(make_secret(name))),),
+        weight=plan.weights[name],
+        limits=plan.limits.get(name, document.Limits()),
+    )
+
+
+def _make_endpoint(
+    plan: Plan,
+    index: int,
+    child: process.Process,
+    *,
+    model: str | None = None,
+    service: str | None = None,
+) -> document.Endpoint:
+    domains = name_domains(plan)
+    return document.Endpoint(
+        id=child.name,
+        address=child.address,
+        domain=domains[index % len(domains)],
+        model=model,
+        service=service,
+        checks_epochs=plan.checks_epochs,
+    )
+
+
+def _digest(secret: str) -> str:
+    return hashlib.sha256(secret.encode()).hexdigest()
--- /dev/null
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -0,0 +1,144 @@
+"""A laboratory of real processes on one machine."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import shutil
+import socket
+import tempfile
+import types
+
+import aiohttp
+import msgspec
+import tenacity
+from poplarwick_node import settings
+
+from poplarwick_bench import process
+
+LOOPBACK = "127.0.0.1"
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.02
+
+
+class Lab:
+    """Starts processes and ends them, and only them, on exit.
+
+    Attributes:
+        folder: Directory of settings and logs.
+        keeps_folder: Whether the directory outlives the lab.
+    """
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self.keeps_folder = folder is not None
+        self.folder = folder or pathlib.Path(tempfile.mkdtemp(prefix="lab-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._stack = contextlib.AsyncExitStack()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Lab:
+        """Opens the lab's HTTP client."""
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=None)
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector, timeout=timeout)
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Ends all processes, the youngest first."""
+        await self._stack.aclose()
+        if not self.keeps_folder and error is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """HTTP client without limits on connections or time."""
+        assert self._session is not None, "the lab is not open"
+        return self._session
+
+    async def start_standin(
+        self,
+        kind: str,
+        name: str,
+        standin_settings: msgspec.Struct | None = None,
+        address: str = f"{LOOPBACK}:0",
+    ) -> process.Process:
+        """Starts a stand-in and waits until it listens.
+
+        Args:
+            kind: Kind of `poplarwick-standin`.
+            name: Name in the lab.
+            standin_settings: Its settings; None takes the defaults.
+            address: Host and port; port 0 takes a free one.
+        """
+        arguments = [kind, "--listen", address]
+        if standin_settings is not None:
+            path = self._write_settings(name, standin_settings)
+            arguments += ["--settings", str(path)]
+        started = await self._start(name, "poplarwick_standins.main", arguments)
+        await started.wait_listening()
+        return started
+
+    async def start_node(self, node: settings.Settings) -> process.Process:
+        """Starts an instance; `wait_ready` tells when it serves callers."""
+        path = self._write_settings(node.instance, node)
+        started = await self._start(
+            node.instance, "poplarwick_node.main", ["--settings", str(path)]
+        )
+        started.address = node.listen.callers
+        return started
+
+    async def wait_ready(
+        self, address: str, path: str = "/health/ready"
+    ) -> None:
+        """Polls a health path until it answers 200.
+
+        Raises:
+            process.ProcessError: It did not within `READY_TIMEOUT_S`.
+        """
+        polling = tenacity.AsyncRetrying(
+            wait=tenacity.wait_fixed(READY_POLL_S),
+            stop=tenacity.stop_after_delay(READY_TIMEOUT_S),
+            retry=tenacity.retry_if_result(lambda status: status != 200),
+        )
+        try:
+            await polling(self._read_status, f"http://{address}{path}")
+        except tenacity.RetryError as error:
+            raise process.ProcessError(
+                f"{address}{path} is not ready in time; see {self.folder}"
+            ) from error
+
+    async def _start(
+        self, name: str, module: str, arguments: list[str]
+    ) -> process.Process:
+        child = process.Process(name, module, arguments, self.folder)
+        return await self._stack.enter_async_context(child)
+
+    async def _read_status(self, url: str) -> int | None:
+        try:
+            async with self.session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return None
+
+    def _write_settings(self, name: str, value: msgspec.Struct) -> pathlib.Path:
+        path = self.folder / f"{name}.jsonc"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(value)))
+        return path
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Returns loopback addresses whose ports are free at the moment."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            probe = stack.enter_context(socket.socket())
+            probe.bind((LOOPBACK, 0))
+            found.append(f"{LOOPBACK}:{probe.getsockname()[1]}")
+        return found
--- a/packages/standins/poplarwick_standins/_batch.py
+++ b/packages/standins/poplarwick_standins/_batch.py
@@ -13,9 +13,9 @@
 import time
 from typing import Any
 
-from poplarwick_standins import _engine_settings
 from poplarwick_standins import _execution_log
 from poplarwick_standins import _streams
+from poplarwick_standins import engine_settings
 
 RESTART_ID_BYTES = 6
 REPORT_PERIOD_S = 0.05
@@ -40,7 +40,7 @@
         log: What the engine executed.
     """
 
-    def __init__(self, settings: _engine_settings.EngineSettings) -> None:
+    def __init__(self, settings: engine_settings.EngineSettings) -> None:
         self.settings = settings
         self.restart_id = secrets.token_hex(RESTART_ID_BYTES)
         self.epoch = 0
--- a/packages/standins/poplarwick_standins/_engine_http.py
+++ b/packages/standins/poplarwick_standins/_engine_http.py
@@ -10,11 +10,11 @@
 from aiohttp import web
 
 from poplarwick_standins import _batch
-from poplarwick_standins import _engine_settings
 from poplarwick_standins import _event_writer
 from poplarwick_standins import _serving
 from poplarwick_standins import _streams
 from poplarwick_standins import answers
+from poplarwick_standins import engine_settings
 
 STREAM_HEADER = "Endpoint-Stream"
 EPOCH_HEADER = "Endpoint-Epoch"
@@ -44,7 +44,7 @@
 
     def __init__(self, batch: _batch.Batch) -> None:
         self._batch = batch
-        self._faults = _engine_settings.Faults()
+        self._faults = engine_settings.Faults()
         self._cuts_left = 0
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
@@ -134,7 +134,7 @@
         """Replaces the faults in force."""
         try:
             self._faults = msgspec.json.decode(
-                await request.read(), type=_engine_settings.Faults
+                await request.read(), type=engine_settings.Faults
             )
         except msgspec.ValidationError as error:
             return _refuse(400, "invalid_faults", str(error))
--- a/packages/standins/poplarwick_standins/_event_writer.py
+++ b/packages/standins/poplarwick_standins/_event_writer.py
@@ -6,8 +6,8 @@
 
 from aiohttp import web
 
-from poplarwick_standins import _engine_settings
 from poplarwick_standins import _streams
+from poplarwick_standins import engine_settings
 
 END_MARK = b"data: [DONE]\n\n"
 
@@ -27,7 +27,7 @@
         self,
         request: web.Request,
         stream: _streams.Stream,
-        faults: _engine_settings.Faults,
+        faults: engine_settings.Faults,
         cut_after: int,
         streams: Mapping[str, _streams.Stream],
     ) -> None:
--- a/packages/standins/poplarwick_standins/engine.py
+++ b/packages/standins/poplarwick_standins/engine.py
@@ -7,8 +7,8 @@
 
 from poplarwick_standins import _batch
 from poplarwick_standins import _engine_http
-from poplarwick_standins import _engine_settings
 from poplarwick_standins import _serving
+from poplarwick_standins import engine_settings
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -26,9 +26,9 @@
     Raises:
         errors.DocumentError: The settings are not valid.
     """
-    settings = _engine_settings.read_settings(arguments.settings)
+    settings = engine_settings.read_settings(arguments.settings)
     if arguments.time_scale:
-        settings = _engine_settings.replace_time_scale(
+        settings = engine_settings.replace_time_scale(
             settings, arguments.time_scale
         )
     batch = _batch.Batch(settings)
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -9,8 +9,8 @@
 from aiohttp import test_utils
 from poplarwick_standins import _batch
 from poplarwick_standins import _engine_http
-from poplarwick_standins import _engine_settings
 from poplarwick_standins import answers
+from poplarwick_standins import engine_settings
 
 PROMPT = "word " * 800
 
@@ -23,7 +23,7 @@
         "max_event_tokens": 1,
     }
     settings = defaults | settings
-    batch = _batch.Batch(_engine_settings.EngineSettings(**settings))
+    batch = _batch.Batch(engine_settings.EngineSettings(**settings))
     tasks = [
         asyncio.create_task(batch.run()),
         asyncio.create_task(batch.run_reports()),
