--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -10,11 +10,15 @@
 import msgspec
 import pyjson5
 
+from poplarwick_core import _explanations
+from poplarwick_core import _positions
 from poplarwick_core import errors
 
 T = TypeVar("T")
 
 _PATH_SUFFIX = re.compile(r" - at `(?P<path>.+)`$")
+_QUOTED_NAME = re.compile(r"b'(?P<name>[^']+)'")
+_OFFSET = re.compile(r" near (?P<offset>\d+)")
 
 
 def read_file(path: pathlib.Path, kind: type[T]) -> T:
@@ -48,12 +52,30 @@
     Returns:
         The checked content.
 
+    Raises:
+        errors.DocumentError: The text is not valid.
+    """
+    value = parse(text, source)
+    positions = _positions.scan_positions(text)
+    if positions.duplicates:
+        raise _make_duplicate_error(positions.duplicates[0], source)
+    return _convert(value, kind, source, positions)
+
+
+def decode_checked(text: str, kind: type[T], source: str) -> T:
+    """Decodes a text that `decode` accepted before, without finding lines.
+
     Raises:
         errors.DocumentError: The text is not valid.
     """
     return convert(parse(text, source), kind, source)
 
 
+def find_lines(text: str) -> _positions.Positions:
+    """Returns the line of each value of a well-formed text."""
+    return _positions.scan_positions(text)
+
+
 def parse(text: str, source: str) -> Any:
     """Parses a text in JSON with comments without checking its fields.
 
@@ -63,8 +85,12 @@
     try:
         return pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
+        message = _QUOTED_NAME.sub(r"\g<name>", str(error.message))
         raise errors.DocumentError(
-            source, "$", f"not valid JSON with comments: {error}"
+            source,
+            "$",
+            f"not valid JSON with comments: {message}",
+            _find_syntax_line(text, message),
         ) from error
 
 
@@ -74,11 +100,45 @@
     Raises:
         errors.DocumentError: A field is unknown, missing or out of range.
     """
+    return _convert(value, kind, source, None)
+
+
+def _convert(
+    value: Any,
+    kind: type[T],
+    source: str,
+    positions: _positions.Positions | None,
+) -> T:
     try:
         return msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
         message = str(error)
         match = _PATH_SUFFIX.search(message)
         path = match.group("path") if match else "$"
-        problem = message[: match.start()] if match else message
-        raise errors.DocumentError(source, path, problem) from error
+        message = message[: match.start()] if match else message
+        problem = _explanations.explain(message, path, value, kind)
+        line = None
+        if positions is not None:
+            field = _explanations.find_unknown_field(message)
+            place = path if field is None else f"{path}.{field}"
+            line = positions.find_line(place)
+        raise errors.DocumentError(source, path, problem, line) from error
+
+
+def _find_syntax_line(text: str, message: str) -> int | None:
+    match = _OFFSET.search(message)
+    if match is None:
+        return None
+    offset = int(match.group("offset"))
+    return _positions.find_line_of_offset(text, max(offset - 1, 0))
+
+
+def _make_duplicate_error(
+    duplicate: _positions.Duplicate, source: str
+) -> errors.DocumentError:
+    return errors.DocumentError(
+        source,
+        duplicate.path,
+        f"the field stands twice, first on line {duplicate.first_line}",
+        duplicate.line,
+    )
