Sort the imports of the merged files

Cause: the packages are now known as first-party to the import sorter. Change: formatter's output only. Conclusion: none.

--- a/features/steps/documents.py
+++ b/features/steps/documents.py
@@ -6,6 +6,7 @@
 from behave import given
 from behave import then
 from behave import when
+
 from poplarwick_configuration import check
 from poplarwick_configuration import document
 from poplarwick_core import errors
--- a/packages/administration/poplarwick_administration/api.py
+++ b/packages/administration/poplarwick_administration/api.py
@@ -10,6 +10,9 @@
 import result
 import uuid6
 from aiohttp import web
+
+from poplarwick_administration import access
+from poplarwick_administration import messages
 from poplarwick_configuration import document
 from poplarwick_configuration import follower
 from poplarwick_configuration import record
@@ -17,9 +20,6 @@
 from poplarwick_core import logs
 from poplarwick_platform import kv
 
-from poplarwick_administration import access
-from poplarwick_administration import messages
-
 MAX_BODY_BYTES = 4_000_000
 CHANGE_ID_HEADER = "Idempotency-Key"
 EXPECTED_VERSION_HEADER = "If-Match"
--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -7,10 +7,10 @@
 
 import aiohttp
 import msgspec
-from poplarwick_core import errors
 
 from poplarwick_administration import api
 from poplarwick_administration import messages
+from poplarwick_core import errors
 
 TIMEOUT_S = 30.0
 
--- a/packages/administration/poplarwick_administration/main.py
+++ b/packages/administration/poplarwick_administration/main.py
@@ -14,11 +14,11 @@
 from collections.abc import Callable
 
 import uuid6
-from poplarwick_configuration import check
-from poplarwick_core import cli
 
 from poplarwick_administration import client
 from poplarwick_administration import messages
+from poplarwick_configuration import check
+from poplarwick_core import cli
 
 Command = Callable[[argparse.Namespace], Awaitable[cli.ExitCode]]
 
--- a/packages/administration/tests/test_api.py
+++ b/packages/administration/tests/test_api.py
@@ -8,6 +8,7 @@
 import pytest
 import texts
 from aiohttp import test_utils
+
 from poplarwick_administration import access
 from poplarwick_administration import api
 from poplarwick_administration import client
--- a/packages/bench/poplarwick_bench/caller.py
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+
 from poplarwick_core import outcome
 from poplarwick_standins import answers
 
--- a/packages/bench/poplarwick_bench/demo.py
+++ b/packages/bench/poplarwick_bench/demo.py
@@ -8,12 +8,12 @@
 import time
 
 import msgspec
-from poplarwick_core import cli
-from poplarwick_standins import engine_settings
 
 from poplarwick_bench import caller
 from poplarwick_bench import fleet
 from poplarwick_bench import lab
+from poplarwick_core import cli
+from poplarwick_standins import engine_settings
 
 ORGANISATION = "labels"
 MAX_TOKENS = 64
--- a/packages/bench/poplarwick_bench/fleet.py
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -9,6 +9,9 @@
 import aiohttp
 import msgspec
 import uuid6
+
+from poplarwick_bench import lab
+from poplarwick_bench import process
 from poplarwick_configuration import document
 from poplarwick_core import errors
 from poplarwick_node import settings
@@ -16,9 +19,6 @@
 from poplarwick_standins import instances
 from poplarwick_standins import service
 
-from poplarwick_bench import lab
-from poplarwick_bench import process
-
 REGION = "eu-central"
 ENVIRONMENT = "bench"
 MODEL = "writer"
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -12,9 +12,9 @@
 import aiohttp
 import msgspec
 import tenacity
-from poplarwick_node import settings
 
 from poplarwick_bench import process
+from poplarwick_node import settings
 
 LOOPBACK = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -7,12 +7,11 @@
 import pathlib
 import sys
 
+from poplarwick_bench import demo
 from poplarwick_core import cli
 from poplarwick_core import errors
 from poplarwick_core import logs
 
-from poplarwick_bench import demo
-
 
 def main(arguments: list[str] | None = None) -> int:
     """Runs one command and returns its exit code."""
--- a/packages/bench/poplarwick_bench/process.py
+++ b/packages/bench/poplarwick_bench/process.py
@@ -11,6 +11,7 @@
 import types
 
 import psutil
+
 from poplarwick_core import errors
 
 READY_TIMEOUT_S = 30.0
--- a/packages/bench/tests/test_lab.py
+++ b/packages/bench/tests/test_lab.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+
 from poplarwick_bench import caller
 from poplarwick_bench import lab
 from poplarwick_bench import process
--- a/packages/configuration/poplarwick_configuration/check.py
+++ b/packages/configuration/poplarwick_configuration/check.py
@@ -7,11 +7,10 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from poplarwick_configuration import document
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
-from poplarwick_configuration import document
-
 MAX_PORT = 65_535
 
 
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -8,14 +8,13 @@
 import types
 from collections.abc import Callable
 
-from poplarwick_core import errors
-from poplarwick_core import logs
-from poplarwick_platform import kv
-
 from poplarwick_configuration import document
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
 from poplarwick_configuration import store
+from poplarwick_core import errors
+from poplarwick_core import logs
+from poplarwick_platform import kv
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 5.0
--- a/packages/configuration/poplarwick_configuration/record.py
+++ b/packages/configuration/poplarwick_configuration/record.py
@@ -5,6 +5,7 @@
 import enum
 
 import msgspec
+
 from poplarwick_core import errors
 
 
--- a/packages/configuration/poplarwick_configuration/store.py
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -14,16 +14,16 @@
 from collections.abc import Mapping
 
 import result
-from poplarwick_core import clock
-from poplarwick_core import errors
-from poplarwick_core import jsonc
-from poplarwick_platform import kv
 
 from poplarwick_configuration import _keys
 from poplarwick_configuration import check
 from poplarwick_configuration import document
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
+from poplarwick_core import clock
+from poplarwick_core import errors
+from poplarwick_core import jsonc
+from poplarwick_platform import kv
 
 MAX_TRANSACTION_BYTES = 500_000
 MAX_TRANSACTION_OPERATIONS = 64
--- a/packages/configuration/tests/test_check.py
+++ b/packages/configuration/tests/test_check.py
@@ -4,6 +4,7 @@
 
 import pytest
 import texts
+
 from poplarwick_configuration import check
 from poplarwick_configuration import document
 from poplarwick_core import jsonc
--- a/packages/configuration/tests/test_follower.py
+++ b/packages/configuration/tests/test_follower.py
@@ -5,6 +5,7 @@
 import fake_kv
 import pytest
 import texts
+
 from poplarwick_configuration import follower
 from poplarwick_configuration import store
 
--- a/packages/configuration/tests/test_store.py
+++ b/packages/configuration/tests/test_store.py
@@ -6,6 +6,7 @@
 import fake_kv
 import pytest
 import texts
+
 from poplarwick_configuration import follower
 from poplarwick_configuration import sections
 from poplarwick_configuration import store
--- a/packages/core/tests/test_jsonc.py
+++ b/packages/core/tests/test_jsonc.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 from hypothesis import strategies
+
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
