--- a/packages/node/poplarwick_node/settings.py
+++ b/packages/node/poplarwick_node/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from poplarwick_core import jsonc
+from poplarwick_core import tls
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}\Z")]
@@ -121,6 +122,15 @@
     log: Log = Log()
 
 
+def make_certificate_files(section: Tls) -> tls.CertificateFiles:
+    """Returns the paths of a TLS section."""
+    return tls.CertificateFiles(
+        certificate=pathlib.Path(section.certificate),
+        key=pathlib.Path(section.key),
+        authority=pathlib.Path(section.authority),
+    )
+
+
 def read_settings(path: pathlib.Path) -> Settings:
     """Reads and checks a settings file.
 
--- a/packages/peers/poplarwick_peers/transport.py
+++ b/packages/peers/poplarwick_peers/transport.py
@@ -105,11 +105,14 @@
         """Returns the channel to an address; it connects on first use."""
         channel = self._channels.get(address)
         if channel is None:
-            host, port = split_address(address)
-            channel = client.Channel(host, port, ssl=self._tls)
-            self._channels[address] = channel
+            channel = self._channels[address] = self.open(address)
         return channel
 
+    def open(self, address: str) -> client.Channel:
+        """Returns a new channel that the caller closes."""
+        host, port = split_address(address)
+        return client.Channel(host, port, ssl=self._tls)
+
     def retain(self, addresses: frozenset[str]) -> None:
         """Closes the channels to all other addresses."""
         for address in tuple(self._channels):
