--- a/packages/administration/poplarwick_administration/_changes.py
+++ b/packages/administration/poplarwick_administration/_changes.py
@@ -5,6 +5,10 @@
 import dataclasses
 
 import result
+
+from poplarwick_administration import access
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
 from poplarwick_configuration import changes
 from poplarwick_configuration import difference
 from poplarwick_configuration import failures
@@ -14,10 +18,6 @@
 from poplarwick_core import logs
 from poplarwick_platform import kv
 
-from poplarwick_administration import access
-from poplarwick_administration import messages
-from poplarwick_administration import refusals
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Desk:
--- a/packages/administration/poplarwick_administration/_documents.py
+++ b/packages/administration/poplarwick_administration/_documents.py
@@ -5,17 +5,17 @@
 import dataclasses
 
 from aiohttp import web
-from poplarwick_configuration import changes
-from poplarwick_configuration import failures
-from poplarwick_configuration import promotion
-from poplarwick_configuration import record
-from poplarwick_configuration import store
 
 from poplarwick_administration import _changes
 from poplarwick_administration import _guard
 from poplarwick_administration import _requests
 from poplarwick_administration import messages
 from poplarwick_administration import refusals
+from poplarwick_configuration import changes
+from poplarwick_configuration import failures
+from poplarwick_configuration import promotion
+from poplarwick_configuration import record
+from poplarwick_configuration import store
 
 MAX_ENTRIES = 1_000
 
--- a/packages/administration/poplarwick_administration/_guard.py
+++ b/packages/administration/poplarwick_administration/_guard.py
@@ -8,16 +8,16 @@
 
 import msgspec
 from aiohttp import web
+
+from poplarwick_administration import access
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
 from poplarwick_configuration import failures
 from poplarwick_configuration import follower
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_core import metrics
 
-from poplarwick_administration import access
-from poplarwick_administration import messages
-from poplarwick_administration import refusals
-
 CALLS_PER_S = 20.0
 BURST_CALLS = 60.0
 MAX_BUCKETS = 10_000
--- a/packages/administration/poplarwick_administration/_organisations.py
+++ b/packages/administration/poplarwick_administration/_organisations.py
@@ -9,6 +9,13 @@
 
 import msgspec
 from aiohttp import web
+
+from poplarwick_administration import _changes
+from poplarwick_administration import _guard
+from poplarwick_administration import _requests
+from poplarwick_administration import access
+from poplarwick_administration import messages
+from poplarwick_administration import refusals
 from poplarwick_configuration import changes
 from poplarwick_configuration import document
 from poplarwick_configuration import edit
@@ -18,13 +25,6 @@
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
-from poplarwick_administration import _changes
-from poplarwick_administration import _guard
-from poplarwick_administration import _requests
-from poplarwick_administration import access
-from poplarwick_administration import messages
-from poplarwick_administration import refusals
-
 SECRET_BYTES = 32
 SECRET_PREFIX = "pw-"
 OPERATOR_FIELDS = ("id", "weight", "limits")
--- a/packages/administration/poplarwick_administration/_requests.py
+++ b/packages/administration/poplarwick_administration/_requests.py
@@ -8,10 +8,10 @@
 import msgspec
 import uuid6
 from aiohttp import web
-from poplarwick_configuration import document
-from poplarwick_configuration import marks
 
 from poplarwick_administration import refusals
+from poplarwick_configuration import document
+from poplarwick_configuration import marks
 
 CHANGE_ID_HEADER = "Idempotency-Key"
 EXPECTED_VERSION_HEADER = "If-Match"
--- a/packages/administration/poplarwick_administration/_service.py
+++ b/packages/administration/poplarwick_administration/_service.py
@@ -7,16 +7,16 @@
 
 import result
 from aiohttp import web
-from poplarwick_configuration import changes
-from poplarwick_configuration import follower
-from poplarwick_configuration import record
-from poplarwick_configuration import service
 
 from poplarwick_administration import _changes
 from poplarwick_administration import _guard
 from poplarwick_administration import _requests
 from poplarwick_administration import messages
 from poplarwick_administration import refusals
+from poplarwick_configuration import changes
+from poplarwick_configuration import follower
+from poplarwick_configuration import record
+from poplarwick_configuration import service
 
 FleetReader = Callable[[], tuple[messages.InstanceMessage, ...]]
 
--- a/packages/administration/poplarwick_administration/api.py
+++ b/packages/administration/poplarwick_administration/api.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 from aiohttp import web
-from poplarwick_configuration import exchange
-from poplarwick_configuration import follower
-from poplarwick_configuration import service
-from poplarwick_platform import kv
 
 from poplarwick_administration import _changes
 from poplarwick_administration import _documents
@@ -16,6 +12,10 @@
 from poplarwick_administration import access
 from poplarwick_administration import confirmation
 from poplarwick_administration import openapi
+from poplarwick_configuration import exchange
+from poplarwick_configuration import follower
+from poplarwick_configuration import service
+from poplarwick_platform import kv
 
 MAX_BODY_BYTES = 4_000_000
 
--- a/packages/administration/poplarwick_administration/confirmation.py
+++ b/packages/administration/poplarwick_administration/confirmation.py
@@ -7,14 +7,14 @@
 from collections.abc import AsyncIterator
 
 from aiohttp import web
+
+from poplarwick_administration import messages
+from poplarwick_administration._service import FleetReader
 from poplarwick_configuration import failures
 from poplarwick_configuration import follower
 from poplarwick_configuration import store
 from poplarwick_core import logs
 
-from poplarwick_administration import messages
-from poplarwick_administration._service import FleetReader
-
 POLL_PERIOD_S = 0.25
 GONE_STATES = frozenset({"dead"})
 
--- a/packages/administration/poplarwick_administration/openapi.py
+++ b/packages/administration/poplarwick_administration/openapi.py
@@ -9,10 +9,10 @@
 
 import msgspec
 from aiohttp import web
-from poplarwick_core import cli
 
 from poplarwick_administration import _requests
 from poplarwick_administration import messages
+from poplarwick_core import cli
 
 OPENAPI_VERSION = "3.1.0"
 
--- a/packages/administration/poplarwick_administration/refusals.py
+++ b/packages/administration/poplarwick_administration/refusals.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+from poplarwick_administration import messages
 from poplarwick_configuration import changes
 from poplarwick_configuration import check
 from poplarwick_configuration import record
 
-from poplarwick_administration import messages
-
 
 class ApiError(Exception):
     """A call is refused.
--- a/packages/configuration/poplarwick_configuration/_committer.py
+++ b/packages/configuration/poplarwick_configuration/_committer.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 
 import result
-from poplarwick_platform import kv
 
 from poplarwick_configuration import _keys
 from poplarwick_configuration import _planning
@@ -22,6 +21,7 @@
 from poplarwick_configuration import document
 from poplarwick_configuration import failures
 from poplarwick_configuration import record
+from poplarwick_platform import kv
 
 MAX_TRANSACTION_BYTES = 500_000
 MAX_TRANSACTION_OPERATIONS = 64
--- a/packages/configuration/poplarwick_configuration/_planning.py
+++ b/packages/configuration/poplarwick_configuration/_planning.py
@@ -4,10 +4,6 @@
 
 import dataclasses
 
-from poplarwick_core import clock
-from poplarwick_core import jsonc
-from poplarwick_platform import kv
-
 from poplarwick_configuration import _keys
 from poplarwick_configuration import changes
 from poplarwick_configuration import check
@@ -15,6 +11,9 @@
 from poplarwick_configuration import marks
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
+from poplarwick_core import clock
+from poplarwick_core import jsonc
+from poplarwick_platform import kv
 
 MAX_RECENT_CHANGES = 128
 
--- a/packages/configuration/poplarwick_configuration/difference.py
+++ b/packages/configuration/poplarwick_configuration/difference.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 import msgspec
-from poplarwick_core import jsonc
 
 from poplarwick_configuration import document
+from poplarwick_core import jsonc
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 import msgspec
+
 from poplarwick_core import clock
 from poplarwick_core import ids
 
--- a/packages/configuration/poplarwick_configuration/edit.py
+++ b/packages/configuration/poplarwick_configuration/edit.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import msgspec
-from poplarwick_core import errors
-from poplarwick_core import jsonc
 
 from poplarwick_configuration import document
+from poplarwick_core import errors
+from poplarwick_core import jsonc
 
 
 class EditError(errors.PoplarwickError):
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -11,11 +11,6 @@
 from typing import Any
 
 import xxhash
-from poplarwick_core import errors
-from poplarwick_core import ids
-from poplarwick_core import jsonc
-from poplarwick_core import logs
-from poplarwick_platform import kv
 
 from poplarwick_configuration import changes
 from poplarwick_configuration import document
@@ -27,6 +22,11 @@
 from poplarwick_configuration import sections
 from poplarwick_configuration import snapshot
 from poplarwick_configuration import store
+from poplarwick_core import errors
+from poplarwick_core import ids
+from poplarwick_core import jsonc
+from poplarwick_core import logs
+from poplarwick_platform import kv
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 5.0
--- a/packages/configuration/poplarwick_configuration/promotion.py
+++ b/packages/configuration/poplarwick_configuration/promotion.py
@@ -8,9 +8,8 @@
 
 from __future__ import annotations
 
-from poplarwick_core import jsonc
-
 from poplarwick_configuration import document
+from poplarwick_core import jsonc
 
 PROMOTED_FIELDS = ("organisations", "models", "services")
 
--- a/packages/configuration/poplarwick_configuration/service.py
+++ b/packages/configuration/poplarwick_configuration/service.py
@@ -6,10 +6,6 @@
 import dataclasses
 
 import result
-from poplarwick_core import clock
-from poplarwick_core import errors
-from poplarwick_core import ids
-from poplarwick_platform import kv
 
 from poplarwick_configuration import _planning
 from poplarwick_configuration import changes
@@ -18,6 +14,10 @@
 from poplarwick_configuration import marks
 from poplarwick_configuration import snapshot
 from poplarwick_configuration import store
+from poplarwick_core import clock
+from poplarwick_core import errors
+from poplarwick_core import ids
+from poplarwick_platform import kv
 
 STORE_TIMEOUT_S = 2.0
 SPREAD_TIMEOUT_S = 2.0
--- a/packages/configuration/poplarwick_configuration/store.py
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -12,9 +12,6 @@
 import msgspec
 import result
 import uuid6
-from poplarwick_core import clock
-from poplarwick_core import jsonc
-from poplarwick_platform import kv
 
 from poplarwick_configuration import _committer
 from poplarwick_configuration import _keys
@@ -25,6 +22,9 @@
 from poplarwick_configuration import marks
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
+from poplarwick_core import clock
+from poplarwick_core import jsonc
+from poplarwick_platform import kv
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/configuration/tests/test_store.py
+++ b/packages/configuration/tests/test_store.py
@@ -6,6 +6,7 @@
 import fake_kv
 import pytest
 import texts
+
 from poplarwick_configuration import _committer
 from poplarwick_configuration import changes
 from poplarwick_configuration import follower
