Pass versions and held marks between instances

Cause: reads on the service grew with the fleet, and an instance started in an outage had no document. Conclusion: wiring into the daemon is open: ConfigurationExchange and ConfigurationService in poplarwick_peers.configurations.

--- a/packages/administration/poplarwick_administration/refusals.py
+++ b/packages/administration/poplarwick_administration/refusals.py
@@ -76,6 +76,12 @@
             return make_error(
                 messages.ErrorKind.NOT_FOUND, f"{target} is not known"
             )
+        case changes.NotOut(target):
+            return make_error(
+                messages.ErrorKind.NOT_FOUND,
+                f"{target} is not among the parts that were taken out; the "
+                "document itself may say that it is not in service",
+            )
         case changes.LeavesIdle(names):
             return make_error(
                 messages.ErrorKind.LEAVES_IDLE,
--- a/packages/configuration/poplarwick_configuration/_planning.py
+++ b/packages/configuration/poplarwick_configuration/_planning.py
@@ -145,11 +145,11 @@
 
 def plan_put_in(
     request: Request, change: changes.PutIn, head: record.VersionRecord
-) -> Plan | None:
-    """Plans a version with a target back in; None if it is in already."""
+) -> Plan | changes.NotOut:
+    """Plans a version with a target back in."""
     out = tuple(m for m in head.out if m.target != change.target)
     if len(out) == len(head.out):
-        return None
+        return changes.NotOut(change.target)
     return _plan_marks(request, record.Action.IN, head, out)
 
 
--- a/packages/configuration/poplarwick_configuration/changes.py
+++ b/packages/configuration/poplarwick_configuration/changes.py
@@ -92,6 +92,16 @@
     target: marks.Target
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotOut:
+    """Refusal: operators have not taken the target out of service.
+
+    The document itself may still say that it is not in service.
+    """
+
+    target: marks.Target
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeavesIdle:
     """Refusal: models or services would be left without an endpoint."""
@@ -118,6 +128,12 @@
 
 
 Refusal = (
-    Invalid | Superseded | UnknownTarget | LeavesIdle | NotStored | Unresolved
+    Invalid
+    | Superseded
+    | UnknownTarget
+    | NotOut
+    | LeavesIdle
+    | NotStored
+    | Unresolved
 )
 ChangeResult = result.Result[Accepted, Refusal]
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -6,25 +6,23 @@
 import contextlib
 import random
 import types
-from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
+from typing import Self
 
 import xxhash
 
 from poplarwick_configuration import changes
 from poplarwick_configuration import document
 from poplarwick_configuration import exchange
-from poplarwick_configuration import failures
-from poplarwick_configuration import holding
 from poplarwick_configuration import marks
 from poplarwick_configuration import record
-from poplarwick_configuration import sections
 from poplarwick_configuration import snapshot
+from poplarwick_configuration import state
 from poplarwick_configuration import store
+from poplarwick_core import clock
 from poplarwick_core import errors
 from poplarwick_core import ids
-from poplarwick_core import jsonc
 from poplarwick_core import logs
 from poplarwick_platform import kv
 
@@ -36,10 +34,10 @@
 PARENT_WAIT_S = 2.0
 TREE_FANOUT = 4
 FORWARD_PEERS = 2
+START_PEERS = 8
+START_GRACE_S = 1.0
 STORE_JITTER_S = 1.0
 
-ViewListener = Callable[[document.View], None]
-
 
 class Follower:
     """Holds the newest version and watches for newer ones.
@@ -47,6 +45,11 @@
     Entering the context starts the watch; leaving it stops the watch. The
     version never goes down. Marks that could not be stored yet are in force
     besides, and are stored when the service answers again.
+
+    Args:
+        client: Client of the key-value service.
+        environment: Name of the environment.
+        peers: Reaches the other instances; None means that there are none.
     """
 
     def __init__(
@@ -57,22 +60,17 @@
     ) -> None:
         self._kv = client
         self._store = store.DocumentStore(client, environment)
-        self._environment = environment
         self._peers = peers
-        self._stored: store.StoredText | None = None
-        self._parsed: document.Document | None = None
-        self._view: document.View | None = None
-        self._sections: dict[str, bytes] = {}
-        self._held = holding.HeldMarks()
-        self._listeners: list[ViewListener] = []
-        self._changed = asyncio.Event()
+        self._state = state.VersionState(environment)
         self._hint = asyncio.Event()
         self._hinted_peer: ids.InstanceId | None = None
         self._has_unstored = asyncio.Event()
         self._is_connected = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._was_tried = asyncio.Event()
+        self._last_contact_s = clock.now_s()
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    async def __aenter__(self) -> Follower:
+    async def __aenter__(self) -> Self:
         """Starts to follow; a missing service does not delay the start."""
         self._start(self._watch())
         self._start(self._store_held())
@@ -87,57 +85,63 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Stops to follow; the last version stays readable."""
-        for task in self._tasks:
+        tasks = tuple(self._tasks)
+        for task in tasks:
             task.cancel()
-        for task in self._tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
     def view(self) -> document.View | None:
         """The version in force here, or None before the first one."""
-        return self._view
+        return self._state.view
 
     @property
     def version(self) -> int:
         """Number of the version in force here; 0 before the first one."""
-        return self._stored.record.version if self._stored is not None else 0
+        return self._state.version
 
     @property
     def stored(self) -> store.StoredText | None:
         """Record and text of the version in force here."""
-        return self._stored
+        return self._state.stored
 
     @property
     def held(self) -> tuple[marks.Mark, ...]:
         """Marks in force here that are not part of a version yet."""
-        return self._held.all
+        return self._state.held
 
     @property
     def known_sections(self) -> dict[str, bytes]:
         """Sections of the version in force here, by digest."""
-        return self._sections
+        return self._state.sections
 
     @property
     def is_connected(self) -> bool:
         """Whether the key-value service answered last time."""
         return self._is_connected.is_set()
 
-    def add_listener(self, listener: ViewListener) -> None:
+    @property
+    def isolated_s(self) -> float:
+        """Seconds for which neither the service nor a peer has answered."""
+        if self.is_connected:
+            return 0.0
+        return clock.now_s() - self._last_contact_s
+
+    def use_peers(self, peers: exchange.Exchange) -> None:
+        """Sets how other instances are reached, before the context opens."""
+        self._peers = peers
+
+    def add_listener(self, listener: state.ViewListener) -> None:
         """Calls `listener` with each new view, and now if there is one."""
-        self._listeners.append(listener)
-        if self._view is not None:
-            listener(self._view)
+        self._state.add_listener(listener)
 
     async def wait_for_view(self) -> document.View:
         """Waits until there is a version and returns it."""
-        return await self.wait_for_version(1)
+        return await self._state.wait_for_version(1)
 
     async def wait_for_version(self, version: int) -> document.View:
         """Waits until `version` or a newer one is in force and returns it."""
-        while self._view is None or self.version < version:
-            await self._changed.wait()
-        return self._view
+        return await self._state.wait_for_version(version)
 
     def note_peer_version(self, peer: ids.InstanceId, version: int) -> None:
         """Tells which version another instance has in force."""
@@ -145,55 +149,15 @@
             self._hinted_peer = peer
             self._hint.set()
 
-    def apply(self, stored: store.StoredText) -> bool:
-        """Puts a version in force unless the present one is as new.
-
-        Returns:
-            Whether the version was put in force.
-
-        Raises:
-            errors.DocumentError: The text is not valid; nothing changes.
-        """
-        new = stored.record
-        if new.version <= self.version:
-            return False
-        if self._stored is None or self._stored.record.digest != new.digest:
-            source = f"{self._environment} version {new.version}"
-            self._parsed = jsonc.decode_checked(
-                stored.text, document.Document, source
-            )
-            parts = sections.split_text(stored.text)
-            self._sections = {sections.digest_bytes(p): p for p in parts}
-        self._stored = stored
-        self._held.settle(new)
-        logs.log_event(
-            "configuration_in_force",
-            version=new.version,
-            author=new.author,
-            change=new.change_id,
-        )
-        self._refresh()
-        return True
-
     def hold(self, held: tuple[marks.Mark, ...]) -> tuple[marks.Mark, ...]:
-        """Puts marks in force that are not stored yet.
+        """Puts marks in force and stores them when the service answers.
 
         Returns:
             The marks that were not known here.
         """
-        head = self._stored.record if self._stored is not None else None
-        new = self._held.add(held, head)
-        for mark in new:
-            logs.log_event(
-                "mark_held",
-                "WARNING",
-                target=mark.target,
-                author=mark.author,
-                change=mark.change_id,
-            )
+        new = self._state.hold(held)
         if new:
             self._has_unstored.set()
-            self._refresh()
         return new
 
     async def receive_marks(self, data: bytes) -> None:
@@ -214,44 +178,16 @@
         Args:
             newer_than: Version that the other has.
             known_sections: Sections that need not travel.
-            wait_s: How long to wait for a newer version.
+            wait_s: How long to wait for a newer version, in seconds.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
-                await self.wait_for_version(newer_than + 1)
-        stored = self._stored
-        if stored is None or stored.record.version <= newer_than:
-            state = snapshot.Snapshot(
-                environment=self._environment, held=self.held
-            )
-            return snapshot.encode_snapshot(state)
-        known = set(known_sections)
-        state = snapshot.Snapshot(
-            environment=self._environment,
-            record=stored.record,
-            sections={
-                digest: self._sections[digest]
-                for digest in stored.record.sections
-                if digest not in known and digest in self._sections
-            },
-            held=self.held,
+        return await self._state.make_snapshot(
+            newer_than, known_sections, wait_s
         )
-        return snapshot.encode_snapshot(state)
-
-    def _refresh(self) -> None:
-        """Computes the view anew and tells the listeners."""
-        if self._parsed is not None and self._stored is not None:
-            out = (*self._stored.record.out, *self._held.all)
-            effective = marks.apply_marks(self._parsed, out)
-            self._view = document.View(self.version, effective)
-            for listener in tuple(self._listeners):
-                listener(self._view)
-        self._changed.set()
-        self._changed = asyncio.Event()
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks = [task for task in self._tasks if not task.done()]
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _watch(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
@@ -263,7 +199,10 @@
                 logs.log_event(
                     "configuration_watch_lost", "WARNING", reason=error
                 )
+            if self.is_connected:
+                self._last_contact_s = clock.now_s()
             self._is_connected.clear()
+            self._was_tried.set()
             if self.version > version:
                 delay_s = MIN_RETRY_DELAY_S
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
@@ -272,6 +211,7 @@
     async def _follow(self) -> None:
         head = await self._store.read_head()
         self._is_connected.set()
+        self._was_tried.set()
         if head.record is not None:
             await self._fetch(head.record)
         start = kv.Revision(head.revision + 1)
@@ -283,40 +223,34 @@
     async def _fetch(self, head: record.VersionRecord) -> None:
         if head.version <= self.version:
             return
-        missing = set(head.sections) - set(self._sections)
-        if missing and self._peers is not None:
+        known = self._state.sections
+        if self._peers is not None and not known.keys() >= set(head.sections):
             await self._fetch_from_parent(self._peers, head)
         if head.version <= self.version:
             return
-        text = await self._store.read_text(head, self._sections)
-        self.apply(store.StoredText(head, text))
+        text = await self._store.read_text(head, self._state.sections)
+        self._state.apply(store.StoredText(head, text))
 
     async def _fetch_from_parent(
         self, peers: exchange.Exchange, head: record.VersionRecord
     ) -> None:
         """Asks the instance above in a tree whose root reads the service."""
         parent = find_parent(peers.own, peers.list_peers(), head.version)
-        if parent is None:
-            return
-        try:
-            await self._pull(peers, parent, PARENT_WAIT_S)
-        except errors.PoplarwickError as error:
-            logs.log_event(
-                "configuration_pull_failed", peer=parent, reason=error
-            )
+        if parent is not None:
+            # An older version is of no use, least of all after a restart.
+            await self._pull(peers, parent, head.version - 1, PARENT_WAIT_S)
 
     async def _ask_peers(self, peers: exchange.Exchange) -> None:
         """Asks one instance after another for newer versions and marks."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_GRACE_S):
+                await self._was_tried.wait()
         while True:
-            peer = self._choose_peer(peers)
-            if peer is not None:
-                try:
-                    await self._pull(peers, peer, 0.0)
-                except errors.PoplarwickError as error:
-                    logs.log_event(
-                        "configuration_pull_failed", peer=peer, reason=error
-                    )
-            is_settled = self.is_connected and self._view is not None
+            if self.view is not None:
+                await self._pull_from_any(peers)
+            elif not self.is_connected:
+                await self._learn_first(peers)
+            is_settled = self.is_connected and self.view is not None
             period_s = PEER_PERIOD_S if is_settled else PEER_PERIOD_CUT_OFF_S
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period_s * random.uniform(0.5, 1)):
@@ -325,36 +259,71 @@
                     await asyncio.sleep(PEER_GRACE_S * random.random())
             self._hint.clear()
 
-    def _choose_peer(self, peers: exchange.Exchange) -> ids.InstanceId | None:
-        hinted, self._hinted_peer = self._hinted_peer, None
-        if hinted is not None:
-            return hinted
-        known = peers.list_peers()
-        return random.choice(known) if known else None
+    async def _learn_first(self, peers: exchange.Exchange) -> None:
+        """Starts from the newest version that several instances have.
+
+        One instance alone might lag behind what this one had before it was
+        restarted.
+        """
+        known = list(peers.list_peers())
+        random.shuffle(known)
+        answers = await asyncio.gather(
+            *(self._fetch_snapshot(peers, one) for one in known[:START_PEERS])
+        )
+        found = [answer for answer in answers if answer is not None]
+        for answer in sorted(found, key=snapshot.read_version, reverse=True):
+            self._adopt(answer)
+
+    def _adopt(self, found: snapshot.Snapshot) -> None:
+        try:
+            if self._state.adopt_snapshot(found):
+                self._has_unstored.set()
+        except errors.PoplarwickError as error:
+            logs.log_event("configuration_refused", "ERROR", reason=error)
+
+    async def _pull_from_any(self, peers: exchange.Exchange) -> None:
+        """Asks the instance last heard of with a newer version, or any."""
+        peer, self._hinted_peer = self._hinted_peer, None
+        if peer is None:
+            known = peers.list_peers()
+            peer = random.choice(known) if known else None
+        if peer is not None:
+            await self._pull(peers, peer, self.version, 0.0)
 
     async def _pull(
-        self, peers: exchange.Exchange, peer: ids.InstanceId, wait_s: float
+        self,
+        peers: exchange.Exchange,
+        peer: ids.InstanceId,
+        newer_than: int,
+        wait_s: float,
     ) -> None:
-        data = await peers.fetch_snapshot(
-            peer,
-            newer_than=self.version,
-            known_sections=tuple(self._sections),
-            wait_s=wait_s,
+        known = tuple(self._state.sections)
+        found = await self._fetch_snapshot(
+            peers, peer, newer_than, known, wait_s
         )
-        state = snapshot.decode_snapshot(data)
-        if state.environment != self._environment:
-            raise snapshot.SnapshotError(
-                f"{peer} follows the environment {state.environment}"
+        if found is not None:
+            self._adopt(found)
+
+    async def _fetch_snapshot(
+        self,
+        peers: exchange.Exchange,
+        peer: ids.InstanceId,
+        newer_than: int = 0,
+        known_sections: tuple[str, ...] = (),
+        wait_s: float = 0.0,
+    ) -> snapshot.Snapshot | None:
+        try:
+            data = await peers.fetch_snapshot(
+                peer,
+                newer_than=newer_than,
+                known_sections=known_sections,
+                wait_s=wait_s,
             )
-        self.hold(state.held)
-        head = state.record
-        if head is None or head.version <= self.version:
-            return
-        known = {**self._sections, **state.sections}
-        if any(digest not in known for digest in head.sections):
-            raise failures.MissingError(f"{peer} left sections out")
-        text = store.join_sections(head, [known[d] for d in head.sections])
-        self.apply(store.StoredText(head, text))
+            self._last_contact_s = clock.now_s()
+            return snapshot.decode_snapshot(data)
+        except errors.PoplarwickError as error:
+            logs.log_event("configuration_pull_failed", peer=peer, reason=error)
+            return None
 
     async def _forward(
         self, peers: exchange.Exchange, held: tuple[marks.Mark, ...]
@@ -371,14 +340,17 @@
 
         All instances try after a random delay; the change id lets one succeed.
         """
+        delay_s = STORE_JITTER_S
         while True:
             await self._has_unstored.wait()
             await self._is_connected.wait()
-            await asyncio.sleep(STORE_JITTER_S * random.random())
-            for mark in self._held.unstored:
+            await asyncio.sleep(delay_s * random.random())
+            for mark in self._state.unstored:
                 await self._store_mark(mark)
-            if not self._held.unstored:
+            delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+            if not self._state.unstored:
                 self._has_unstored.clear()
+                delay_s = STORE_JITTER_S
 
     async def _store_mark(self, mark: marks.Mark) -> None:
         made = await self._store.make_change(
@@ -386,20 +358,12 @@
             author=mark.author,
             change_id=mark.change_id,
             time_s=mark.time_s,
-            known=self._sections,
+            known=self._state.sections,
         )
         if made.is_ok():
-            self._held.note_stored(mark.change_id, made.unwrap().version)
-            if self._stored is not None and self._held.settle(
-                self._stored.record
-            ):
-                self._refresh()
-            return
-        refusal = made.unwrap_err()
-        if isinstance(refusal, changes.UnknownTarget):
-            logs.log_event("mark_dropped", "WARNING", target=mark.target)
-            self._held.drop(mark.change_id)
-            self._refresh()
+            self._state.note_stored(mark, made.unwrap().version)
+        elif isinstance(made.unwrap_err(), changes.UnknownTarget):
+            self._state.drop(mark)
 
 
 def find_parent(
--- a/packages/configuration/poplarwick_configuration/snapshot.py
+++ b/packages/configuration/poplarwick_configuration/snapshot.py
@@ -43,6 +43,11 @@
     held: tuple[marks.Mark, ...] = ()
 
 
+def read_version(snapshot: Snapshot) -> int:
+    """Returns the version that a snapshot brings; 0 if it brings none."""
+    return snapshot.record.version if snapshot.record is not None else 0
+
+
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Returns the transferable form of a snapshot."""
     body = zlib.compress(msgspec.msgpack.encode(snapshot))
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/state.py
@@ -0,0 +1,212 @@
+"""The version and the held marks that one instance has in force."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from poplarwick_configuration import document
+from poplarwick_configuration import failures
+from poplarwick_configuration import holding
+from poplarwick_configuration import marks
+from poplarwick_configuration import record
+from poplarwick_configuration import sections
+from poplarwick_configuration import snapshot
+from poplarwick_configuration import store
+from poplarwick_core import jsonc
+from poplarwick_core import logs
+
+ViewListener = Callable[[document.View], None]
+
+
+class VersionState:
+    """Puts versions and marks in force; the version never goes down.
+
+    Args:
+        environment: Name of the environment.
+    """
+
+    def __init__(self, environment: str) -> None:
+        self._environment = environment
+        self._stored: store.StoredText | None = None
+        self._parsed: document.Document | None = None
+        self._view: document.View | None = None
+        self._sections: dict[str, bytes] = {}
+        self._held = holding.HeldMarks()
+        self._listeners: list[ViewListener] = []
+        self._changed = asyncio.Event()
+
+    @property
+    def view(self) -> document.View | None:
+        """The version in force here, or None before the first one."""
+        return self._view
+
+    @property
+    def version(self) -> int:
+        """Number of the version in force here; 0 before the first one."""
+        return self._stored.record.version if self._stored is not None else 0
+
+    @property
+    def stored(self) -> store.StoredText | None:
+        """Record and text of the version in force here."""
+        return self._stored
+
+    @property
+    def sections(self) -> dict[str, bytes]:
+        """Sections of the version in force here, by digest."""
+        return self._sections
+
+    @property
+    def held(self) -> tuple[marks.Mark, ...]:
+        """Marks in force here that are not part of a version yet."""
+        return self._held.all
+
+    @property
+    def unstored(self) -> tuple[marks.Mark, ...]:
+        """Held marks that are not known to be stored."""
+        return self._held.unstored
+
+    def add_listener(self, listener: ViewListener) -> None:
+        """Calls `listener` with each new view, and now if there is one."""
+        self._listeners.append(listener)
+        if self._view is not None:
+            listener(self._view)
+
+    async def wait_for_version(self, version: int) -> document.View:
+        """Waits until `version` or a newer one is in force and returns it."""
+        while self._view is None or self.version < version:
+            await self._changed.wait()
+        return self._view
+
+    def apply(self, stored: store.StoredText) -> bool:
+        """Puts a version in force unless the present one is as new.
+
+        Returns:
+            Whether the version was put in force.
+
+        Raises:
+            errors.DocumentError: The text is not valid; nothing changes.
+        """
+        new = stored.record
+        if new.version <= self.version:
+            return False
+        if self._stored is None or self._stored.record.digest != new.digest:
+            self._replace_text(stored)
+        self._stored = stored
+        self._held.settle(new)
+        logs.log_event(
+            "configuration_in_force",
+            version=new.version,
+            author=new.author,
+            change=new.change_id,
+        )
+        self._refresh()
+        return True
+
+    def hold(self, held: tuple[marks.Mark, ...]) -> tuple[marks.Mark, ...]:
+        """Puts marks in force that are not stored yet.
+
+        Returns:
+            The marks that were not known here.
+        """
+        head = self._stored.record if self._stored is not None else None
+        new = self._held.add(held, head)
+        for mark in new:
+            logs.log_event(
+                "mark_held",
+                "WARNING",
+                target=mark.target,
+                author=mark.author,
+                change=mark.change_id,
+            )
+        if new:
+            self._refresh()
+        return new
+
+    def note_stored(self, mark: marks.Mark, version: int) -> None:
+        """Notes which version holds the change of a held mark."""
+        self._held.note_stored(mark.change_id, version)
+        head = self._stored.record if self._stored is not None else None
+        if head is not None and self._held.settle(head):
+            self._refresh()
+
+    def drop(self, mark: marks.Mark) -> None:
+        """Stops to hold a mark that can never be stored."""
+        logs.log_event("mark_dropped", "WARNING", target=mark.target)
+        self._held.drop(mark.change_id)
+        self._refresh()
+
+    async def make_snapshot(
+        self, newer_than: int, known_sections: tuple[str, ...], wait_s: float
+    ) -> bytes:
+        """Returns this state for another instance.
+
+        Args:
+            newer_than: Version that the other has.
+            known_sections: Sections that need not travel.
+            wait_s: How long to wait for a newer version, in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.wait_for_version(newer_than + 1)
+        head: record.VersionRecord | None = None
+        parts: dict[str, bytes] = {}
+        if self._stored is not None and self.version > newer_than:
+            head = self._stored.record
+            wanted = set(head.sections).difference(known_sections)
+            parts = {digest: self._sections[digest] for digest in wanted}
+        state = snapshot.Snapshot(
+            environment=self._environment,
+            record=head,
+            sections=parts,
+            held=self.held,
+        )
+        return snapshot.encode_snapshot(state)
+
+    def adopt_snapshot(
+        self, state: snapshot.Snapshot
+    ) -> tuple[marks.Mark, ...]:
+        """Takes over what another instance has that is newer.
+
+        Returns:
+            The held marks that were not known here.
+
+        Raises:
+            failures.StoreError: The snapshot is not complete or of another
+                environment.
+            errors.DocumentError: Its text is not valid.
+        """
+        if state.environment != self._environment:
+            raise snapshot.SnapshotError(
+                f"found environment {state.environment}; "
+                f"allowed: {self._environment}"
+            )
+        head = state.record
+        if head is not None and head.version > self.version:
+            known = {**self._sections, **state.sections}
+            if any(digest not in known for digest in head.sections):
+                raise failures.MissingError("the snapshot lacks sections")
+            parts = [known[digest] for digest in head.sections]
+            text = store.join_sections(head, parts)
+            self.apply(store.StoredText(head, text))
+        return self.hold(state.held)
+
+    def _replace_text(self, stored: store.StoredText) -> None:
+        source = f"{self._environment} version {stored.record.version}"
+        self._parsed = jsonc.decode_checked(
+            stored.text, document.Document, source
+        )
+        parts = sections.split_text(stored.text)
+        self._sections = {sections.digest_bytes(p): p for p in parts}
+
+    def _refresh(self) -> None:
+        """Computes the view anew and tells the listeners."""
+        if self._parsed is not None and self._stored is not None:
+            out = (*self._stored.record.out, *self._held.all)
+            effective = marks.apply_marks(self._parsed, out)
+            self._view = document.View(self.version, effective)
+            for listener in tuple(self._listeners):
+                listener(self._view)
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/packages/configuration/tests/fake_exchange.py
@@ -0,0 +1,49 @@
+"""Instances of one process that reach each other by direct calls."""
+
+from __future__ import annotations
+
+from poplarwick_core import errors
+
+
+class Network:
+    """Connects the followers of several instances.
+
+    Attributes:
+        followers: Running instances by id.
+        cut: Pairs (asking, asked) that do not reach each other.
+        sections_sent: Number of sections that have travelled.
+    """
+
+    def __init__(self):
+        self.followers = {}
+        self.cut = set()
+        self.sections_sent = 0
+
+    def open(self, own):
+        return FakeExchange(self, own)
+
+
+class FakeExchange:
+    """Implements the `Exchange` protocol for one instance."""
+
+    def __init__(self, network, own):
+        self.own = own
+        self._network = network
+
+    def list_peers(self):
+        return tuple(n for n in self._network.followers if n != self.own)
+
+    async def fetch_snapshot(self, peer, *, newer_than, known_sections, wait_s):
+        asked = self._find(peer)
+        data = await asked.make_snapshot(newer_than, known_sections, wait_s)
+        self._find(peer)
+        return data
+
+    async def send_marks(self, peer, marks):
+        await self._find(peer).receive_marks(marks)
+
+    def _find(self, peer):
+        followers = self._network.followers
+        if peer not in followers or (self.own, peer) in self._network.cut:
+            raise errors.PoplarwickError(f"{peer} does not answer")
+        return followers[peer]
--- a/packages/configuration/tests/test_follower.py
+++ b/packages/configuration/tests/test_follower.py
@@ -7,6 +7,7 @@
 import texts
 
 from poplarwick_configuration import follower
+from poplarwick_configuration import state
 from poplarwick_configuration import store
 
 WAIT_S = 20
@@ -84,7 +85,7 @@
         old = await documents.load_text()
         await push(service, 2, "c2")
         new = await documents.load_text()
-        follows = follower.Follower(service, "trial")
+        follows = state.VersionState("trial")
         assert follows.apply(new)
         assert not follows.apply(old)
         assert not follows.apply(new)
--- /dev/null
+++ b/packages/configuration/tests/test_spreading.py
@@ -0,0 +1,332 @@
+"""Tests for passing versions and held marks between instances."""
+
+import asyncio
+import contextlib
+import random
+
+import fake_exchange
+import fake_kv
+import pytest
+import texts
+
+from poplarwick_configuration import changes
+from poplarwick_configuration import follower
+from poplarwick_configuration import marks
+from poplarwick_configuration import service
+from poplarwick_configuration import store
+
+WAIT_S = 30
+DOMAIN = marks.Target(marks.TargetKind.DOMAIN, "d1")
+TWO_DOMAINS = {
+    "domains": [
+        {"id": "d1", "region": "r1"},
+        {"id": "d2", "region": "r1"},
+    ],
+    "endpoints": [
+        {"id": "e1", "address": "h:1", "domain": "d1", "model": "lm"},
+        {"id": "e2", "address": "h:2", "domain": "d2", "model": "lm"},
+        {"id": "e3", "address": "h:3", "domain": "d2", "service": "orders"},
+    ],
+}
+
+
+@pytest.fixture(autouse=True)
+def without_delays(monkeypatch):
+    monkeypatch.setattr(follower, "MIN_RETRY_DELAY_S", 0.001)
+    monkeypatch.setattr(follower, "MAX_RETRY_DELAY_S", 0.01)
+    monkeypatch.setattr(follower, "PEER_PERIOD_CUT_OFF_S", 0.01)
+    monkeypatch.setattr(follower, "STORE_JITTER_S", 0.01)
+
+
+class Fleet:
+    """Followers of several instances with their network and service."""
+
+    def __init__(self, kv):
+        self.kv = kv
+        self.network = fake_exchange.Network()
+        self.documents = store.DocumentStore(kv, "trial")
+        self._stacks = {}
+
+    async def start(self, name, client=None):
+        exchange = self.network.open(name)
+        one = follower.Follower(client or self.kv, "trial", exchange)
+        stack = contextlib.AsyncExitStack()
+        self._stacks[name] = stack
+        await stack.enter_async_context(one)
+        self.network.followers[name] = one
+        return one
+
+    async def stop(self, name):
+        del self.network.followers[name]
+        await self._stacks.pop(name).aclose()
+
+    async def stop_all(self):
+        for name in tuple(self._stacks):
+            await self.stop(name)
+
+    async def push(self, change_id, **options):
+        pushed = await self.documents.push(
+            texts.make_text(**options), author="anna", change_id=change_id
+        )
+        return pushed.unwrap().version
+
+    async def wait_for(self, version):
+        for one in tuple(self.network.followers.values()):
+            await one.wait_for_version(version)
+
+    def control(self, name):
+        return service.ServiceControl(
+            self.kv,
+            "trial",
+            self.network.followers[name],
+            self.network.open(name),
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(size):
+    fleet = Fleet(fake_kv.FakeKv())
+    try:
+        await fleet.push("c1", **TWO_DOMAINS)
+        for number in range(size):
+            await fleet.start(f"i{number}")
+        await fleet.wait_for(1)
+        yield fleet
+    finally:
+        await fleet.stop_all()
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, WAIT_S))
+
+
+def is_out(one):
+    return not one.view.find_domain("d1").in_service
+
+
+async def until(condition):
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+
+
+def test_domain_taken_out_in_an_outage_stays_out_and_is_stored_once():
+    async def check():
+        async with running(5) as fleet:
+            await fleet.kv.set_down(True)
+            made = await fleet.control("i0").take_out(
+                DOMAIN, author="bert", change_id="out-1"
+            )
+            held = made.unwrap()
+            assert isinstance(held, service.Held)
+            assert set(held.held_by) == set(fleet.network.followers)
+            assert held.missing == ()
+            assert all(map(is_out, fleet.network.followers.values()))
+
+            # Every instance is replaced, one after the other.
+            for number in range(5):
+                await fleet.stop(f"i{number}")
+                fresh = await fleet.start(f"n{number}")
+                await fresh.wait_for_version(1)
+                await until(lambda one=fresh: is_out(one))
+
+            await fleet.kv.set_down(False)
+            await fleet.wait_for(2)
+            await until(
+                lambda: (
+                    not any(
+                        one.held for one in fleet.network.followers.values()
+                    )
+                )
+            )
+            assert all(map(is_out, fleet.network.followers.values()))
+            history = await fleet.documents.read_history()
+            assert [r.change_id for r in history] == ["c1", "out-1"]
+            assert history[1].author == "bert"
+
+            put = await fleet.control("n1").put_in(
+                DOMAIN, author="bert", change_id="in-1"
+            )
+            assert put.unwrap() == changes.Accepted(3)
+            await fleet.wait_for(3)
+            # An instance that still holds the mark cannot bring it back.
+            fleet.network.followers["n0"].hold((held.mark,))
+            assert not any(map(is_out, fleet.network.followers.values()))
+
+    run(check())
+
+
+def test_put_in_waits_for_the_service():
+    async def check():
+        async with running(2) as fleet:
+            await fleet.kv.set_down(True)
+            control = fleet.control("i0")
+            await control.take_out(DOMAIN, author="b", change_id="out-1")
+            put = await control.put_in(DOMAIN, author="b", change_id="in-1")
+            assert isinstance(put.unwrap_err(), changes.NotStored)
+            assert is_out(fleet.network.followers["i1"])
+
+    run(check())
+
+
+def test_outage_answer_names_instances_that_have_not_confirmed():
+    async def check():
+        async with running(3) as fleet:
+            await fleet.kv.set_down(True)
+            fleet.network.cut.add(("i0", "i2"))
+            made = await fleet.control("i0").take_out(
+                DOMAIN, author="b", change_id="out-1"
+            )
+            assert made.unwrap().missing == ("i2",)
+            # Others pass it on.
+            await until(lambda: is_out(fleet.network.followers["i2"]))
+
+    run(check())
+
+
+def test_last_endpoint_is_not_taken_out_unless_forced():
+    async def check():
+        async with running(1) as fleet:
+            target = marks.Target(marks.TargetKind.DOMAIN, "d2")
+            control = fleet.control("i0")
+            made = await control.take_out(target, author="b", change_id="o1")
+            assert made.unwrap_err() == changes.LeavesIdle(("orders",))
+            made = await control.take_out(
+                target, author="b", change_id="o2", is_forced=True
+            )
+            assert made.unwrap() == changes.Accepted(2)
+
+    run(check())
+
+
+def test_pushed_text_does_not_put_a_domain_back_in():
+    async def check():
+        async with running(2) as fleet:
+            control = fleet.control("i0")
+            await control.take_out(DOMAIN, author="b", change_id="out-1")
+            await fleet.push("c2", weight=5, **TWO_DOMAINS)
+            await fleet.wait_for(3)
+            assert all(map(is_out, fleet.network.followers.values()))
+
+    run(check())
+
+
+def test_new_instance_in_an_outage_starts_from_its_peers():
+    async def check():
+        async with running(2) as fleet:
+            await fleet.kv.set_down(True)
+            fresh = await fleet.start("new")
+            view = await fresh.wait_for_version(1)
+            assert view.find_model("lm") is not None
+            assert not fresh.is_connected
+
+    run(check())
+
+
+def test_instance_cut_off_from_the_service_learns_from_its_peers():
+    async def check():
+        async with running(2) as fleet:
+            silent = fake_kv.FakeKv()
+            await silent.set_down(True)
+            lonely = await fleet.start("lonely", silent)
+            await lonely.wait_for_version(1)
+            version = await fleet.push("c2", weight=2, **TWO_DOMAINS)
+            lonely.note_peer_version("i0", version)
+            await lonely.wait_for_version(2)
+            assert lonely.isolated_s < WAIT_S
+
+    run(check())
+
+
+def make_wide_text(changed):
+    organisations = [
+        {"id": f"o{i}", "keys": [], "weight": 2 if i in changed else 1}
+        for i in range(3_000)
+    ]
+    return {**TWO_DOMAINS, "organisations": organisations}
+
+
+@pytest.mark.parametrize("size", [4, 24])
+def test_reads_on_the_service_do_not_grow_with_the_fleet(size):
+    async def check():
+        async with running(size) as fleet:
+            before = fleet.kv.reads
+            await fleet.push("c2", **make_wide_text(set()))
+            await fleet.wait_for(2)
+            pushed = 2
+            sections = len((await fleet.documents.read_head()).record.sections)
+            assert sections > 10
+            reads = fleet.kv.reads - before
+            # The root reads each section once; a slow parent may cost more.
+            assert reads <= pushed + 1 + 2 * sections
+
+    run(check())
+
+
+def test_restart_in_an_outage_does_not_start_from_a_lagging_peer():
+    async def check():
+        async with running(3) as fleet:
+            silent = fake_kv.FakeKv()
+            await silent.set_down(True)
+            await fleet.start("lagging", silent)
+            await fleet.wait_for(1)
+            peers = fleet.network.followers
+            fleet.network.cut |= {("lagging", name) for name in peers}
+            await fleet.push("c2", weight=2, **TWO_DOMAINS)
+            for name in ("i0", "i1", "i2"):
+                await peers[name].wait_for_version(2)
+            assert peers["lagging"].version == 1
+            await fleet.kv.set_down(True)
+            for _ in range(10):
+                await fleet.stop("i0")
+                seen = []
+                fresh = await fleet.start("i0")
+                fresh.add_listener(lambda view, into=seen: into.append(view))
+                await fresh.wait_for_version(1)
+                assert [view.version for view in seen] == [2]
+
+    run(check())
+
+
+def test_versions_never_go_down_under_kills_cuts_and_outages():
+    async def scenario(seed):
+        generator = random.Random(seed)
+        async with running(5) as fleet:
+            peers = fleet.network.followers
+            version = 1
+            restarts = 0
+            for step in range(60):
+                await asyncio.sleep(0.002 * generator.random())
+                names = sorted(peers)
+                name = generator.choice(names)
+                match generator.randrange(5):
+                    case 0:
+                        await fleet.kv.set_down(not fleet.kv.is_down)
+                    case 1:
+                        had = peers[name].version
+                        await fleet.stop(name)
+                        others = max(one.version for one in peers.values())
+                        fleet.network.cut -= {(name, n) for n in names}
+                        fresh = await fleet.start(name)
+                        seen = []
+                        fresh.add_listener(
+                            lambda view, into=seen: into.append(view.version)
+                        )
+                        await fresh.wait_for_version(1)
+                        assert seen[0] >= min(had, others)
+                        restarts += 1
+                    case 2:
+                        pair = tuple(generator.sample(names, 2))
+                        fleet.network.cut ^= {pair}
+                    case 3:
+                        await fleet.kv.compact()
+                    case 4 if not fleet.kv.is_down:
+                        version = await fleet.push(
+                            f"p{step}", weight=step + 1, **TWO_DOMAINS
+                        )
+            await fleet.kv.set_down(False)
+            await fleet.wait_for(version)
+            assert restarts
+            assert {one.version for one in peers.values()} == {version}
+
+    for seed in range(8):
+        run(scenario(seed))
