Give operators the whole command line

Cause: only check, push and show existed. Conclusion: commands by module, each talks to any instance.

--- /dev/null
+++ b/packages/administration/poplarwick_administration/_document_commands.py
@@ -0,0 +1,243 @@
+"""Commands about documents."""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import sys
+
+from poplarwick_administration import _changes
+from poplarwick_administration import _output
+from poplarwick_administration import _session
+from poplarwick_administration import messages
+from poplarwick_configuration import check
+from poplarwick_core import cli
+
+
+def add_commands(
+    groups: _session.Parsers[argparse.ArgumentParser],
+) -> None:
+    """Adds the group `document`."""
+    group = groups.add_parser("document", help="environment documents")
+    commands = group.add_subparsers(metavar="COMMAND", required=True)
+    checked = commands.add_parser(
+        "check",
+        help="checks a file without a server",
+        description="checks a file without a server",
+    )
+    checked.set_defaults(command=_check)
+    checked.add_argument("file", metavar="FILE", type=pathlib.Path)
+    _add_push(commands)
+    _add_reading(commands)
+    _add_promote(commands)
+
+
+def _add_push(commands: _session.Parsers[argparse.ArgumentParser]) -> None:
+    push = _session.add_command(
+        commands, "push", _push, "stores a new version of a document"
+    )
+    push.add_argument("file", metavar="FILE", type=pathlib.Path)
+    _session.add_environment(push)
+    _session.add_change(push)
+    _add_expect(push)
+    back = _session.add_command(
+        commands, "rollback", _roll_back, "stores an old text as a new version"
+    )
+    back.add_argument("number", metavar="VERSION", type=int)
+    _session.add_environment(back)
+    _session.add_change(back)
+    _add_expect(back)
+
+
+def _add_reading(commands: _session.Parsers[argparse.ArgumentParser]) -> None:
+    show = _session.add_command(
+        commands, "show", _show, "prints a version as written"
+    )
+    _session.add_environment(show)
+    show.add_argument("--version", type=int, metavar="N", dest="number")
+    diff = _session.add_command(
+        commands, "diff", _diff, "shows what a file would change"
+    )
+    diff.add_argument("file", metavar="FILE", type=pathlib.Path)
+    _session.add_environment(diff)
+    diff.add_argument(
+        "--version",
+        type=int,
+        metavar="N",
+        dest="number",
+        help="compare with version N in place of the newest",
+    )
+    history = _session.add_command(
+        commands, "history", _list_history, "lists the versions"
+    )
+    _session.add_environment(history)
+
+
+def _add_promote(commands: _session.Parsers[argparse.ArgumentParser]) -> None:
+    promote = _session.add_command(
+        commands,
+        "promote",
+        _promote,
+        "takes over models, services and organisations of an environment",
+    )
+    promote.add_argument("source", metavar="SOURCE")
+    promote.add_argument("target", metavar="TARGET")
+    promote.add_argument("--version", type=int, metavar="N", dest="number")
+    promote.add_argument(
+        "--force",
+        action="store_true",
+        help="promote a version that was never in force in SOURCE",
+    )
+    promote.add_argument(
+        "--yes", action="store_true", help="do not ask for confirmation"
+    )
+    _session.add_change(promote)
+
+
+def _add_expect(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--expect",
+        type=int,
+        metavar="N",
+        help="refuse unless N is the newest version",
+    )
+
+
+def _read_checked(path: pathlib.Path) -> str | None:
+    """Returns the text of a file, or None after printing its problems."""
+    text = path.read_text(encoding="utf-8")
+    problems = check.check_document(text, str(path))
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    return None if problems else text
+
+
+async def _check(parsed: argparse.Namespace) -> cli.ExitCode:
+    if _read_checked(parsed.file) is None:
+        return cli.ExitCode.USAGE
+    print(f"{parsed.file}: no problems")
+    return cli.ExitCode.OK
+
+
+async def _push(parsed: argparse.Namespace) -> cli.ExitCode:
+    text = _read_checked(parsed.file)
+    if text is None:
+        return cli.ExitCode.USAGE
+    async with _session.open_client(parsed) as administration:
+        accepted = await _session.repeat_until_answered(
+            parsed,
+            lambda change_id: administration.push_document(
+                parsed.environment,
+                text,
+                change_id=change_id,
+                expected_version=parsed.expect,
+            ),
+        )
+        print_accepted(accepted)
+        return await _session.wait_until_in_force(
+            administration, accepted, parsed.wait
+        )
+
+
+async def _roll_back(parsed: argparse.Namespace) -> cli.ExitCode:
+    asked = messages.RollbackRequest(
+        version=parsed.number, expected_version=parsed.expect
+    )
+    async with _session.open_client(parsed) as administration:
+        accepted = await _session.repeat_until_answered(
+            parsed,
+            lambda change_id: administration.roll_back(
+                parsed.environment, asked, change_id=change_id
+            ),
+        )
+        print_accepted(accepted)
+        return await _session.wait_until_in_force(
+            administration, accepted, parsed.wait
+        )
+
+
+async def _show(parsed: argparse.Namespace) -> cli.ExitCode:
+    async with _session.open_client(parsed) as administration:
+        shown = await administration.read_document(
+            parsed.environment, parsed.number
+        )
+    sys.stdout.write(shown.text)
+    return cli.ExitCode.OK
+
+
+async def _diff(parsed: argparse.Namespace) -> cli.ExitCode:
+    text = _read_checked(parsed.file)
+    if text is None:
+        return cli.ExitCode.USAGE
+    async with _session.open_client(parsed) as administration:
+        shown = await administration.read_document(
+            parsed.environment, parsed.number
+        )
+    print(f"from version {shown.head.version} to {parsed.file}:")
+    differences = _changes.list_differences(shown.text, text)
+    print(_output.format_differences(differences))
+    return cli.ExitCode.OK
+
+
+async def _list_history(parsed: argparse.Namespace) -> cli.ExitCode:
+    filters = {"result": "accepted"}
+    async with _session.open_client(parsed) as administration:
+        audit = await administration.read_audit(parsed.environment, filters)
+    print(_output.format_audit(audit.entries))
+    return cli.ExitCode.OK
+
+
+async def _promote(parsed: argparse.Namespace) -> cli.ExitCode:
+    asked = messages.PromotionRequest(
+        source=parsed.source, version=parsed.number, is_forced=parsed.force
+    )
+    async with _session.open_client(parsed) as administration:
+        preview = await administration.preview_promotion(parsed.target, asked)
+        _print_preview(parsed, preview)
+        if not parsed.yes and not _confirm():
+            print("nothing was changed")
+            return cli.ExitCode.FAILURE
+        # What was shown is what is promoted.
+        decided = messages.PromotionRequest(
+            source=parsed.source,
+            version=preview.source_version,
+            expected_version=preview.target_version,
+            is_forced=parsed.force,
+        )
+        accepted = await _session.repeat_until_answered(
+            parsed,
+            lambda change_id: administration.promote(
+                parsed.target, decided, change_id=change_id
+            ),
+        )
+        print_accepted(accepted)
+        return await _session.wait_until_in_force(
+            administration, accepted, parsed.wait
+        )
+
+
+def _print_preview(
+    parsed: argparse.Namespace, preview: messages.PreviewMessage
+) -> None:
+    print(
+        f"{parsed.source} version {preview.source_version} changes "
+        f"{parsed.target} version {preview.target_version}:"
+    )
+    print(_output.format_differences(preview.differences))
+    if not preview.was_in_force:
+        print(f"this version was never in force in {parsed.source}")
+
+
+def _confirm() -> bool:
+    try:
+        return input("promote? [y/N] ").strip().lower() in ("y", "yes")
+    except EOFError:
+        return False
+
+
+def print_accepted(accepted: messages.AcceptedMessage) -> None:
+    """Prints which version holds a change."""
+    before = " (stored before)" if accepted.was_stored_before else ""
+    print(
+        f"{accepted.environment}: version {accepted.version} is stored{before}"
+    )
