Cancel lost streams at the engine before their memory is freed

Cause: an entry that gave up reported the end while the engine still ran. Conclusion: booked memory cannot be freed before the engine's.

--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -36,6 +36,12 @@
         grant_pb2.REFUSAL_TOO_LONG,
     )
 )
+_ENDED_AT_ENDPOINT = frozenset(
+    (
+        grant_pb2.REPORT_COMPLETE,
+        grant_pb2.REPORT_NOT_SENT,
+    )
+)
 _RANK = (
     grant_pb2.REFUSAL_DEADLINE,
     grant_pb2.REFUSAL_NO_ROOM,
@@ -100,6 +106,7 @@
         self._grant = grant
         self._instance = instance
         self._reporter = reporter
+        self._may_run = False
         self._end = grant_pb2.GrantReport(
             grant_id=grant.grant_id, kind=grant_pb2.REPORT_CANCELLED
         )
@@ -113,7 +120,16 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._reporter.send(self._instance, self._end)
+        if self._may_run:
+            self._reporter.cancel_and_send(
+                self._instance, self._end, self.target
+            )
+        else:
+            self._reporter.send(self._instance, self._end)
+
+    def note_sent(self) -> None:
+        """Notes that a generation stream may run from now on."""
+        self._may_run = True
 
     def note_first_token(self, elapsed_s: float) -> None:
         """Reports the time from sending to the first token."""
@@ -132,6 +148,8 @@
         detail: str = "",
     ) -> None:
         """Sets how the request ended."""
+        if kind in _ENDED_AT_ENDPOINT:
+            self._may_run = False
         self._end.kind = kind
         self._end.output_tokens = output_tokens
         self._end.detail = detail
--- a/packages/entry/poplarwick_entry/relay.py
+++ b/packages/entry/poplarwick_entry/relay.py
@@ -111,6 +111,7 @@
         """Relays the answer, resuming it after broken connections."""
         self._sent_s = clock.now_s()
         self._lifecycle.send()
+        self._held.note_sent()
         try:
             await self._read_first_connection()
             await self._resume_until_whole()
--- a/packages/entry/poplarwick_entry/reports.py
+++ b/packages/entry/poplarwick_entry/reports.py
@@ -6,9 +6,14 @@
 import types
 from typing import Self
 
+import aiohttp
+
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_dispatch import dispatcher
+from poplarwick_endpoints import engine
+from poplarwick_endpoints import errors
+from poplarwick_endpoints import generation
 from poplarwick_peers import membership
 from poplarwick_peers import transport
 from poplarwick_peers.wire import grant_grpc
@@ -32,6 +37,7 @@
         local: Dispatcher of this instance.
         channels: Connections to other instances.
         members: View of the other instances.
+        session: Session for calls to endpoints.
     """
 
     def __init__(
@@ -40,11 +46,14 @@
         local: dispatcher.Dispatcher,
         channels: transport.ChannelPool,
         members: membership.Membership,
+        session: aiohttp.ClientSession,
     ) -> None:
         self._own = own
         self._local = local
         self._channels = channels
         self._members = members
+        self._session = session
+        self._cancellations: set[asyncio.Task[None]] = set()
         self._queues: dict[
             ids.InstanceId, asyncio.Queue[grant_pb2.GrantReport]
         ] = {}
@@ -66,6 +75,7 @@
 
     async def flush(self) -> None:
         """Waits until all reports so far were sent or dropped."""
+        await asyncio.gather(*self._cancellations, return_exceptions=True)
         await asyncio.gather(*(queue.join() for queue in self._queues.values()))
         await asyncio.gather(*self._local_tasks, return_exceptions=True)
 
@@ -82,6 +92,41 @@
         self._ensure_task(instance, queue)
         queue.put_nowait(report)
 
+    def cancel_and_send(
+        self,
+        instance: ids.InstanceId,
+        report: grant_pb2.GrantReport,
+        target: generation.Target,
+    ) -> None:
+        """Cancels a stream at its engine, then reports its end.
+
+        The dispatcher frees the memory that it had booked when it reads the
+        report, so the engine must have freed it before.
+        """
+        task = asyncio.create_task(
+            self._cancel_and_send(instance, report, target)
+        )
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+    async def _cancel_and_send(
+        self,
+        instance: ids.InstanceId,
+        report: grant_pb2.GrantReport,
+        target: generation.Target,
+    ) -> None:
+        control = engine.EngineClient(self._session, target.address)
+        try:
+            await control.cancel(target.stream, target.epoch)
+        except errors.EndpointError as error:
+            logs.log_event(
+                "cancel_failed",
+                "WARNING",
+                stream=target.stream,
+                reason=type(error).__name__,
+            )
+        self.send(instance, report)
+
     def _send_local(self, report: grant_pb2.GrantReport) -> None:
         request = grant_pb2.ReportRequest(reports=[report])
         task = asyncio.ensure_future(self._local.report(request))
--- /dev/null
+++ b/packages/peers/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the helpers of these tests importable."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
