Add membership by heartbeats between instances

Cause: instances must find and lose each other within seconds without a coordination service, with traffic that does not grow with their number. Change: three seeded rings choose whom an instance pings; beliefs with incarnation numbers ride on pings; indirect probes and a time to refute come before removal; dead but listed instances are pinged again. Result: pytest packages/peers: 8 passed in 8.5 s (kill, pause, one-way and full partition, leaving, reused address, restart, bounded messages).

--- /dev/null
+++ b/packages/peers/poplarwick_peers/heartbeats.py
@@ -0,0 +1,481 @@
+"""Membership by heartbeats between instances.
+
+Every instance pings a few others, chosen by hashing so that each is watched
+by a few and the traffic of one does not grow with their number. Beliefs
+travel along with pings and replies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+from types import TracebackType
+from typing import Protocol
+from typing import Self
+
+from grpclib import server
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_platform import instances
+
+from poplarwick_peers import _channels
+from poplarwick_peers import _heartbeat_wire
+from poplarwick_peers import _probes
+from poplarwick_peers import _ring
+from poplarwick_peers import _roster
+from poplarwick_peers import _suspicion
+from poplarwick_peers import membership
+from poplarwick_peers.wire import heartbeat_grpc
+from poplarwick_peers.wire import heartbeat_pb2
+
+MAX_UPDATES = 8
+DISCOVERY_PERIOD_S = 2.0
+DISCOVERY_INSTANCES_PER_S = 16
+RECONNECT_PERIOD_S = 1.0
+FORGET_DEAD_S = 600.0
+SUSPICION_MIN_PERIODS = 2.0
+SUSPICION_MAX_PERIODS = 3.0
+PAUSE_PERIODS = 3.0
+CHECKS_PER_PERIOD = 4
+
+MemberChange = _roster.MemberChange
+_State = membership.MemberState
+
+
+class InstanceSource(Protocol):
+    """Where instances are discovered."""
+
+    async def read(self) -> tuple[instances.ListedInstance, ...]:
+        """Returns the listed instances."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hints:
+    """What rides on heartbeats beside membership.
+
+    Attributes:
+        read_version: Returns the configuration version in force here.
+        hear_version: Called with a peer and the version in force there.
+    """
+
+    read_version: Callable[[], int] = lambda: 0
+    hear_version: Callable[[membership.Member, int], None] = (
+        lambda member, version: None
+    )
+
+
+def make_member(
+    instance: str, address: str, domain: str, region: str
+) -> membership.Member:
+    """Returns this instance as a new member.
+
+    The incarnation is the wall-clock time in milliseconds, so that it grows
+    with each restart.
+    """
+    return membership.Member(
+        instance=ids.InstanceId(instance),
+        address=address,
+        domain=ids.DomainId(domain),
+        region=ids.RegionId(region),
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+class HeartbeatMembership:
+    """Implements `membership.Membership`.
+
+    Example:
+        own = heartbeats.make_member("i-1", "10.0.0.1:7000", "d-1", "r-1")
+        view = heartbeats.HeartbeatMembership(own, instance_list)
+        peer_server = grpclib.server.Server([view.service, ...])
+        await peer_server.start(...)
+        async with view:
+            view.add_listener(lambda change: ...)
+            ...
+            view.announce_leaving()
+
+    Args:
+        own: This instance; see `make_member`.
+        source: Where other instances are discovered.
+        period_s: Time between two pings to the same peer.
+        open_channel: Opens a gRPC channel to a host and port.
+        hints: What else rides on heartbeats.
+    """
+
+    def __init__(
+        self,
+        own: membership.Member,
+        source: InstanceSource,
+        period_s: float = 0.5,
+        open_channel: _channels.OpenChannel = _channels.open_plain_channel,
+        hints: Hints | None = None,
+    ) -> None:
+        self.service = HeartbeatService(self)
+        self._source = source
+        self._period_s = period_s
+        self._hints = hints or Hints()
+        self._roster = _roster.Roster(own, self._handle_change)
+        self._health = _suspicion.LocalHealth()
+        self._suspicions = _suspicion.Suspicions(
+            self._health,
+            SUSPICION_MIN_PERIODS * period_s,
+            SUSPICION_MAX_PERIODS * period_s,
+            self._roster.find,
+        )
+        self._channels = _channels.Channels(open_channel)
+        self._prober = _probes.Prober(self._channels, period_s)
+        self._ring = _ring.Ring(own.instance)
+        self._listeners: list[Callable[[MemberChange], None]] = []
+        self._listed: frozenset[ids.InstanceId] = frozenset()
+        self._died_s: dict[ids.InstanceId, float] = {}
+        self._is_different: set[ids.InstanceId] = set()
+        self._monitors: dict[ids.InstanceId, asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def own(self) -> membership.Member:
+        """This instance."""
+        return self._roster.own
+
+    @property
+    def members(self) -> tuple[membership.Member, ...]:
+        """All known instances that are not dead, this one included."""
+        return self._roster.list_members()
+
+    def find(self, instance: ids.InstanceId) -> membership.Member | None:
+        """Returns the instance, or None if it is unknown or dead."""
+        found = self._roster.find(instance)
+        if found is None or found.state is _State.DEAD:
+            return None
+        return found
+
+    def add_listener(self, listener: Callable[[MemberChange], None]) -> None:
+        """Calls `listener` after each change of belief."""
+        self._listeners.append(listener)
+
+    def announce_leaving(self) -> None:
+        """Tells all others that this instance takes no new work."""
+        self._roster.set_own_state(_State.LEAVING)
+
+    async def __aenter__(self) -> Self:
+        loops = (self._discover(), self._reconnect(), self._check_suspicions())
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        self._assign_monitors()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        tasks = [*self._tasks, *self._monitors.values()]
+        self._tasks = []
+        self._monitors = {}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._channels.close()
+
+    def make_ping(self, receiver: ids.InstanceId) -> heartbeat_pb2.PingRequest:
+        """Returns the next ping to an instance."""
+        return heartbeat_pb2.PingRequest(
+            sender=_heartbeat_wire.encode_member(self.own),
+            updates=self._pick_updates(receiver),
+            configuration_version=self._hints.read_version(),
+            view_digest=self._roster.digest,
+        )
+
+    def answer_ping(
+        self, request: heartbeat_pb2.PingRequest
+    ) -> heartbeat_pb2.PingReply:
+        """Takes over what a ping tells and returns the reply."""
+        sender = _heartbeat_wire.decode_member(request.sender)
+        receiver = ids.InstanceId(request.sender.instance)
+        if sender is not None:
+            self._hear(
+                sender,
+                request.updates,
+                request.configuration_version,
+                request.view_digest,
+            )
+        return heartbeat_pb2.PingReply(
+            responder=_heartbeat_wire.encode_member(self.own),
+            updates=self._pick_updates(receiver),
+            configuration_version=self._hints.read_version(),
+            view_digest=self._roster.digest,
+        )
+
+    async def answer_probe(
+        self, request: heartbeat_pb2.ProbeRequest
+    ) -> heartbeat_pb2.ProbeReply:
+        """Pings a third instance for another one."""
+        instance = ids.InstanceId(request.instance)
+        reply = await self._prober.ping(
+            request.address,
+            self.make_ping(instance),
+            min(request.timeout_s, self._period_s),
+        )
+        is_reached = reply is not None and reply.responder.instance == instance
+        return heartbeat_pb2.ProbeReply(is_reached=is_reached)
+
+    def _hear(
+        self,
+        speaker: membership.Member,
+        updates: Iterable[heartbeat_pb2.Member],
+        version: int,
+        digest: int,
+    ) -> None:
+        self._roster.merge(speaker)
+        for wire in updates:
+            self._merge_wire(wire)
+        if digest == self._roster.digest:
+            self._is_different.discard(speaker.instance)
+        else:
+            self._is_different.add(speaker.instance)
+        if version:
+            self._hints.hear_version(speaker, version)
+
+    def _merge_wire(self, wire: heartbeat_pb2.Member) -> None:
+        told = _heartbeat_wire.decode_member(wire)
+        if told is None:
+            return
+        incarnation = self.own.incarnation
+        self._roster.merge(told)
+        if self.own.incarnation != incarnation:
+            self._health.note_trouble()
+            logs.log_event("suspicion_refuted", accuser=wire.accuser or None)
+        known = self._roster.find(told.instance)
+        if told.state is _State.SUSPECT and known == told:
+            self._suspicions.accuse(told, ids.InstanceId(wire.accuser))
+
+    def _pick_updates(
+        self, receiver: ids.InstanceId
+    ) -> list[heartbeat_pb2.Member]:
+        picked = self._roster.pick_gossip(
+            MAX_UPDATES, is_peer_different=receiver in self._is_different
+        )
+        about = self._roster.find(receiver)
+        if about is not None and about.state in (_State.SUSPECT, _State.DEAD):
+            picked = [about, *(m for m in picked if m is not about)]
+        return [
+            _heartbeat_wire.encode_member(
+                member, self._suspicions.find_accuser(member.instance)
+            )
+            for member in picked
+        ]
+
+    def _handle_change(self, change: MemberChange) -> None:
+        member = change.after
+        before = change.before.state if change.before else None
+        if member.state is _State.DEAD:
+            self._died_s[member.instance] = clock.now_s()
+            self._is_different.discard(member.instance)
+        else:
+            self._died_s.pop(member.instance, None)
+        if member.state is not _State.SUSPECT:
+            self._suspicions.clear(member.instance)
+        if member.state is not before:
+            logs.log_event(
+                "member_changed",
+                member=member.instance,
+                state=member.state.value,
+                before=before.value if before else None,
+                incarnation=member.incarnation,
+            )
+        if self._tasks and (
+            before is None or _State.DEAD in (before, member.state)
+        ):
+            self._assign_monitors()
+        for listener in self._listeners:
+            listener(change)
+
+    def _assign_monitors(self) -> None:
+        wanted = self._ring.choose_targets(
+            [member.instance for member in self.members]
+        )
+        for instance in set(self._monitors) - wanted:
+            self._monitors.pop(instance).cancel()
+        for instance in wanted - set(self._monitors):
+            self._monitors[instance] = asyncio.create_task(
+                self._monitor(instance)
+            )
+
+    async def _monitor(self, instance: ids.InstanceId) -> None:
+        """Pings one peer as long as it is assigned to this instance."""
+        await asyncio.sleep(random.uniform(0, self._period_s))
+        while True:
+            started_s = clock.now_s()
+            member = self._roster.find(instance)
+            if member is None:
+                return
+            is_reached = await self._reach(member)
+            spent_s = clock.now_s() - started_s
+            if spent_s > PAUSE_PERIODS * self._period_s * self._health.factor:
+                # The timeouts ran out while this process stood still.
+                self._health.note_trouble()
+            elif is_reached:
+                self._health.note_success()
+                self._clear_leaving(instance)
+            else:
+                self._suspect(member)
+            await asyncio.sleep(max(0.0, self._period_s - spent_s))
+
+    async def _reach(self, member: membership.Member) -> bool:
+        """Pings a peer, and through helpers while it does not answer."""
+        timeout_s = self._period_s * self._health.factor
+        direct = asyncio.create_task(self._exchange(member, timeout_s))
+        try:
+            done, _ = await asyncio.wait({direct}, timeout=timeout_s / 2)
+            if done and direct.result():
+                return True
+            helpers = self._ring.choose_helpers(self.members, member)
+            is_reached = await self._prober.probe_through(
+                helpers, member, timeout_s
+            )
+            # The direct ping runs to its end so that a channel that no longer
+            # answers is closed.
+            return await direct or is_reached
+        finally:
+            direct.cancel()
+
+    async def _exchange(
+        self, member: membership.Member, timeout_s: float
+    ) -> bool:
+        """Pings a peer and takes over what it replies."""
+        reply = await self._prober.ping(
+            member.address, self.make_ping(member.instance), timeout_s
+        )
+        if reply is None:
+            return False
+        responder = _heartbeat_wire.decode_member(reply.responder)
+        if responder is None:
+            return False
+        incarnation = self.own.incarnation
+        self._hear(
+            responder,
+            reply.updates,
+            reply.configuration_version,
+            reply.view_digest,
+        )
+        if self.own.incarnation != incarnation:
+            await self._prober.ping(
+                member.address, self.make_ping(member.instance), timeout_s
+            )
+        return responder.instance == member.instance
+
+    def _suspect(self, member: membership.Member) -> None:
+        current = self._roster.find(member.instance)
+        if current is None or current.incarnation != member.incarnation:
+            return
+        if current.state is _State.DEAD:
+            return
+        if current.state is _State.ALIVE:
+            self._roster.merge(
+                dataclasses.replace(current, state=_State.SUSPECT)
+            )
+            current = self._roster.find(member.instance) or current
+        self._suspicions.accuse(current, self.own.instance)
+
+    def _clear_leaving(self, instance: ids.InstanceId) -> None:
+        """Ends a suspicion that a leaving instance has no need to refute."""
+        current = self._roster.find(instance)
+        if current is not None and current.state is _State.LEAVING:
+            self._suspicions.clear(instance)
+
+    async def _check_suspicions(self) -> None:
+        tick_s = self._period_s / CHECKS_PER_PERIOD
+        while True:
+            before_s = clock.now_s()
+            await asyncio.sleep(tick_s)
+            if clock.now_s() - before_s > PAUSE_PERIODS * self._period_s:
+                self._health.note_trouble()
+                self._suspicions.postpone()
+            for member in self._suspicions.take_expired():
+                self._roster.merge(
+                    dataclasses.replace(member, state=_State.DEAD)
+                )
+
+    async def _discover(self) -> None:
+        while True:
+            with contextlib.suppress(instances.InstanceListError):
+                self._take_list(await self._source.read())
+            period_s = max(
+                DISCOVERY_PERIOD_S,
+                len(self._listed) / DISCOVERY_INSTANCES_PER_S,
+            )
+            await asyncio.sleep(period_s * random.uniform(0.75, 1.25))
+
+    def _take_list(self, listed: tuple[instances.ListedInstance, ...]) -> None:
+        self._listed = frozenset(entry.instance for entry in listed)
+        for entry in listed:
+            if self._roster.find(entry.instance) is None:
+                self._roster.merge(_make_listed_member(entry))
+        now_s = clock.now_s()
+        for instance, died_s in list(self._died_s.items()):
+            is_listed = instance in self._listed
+            if not is_listed and now_s - died_s > FORGET_DEAD_S:
+                self._roster.forget(instance)
+                del self._died_s[instance]
+
+    async def _reconnect(self) -> None:
+        """Pings dead instances that are still listed, one at a time."""
+        while True:
+            await asyncio.sleep(RECONNECT_PERIOD_S * random.uniform(0.5, 1.5))
+            dead = [
+                member
+                for member in self._roster.list_dead()
+                if member.instance in self._listed
+            ]
+            if dead:
+                await self._exchange(random.choice(dead), self._period_s)
+
+
+class HeartbeatService(heartbeat_grpc.HeartbeatServiceBase):
+    """gRPC side of the membership of one instance."""
+
+    def __init__(self, view: HeartbeatMembership) -> None:
+        self._view = view
+
+    async def Ping(  # noqa: N802
+        self,
+        stream: server.Stream[
+            heartbeat_pb2.PingRequest, heartbeat_pb2.PingReply
+        ],
+    ) -> None:
+        """Answers a ping."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._view.answer_ping(request))
+
+    async def Probe(  # noqa: N802
+        self,
+        stream: server.Stream[
+            heartbeat_pb2.ProbeRequest, heartbeat_pb2.ProbeReply
+        ],
+    ) -> None:
+        """Pings a third instance for the caller."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._view.answer_probe(request))
+
+
+def _make_listed_member(
+    entry: instances.ListedInstance,
+) -> membership.Member:
+    is_leaving = entry.state is instances.ListedState.LEAVING
+    return membership.Member(
+        instance=entry.instance,
+        address=entry.address,
+        domain=entry.domain,
+        region=entry.region,
+        incarnation=0,
+        state=_State.LEAVING if is_leaving else _State.ALIVE,
+    )
--- a/packages/peers/poplarwick_peers/wire/heartbeat_grpc.py
+++ b/packages/peers/poplarwick_peers/wire/heartbeat_grpc.py
@@ -18,6 +18,10 @@
     async def Ping(self, stream: 'grpclib.server.Stream[poplarwick_peers.wire.heartbeat_pb2.PingRequest, poplarwick_peers.wire.heartbeat_pb2.PingReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Probe(self, stream: 'grpclib.server.Stream[poplarwick_peers.wire.heartbeat_pb2.ProbeRequest, poplarwick_peers.wire.heartbeat_pb2.ProbeReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/poplarwick.heartbeat.HeartbeatService/Ping': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 poplarwick_peers.wire.heartbeat_pb2.PingRequest,
                 poplarwick_peers.wire.heartbeat_pb2.PingReply,
             ),
+            '/poplarwick.heartbeat.HeartbeatService/Probe': grpclib.const.Handler(
+                self.Probe,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                poplarwick_peers.wire.heartbeat_pb2.ProbeRequest,
+                poplarwick_peers.wire.heartbeat_pb2.ProbeReply,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             poplarwick_peers.wire.heartbeat_pb2.PingRequest,
             poplarwick_peers.wire.heartbeat_pb2.PingReply,
         )
+        self.Probe = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/poplarwick.heartbeat.HeartbeatService/Probe',
+            poplarwick_peers.wire.heartbeat_pb2.ProbeRequest,
+            poplarwick_peers.wire.heartbeat_pb2.ProbeReply,
+        )
