--- a/packages/bench/poplarwick_bench/caller.py
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -74,6 +74,9 @@
         retry_after_s: Pause that the answer asks for.
         timeout_s: Time within which the call had to end.
         key: Idempotency key.
+        digest: Digest of the prompt; empty for plain services.
+        prompt_tokens: Size of the prompt.
+        max_tokens: Tokens that the whole answer has.
         gaps_s: Pauses between the events of a stream.
     """
 
@@ -95,6 +98,9 @@
     retry_after_s: float | None = None
     timeout_s: float | None = None
     key: str | None = None
+    digest: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -123,14 +129,7 @@
             due_s: Monotonic time at which the call was due; None means now.
             on_text: Told each piece of text as it comes.
         """
-        record = Record(
-            name=call.name,
-            organisation=call.organisation,
-            due_s=time.monotonic() if due_s is None else due_s,
-            sent_at_s=time.time(),
-            timeout_s=call.timeout_s,
-            key=call.key,
-        )
+        record = _make_record(call, due_s)
         try:
             async with self.session.request(
                 call.method,
@@ -157,10 +156,26 @@
     return headers
 
 
-def matches(call: Call, record: Record) -> bool:
-    """Returns whether a whole answer is the one that the call must get."""
-    expected = answers.make_answer(call.body, call.body["max_tokens"])
-    return record.text == expected
+def is_own_answer(record: Record) -> bool:
+    """Returns whether the text is the one that the call must get."""
+    return record.text == answers.make_text(record.digest, 0, record.max_tokens)
+
+
+def _make_record(call: Call, due_s: float | None) -> Record:
+    record = Record(
+        name=call.name,
+        organisation=call.organisation,
+        due_s=time.monotonic() if due_s is None else due_s,
+        sent_at_s=time.time(),
+        timeout_s=call.timeout_s,
+        key=call.key,
+    )
+    if "max_tokens" in call.body:
+        prompt = answers.read_prompt(call.body)
+        record.digest = answers.digest_prompt(prompt)
+        record.prompt_tokens = answers.estimate_tokens(prompt)
+        record.max_tokens = call.body["max_tokens"]
+    return record
 
 
 async def _read(
--- a/packages/bench/tests/test_lab.py
+++ b/packages/bench/tests/test_lab.py
@@ -23,11 +23,10 @@
         async with lab.Lab() as own_lab:
             engine = await own_lab.start_standin("engine", "e", QUICK)
             sender = caller.Caller(own_lab.session, engine.address)
-            call = make_call(stream=stream)
-            record = await sender.send(call)
+            record = await sender.send(make_call(stream=stream))
             assert record.is_whole
             assert record.tokens == 8
-            assert caller.matches(call, record)
+            assert caller.is_own_answer(record)
 
     asyncio.run(run())
 
--- a/packages/standins/poplarwick_standins/_batch.py
+++ b/packages/standins/poplarwick_standins/_batch.py
@@ -78,7 +78,7 @@
             self.log.append(
                 "cold_overload", stream=stream.id, restart_id=self.restart_id
             )
-            self.restart()
+            self.restart("overload")
             raise ColdOverloadError
         free = self.settings.memory_tokens - self.memory_used_tokens
         if stream.memory_tokens > free:
@@ -100,7 +100,7 @@
         finished = stream.state is _streams.StreamState.FINISHED
         return "finished" if finished else "cancelled"
 
-    def restart(self) -> None:
+    def restart(self, reason: str = "unannounced") -> None:
         """Turns the engine cold at once; running streams are lost."""
         for stream in list(self._running):
             self._end(stream, _streams.StreamState.LOST)
@@ -110,7 +110,7 @@
         self.restart_id = secrets.token_hex(RESTART_ID_BYTES)
         down_s = self.settings.restart_s / self.settings.time_scale
         self._down_until_s = time.monotonic() + down_s
-        self.log.append("restarted", restart_id=self.restart_id)
+        self.log.append("restarted", restart_id=self.restart_id, reason=reason)
 
     def read_report(self) -> dict[str, Any]:
         """Returns the load as it was some time ago."""
