--- a/packages/bench/poplarwick_bench/fleet.py
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import hashlib
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -221,6 +222,11 @@
         )
 
 
+def replace_plan(plan: Plan, **changes: Any) -> Plan:
+    """Returns a plan with some fields changed."""
+    return dataclasses.replace(plan, **changes)
+
+
 def name_engines(plan: Plan) -> list[str]:
     """Returns the endpoint ids of the engines."""
     return [f"engine-{index}" for index in range(plan.engines)]
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -81,7 +81,15 @@
         if standin_settings is not None:
             path = self._write_settings(name, standin_settings)
             arguments += ["--settings", str(path)]
-        started = await self._start(name, "poplarwick_standins.main", arguments)
+        return await self.start_program(
+            name, "poplarwick_standins.main", arguments
+        )
+
+    async def start_program(
+        self, name: str, module: str, arguments: list[str]
+    ) -> process.Process:
+        """Starts a module that prints its address; waits until it listens."""
+        started = await self._start(name, module, arguments)
         await started.wait_listening()
         return started
 
--- /dev/null
+++ b/packages/bench/poplarwick_bench/relay.py
@@ -0,0 +1,144 @@
+"""Baseline for comparison: a small relay that knows only itself."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import enum
+import itertools
+import signal
+import sys
+from collections.abc import Iterator
+
+import aiohttp
+from aiohttp import web
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_ATTEMPTS = 3
+REFUSALS = (429, 503)
+ENDPOINT_HEADER = "Poplarwick-Endpoint"
+OUTCOME_HEADER = "Poplarwick-Outcome"
+
+
+class Policy(enum.Enum):
+    """How the relay chooses an engine."""
+
+    ROUND_ROBIN = "round-robin"
+    LEAST_OUTSTANDING = "least-outstanding"
+
+
+class Relay:
+    """Passes completions on to engines.
+
+    Attributes:
+        policy: How engines are chosen.
+        engines: Addresses of the engines.
+    """
+
+    def __init__(self, policy: Policy, engines: list[str]) -> None:
+        self.policy = policy
+        self.engines = engines
+        self._turn = itertools.cycle(engines)
+        self._outstanding: collections.Counter[str] = collections.Counter()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self, app: web.Application) -> None:
+        """Opens the HTTP client."""
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=None)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        )
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Relays one request, to another engine when one refuses."""
+        body = await request.read()
+        for _ in range(MAX_ATTEMPTS):
+            engine = self._choose()
+            with self._count(engine):
+                response = await self._relay(request, body, engine)
+            if response is not None:
+                return response
+        return web.json_response(
+            {"error": {"type": "overloaded", "code": "overloaded"}},
+            status=429,
+            headers={OUTCOME_HEADER: "not-run", "Retry-After": "1"},
+        )
+
+    async def _relay(
+        self, request: web.Request, body: bytes, engine: str
+    ) -> web.StreamResponse | None:
+        assert self._session is not None
+        url = f"http://{engine}{request.path}"
+        async with self._session.post(url, data=body) as upstream:
+            if upstream.status in REFUSALS:
+                return None
+            response = web.StreamResponse(status=upstream.status)
+            response.content_type = upstream.content_type
+            response.headers[ENDPOINT_HEADER] = engine
+            await response.prepare(request)
+            try:
+                async for part in upstream.content.iter_any():
+                    await response.write(part)
+            except aiohttp.ClientPayloadError:
+                if request.transport is not None:
+                    request.transport.abort()
+            return response
+
+    def _choose(self) -> str:
+        match self.policy:
+            case Policy.ROUND_ROBIN:
+                return next(self._turn)
+            case Policy.LEAST_OUTSTANDING:
+                # Ties go to the next in turn, as in published balancers.
+                ranked = [next(self._turn) for _ in self.engines]
+                next(self._turn)
+                return min(ranked, key=lambda e: self._outstanding[e])
+
+    @contextlib.contextmanager
+    def _count(self, engine: str) -> Iterator[None]:
+        self._outstanding[engine] += 1
+        try:
+            yield
+        finally:
+            self._outstanding[engine] -= 1
+
+
+async def serve(policy: Policy, engines: list[str]) -> None:
+    """Serves until cancelled; prints its address."""
+    relay = Relay(policy, engines)
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.on_startup.append(relay.open)
+    app.router.add_post("/v1/{path:.*}", relay.handle)
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    print(f"listening {host}:{port}", flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+def main() -> int:
+    """Runs one relay."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--policy", type=Policy, required=True)
+    parser.add_argument("--engine", action="append", required=True)
+    parsed = parser.parse_args()
+    asyncio.run(_run(parsed.policy, parsed.engine))
+    return 0
+
+
+async def _run(policy: Policy, engines: list[str]) -> None:
+    task = asyncio.ensure_future(serve(policy, engines))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+if __name__ == "__main__":
+    sys.exit(main())
