--- a/packages/bench/poplarwick_bench/fleet.py
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -10,6 +10,9 @@
 import aiohttp
 import msgspec
 import uuid6
+
+from poplarwick_bench import lab
+from poplarwick_bench import process
 from poplarwick_configuration import document
 from poplarwick_core import errors
 from poplarwick_node import settings
@@ -17,9 +20,6 @@
 from poplarwick_standins import instances
 from poplarwick_standins import service
 
-from poplarwick_bench import lab
-from poplarwick_bench import process
-
 REGION = "eu-central"
 ENVIRONMENT = "bench"
 MODEL = "writer"
