--- /dev/null
+++ b/packages/outcomes/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Puts the helpers of these tests on the import path."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
