--- a/packages/core/poplarwick_core/metrics.py
+++ b/packages/core/poplarwick_core/metrics.py
@@ -5,6 +5,23 @@
 from opentelemetry import metrics
 
 METER_NAME = "poplarwick"
+SECONDS_BOUNDARIES = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    300.0,
+)
+"""Upper bounds in seconds of the buckets of a histogram of durations."""
 
 
 def make_counter(name: str, description: str) -> metrics.Counter:
@@ -13,9 +30,12 @@
     return meter.create_counter(f"poplarwick_{name}", description=description)
 
 
-def make_histogram(name: str, unit: str, description: str) -> metrics.Histogram:
-    """Returns a histogram named `poplarwick_<name>`."""
+def make_histogram(name: str, description: str) -> metrics.Histogram:
+    """Returns a histogram of durations in seconds, `poplarwick_<name>`."""
     meter = metrics.get_meter(METER_NAME)
     return meter.create_histogram(
-        f"poplarwick_{name}", unit=unit, description=description
+        f"poplarwick_{name}",
+        unit="s",
+        description=description,
+        explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
     )
--- a/packages/entry/poplarwick_entry/application.py
+++ b/packages/entry/poplarwick_entry/application.py
@@ -15,6 +15,7 @@
 from poplarwick_entry import completions
 from poplarwick_entry import context
 from poplarwick_entry import headers
+from poplarwick_entry import measures
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
 from poplarwick_entry import services
@@ -87,6 +88,7 @@
     request: web.Request, ending: verdicts.Ending
 ) -> web.Response:
     verdict = context.find_lifecycle(request).end(ending)
+    measures.count_end(verdict)
     logs.log_event(
         "request_ended",
         code=verdict.code,
--- a/packages/entry/poplarwick_entry/parameters.py
+++ b/packages/entry/poplarwick_entry/parameters.py
@@ -33,8 +33,8 @@
 
 class _Body(msgspec.Struct):
     model: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-    prompt: msgspec.Raw | None = None
-    messages: msgspec.Raw | None = None
+    prompt: msgspec.Raw = msgspec.Raw()
+    messages: msgspec.Raw = msgspec.Raw()
     max_tokens: Annotated[int, msgspec.Meta(gt=0)] | None = None
     max_completion_tokens: Annotated[int, msgspec.Meta(gt=0)] | None = None
     stream: bool | None = None
@@ -61,6 +61,7 @@
         priority: Priority within the organisation, higher first.
         deadline: Time at which the request must have ended.
         prefix_digests: Digests of growing prefixes, the shortest first.
+        received_s: Monotonic time at which the request was read.
     """
 
     request: ids.RequestId
@@ -74,6 +75,7 @@
     priority: int
     deadline: clock.Deadline
     prefix_digests: tuple[int, ...]
+    received_s: float
 
 
 def parse_completion(
@@ -119,13 +121,14 @@
         api=api,
         organisation=organisation,
         model=model,
-        body=body if fields.stream else _force_stream(body),
+        body=_complete_body(body, fields, output_tokens),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         is_streamed=bool(fields.stream),
         priority=parse_priority(priority),
         deadline=clock.make_deadline(timeout_s),
         prefix_digests=_digest_prefixes(fields.model, prompt),
+        received_s=clock.now_s(),
     )
 
 
@@ -204,11 +207,11 @@
             name, raw = "prompt", fields.prompt
         case Api.CHAT:
             name, raw = "messages", fields.messages
-    if raw is None:
+    prompt = bytes(raw)
+    if not prompt:
         raise problems.refuse(
             verdicts.Reason.INVALID, f"the field {name!r} is required", name
         )
-    prompt = bytes(raw)
     _check_prompt(api, name, prompt)
     return prompt
 
@@ -246,10 +249,16 @@
         )
 
 
-def _force_stream(body: bytes) -> bytes:
-    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    fields["stream"] = msgspec.Raw(b"true")
-    return msgspec.json.encode(fields)
+def _complete_body(body: bytes, fields: _Body, output_tokens: int) -> bytes:
+    """Returns the body for the engine, which always streams to a bound."""
+    has_bound = fields.max_completion_tokens or fields.max_tokens
+    if fields.stream and has_bound:
+        return body
+    members = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    members["stream"] = msgspec.Raw(b"true")
+    if not has_bound:
+        members["max_tokens"] = msgspec.Raw(str(output_tokens).encode())
+    return msgspec.json.encode(members)
 
 
 def _digest_prefixes(model: str, prompt: bytes) -> tuple[int, ...]:
--- a/packages/entry/poplarwick_entry/relay.py
+++ b/packages/entry/poplarwick_entry/relay.py
@@ -13,6 +13,7 @@
 from poplarwick_entry import answers
 from poplarwick_entry import context
 from poplarwick_entry import grants
+from poplarwick_entry import measures
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
 from poplarwick_outcomes import lifecycle as lifecycles
@@ -59,10 +60,12 @@
         lifecycle.grant()
         ending = await _run_once(entry, held, checked, answer, lifecycle)
         if isinstance(ending, verdicts.Whole):
-            lifecycle.end(ending)
+            measures.count_end(lifecycle.end(ending))
             return
         if answer.has_begun:
-            await answer.fail(lifecycle.end(ending))
+            verdict = lifecycle.end(ending)
+            measures.count_end(verdict)
+            await answer.fail(verdict)
             return
         is_final = isinstance(ending, verdicts.Refused)
         if is_final or demand.deadline.has_passed:
@@ -184,6 +187,10 @@
             if is_first:
                 self._lifecycle.stream()
                 self._held.note_first_token(clock.now_s() - self._sent_s)
+                measures.count_first_token(
+                    self._checked.prompt_tokens,
+                    clock.now_s() - self._checked.received_s,
+                )
             await self._answer.write(events)
 
     def _refuse(self, error: generation.RefusedError) -> problems.RequestEnded:
@@ -216,6 +223,7 @@
 
     def _log_break(self) -> None:
         fault = self._reader.fault
+        measures.count_break(fault.value if fault is not None else "none")
         logs.log_event(
             "stream_broken",
             "WARNING",
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -21,6 +21,7 @@
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import headers
+from poplarwick_entry import measures
 from poplarwick_entry import parameters
 from poplarwick_entry import problems
 from poplarwick_outcomes import lifecycle as lifecycles
@@ -52,6 +53,7 @@
     headers.PRIORITY.lower(),
     headers.TIMEOUT.lower(),
 }
+_SET_BY_SERVER = frozenset(("date", "server"))
 _UNSAFE_SEGMENT = re.compile(r"[\x00-\x1f\x7f\\]")
 
 
@@ -220,7 +222,7 @@
         except problems.RequestEnded as ended:
             ending = ended.ending
         else:
-            lifecycle.end(verdicts.Whole(response.status))
+            measures.count_end(lifecycle.end(verdicts.Whole(response.status)))
             return response
         if call.deadline.has_passed or not lifecycle.may_send:
             break
@@ -307,6 +309,8 @@
 ) -> web.Response:
     answer = web.Response(status=response.status, body=body)
     for name, value in select_headers(response.headers).items():
+        if name.lower() in _SET_BY_SERVER:
+            continue
         answer.headers.add(name, value)
     answer.headers[headers.REQUEST_ID] = call.request
     answer.headers[replies.OUTCOME_HEADER] = outcome.Outcome.COMPLETE.value
