--- /dev/null
+++ b/packages/bench/poplarwick_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: each module has a coroutine `run(trial)` that gives figures."""
--- a/packages/bench/poplarwick_bench/figures.py
+++ b/packages/bench/poplarwick_bench/figures.py
@@ -6,10 +6,10 @@
 from collections.abc import Sequence
 
 from hdrh import histogram
-from poplarwick_core import outcome
 
 from poplarwick_bench import caller
 from poplarwick_bench import workload
+from poplarwick_core import outcome
 
 MICROSECONDS = 1_000_000
 LONGEST_US = 3_600 * MICROSECONDS
@@ -87,7 +87,7 @@
         f"{prefix}attempts": len(records),
         f"{prefix}whole": len(whole),
         f"{prefix}failed_or_unknown": sum(
-            record.outcome not in _TRUTHFUL for record in records
+            record.outcome not in TRUTHFUL for record in records
         ),
         f"{prefix}completed_tokens": sum(
             record.prompt_tokens + record.tokens for record in whole
@@ -96,4 +96,4 @@
     }
 
 
-_TRUTHFUL = (outcome.Outcome.COMPLETE, outcome.Outcome.NOT_RUN)
+TRUTHFUL = (outcome.Outcome.COMPLETE, outcome.Outcome.NOT_RUN)
--- a/packages/bench/poplarwick_bench/invariants.py
+++ b/packages/bench/poplarwick_bench/invariants.py
@@ -8,10 +8,9 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
-from poplarwick_core import outcome
-
 from poplarwick_bench import caller
 from poplarwick_bench import history
+from poplarwick_core import outcome
 
 DEADLINE_SLACK_S = 1.0
 WITHDRAWAL_LIMIT_S = 2.0
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -122,6 +122,25 @@
                 f"{address}{path} is not ready in time; see {self.folder}"
             ) from error
 
+    async def wait_idle(self, address: str) -> None:
+        """Polls an engine's state until it holds no memory.
+
+        It returns without an error when `READY_TIMEOUT_S` is over: whether
+        memory was lost is for the invariant checks to say.
+        """
+        polling = tenacity.AsyncRetrying(
+            wait=tenacity.wait_fixed(READY_POLL_S),
+            stop=tenacity.stop_after_delay(READY_TIMEOUT_S),
+            retry=tenacity.retry_if_result(lambda used: used != 0),
+            retry_error_callback=lambda state: None,
+        )
+        await polling(self._read_memory, f"http://{address}/control/state")
+
+    async def _read_memory(self, url: str) -> int:
+        async with self.session.get(url) as response:
+            state = await response.json()
+        return int(state["memory_used_tokens"])
+
     async def _start(
         self, name: str, module: str, arguments: list[str]
     ) -> process.Process:
--- a/packages/bench/poplarwick_bench/load.py
+++ b/packages/bench/poplarwick_bench/load.py
@@ -11,10 +11,10 @@
 from collections.abc import Sequence
 
 import aiohttp
-from poplarwick_core import outcome
 
 from poplarwick_bench import caller
 from poplarwick_bench import workload
+from poplarwick_core import outcome
 
 LOST_ANSWER_PAUSE_S = 0.2
 DEFAULT_PAUSE_S = 0.2
--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -8,8 +8,11 @@
 import sys
 
 from poplarwick_bench import demo
+from poplarwick_bench import runner
+from poplarwick_bench import scenario
 from poplarwick_core import cli
 from poplarwick_core import errors
+from poplarwick_core import jsonc
 from poplarwick_core import logs
 
 
@@ -20,6 +23,9 @@
     )
     commands = parser.add_subparsers(metavar="COMMAND", required=True)
     _add_demo(commands)
+    _add_run(commands)
+    _add_list(commands)
+    _add_compare(commands)
     parsed = parser.parse_args(arguments)
     logs.configure_logs("WARNING")
     try:
@@ -53,6 +59,78 @@
     parser.set_defaults(command=_run_demo)
 
 
+def _add_run(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = commands.add_parser(
+        "run", help="runs a scenario and holds its figures against bounds"
+    )
+    parser.add_argument("name", help="name of a scenario, or all")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the run")
+    parser.add_argument(
+        "--policy",
+        type=scenario.Policy,
+        default=scenario.Policy.CURRENT,
+        help="one of " + ", ".join(p.value for p in scenario.Policy),
+    )
+    parser.add_argument(
+        "--quick", action="store_true", help="halve durations and counts"
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="print only JSON lines"
+    )
+    parser.add_argument(
+        "--results",
+        metavar="DIRECTORY",
+        type=pathlib.Path,
+        help="keep the results here, for compare",
+    )
+    parser.set_defaults(command=_run_scenario)
+
+
+def _add_list(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = commands.add_parser("list", help="lists the scenarios")
+    parser.set_defaults(command=_list_scenarios)
+
+
+def _add_compare(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = commands.add_parser(
+        "compare", help="shows the figures of two results side by side"
+    )
+    parser.add_argument("first", metavar="A", type=pathlib.Path)
+    parser.add_argument("second", metavar="B", type=pathlib.Path)
+    parser.set_defaults(command=_compare)
+
+
+async def _run_scenario(parsed: argparse.Namespace) -> int:
+    holds = await runner.run(
+        parsed.name,
+        parsed.policy,
+        parsed.seed,
+        is_quick=parsed.quick,
+        folder=parsed.results,
+        as_json=parsed.json,
+    )
+    return cli.ExitCode.OK if holds else cli.ExitCode.FAILURE
+
+
+async def _list_scenarios(parsed: argparse.Namespace) -> int:
+    for name in scenario.list_scenarios():
+        print(f"{name:<12} {scenario.read_scenario(name).summary}")
+    return cli.ExitCode.OK
+
+
+async def _compare(parsed: argparse.Namespace) -> int:
+    first = jsonc.read_file(parsed.first, scenario.Result)
+    second = jsonc.read_file(parsed.second, scenario.Result)
+    print(runner.make_comparison(first, second))
+    return cli.ExitCode.OK
+
+
 def _read_text(path: str) -> str:
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
--- a/packages/bench/poplarwick_bench/relay.py
+++ b/packages/bench/poplarwick_bench/relay.py
@@ -8,6 +8,7 @@
 import contextlib
 import enum
 import itertools
+import random
 import signal
 import sys
 from collections.abc import Iterator
@@ -37,10 +38,14 @@
         engines: Addresses of the engines.
     """
 
-    def __init__(self, policy: Policy, engines: list[str]) -> None:
+    def __init__(
+        self, policy: Policy, engines: list[str], seed: int = 0
+    ) -> None:
         self.policy = policy
-        self.engines = engines
-        self._turn = itertools.cycle(engines)
+        # Relays that share an order would send bursts to the same engine.
+        self._random = random.Random(seed)
+        self.engines = self._random.sample(engines, len(engines))
+        self._turn = itertools.cycle(self.engines)
         self._outstanding: collections.Counter[str] = collections.Counter()
         self._session: aiohttp.ClientSession | None = None
 
@@ -92,10 +97,11 @@
             case Policy.ROUND_ROBIN:
                 return next(self._turn)
             case Policy.LEAST_OUTSTANDING:
-                # Ties go to the next in turn, as in published balancers.
-                ranked = [next(self._turn) for _ in self.engines]
-                next(self._turn)
-                return min(ranked, key=lambda e: self._outstanding[e])
+                fewest = min(self._outstanding[e] for e in self.engines)
+                idle = [
+                    e for e in self.engines if self._outstanding[e] == fewest
+                ]
+                return self._random.choice(idle)
 
     @contextlib.contextmanager
     def _count(self, engine: str) -> Iterator[None]:
@@ -106,9 +112,9 @@
             self._outstanding[engine] -= 1
 
 
-async def serve(policy: Policy, engines: list[str]) -> None:
+async def serve(policy: Policy, engines: list[str], seed: int) -> None:
     """Serves until cancelled; prints its address."""
-    relay = Relay(policy, engines)
+    relay = Relay(policy, engines, seed)
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.on_startup.append(relay.open)
     app.router.add_post("/v1/{path:.*}", relay.handle)
@@ -128,13 +134,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--policy", type=Policy, required=True)
     parser.add_argument("--engine", action="append", required=True)
+    parser.add_argument("--seed", type=int, default=0)
     parsed = parser.parse_args()
-    asyncio.run(_run(parsed.policy, parsed.engine))
+    asyncio.run(_run(parsed.policy, parsed.engine, parsed.seed))
     return 0
 
 
-async def _run(policy: Policy, engines: list[str]) -> None:
-    task = asyncio.ensure_future(serve(policy, engines))
+async def _run(policy: Policy, engines: list[str], seed: int) -> None:
+    task = asyncio.ensure_future(serve(policy, engines, seed))
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with contextlib.suppress(asyncio.CancelledError):
         await task
--- a/packages/bench/poplarwick_bench/scenario.py
+++ b/packages/bench/poplarwick_bench/scenario.py
@@ -9,9 +9,9 @@
 from typing import Annotated
 
 import msgspec
-from poplarwick_core import jsonc
 
 from poplarwick_bench import workload
+from poplarwick_core import jsonc
 
 SUFFIX = ".jsonc"
 Positive = Annotated[int, msgspec.Meta(gt=0)]
@@ -78,7 +78,9 @@
     engines: Positive = 16
     services: Annotated[int, msgspec.Meta(ge=0)] = 0
     domains: Positive = 3
-    weights: dict[str, Positive] = {"labels": 1}
+    weights: dict[str, Positive] = msgspec.field(
+        default_factory=lambda: {"labels": 1}
+    )
     demand: dict[str, Rate] = {}
     classes: tuple[workload.LengthClass, ...] = ()
     load: Rate = 0.5
--- a/packages/bench/poplarwick_bench/system.py
+++ b/packages/bench/poplarwick_bench/system.py
@@ -7,15 +7,15 @@
 from collections.abc import AsyncIterator
 
 import msgspec
-from poplarwick_configuration import document
-from poplarwick_node import settings
-from poplarwick_standins import engine_settings
 
 from poplarwick_bench import fleet
 from poplarwick_bench import lab
 from poplarwick_bench import process
 from poplarwick_bench import relay
 from poplarwick_bench import scenario
+from poplarwick_configuration import document
+from poplarwick_node import settings
+from poplarwick_standins import engine_settings
 
 PREFILL_TOKENS_PER_S = 20_000.0
 DECODE_TOKENS_PER_S = 50.0
@@ -121,7 +121,9 @@
         arguments += ["--engine", engine.address]
     starts = (
         own_fleet.lab.start_program(
-            f"relay-{index}", "poplarwick_bench.relay", arguments
+            f"relay-{index}",
+            "poplarwick_bench.relay",
+            [*arguments, "--seed", str(index)],
         )
         for index in range(own_fleet.plan.instances)
     )
--- a/packages/bench/poplarwick_bench/workload.py
+++ b/packages/bench/poplarwick_bench/workload.py
@@ -8,9 +8,9 @@
 from typing import Annotated
 
 import msgspec
-from poplarwick_standins import answers
 
 from poplarwick_bench import caller
+from poplarwick_standins import answers
 
 _FILLER = "the quick brown fox jumps over the lazy dog and "
 _LONGEST_BYTES = 4_400_000
@@ -112,7 +112,8 @@
 def make_prompt(arrival: Arrival) -> str:
     """Returns a prompt of the arrival's size that no other one has."""
     size = arrival.prompt_tokens * answers.BYTES_PER_TOKEN
-    return f"{arrival.name} {_TEXT}"[:size]
+    name = f"{arrival.name} "
+    return name + _TEXT[: size - len(name)]
 
 
 def make_call(arrival: Arrival, model: str, secret: str) -> caller.Call:
--- a/packages/bench/tests/test_invariants.py
+++ b/packages/bench/tests/test_invariants.py
@@ -1,6 +1,7 @@
 """Each invariant check passes on a clean run and catches a planted fault."""
 
 import pytest
+
 from poplarwick_bench import caller
 from poplarwick_bench import history
 from poplarwick_bench import invariants
--- a/packages/bench/tests/test_proxy.py
+++ b/packages/bench/tests/test_proxy.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+
 from poplarwick_bench import proxy
 
 
