--- a/packages/bench/poplarwick_bench/caller.py
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import time
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 TIMEOUT_HEADER = "Poplarwick-Timeout"
 KEY_HEADER = "Idempotency-Key"
 
+GIVE_UP_S = 5.0
+
 TextSink = Callable[[str], None]
 
 _OUTCOME_COMMENT = f": {OUTCOME_HEADER.lower()} ".encode()
@@ -61,6 +64,7 @@
         organisation: Organisation that called.
         due_s: Monotonic time at which the call was due.
         sent_at_s: Wall time at which it was sent.
+        waited_s: Seconds from due to sent, retries before it included.
         first_token_s: Seconds from due to the first token; None without one.
         ended_s: Seconds from due to the end.
         status: HTTP status; 0 if no answer came.
@@ -85,6 +89,7 @@
     organisation: str
     due_s: float
     sent_at_s: float
+    waited_s: float = 0.0
     first_token_s: float | None = None
     ended_s: float = 0.0
     status: int = 0
@@ -104,6 +109,11 @@
     max_tokens: int = 0
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
+    @property
+    def took_s(self) -> float:
+        """Seconds that this attempt alone took."""
+        return self.ended_s - self.waited_s
+
 
 class Caller:
     """Sends calls to one address.
@@ -131,13 +141,19 @@
             on_text: Told each piece of text as it comes.
         """
         record = _make_record(call, due_s)
+        patience_s = None
+        if call.timeout_s is not None:
+            patience_s = call.timeout_s + GIVE_UP_S
         try:
-            async with self.session.request(
-                call.method,
-                f"http://{self.address}{call.path}",
-                data=msgspec.json.encode(call.body) if call.body else None,
-                headers=make_headers(call),
-            ) as response:
+            async with (
+                asyncio.timeout(patience_s),
+                self.session.request(
+                    call.method,
+                    f"http://{self.address}{call.path}",
+                    data=msgspec.json.encode(call.body) if call.body else None,
+                    headers=make_headers(call),
+                ) as response,
+            ):
                 await _read(response, record, on_text)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             record.code = record.code or type(error).__name__
@@ -163,11 +179,14 @@
 
 
 def _make_record(call: Call, due_s: float | None) -> Record:
+    now_s = time.monotonic()
+    due_s = now_s if due_s is None else due_s
     record = Record(
         name=call.name,
         organisation=call.organisation,
-        due_s=time.monotonic() if due_s is None else due_s,
+        due_s=due_s,
         sent_at_s=time.time(),
+        waited_s=now_s - due_s,
         timeout_s=call.timeout_s,
         key=call.key,
     )
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -14,6 +14,7 @@
 import tenacity
 
 from poplarwick_bench import process
+from poplarwick_bench import proxy
 from poplarwick_node import settings
 
 LOOPBACK = "127.0.0.1"
@@ -102,6 +103,11 @@
         started.address = node.listen.callers
         return started
 
+    async def open_proxy(self, target: str, seed: int = 0) -> proxy.Proxy:
+        """Opens a proxy that lives as long as the lab."""
+        between = proxy.Proxy(target, seed)
+        return await self._stack.enter_async_context(between)
+
     async def wait_ready(
         self, address: str, path: str = "/health/ready"
     ) -> None:
