--- a/packages/outcomes/poplarwick_outcomes/claims/client.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/client.py
@@ -11,9 +11,9 @@
 from typing import Self
 
 import tenacity
+
 from poplarwick_core import errors
 from poplarwick_core import logs
-
 from poplarwick_outcomes.claims import keys
 from poplarwick_outcomes.claims import records
 from poplarwick_outcomes.claims import replies
--- a/packages/peers/poplarwick_peers/_heartbeat_wire.py
+++ b/packages/peers/poplarwick_peers/_heartbeat_wire.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from poplarwick_core import ids
-
 from poplarwick_peers import membership
 from poplarwick_peers.wire import heartbeat_pb2
 
--- a/packages/peers/poplarwick_peers/_ring.py
+++ b/packages/peers/poplarwick_peers/_ring.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 
 import xxhash
-from poplarwick_core import ids
 
+from poplarwick_core import ids
 from poplarwick_peers import membership
 
 RINGS = 3
--- a/packages/peers/poplarwick_peers/_roster.py
+++ b/packages/peers/poplarwick_peers/_roster.py
@@ -13,8 +13,8 @@
 from collections.abc import Iterator
 
 import xxhash
-from poplarwick_core import ids
 
+from poplarwick_core import ids
 from poplarwick_peers import membership
 
 RETRANSMIT_FACTOR = 3
--- a/packages/peers/poplarwick_peers/_suspicion.py
+++ b/packages/peers/poplarwick_peers/_suspicion.py
@@ -12,7 +12,6 @@
 
 from poplarwick_core import clock
 from poplarwick_core import ids
-
 from poplarwick_peers import membership
 
 CONFIRMATIONS_FOR_MINIMUM = 2
--- a/packages/peers/poplarwick_peers/heartbeats.py
+++ b/packages/peers/poplarwick_peers/heartbeats.py
@@ -19,11 +19,10 @@
 from typing import Self
 
 from grpclib import server
+
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_platform import instances
-
 from poplarwick_peers import _channels
 from poplarwick_peers import _heartbeat_wire
 from poplarwick_peers import _probes
@@ -33,6 +32,7 @@
 from poplarwick_peers import membership
 from poplarwick_peers.wire import heartbeat_grpc
 from poplarwick_peers.wire import heartbeat_pb2
+from poplarwick_platform import instances
 
 MAX_UPDATES = 8
 DISCOVERY_PERIOD_S = 2.0
--- a/packages/peers/tests/fleet_of_members.py
+++ b/packages/peers/tests/fleet_of_members.py
@@ -7,6 +7,7 @@
 
 from grpclib import client
 from grpclib import server
+
 from poplarwick_core import ids
 from poplarwick_peers import heartbeats
 from poplarwick_peers import membership
