--- a/packages/bench/poplarwick_bench/caller.py
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import time
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 TIMEOUT_HEADER = "Poplarwick-Timeout"
 KEY_HEADER = "Idempotency-Key"
 
+GIVE_UP_S = 5.0
+
 TextSink = Callable[[str], None]
 
 _OUTCOME_COMMENT = f": {OUTCOME_HEADER.lower()} ".encode()
@@ -61,6 +64,7 @@
         organisation: Organisation that called.
         due_s: Monotonic time at which the call was due.
         sent_at_s: Wall time at which it was sent.
+        waited_s: Seconds from due to sent, retries before it included.
         first_token_s: Seconds from due to the first token; None without one.
         ended_s: Seconds from due to the end.
         status: HTTP status; 0 if no answer came.
@@ -75,6 +79,9 @@
         retry_after_s: Pause that the answer asks for.
         timeout_s: Time within which the call had to end.
         key: Idempotency key.
+        digest: Digest of the prompt; empty for plain services.
+        prompt_tokens: Size of the prompt.
+        max_tokens: Tokens that the whole answer has.
         gaps_s: Pauses between the events of a stream.
     """
 
@@ -82,6 +89,7 @@
     organisation: str
     due_s: float
     sent_at_s: float
+    waited_s: float = 0.0
     first_token_s: float | None = None
     ended_s: float = 0.0
     status: int = 0
@@ -96,8 +104,16 @@
     retry_after_s: float | None = None
     timeout_s: float | None = None
     key: str | None = None
+    digest: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
+    @property
+    def took_s(self) -> float:
+        """Seconds that this attempt alone took."""
+        return self.ended_s - self.waited_s
+
 
 class Caller:
     """Sends calls to one address.
@@ -124,21 +140,20 @@
             due_s: Monotonic time at which the call was due; None means now.
             on_text: Told each piece of text as it comes.
         """
-        record = Record(
-            name=call.name,
-            organisation=call.organisation,
-            due_s=time.monotonic() if due_s is None else due_s,
-            sent_at_s=time.time(),
-            timeout_s=call.timeout_s,
-            key=call.key,
-        )
+        record = _make_record(call, due_s)
+        patience_s = None
+        if call.timeout_s is not None:
+            patience_s = call.timeout_s + GIVE_UP_S
         try:
-            async with self.session.request(
-                call.method,
-                f"http://{self.address}{call.path}",
-                data=msgspec.json.encode(call.body) if call.body else None,
-                headers=make_headers(call),
-            ) as response:
+            async with (
+                asyncio.timeout(patience_s),
+                self.session.request(
+                    call.method,
+                    f"http://{self.address}{call.path}",
+                    data=msgspec.json.encode(call.body) if call.body else None,
+                    headers=make_headers(call),
+                ) as response,
+            ):
                 await _read(response, record, on_text)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             record.code = record.code or type(error).__name__
@@ -158,10 +173,29 @@
     return headers
 
 
-def matches(call: Call, record: Record) -> bool:
-    """Returns whether a whole answer is the one that the call must get."""
-    expected = answers.make_answer(call.body, call.body["max_tokens"])
-    return record.text == expected
+def is_own_answer(record: Record) -> bool:
+    """Returns whether the text is the one that the call must get."""
+    return record.text == answers.make_text(record.digest, 0, record.max_tokens)
+
+
+def _make_record(call: Call, due_s: float | None) -> Record:
+    now_s = time.monotonic()
+    due_s = now_s if due_s is None else due_s
+    record = Record(
+        name=call.name,
+        organisation=call.organisation,
+        due_s=due_s,
+        sent_at_s=time.time(),
+        waited_s=now_s - due_s,
+        timeout_s=call.timeout_s,
+        key=call.key,
+    )
+    if "max_tokens" in call.body:
+        prompt = answers.read_prompt(call.body)
+        record.digest = answers.digest_prompt(prompt)
+        record.prompt_tokens = answers.estimate_tokens(prompt)
+        record.max_tokens = call.body["max_tokens"]
+    return record
 
 
 async def _read(
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -14,6 +14,7 @@
 import tenacity
 
 from poplarwick_bench import process
+from poplarwick_bench import proxy
 from poplarwick_node import settings
 
 LOOPBACK = "127.0.0.1"
@@ -81,7 +82,15 @@
         if standin_settings is not None:
             path = self._write_settings(name, standin_settings)
             arguments += ["--settings", str(path)]
-        started = await self._start(name, "poplarwick_standins.main", arguments)
+        return await self.start_program(
+            name, "poplarwick_standins.main", arguments
+        )
+
+    async def start_program(
+        self, name: str, module: str, arguments: list[str]
+    ) -> process.Process:
+        """Starts a module that prints its address; waits until it listens."""
+        started = await self._start(name, module, arguments)
         await started.wait_listening()
         return started
 
@@ -94,6 +103,11 @@
         started.address = node.listen.callers
         return started
 
+    async def open_proxy(self, target: str, seed: int = 0) -> proxy.Proxy:
+        """Opens a proxy that lives as long as the lab."""
+        between = proxy.Proxy(target, seed)
+        return await self._stack.enter_async_context(between)
+
     async def wait_ready(
         self, address: str, path: str = "/health/ready"
     ) -> None:
@@ -114,6 +128,25 @@
                 f"{address}{path} is not ready in time; see {self.folder}"
             ) from error
 
+    async def wait_idle(self, address: str) -> None:
+        """Polls an engine's state until it holds no memory.
+
+        It returns without an error when `READY_TIMEOUT_S` is over: whether
+        memory was lost is for the invariant checks to say.
+        """
+        polling = tenacity.AsyncRetrying(
+            wait=tenacity.wait_fixed(READY_POLL_S),
+            stop=tenacity.stop_after_delay(READY_TIMEOUT_S),
+            retry=tenacity.retry_if_result(lambda used: used != 0),
+            retry_error_callback=lambda state: None,
+        )
+        await polling(self._read_memory, f"http://{address}/control/state")
+
+    async def _read_memory(self, url: str) -> int:
+        async with self.session.get(url) as response:
+            state = await response.json()
+        return int(state["memory_used_tokens"])
+
     async def _start(
         self, name: str, module: str, arguments: list[str]
     ) -> process.Process:
