--- a/packages/bench/poplarwick_bench/experiments/cold.py
+++ b/packages/bench/poplarwick_bench/experiments/cold.py
@@ -52,6 +52,7 @@
         for engine in target.fleet.engines:
             await target.lab.wait_idle(engine.address)
         executions = history.read_executions(target.lab.folder)
+        own.keep("cold", running, executions)
     seen = history.History(records=records, executions=executions)
     late = list(invariants.check_cold_starts(seen))
     warm_ups = _find_warm_ups(own, executions, first_at_s)
--- a/packages/bench/poplarwick_bench/experiments/domain.py
+++ b/packages/bench/poplarwick_bench/experiments/domain.py
@@ -74,6 +74,8 @@
         seen.records = await loading
         await _wait_for_empty_engines(target)
         seen.executions = history.read_executions(target.lab.folder)
+        label = "steady" if is_out_all_along else "moving"
+        own.keep(label, running, seen.executions)
     return Outcome(seen, running.started_s)
 
 
--- a/packages/bench/poplarwick_bench/experiments/lengths.py
+++ b/packages/bench/poplarwick_bench/experiments/lengths.py
@@ -6,6 +6,7 @@
 
 from poplarwick_bench import caller
 from poplarwick_bench import figures
+from poplarwick_bench import history
 from poplarwick_bench import scenario
 from poplarwick_bench import system
 from poplarwick_bench import trial
@@ -70,8 +71,11 @@
     async with system.open_system(plan, policy) as target:
         own.report(f"{policy.value}: {len(short)} short requests alone")
         alone = await own.make_load(target).run(short, DRAIN_S)
+        running = own.make_load(target)
         own.report(f"{policy.value}: all {len(arrivals)} requests")
-        mixed = await own.make_load(target).run(arrivals, DRAIN_S)
+        mixed = await running.run(arrivals, DRAIN_S)
+        executions = history.read_executions(target.lab.folder)
+        own.keep("mixed", running, executions, policy)
     return Outcome(mixed, alone)
 
 
--- a/packages/bench/poplarwick_bench/experiments/outage.py
+++ b/packages/bench/poplarwick_bench/experiments/outage.py
@@ -34,6 +34,7 @@
         for engine in target.fleet.engines:
             await target.lab.wait_idle(engine.address)
         seen.executions = history.read_executions(target.lab.folder)
+        own.keep("outage", running, seen.executions)
     lost = [
         record
         for record in seen.records
--- a/packages/bench/poplarwick_bench/experiments/overload.py
+++ b/packages/bench/poplarwick_bench/experiments/overload.py
@@ -7,6 +7,7 @@
 
 from poplarwick_bench import caller
 from poplarwick_bench import figures
+from poplarwick_bench import history
 from poplarwick_bench import load
 from poplarwick_bench import system
 from poplarwick_bench import trial
@@ -44,6 +45,8 @@
     """Returns tokens completed in time and in the window, by organisation."""
     running = own.make_load(target, NEVER_GIVES_UP)
     records = await running.run(own.make_arrivals(factor), 0.0)
+    executions = history.read_executions(target.lab.folder)
+    own.keep(f"{factor:g}x", running, executions)
     until_s = running.started_s + own.spec.duration_s
     tokens: collections.Counter[str] = collections.Counter()
     for record in figures.find_whole(records):
--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -8,6 +8,7 @@
 import sys
 
 from poplarwick_bench import demo
+from poplarwick_bench import report
 from poplarwick_bench import runner
 from poplarwick_bench import scenario
 from poplarwick_core import cli
@@ -26,6 +27,7 @@
     _add_run(commands)
     _add_list(commands)
     _add_compare(commands)
+    _add_report(commands)
     parsed = parser.parse_args(arguments)
     logs.configure_logs("WARNING")
     try:
@@ -106,6 +108,29 @@
     parser.set_defaults(command=_compare)
 
 
+def _add_report(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = commands.add_parser(
+        "report", help="draws the results that `run --results` kept"
+    )
+    parser.add_argument("results", metavar="DIRECTORY", type=pathlib.Path)
+    parser.add_argument(
+        "--output",
+        metavar="FILE",
+        type=pathlib.Path,
+        default=pathlib.Path("report.html"),
+        help="page to write; the plots go beside it",
+    )
+    parser.set_defaults(command=_write_report)
+
+
+async def _write_report(parsed: argparse.Namespace) -> int:
+    report.write_report(parsed.results, parsed.output)
+    print(parsed.output)
+    return cli.ExitCode.OK
+
+
 async def _run_scenario(parsed: argparse.Namespace) -> int:
     holds = await runner.run(
         parsed.name,
--- a/packages/bench/poplarwick_bench/runner.py
+++ b/packages/bench/poplarwick_bench/runner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from poplarwick_bench import scenario
+from poplarwick_bench import trace
 from poplarwick_bench import trial
 
 QUICK_FACTOR = 0.5
@@ -41,10 +42,11 @@
     results = []
     for found in names:
         own = scenario.read_scenario(found)
-        result = await _run_one(own, policy, seed, is_quick=is_quick)
+        attempt = trial.Trial(_shorten(own, is_quick), policy, seed)
+        result = await _run_one(attempt)
         results.append(result)
         if folder is not None:
-            _keep(folder, result)
+            _keep(folder, result, attempt.traces)
         if not as_json:
             print(make_table(result))
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
@@ -77,25 +79,31 @@
     return "\n".join(lines)
 
 
-async def _run_one(
-    own: scenario.Scenario,
-    policy: scenario.Policy,
-    seed: int,
-    *,
-    is_quick: bool,
-) -> scenario.Result:
-    if is_quick:
-        own = msgspec.structs.replace(
-            own,
-            duration_s=own.duration_s * QUICK_FACTOR,
-            calls=max(1, round(own.calls * QUICK_FACTOR)),
-        )
-    module = importlib.import_module(f"poplarwick_bench.experiments.{own.kind}")
-    figures = await module.run(trial.Trial(own, policy, seed))
-    return scenario.make_result(own, policy, seed, figures)
-
-
-def _keep(folder: pathlib.Path, result: scenario.Result) -> None:
+def _shorten(own: scenario.Scenario, is_quick: bool) -> scenario.Scenario:
+    if not is_quick:
+        return own
+    return msgspec.structs.replace(
+        own,
+        duration_s=own.duration_s * QUICK_FACTOR,
+        calls=max(1, round(own.calls * QUICK_FACTOR)),
+    )
+
+
+async def _run_one(attempt: trial.Trial) -> scenario.Result:
+    kind = attempt.spec.kind
+    module = importlib.import_module(f"poplarwick_bench.experiments.{kind}")
+    figures = await module.run(attempt)
+    return scenario.make_result(
+        attempt.spec, attempt.policy, attempt.seed, figures
+    )
+
+
+def _keep(
+    folder: pathlib.Path, result: scenario.Result, traces: list[trace.Trace]
+) -> None:
     folder.mkdir(parents=True, exist_ok=True)
-    name = f"{result.scenario}-{result.policy}-{result.seed}.json"
-    (folder / name).write_bytes(msgspec.json.encode(result))
+    name = f"{result.scenario}-{result.policy}-{result.seed}"
+    (folder / f"{name}.json").write_bytes(msgspec.json.encode(result))
+    for found in traces:
+        path = folder / f"{name}-{found.policy}-{found.label}.trace.json"
+        path.write_bytes(msgspec.json.encode(found))
--- a/packages/bench/poplarwick_bench/trial.py
+++ b/packages/bench/poplarwick_bench/trial.py
@@ -8,9 +8,11 @@
 
 from poplarwick_bench import caller
 from poplarwick_bench import fleet
+from poplarwick_bench import history
 from poplarwick_bench import load
 from poplarwick_bench import scenario
 from poplarwick_bench import system
+from poplarwick_bench import trace
 from poplarwick_bench import workload
 
 
@@ -24,6 +26,7 @@
         seed: Seed of arrivals and faults.
         shows_progress: Whether progress goes to standard error.
         began_s: Monotonic time of the start.
+        traces: Points kept for the report.
     """
 
     spec: scenario.Scenario
@@ -31,6 +34,27 @@
     seed: int
     shows_progress: bool = True
     began_s: float = dataclasses.field(default_factory=time.monotonic)
+    traces: list[trace.Trace] = dataclasses.field(default_factory=list)
+
+    def keep(
+        self,
+        label: str,
+        running: load.Load,
+        executions: list[history.Execution] | None = None,
+        policy: scenario.Policy | None = None,
+    ) -> None:
+        """Keeps the points of a finished load for the report."""
+        started_at_s = time.time() - (time.monotonic() - running.started_s)
+        kept = trace.Trace(
+            scenario=self.spec.name,
+            policy=(policy or self.policy).value,
+            seed=self.seed,
+            label=label,
+            points=trace.make_points(running.records, running.started_s),
+            loads=trace.make_loads(executions or [], started_at_s),
+            capacity_tokens=self.spec.memory_tokens,
+        )
+        self.traces.append(kept)
 
     def report(self, text: str) -> None:
         """Shows a step of the run."""
