--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -145,6 +145,7 @@
 
     def note_peer_version(self, peer: ids.InstanceId, version: int) -> None:
         """Tells which version another instance has in force."""
+        self._last_contact_s = clock.now_s()
         if version > self.version:
             self._hinted_peer = peer
             self._hint.set()
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -28,6 +28,8 @@
             first one is known.
         read_readiness: Returns None when this instance serves, else the
             reason why it does not.
+        read_refusal: Returns None when this instance may admit requests,
+            else the reason why it may not.
     """
 
     instance: ids.InstanceId
@@ -35,18 +37,20 @@
     session: aiohttp.ClientSession
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
+    read_refusal: Callable[[], str | None]
 
     def require_view(self) -> document.View:
         """Returns the configuration in force.
 
         Raises:
-            problems.RequestEnded: No configuration is known yet.
+            problems.RequestEnded: This instance may not admit requests.
         """
         view = self.read_view()
-        if view is None:
+        refusal = self.read_refusal()
+        if view is None or refusal is not None:
             raise problems.refuse(
                 verdicts.Reason.NOT_READY,
-                "this instance has no configuration yet",
+                refusal or "no configuration is known yet",
                 retry_after_s=1.0,
             )
         return view
--- /dev/null
+++ b/packages/node/poplarwick_node/_resources.py
@@ -0,0 +1,35 @@
+"""Turns the configuration into resources that need an owner."""
+
+from __future__ import annotations
+
+from poplarwick_configuration import document
+from poplarwick_core import ids
+from poplarwick_dispatch import dispatcher
+from poplarwick_ownership import tenure
+
+
+def apply_view(
+    view: document.View,
+    local: dispatcher.Dispatcher,
+    owner: tenure.Ownership,
+) -> None:
+    """Takes a new version of the configuration into force."""
+    local.apply_view(view)
+    owner.set_resources(list_endpoints(view))
+
+
+def list_endpoints(view: document.View) -> tuple[tenure.Resource, ...]:
+    """Returns the endpoints; each belongs to the region of its domain."""
+    resources = []
+    for endpoint in view.document.endpoints:
+        domain = view.find_domain(ids.DomainId(endpoint.domain))
+        if domain is None:
+            continue
+        resources.append(
+            tenure.Resource(
+                tenure.ResourceKind.ENDPOINT,
+                endpoint.id,
+                ids.RegionId(domain.region),
+            )
+        )
+    return tuple(resources)
