--- /dev/null
+++ b/packages/ownership/poplarwick_ownership/_stability.py
@@ -0,0 +1,66 @@
+"""Damping of instances that come and go."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from poplarwick_core import ids
+
+SETTLE_S = 2.0
+MAX_SETTLE_S = 60.0
+FORGIVE_S = 120.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Presence:
+    """What is remembered about one instance."""
+
+    since_s: float
+    last_seen_s: float
+    returns: int = 0
+    is_present: bool = True
+
+
+class Stability:
+    """Tells which instances have been present for long enough.
+
+    The time doubles with each return after an absence and is forgiven after
+    a long presence.
+    """
+
+    def __init__(self) -> None:
+        self._presences: dict[ids.InstanceId, _Presence] = {}
+
+    def observe(self, present: Iterable[ids.InstanceId], now_s: float) -> None:
+        """Records which instances are present now."""
+        current = set(present)
+        for instance in current:
+            self._note_present(instance, now_s)
+        for instance, presence in list(self._presences.items()):
+            if instance in current:
+                continue
+            presence.is_present = False
+            if now_s - presence.last_seen_s > FORGIVE_S:
+                del self._presences[instance]
+
+    def is_settled(self, instance: ids.InstanceId, now_s: float) -> bool:
+        """Returns whether an instance has been present for long enough."""
+        presence = self._presences.get(instance)
+        if presence is None or not presence.is_present:
+            return False
+        needed_s = min(SETTLE_S * 2.0**presence.returns, MAX_SETTLE_S)
+        return now_s - presence.since_s >= needed_s
+
+    def _note_present(self, instance: ids.InstanceId, now_s: float) -> None:
+        presence = self._presences.get(instance)
+        if presence is None:
+            self._presences[instance] = _Presence(now_s, now_s)
+            return
+        if not presence.is_present:
+            presence.is_present = True
+            presence.since_s = now_s
+            presence.returns += 1
+        elif now_s - presence.since_s > FORGIVE_S:
+            presence.returns = 0
+        presence.last_seen_s = now_s
--- a/packages/ownership/poplarwick_ownership/tenure.py
+++ b/packages/ownership/poplarwick_ownership/tenure.py
@@ -25,11 +25,14 @@
         kind: What it is.
         id: Unique id within its kind.
         region: Region whose instances may own it.
+        is_fenced: Whether it refuses orders with an old epoch. A new owner
+            of a fenced resource need not wait for the earlier one to stop.
     """
 
     kind: ResourceKind
     id: str
     region: ids.RegionId
+    is_fenced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
