--- /dev/null
+++ b/packages/administration/poplarwick_administration/api.py
@@ -0,0 +1,90 @@
+"""Administration API over HTTP."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from poplarwick_administration import _changes
+from poplarwick_administration import _documents
+from poplarwick_administration import _guard
+from poplarwick_administration import _organisations
+from poplarwick_administration import _service
+from poplarwick_administration import access
+from poplarwick_administration import confirmation
+from poplarwick_administration import openapi
+from poplarwick_configuration import exchange
+from poplarwick_configuration import follower
+from poplarwick_configuration import service
+from poplarwick_platform import kv
+
+MAX_BODY_BYTES = 4_000_000
+
+
+def make_application(
+    client: kv.KvClient,
+    documents: follower.Follower,
+    *,
+    instance: str,
+    environment: str,
+    operators: tuple[access.Operator, ...],
+    read_fleet: _service.FleetReader,
+    peers: exchange.Exchange | None = None,
+    limiter: _guard.RateLimiter | None = None,
+) -> web.Application:
+    """Returns the administration API of one instance.
+
+    Args:
+        client: Client of the key-value service.
+        documents: Follower of the instance's own environment.
+        instance: Id of the instance.
+        environment: Environment that the instance follows.
+        operators: Who may use the API, besides organisations' administrators.
+        read_fleet: Returns what is known about all instances.
+        peers: Passes marks to other instances in an outage of the service.
+        limiter: Bounds the calls of each caller.
+    """
+    desk = _changes.Desk(client)
+    control = service.ServiceControl(client, environment, documents, peers)
+    guard = _guard.Guard(operators, documents, limiter or _guard.RateLimiter())
+    handlers = _list_handlers(
+        _documents.DocumentCalls(desk),
+        _organisations.OrganisationCalls(desk),
+        _service.ServiceCalls(
+            desk, control, documents, instance, environment, read_fleet
+        ),
+    )
+    application = web.Application(
+        client_max_size=MAX_BODY_BYTES,
+        middlewares=[guard.turn_errors, guard.admit],
+    )
+    for call in openapi.CALLS:
+        application.router.add_route(
+            call.method, call.path, handlers[call.operation]
+        )
+    confirmer = confirmation.Confirmer(
+        documents, desk.open_store(environment), instance, read_fleet
+    )
+    application.cleanup_ctx.append(confirmer.run_beside)
+    return application
+
+
+def _list_handlers(
+    documents: _documents.DocumentCalls,
+    organisations: _organisations.OrganisationCalls,
+    services: _service.ServiceCalls,
+) -> dict[str, _guard.Handler]:
+    return {
+        "put_document": documents.put_document,
+        "get_document": documents.get_document,
+        "roll_back": documents.roll_back,
+        "promote": documents.promote,
+        "get_audit": documents.get_audit,
+        "get_section": organisations.get_section,
+        "put_section": organisations.put_section,
+        "issue_key": organisations.issue_key,
+        "revoke_key": organisations.revoke_key,
+        "take_out": services.take_out,
+        "put_in": services.put_in,
+        "get_status": services.get_status,
+        "get_description": openapi.get_description,
+    }
--- /dev/null
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -0,0 +1,336 @@
+"""Documents in the key-value service.
+
+Each change is one compare-and-swap transaction over the head, the record of
+the new version, the change id and the sections that are new.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+import msgspec
+import result
+import uuid6
+
+from poplarwick_configuration import _committer
+from poplarwick_configuration import _keys
+from poplarwick_configuration import _planning
+from poplarwick_configuration import changes
+from poplarwick_configuration import document
+from poplarwick_configuration import failures
+from poplarwick_configuration import marks
+from poplarwick_configuration import record
+from poplarwick_configuration import sections
+from poplarwick_core import clock
+from poplarwick_core import jsonc
+from poplarwick_platform import kv
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredText:
+    """One version of a document as written.
+
+    Attributes:
+        record: Record of the version.
+        text: The document, comments included.
+    """
+
+    record: record.VersionRecord
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The newest version and where a watch goes on from.
+
+    Attributes:
+        record: Record of the newest version, or None before the first push.
+        revision: Revision that the head was read at.
+    """
+
+    record: record.VersionRecord | None
+    revision: kv.Revision
+
+
+class DocumentStore:
+    """The stored versions of one environment's document.
+
+    Attributes:
+        environment: Name of the environment.
+    """
+
+    def __init__(self, client: kv.KvClient, environment: str) -> None:
+        self.environment = environment
+        self._kv = client
+        self._keys = _keys.Keys(environment)
+
+    @property
+    def head_key(self) -> str:
+        """Key that is written with each accepted change."""
+        return self._keys.head
+
+    async def push(
+        self,
+        text: str,
+        *,
+        author: str,
+        change_id: str,
+        expected_version: int | None = None,
+    ) -> changes.ChangeResult:
+        """Stores a new text of the document.
+
+        Args:
+            text: The document as written.
+            author: Operator who makes the change.
+            change_id: Idempotency key; pushing it again changes nothing.
+            expected_version: Version that the change is based on; None means
+                the newest one at the time of the call.
+
+        Returns:
+            What became of the change.
+        """
+        change = changes.NewText(text, expected_version)
+        return await self.make_change(
+            change, author=author, change_id=change_id
+        )
+
+    async def make_change(
+        self,
+        change: changes.Change,
+        *,
+        author: str,
+        change_id: str,
+        time_s: float | None = None,
+        known: Mapping[str, bytes] | None = None,
+    ) -> changes.ChangeResult:
+        """Makes any change of the document.
+
+        Args:
+            change: The change.
+            author: Operator who makes it.
+            change_id: Idempotency key; the same change again changes nothing.
+            time_s: When the operator asked for it; None means now.
+            known: Sections by digest that need not be read again.
+
+        Returns:
+            What became of the change.
+        """
+        if isinstance(change, changes.NewText):
+            problems = _planning.check_text(change.text, self.environment)
+            if problems:
+                return result.Err(changes.Invalid(problems))
+        request = _planning.Request(
+            change,
+            author,
+            change_id,
+            clock.wall_time_s() if time_s is None else time_s,
+        )
+
+        async def read_document(
+            version_record: record.VersionRecord,
+        ) -> document.Document:
+            text = await self.read_text(version_record, known)
+            return jsonc.decode_checked(text, document.Document, "document")
+
+        committer = _committer.Committer(self._kv, self._keys, read_document)
+        return await committer.commit(request)
+
+    async def read_head(self) -> Head:
+        """Reads the record of the newest version.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: The stored record is not valid.
+        """
+        snapshot = await self._read(self._keys.head)
+        head = None
+        if snapshot.entries:
+            head = record.decode_record(snapshot.entries[0].value)
+        return Head(head, snapshot.revision)
+
+    async def read_record(self, version: int) -> record.VersionRecord:
+        """Reads the record of one version.
+
+        Raises:
+            failures.MissingError: There is no such version, or it is no
+                longer kept.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: The stored record is not valid.
+        """
+        snapshot = await self._read(self._keys.version(version))
+        if not snapshot.entries:
+            raise failures.MissingError(
+                f"version {version} of {self.environment} is not stored"
+            )
+        return record.decode_record(snapshot.entries[0].value)
+
+    async def read_history(self) -> tuple[record.VersionRecord, ...]:
+        """Reads the records of all kept versions, the oldest first.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
+        """
+        snapshot = await self._read(self._keys.versions, is_prefix=True)
+        return tuple(record.decode_record(e.value) for e in snapshot.entries)
+
+    async def read_text(
+        self,
+        version_record: record.VersionRecord,
+        known: Mapping[str, bytes] | None = None,
+    ) -> str:
+        """Reads the text of a version.
+
+        Args:
+            version_record: Record of the version.
+            known: Sections by digest that need not be read again.
+
+        Raises:
+            failures.MissingError: A section is not stored or is wrong.
+            failures.UnavailableError: The service did not answer.
+        """
+        parts = []
+        for digest in version_record.sections:
+            part = known.get(digest) if known is not None else None
+            parts.append(part or await self.read_section(digest))
+        return join_sections(version_record, parts)
+
+    async def confirm(self, version: int, instance: str) -> None:
+        """Notes that a version has been in force at all instances.
+
+        Args:
+            version: The version.
+            instance: Instance that has seen it so.
+
+        Raises:
+            failures.UnavailableError: The note may not be stored.
+        """
+        key = self._keys.confirmation(version)
+        try:
+            await self._kv.commit(
+                (kv.KeyAbsent(key),),
+                (kv.Put(key, instance.encode()),),
+                kv.Purpose.CONFIGURATION,
+            )
+        except kv.KvError as error:
+            raise failures.UnavailableError(str(error)) from error
+
+    async def is_confirmed(self, version: int) -> bool:
+        """Returns whether a version has been in force at all instances.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+        """
+        snapshot = await self._read(self._keys.confirmation(version))
+        return bool(snapshot.entries)
+
+    async def record_refusal(self, refusal: record.RefusalRecord) -> None:
+        """Adds a refused change to the audit trail.
+
+        Raises:
+            failures.UnavailableError: The refusal may not be recorded.
+        """
+        key = self._keys.refusals + str(uuid6.uuid7())
+        try:
+            await self._kv.commit(
+                (),
+                (kv.Put(key, msgspec.json.encode(refusal)),),
+                kv.Purpose.HOUSEKEEPING,
+            )
+        except kv.KvError as error:
+            raise failures.UnavailableError(str(error)) from error
+
+    async def read_refusals(self) -> tuple[record.RefusalRecord, ...]:
+        """Reads the refused changes in the audit trail, the oldest first.
+
+        Raises:
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
+        """
+        snapshot = await self._read(self._keys.refusals, is_prefix=True)
+        return tuple(record.decode_refusal(e.value) for e in snapshot.entries)
+
+    async def read_section(self, digest: str) -> bytes:
+        """Reads one section.
+
+        Raises:
+            failures.MissingError: The section is not stored or is wrong.
+            failures.UnavailableError: The service did not answer.
+        """
+        snapshot = await self._read(self._keys.section(digest))
+        if not snapshot.entries:
+            raise failures.MissingError(f"section {digest} is not stored")
+        content = snapshot.entries[0].value
+        if sections.digest_bytes(content) != digest:
+            raise failures.MissingError(f"section {digest} has other content")
+        return content
+
+    async def load_text(self, version: int | None = None) -> StoredText:
+        """Reads a version as written; None means the newest one.
+
+        Raises:
+            failures.MissingError: There is no such version.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
+        """
+        if version is not None:
+            version_record = await self.read_record(version)
+        else:
+            head = (await self.read_head()).record
+            if head is None:
+                raise failures.MissingError(
+                    f"{self.environment} has no document"
+                )
+            version_record = head
+        return StoredText(version_record, await self.read_text(version_record))
+
+    async def load(self, version: int | None = None) -> document.View:
+        """Reads a version; None means the newest one.
+
+        Raises:
+            failures.MissingError: There is no such version.
+            failures.UnavailableError: The service did not answer.
+            failures.RecordError: A stored record is not valid.
+            errors.DocumentError: The stored text is not valid.
+        """
+        stored = await self.load_text(version)
+        return make_view(self.environment, stored)
+
+    async def _read(self, key: str, *, is_prefix: bool = False) -> kv.Snapshot:
+        try:
+            return await self._kv.read(
+                key, kv.Purpose.CONFIGURATION, is_prefix=is_prefix
+            )
+        except kv.KvError as error:
+            raise failures.UnavailableError(
+                f"{self.environment} document: {error}"
+            ) from error
+
+
+def join_sections(
+    version_record: record.VersionRecord, parts: list[bytes]
+) -> str:
+    """Returns the text of a version from its sections.
+
+    Raises:
+        failures.MissingError: The sections do not give the recorded text.
+    """
+    data = b"".join(parts)
+    if sections.digest_bytes(data) != version_record.digest:
+        raise failures.MissingError(
+            f"sections of version {version_record.version} do not match"
+        )
+    return data.decode()
+
+
+def make_view(environment: str, stored: StoredText) -> document.View:
+    """Returns the indexed form of a stored version.
+
+    Raises:
+        errors.DocumentError: The stored text is not valid.
+    """
+    source = f"{environment} version {stored.record.version}"
+    parsed = jsonc.decode_checked(stored.text, document.Document, source)
+    effective = marks.apply_marks(parsed, stored.record.out)
+    return document.View(stored.record.version, effective)
--- /dev/null
+++ b/packages/entry/poplarwick_entry/context.py
@@ -0,0 +1,72 @@
+"""What the handlers of the caller API share."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+
+from poplarwick_configuration import document
+from poplarwick_core import ids
+from poplarwick_entry import grants
+from poplarwick_entry import problems
+from poplarwick_outcomes import lifecycle
+from poplarwick_outcomes import verdicts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryContext:
+    """Shared parts of the caller API.
+
+    Attributes:
+        instance: This instance.
+        broker: Obtains grants.
+        session: Session for calls to endpoints.
+        read_view: Returns the configuration in force, or None before the
+            first one is known.
+        read_readiness: Returns None when this instance serves, else the
+            reason why it does not.
+    """
+
+    instance: ids.InstanceId
+    broker: grants.GrantBroker
+    session: aiohttp.ClientSession
+    read_view: Callable[[], document.View | None]
+    read_readiness: Callable[[], str | None]
+
+    def require_view(self) -> document.View:
+        """Returns the configuration in force.
+
+        Raises:
+            problems.RequestEnded: No configuration is known yet.
+        """
+        view = self.read_view()
+        if view is None:
+            raise problems.refuse(
+                verdicts.Reason.NOT_READY,
+                "this instance has no configuration yet",
+                retry_after_s=1.0,
+            )
+        return view
+
+
+LIFECYCLE_KEY = web.RequestKey("lifecycle", lifecycle.Lifecycle)
+CONTEXT_KEY = web.AppKey("entry_context", EntryContext)
+
+
+def begin_lifecycle(
+    request: web.Request, *, is_idempotent: bool
+) -> lifecycle.Lifecycle:
+    """Starts the lifecycle of a request that was read and checked."""
+    begun = lifecycle.Lifecycle(is_idempotent=is_idempotent)
+    begun.admit()
+    request[LIFECYCLE_KEY] = begun
+    return begun
+
+
+def find_lifecycle(request: web.Request) -> lifecycle.Lifecycle:
+    """Returns the lifecycle, a new one for a request not yet checked."""
+    found = request.get(LIFECYCLE_KEY)
+    return found or lifecycle.Lifecycle(is_idempotent=False)
--- /dev/null
+++ b/packages/entry/poplarwick_entry/services.py
@@ -0,0 +1,318 @@
+"""Calls to plain services, routed under `/services/<id>`."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+import urllib.parse
+
+import aiohttp
+import multidict
+import yarl
+from aiohttp import web
+
+from poplarwick_configuration import document
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_core import outcome
+from poplarwick_endpoints import generation
+from poplarwick_entry import authentication
+from poplarwick_entry import context
+from poplarwick_entry import grants
+from poplarwick_entry import headers
+from poplarwick_entry import measures
+from poplarwick_entry import parameters
+from poplarwick_entry import problems
+from poplarwick_outcomes import lifecycle as lifecycles
+from poplarwick_outcomes import replies
+from poplarwick_outcomes import verdicts
+from poplarwick_peers.wire import grant_pb2
+
+MAX_ATTEMPTS = 3
+COST_TOKENS = 1
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_NOT_FORWARDED = _HOP_BY_HOP | {
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    headers.PRIORITY.lower(),
+    headers.TIMEOUT.lower(),
+}
+_SET_BY_SERVER = frozenset(("date", "server"))
+_UNSAFE_SEGMENT = re.compile(r"[\x00-\x1f\x7f\\]")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A checked call to a plain service.
+
+    Attributes:
+        request: Id of the request.
+        organisation: Organisation that the caller belongs to.
+        service: The service.
+        route: The route that matched.
+        method: HTTP method.
+        path: Path below the service, percent-encoded, with the query.
+        headers: End-to-end headers to pass on.
+        body: Body of the call.
+        priority: Priority within the organisation, higher first.
+        deadline: Time at which the call must have ended.
+    """
+
+    request: ids.RequestId
+    organisation: document.Organisation
+    service: document.Service
+    route: document.Route
+    method: str
+    path: str
+    headers: multidict.CIMultiDict[str]
+    body: bytes
+    priority: int
+    deadline: clock.Deadline
+
+
+async def handle_call(request: web.Request) -> web.StreamResponse:
+    """Sends a call to an endpoint of a plain service."""
+    entry = request.app[context.CONTEXT_KEY]
+    view = entry.require_view()
+    organisation = authentication.authenticate(request, view)
+    call = await _parse_call(request, organisation, view)
+    lifecycle = context.begin_lifecycle(
+        request, is_idempotent=call.route.idempotent
+    )
+    return await _send_with_retries(entry, view, call, lifecycle)
+
+
+async def _parse_call(
+    request: web.Request,
+    organisation: document.Organisation,
+    view: document.View,
+) -> Call:
+    service = view.find_service(ids.ServiceId(request.match_info["service"]))
+    if service is None:
+        raise problems.refuse(
+            verdicts.Reason.NOT_FOUND, "the service does not exist"
+        )
+    raw_path = request.rel_url.raw_path.removeprefix(f"/services/{service.id}")
+    check_path(raw_path)
+    route = find_route(service, request.method, raw_path or "/")
+    timeout_s = parameters.parse_timeout(
+        request.headers.get(headers.TIMEOUT),
+        service.timeout_s,
+        service.timeout_s,
+    )
+    query = request.rel_url.raw_query_string
+    return Call(
+        request=ids.make_request_id(),
+        organisation=organisation,
+        service=service,
+        route=route,
+        method=request.method,
+        path=(raw_path or "/") + (f"?{query}" if query else ""),
+        headers=select_headers(request.headers),
+        body=await request.read(),
+        priority=parameters.parse_priority(
+            request.headers.get(headers.PRIORITY)
+        ),
+        deadline=clock.make_deadline(timeout_s),
+    )
+
+
+def check_path(raw_path: str) -> None:
+    """Refuses paths that an endpoint might read as another path.
+
+    Raises:
+        problems.RequestEnded: The path holds dot segments, empty segments,
+            encoded separators or control characters.
+    """
+    for segment in raw_path.split("/")[1:]:
+        decoded = urllib.parse.unquote(segment)
+        twice = urllib.parse.unquote(decoded)
+        is_unsafe = (
+            decoded in (".", "..")
+            or twice in (".", "..")
+            or "/" in decoded
+            or _UNSAFE_SEGMENT.search(decoded) is not None
+        )
+        if is_unsafe:
+            raise problems.refuse(
+                verdicts.Reason.INVALID, "the path holds a segment not allowed"
+            )
+    if "//" in raw_path:
+        raise problems.refuse(
+            verdicts.Reason.INVALID, "the path holds an empty segment"
+        )
+
+
+def find_route(
+    service: document.Service, method: str, raw_path: str
+) -> document.Route:
+    """Returns the route with the longest matching path prefix.
+
+    Raises:
+        problems.RequestEnded: No route matches the path or the method.
+    """
+    matching = [
+        route for route in service.routes if _matches(route.path, raw_path)
+    ]
+    if not matching:
+        raise problems.refuse(
+            verdicts.Reason.NOT_FOUND, "the service has no such route"
+        )
+    longest = max(len(route.path) for route in matching)
+    for route in matching:
+        if len(route.path) == longest and method in route.methods:
+            return route
+    raise problems.refuse(
+        verdicts.Reason.METHOD_NOT_ALLOWED,
+        "the route does not accept this method",
+    )
+
+
+def select_headers(
+    received: multidict.CIMultiDictProxy[str],
+) -> multidict.CIMultiDict[str]:
+    """Returns the end-to-end headers that are passed on."""
+    listed = received.get("Connection", "").lower().split(",")
+    dropped = _NOT_FORWARDED | {name.strip() for name in listed}
+    selected: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in received.items():
+        lower = name.lower()
+        if lower in dropped or lower.startswith("endpoint-"):
+            continue
+        selected.add(name, value)
+    return selected
+
+
+def _matches(prefix: str, raw_path: str) -> bool:
+    stem = prefix.rstrip("/")
+    return raw_path == stem or raw_path.startswith(stem + "/") or not stem
+
+
+async def _send_with_retries(
+    entry: context.EntryContext,
+    view: document.View,
+    call: Call,
+    lifecycle: lifecycles.Lifecycle,
+) -> web.Response:
+    excluded: frozenset[ids.EndpointId] = frozenset()
+    demand = _make_demand(call)
+    ending: verdicts.Ending = verdicts.DeadlinePassed()
+    for _ in range(MAX_ATTEMPTS):
+        held = await entry.broker.acquire(demand, excluded, view.version)
+        lifecycle.grant()
+        try:
+            async with held:
+                response = await _send(entry, call, held, lifecycle)
+        except problems.RequestEnded as ended:
+            ending = ended.ending
+        else:
+            measures.count_end(lifecycle.end(verdicts.Whole(response.status)))
+            return response
+        if call.deadline.has_passed or not lifecycle.may_send:
+            break
+        excluded |= {held.endpoint}
+    raise problems.RequestEnded(ending)
+
+
+def _make_demand(call: Call) -> grants.Demand:
+    return grants.Demand(
+        request=call.request,
+        organisation=ids.OrganisationId(call.organisation.id),
+        deadline=call.deadline,
+        service=call.service.id,
+        prompt_tokens=COST_TOKENS,
+        priority=call.priority,
+    )
+
+
+async def _send(
+    entry: context.EntryContext,
+    call: Call,
+    held: grants.HeldGrant,
+    lifecycle: lifecycles.Lifecycle,
+) -> web.Response:
+    remaining_s = call.deadline.remaining_s
+    if remaining_s <= 0:
+        held.note_end(grant_pb2.REPORT_NOT_SENT)
+        raise problems.RequestEnded(verdicts.DeadlinePassed())
+    lifecycle.send()
+    try:
+        async with entry.session.request(
+            call.method,
+            yarl.URL(f"http://{held.target.address}{call.path}", encoded=True),
+            headers=_make_headers(call, held),
+            data=call.body,
+            timeout=aiohttp.ClientTimeout(total=remaining_s),
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+    except generation.CONNECT_ERRORS as error:
+        lifecycle.note_refusal()
+        held.note_end(grant_pb2.REPORT_NOT_SENT, detail="connect")
+        raise problems.RequestEnded(
+            verdicts.EndpointRefused("the endpoint could not be reached")
+        ) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        lifecycle.note_loss()
+        held.note_end(grant_pb2.REPORT_FAILED, detail=type(error).__name__)
+        raise problems.RequestEnded(_describe_loss(error)) from error
+    held.note_end(grant_pb2.REPORT_COMPLETE)
+    _log_end(call, held, response.status)
+    return _make_answer(response, body, call, held)
+
+
+def _make_headers(
+    call: Call, held: grants.HeldGrant
+) -> multidict.CIMultiDict[str]:
+    passed = call.headers.copy()
+    passed.update(held.target.make_headers(call.deadline))
+    return passed
+
+
+def _describe_loss(error: Exception) -> verdicts.Ending:
+    if isinstance(error, TimeoutError):
+        return verdicts.DeadlinePassed()
+    return verdicts.ConnectionLost("the connection to the endpoint was lost")
+
+
+def _log_end(call: Call, held: grants.HeldGrant, status: int) -> None:
+    logs.log_event(
+        "call_complete",
+        request=call.request,
+        organisation=call.organisation.id,
+        endpoint=held.endpoint,
+        status=status,
+    )
+
+
+def _make_answer(
+    response: aiohttp.ClientResponse,
+    body: bytes,
+    call: Call,
+    held: grants.HeldGrant,
+) -> web.Response:
+    answer = web.Response(status=response.status, body=body)
+    for name, value in select_headers(response.headers).items():
+        if name.lower() in _SET_BY_SERVER:
+            continue
+        answer.headers.add(name, value)
+    answer.headers[headers.REQUEST_ID] = call.request
+    answer.headers[replies.OUTCOME_HEADER] = outcome.Outcome.COMPLETE.value
+    answer.headers[headers.ENDPOINT] = held.endpoint
+    return answer
