Keep short prompts fast beside long ones

Cause: one prefill of a million tokens holds an engine for 50 s. Change: engine priority by prefill length, long prompts on a part of the endpoints that grows with their work, memory held for a long prompt that waits.

--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -13,23 +13,20 @@
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import fairness
+from poplarwick_dispatch import placement
 from poplarwick_dispatch import queue
 from poplarwick_dispatch import refusals
 
 GRANT_TTL_S = 5.0
 END_MARGIN_S = 5.0
-LONG_HORIZON_S = 15.0
-INTERFERENCE_S = 0.05
 QUEUE_BOUND_S = {
     capacity.LengthClass.SHORT: 2.0,
     capacity.LengthClass.MEDIUM: 15.0,
     capacity.LengthClass.LONG: 600.0,
 }
-CLASS_PRIORITY = {
-    capacity.LengthClass.SHORT: 20,
-    capacity.LengthClass.MEDIUM: 10,
-    capacity.LengthClass.LONG: 0,
-}
+MAX_PRIORITY = 24
+PRIORITY_STEP = 2
+PRIORITY_BASE_S = 0.05
 
 _LONG = capacity.LengthClass.LONG
 
@@ -40,6 +37,7 @@
     Attributes:
         target: The model or plain service.
         limits: What one warm endpoint carries.
+        placement: Chooses among the endpoints.
         books: Accounts of the endpoints owned by this instance.
         queues: Waiting requests by length class.
         counters: Service received by each organisation.
@@ -60,7 +58,8 @@
     ) -> None:
         self.target = target
         self.limits = limits
-        self.books: dict[ids.EndpointId, books.EndpointBook] = {}
+        self.placement = placement.Placement(now_s)
+        self.books = self.placement.books
         self.queues = {c: queue.ClassQueue() for c in capacity.LengthClass}
         self.counters = fairness.ServiceCounters()
         self._grants = grants
@@ -114,33 +113,23 @@
         for class_queue in self.queues.values():
             while self._grant_next(class_queue):
                 pass
+        self.placement.hold_memory(self.queues[_LONG].find_most_urgent())
 
     def estimate_wait_s(self, waiter: queue.Waiter) -> float:
         """Returns the time that a request would wait in the queue."""
         length_class = waiter.cost.length_class
         work_s = self.queues[length_class].work_s
-        endpoints = sum(book.in_service for book in self.books.values())
+        endpoints = len(self.placement.open_books)
         if length_class is _LONG:
-            endpoints = min(endpoints, self.count_long_endpoints())
+            usable = self.placement.count_long_endpoints(work_s)
+            endpoints = min(endpoints, usable)
         return work_s / max(endpoints, 1)
 
-    def count_long_endpoints(self) -> int:
-        """Returns how many endpoints may prefill long prompts now.
-
-        The number grows with the prefill time of the long prompts at hand, so
-        that each of these endpoints works on them for `LONG_HORIZON_S`.
-        """
-        running_s = sum(
-            book.estimate_wait_s(_LONG) for book in self.books.values()
-        )
-        work_s = self.queues[_LONG].work_s + running_s
-        return max(1, math.ceil(work_s / LONG_HORIZON_S))
-
     def make_room(self) -> grant_pb2.Room:
         """Returns the hint about free capacity that rides on replies."""
         endpoints = max(len(self.books), 1)
         waiting_s = sum(q.work_s for q in self.queues.values())
-        open_books = [b for b in self.books.values() if b.in_service]
+        open_books = self.placement.open_books
         return grant_pb2.Room(
             model=self.target.model or "",
             service=self.target.service or "",
@@ -157,7 +146,7 @@
         return False
 
     def _try_grant(self, waiter: queue.Waiter) -> bool:
-        book = self._choose(waiter)
+        book = self.placement.choose(waiter, self.queues[_LONG].work_s)
         if book is None:
             return False
         booking = self._book(book, waiter)
@@ -165,29 +154,6 @@
         _reply(waiter, self._make_grant(book, booking, waiter))
         return True
 
-    def _choose(self, waiter: queue.Waiter) -> books.EndpointBook | None:
-        excluded = frozenset(waiter.request.excluded_endpoints)
-        candidates = [
-            book
-            for book in self._list_allowed(waiter.cost.length_class)
-            if book.in_service
-            and book.id not in excluded
-            and book.has_room(waiter.cost)
-            and book.tenure.is_valid()
-        ]
-        if not candidates:
-            return None
-        return min(candidates, key=lambda b: _score(b, waiter.cost))
-
-    def _list_allowed(
-        self, length_class: capacity.LengthClass
-    ) -> list[books.EndpointBook]:
-        allowed = list(self.books.values())
-        if length_class is not _LONG:
-            return allowed
-        allowed.sort(key=lambda book: book.id)
-        return allowed[: self.count_long_endpoints()]
-
     def _book(
         self, book: books.EndpointBook, waiter: queue.Waiter
     ) -> bookings.Booking:
@@ -223,7 +189,6 @@
         booking: bookings.Booking,
         waiter: queue.Waiter,
     ) -> grant_pb2.AcquireReply:
-        length_class = waiter.cost.length_class
         grant = grant_pb2.Grant(
             grant_id=booking.grant,
             endpoint=book.id,
@@ -232,7 +197,7 @@
             epoch=book.tenure.epoch,
             expires_s=GRANT_TTL_S,
             queued_s=booking.granted_at_s - waiter.arrived_at_s,
-            priority=CLASS_PRIORITY[length_class] + waiter.request.priority,
+            priority=_choose_priority(waiter),
         )
         return grant_pb2.AcquireReply(grant=grant)
 
@@ -266,11 +231,11 @@
         _reply(waiter, reply)
 
 
-def _score(book: books.EndpointBook, cost: capacity.Cost) -> tuple[float, int]:
-    wait_s = book.estimate_wait_s(cost.length_class)
-    if book.has_long_prefill and cost.length_class is not _LONG:
-        wait_s += INTERFERENCE_S
-    return (wait_s, len(book.bookings))
+def _choose_priority(waiter: queue.Waiter) -> int:
+    """Returns a priority that falls with each doubling of the prefill."""
+    doublings = math.log2(max(waiter.cost.prefill_s / PRIORITY_BASE_S, 1))
+    steps = round(doublings) * PRIORITY_STEP
+    return max(MAX_PRIORITY - steps, 0) + waiter.request.priority
 
 
 def _reply(waiter: queue.Waiter, reply: grant_pb2.AcquireReply) -> None:
--- a/packages/dispatch/poplarwick_dispatch/queue.py
+++ b/packages/dispatch/poplarwick_dispatch/queue.py
@@ -105,6 +105,12 @@
         self._heaps.pop(organisation, None)
         return None
 
+    def find_most_urgent(self) -> Waiter | None:
+        """Returns the most urgent request of all organisations."""
+        firsts = (self.find_first(o) for o in tuple(self._heaps))
+        waiting = [waiter for waiter in firsts if waiter is not None]
+        return min(waiting, key=lambda w: w.urgency_s, default=None)
+
     def find_last(self, organisation: ids.OrganisationId) -> Waiter | None:
         """Returns the least urgent request of an organisation."""
         heap = self._heaps.get(organisation, [])
