Test roles, commands, promotion, keys and edits

Cause: the API and the commands had no tests of refusals and failures. Change: tests through a real HTTP server for each command and role, rate and size bounds, outage answers, committed OpenAPI text equal to the served one; preview of a promotion is a call of its own. Measured: all pass; an organisation's administrator cannot hide a neighbour behind a comment (test), and the secret of a key never reaches the document. Conclusion: documents and administration stand over HTTP and command line.

--- a/packages/administration/poplarwick_administration/_documents.py
+++ b/packages/administration/poplarwick_administration/_documents.py
@@ -79,45 +79,58 @@
         )
         return _guard.respond(accepted)
 
+    async def preview_promotion(self, request: web.Request) -> web.Response:
+        """Returns what a promotion would change."""
+        _guard.require_viewer(request)
+        planned = await self._plan_promotion(request)
+        preview = messages.PreviewMessage(
+            source_version=planned.source.version,
+            target_version=planned.target.record.version,
+            was_in_force=planned.was_in_force,
+            differences=_changes.list_differences(
+                planned.target.text, planned.merged
+            ),
+        )
+        return _guard.respond(preview)
+
     async def promote(self, request: web.Request) -> web.Response:
         """Takes over the promoted parts of another environment."""
         operator = _guard.require_operator(request)
-        asked = await _requests.read_message(request, messages.PromotionRequest)
-        target = self._open_store(request)
-        source = self.desk.open_store(asked.source)
-        promoted = await source.load_text(asked.version)
-        was_in_force = await source.is_confirmed(promoted.record.version)
-        current = await _load_current(target)
-        merged = promotion.merge_texts(promoted.text, current.text)
-        differences = _changes.list_differences(current.text, merged)
-        if asked.is_preview:
-            preview = messages.PreviewMessage(
-                source_version=promoted.record.version,
-                target_version=current.record.version,
-                was_in_force=was_in_force,
-                differences=differences,
-            )
-            return _guard.respond(preview)
-        if not was_in_force and not asked.is_forced:
+        planned = await self._plan_promotion(request)
+        asked = planned.asked
+        detail = f"{asked.source} version {planned.source.version}"
+        if not planned.was_in_force and not asked.is_forced:
             raise refusals.make_error(
                 messages.ErrorKind.NEVER_IN_FORCE,
-                f"version {promoted.record.version} of {asked.source} was "
-                "never in force at all of its instances",
+                f"{detail} was never in force at all of its instances",
             )
+        expected = asked.expected_version
+        if expected is None:
+            expected = planned.target.record.version
         change = changes.NewText(
-            merged,
-            asked.expected_version or current.record.version,
-            record.Action.PROMOTE,
-            f"{asked.source} version {promoted.record.version}",
+            planned.merged, expected, record.Action.PROMOTE, detail
         )
         accepted = await self.desk.change_text(
-            target.environment,
+            _requests.read_environment(request),
             change,
             operator,
             _requests.read_change_id(request),
         )
         return _guard.respond(accepted)
 
+    async def _plan_promotion(self, request: web.Request) -> _Promotion:
+        asked = await _requests.read_message(request, messages.PromotionRequest)
+        source = self.desk.open_store(asked.source)
+        promoted = await source.load_text(asked.version)
+        target = await _load_current(self._open_store(request))
+        return _Promotion(
+            asked,
+            promoted.record,
+            target,
+            promotion.merge_texts(promoted.text, target.text),
+            await source.is_confirmed(promoted.record.version),
+        )
+
     async def get_audit(self, request: web.Request) -> web.Response:
         """Returns changes, accepted and refused, the newest entries."""
         _guard.require_viewer(request)
@@ -143,6 +156,15 @@
         return self.desk.open_store(_requests.read_environment(request))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Promotion:
+    asked: messages.PromotionRequest
+    source: record.VersionRecord
+    target: store.StoredText
+    merged: str
+    was_in_force: bool
+
+
 async def _load_current(documents: store.DocumentStore) -> store.StoredText:
     try:
         return await documents.load_text()
--- a/packages/administration/poplarwick_administration/api.py
+++ b/packages/administration/poplarwick_administration/api.py
@@ -78,6 +78,7 @@
         "get_document": documents.get_document,
         "roll_back": documents.roll_back,
         "promote": documents.promote,
+        "preview_promotion": documents.preview_promotion,
         "get_audit": documents.get_audit,
         "get_section": organisations.get_section,
         "put_section": organisations.put_section,
--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -139,12 +139,11 @@
             RefusedError: The promotion is not possible.
             UnreachableError: No answer came.
         """
-        preview = msgspec.structs.replace(asked, is_preview=True)
         return await self._call(
             "POST",
-            f"/v1/environments/{target}/promotions",
+            f"/v1/environments/{target}/promotions/preview",
             messages.PreviewMessage,
-            body=msgspec.json.encode(preview),
+            body=msgspec.json.encode(asked),
         )
 
     async def promote(
--- a/packages/administration/poplarwick_administration/messages.py
+++ b/packages/administration/poplarwick_administration/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from poplarwick_configuration import document
+
 
 class _Message(msgspec.Struct, frozen=True, kw_only=True):
     """Base of all messages."""
@@ -175,14 +177,12 @@
         expected_version: Newest version of the target when the operator
             decided; None means whatever it is now.
         is_forced: Whether a version that was never in force is promoted.
-        is_preview: Whether only the differences are returned.
     """
 
-    source: str
+    source: document.Name
     version: int | None = None
     expected_version: int | None = None
     is_forced: bool = False
-    is_preview: bool = False
 
 
 class RollbackRequest(_Message, frozen=True, forbid_unknown_fields=True):
@@ -263,8 +263,8 @@
         overlap_s: Time for which the replaced key still works, in seconds.
     """
 
-    id: str
-    replaces: str | None = None
+    id: document.Name
+    replaces: document.Name | None = None
     overlap_s: Annotated[float, msgspec.Meta(ge=0, le=31_536_000)] = 0.0
 
 
--- a/packages/administration/poplarwick_administration/openapi.py
+++ b/packages/administration/poplarwick_administration/openapi.py
@@ -12,9 +12,9 @@
 
 from poplarwick_administration import _requests
 from poplarwick_administration import messages
-from poplarwick_core import cli
 
 OPENAPI_VERSION = "3.1.0"
+API_VERSION = "1"
 
 _PATH_FIELD = re.compile(r"\{(\w+)\}")
 _SCHEMAS = "#/components/schemas/{name}"
@@ -83,12 +83,19 @@
         "POST",
         _ENVIRONMENT + "/promotions",
         "promote",
-        "Takes over the promoted parts of another environment, or shows what "
-        "that would change.",
-        messages.AcceptedMessage | messages.PreviewMessage,  # type: ignore[arg-type]
+        "Takes over the promoted parts of another environment.",
+        messages.AcceptedMessage,
         messages.PromotionRequest,
         headers=_CHANGE,
     ),
+    Call(
+        "POST",
+        _ENVIRONMENT + "/promotions/preview",
+        "preview_promotion",
+        "Returns what a promotion would change.",
+        messages.PreviewMessage,
+        messages.PromotionRequest,
+    ),
     Call(
         "GET",
         _ENVIRONMENT + "/audit",
@@ -192,7 +199,7 @@
         "openapi": OPENAPI_VERSION,
         "info": {
             "title": "Poplarwick administration API",
-            "version": cli.read_version(),
+            "version": API_VERSION,
         },
         "security": [{"token": []}],
         "paths": paths,
--- /dev/null
+++ b/packages/administration/tests/serving.py
@@ -0,0 +1,91 @@
+"""Administration APIs on loopback addresses for tests."""
+
+import asyncio
+import contextlib
+import io
+
+from aiohttp import test_utils
+
+from poplarwick_administration import access
+from poplarwick_administration import api
+from poplarwick_administration import main
+from poplarwick_administration import messages
+from poplarwick_configuration import follower
+
+WAIT_S = 30
+OPERATORS = (
+    access.Operator(
+        "anna", access.Role.OPERATOR, access.digest_token("secret")
+    ),
+    access.Operator("bert", access.Role.VIEWER, access.digest_token("seen")),
+)
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, WAIT_S))
+
+
+@contextlib.asynccontextmanager
+async def serve(client, environment="trial", **options):
+    """Serves the API of one instance; yields its address and follower."""
+    async with follower.Follower(client, environment) as documents:
+
+        def read_fleet():
+            return (
+                messages.InstanceMessage(
+                    instance="i1",
+                    domain="d1",
+                    region="r1",
+                    state="alive",
+                    version=documents.version,
+                ),
+            )
+
+        application = api.make_application(
+            client,
+            documents,
+            instance="i1",
+            environment=environment,
+            operators=OPERATORS,
+            read_fleet=read_fleet,
+            **options,
+        )
+        async with test_utils.TestServer(application) as server:
+            yield f"{server.host}:{server.port}", documents
+
+
+class Shell:
+    """Runs commands of the operators' program against one address."""
+
+    def __init__(self, folder, server, token="secret"):
+        self._server = server
+        self._token_file = folder / f"token-{token}"
+        self._token_file.write_text(token + "\n")
+
+    async def call(self, *arguments, answer=""):
+        """Runs a command; returns exit code, output and error output."""
+        options = ("--server", self._server, "--token-file", self._token_file)
+        words = [str(word) for word in (*arguments, *options)]
+        return await asyncio.to_thread(self._run, words, answer)
+
+    def _run(self, words, answer):
+        out, err = io.StringIO(), io.StringIO()
+        stdin = io.StringIO(answer)
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+            _redirect_stdin(stdin),
+        ):
+            code = main.main(words)
+        return int(code), out.getvalue(), err.getvalue()
+
+
+@contextlib.contextmanager
+def _redirect_stdin(replacement):
+    import sys
+
+    before, sys.stdin = sys.stdin, replacement
+    try:
+        yield
+    finally:
+        sys.stdin = before
