--- a/Makefile
+++ b/Makefile
@@ -24,9 +24,9 @@
 
 $(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	@$(BIN)/python -m pip install -q --disable-pip-version-check \
+	@$(BIN)/python -m pip install -q --no-compile --disable-pip-version-check \
 	  -r requirements.lock
-	@$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps \
+	@$(BIN)/python -m pip install -q --no-compile --disable-pip-version-check --no-deps \
 	  --no-build-isolation $(foreach p,$(wildcard packages/*),-e $(p))
 	@touch $@
 
