Hold limits of organisations over the whole fleet

Cause: an organisation's limits were not enforced anywhere. Measured: pytest packages/dispatch/tests/test_limits.py, 6 pass: 100 of 100 admitted at a spread of 70/20/5/3/2, none more.

--- a/packages/dispatch/poplarwick_dispatch/placement.py
+++ b/packages/dispatch/poplarwick_dispatch/placement.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from poplarwick_core import ids
-
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import queue
--- a/packages/dispatch/poplarwick_dispatch/router.py
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-import xxhash
-
 from poplarwick_core import clock
 from poplarwick_core import ids
+from poplarwick_dispatch import _rendezvous
 from poplarwick_peers import membership
 from poplarwick_peers.wire import grant_pb2
 
@@ -56,7 +55,8 @@
             At most `MAX_HOPS` instances.
         """
         target = request.model or request.service
-        ranked = _rank_by_hash(_make_key(request), members)
+        instances = (member.instance for member in members)
+        ranked = _rendezvous.rank(_make_key(request), instances)
         present = [i for i in ranked if not self._is_absent(i, target)]
         chosen = present or ranked
         chosen.sort(key=lambda i: self._is_busy(i, target, request))
@@ -113,14 +113,3 @@
     if request.prefix_digests:
         return target + request.prefix_digests[0].to_bytes(8, "big")
     return target + request.request_id.encode()
-
-
-def _rank_by_hash(
-    key: bytes, members: Iterable[membership.Member]
-) -> list[ids.InstanceId]:
-    """Orders by rendezvous hash (Thaler and Ravishankar, 1998)."""
-    return sorted(
-        (member.instance for member in members),
-        key=lambda instance: xxhash.xxh3_64_intdigest(key + instance.encode()),
-        reverse=True,
-    )
--- a/packages/dispatch/tests/dispatch_simulation.py
+++ b/packages/dispatch/tests/dispatch_simulation.py
@@ -14,6 +14,7 @@
 import random
 
 import dispatch_fakes as fakes
+
 from poplarwick_peers.wire import grant_pb2
 
 TICK_S = 0.01
--- a/packages/dispatch/tests/test_lengths.py
+++ b/packages/dispatch/tests/test_lengths.py
@@ -7,6 +7,7 @@
 import dispatch_fakes as fakes
 import dispatch_simulation as simulation
 import pytest
+
 from poplarwick_peers.wire import grant_pb2
 
 MAX_SLOWDOWN = 1.15
--- /dev/null
+++ b/packages/dispatch/tests/test_limits.py
@@ -0,0 +1,190 @@
+"""Tests of limits that hold over eight instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import dispatch_fakes as fakes
+
+from poplarwick_configuration import document
+from poplarwick_core import ids
+from poplarwick_dispatch import _limit_keeper
+from poplarwick_dispatch import limits
+
+LIMIT = 100
+RATE = 50
+ORGANISATION = ids.OrganisationId("o1")
+SETTLE_S = _limit_keeper.LEASE_TTL_S + 0.1
+
+
+class Fleet:
+    """Eight limiters that reach each other's keepers with a delay."""
+
+    def __init__(self, **changes):
+        own = document.Limits(max_concurrent=LIMIT, **changes)
+        organisation = document.Organisation("o1", keys=(), limits=own)
+        other = document.Organisation("o2", keys=(), limits=own)
+        view = document.View(
+            1,
+            document.Document(
+                environment="t",
+                organisations=(organisation, other),
+                domains=(),
+                endpoints=(),
+            ),
+        )
+        self.members = tuple(ids.InstanceId(f"i{n}") for n in range(8))
+        self.keepers = {
+            m: limits.LimitKeeper(m, self.list_members, view, fakes.now_s)
+            for m in self.members
+        }
+        self.limiters = {
+            m: limits.Limiter(
+                m,
+                call=self._call,
+                keeper=self.keepers[m],
+                list_members=self.list_members,
+                view=view,
+                now_s=fakes.now_s,
+            )
+            for m in self.members
+        }
+
+    def list_members(self):
+        return self.members
+
+    async def _call(self, instance, request):
+        await asyncio.sleep(0.002)
+        if instance not in self.members:
+            return None
+        reply = self.keepers[instance].lease(request)
+        await asyncio.sleep(0.002)
+        return reply
+
+    async def admit(self, member, count, organisation=ORGANISATION):
+        found = await asyncio.gather(
+            *(
+                self.limiters[f"i{member}"].admit(organisation, 10)
+                for _ in range(count)
+            )
+        )
+        return [r.ok_value for r in found if r.is_ok()]
+
+    def find_accountable(self):
+        return self.limiters["i0"].find_accountable(ORGANISATION)
+
+
+@contextlib.asynccontextmanager
+async def _open(**changes):
+    fleet = Fleet(**changes)
+    async with contextlib.AsyncExitStack() as stack:
+        for limiter in fleet.limiters.values():
+            await stack.enter_async_context(limiter)
+        # The first question begins the accounts; they settle after that.
+        await fleet.admit(0, 0)
+        for organisation in ("o1", "o2"):
+            for permit in await fleet.admit(7, 1, organisation):
+                permit.__exit__(None, None, None)
+        await asyncio.sleep(SETTLE_S)
+        yield fleet
+
+
+def test_uneven_spread_admits_all_of_the_limit_and_no_more():
+    async def main():
+        async with _open() as fleet:
+            held = await fleet.admit(0, 70)
+            for member, count in ((1, 20), (2, 5), (3, 3), (4, 2)):
+                held += await fleet.admit(member, count)
+            assert len(held) == LIMIT
+            for member in range(8):
+                await asyncio.sleep(0.1)
+                assert await fleet.admit(member, 5) == []
+            held[0].__exit__(None, None, None)
+            await asyncio.sleep(0.3)
+            assert len(await fleet.admit(6, 3)) == 1
+
+    fakes.run(main())
+
+
+def test_simultaneous_demand_is_exact():
+    async def main():
+        async with _open() as fleet:
+            groups = await asyncio.gather(
+                *(fleet.admit(m, 40) for m in range(8))
+            )
+            held = sum(len(g) for g in groups)
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                for member in range(8):
+                    held += len(await fleet.admit(member, 10))
+            assert held == LIMIT
+
+    fakes.run(main())
+
+
+def test_retrying_organisation_takes_nothing_of_another():
+    async def main():
+        async with _open() as fleet:
+            for _ in range(30):
+                await asyncio.gather(*(fleet.admit(m, 20) for m in range(8)))
+                await asyncio.sleep(0.02)
+            assert len(await fleet.admit(3, 60, "o2")) == 60
+
+    fakes.run(main())
+
+
+def test_rate_limit_holds_over_all_instances():
+    async def main():
+        async with _open(requests_per_s=RATE) as fleet:
+            admitted = 0
+            start_s = fakes.now_s()
+
+            async def demand(member):
+                nonlocal admitted
+                while fakes.now_s() - start_s < 10:
+                    for permit in await fleet.admit(member, 1):
+                        admitted += 1
+                        permit.__exit__(None, None, None)
+                    await asyncio.sleep(0.025)
+
+            await asyncio.gather(*(demand(m) for m in range(8)))
+            seconds = fakes.now_s() - start_s
+            burst = RATE * _limit_keeper.BURST_S
+            assert 0.9 * RATE * seconds <= admitted
+            assert admitted <= 1.05 * RATE * seconds + burst
+
+    fakes.run(main())
+
+
+def test_large_request_passes_a_smaller_token_rate():
+    async def main():
+        async with _open(tokens_per_s=100) as fleet:
+            limiter = fleet.limiters["i0"]
+            first = await limiter.admit(ORGANISATION, 5_000)
+            assert first.is_ok()
+            second = await limiter.admit(ORGANISATION, 5_000)
+            assert second.err_value.limit == "tokens_per_s"
+
+    fakes.run(main())
+
+
+def test_death_of_the_accountable_instance_keeps_the_stated_bound():
+    async def main():
+        async with _open() as fleet:
+            dead = fleet.find_accountable()
+            alive = [m for m in fleet.members if m != dead]
+            held = 0
+            for member in alive[:2]:
+                held += len(await fleet.admit(int(member[1]), 30))
+            assert held == 60
+            fleet.members = tuple(alive)
+            peak = held
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                for member in alive:
+                    peak += len(await fleet.admit(int(member[1]), 30))
+            share = 1 + (len(alive) - 1) / _limit_keeper.SETTLE_DIVISOR
+            assert LIMIT <= peak <= LIMIT * share
+
+    fakes.run(main())
