Share engine time by weight under overload

Change: least served organisation first over all classes; one that is ahead gets only left-over prefill time; shed from the longest queue for its weight; learn how long work takes so that late work is refused, not run. Open: at very unequal demand the shares still miss the weights.

--- a/packages/dispatch/poplarwick_dispatch/books.py
+++ b/packages/dispatch/poplarwick_dispatch/books.py
@@ -63,13 +63,18 @@
         """Returns the prefill time booked in this class and shorter ones."""
         return sum(self._prefill_s[: length_class + 1])
 
-    def has_room(self, cost: capacity.Cost) -> bool:
-        """Returns whether a request fits in all budgets."""
+    def has_room(self, cost: capacity.Cost, *, is_ahead: bool = False) -> bool:
+        """Returns whether a request fits in all budgets.
+
+        Args:
+            cost: Need of the request.
+            is_ahead: Whether it may use only prefill time that is left over.
+        """
         if len(self.bookings) >= self.limits.max_batch:
             return False
         if self.limits.is_service:
             return True
-        return self._has_memory(cost) and self._has_prefill_time(cost)
+        return self._has_memory(cost) and self._has_prefill_time(cost, is_ahead)
 
     def add(self, booking: bookings.Booking) -> None:
         """Books a place."""
@@ -113,7 +118,7 @@
         long_tokens = self._long_memory_tokens + cost.memory_tokens
         return long_tokens <= self.limits.memory_tokens * LONG_MEMORY_SHARE
 
-    def _has_prefill_time(self, cost: capacity.Cost) -> bool:
+    def _has_prefill_time(self, cost: capacity.Cost, is_ahead: bool) -> bool:
         match cost.length_class:
             case capacity.LengthClass.LONG:
                 return self._prefills[_LONG] < LONG_PREFILLS
@@ -121,5 +126,7 @@
                 budget_s = MEDIUM_PREFILL_BUDGET_S
             case _:
                 budget_s = PREFILL_BUDGET_S
+        if is_ahead:
+            return self.estimate_wait_s(_MEDIUM) < PREFILL_BUDGET_S
         booked_s = self.estimate_wait_s(cost.length_class)
         return booked_s == 0 or booked_s + cost.prefill_s <= budget_s
--- a/packages/dispatch/poplarwick_dispatch/capacity.py
+++ b/packages/dispatch/poplarwick_dispatch/capacity.py
@@ -82,12 +82,18 @@
         """Whether the endpoint is a plain service."""
         return self.memory_tokens == 0
 
+    def estimate_decode(self, output_tokens: int) -> float:
+        """Returns the seconds that an output takes alone."""
+        if self.is_service:
+            return 0.0
+        return output_tokens / self.decode_tokens_per_s
+
     def estimate(self, prompt_tokens: int, output_tokens: int) -> Cost:
         """Returns the need of a request of the given size."""
         if self.is_service:
             return Cost(0, 0, 0.0, 0.0, SERVICE_COST_S, LengthClass.SHORT)
         prefill_s = prompt_tokens / self.prefill_tokens_per_s
-        decode_s = output_tokens / self.decode_tokens_per_s
+        decode_s = self.estimate_decode(output_tokens)
         return Cost(
             prompt_tokens=prompt_tokens,
             memory_tokens=prompt_tokens + output_tokens,
--- a/packages/dispatch/poplarwick_dispatch/dispatcher.py
+++ b/packages/dispatch/poplarwick_dispatch/dispatcher.py
@@ -198,24 +198,28 @@
             return refusals.make_refusal(
                 grant_pb2.REFUSAL_NO_ROOM, "all endpoints here are out"
             )
-        waiter = self._make_waiter(request, cost)
+        waiter = self._make_waiter(pool, request, cost)
         pool.admit(waiter)
         if waiter.reply.done():
             return waiter.reply.result()
         return await self._wait(pool, waiter)
 
     def _make_waiter(
-        self, request: grant_pb2.AcquireRequest, cost: capacity.Cost
+        self,
+        pool: pools.Pool,
+        request: grant_pb2.AcquireRequest,
+        cost: capacity.Cost,
     ) -> queue.Waiter:
         now_s = self._now_s()
         ends_at_s = now_s + request.timeout_s
+        needed_s = cost.prefill_s + cost.decode_s
         return queue.Waiter(
             request=request,
             cost=cost,
             organisation=ids.OrganisationId(request.organisation),
             arrived_at_s=now_s,
             ends_at_s=ends_at_s,
-            latest_start_s=ends_at_s - cost.prefill_s - cost.decode_s,
+            latest_start_s=ends_at_s - pool.pace.stretch(needed_s),
             reply=asyncio.get_running_loop().create_future(),
         )
 
@@ -259,6 +263,9 @@
                 book.end_prefill(booking, bookings.BookingState.RUNNING)
             case grant_pb2.REPORT_PROGRESS | grant_pb2.REPORT_UNSPECIFIED:
                 return
+            case grant_pb2.REPORT_COMPLETE:
+                pool.note_complete(booking, item.output_tokens)
+                pool.release(book, booking)
             case _:
                 pool.release(book, booking)
 
--- a/packages/dispatch/poplarwick_dispatch/fairness.py
+++ b/packages/dispatch/poplarwick_dispatch/fairness.py
@@ -47,9 +47,13 @@
         level = self.read(organisation)
         if cost_s > 0:
             self._floor = max(self._floor, level)
-        weight = self._weights.get(organisation, 1)
+        weight = self.find_weight(organisation)
         self._received[organisation] = level + cost_s / weight
 
+    def find_weight(self, organisation: ids.OrganisationId) -> int:
+        """Returns the weight of an organisation."""
+        return self._weights.get(organisation, 1)
+
     def read(self, organisation: ids.OrganisationId) -> float:
         """Returns the service received, relative to the weight."""
         return self._received.get(organisation, 0.0)
--- a/packages/dispatch/poplarwick_dispatch/placement.py
+++ b/packages/dispatch/poplarwick_dispatch/placement.py
@@ -43,13 +43,19 @@
         return [book for book in self.books.values() if book.in_service]
 
     def choose(
-        self, waiter: queue.Waiter, long_work_s: float
+        self,
+        waiter: queue.Waiter,
+        long_work_s: float,
+        *,
+        is_ahead: bool = False,
     ) -> books.EndpointBook | None:
         """Returns the endpoint where the first token comes soonest.
 
         Args:
             waiter: The request.
             long_work_s: Engine time of the long prompts that wait.
+            is_ahead: Whether its organisation has had more than its share, so
+                that the request gets only time that nobody else waits for.
 
         Returns:
             None if no endpoint has room for the request.
@@ -63,7 +69,7 @@
             book
             for book in allowed
             if book.id not in excluded
-            and book.has_room(waiter.cost)
+            and book.has_room(waiter.cost, is_ahead=is_ahead)
             and self._leaves_held_memory(book, waiter)
             and book.tenure.is_valid()
         ]
--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -11,6 +11,7 @@
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import fairness
+from poplarwick_dispatch import pace
 from poplarwick_dispatch import placement
 from poplarwick_dispatch import queue
 from poplarwick_dispatch import refusals
@@ -18,6 +19,7 @@
 
 GRANT_TTL_S = 5.0
 END_MARGIN_S = 5.0
+LEAD_S = 1.0
 QUEUE_BOUND_S = {
     capacity.LengthClass.SHORT: 2.0,
     capacity.LengthClass.MEDIUM: 15.0,
@@ -40,6 +42,7 @@
         books: Accounts of the endpoints owned by this instance.
         queues: Waiting requests by length class.
         counters: Service received by each organisation.
+        pace: How long work takes, relative to the estimate.
 
     Args:
         target: The model or plain service.
@@ -61,6 +64,7 @@
         self.books = self.placement.books
         self.queues = {c: queue.ClassQueue() for c in capacity.LengthClass}
         self.counters = fairness.ServiceCounters()
+        self.pace = pace.Pace()
         self._grants = grants
         self._now_s = now_s
 
@@ -80,9 +84,9 @@
         if waiter.latest_start_s < self._now_s():
             self._refuse_late(waiter)
             return
-        class_queue = self.queues[waiter.cost.length_class]
-        if len(class_queue) == 0 and self._try_grant(waiter):
+        if not self._has_waiters and self._try_grant(waiter):
             return
+        class_queue = self.queues[waiter.cost.length_class]
         wait_s = self.estimate_wait_s(waiter)
         if self._now_s() + wait_s > waiter.latest_start_s:
             self._refuse_full(waiter, wait_s)
@@ -108,22 +112,39 @@
             _reply(waiter, refusals.make_refusal(reason, detail))
 
     def pump(self) -> None:
-        """Grants whatever fits, the shortest class first."""
-        for class_queue in self.queues.values():
-            while self._grant_next(class_queue):
-                pass
+        """Grants whatever fits, the least served organisation first."""
+        if not self._has_waiters:
+            return
+        while self._grant_next():
+            pass
         self.placement.hold_memory(self.queues[_LONG].find_most_urgent())
 
     def estimate_wait_s(self, waiter: queue.Waiter) -> float:
-        """Returns the time that a request would wait in the queue."""
-        length_class = waiter.cost.length_class
-        work_s = self.queues[length_class].work_s
+        """Returns the time that a request would wait in its fair turn."""
+        class_queue = self.queues[waiter.cost.length_class]
+        if len(class_queue) == 0:
+            return 0.0
+        organisations = {*class_queue.organisations, waiter.organisation}
+        weights = sum(self.counters.find_weight(o) for o in organisations)
+        own_weight = self.counters.find_weight(waiter.organisation)
+        own_s = class_queue.measure_work_s(waiter.organisation)
+        turn_s = (own_s + waiter.cost.engine_s) * weights / own_weight
+        work_s = min(class_queue.work_s, turn_s)
         endpoints = len(self.placement.open_books)
-        if length_class is _LONG:
-            usable = self.placement.count_long_endpoints(work_s)
+        if waiter.cost.length_class is _LONG:
+            usable = self.placement.count_long_endpoints(class_queue.work_s)
             endpoints = min(endpoints, usable)
         return work_s / max(endpoints, 1)
 
+    def note_complete(
+        self, booking: bookings.Booking, output_tokens: int
+    ) -> None:
+        """Learns from a whole answer how long work takes."""
+        self.pace.note(
+            self._now_s() - booking.granted_at_s,
+            booking.cost.prefill_s + self.limits.estimate_decode(output_tokens),
+        )
+
     def make_room(self) -> grant_pb2.Room:
         """Returns the hint about free capacity that rides on replies."""
         endpoints = max(len(self.books), 1)
@@ -136,16 +157,46 @@
             free_tokens=max((b.free_tokens for b in open_books), default=0),
         )
 
-    def _grant_next(self, class_queue: queue.ClassQueue) -> bool:
-        for organisation in self.counters.order(class_queue.organisations):
-            waiter = class_queue.find_first(organisation)
-            if waiter is not None and self._try_grant(waiter):
-                class_queue.remove(waiter)
-                return True
+    @property
+    def _has_waiters(self) -> bool:
+        return any(len(q) > 0 for q in self.queues.values())
+
+    def _grant_next(self) -> bool:
+        least = self._find_least_served()
+        for organisation in self.counters.order(self._list_waiting()):
+            lead_s = self.counters.read(organisation) - least
+            for class_queue in self.queues.values():
+                waiter = class_queue.find_first(organisation)
+                if waiter is None:
+                    continue
+                if self._try_grant(waiter, is_ahead=lead_s > LEAD_S):
+                    class_queue.remove(waiter)
+                    return True
         return False
 
-    def _try_grant(self, waiter: queue.Waiter) -> bool:
-        book = self.placement.choose(waiter, self.queues[_LONG].work_s)
+    def _list_waiting(self) -> set[ids.OrganisationId]:
+        return {o for q in self.queues.values() for o in q.organisations}
+
+    def _find_least_served(self) -> float:
+        """Returns the least service of those that wait for prefill time.
+
+        Long prompts wait for a place of their own and hold up nobody else.
+        """
+        organisations = {
+            organisation
+            for length_class, class_queue in self.queues.items()
+            if length_class is not _LONG
+            for organisation in class_queue.organisations
+        }
+        levels = [self.counters.read(o) for o in organisations]
+        return min(levels, default=math.inf)
+
+    def _try_grant(
+        self, waiter: queue.Waiter, *, is_ahead: bool = False
+    ) -> bool:
+        book = self.placement.choose(
+            waiter, self.queues[_LONG].work_s, is_ahead=is_ahead
+        )
         if book is None:
             return False
         booking = self._book(book, waiter)
@@ -207,7 +258,13 @@
     ) -> None:
         bound_s = QUEUE_BOUND_S[length_class] * max(len(self.books), 1)
         while class_queue.work_s > bound_s and len(class_queue) > 1:
-            over = self.counters.order(class_queue.organisations)[-1]
+            over = max(
+                class_queue.organisations,
+                key=lambda organisation: (
+                    class_queue.measure_work_s(organisation)
+                    / self.counters.find_weight(organisation)
+                ),
+            )
             victim = class_queue.find_last(over)
             if victim is None:
                 return
--- a/packages/dispatch/poplarwick_dispatch/queue.py
+++ b/packages/dispatch/poplarwick_dispatch/queue.py
@@ -61,6 +61,7 @@
             ids.OrganisationId, list[tuple[float, int, Waiter]]
         ] = {}
         self._waiting: set[Waiter] = set()
+        self._work_s: dict[ids.OrganisationId, float] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -81,6 +82,8 @@
         heapq.heappush(heap, entry)
         self._waiting.add(waiter)
         self.work_s += waiter.cost.engine_s
+        own_s = self._work_s.get(waiter.organisation, 0.0)
+        self._work_s[waiter.organisation] = own_s + waiter.cost.engine_s
 
     def remove(self, waiter: Waiter) -> bool:
         """Removes a request; returns whether it was waiting."""
@@ -88,8 +91,10 @@
             return False
         self._waiting.remove(waiter)
         self.work_s -= waiter.cost.engine_s
+        self._work_s[waiter.organisation] -= waiter.cost.engine_s
         if not self._waiting:
             self.work_s = 0.0
+            self._work_s.clear()
             self._heaps.clear()
         return True
 
@@ -102,6 +107,7 @@
                 return waiter
             heapq.heappop(heap)
         self._heaps.pop(organisation, None)
+        self._work_s.pop(organisation, None)
         return None
 
     def find_most_urgent(self) -> Waiter | None:
@@ -118,9 +124,4 @@
 
     def measure_work_s(self, organisation: ids.OrganisationId) -> float:
         """Returns the engine time that an organisation waits for."""
-        heap = self._heaps.get(organisation, [])
-        return sum(
-            waiter.cost.engine_s
-            for _, _, waiter in heap
-            if waiter in self._waiting
-        )
+        return self._work_s.get(organisation, 0.0)
