Serve claims between instances and sharpen their tests

Conclusion: client changes now stop after 60 tries in any clock; the wait by wall clock had held a test for 60 s.

--- /dev/null
+++ b/packages/outcomes/poplarwick_outcomes/claims/_wire.py
@@ -0,0 +1,103 @@
+"""Translation between claims and their messages."""
+
+from __future__ import annotations
+
+from poplarwick_outcomes.claims import keys
+from poplarwick_outcomes.claims import records
+from poplarwick_outcomes.claims import replies
+from poplarwick_peers.wire import claim_pb2
+
+_SIMPLE_REPLIES: dict[claim_pb2.ClaimResult, replies.ClaimReply] = {
+    claim_pb2.CLAIM_GRANTED: replies.Granted(),
+    claim_pb2.CLAIM_LOST: replies.Lost(),
+    claim_pb2.CLAIM_RUNNING: replies.Running(),
+    claim_pb2.CLAIM_CONFLICT: replies.Conflict(),
+    claim_pb2.CLAIM_EXPIRED: replies.Expired(),
+    claim_pb2.CLAIM_NOT_OWNER: replies.NotOwner(),
+}
+_SIMPLE_RESULTS = {reply: result for result, reply in _SIMPLE_REPLIES.items()}
+_CHANGES = {
+    claim_pb2.CHANGE_STORED: replies.ChangeReply.STORED,
+    claim_pb2.CHANGE_UNAVAILABLE: replies.ChangeReply.UNAVAILABLE,
+    claim_pb2.CHANGE_NOT_OWNER: replies.ChangeReply.NOT_OWNER,
+}
+_CHANGE_RESULTS = {reply: result for result, reply in _CHANGES.items()}
+
+
+def make_attempt(attempt: records.Record) -> claim_pb2.Attempt:
+    """Returns the message that names an attempt."""
+    return claim_pb2.Attempt(
+        shard=keys.find_shard(attempt.key),
+        key=attempt.key,
+        key_time_ms=attempt.key_time_ms,
+        content=attempt.content,
+        nonce=attempt.nonce,
+        run_until_ms=attempt.run_until_ms,
+    )
+
+
+def read_attempt(message: claim_pb2.Attempt) -> records.Record:
+    """Returns the attempt that a message names."""
+    return records.Record(
+        key=message.key,
+        key_time_ms=message.key_time_ms,
+        content=message.content,
+        nonce=message.nonce,
+        state=records.State.CLAIMED,
+        run_until_ms=message.run_until_ms,
+    )
+
+
+def make_answer(answer: records.Answer) -> claim_pb2.Answer:
+    """Returns the message that holds an answer."""
+    return claim_pb2.Answer(
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+    )
+
+
+def read_answer(message: claim_pb2.Answer) -> records.Answer:
+    """Returns the answer that a message holds."""
+    return records.Answer(message.status, message.content_type, message.body)
+
+
+def make_claim_reply(reply: replies.ClaimReply) -> claim_pb2.ClaimReply:
+    """Returns the message for a reply."""
+    match reply:
+        case replies.Answered(answer):
+            return claim_pb2.ClaimReply(
+                result=claim_pb2.CLAIM_ANSWERED, answer=make_answer(answer)
+            )
+        case replies.AnswerDropped(status):
+            return claim_pb2.ClaimReply(
+                result=claim_pb2.CLAIM_ANSWER_DROPPED, status=status
+            )
+        case replies.Unavailable(retry_after_s):
+            return claim_pb2.ClaimReply(
+                result=claim_pb2.CLAIM_UNAVAILABLE,
+                retry_after_s=retry_after_s,
+            )
+    return claim_pb2.ClaimReply(result=_SIMPLE_RESULTS[reply])
+
+
+def read_claim_reply(message: claim_pb2.ClaimReply) -> replies.ClaimReply:
+    """Returns the reply in a message; an unknown one grants nothing."""
+    match message.result:
+        case claim_pb2.CLAIM_ANSWERED:
+            return replies.Answered(read_answer(message.answer))
+        case claim_pb2.CLAIM_ANSWER_DROPPED:
+            return replies.AnswerDropped(message.status)
+        case claim_pb2.CLAIM_UNAVAILABLE:
+            return replies.Unavailable(message.retry_after_s)
+    return _SIMPLE_REPLIES.get(message.result, replies.NotOwner())
+
+
+def make_change(reply: replies.ChangeReply) -> claim_pb2.ChangeResult:
+    """Returns the wire value of a reply to a change."""
+    return _CHANGE_RESULTS[reply]
+
+
+def read_change(result: claim_pb2.ChangeResult) -> replies.ChangeReply:
+    """Returns the reply to a change; an unknown one is not stored."""
+    return _CHANGES.get(result, replies.ChangeReply.UNAVAILABLE)
--- a/packages/outcomes/poplarwick_outcomes/claims/client.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/client.py
@@ -11,16 +11,17 @@
 from typing import Self
 
 import tenacity
+
 from poplarwick_core import errors
 from poplarwick_core import logs
-
 from poplarwick_outcomes.claims import keys
 from poplarwick_outcomes.claims import records
 from poplarwick_outcomes.claims import replies
 
 NONCE_BYTES = 16
 OWNER_TIMEOUT_S = 5.0
-CHANGE_TIMEOUT_S = 60.0
+MAX_CHANGE_TRIES = 60
+DRAIN_TIMEOUT_S = 10.0
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 REPLY_MARGIN_S = 1.0
@@ -60,9 +61,9 @@
 class ClaimClient:
     """Claims calls and records their ends; use it as a context manager.
 
-    Changes are stored by background tasks that try again until the change is
-    stored or `CHANGE_TIMEOUT_S` has passed; leaving the context waits for
-    them.
+    Changes are stored by background tasks that try again up to
+    `MAX_CHANGE_TRIES` times; leaving the context waits for them, but no
+    longer than `DRAIN_TIMEOUT_S`.
     """
 
     def __init__(self, find_owner: FindOwner) -> None:
@@ -78,8 +79,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=DRAIN_TIMEOUT_S)
+        for task in self._tasks:
+            task.cancel()
 
     async def claim(
         self, attempt: records.Record, timeout_s: float
@@ -193,7 +196,7 @@
     return tenacity.AsyncRetrying(
         retry=tenacity.retry_if_exception_type(PeerError),
         wait=tenacity.wait_random_exponential(MIN_RETRY_S, MAX_RETRY_S),
-        stop=tenacity.stop_after_delay(CHANGE_TIMEOUT_S),
+        stop=tenacity.stop_after_attempt(MAX_CHANGE_TRIES),
     )
 
 
--- a/packages/outcomes/poplarwick_outcomes/claims/journal.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/journal.py
@@ -14,10 +14,9 @@
 
 from poplarwick_core import errors
 from poplarwick_core import ids
-from poplarwick_platform import kv
-
 from poplarwick_outcomes.claims import records
 from poplarwick_outcomes.claims import segments
+from poplarwick_platform import kv
 
 KV_TIMEOUT_S = 1.0
 NONCE_BYTES = 16
--- a/packages/outcomes/poplarwick_outcomes/claims/keys.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/keys.py
@@ -12,8 +12,8 @@
 import uuid
 
 import result
-from poplarwick_core import ids
 
+from poplarwick_core import ids
 from poplarwick_outcomes import verdicts
 
 HEADER = "Idempotency-Key"
--- a/packages/outcomes/poplarwick_outcomes/claims/records.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/records.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import msgspec
+
 from poplarwick_core import errors
 
 
--- /dev/null
+++ b/packages/outcomes/poplarwick_outcomes/claims/remote.py
@@ -0,0 +1,67 @@
+"""Access to shards that another instance owns."""
+
+from __future__ import annotations
+
+from grpclib import client
+
+from poplarwick_outcomes.claims import _wire
+from poplarwick_outcomes.claims import client as clients
+from poplarwick_outcomes.claims import records
+from poplarwick_outcomes.claims import replies
+from poplarwick_peers import transport
+from poplarwick_peers.wire import claim_grpc
+from poplarwick_peers.wire import claim_pb2
+
+CHANGE_TIMEOUT_S = 5.0
+CLAIM_MARGIN_S = 1.0
+
+
+class RemotePeer:
+    """The claim service of another instance.
+
+    Args:
+        channel: Connection to the instance.
+    """
+
+    def __init__(self, channel: client.Channel) -> None:
+        self._stub = claim_grpc.ClaimServiceStub(channel)
+
+    async def claim(
+        self, attempt: records.Record, timeout_s: float
+    ) -> replies.ClaimReply:
+        """Grants a claim, or tells how the run that holds it ended."""
+        request = claim_pb2.ClaimRequest(
+            attempt=_wire.make_attempt(attempt), timeout_s=timeout_s
+        )
+        limit_s = timeout_s + CLAIM_MARGIN_S
+        try:
+            message = await self._stub.Claim(request, timeout=limit_s)
+        except transport.CALL_ERRORS as error:
+            raise clients.PeerError(str(error)) from error
+        return _wire.read_claim_reply(message)
+
+    async def resolve(
+        self, attempt: records.Record, answer: records.Answer | None
+    ) -> replies.ChangeReply:
+        """Records how the run of a granted claim ended."""
+        request = claim_pb2.ResolveRequest(attempt=_wire.make_attempt(attempt))
+        if answer is not None:
+            request.answer.CopyFrom(_wire.make_answer(answer))
+        try:
+            message = await self._stub.Resolve(
+                request, timeout=CHANGE_TIMEOUT_S
+            )
+        except transport.CALL_ERRORS as error:
+            raise clients.PeerError(str(error)) from error
+        return _wire.read_change(message.result)
+
+    async def release(self, attempt: records.Record) -> replies.ChangeReply:
+        """Gives a claim back whose call was not sent and never will be."""
+        request = claim_pb2.ReleaseRequest(attempt=_wire.make_attempt(attempt))
+        try:
+            message = await self._stub.Release(
+                request, timeout=CHANGE_TIMEOUT_S
+            )
+        except transport.CALL_ERRORS as error:
+            raise clients.PeerError(str(error)) from error
+        return _wire.read_change(message.result)
--- a/packages/outcomes/poplarwick_outcomes/claims/segments.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/segments.py
@@ -10,9 +10,8 @@
 from typing import Generic
 from typing import TypeVar
 
-from poplarwick_platform import kv
-
 from poplarwick_outcomes.claims import records
+from poplarwick_platform import kv
 
 SMALL_BYTES = 65_536
 MAX_SMALL_SEGMENTS = 24
--- /dev/null
+++ b/packages/outcomes/poplarwick_outcomes/claims/service.py
@@ -0,0 +1,151 @@
+"""The shards that this instance owns, served to all instances."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from grpclib import server
+
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_outcomes.claims import _wire
+from poplarwick_outcomes.claims import journal as journals
+from poplarwick_outcomes.claims import keys
+from poplarwick_outcomes.claims import records
+from poplarwick_outcomes.claims import replies
+from poplarwick_outcomes.claims import shard as shards
+from poplarwick_ownership import tenure as tenures
+from poplarwick_peers.wire import claim_grpc
+from poplarwick_peers.wire import claim_pb2
+from poplarwick_platform import kv
+
+MAX_CLAIM_TIMEOUT_S = 3_600.0
+
+
+class ClaimService(claim_grpc.ClaimServiceBase):
+    """Owns shards of claims; give it to the ownership as a listener.
+
+    Args:
+        client: Client of the key-value service.
+        environment: Environment, the first part of the stored keys.
+        timing: Periods of the shards.
+        wall_time_s: Clock that the age of keys is measured by.
+    """
+
+    def __init__(
+        self,
+        client: kv.KvClient,
+        environment: str,
+        timing: shards.Timing | None = None,
+        wall_time_s: Callable[[], float] = clock.wall_time_s,
+    ) -> None:
+        self._client = client
+        self._environment = environment
+        self._timing = timing
+        self._wall_time_s = wall_time_s
+        self._shards: dict[int, shards.Shard] = {}
+
+    async def begin_tenure(self, tenure: tenures.Tenure) -> None:
+        """Takes a shard over; its content is read in the background."""
+        if tenure.resource.kind is not tenures.ResourceKind.SHARD:
+            return
+        number = int(tenure.resource.id)
+        await self._leave(number)
+        journal = journals.Journal(
+            self._client, self._environment, number, tenure.epoch
+        )
+        shard = shards.Shard(journal, tenure, self._timing, self._wall_time_s)
+        self._shards[number] = await shard.__aenter__()
+
+    async def end_tenure(
+        self, tenure: tenures.Tenure, *, is_planned: bool
+    ) -> None:
+        """Gives a shard up; at a planned end all changes are stored first."""
+        if tenure.resource.kind is not tenures.ResourceKind.SHARD:
+            return
+        number = int(tenure.resource.id)
+        shard = self._shards.get(number)
+        if is_planned and shard is not None:
+            await shard.drain()
+        await self._leave(number)
+
+    async def claim(
+        self, attempt: records.Record, timeout_s: float
+    ) -> replies.ClaimReply:
+        """Grants a claim, or tells how the run that holds it ended."""
+        shard = self._shards.get(keys.find_shard(attempt.key))
+        if shard is None:
+            return replies.NotOwner()
+        return await shard.claim(attempt, timeout_s)
+
+    async def resolve(
+        self, attempt: records.Record, answer: records.Answer | None
+    ) -> replies.ChangeReply:
+        """Records how the run of a granted claim ended."""
+        shard = self._shards.get(keys.find_shard(attempt.key))
+        if shard is None:
+            return replies.ChangeReply.NOT_OWNER
+        return await shard.resolve(attempt, answer)
+
+    async def release(self, attempt: records.Record) -> replies.ChangeReply:
+        """Gives a claim back whose call was not sent and never will be."""
+        shard = self._shards.get(keys.find_shard(attempt.key))
+        if shard is None:
+            return replies.ChangeReply.NOT_OWNER
+        return await shard.release(attempt)
+
+    async def Claim(  # noqa: N802
+        self,
+        stream: server.Stream[claim_pb2.ClaimRequest, claim_pb2.ClaimReply],
+    ) -> None:
+        """Serves `claim` to other instances."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        timeout_s = request.timeout_s
+        if not math.isfinite(timeout_s):
+            timeout_s = 0.0
+        timeout_s = min(max(timeout_s, 0.0), MAX_CLAIM_TIMEOUT_S)
+        reply = await self.claim(_wire.read_attempt(request.attempt), timeout_s)
+        await stream.send_message(_wire.make_claim_reply(reply))
+
+    async def Resolve(  # noqa: N802
+        self,
+        stream: server.Stream[claim_pb2.ResolveRequest, claim_pb2.ResolveReply],
+    ) -> None:
+        """Serves `resolve` to other instances."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        answer = None
+        if request.HasField("answer"):
+            answer = _wire.read_answer(request.answer)
+        attempt = _wire.read_attempt(request.attempt)
+        result = _wire.make_change(await self.resolve(attempt, answer))
+        await stream.send_message(claim_pb2.ResolveReply(result=result))
+
+    async def Release(  # noqa: N802
+        self,
+        stream: server.Stream[claim_pb2.ReleaseRequest, claim_pb2.ReleaseReply],
+    ) -> None:
+        """Serves `release` to other instances."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        attempt = _wire.read_attempt(request.attempt)
+        result = _wire.make_change(await self.release(attempt))
+        await stream.send_message(claim_pb2.ReleaseReply(result=result))
+
+    async def _leave(self, number: int) -> None:
+        shard = self._shards.pop(number, None)
+        if shard is not None:
+            await shard.__aexit__(None, None, None)
+
+
+def make_resources(region: ids.RegionId) -> tuple[tenures.Resource, ...]:
+    """Returns all shards as resources that need an owner."""
+    return tuple(
+        tenures.Resource(tenures.ResourceKind.SHARD, f"{number:02d}", region)
+        for number in range(keys.SHARD_COUNT)
+    )
--- a/packages/outcomes/poplarwick_outcomes/claims/shard.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/shard.py
@@ -18,12 +18,11 @@
 from poplarwick_core import clock
 from poplarwick_core import errors
 from poplarwick_core import logs
-from poplarwick_ownership import tenure as tenures
-
 from poplarwick_outcomes.claims import answers
 from poplarwick_outcomes.claims import journal as journals
 from poplarwick_outcomes.claims import records
 from poplarwick_outcomes.claims import replies
+from poplarwick_ownership import tenure as tenures
 
 MIN_COMMIT_INTERVAL_S = 0.4
 CLAIM_TIMEOUT_S = 2.0
--- a/packages/outcomes/tests/claim_world.py
+++ b/packages/outcomes/tests/claim_world.py
@@ -7,6 +7,7 @@
 from kv_fake import Faults
 from kv_fake import KvFake
 from kv_fake import KvFakeClient
+
 from poplarwick_core import ids
 from poplarwick_outcomes.claims import client as clients
 from poplarwick_outcomes.claims import journal as journals
--- /dev/null
+++ b/packages/outcomes/tests/test_claim_journal.py
@@ -0,0 +1,270 @@
+"""Tests of the journal: who wrote what when answers are lost or late."""
+
+import asyncio
+
+import pytest
+import virtual_loop
+from kv_fake import KvFake
+
+from poplarwick_core import ids
+from poplarwick_outcomes.claims import journal as journals
+from poplarwick_outcomes.claims import keys
+from poplarwick_outcomes.claims import records
+from poplarwick_outcomes.claims import segments
+from poplarwick_platform import kv
+
+
+class ScriptedClient:
+    """Client whose commits follow a script, then succeed."""
+
+    def __init__(self, service, *script):
+        self.service = service
+        self.script = list(script)
+        self.held = []
+
+    async def read(self, key, purpose, *, is_prefix=False):
+        entries = self.service.find(key, is_prefix)
+        return kv.Snapshot(entries, self.service.revision)
+
+    async def commit(self, conditions, operations, purpose):
+        match self.script.pop(0) if self.script else "ok":
+            case "refused":
+                raise kv.UnavailableError("refused")
+            case "lost after":
+                self.service.apply(conditions, operations)
+                raise kv.UnknownResultError("lost after")
+            case "lost before":
+                raise kv.UnknownResultError("lost before")
+            case "late":
+                self.held.append((conditions, operations))
+                raise kv.UnknownResultError("late")
+        return self.service.apply(conditions, operations)
+
+    def deliver(self):
+        for conditions, operations in self.held:
+            self.service.apply(conditions, operations)
+        self.held.clear()
+
+
+def make_record(number, state=records.State.CLAIMED, nonce=b"n", time_ms=1):
+    return records.Record(
+        number.to_bytes(16), time_ms, b"c", nonce, state, 10_000
+    )
+
+
+def make_change(*numbers):
+    return journals.Change(tuple(make_record(n) for n in numbers))
+
+
+def make_journal(client, epoch=1):
+    return journals.Journal(client, "test", 0, ids.Epoch(epoch))
+
+
+async def open_journal(*script, service=None, epoch=1):
+    client = ScriptedClient(service or KvFake())
+    journal = make_journal(client, epoch)
+    await journal.open()
+    client.script = list(script)
+    return client, journal
+
+
+async def read_back(service, epoch=99):
+    content = await make_journal(ScriptedClient(service), epoch).open()
+    return content.updates
+
+
+def test_lost_answer_is_resolved_by_the_nonce():
+    async def main():
+        client, journal = await open_journal("lost after")
+        assert await journal.append(make_change(1)) == journals.Stored()
+        assert await read_back(client.service) == (make_record(1),)
+
+    asyncio.run(main())
+
+
+def test_late_write_is_found_by_the_next_one():
+    async def main():
+        client, journal = await open_journal("late", *["lost before"] * 2)
+        first = make_change(1)
+        with pytest.raises(journals.DoubtError):
+            await journal.append(first)
+        assert journal.is_in_doubt
+        client.deliver()
+        done = await journal.append(make_change(2))
+        assert done == journals.Overtaken(first)
+        assert not journal.is_in_doubt
+        assert await journal.append(make_change(2)) == journals.Stored()
+        expected = (make_record(1), make_record(2))
+        assert await read_back(client.service) == expected
+
+    asyncio.run(main())
+
+
+def test_write_in_doubt_never_lands_after_a_later_one():
+    async def main():
+        client, journal = await open_journal("late", *["lost before"] * 2)
+        with pytest.raises(journals.DoubtError):
+            await journal.append(make_change(1))
+        assert await journal.append(make_change(2)) == journals.Stored()
+        client.deliver()
+        assert await read_back(client.service) == (make_record(2),)
+
+    asyncio.run(main())
+
+
+def test_refusal_after_a_lost_answer_stays_in_doubt():
+    async def main():
+        _, journal = await open_journal("late", "refused", "refused")
+        with pytest.raises(journals.DoubtError):
+            await journal.append(make_change(1))
+
+    asyncio.run(main())
+
+
+def test_refused_write_is_not_in_doubt():
+    async def main():
+        client, journal = await open_journal("refused")
+        with pytest.raises(journals.UnwrittenError):
+            await journal.append(make_change(1))
+        assert not journal.is_in_doubt
+        assert await read_back(client.service) == ()
+
+    asyncio.run(main())
+
+
+def test_writes_in_doubt_stay_bounded_and_are_resolved():
+    async def main():
+        client, journal = await open_journal()
+        client.script = ["late"] * (journals.MAX_ATTEMPTS * 200)
+        for number in range(100):
+            with pytest.raises(journals.JournalError):
+                await journal.append(make_change(number))
+        assert len(journal._doubts) <= journals.MAX_DOUBTS
+        client.script = []
+        client.deliver()
+        done = await journal.append(make_change(500))
+        assert done == journals.Overtaken(make_change(0))
+
+    asyncio.run(main())
+
+
+def test_earlier_owner_is_fenced_off_at_every_step():
+    async def main():
+        client, old = await open_journal("late", *["lost before"] * 2)
+        with pytest.raises(journals.DoubtError):
+            await old.append(make_change(1))
+        _, new = await open_journal(service=client.service, epoch=2)
+        client.deliver()
+        with pytest.raises(journals.DeposedError):
+            await old.append(make_change(2))
+        assert await new.append(make_change(3)) == journals.Stored()
+        assert await read_back(client.service) == (make_record(3),)
+
+    asyncio.run(main())
+
+
+def test_owner_with_an_old_epoch_cannot_open():
+    async def main():
+        service = KvFake()
+        await open_journal(service=service, epoch=2)
+        with pytest.raises(journals.DeposedError):
+            await open_journal(service=service, epoch=1)
+
+    asyncio.run(main())
+
+
+def test_hanging_service_is_given_up_in_time():
+    class Hanging(ScriptedClient):
+        async def commit(self, conditions, operations, purpose):
+            await asyncio.Event().wait()
+
+    async def main():
+        client, _ = await open_journal()
+        journal = make_journal(Hanging(client.service), epoch=2)
+        with pytest.raises(journals.DoubtError):
+            await journal.open()
+
+    virtual_loop.run(main())
+
+
+def test_segments_stay_few_small_and_complete():
+    async def main():
+        client, journal = await open_journal()
+        expected = {}
+        for number in range(3_000):
+            record = make_record(number, nonce=b"n" * 16, time_ms=number)
+            await journal.append(journals.Change((record,)))
+            ended = records.make_lost(record)
+            if number % 3 == 0:
+                ended = records.make_released(record)
+            await journal.append(journals.Change((ended,)))
+            if number % 3:
+                expected[record.key] = ended
+        service = client.service
+        assert len(service.entries) < 40
+        assert service.largest_value < kv.MAX_VALUE_BYTES
+        assert service.most_operations <= 128
+        index = {}
+        for record in await read_back(service):
+            records.apply_record(index, record)
+        assert index == expected
+
+    asyncio.run(main())
+
+
+def test_expired_segments_are_dropped_with_a_durable_horizon():
+    async def main():
+        client, journal = await open_journal()
+        for number in range(2_000):
+            record = make_record(number, nonce=b"n" * 16, time_ms=number)
+            horizon = max(0, number - 100)
+            await journal.append(journals.Change((record,), (), horizon))
+        newer = make_journal(ScriptedClient(client.service), 2)
+        content = await newer.open()
+        assert newer.horizon_ms == 1_899
+        kept = {record.key_time_ms for record in content.updates}
+        assert kept.issuperset(range(1_899, 2_000))
+        assert len(content.updates) < 1_000
+
+    asyncio.run(main())
+
+
+def test_answers_give_way_once_the_space_is_full():
+    async def main():
+        client, journal = await open_journal()
+        body = b"x" * 16_000
+        for number in range(400):
+            stored = records.StoredAnswer(
+                number.to_bytes(16), 1, b"n", records.Answer(200, "", body)
+            )
+            await journal.append(journals.Change((), (stored,)))
+        content = await make_journal(ScriptedClient(client.service), 2).open()
+        assert content.answers[-1].key == (399).to_bytes(16)
+        size = sum(len(a.answer.body) for a in content.answers)
+        assert size <= segments.MAX_ANSWERS_BYTES + segments.MAX_MERGED_BYTES
+
+    asyncio.run(main())
+
+
+def test_release_removes_only_its_own_attempt():
+    index = {}
+    records.apply_record(index, make_record(1, nonce=b"a"))
+    released = records.make_released(make_record(1, nonce=b"a"))
+    records.apply_record(index, released)
+    records.apply_record(index, make_record(1, nonce=b"b"))
+    records.apply_record(index, released)
+    assert index == {make_record(1).key: make_record(1, nonce=b"b")}
+
+
+def test_merge_keeps_the_release_of_an_older_claim():
+    released = records.make_released(make_record(1))
+    kept = records.merge_records([released], 0, is_oldest=False)
+    assert kept == [released]
+    assert records.merge_records([released], 0, is_oldest=True) == []
+
+
+def test_every_shard_is_used():
+    shards = {
+        keys.find_shard(keys.digest_content(bytes([n]))) for n in range(255)
+    }
+    assert shards == set(range(keys.SHARD_COUNT))
--- a/packages/outcomes/tests/test_claim_safety.py
+++ b/packages/outcomes/tests/test_claim_safety.py
@@ -49,3 +49,14 @@
     assert outcomes["answer"] > 0
     assert outcomes[claim_world.NOT_RUN] > 0
     assert outcomes[claim_world.UNKNOWN] > 0
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_call_runs_twice_while_most_writes_are_in_doubt(seed):
+    faults = Faults(lost_before=0.25, lost_after=0.1, late=0.5)
+    world, _ = virtual_loop.run(
+        claim_world.play(
+            seed, ODDS, faults, callers=40, take_overs=3, outages=0
+        )
+    )
+    assert world.check() == []
--- /dev/null
+++ b/packages/outcomes/tests/test_claim_shard.py
@@ -0,0 +1,302 @@
+"""Tests of what one shard answers."""
+
+import asyncio
+import contextlib
+
+import claim_world
+import pytest
+import virtual_loop
+from grpclib import testing
+from kv_fake import Faults
+from kv_fake import KvFake
+from kv_fake import KvFakeClient
+
+from poplarwick_core import ids
+from poplarwick_outcomes import verdicts
+from poplarwick_outcomes.claims import answers
+from poplarwick_outcomes.claims import client as clients
+from poplarwick_outcomes.claims import keys
+from poplarwick_outcomes.claims import records
+from poplarwick_outcomes.claims import remote
+from poplarwick_outcomes.claims import replies
+from poplarwick_outcomes.claims import service as services
+from poplarwick_outcomes.claims import shard as shards
+from poplarwick_ownership import tenure as tenures
+
+CONTENT = b"c" * 16
+ANSWER = records.Answer(201, "text/plain", b"made")
+ORGANISATION = ids.OrganisationId("soaps")
+
+
+@contextlib.asynccontextmanager
+async def open_world(faults=None):
+    world = claim_world.World(1, kv_faults=faults)
+    await world.take_over()
+    await asyncio.sleep(0.1)
+    try:
+        yield world, world.owners[-1].shard
+    finally:
+        await world.stop()
+
+
+def make_attempt(world, number=1, content=CONTENT, age_s=0.0):
+    key = world.make_key(number, age_s)
+    until_ms = int((world.wall_time_s() + 10) * 1000)
+    return clients.make_attempt(key, content, until_ms)
+
+
+def test_retry_during_the_run_gets_the_same_answer():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            assert await shard.claim(first, 1) == replies.Granted()
+            retry = asyncio.create_task(shard.claim(make_attempt(world), 8))
+            await asyncio.sleep(1)
+            assert not retry.done()
+            stored = await shard.resolve(first, ANSWER)
+            assert stored is replies.ChangeReply.STORED
+            assert await retry == replies.Answered(ANSWER)
+
+    virtual_loop.run(main())
+
+
+def test_answer_is_replayed_by_the_next_owner():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            await shard.claim(first, 1)
+            await shard.resolve(first, ANSWER)
+            await world.take_over()
+            await asyncio.sleep(0.1)
+            reply = await world.owners[-1].shard.claim(make_attempt(world), 1)
+            assert reply == replies.Answered(ANSWER)
+
+    virtual_loop.run(main())
+
+
+def test_claim_without_a_recorded_end_is_lost_after_its_run():
+    async def main():
+        async with open_world() as (world, shard):
+            await shard.claim(make_attempt(world), 1)
+            early = await shard.claim(make_attempt(world), 1)
+            assert early == replies.Running()
+            late = await shard.claim(make_attempt(world), 30)
+            assert late == replies.Lost()
+
+    virtual_loop.run(main())
+
+
+def test_large_answer_is_kept_by_its_owner_only():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            await shard.claim(first, 1)
+            body = b"x" * (answers.MAX_STORED_BYTES + 1)
+            large = records.Answer(200, "", body)
+            await shard.resolve(first, large)
+            again = await shard.claim(make_attempt(world), 1)
+            assert again == replies.Answered(large)
+            await world.take_over()
+            await asyncio.sleep(0.1)
+            reply = await world.owners[-1].shard.claim(make_attempt(world), 1)
+            assert reply == replies.AnswerDropped(200)
+
+    virtual_loop.run(main())
+
+
+def test_same_key_with_other_content_is_a_conflict():
+    async def main():
+        async with open_world() as (world, shard):
+            await shard.claim(make_attempt(world), 1)
+            other = make_attempt(world, content=b"d" * 16)
+            assert await shard.claim(other, 1) == replies.Conflict()
+
+    virtual_loop.run(main())
+
+
+def test_released_claim_can_be_taken_again():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            await shard.claim(first, 1)
+            retry = asyncio.create_task(shard.claim(make_attempt(world), 5))
+            await shard.release(first)
+            assert await retry == replies.Granted()
+
+    virtual_loop.run(main())
+
+
+def test_expired_key_never_runs_also_after_a_take_over():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            await shard.claim(first, 1)
+            await shard.resolve(first, ANSWER)
+            await asyncio.sleep(shards.RETENTION_S + 2 * 300)
+            await shard.claim(make_attempt(world, 2), 1)
+            old = claim_world.clients.make_attempt(
+                keys.ClaimKey(first.key, first.key_time_ms), CONTENT, 0
+            )
+            assert await shard.claim(old, 1) == replies.Expired()
+            # The next owner's clock is a day slow.
+            world.wall_time_s = lambda: claim_world.EPOCH_START_S - 86_400
+            await world.take_over()
+            await asyncio.sleep(0.1)
+            newer = world.owners[-1].shard
+            assert await newer.claim(old, 1) == replies.Expired()
+
+    virtual_loop.run(main())
+
+
+def test_outage_refuses_at_once_and_ends():
+    async def main():
+        async with open_world() as (world, shard):
+            world.service.is_down = True
+            first = await shard.claim(make_attempt(world), 5)
+            assert isinstance(first, replies.Unavailable)
+            start_s = asyncio.get_running_loop().time()
+            for number in range(100):
+                reply = await shard.claim(make_attempt(world, 2 + number), 5)
+                assert isinstance(reply, replies.Unavailable)
+            assert asyncio.get_running_loop().time() - start_s < 1
+            world.service.is_down = False
+            await asyncio.sleep(1)
+            reply = await shard.claim(make_attempt(world), 5)
+            assert reply == replies.Granted()
+
+    virtual_loop.run(main())
+
+
+@pytest.mark.parametrize("kind", ["lost_before", "lost_after", "late"])
+def test_key_whose_write_was_in_doubt_is_free_again_later(kind):
+    async def main():
+        faults = Faults()
+        async with open_world(faults) as (world, shard):
+            setattr(faults, kind, 1.0)
+            first = make_attempt(world)
+            reply = await shard.claim(first, 5)
+            if reply == replies.Granted():
+                assert kind == "lost_after"
+                return
+            assert isinstance(reply, replies.Unavailable)
+            setattr(faults, kind, 0.0)
+            await asyncio.sleep(6)
+            reply = await shard.claim(make_attempt(world), 5)
+            assert reply == replies.Granted()
+            index = [r.nonce for r in shard._index.values()]
+            assert first.nonce not in index
+
+    virtual_loop.run(main())
+
+
+def test_refused_attempt_is_not_granted_when_it_asks_again():
+    async def main():
+        faults = Faults(longest_late_s=0.01)
+        async with open_world(faults) as (world, shard):
+            faults.late = 1.0
+            first = make_attempt(world)
+            reply = await shard.claim(first, 5)
+            assert isinstance(reply, replies.Unavailable)
+            faults.late = 0.0
+            world.service.is_down = True
+            await asyncio.sleep(0.3)
+            reply = await shard.claim(first, 5)
+            assert isinstance(reply, replies.Unavailable)
+
+    virtual_loop.run(main())
+
+
+def test_writes_do_not_grow_with_the_rate_of_calls():
+    async def main():
+        async with open_world() as (world, shard):
+
+            async def call(number):
+                await asyncio.sleep(world.random.uniform(0, 20))
+                attempt = make_attempt(world, number)
+                if await shard.claim(attempt, 5) == replies.Granted():
+                    await shard.resolve(attempt, ANSWER)
+
+            before = world.service.writes
+            await asyncio.gather(*(call(number) for number in range(4_000)))
+            elapsed_s = asyncio.get_running_loop().time()
+            writes = world.service.writes - before
+            assert writes <= elapsed_s / shards.MIN_COMMIT_INTERVAL_S + 1
+            states = [r.state for r in shard._index.values()]
+            assert states == [records.State.ANSWERED] * 4_000
+            all_shards = keys.SHARD_COUNT / shards.MIN_COMMIT_INTERVAL_S
+            assert all_shards <= 50
+
+    virtual_loop.run(main())
+
+
+def test_shard_is_served_to_other_instances():
+    async def main():
+        service = services.ClaimService(KvFakeClient(KvFake()), "test")
+        tenure = tenures.Tenure(
+            services.make_resources(ids.RegionId("r"))[0],
+            ids.Epoch(1),
+            lambda: True,
+        )
+        await service.begin_tenure(tenure)
+        async with testing.ChannelFor([service]) as channel:
+            peer = remote.RemotePeer(channel)
+            async with clients.ClaimClient(lambda shard: peer) as client:
+                key = keys.ClaimKey(bytes(16), 1 << 50)
+                first = clients.make_attempt(key, CONTENT, 1 << 50)
+                assert await client.claim(first, 5) == replies.Granted()
+                client.resolve(first, ANSWER)
+                again = clients.make_attempt(key, CONTENT, 1 << 50)
+                reply = await client.claim(again, 5)
+                assert reply == replies.Answered(ANSWER)
+        await service.end_tenure(tenure, is_planned=True)
+        assert await service.claim(first, 1) == replies.NotOwner()
+
+    asyncio.run(main())
+
+
+def test_claim_without_an_owner_is_refused_in_time():
+    async def main():
+        async with clients.ClaimClient(lambda shard: None) as client:
+            key = keys.ClaimKey(bytes(16), 1)
+            attempt = clients.make_attempt(key, CONTENT, 1)
+            reply = await client.claim(attempt, 30)
+            assert isinstance(reply, replies.Unavailable)
+            elapsed_s = asyncio.get_running_loop().time()
+            assert elapsed_s <= clients.OWNER_TIMEOUT_S + 1
+
+    virtual_loop.run(main())
+
+
+NOW_MS = 1_800_000_000_000
+GOOD_KEY = "01a3185c-5000-7abc-8def-0123456789ab"
+
+
+def test_key_tells_its_time_and_belongs_to_its_organisation():
+    key = keys.parse_key(GOOD_KEY, ORGANISATION, NOW_MS).unwrap()
+    other = keys.parse_key(GOOD_KEY, ids.OrganisationId("roads"), NOW_MS)
+    assert key.time_ms == int("01a3185c5000", 16)
+    assert other.unwrap().digest != key.digest
+    upper = keys.parse_key(f'"{GOOD_KEY.upper()}"', ORGANISATION, NOW_MS)
+    assert upper.unwrap() == key
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        "",
+        "order-17",
+        "6ba7b810-9dad-11d1-80b4-00c04fd430c8",
+        "f" * 10_000,
+        "ffffffff-ffff-7abc-8def-0123456789ab",
+        GOOD_KEY + "0",
+        GOOD_KEY.replace("-", ""),
+    ],
+)
+def test_other_keys_are_refused(value):
+    refused = keys.parse_key(value, ORGANISATION, NOW_MS).unwrap_err()
+    assert refused.param == keys.HEADER
+    verdict = verdicts.decide_outcome(
+        refused, may_have_run=False, is_idempotent=False
+    )
+    assert verdict.status == 400
