Answer unknown where an earlier call with the key may have run

Cause: an expired key was refused as not run, though a call with it may have run long ago; a caller could have read it as leave to order again. Change: KeyExpired, AnswerDropped, StillRunning and OutcomeMissing end as unknown; an answer from 500 on ends as failed; a caller that waits on a run keeps that knowledge when the shard's owner leaves; a missing owner is given up after 1 s in place of 5 s. Measured: see the tests of this commit, pytest packages/outcomes. Conclusion: not-run is told only for what surely has not run.

--- a/packages/outcomes/poplarwick_outcomes/claims/_wire.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/_wire.py
@@ -13,7 +13,6 @@
     claim_pb2.CLAIM_RUNNING: replies.Running(),
     claim_pb2.CLAIM_CONFLICT: replies.Conflict(),
     claim_pb2.CLAIM_EXPIRED: replies.Expired(),
-    claim_pb2.CLAIM_NOT_OWNER: replies.NotOwner(),
 }
 _SIMPLE_RESULTS = {reply: result for result, reply in _SIMPLE_REPLIES.items()}
 _CHANGES = {
@@ -73,6 +72,10 @@
             return claim_pb2.ClaimReply(
                 result=claim_pb2.CLAIM_ANSWER_DROPPED, status=status
             )
+        case replies.NotOwner(is_claimed):
+            return claim_pb2.ClaimReply(
+                result=claim_pb2.CLAIM_NOT_OWNER, is_claimed=is_claimed
+            )
         case replies.Unavailable(retry_after_s):
             return claim_pb2.ClaimReply(
                 result=claim_pb2.CLAIM_UNAVAILABLE,
@@ -90,7 +93,8 @@
             return replies.AnswerDropped(message.status)
         case claim_pb2.CLAIM_UNAVAILABLE:
             return replies.Unavailable(message.retry_after_s)
-    return _SIMPLE_REPLIES.get(message.result, replies.NotOwner())
+    other = replies.NotOwner(message.is_claimed)
+    return _SIMPLE_REPLIES.get(message.result, other)
 
 
 def make_change(reply: replies.ChangeReply) -> claim_pb2.ChangeResult:
--- a/packages/outcomes/poplarwick_outcomes/claims/client.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/client.py
@@ -19,7 +19,7 @@
 from poplarwick_outcomes.claims import replies
 
 NONCE_BYTES = 16
-OWNER_TIMEOUT_S = 5.0
+OWNER_TIMEOUT_S = 1.0
 MAX_CHANGE_TRIES = 60
 DRAIN_TIMEOUT_S = 10.0
 MIN_RETRY_S = 0.05
@@ -98,17 +98,27 @@
             timeout_s: Time within which to answer.
         """
         end_s = _now_s() + timeout_s
-        owner_end_s = min(end_s, _now_s() + OWNER_TIMEOUT_S)
         retry_s = MIN_RETRY_S
+        searching_s = _now_s()
+        is_claimed = False
         while True:
-            reply = await self._ask(attempt, end_s - _now_s())
-            if reply is not None:
+            asked_s = _now_s()
+            reply = await self._ask(attempt, end_s - asked_s)
+            if not isinstance(reply, replies.NotOwner):
                 break
-            if _now_s() + retry_s >= owner_end_s:
-                reply = replies.Unavailable(MAX_RETRY_S)
+            is_claimed = is_claimed or reply.is_claimed
+            if _now_s() - asked_s > OWNER_TIMEOUT_S:
+                searching_s, retry_s = _now_s(), MIN_RETRY_S
+            give_up_s = min(end_s, searching_s + OWNER_TIMEOUT_S)
+            if _now_s() + retry_s >= give_up_s:
                 break
             await asyncio.sleep(retry_s)
             retry_s = min(2 * retry_s, MAX_RETRY_S)
+        if isinstance(reply, replies.NotOwner):
+            self.release(attempt)
+            if is_claimed:
+                return replies.Running()
+            return replies.Unavailable(MAX_RETRY_S)
         if isinstance(reply, replies.Unavailable):
             self.release(attempt)
         return reply
@@ -134,16 +144,15 @@
 
     async def _ask(
         self, attempt: records.Record, timeout_s: float
-    ) -> replies.ClaimReply | None:
+    ) -> replies.ClaimReply:
         owner = self._find_owner(_find_shard(attempt))
         if owner is None or timeout_s <= 0:
-            return None
+            return replies.NotOwner()
         try:
             async with asyncio.timeout(timeout_s + REPLY_MARGIN_S):
-                reply = await owner.claim(attempt, timeout_s)
+                return await owner.claim(attempt, timeout_s)
         except (PeerError, TimeoutError):
-            return None
-        return None if isinstance(reply, replies.NotOwner) else reply
+            return replies.NotOwner()
 
     def _start(
         self,
--- a/packages/outcomes/poplarwick_outcomes/claims/replies.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/replies.py
@@ -68,7 +68,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotOwner:
-    """This instance does not own the shard."""
+    """This instance does not own the shard.
+
+    Attributes:
+        is_claimed: Whether another attempt held the claim when it did.
+    """
+
+    is_claimed: bool = False
 
 
 ClaimReply = (
--- a/packages/outcomes/poplarwick_outcomes/claims/shard.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/shard.py
@@ -149,13 +149,15 @@
             timeout_s: Time for which to wait for a run in progress.
         """
         end_s = _now_s() + timeout_s
+        is_claimed = False
         while True:
             if not self._may_act:
-                return replies.NotOwner()
+                return replies.NotOwner(is_claimed)
             reply = self._find_reply(attempt)
             if reply is not None:
                 return reply
             record = self._index.get(attempt.key)
+            is_claimed = record is not None
             if record is not None:
                 run_left_s = (
                     record.run_until_ms / MS_PER_S - self._wall_time_s()
--- a/packages/outcomes/poplarwick_outcomes/verdicts.py
+++ b/packages/outcomes/poplarwick_outcomes/verdicts.py
@@ -33,7 +33,6 @@
     NOT_READY = "not_ready"
     KEY_REQUIRED = "idempotency_key_required"
     KEY_INVALID = "idempotency_key_invalid"
-    KEY_EXPIRED = "idempotency_key_expired"
     KEY_CONFLICT = "idempotency_key_conflict"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     INTERNAL = "internal_error"
@@ -55,12 +54,13 @@
     Reason.NOT_READY: 503,
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_INVALID: 400,
-    Reason.KEY_EXPIRED: 410,
     Reason.KEY_CONFLICT: 422,
     Reason.CLAIMS_UNAVAILABLE: 503,
     Reason.INTERNAL: 500,
 }
 
+_GONE = 410
+_SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 _CLIENT_CLOSED = 499
@@ -69,10 +69,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Whole:
-    """The whole answer was delivered.
+    """The whole answer of an endpoint was received.
 
     Attributes:
-        status: HTTP status of the answer.
+        status: HTTP status of the answer; from 500 on it tells that the run
+            failed.
     """
 
     status: int = _OK
@@ -145,6 +146,27 @@
     """An earlier call with the same key has no recorded outcome."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StillRunning:
+    """An earlier call with the same key is still running."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyExpired:
+    """The call's key is older than the retention; it never runs again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerDropped:
+    """An earlier call with the same key ran; its answer is not kept.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    status: int
+
+
 Ending = (
     Whole
     | Refused
@@ -154,6 +176,9 @@
     | DeadlinePassed
     | CallerLeft
     | OutcomeMissing
+    | StillRunning
+    | KeyExpired
+    | AnswerDropped
 )
 
 
@@ -187,7 +212,8 @@
 
     The rules, in order:
 
-    1. A whole answer is `COMPLETE`.
+    1. A whole answer is `COMPLETE`, or `FAILED` if it tells so itself; what
+       an earlier call with the same key may have done is `UNKNOWN`.
     2. Without a send whose effect is open, the request is `NOT_RUN`.
     3. An endpoint that answered that its run failed makes it `FAILED`.
     4. Any other end of an idempotent request is `FAILED` and repeatable.
@@ -203,9 +229,11 @@
         The verdict.
     """
     match ending:
-        case Whole(status):
+        case Whole(status) if status < _SERVER_ERROR:
             return Verdict(Outcome.COMPLETE, status)
-        case OutcomeMissing():
+        case Whole():
+            return _make_failed(ending, is_repeatable=is_idempotent)
+        case OutcomeMissing() | StillRunning() | KeyExpired() | AnswerDropped():
             return _make_unknown(ending)
     if not may_have_run and not isinstance(ending, EndpointFailed):
         return _make_not_run(ending)
@@ -269,6 +297,14 @@
             return _CLIENT_CLOSED, "caller_left"
         case OutcomeMissing():
             return _BAD_GATEWAY, "outcome_unknown"
+        case StillRunning():
+            return _GATEWAY_TIMEOUT, "still_running"
+        case KeyExpired():
+            return _GONE, "idempotency_key_expired"
+        case AnswerDropped():
+            return _GONE, "answer_not_kept"
+        case Whole(status):
+            return status, "endpoint_failed"
         case EndpointFailed():
             return _BAD_GATEWAY, "endpoint_failed"
         case _:
@@ -288,5 +324,13 @@
             return "its time was up"
         case CallerLeft():
             return "the caller closed the connection"
+        case StillRunning():
+            return "an earlier call with this key is still running"
+        case KeyExpired():
+            return "the key is older than the time for which keys are kept"
+        case AnswerDropped(status):
+            return f"it ran and was answered with {status}; that is not kept"
+        case Whole(status):
+            return f"the endpoint answered with {status}"
         case _:
             return "an earlier call with this key has no recorded outcome"
--- a/packages/outcomes/tests/test_lifecycle.py
+++ b/packages/outcomes/tests/test_lifecycle.py
@@ -115,3 +115,30 @@
     assert error["outcome"] == "not-run"
     assert error["param"] == "p"
     assert replies.make_headers(verdict)["Poplarwick-Outcome"] == "not-run"
+
+
+@pytest.mark.parametrize(
+    ("ending", "status"),
+    [
+        (verdicts.OutcomeMissing(), 502),
+        (verdicts.StillRunning(), 504),
+        (verdicts.KeyExpired(), 410),
+        (verdicts.AnswerDropped(201), 410),
+    ],
+)
+def test_what_an_earlier_call_may_have_done_is_unknown(ending, status):
+    verdict = verdicts.decide_outcome(
+        ending, may_have_run=False, is_idempotent=False
+    )
+    assert verdict.outcome is Outcome.UNKNOWN
+    assert verdict.status == status
+    assert not verdict.is_repeatable
+
+
+def test_answer_that_tells_of_a_failure_is_failed():
+    verdict = verdicts.decide_outcome(
+        verdicts.Whole(500), may_have_run=True, is_idempotent=False
+    )
+    assert verdict.outcome is Outcome.FAILED
+    assert verdict.status == 500
+    assert not verdict.is_repeatable
