Probe the service only when nobody answers

Cause: the gateway's watch reconnects without telling, so an outage was not seen and marks were retried by every instance. Change: instances ask a peer every two seconds; one that hears of nobody for 5 s probes the service; status probes once; three instances store a held mark, the others only after a while; isolated_s tells for how long neither the service nor a peer has answered. Measured: tests of a lone instance, of an instance cut off and healed pass. Conclusion: readiness can use isolated_s.

--- a/packages/administration/poplarwick_administration/_service.py
+++ b/packages/administration/poplarwick_administration/_service.py
@@ -94,6 +94,7 @@
     async def get_status(self, request: web.Request) -> web.Response:
         """Returns the state of the fleet as seen here."""
         _guard.require_viewer(request)
+        await self.documents.probe()
         stored = self.documents.stored
         out = stored.record.out if stored is not None else ()
         return _guard.respond(
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -29,13 +29,16 @@
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 5.0
 PEER_GRACE_S = 0.3
-PEER_PERIOD_S = 10.0
-PEER_PERIOD_CUT_OFF_S = 1.0
+PEER_PERIOD_S = 2.0
+PROBE_AFTER_S = 5.0
+PROBE_TIMEOUT_S = 1.0
 PARENT_WAIT_S = 2.0
 TREE_FANOUT = 4
 FORWARD_PEERS = 2
 START_PEERS = 8
 START_GRACE_S = 1.0
+MARK_WRITERS = 3
+WRITER_PATIENCE_S = 15.0
 STORE_JITTER_S = 1.0
 
 
@@ -74,8 +77,7 @@
         """Starts to follow; a missing service does not delay the start."""
         self._start(self._watch())
         self._start(self._store_held())
-        if self._peers is not None:
-            self._start(self._ask_peers(self._peers))
+        self._start(self._keep_contact())
         return self
 
     async def __aexit__(
@@ -123,8 +125,6 @@
     @property
     def isolated_s(self) -> float:
         """Seconds for which neither the service nor a peer has answered."""
-        if self.is_connected:
-            return 0.0
         return clock.now_s() - self._last_contact_s
 
     def use_peers(self, peers: exchange.Exchange) -> None:
@@ -189,6 +189,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def probe(self) -> bool:
+        """Asks the key-value service and returns whether it answers."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await self._read_head()
+        except (errors.PoplarwickError, TimeoutError):
+            self._is_connected.clear()
+        return self.is_connected
+
     async def _watch(self) -> None:
         delay_s = MIN_RETRY_DELAY_S
         while True:
@@ -199,8 +208,6 @@
                 logs.log_event(
                     "configuration_watch_lost", "WARNING", reason=error
                 )
-            if self.is_connected:
-                self._last_contact_s = clock.now_s()
             self._is_connected.clear()
             self._was_tried.set()
             if self.version > version:
@@ -209,17 +216,26 @@
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _follow(self) -> None:
-        head = await self._store.read_head()
-        self._is_connected.set()
-        self._was_tried.set()
+        head = await self._read_head()
         if head.record is not None:
             await self._fetch(head.record)
         start = kv.Revision(head.revision + 1)
         async for batch in self._kv.watch(self._store.head_key, start):
+            self._note_service()
             newest = batch[-1].entry if batch else None
             if newest is not None:
                 await self._fetch(record.decode_record(newest.value))
 
+    async def _read_head(self) -> store.Head:
+        head = await self._store.read_head()
+        self._note_service()
+        self._was_tried.set()
+        return head
+
+    def _note_service(self) -> None:
+        self._is_connected.set()
+        self._last_contact_s = clock.now_s()
+
     async def _fetch(self, head: record.VersionRecord) -> None:
         if head.version <= self.version:
             return
@@ -240,25 +256,35 @@
             # An older version is of no use, least of all after a restart.
             await self._pull(peers, parent, head.version - 1, PARENT_WAIT_S)
 
-    async def _ask_peers(self, peers: exchange.Exchange) -> None:
-        """Asks one instance after another for newer versions and marks."""
+    async def _keep_contact(self) -> None:
+        """Asks other instances for what is newer, and probes the service.
+
+        The watch opens its connection anew without telling, so silence of the
+        service shows in a probe only. Instances that reach each other do not
+        probe, and the service is spared.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_GRACE_S):
                 await self._was_tried.wait()
         while True:
-            if self.view is not None:
-                await self._pull_from_any(peers)
-            elif not self.is_connected:
-                await self._learn_first(peers)
-            is_settled = self.is_connected and self.view is not None
-            period_s = PEER_PERIOD_S if is_settled else PEER_PERIOD_CUT_OFF_S
+            if self._peers is not None:
+                await self._ask_peers(self._peers)
+            if self.isolated_s > PROBE_AFTER_S:
+                await self.probe()
+            period_s = PEER_PERIOD_S * random.uniform(0.5, 1.0)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(period_s * random.uniform(0.5, 1)):
+                async with asyncio.timeout(period_s):
                     await self._hint.wait()
                     # Most often the watch brings the version in this time.
                     await asyncio.sleep(PEER_GRACE_S * random.random())
             self._hint.clear()
 
+    async def _ask_peers(self, peers: exchange.Exchange) -> None:
+        if self.view is not None:
+            await self._pull_from_any(peers)
+        elif not self.is_connected:
+            await self._learn_first(peers)
+
     async def _learn_first(self, peers: exchange.Exchange) -> None:
         """Starts from the newest version that several instances have.
 
@@ -284,11 +310,17 @@
     async def _pull_from_any(self, peers: exchange.Exchange) -> None:
         """Asks the instance last heard of with a newer version, or any."""
         peer, self._hinted_peer = self._hinted_peer, None
-        if peer is None:
-            known = peers.list_peers()
-            peer = random.choice(known) if known else None
         if peer is not None:
             await self._pull(peers, peer, self.version, 0.0)
+            return
+        known = peers.list_peers()
+        if known:
+            # Seldom brings a version, so the list of sections is spared.
+            found = await self._fetch_snapshot(
+                peers, random.choice(known), self.version
+            )
+            if found is not None:
+                self._adopt(found)
 
     async def _pull(
         self,
@@ -338,20 +370,32 @@
     async def _store_held(self) -> None:
         """Stores held marks once the service answers again.
 
-        All instances try after a random delay; the change id lets one succeed.
+        A few instances try for each mark, the others only if it takes long.
+        The change id lets one of them succeed.
         """
         delay_s = STORE_JITTER_S
         while True:
             await self._has_unstored.wait()
-            await self._is_connected.wait()
-            await asyncio.sleep(delay_s * random.random())
+            await asyncio.sleep(delay_s * random.uniform(0.2, 1.0))
             for mark in self._state.unstored:
-                await self._store_mark(mark)
+                if self._may_store(mark):
+                    await self._store_mark(mark)
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
             if not self._state.unstored:
                 self._has_unstored.clear()
                 delay_s = STORE_JITTER_S
 
+    def _may_store(self, mark: marks.Mark) -> bool:
+        if self._peers is None or self.isolated_s > WRITER_PATIENCE_S:
+            return True
+        own = self._peers.own
+        ranked = rank_instances(
+            (own, *self._peers.list_peers()), mark.change_id
+        )
+        rank = ranked.index(own)
+        age_s = clock.wall_time_s() - mark.time_s
+        return rank < MARK_WRITERS or age_s > rank * WRITER_PATIENCE_S
+
     async def _store_mark(self, mark: marks.Mark) -> None:
         made = await self._store.make_change(
             changes.TakeOut(mark.target, is_forced=True),
@@ -374,12 +418,16 @@
     Instances form a tree whose order differs with each version, so that the
     load of passing versions on is spread.
     """
-    ranked = sorted(
-        {own, *others},
-        key=lambda one: (
-            xxhash.xxh64_intdigest(f"{version}:{one}".encode()),
-            one,
-        ),
-    )
+    ranked = rank_instances((own, *others), str(version))
     rank = ranked.index(own)
     return ranked[(rank - 1) // TREE_FANOUT] if rank > 0 else None
+
+
+def rank_instances(
+    instances: tuple[ids.InstanceId, ...], key: str
+) -> list[ids.InstanceId]:
+    """Returns instances in an order that differs with each key."""
+    return sorted(
+        set(instances),
+        key=lambda one: (xxhash.xxh64_intdigest(f"{key}:{one}".encode()), one),
+    )
--- a/packages/configuration/tests/test_spreading.py
+++ b/packages/configuration/tests/test_spreading.py
@@ -34,7 +34,7 @@
 def without_delays(monkeypatch):
     monkeypatch.setattr(follower, "MIN_RETRY_DELAY_S", 0.001)
     monkeypatch.setattr(follower, "MAX_RETRY_DELAY_S", 0.01)
-    monkeypatch.setattr(follower, "PEER_PERIOD_CUT_OFF_S", 0.01)
+    monkeypatch.setattr(follower, "PEER_PERIOD_S", 0.02)
     monkeypatch.setattr(follower, "STORE_JITTER_S", 0.01)
 
 
@@ -232,7 +232,29 @@
             version = await fleet.push("c2", weight=2, **TWO_DOMAINS)
             lonely.note_peer_version("i0", version)
             await lonely.wait_for_version(2)
-            assert lonely.isolated_s < WAIT_S
+            before = lonely.isolated_s
+            names = set(fleet.network.followers)
+            fleet.network.cut |= {("lonely", name) for name in names}
+            await until(lambda: lonely.isolated_s > before + 0.05)
+            fleet.network.cut.clear()
+            await until(lambda: lonely.isolated_s < 0.05)
+
+    run(check())
+
+
+def test_lone_instance_probes_the_service(monkeypatch):
+    monkeypatch.setattr(follower, "PROBE_AFTER_S", 0.01)
+
+    async def check():
+        async with running(1) as fleet:
+            lone = fleet.network.followers["i0"]
+            reads = fleet.kv.reads
+            await until(lambda: fleet.kv.reads > reads + 2)
+            await fleet.kv.set_down(True)
+            await until(lambda: not lone.is_connected)
+            await until(lambda: lone.isolated_s > 0.1)
+            await fleet.kv.set_down(False)
+            await until(lambda: lone.is_connected and lone.isolated_s < 0.05)
 
     run(check())
 
