--- a/packages/ownership/poplarwick_ownership/_claims.py
+++ b/packages/ownership/poplarwick_ownership/_claims.py
@@ -6,12 +6,11 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_platform import kv
-
 from poplarwick_ownership import _lease
 from poplarwick_ownership import _records
 from poplarwick_ownership import _view
 from poplarwick_ownership import tenure
+from poplarwick_platform import kv
 
 CLAIMS_PER_TRANSACTION = 32
 
--- a/packages/ownership/poplarwick_ownership/_holding.py
+++ b/packages/ownership/poplarwick_ownership/_holding.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 import transitions
+
 from poplarwick_core import ids
 from poplarwick_core import logs
-
 from poplarwick_ownership import tenure
 
 
--- a/packages/ownership/poplarwick_ownership/_lease.py
+++ b/packages/ownership/poplarwick_ownership/_lease.py
@@ -9,9 +9,8 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_platform import kv
-
 from poplarwick_ownership import _records
+from poplarwick_platform import kv
 
 CLOCK_RATE_MARGIN = 0.05
 RENEWAL_SHARE = 0.4
--- a/packages/ownership/poplarwick_ownership/_records.py
+++ b/packages/ownership/poplarwick_ownership/_records.py
@@ -11,10 +11,10 @@
 from __future__ import annotations
 
 import msgspec
-from poplarwick_core import ids
-from poplarwick_platform import kv
 
+from poplarwick_core import ids
 from poplarwick_ownership import tenure
+from poplarwick_platform import kv
 
 PREFIX = "owner/"
 HOLDER_PREFIX = "owner/holder/"
--- a/packages/ownership/poplarwick_ownership/_view.py
+++ b/packages/ownership/poplarwick_ownership/_view.py
@@ -10,9 +10,8 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_platform import kv
-
 from poplarwick_ownership import _records
+from poplarwick_platform import kv
 
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 5.0
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -14,9 +14,6 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_peers import membership
-from poplarwick_platform import kv
-
 from poplarwick_ownership import _claims
 from poplarwick_ownership import _holding
 from poplarwick_ownership import _lease
@@ -25,6 +22,8 @@
 from poplarwick_ownership import _view
 from poplarwick_ownership import ranking
 from poplarwick_ownership import tenure
+from poplarwick_peers import membership
+from poplarwick_platform import kv
 
 DEFAULT_TTL_S = 10
 TICK_S = 0.5
--- a/packages/ownership/poplarwick_ownership/ranking.py
+++ b/packages/ownership/poplarwick_ownership/ranking.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 
 import xxhash
-from poplarwick_core import ids
 
+from poplarwick_core import ids
 from poplarwick_ownership import tenure
 
 
