--- a/packages/bench/poplarwick_bench/fleet.py
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -140,14 +140,13 @@
         starts = (self.lab.start_node(node) for node in self.node_settings)
         self.nodes = list(await asyncio.gather(*starts))
         waits = (
-            self.lab.wait_ready(node.address, "/health/live")
-            for node in self.nodes
+            self.lab.wait_ready(node, "/health/live") for node in self.nodes
         )
         await asyncio.gather(*waits)
 
     async def wait_ready(self) -> None:
         """Waits until every instance serves callers."""
-        waits = (self.lab.wait_ready(node.address) for node in self.nodes)
+        waits = (self.lab.wait_ready(node) for node in self.nodes)
         await asyncio.gather(*waits)
 
     async def list_instance(self, node: settings.Settings) -> None:
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -109,12 +109,12 @@
         return await self._stack.enter_async_context(between)
 
     async def wait_ready(
-        self, address: str, path: str = "/health/ready"
+        self, child: process.Process, path: str = "/health/ready"
     ) -> None:
-        """Polls a health path until it answers 200.
+        """Polls a health path of a process until it answers 200.
 
         Raises:
-            process.ProcessError: It did not within `READY_TIMEOUT_S`.
+            process.ProcessError: It ended, or did not answer so in time.
         """
         polling = tenacity.AsyncRetrying(
             wait=tenacity.wait_fixed(READY_POLL_S),
@@ -122,10 +122,10 @@
             retry=tenacity.retry_if_result(lambda status: status != 200),
         )
         try:
-            await polling(self._read_status, f"http://{address}{path}")
+            await polling(self._read_status, child, path)
         except tenacity.RetryError as error:
             raise process.ProcessError(
-                f"{address}{path} is not ready in time; see {self.folder}"
+                f"{child.name} is not ready in time: see {child.log}"
             ) from error
 
     async def wait_idle(self, address: str) -> None:
@@ -153,9 +153,15 @@
         child = process.Process(name, module, arguments, self.folder)
         return await self._stack.enter_async_context(child)
 
-    async def _read_status(self, url: str) -> int | None:
+    async def _read_status(
+        self, child: process.Process, path: str
+    ) -> int | None:
+        if not child.is_running:
+            raise process.ProcessError(f"{child.name} ended: see {child.log}")
         try:
-            async with self.session.get(url) as response:
+            async with self.session.get(
+                f"http://{child.address}{path}"
+            ) as response:
                 return response.status
         except aiohttp.ClientError:
             return None
--- a/packages/bench/tests/test_lab.py
+++ b/packages/bench/tests/test_lab.py
@@ -39,7 +39,7 @@
             engine = await own_lab.start_standin("engine", "e", slow)
             sender = caller.Caller(own_lab.session, engine.address)
             sending = asyncio.create_task(sender.send(make_call(stream=True)))
-            await own_lab.wait_ready(engine.address, "/health")
+            await own_lab.wait_ready(engine, "/health")
             await engine.kill()
             record = await sending
             assert not engine.is_running
@@ -72,6 +72,17 @@
     asyncio.run(run())
 
 
+def test_waiting_for_a_process_that_ended_is_an_error():
+    async def run():
+        async with lab.Lab() as own_lab:
+            engine = await own_lab.start_standin("engine", "e", QUICK)
+            await engine.kill()
+            with pytest.raises(process.ProcessError, match="ended"):
+                await own_lab.wait_ready(engine, "/health")
+
+    asyncio.run(run())
+
+
 def test_lab_ends_its_processes():
     async def run():
         async with lab.Lab() as own_lab:
