--- a/packages/standins/poplarwick_standins/_batch.py
+++ b/packages/standins/poplarwick_standins/_batch.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from poplarwick_standins import _execution_log
+from poplarwick_standins import _prefix_cache
 from poplarwick_standins import _streams
 from poplarwick_standins import engine_settings
 
@@ -38,6 +39,7 @@
         epoch: Highest fencing number seen.
         streams: Running streams, and finished ones that can be resumed.
         log: What the engine executed.
+        cache: Prefix cache.
     """
 
     def __init__(self, settings: engine_settings.EngineSettings) -> None:
@@ -46,7 +48,7 @@
         self.epoch = 0
         self.streams: dict[str, _streams.Stream] = {}
         self.log = _execution_log.ExecutionLog(settings.execution_log)
-        self.reserved_tokens = 0
+        self.cache = _prefix_cache.PrefixCache(settings)
         self._running: list[_streams.Stream] = []
         self._work = asyncio.Event()
         self._completed = 0 if settings.starts_cold else settings.warm_requests
@@ -61,9 +63,8 @@
 
     @property
     def memory_used_tokens(self) -> int:
-        """KV cache memory held by streams and exported handles."""
-        held = sum(stream.memory_tokens for stream in self._running)
-        return held + self.reserved_tokens
+        """KV cache memory held by streams."""
+        return sum(stream.memory_tokens for stream in self._running)
 
     def start(self, stream: _streams.Stream) -> None:
         """Admits a stream.
@@ -84,7 +85,9 @@
         if stream.memory_tokens > free:
             self.log.append("overloaded", stream=stream.id)
             raise OverloadedError
-        stream.prefilled = stream.cached_tokens
+        stream.cached_tokens = self.cache.find_cached_tokens(stream.prefixes)
+        # The last token is always computed, as in published engines.
+        stream.prefilled = min(stream.cached_tokens, stream.prompt_tokens - 1)
         self.streams[stream.id] = stream
         self._running.append(stream)
         self._log_stream("started", stream)
@@ -105,7 +108,7 @@
         for stream in list(self._running):
             self._end(stream, _streams.StreamState.LOST)
         self.streams.clear()
-        self.reserved_tokens = 0
+        self.cache.clear()
         self._completed = 0
         self.restart_id = secrets.token_hex(RESTART_ID_BYTES)
         down_s = self.settings.restart_s / self.settings.time_scale
@@ -215,9 +218,7 @@
                 self._end_prefill(stream)
 
     def _end_prefill(self, stream: _streams.Stream) -> None:
-        if not stream.decodes:
-            self._end(stream, _streams.StreamState.FINISHED)
-            return
+        self.cache.store(stream.prefixes)
         stream.state = _streams.StreamState.DECODE
         self._decode(stream, 1.0)
 
--- a/packages/standins/poplarwick_standins/_engine_http.py
+++ b/packages/standins/poplarwick_standins/_engine_http.py
@@ -11,7 +11,8 @@
 
 from poplarwick_standins import _batch
 from poplarwick_standins import _event_writer
-from poplarwick_standins import _serving
+from poplarwick_standins import _http
+from poplarwick_standins import _prefix_cache
 from poplarwick_standins import _streams
 from poplarwick_standins import answers
 from poplarwick_standins import engine_settings
@@ -24,7 +25,7 @@
 def make_application(batch: _batch.Batch) -> web.Application:
     """Returns the application that serves one engine."""
     handlers = _Handlers(batch)
-    app = web.Application(client_max_size=_serving.MAX_BODY_BYTES)
+    app = web.Application(client_max_size=_http.MAX_BODY_BYTES)
     app.router.add_post("/v1/completions", handlers.complete)
     app.router.add_post("/v1/chat/completions", handlers.complete)
     app.router.add_get("/v1/models", handlers.list_models)
@@ -33,6 +34,7 @@
     app.router.add_post("/control/streams/{id}/cancel", handlers.cancel)
     app.router.add_get("/control/state", handlers.read_state)
     app.router.add_get("/control/report", handlers.read_report)
+    app.router.add_get("/control/cache-events", handlers.read_cache_events)
     app.router.add_get("/control/log", batch.log.handle_get)
     app.router.add_post("/control/faults", handlers.set_faults)
     app.router.add_post("/control/restart", handlers.restart)
@@ -49,11 +51,15 @@
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Runs a completion or chat completion."""
-        body = msgspec.json.decode(await request.read())
+        content = await request.read()
+        body = msgspec.json.decode(content)
         refusal = self._check(request, body)
         if refusal is not None:
             return refusal
         stream = self._make_stream(request, body)
+        stream.prefixes = _prefix_cache.make_prefixes(
+            stream.model, _find_raw_prompt(content)
+        )
         try:
             self._batch.start(stream)
         except _batch.OverloadedError:
@@ -118,6 +124,17 @@
         """Returns the lagging load report."""
         return web.json_response(self._batch.read_report())
 
+    async def read_cache_events(self, request: web.Request) -> web.Response:
+        """Waits for events of the prefix cache."""
+        events = await self._batch.cache.read_events(
+            int(request.query.get("after", "0")),
+            float(request.query.get("wait_s", "0")),
+        )
+        body = {"restart_id": self._batch.restart_id, "events": events}
+        return web.Response(
+            body=msgspec.json.encode(body), content_type="application/json"
+        )
+
     async def check_health(self, request: web.Request) -> web.Response:
         """Answers that the engine is up."""
         return web.Response(text="ok")
@@ -197,6 +214,16 @@
         return await writer.write(first)
 
 
+class _RawPrompt(msgspec.Struct):
+    prompt: msgspec.Raw = msgspec.Raw(b"")
+    messages: msgspec.Raw = msgspec.Raw(b"")
+
+
+def _find_raw_prompt(content: bytes) -> bytes:
+    fields = msgspec.json.decode(content, type=_RawPrompt)
+    return bytes(fields.messages) or bytes(fields.prompt)
+
+
 async def _write_answer(stream: _streams.Stream) -> web.Response:
     while stream.is_running:
         wake: asyncio.Event = stream.wake
--- a/packages/standins/poplarwick_standins/_http.py
+++ b/packages/standins/poplarwick_standins/_http.py
@@ -6,7 +6,8 @@
 
 from aiohttp import web
 
-SHUTDOWN_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 64 * 1024 * 1024
+SHUTDOWN_TIMEOUT_S = 0.1
 
 
 async def serve_application(
@@ -34,7 +35,11 @@
     """Starts an application; the caller cleans the runner up."""
     host, _, port = listen.rpartition(":")
     runner = web.AppRunner(
-        application, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        application,
+        access_log=None,
+        # An engine stops the work of a caller that has left.
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
     await web.TCPSite(runner, host, int(port)).start()
--- a/packages/standins/poplarwick_standins/_streams.py
+++ b/packages/standins/poplarwick_standins/_streams.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from poplarwick_standins import _prefix_cache
 from poplarwick_standins import answers
 
 
@@ -44,8 +45,7 @@
         is_chat: Whether events have the chat form.
         model: Model that the caller named.
         cached_tokens: Part of the prompt found in the prefix cache.
-        imported_tokens: Part of the memory taken by an imported cache.
-        decodes: Whether tokens are generated after the prefill.
+        prefixes: Prefixes that are cached once the prefill has ended.
         state: Current state.
         prefilled: Prompt tokens processed so far.
         progress: Tokens that have fallen due so far.
@@ -65,8 +65,9 @@
     is_chat: bool = False
     model: str = ""
     cached_tokens: int = 0
-    imported_tokens: int = 0
-    decodes: bool = True
+    prefixes: list[_prefix_cache.Prefix] = dataclasses.field(
+        default_factory=list
+    )
     state: StreamState = StreamState.WAITING
     prefilled: float = 0.0
     progress: float = 0.0
@@ -78,9 +79,7 @@
     @property
     def memory_tokens(self) -> int:
         """KV cache memory reserved for the stream."""
-        if not self.decodes:
-            return self.prompt_tokens + self.imported_tokens
-        return self.prompt_tokens + self.imported_tokens + self.max_tokens
+        return self.prompt_tokens + self.max_tokens
 
     @property
     def is_running(self) -> bool:
--- a/packages/standins/poplarwick_standins/engine.py
+++ b/packages/standins/poplarwick_standins/engine.py
@@ -7,7 +7,7 @@
 
 from poplarwick_standins import _batch
 from poplarwick_standins import _engine_http
-from poplarwick_standins import _serving
+from poplarwick_standins import _http
 from poplarwick_standins import engine_settings
 
 
@@ -36,4 +36,4 @@
     async with asyncio.TaskGroup() as group:
         group.create_task(batch.run())
         group.create_task(batch.run_reports())
-        group.create_task(_serving.serve_application(app, arguments.listen))
+        group.create_task(_http.serve_application(app, arguments.listen))
--- a/packages/standins/poplarwick_standins/engine_settings.py
+++ b/packages/standins/poplarwick_standins/engine_settings.py
@@ -42,7 +42,6 @@
         checks_epochs: Whether orders with an old fencing number are refused.
         report_lag_s: Age of the load report.
         retention_s: Time for which finished streams can be resumed.
-        handle_s: Lifetime of an exported KV cache.
         cache_tokens: Prefix cache memory.
         cache_event_lag_s: Delay of cache events.
         cache_event_gap: Every n-th cache event is lost; 0 loses none.
@@ -69,7 +68,6 @@
     checks_epochs: bool = False
     report_lag_s: Seconds = 0.5
     retention_s: Seconds = 60.0
-    handle_s: Rate = 60.0
     cache_tokens: Positive = 400_000
     cache_event_lag_s: Seconds = 0.2
     cache_event_gap: Count = 0
--- a/packages/standins/poplarwick_standins/service.py
+++ b/packages/standins/poplarwick_standins/service.py
@@ -14,7 +14,7 @@
 
 from poplarwick_core import jsonc
 from poplarwick_standins import _execution_log
-from poplarwick_standins import _serving
+from poplarwick_standins import _http
 
 KEY_HEADER = "Idempotency-Key"
 STREAM_HEADER = "Endpoint-Stream"
@@ -101,13 +101,13 @@
     if arguments.delay_s is not None:
         settings = msgspec.structs.replace(settings, delay_s=arguments.delay_s)
     app = make_application(settings)
-    await _serving.serve_application(app, arguments.listen)
+    await _http.serve_application(app, arguments.listen)
 
 
 def make_application(settings: ServiceSettings) -> web.Application:
     """Returns the application that serves one plain service."""
     handlers = _Handlers(settings)
-    app = web.Application(client_max_size=_serving.MAX_BODY_BYTES)
+    app = web.Application(client_max_size=_http.MAX_BODY_BYTES)
     app.router.add_get("/control/log", handlers.log.handle_get)
     app.router.add_get("/control/state", handlers.read_state)
     app.router.add_get("/control/report", handlers.read_state)
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -10,6 +10,7 @@
 
 from poplarwick_standins import _batch
 from poplarwick_standins import _engine_http
+from poplarwick_standins import _prefix_cache
 from poplarwick_standins import answers
 from poplarwick_standins import engine_settings
 
@@ -232,3 +233,57 @@
             assert "other" in [e["stream"] for e in events]
 
     asyncio.run(run())
+
+
+def test_known_prefix_is_not_prefilled_again_and_is_announced():
+    async def run():
+        async with open_engine(cache_event_lag_s=0.0) as engine:
+            prompt = "shared " * 3_000
+            for tail in ("one", "two"):
+                await engine.post(
+                    "/v1/completions",
+                    json=make_body(prompt=prompt + tail, max_tokens=1),
+                )
+            events = await (
+                await engine.get("/control/cache-events?after=0&wait_s=5")
+            ).json()
+            # Both prompts share both of their prefixes of 4 and 16 KiB.
+            assert [e["op"] for e in events["events"]] == ["stored"] * 2
+            await engine.post("/control/restart")
+            later = await (
+                await engine.get("/control/cache-events?after=2&wait_s=5")
+            ).json()
+            assert [e["op"] for e in later["events"]] == ["cleared"]
+            assert later["restart_id"] != events["restart_id"]
+
+    asyncio.run(run())
+
+
+def test_lost_cache_events_leave_a_gap_in_the_numbers():
+    async def run():
+        async with open_engine(
+            cache_event_lag_s=0.0, cache_event_gap=2
+        ) as engine:
+            await engine.post(
+                "/v1/completions",
+                json=make_body(prompt="shared " * 12_000, max_tokens=1),
+            )
+            answer = await engine.get("/control/cache-events?after=0&wait_s=5")
+            events = (await answer.json())["events"]
+            assert [e["seq"] for e in events] == [1, 3]
+
+    asyncio.run(run())
+
+
+def test_eviction_keeps_the_cache_within_its_memory():
+    settings = engine_settings.EngineSettings(
+        cache_tokens=5_000, cache_event_lag_s=0.0
+    )
+    cache = _prefix_cache.PrefixCache(settings)
+    first = _prefix_cache.make_prefixes("m", b"a" * 16_384)
+    second = _prefix_cache.make_prefixes("m", b"b" * 16_384)
+    cache.store(first)
+    assert cache.find_cached_tokens(first) == 4_096
+    cache.store(second)
+    assert cache.find_cached_tokens(second) == 4_096
+    assert cache.find_cached_tokens(first) == 0
