Hold requests to fleet-wide limits at the entry

Cause: limits of organisations were not applied to requests. Change: entry takes a permit before it asks for a grant; instances lend each other shares over the limit service. Conclusion: a limit holds whichever instance a request enters.

--- a/packages/entry/poplarwick_entry/completions.py
+++ b/packages/entry/poplarwick_entry/completions.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from poplarwick_core import ids
+from poplarwick_entry import admission
 from poplarwick_entry import answers
 from poplarwick_entry import authentication
 from poplarwick_entry import context
@@ -45,7 +46,9 @@
         answer = answers.GatheredAnswer(checked, entry.instance)
     lifecycle = context.begin_lifecycle(request, is_idempotent=True)
     demand = _make_demand(checked)
-    await relay.run(entry, demand, checked, answer, lifecycle)
+    tokens = checked.prompt_tokens + checked.output_tokens
+    async with admission.admit(entry.limiter, organisation, tokens):
+        await relay.run(entry, demand, checked, answer, lifecycle)
     return answer.response
 
 
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -10,6 +10,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_dispatch import limits
 from poplarwick_entry import grants
 from poplarwick_entry import problems
 from poplarwick_outcomes import lifecycle
@@ -24,6 +25,7 @@
         instance: This instance.
         broker: Obtains grants.
         session: Session for calls to endpoints.
+        limiter: Shares of the organisations' fleet-wide limits.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
@@ -35,6 +37,7 @@
     instance: ids.InstanceId
     broker: grants.GrantBroker
     session: aiohttp.ClientSession
+    limiter: limits.Limiter
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
     read_refusal: Callable[[], str | None]
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -17,6 +17,7 @@
 from poplarwick_core import logs
 from poplarwick_core import outcome
 from poplarwick_endpoints import generation
+from poplarwick_entry import admission
 from poplarwick_entry import authentication
 from poplarwick_entry import context
 from poplarwick_entry import grants
@@ -95,7 +96,8 @@
     lifecycle = context.begin_lifecycle(
         request, is_idempotent=call.route.idempotent
     )
-    return await _send_with_retries(entry, view, call, lifecycle)
+    async with admission.admit(entry.limiter, organisation, COST_TOKENS):
+        return await _send_with_retries(entry, view, call, lifecycle)
 
 
 async def _parse_call(
--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -5,6 +5,7 @@
 from poplarwick_configuration import document
 from poplarwick_core import ids
 from poplarwick_dispatch import dispatcher
+from poplarwick_dispatch import limits
 from poplarwick_ownership import tenure
 
 
@@ -12,9 +13,11 @@
     view: document.View,
     local: dispatcher.Dispatcher,
     owner: tenure.Ownership,
+    limiter: limits.Limiter,
 ) -> None:
     """Takes a new version of the configuration into force."""
     local.apply_view(view)
+    limiter.apply_view(view)
     owner.set_resources(list_endpoints(view))
 
 
--- a/packages/node/poplarwick_node/daemon.py
+++ b/packages/node/poplarwick_node/daemon.py
@@ -26,6 +26,7 @@
 from poplarwick_entry import grants
 from poplarwick_entry import reports
 from poplarwick_node import _fleet
+from poplarwick_node import _limits
 from poplarwick_node import _resources
 from poplarwick_node import _telemetry
 from poplarwick_node import _web
@@ -224,12 +225,20 @@
         )
     )
     broker = grants.GrantBroker(members, routes, local, channels, reporter)
+    limit_peers = _limits.LimitPeers(members, channels)
+    keeper = _limits.make_keeper(ids.InstanceId(checked.instance), limit_peers)
+    limiter = await enter(
+        _limits.make_limiter(
+            ids.InstanceId(checked.instance), limit_peers, keeper
+        )
+    )
     await enter(
         transport.PeerServer(
             checked.listen.peers,
             (
                 local,
                 members.service,
+                keeper,
                 configurations.ConfigurationService(documents),
             ),
             peer_server_tls,
@@ -243,12 +252,13 @@
         checked, documents, members, local, owner, callers, fleet
     )
     documents.add_listener(
-        lambda view: _resources.apply_view(view, local, owner)
+        lambda view: _resources.apply_view(view, local, owner, limiter)
     )
     entry = context.EntryContext(
         instance=ids.InstanceId(checked.instance),
         broker=broker,
         session=calls,
+        limiter=limiter,
         read_view=instance.read_view,
         read_readiness=instance.read_readiness,
         read_refusal=instance.read_refusal,
