Compact old versions and write only sections ahead

Cause: each version leaves a record and sections for ever; and a change with more sections than fit one transaction wrote its records ahead without their conditions (found by the new test). Only sections are written ahead of a change. Conclusion: one instance, the lowest id, compacts once a minute.

--- a/packages/administration/poplarwick_administration/_documents.py
+++ b/packages/administration/poplarwick_administration/_documents.py
@@ -12,12 +12,14 @@
 from poplarwick_administration import messages
 from poplarwick_administration import refusals
 from poplarwick_configuration import changes
+from poplarwick_configuration import compaction
 from poplarwick_configuration import failures
 from poplarwick_configuration import promotion
 from poplarwick_configuration import record
 from poplarwick_configuration import store
 
 MAX_ENTRIES = 1_000
+MAX_ARCHIVED = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,9 +137,15 @@
         """Returns changes, accepted and refused, the newest entries."""
         _guard.require_viewer(request)
         documents = self._open_store(request)
-        accepted = (
-            _make_entry(entry) for entry in await documents.read_history()
-        )
+        records = await documents.read_history()
+        archive = compaction.Compactor(self.desk.client, documents.environment)
+        since_s = _requests.read_number(request, "since_s") or 0
+        if not records or records[0].time_s >= since_s:
+            records = (
+                *await archive.read_archive(MAX_ARCHIVED, since_s),
+                *records,
+            )
+        accepted = (_make_entry(entry) for entry in records)
         refused = (
             _make_refused_entry(entry)
             for entry in await documents.read_refusals()
--- a/packages/administration/poplarwick_administration/_session.py
+++ b/packages/administration/poplarwick_administration/_session.py
@@ -13,7 +13,7 @@
 import uuid6
 
 from poplarwick_administration import client
-from poplarwick_administration import confirmation
+from poplarwick_administration import housekeeping
 from poplarwick_administration import messages
 from poplarwick_core import cli
 from poplarwick_core import clock
@@ -144,6 +144,6 @@
     return tuple(
         one.instance
         for one in status.instances
-        if one.state not in confirmation.GONE_STATES
+        if one.state not in housekeeping.GONE_STATES
         and (one.version is None or one.version < version)
     )
--- a/packages/administration/poplarwick_administration/api.py
+++ b/packages/administration/poplarwick_administration/api.py
@@ -10,8 +10,9 @@
 from poplarwick_administration import _organisations
 from poplarwick_administration import _service
 from poplarwick_administration import access
-from poplarwick_administration import confirmation
+from poplarwick_administration import housekeeping
 from poplarwick_administration import openapi
+from poplarwick_configuration import compaction
 from poplarwick_configuration import exchange
 from poplarwick_configuration import follower
 from poplarwick_configuration import service
@@ -61,10 +62,14 @@
         application.router.add_route(
             call.method, call.path, handlers[call.operation]
         )
-    confirmer = confirmation.Confirmer(
-        documents, desk.open_store(environment), instance, read_fleet
+    housekeeper = housekeeping.Housekeeper(
+        documents,
+        desk.open_store(environment),
+        compaction.Compactor(client, environment),
+        instance,
+        read_fleet,
     )
-    application.cleanup_ctx.append(confirmer.run_beside)
+    application.cleanup_ctx.append(housekeeper.run_beside)
     return application
 
 
--- a/packages/administration/poplarwick_administration/confirmation.py
+++ b/packages/administration/poplarwick_administration/housekeeping.py
@@ -1,21 +1,23 @@
-"""Notes which versions have been in force at all instances."""
+"""Notes which versions were in force everywhere, and compacts old ones."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import random
 from collections.abc import AsyncIterator
 
 from aiohttp import web
 
 from poplarwick_administration import messages
 from poplarwick_administration._service import FleetReader
+from poplarwick_configuration import compaction
 from poplarwick_configuration import failures
 from poplarwick_configuration import follower
 from poplarwick_configuration import store
 from poplarwick_core import logs
 
 POLL_PERIOD_S = 0.25
+COMPACTION_PERIOD_S = 60.0
 GONE_STATES = frozenset({"dead"})
 
 
@@ -27,31 +29,52 @@
     return bool(living) and all(one.version == version for one in living)
 
 
-class Confirmer:
+class Housekeeper:
     """Stores a note once a version is in force at all instances.
 
-    Of all instances the one with the lowest id writes the note.
+    It compacts old versions as well. Of all instances the one with the lowest
+    id does both.
     """
 
     def __init__(
         self,
         documents: follower.Follower,
         stored: store.DocumentStore,
+        compactor: compaction.Compactor,
         instance: str,
         read_fleet: FleetReader,
     ) -> None:
         self._documents = documents
         self._store = stored
+        self._compactor = compactor
         self._instance = instance
         self._read_fleet = read_fleet
 
     async def run_beside(self, _: web.Application) -> AsyncIterator[None]:
         """Runs while the application does."""
-        task = asyncio.create_task(self._run())
-        yield
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._run()),
+                group.create_task(self._compact()),
+            ]
+            yield
+            for task in tasks:
+                task.cancel()
+
+    async def _compact(self) -> None:
+        """Compacts stored versions now and then, on one instance only."""
+        while True:
+            await asyncio.sleep(COMPACTION_PERIOD_S * random.uniform(0.5, 1))
+            try:
+                while self._is_first(self._read_fleet()):
+                    if not await self._compactor.compact():
+                        break
+            except failures.StoreError as error:
+                logs.log_event("compaction_failed", "WARNING", reason=error)
+
+    def _is_first(self, fleet: tuple[messages.InstanceMessage, ...]) -> bool:
+        living = (i.instance for i in fleet if i.state not in GONE_STATES)
+        return min(living, default=None) == self._instance
 
     async def _run(self) -> None:
         confirmed = 0
@@ -70,7 +93,7 @@
     async def _confirm(
         self, version: int, fleet: tuple[messages.InstanceMessage, ...]
     ) -> bool:
-        if min(one.instance for one in fleet) != self._instance:
+        if not self._is_first(fleet):
             return True
         try:
             await self._store.confirm(version, self._instance)
--- a/packages/configuration/poplarwick_configuration/_committer.py
+++ b/packages/configuration/poplarwick_configuration/_committer.py
@@ -140,7 +140,7 @@
         if not isinstance(plan, _planning.Plan):
             return result.Err(plan)
         attempts.state = state
-        operations = await self._write_ahead(plan.list_operations(self._keys))
+        operations = await self._write_ahead(plan)
         change_key = self._keys.change(request.change_id)
         conditions = (*state.conditions, kv.KeyAbsent(change_key))
         committed = await self._send(conditions, operations, attempts)
@@ -196,21 +196,20 @@
         )
         return int(snapshot.entries[0].value) if snapshot.entries else None
 
-    async def _write_ahead(
-        self, operations: tuple[kv.Put, ...]
-    ) -> tuple[kv.Put, ...]:
+    async def _write_ahead(self, plan: _planning.Plan) -> tuple[kv.Put, ...]:
         """Writes sections that do not fit and returns what is left to write.
 
         Sections are named by their content, so a section without a version
         does no harm.
         """
-        remaining = list(operations)
-        while not _fits(remaining):
-            batch = [remaining.pop(0)]
-            while _fits([*batch, remaining[0]]):
-                batch.append(remaining.pop(0))
+        sections = list(plan.list_sections(self._keys))
+        records = plan.list_records(self._keys)
+        while not _fits([*sections, *records]):
+            batch = [sections.pop(0)]
+            while sections and _fits([*batch, sections[0]]):
+                batch.append(sections.pop(0))
             await self._kv.commit((), tuple(batch), kv.Purpose.CONFIGURATION)
-        return tuple(remaining)
+        return (*sections, *records)
 
 
 def _check_base(
--- a/packages/configuration/poplarwick_configuration/_keys.py
+++ b/packages/configuration/poplarwick_configuration/_keys.py
@@ -52,6 +52,11 @@
         """Prefix of the records of refused changes."""
         return f"configuration/{self.environment}/refusals/"
 
+    def archive(self, first: int) -> str:
+        """Block with the records of old versions from `first` on."""
+        number = f"{first:0{VERSION_DIGITS}d}"
+        return f"configuration/{self.environment}/archive/{number}"
+
     def confirmation(self, version: int) -> str:
         """Written once a version has been in force at all instances."""
         number = f"{version:0{VERSION_DIGITS}d}"
--- a/packages/configuration/poplarwick_configuration/_planning.py
+++ b/packages/configuration/poplarwick_configuration/_planning.py
@@ -47,12 +47,15 @@
     record: record.VersionRecord
     parts: dict[str, bytes]
 
-    def list_operations(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
-        """Returns the writes, the sections first and the head last."""
+    def list_sections(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
+        """Returns the writes of sections, which harm nobody on their own."""
+        return tuple(kv.Put(keys.section(d), p) for d, p in self.parts.items())
+
+    def list_records(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
+        """Returns the writes that only a successful change may make."""
         encoded = record.encode_record(self.record)
         version = self.record.version
         return (
-            *(kv.Put(keys.section(d), p) for d, p in self.parts.items()),
             kv.Put(keys.version(version), encoded),
             kv.Put(keys.change(self.record.change_id), str(version).encode()),
             kv.Put(keys.head, encoded),
--- a/packages/configuration/tests/fake_kv.py
+++ b/packages/configuration/tests/fake_kv.py
@@ -7,6 +7,8 @@
 
 from poplarwick_platform import kv
 
+MAX_OPERATIONS = 128
+
 
 class FakeKv:
     """Keeps entries in memory; implements the `KvClient` protocol.
@@ -42,7 +44,9 @@
 
     async def commit(self, conditions, operations, purpose):
         self.commits += 1
-        assert sum(len(o.value) for o in operations) <= kv.MAX_VALUE_BYTES
+        values = [o.value for o in operations if isinstance(o, kv.Put)]
+        assert sum(map(len, values)) <= kv.MAX_VALUE_BYTES
+        assert len(operations) <= MAX_OPERATIONS
         await self._meet_fault()
         if self._random.random() < self.fault_rate:
             return await self._lose_answer(conditions, operations)
--- a/packages/configuration/tests/test_store.py
+++ b/packages/configuration/tests/test_store.py
@@ -12,6 +12,7 @@
 from poplarwick_configuration import follower
 from poplarwick_configuration import sections
 from poplarwick_configuration import store
+from poplarwick_platform import kv
 
 WAIT_S = 20
 
@@ -119,6 +120,30 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("limit", [4, 5, 6, 7, 8])
+def test_only_sections_are_written_ahead(limit, monkeypatch):
+    monkeypatch.setattr(_committer, "MAX_TRANSACTION_OPERATIONS", limit)
+    monkeypatch.setattr(_committer, "RETRY_DELAY_S", 0.0)
+
+    class RefusingKv(fake_kv.FakeKv):
+        async def commit(self, conditions, operations, purpose):
+            if conditions:
+                raise kv.UnavailableError("injected")
+            return await super().commit(conditions, operations, purpose)
+
+    async def run():
+        service = RefusingKv()
+        documents = store.DocumentStore(service, "trial")
+        organisations = [{"id": f"o{i}", "keys": []} for i in range(2_000)]
+        text = texts.make_text(organisations=organisations)
+        refused = (await push(documents, text, "c1")).unwrap_err()
+        assert isinstance(refused, changes.NotStored)
+        assert service.entries
+        assert all("/sections/" in key for key in service.entries)
+
+    asyncio.run(run())
+
+
 def test_edit_changes_few_sections():
     before = set(sections.split_text(make_large_text()))
     after = set(sections.split_text(make_large_text(changed=7_000)))
