Make the compaction race test bite

Cause: the text in the test had too few sections to be written ahead, so a push that ignored compaction still passed. Change: more sections, one compaction between the writes, and the test checks that it took place.

--- a/packages/configuration/tests/test_compaction.py
+++ b/packages/configuration/tests/test_compaction.py
@@ -13,7 +13,7 @@
 from poplarwick_configuration import failures
 from poplarwick_configuration import store
 
-VERSIONS = 40
+VERSIONS = 25
 KEPT = 10
 BLOCK = 5
 
@@ -28,8 +28,8 @@
 def make_text(number):
     """Returns a text of several sections that differs with each number."""
     organisations = [
-        {"id": f"o{i}", "keys": [], "weight": number if i == number else 1}
-        for i in range(1, 300)
+        {"id": f"o{i}", "keys": [], "weight": 2 if i == 30 * number else 1}
+        for i in range(1, 800)
     ]
     return texts.make_text(organisations=organisations)
 
@@ -117,14 +117,15 @@
     def __init__(self, kv, compactor):
         self._kv = kv
         self._compactor = compactor
+        self.compactions = 0
 
     async def read(self, *arguments, **options):
         return await self._kv.read(*arguments, **options)
 
     async def commit(self, conditions, operations, purpose):
         committed = await self._kv.commit(conditions, operations, purpose)
-        if not conditions:
-            await self._compactor.compact()
+        if not conditions and not self.compactions:
+            self.compactions += await self._compactor.compact()
         return committed
 
 
@@ -141,6 +142,7 @@
             make_text(2), author="anna", change_id="again"
         )
         assert made.is_ok()
+        assert between.compactions
         assert (await documents.load_text()).text == make_text(2)
         await setting.compact_all()
         assert (await documents.load_text()).text == make_text(2)
