--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -95,7 +95,9 @@
     print("== unit tests", flush=True)
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "unit.xml"
-        code = _run(["pytest", *UNIT_WORKERS, f"--junitxml={report}", "packages"])
+        code = _run(
+            ["pytest", *UNIT_WORKERS, f"--junitxml={report}", "packages"]
+        )
         if not report.exists():
             tally.failed.append(f"unit tests ended with code {code}")
             return
