Let owners go on in a general outage of the key-value service

Cause: an outage longer than the lease ended every tenure. Change: a holder goes on past its lease while a majority of its region confirms each second that the service is unavailable to them too; a claim after an unplanned end begins only once enough others have heard of it that no such majority can exist. Half of the resources under test are fenced, so that the waiting rule does not hide a fault of the lease.

--- a/packages/ownership/poplarwick_ownership/_holding.py
+++ b/packages/ownership/poplarwick_ownership/_holding.py
@@ -65,6 +65,8 @@
     ) -> None:
         self.tenure = tenure.Tenure(resource, epoch, self.is_valid)
         self.has_served = False
+        # Set once enough others know of the claim, or it has ended.
+        self.heard = asyncio.Event()
         self.ended = asyncio.Event()
         self._listener = listener
         self._may_act = may_act
@@ -105,6 +107,7 @@
         """Ends the tenure at once."""
         self._trigger("end")
         self._end_requested.set()
+        self.heard.set()
 
     async def run(self, wait_s: float) -> None:
         """Lives through the tenure.
--- a/packages/ownership/poplarwick_ownership/_lease.py
+++ b/packages/ownership/poplarwick_ownership/_lease.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from collections.abc import Callable
@@ -47,7 +48,10 @@
     ) -> None:
         self.held: HeldLease | None = None
         self.valid_until_s = 0.0
+        # Whether the last call to the service got no answer.
+        self.is_unavailable = False
         self._past: set[kv.LeaseId] = set()
+        self._retry = asyncio.Event()
         self._client = client
         self._instance = instance
         self._ttl_s = ttl_s
@@ -59,10 +63,6 @@
         """Whether the service surely still holds the lease."""
         return self.held is not None and self._read_clock() < self.valid_until_s
 
-    def is_valid_for(self, lease: kv.LeaseId) -> bool:
-        """Whether the service surely still holds this very lease."""
-        return self.held is not None and self.held.id == lease and self.is_valid
-
     def was_held(self, lease: kv.LeaseId) -> bool:
         """Whether this process held a lease that it has given up."""
         return lease in self._past
@@ -76,13 +76,20 @@
                 else:
                     await self._renew(self.held)
                 pause_s = self._ttl_s * RENEWAL_SHARE
+                self.is_unavailable = False
             except kv.LeaseLostError:
                 self.forget()
+                self.is_unavailable = False
                 pause_s = 0.0
             except kv.KvError as error:
                 logs.log_event("lease_renewal_failed", reason=error)
+                self.is_unavailable = True
                 pause_s = self._ttl_s * RETRY_SHARE
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.0))
+            await self._pause(pause_s * random.uniform(0.8, 1.0))
+
+    def retry_soon(self) -> None:
+        """Cuts the pause before the next renewal short."""
+        self._retry.set()
 
     def forget(self) -> None:
         """Gives a lease up that the service no longer holds."""
@@ -104,6 +111,12 @@
         except kv.KvError as error:
             logs.log_event("lease_revocation_failed", reason=error)
 
+    async def _pause(self, pause_s: float) -> None:
+        self._retry.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._retry.wait()
+
     async def _establish(self) -> None:
         sent_s = self._read_clock()
         lease = await self._client.grant_lease(self._ttl_s, kv.Purpose.LEASE)
--- a/packages/ownership/poplarwick_ownership/_view.py
+++ b/packages/ownership/poplarwick_ownership/_view.py
@@ -39,6 +39,7 @@
         self._notify = notify
         self._owners: dict[str, KnownOwner] = {}
         self._holders: dict[kv.LeaseId, ids.InstanceId] = {}
+        self._ended_leases: set[kv.LeaseId] = set()
 
     @property
     def holders(self) -> frozenset[ids.InstanceId]:
@@ -53,6 +54,10 @@
         """Returns whether a lease is known to live."""
         return lease in self._holders
 
+    def is_lease_ended(self, lease: kv.LeaseId) -> bool:
+        """Returns whether a lease is known to have ended."""
+        return lease in self._ended_leases
+
     async def follow(self) -> None:
         """Reads all records, then follows their changes, until cancelled."""
         pause_s = RETRY_MIN_S
@@ -89,7 +94,7 @@
             if entry is not None:
                 self._put(entry)
             elif lease is not None:
-                self._holders.pop(lease, None)
+                self._end_lease(lease)
         self._notify()
 
     def learn_own_write(
@@ -99,6 +104,7 @@
         self._put_owner(key, KnownOwner(record, revision))
 
     def _replace(self, snapshot: kv.Snapshot) -> None:
+        before = set(self._holders)
         self._holders = {}
         keys = {entry.key for entry in snapshot.entries}
         self._owners = {
@@ -108,6 +114,7 @@
         }
         for entry in snapshot.entries:
             self._put(entry)
+        self._ended_leases |= before - set(self._holders)
         self.is_loaded = True
         self._notify()
 
@@ -118,11 +125,15 @@
                 continue
             lease = _records.read_holder_lease(change.key)
             if lease is not None:
-                self._holders.pop(lease, None)
+                self._end_lease(lease)
             else:
                 self._owners.pop(change.key, None)
         self._notify()
 
+    def _end_lease(self, lease: kv.LeaseId) -> None:
+        self._holders.pop(lease, None)
+        self._ended_leases.add(lease)
+
     def _put(self, entry: kv.Entry) -> None:
         lease = _records.read_holder_lease(entry.key)
         if lease is not None:
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -20,6 +20,7 @@
 from poplarwick_ownership import _records
 from poplarwick_ownership import _stability
 from poplarwick_ownership import _view
+from poplarwick_ownership import confirmations
 from poplarwick_ownership import ranking
 from poplarwick_ownership import tenure
 from poplarwick_peers import membership
@@ -28,6 +29,8 @@
 DEFAULT_TTL_S = 10
 TICK_S = 0.5
 MIN_CHECK_S = 0.01
+CONFIRM_PERIOD_S = 0.3
+CONFIRM_BEFORE_S = 1.5
 FALLBACK_S = 3.0
 MIN_TENURE_S = 10.0
 RELEASE_TIMEOUT_S = 5.0
@@ -49,9 +52,12 @@
     earlier holder has surely stopped, and so has the last order that it sent.
 
     Example:
-        async with leases.LeaseOwnership(
-            kv_client, membership_view, dispatcher, ttl_s=10
-        ) as ownership:
+        peers = confirmations.GrpcPeers(instance, channel_pool.get)
+        ownership = leases.LeaseOwnership(
+            kv_client, membership_view, dispatcher, ttl_s=10, peers=peers
+        )
+        peer_server = transport.PeerServer(..., (ownership.service, ...))
+        async with peer_server, ownership:
             ownership.set_resources((tenure.Resource(...), ...))
             ...
             await ownership.release_all()
@@ -64,6 +70,11 @@
         wait_s: Wait after an unplanned end of a resource that is not fenced;
             None takes the lease lifetime and a margin for clock rates.
         read_clock: Returns monotonic seconds.
+        peers: Calls to other instances during an outage of the service; None
+            means that tenures end with the lease.
+
+    Attributes:
+        service: gRPC service to register at the peer server.
     """
 
     def __init__(
@@ -74,6 +85,7 @@
         ttl_s: int = DEFAULT_TTL_S,
         wait_s: float | None = None,
         read_clock: Callable[[], float] = read_boot_clock,
+        peers: confirmations.Peers | None = None,
     ) -> None:
         margin_s = ttl_s * _lease.CLOCK_RATE_MARGIN
         self._wait_s = ttl_s + margin_s if wait_s is None else wait_s
@@ -87,6 +99,15 @@
             client, self._instance, ttl_s, read_clock, self._changed.set
         )
         self._writer = _claims.ClaimWriter(client, self._instance, self._view)
+        self.service = confirmations.OwnershipService(
+            self._view, lambda: self._lease.is_unavailable
+        )
+        self._roster = confirmations.Roster(self._instance)
+        self._electorate = (
+            None
+            if peers is None
+            else confirmations.Electorate(view, self._roster, peers, read_clock)
+        )
         self._stability = _stability.Stability()
         self._resources: dict[ResourceKey, tenure.Resource] = {}
         self._holdings: dict[ResourceKey, _holding.Holding] = {}
@@ -96,6 +117,8 @@
         self._served: dict[ResourceKey, ids.Epoch] = {}
         self._releasing: set[ResourceKey] = set()
         self._is_draining = False
+        self._unheard: list[_holding.Holding] = []
+        self._unheard_changed = asyncio.Event()
         self._reconciling = asyncio.Lock()
         self._loops: list[asyncio.Task[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -141,6 +164,8 @@
             self._view.follow(),
             self._reconcile_repeatedly(),
             self._watch_validity(),
+            self._confirm_in_outage(),
+            self._announce_claims(),
         )
         self._loops = [asyncio.create_task(loop) for loop in loops]
         return self
@@ -157,14 +182,41 @@
         await asyncio.gather(*self._loops, return_exceptions=True)
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def _valid_until_s(self) -> float:
+        confirmed_s = self._electorate.valid_until_s if self._electorate else 0
+        return max(self._lease.valid_until_s, confirmed_s)
+
+    def _may_act(self, lease: kv.LeaseId) -> bool:
+        """Returns whether tenures that hang on a lease are valid now."""
+        held = self._lease.held
+        if held is None or held.id != lease:
+            return False
+        return self._read_clock() < self._valid_until_s
+
+    async def _confirm_in_outage(self) -> None:
+        """Asks the others while the lease cannot be renewed."""
+        while self._electorate is not None:
+            await asyncio.sleep(CONFIRM_PERIOD_S)
+            held = self._lease.held
+            left_s = self._lease.valid_until_s - self._read_clock()
+            is_needed = left_s < CONFIRM_BEFORE_S and self._holdings
+            if held is None or not self._lease.is_unavailable or not is_needed:
+                continue
+            await self._electorate.confirm(
+                held.id, self.tenures, _lease.CLOCK_RATE_MARGIN
+            )
+            if self._electorate.is_service_seen:
+                self._lease.retry_soon()
+
     async def _watch_validity(self) -> None:
         """Ends all tenures once the lease is no longer surely held."""
         while True:
-            if not self._lease.is_valid:
+            left_s = self._valid_until_s - self._read_clock()
+            if self._lease.held is None or left_s <= 0:
                 self._stop_all()
                 await asyncio.sleep(TICK_S)
                 continue
-            left_s = self._lease.valid_until_s - self._read_clock()
             await asyncio.sleep(min(max(left_s, MIN_CHECK_S), TICK_S))
 
     def _stop_all(self) -> None:
@@ -228,6 +280,7 @@
             if member.region == own.region and member.state in live
         }
         present &= self._view.holders
+        self._observe_roster(now_s)
         self._stability.observe(present, now_s)
         others = {
             instance
@@ -236,6 +289,28 @@
         }
         return sorted(others | {own.instance})
 
+    def _observe_roster(self, now_s: float) -> None:
+        region = self._membership.own.region
+        known = [m for m in self._membership.members if m.region == region]
+        leaving = membership.MemberState.LEAVING
+        self._roster.observe(
+            {m.instance for m in known} | self._list_recorded(),
+            {m.instance for m in known if m.state is leaving},
+            now_s,
+        )
+
+    def _list_recorded(self) -> set[ids.InstanceId]:
+        """Returns the last holders of the region's resources."""
+        records = (
+            self._view.find_owner(_records.make_owner_key(resource))
+            for resource in self._resources.values()
+        )
+        return {
+            known.record.instance
+            for known in records
+            if known is not None and known.record.lease != _records.NO_LEASE
+        }
+
     def _consider(
         self,
         key: ResourceKey,
@@ -350,18 +425,53 @@
             resource,
             ids.Epoch(known.revision),
             self._listener,
-            functools.partial(self._lease.is_valid_for, known.record.lease),
+            functools.partial(self._may_act, known.record.lease),
         )
         self._holdings[key] = holding
         self._claimed_s[key] = self._read_clock()
         is_immediate = known.record.follows_planned_end or resource.is_fenced
         wait_s = 0.0 if is_immediate else self._wait_s
-        self._start(self._live(key, holding, wait_s))
+        self._start(self._live(key, holding, known, wait_s))
+
+    async def _ensure_heard(self, holding: _holding.Holding) -> float:
+        """Makes sure that the earlier holder finds no majority any more.
+
+        Returns:
+            Time in seconds to wait from now on.
+        """
+        if self._electorate is None:
+            return 0.0
+        self._unheard.append(holding)
+        self._unheard_changed.set()
+        await holding.heard.wait()
+        return confirmations.CONFIRMATION_S
+
+    async def _announce_claims(self) -> None:
+        """Tells the others about claims after unplanned ends, in batches."""
+        while self._electorate is not None:
+            await self._unheard_changed.wait()
+            self._unheard_changed.clear()
+            told = [h for h in self._unheard if not h.has_ended]
+            claimed = {h.tenure.resource: h.tenure.epoch for h in told}
+            if await self._electorate.announce(claimed):
+                for holding in self._unheard:
+                    if holding in told or holding.has_ended:
+                        holding.heard.set()
+            self._unheard = [h for h in self._unheard if not h.heard.is_set()]
+            if self._unheard:
+                self._unheard_changed.set()
+                await asyncio.sleep(TICK_S)
 
     async def _live(
-        self, key: ResourceKey, holding: _holding.Holding, wait_s: float
+        self,
+        key: ResourceKey,
+        holding: _holding.Holding,
+        known: _view.KnownOwner,
+        wait_s: float,
     ) -> None:
         try:
+            if not known.record.follows_planned_end:
+                wait_s = max(wait_s, await self._ensure_heard(holding))
             await holding.run(wait_s)
         finally:
             if holding.has_served:
--- a/packages/ownership/tests/simulated.py
+++ b/packages/ownership/tests/simulated.py
@@ -183,6 +183,42 @@
             self.unplanned_ends += 1
 
 
+class PeerCalls:
+    """Calls between instances; fails when a link is cut or one is paused."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    async def confirm(self, member, lease, tenures):
+        held = {_make_key(t.resource): t.epoch for t in tenures}
+        service = await self._reach(member.instance)
+        if service is None:
+            return None
+        vote = service.vote(lease, held)
+        return vote if await self._reach(member.instance) else None
+
+    async def announce(self, member, resources):
+        service = await self._reach(member.instance)
+        if service is None:
+            return False
+        service.hear({_make_key(r): e for r, e in resources.items()})
+        return await self._reach(member.instance) is not None
+
+    async def _reach(self, name: str):
+        await asyncio.sleep(self._fleet.random.uniform(0.001, 0.05))
+        ends = (self._fleet.instances.get(n) for n in (self._name, name))
+        if any(end is None or not end.client.awake.is_set() for end in ends):
+            return None
+        if frozenset((self._name, name)) in self._fleet.cut_links:
+            return None
+        return self._fleet.instances[name].ownership.service
+
+
+def _make_key(resource) -> str:
+    return f"owner/{resource.kind.value}/{resource.id}"
+
+
 class Instance:
     """One instance under test."""
 
@@ -197,6 +233,7 @@
             self.recorder,
             ttl_s=TTL_S,
             read_clock=lambda: loop.time() * rate,
+            peers=PeerCalls(fleet, name),
         )
         self.stack = contextlib.AsyncExitStack()
 
@@ -208,10 +245,13 @@
         self.service = Service(seed)
         self.random = random.Random(seed)
         self.present: set[str] = set()
+        self.cut_links: set[frozenset[str]] = set()
         self.instances: dict[str, Instance] = {}
         self.begun: list[tuple[str, int, str]] = []
         self.resources = tuple(
-            tenure.Resource(tenure.ResourceKind.ENDPOINT, f"e-{n}", REGION)
+            tenure.Resource(
+                tenure.ResourceKind.ENDPOINT, f"e-{n}", REGION, n % 2 == 1
+            )
             for n in range(resources)
         )
 
--- a/packages/ownership/tests/test_leases.py
+++ b/packages/ownership/tests/test_leases.py
@@ -137,3 +137,81 @@
             await asyncio.sleep(0)
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_general_outage_ends_no_tenure(monkeypatch):
+    async def scenario(loop):
+        async with simulated.running(count=4) as fleet:
+            await fleet.settle(5)
+            await fleet.pass_time(20)
+            before = len(fleet.begun)
+            fleet.service.is_out = True
+            await fleet.pass_time(3 * TTL_S)
+            assert fleet.is_settled()
+            await fleet.pass_time(60)
+            assert fleet.is_settled()
+            fleet.service.store.extend_leases()
+            fleet.service.is_out = False
+            await fleet.pass_time(20)
+            assert fleet.is_settled()
+            assert len(fleet.begun) == before
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def test_death_of_an_instance_in_an_outage_leaves_the_others(monkeypatch):
+    async def scenario(loop):
+        async with simulated.running(count=4) as fleet:
+            await fleet.settle(5)
+            await fleet.pass_time(20)
+            name = fleet.list_valid("e-0")[0]
+            fleet.service.is_out = True
+            await fleet.pass_time(2 * TTL_S)
+            await fleet.kill(name)
+            await fleet.pass_time(30)
+            assert fleet.list_valid("e-0") == []
+            others = [r.id for r in fleet.resources if fleet.list_valid(r.id)]
+            assert others
+            fleet.service.is_out = False
+            await fleet.settle(60)
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def test_instance_cut_off_from_service_and_peers_stops(monkeypatch):
+    async def scenario(loop):
+        async with simulated.running(count=4) as fleet:
+            await fleet.settle(5)
+            await fleet.pass_time(20)
+            name = fleet.list_valid("e-0")[0]
+            fleet.service.is_out = True
+            fleet.cut_links |= {frozenset((name, n)) for n in fleet.instances}
+            await fleet.pass_time(TTL_S * 1.1)
+            assert not fleet.instances[name].ownership.tenures
+            assert any(fleet.list_valid(r.id) for r in fleet.resources)
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def test_minority_with_the_service_waits_for_the_majority_without(monkeypatch):
+    """Three of four lose the service; the fourth may not take over unheard."""
+
+    async def scenario(loop):
+        async with simulated.running(count=4, resources=12) as fleet:
+            await fleet.settle(5)
+            await fleet.pass_time(20)
+            fleet.cut_links |= {
+                frozenset(("i-0", f"i-{n}")) for n in range(1, 4)
+            }
+            for number in range(1, 4):
+                fleet.instances[f"i-{number}"].client.is_cut = True
+            await fleet.pass_time(30)
+            assert fleet.is_settled()
+            fleet.cut_links.clear()
+            await fleet.pass_time(30)
+            assert fleet.is_settled()
+            assert all(
+                fleet.list_valid(r.id) == ["i-0"] for r in fleet.resources
+            )
+
+    virtual_time.run(scenario, monkeypatch)
--- a/packages/ownership/tests/test_safety.py
+++ b/packages/ownership/tests/test_safety.py
@@ -23,7 +23,7 @@
     names = sorted(fleet.instances)
     name = chance.choice(names)
     client = fleet.instances[name].client
-    match chance.randrange(9):
+    match chance.randrange(11):
         case 0:
             client.awake.clear()
         case 1:
@@ -41,6 +41,17 @@
             fleet.present ^= {name}
         case 7:
             fleet.service.delay_s = chance.choice(((0.001, 0.01), (0.1, 0.9)))
+        case 9:
+            other = chance.choice(names)
+            fleet.cut_links ^= {frozenset((name, other))}
+        case 10:
+            # Some lose the service, and some of these the others too.
+            for one in names:
+                fleet.instances[one].client.is_cut = chance.random() < 0.6
+                if chance.random() < 0.3:
+                    fleet.cut_links |= {
+                        frozenset((one, other)) for other in names
+                    }
         case 8:
             client.awake.set()
             async with asyncio.timeout(GENEROUS_S):
@@ -58,6 +69,7 @@
                 await apply_fault(fleet, chance, number)
                 await fleet.pass_time(chance.uniform(0.01, 2 * simulated.TTL_S))
             fleet.service.is_out = False
+            fleet.cut_links.clear()
             fleet.service.lost_share = 0.0
             fleet.service.delay_s = (0.001, 0.01)
             for name, instance in fleet.instances.items():
