Budget the calls to the key-value service by purpose

Cause: clients must not storm a service that returns from an outage. Change: token bucket whose rate halves on failure and grows slowly, tokens kept for fencing and claims; calls counted by purpose, kind and result, and waiting watches counted, in OpenTelemetry.

--- /dev/null
+++ b/packages/platform/poplarwick_platform/_budget.py
@@ -0,0 +1,112 @@
+"""Client-side budget of calls to the key-value service.
+
+The rate follows the service: it is halved when calls fail or are refused and
+grows slowly while they succeed, so that the return of the service after an
+outage is met by few calls. Tokens are kept back for the more important
+purposes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from poplarwick_core import clock
+from poplarwick_platform import kv
+
+MAX_RATE_PER_S = 50.0
+MIN_RATE_PER_S = 1.0
+RATE_GROWTH_PER_S2 = 5.0
+RATE_CUT = 0.5
+CUT_PERIOD_S = 1.0
+BURST_S = 1.0
+MAX_WAIT_S = 1.0
+
+RESERVED_SHARE = {
+    kv.Purpose.FENCING: 0.0,
+    kv.Purpose.CLAIM: 0.0,
+    kv.Purpose.LEASE: 0.1,
+    kv.Purpose.CONFIGURATION: 0.3,
+    kv.Purpose.HOUSEKEEPING: 0.5,
+}
+"""Share of the burst that must be left over by a call of each purpose."""
+
+
+class CallBudget:
+    """Token bucket with an adaptive rate.
+
+    Attributes:
+        max_rate_per_s: Most calls per second.
+        max_wait_s: Longest time that a call waits for its turn.
+    """
+
+    def __init__(
+        self,
+        max_rate_per_s: float = MAX_RATE_PER_S,
+        max_wait_s: float = MAX_WAIT_S,
+    ) -> None:
+        self.max_rate_per_s = max_rate_per_s
+        self.max_wait_s = max_wait_s
+        self.rate_per_s = max_rate_per_s
+        self._tokens = max_rate_per_s * BURST_S
+        self._filled_s = clock.now_s()
+        self._cut_s = 0.0
+        self._result_s = self._filled_s
+
+    async def take(self, purpose: kv.Purpose) -> None:
+        """Waits until a call may be sent.
+
+        Raises:
+            kv.BudgetError: The call would have to wait for too long.
+        """
+        deadline_s = clock.now_s() + self.max_wait_s
+        while True:
+            wait_s = self._try_take(purpose)
+            if wait_s <= 0:
+                return
+            wait_s *= random.uniform(1.0, 1.5)
+            if clock.now_s() + wait_s > deadline_s:
+                raise kv.BudgetError(f"no budget for {purpose.value}")
+            await asyncio.sleep(wait_s)
+
+    def note_success(self) -> None:
+        """Lets the rate grow with the time since the last result."""
+        now_s = clock.now_s()
+        passed_s = min(now_s - self._result_s, CUT_PERIOD_S)
+        self._result_s = now_s
+        self.rate_per_s = min(
+            self.rate_per_s + passed_s * RATE_GROWTH_PER_S2,
+            self.max_rate_per_s,
+        )
+
+    def note_failure(self) -> None:
+        """Halves the rate, at most once a second, and drops the burst."""
+        now_s = clock.now_s()
+        self._result_s = now_s
+        if now_s - self._cut_s < CUT_PERIOD_S:
+            return
+        self._cut_s = now_s
+        self.rate_per_s = max(self.rate_per_s * RATE_CUT, MIN_RATE_PER_S)
+        self._tokens = min(self._tokens, self._burst)
+
+    @property
+    def _burst(self) -> float:
+        return max(1.0, self.rate_per_s * BURST_S)
+
+    def _try_take(self, purpose: kv.Purpose) -> float:
+        """Takes a token and returns 0, or returns the time to wait."""
+        self._fill()
+        needed = min(1.0 + RESERVED_SHARE[purpose] * self._burst, self._burst)
+        missing = needed - self._tokens
+        if missing <= 0:
+            self._tokens -= 1.0
+            return 0.0
+        return missing / self.rate_per_s
+
+    def _fill(self) -> None:
+        now_s = clock.now_s()
+        passed_s = now_s - self._filled_s
+        self._filled_s = now_s
+        self._tokens = min(
+            self._tokens + passed_s * self.rate_per_s, self._burst
+        )
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -15,7 +15,9 @@
 import msgspec
 
 from poplarwick_core import logs
+from poplarwick_platform import _budget
 from poplarwick_platform import _gateway_messages as messages
+from poplarwick_platform import _telemetry
 from poplarwick_platform import kv
 
 CALL_TIMEOUT_S = 2.0
@@ -39,6 +41,7 @@
     *,
     instance: str = "",
     timeout_s: float = CALL_TIMEOUT_S,
+    calls_per_s: float = _budget.MAX_RATE_PER_S,
     tls: ssl.SSLContext | None = None,
 ) -> GatewayClient:
     """Returns a client; entering it opens its connections.
@@ -47,9 +50,10 @@
         addresses: Host and port of each member of the service.
         instance: Id of this instance, told to the service.
         timeout_s: Time after which a call counts as unanswered.
+        calls_per_s: Most calls per second that this client sends.
         tls: TLS context, or None for plain HTTP.
     """
-    return GatewayClient(addresses, instance, timeout_s, tls)
+    return GatewayClient(addresses, instance, timeout_s, calls_per_s, tls)
 
 
 class GatewayClient:
@@ -64,6 +68,7 @@
         addresses: tuple[str, ...],
         instance: str = "",
         timeout_s: float = CALL_TIMEOUT_S,
+        calls_per_s: float = _budget.MAX_RATE_PER_S,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         scheme = "https" if tls else "http"
@@ -72,6 +77,7 @@
         self._headers = {INSTANCE_HEADER: instance} if instance else {}
         self._tls = tls
         self._preferred = 0
+        self._budget = _budget.CallBudget(calls_per_s)
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
@@ -226,8 +232,9 @@
             ) as response:
                 if response.status != _HTTP_OK:
                     raise kv.UnavailableError(f"watch: {response.status}")
-                async for line in response.content:
-                    yield _decode(line, messages.WatchReply).result
+                with _telemetry.count_watch():
+                    async for line in response.content:
+                        yield _decode(line, messages.WatchReply).result
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             self._prefer_next(base)
             raise kv.UnavailableError(f"watch: {error!r}") from error
@@ -240,6 +247,24 @@
         purpose: kv.Purpose,
         *,
         is_write: bool,
+    ) -> Reply:
+        kind_of_call = "write" if is_write else "read"
+        with _telemetry.count_call(purpose, kind_of_call):
+            await self._budget.take(purpose)
+            try:
+                reply = await self._try_all(path, request, kind, is_write)
+            except (kv.UnavailableError, kv.UnknownResultError):
+                self._budget.note_failure()
+                raise
+            self._budget.note_success()
+            return reply
+
+    async def _try_all(
+        self,
+        path: str,
+        request: messages.Message,
+        kind: type[Reply],
+        is_write: bool,
     ) -> Reply:
         body = msgspec.json.encode(request)
         problem: Exception | None = None
--- /dev/null
+++ b/packages/platform/tests/test_budget.py
@@ -0,0 +1,69 @@
+"""The client-side call budget."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from poplarwick_core import clock
+from poplarwick_platform import _budget
+from poplarwick_platform import kv
+
+
+class ManualClock:
+    def __init__(self, monkeypatch) -> None:
+        self.now_s = 100.0
+        monkeypatch.setattr(clock, "now_s", lambda: self.now_s)
+
+
+def take_all(budget, purpose) -> int:
+    """Takes tokens until one would have to be waited for."""
+    taken = 0
+    while True:
+        try:
+            asyncio.run(budget.take(purpose))
+        except kv.BudgetError:
+            return taken
+        taken += 1
+
+
+def test_tokens_are_kept_for_the_more_important_purposes(monkeypatch):
+    ManualClock(monkeypatch)
+    budget = _budget.CallBudget(max_rate_per_s=20, max_wait_s=0)
+    housekeeping = take_all(budget, kv.Purpose.HOUSEKEEPING)
+    lease = take_all(budget, kv.Purpose.LEASE)
+    claim = take_all(budget, kv.Purpose.CLAIM)
+    assert housekeeping == 10
+    assert lease == 8
+    assert claim == 2
+
+
+def test_rate_falls_in_an_outage_and_recovers_slowly(monkeypatch):
+    time = ManualClock(monkeypatch)
+    budget = _budget.CallBudget(max_rate_per_s=50, max_wait_s=0)
+    for _ in range(60):
+        time.now_s += 1
+        budget.note_failure()
+    assert budget.rate_per_s == _budget.MIN_RATE_PER_S
+    assert take_all(budget, kv.Purpose.CLAIM) <= 1
+    time.now_s += 1
+    budget.note_success()
+    first_second = take_all(budget, kv.Purpose.CLAIM)
+    assert first_second <= 1 + _budget.RATE_GROWTH_PER_S2
+    for _ in range(60):
+        time.now_s += 1
+        budget.note_success()
+    assert budget.rate_per_s == budget.max_rate_per_s
+
+
+def test_call_waits_for_its_turn():
+    async def scenario():
+        budget = _budget.CallBudget(max_rate_per_s=50, max_wait_s=5)
+        for _ in range(60):
+            await budget.take(kv.Purpose.CLAIM)
+        budget.max_wait_s = 0
+        with pytest.raises(kv.BudgetError):
+            await budget.take(kv.Purpose.HOUSEKEEPING)
+
+    asyncio.run(scenario())
