Run calls that may not be repeated through claims

Cause: routes with idempotent false ran unclaimed, so a repeat ran twice. EntryContext gains claimed.

--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -10,6 +10,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_entry import claimed
 from poplarwick_entry import grants
 from poplarwick_entry import problems
 from poplarwick_outcomes import lifecycle
@@ -24,6 +25,7 @@
         instance: This instance.
         broker: Obtains grants.
         session: Session for calls to endpoints.
+        claimed: Runs calls that may not be repeated.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
@@ -35,6 +37,7 @@
     instance: ids.InstanceId
     broker: grants.GrantBroker
     session: aiohttp.ClientSession
+    claimed: claimed.ClaimedCalls
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
     read_refusal: Callable[[], str | None]
--- a/packages/entry/poplarwick_entry/headers.py
+++ b/packages/entry/poplarwick_entry/headers.py
@@ -10,6 +10,7 @@
 REQUEST_ID = "Poplarwick-Request"
 ENDPOINT = "Poplarwick-Endpoint"
 INSTANCE = "Poplarwick-Instance"
+REPLAYED = "Poplarwick-Replayed"
 
 MIN_PRIORITY = -10
 MAX_PRIORITY = 10
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 import aiohttp
+import msgspec
 import multidict
 import yarl
 from aiohttp import web
@@ -15,9 +16,9 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
-from poplarwick_core import outcome
 from poplarwick_endpoints import generation
 from poplarwick_entry import authentication
+from poplarwick_entry import claimed
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import headers
@@ -27,6 +28,7 @@
 from poplarwick_outcomes import lifecycle as lifecycles
 from poplarwick_outcomes import replies
 from poplarwick_outcomes import verdicts
+from poplarwick_outcomes.claims import keys
 from poplarwick_peers.wire import grant_pb2
 
 MAX_ATTEMPTS = 3
@@ -54,9 +56,20 @@
     headers.TIMEOUT.lower(),
 }
 _SET_BY_SERVER = frozenset(("date", "server"))
+MAX_REFUSAL_BYTES = 4_096
+_REFUSAL_STATUS = frozenset((409, 429, 503))
+_REFUSAL_TYPES = frozenset(("stale_epoch", "overloaded", "cold_overload"))
 _UNSAFE_SEGMENT = re.compile(r"[\x00-\x1f\x7f\\]")
 
 
+class _RefusalDetail(msgspec.Struct):
+    type: str
+
+
+class _Refusal(msgspec.Struct):
+    error: _RefusalDetail
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """A checked call to a plain service.
@@ -95,7 +108,26 @@
     lifecycle = context.begin_lifecycle(
         request, is_idempotent=call.route.idempotent
     )
-    return await _send_with_retries(entry, view, call, lifecycle)
+    if call.route.idempotent:
+        return await _send_with_retries(entry, view, call, lifecycle)
+    key = claimed.require_key(request, ids.OrganisationId(organisation.id))
+    return await entry.claimed.run(
+        key,
+        _digest_content(call),
+        call.deadline,
+        lifecycle,
+        lambda: _send_with_retries(entry, view, call, lifecycle),
+    )
+
+
+def _digest_content(call: Call) -> bytes:
+    return keys.digest_content(
+        call.service.id.encode(),
+        call.method.encode(),
+        call.path.encode(),
+        call.headers.get("Content-Type", "").encode("utf-8", "surrogateescape"),
+        call.body,
+    )
 
 
 async def _parse_call(
@@ -222,7 +254,9 @@
         except problems.RequestEnded as ended:
             ending = ended.ending
         else:
-            measures.count_end(lifecycle.end(verdicts.Whole(response.status)))
+            verdict = lifecycle.end(verdicts.Whole(response.status))
+            measures.count_end(verdict)
+            response.headers.update(replies.make_headers(verdict))
             return response
         if call.deadline.has_passed or not lifecycle.may_send:
             break
@@ -272,11 +306,28 @@
         lifecycle.note_loss()
         held.note_end(grant_pb2.REPORT_FAILED, detail=type(error).__name__)
         raise problems.RequestEnded(_describe_loss(error)) from error
+    if _has_refused(response.status, body):
+        lifecycle.note_refusal()
+        held.note_end(grant_pb2.REPORT_NOT_SENT, detail="refused")
+        raise problems.RequestEnded(
+            verdicts.EndpointRefused("the endpoint refused the call")
+        )
     held.note_end(grant_pb2.REPORT_COMPLETE)
     _log_end(call, held, response.status)
     return _make_answer(response, body, call, held)
 
 
+def _has_refused(status: int, body: bytes) -> bool:
+    """Returns whether an answer tells that the call was not run."""
+    if status not in _REFUSAL_STATUS or len(body) > MAX_REFUSAL_BYTES:
+        return False
+    try:
+        error = msgspec.json.decode(body, type=_Refusal).error
+    except msgspec.DecodeError:
+        return False
+    return error.type in _REFUSAL_TYPES
+
+
 def _make_headers(
     call: Call, held: grants.HeldGrant
 ) -> multidict.CIMultiDict[str]:
@@ -313,6 +364,5 @@
             continue
         answer.headers.add(name, value)
     answer.headers[headers.REQUEST_ID] = call.request
-    answer.headers[replies.OUTCOME_HEADER] = outcome.Outcome.COMPLETE.value
     answer.headers[headers.ENDPOINT] = held.endpoint
     return answer
--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -5,6 +5,7 @@
 from poplarwick_configuration import document
 from poplarwick_core import ids
 from poplarwick_dispatch import dispatcher
+from poplarwick_outcomes.claims import service as shards
 from poplarwick_ownership import tenure
 
 
@@ -15,7 +16,15 @@
 ) -> None:
     """Takes a new version of the configuration into force."""
     local.apply_view(view)
-    owner.set_resources(list_endpoints(view))
+    owner.set_resources((*list_endpoints(view), *list_shards(view)))
+
+
+def list_shards(view: document.View) -> tuple[tenure.Resource, ...]:
+    """Returns the shards of claims, spread over the regions."""
+    regions = sorted({domain.region for domain in view.document.domains})
+    if not regions:
+        return ()
+    return shards.make_resources([ids.RegionId(region) for region in regions])
 
 
 def list_endpoints(view: document.View) -> tuple[tenure.Resource, ...]:
--- a/packages/node/poplarwick_node/daemon.py
+++ b/packages/node/poplarwick_node/daemon.py
@@ -22,14 +22,18 @@
 from poplarwick_endpoints import engine
 from poplarwick_endpoints import session
 from poplarwick_entry import application
+from poplarwick_entry import claimed
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import reports
 from poplarwick_node import _fleet
 from poplarwick_node import _resources
+from poplarwick_node import _shards
 from poplarwick_node import _telemetry
 from poplarwick_node import _web
 from poplarwick_node import settings
+from poplarwick_outcomes.claims import client as claim_client
+from poplarwick_outcomes.claims import service as claim_service
 from poplarwick_ownership import leases
 from poplarwick_peers import configurations
 from poplarwick_peers import heartbeats
@@ -213,8 +217,15 @@
             is_live=lambda entry: members.find(entry) is not None,
         )
     )
+    shards = claim_service.ClaimService(kv_client, checked.environment)
     owner = leases.LeaseOwnership(
-        kv_client, members, local, checked.timing.lease_ttl_s
+        kv_client,
+        members,
+        _shards.TenureRouter(local, shards),
+        checked.timing.lease_ttl_s,
+    )
+    find_shard_owner = _shards.make_owner_finder(
+        lambda: documents.view, owner, members, channels, shards
     )
     routes = router.Router()
     members.add_listener(lambda change: _forget_dead(routes, fleet, change))
@@ -230,6 +241,7 @@
             (
                 local,
                 members.service,
+                shards,
                 configurations.ConfigurationService(documents),
             ),
             peer_server_tls,
@@ -238,6 +250,8 @@
     await enter(members)
     await enter(documents)
     await enter(owner)
+    claims = await enter(claim_client.ClaimClient(find_shard_owner))
+    claimed_calls = await enter(claimed.ClaimedCalls(claims))
     callers = _web.WebServer(checked.listen.callers, caller_tls)
     instance = Instance(
         checked, documents, members, local, owner, callers, fleet
@@ -249,6 +263,7 @@
         instance=ids.InstanceId(checked.instance),
         broker=broker,
         session=calls,
+        claimed=claimed_calls,
         read_view=instance.read_view,
         read_readiness=instance.read_readiness,
         read_refusal=instance.read_refusal,
--- a/packages/outcomes/poplarwick_outcomes/claims/_wire.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/_wire.py
@@ -49,16 +49,16 @@
 
 def make_answer(answer: records.Answer) -> claim_pb2.Answer:
     """Returns the message that holds an answer."""
+    named = [claim_pb2.Header(name=n, value=v) for n, v in answer.headers]
     return claim_pb2.Answer(
-        status=answer.status,
-        content_type=answer.content_type,
-        body=answer.body,
+        status=answer.status, headers=named, body=answer.body
     )
 
 
 def read_answer(message: claim_pb2.Answer) -> records.Answer:
     """Returns the answer that a message holds."""
-    return records.Answer(message.status, message.content_type, message.body)
+    named = tuple((header.name, header.value) for header in message.headers)
+    return records.Answer(message.status, named, message.body)
 
 
 def make_claim_reply(reply: replies.ClaimReply) -> claim_pb2.ClaimReply:
--- a/packages/outcomes/poplarwick_outcomes/claims/records.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/records.py
@@ -57,12 +57,12 @@
 
     Attributes:
         status: HTTP status.
-        content_type: Value of the header `Content-Type`.
+        headers: Names and values of the headers that belong to the body.
         body: Body.
     """
 
     status: int
-    content_type: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
 
 
--- a/packages/outcomes/poplarwick_outcomes/claims/service.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/service.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from grpclib import server
 
@@ -143,9 +144,19 @@
             await shard.__aexit__(None, None, None)
 
 
-def make_resources(region: ids.RegionId) -> tuple[tenures.Resource, ...]:
-    """Returns all shards as resources that need an owner."""
+def make_resources(
+    regions: Sequence[ids.RegionId],
+) -> tuple[tenures.Resource, ...]:
+    """Returns all shards as resources, spread over the regions.
+
+    They are fenced: the key-value service refuses an earlier owner's writes.
+    """
     return tuple(
-        tenures.Resource(tenures.ResourceKind.SHARD, f"{number:02d}", region)
+        tenures.Resource(
+            tenures.ResourceKind.SHARD,
+            f"{number:02d}",
+            regions[number % len(regions)],
+            is_fenced=True,
+        )
         for number in range(keys.SHARD_COUNT)
     )
--- a/packages/outcomes/tests/claim_world.py
+++ b/packages/outcomes/tests/claim_world.py
@@ -175,7 +175,7 @@
         if self.happens("run_lost"):
             client.resolve(attempt, None)
             return UNKNOWN
-        answer = records.Answer(201, "text/plain", _make_body(attempt.key))
+        answer = records.Answer(201, (), _make_body(attempt.key))
         client.resolve(attempt, answer)
         return answer
 
--- a/packages/outcomes/tests/test_claim_journal.py
+++ b/packages/outcomes/tests/test_claim_journal.py
@@ -235,7 +235,7 @@
         body = b"x" * 16_000
         for number in range(400):
             stored = records.StoredAnswer(
-                number.to_bytes(16), 1, b"n", records.Answer(200, "", body)
+                number.to_bytes(16), 1, b"n", records.Answer(200, (), body)
             )
             await journal.append(journals.Change((), (stored,)))
         content = await make_journal(ScriptedClient(client.service), 2).open()
--- a/packages/outcomes/tests/test_claim_shard.py
+++ b/packages/outcomes/tests/test_claim_shard.py
@@ -24,7 +24,7 @@
 from poplarwick_ownership import tenure as tenures
 
 CONTENT = b"c" * 16
-ANSWER = records.Answer(201, "text/plain", b"made")
+ANSWER = records.Answer(201, (("Content-Type", "text/plain"),), b"made")
 ORGANISATION = ids.OrganisationId("soaps")
 
 
@@ -92,7 +92,7 @@
             first = make_attempt(world)
             await shard.claim(first, 1)
             body = b"x" * (answers.MAX_STORED_BYTES + 1)
-            large = records.Answer(200, "", body)
+            large = records.Answer(200, (), body)
             await shard.resolve(first, large)
             again = await shard.claim(make_attempt(world), 1)
             assert again == replies.Answered(large)
@@ -233,7 +233,7 @@
     async def main():
         service = services.ClaimService(KvFakeClient(KvFake()), "test")
         tenure = tenures.Tenure(
-            services.make_resources(ids.RegionId("r"))[0],
+            services.make_resources([ids.RegionId("r")])[0],
             ids.Epoch(1),
             lambda: True,
         )
