--- a/packages/entry/poplarwick_entry/answers.py
+++ b/packages/entry/poplarwick_entry/answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 from typing import Any
 from typing import Protocol
@@ -18,6 +20,8 @@
 from poplarwick_outcomes import stream
 from poplarwick_outcomes import verdicts
 
+FAIL_TIMEOUT_S = 0.5
+
 _DATA = b"data:"
 
 
@@ -90,21 +94,40 @@
 
     async def write(self, events: bytes) -> None:
         """Sends events; waits while the caller's buffer is full."""
-        if not self._response.prepared:
-            await self._response.prepare(self._request)
-        await self._response.write(events)
+        try:
+            if not self._response.prepared:
+                await self._response.prepare(self._request)
+            await self._response.write(events)
+        except ConnectionError as error:
+            # Told apart from a lost engine, which would be resumed.
+            raise problems.RequestEnded(verdicts.CallerLeft()) from error
 
     async def finish(self) -> None:
         """Sends the outcome as a comment, then the end mark."""
         comment = _make_outcome_comment(outcome.Outcome.COMPLETE)
         await self.write(comment + stream.END_MARK)
-        await self._response.write_eof()
+        await self._end()
 
     async def fail(self, verdict: verdicts.Verdict) -> None:
-        """Sends the outcome and an error event, and no end mark."""
+        """Sends the outcome and an error event, and no end mark.
+
+        A caller that does not read within `FAIL_TIMEOUT_S` is cut off.
+        """
         comment = _make_outcome_comment(verdict.outcome)
-        await self.write(comment + replies.encode_event(verdict))
-        await self._response.write_eof()
+        try:
+            async with asyncio.timeout(FAIL_TIMEOUT_S):
+                await self.write(comment + replies.encode_event(verdict))
+                await self._end()
+        except TimeoutError:
+            transport = self._request.transport
+            if transport is not None:
+                transport.abort()
+        except problems.RequestEnded:
+            return
+
+    async def _end(self) -> None:
+        with contextlib.suppress(ConnectionError):
+            await self._response.write_eof()
 
 
 class GatheredAnswer:
--- a/packages/entry/poplarwick_entry/completions.py
+++ b/packages/entry/poplarwick_entry/completions.py
@@ -7,6 +7,7 @@
 from poplarwick_core import ids
 from poplarwick_entry import answers
 from poplarwick_entry import authentication
+from poplarwick_entry import bodies
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import headers
@@ -32,7 +33,7 @@
     organisation = authentication.authenticate(request, view)
     checked = parameters.parse_completion(
         api,
-        await request.read(),
+        await bodies.read_body(request),
         organisation,
         view,
         priority=request.headers.get(headers.PRIORITY),
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -13,6 +13,7 @@
 from poplarwick_entry import claimed
 from poplarwick_entry import grants
 from poplarwick_entry import problems
+from poplarwick_entry import retries
 from poplarwick_outcomes import lifecycle
 from poplarwick_outcomes import verdicts
 
@@ -26,6 +27,7 @@
         broker: Obtains grants.
         session: Session for calls to endpoints.
         claimed: Runs calls that may not be repeated.
+        retries: Budget of retries of this instance.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
@@ -41,6 +43,9 @@
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
     read_refusal: Callable[[], str | None]
+    retries: retries.RetryBudget = dataclasses.field(
+        default_factory=retries.RetryBudget
+    )
 
     def require_view(self) -> document.View:
         """Returns the configuration in force.
--- a/packages/entry/poplarwick_entry/relay.py
+++ b/packages/entry/poplarwick_entry/relay.py
@@ -54,6 +54,7 @@
     """
     excluded: frozenset[ids.EndpointId] = frozenset()
     ending: verdicts.Ending = verdicts.DeadlinePassed()
+    entry.retries.note_first()
     for _ in range(MAX_ATTEMPTS):
         version = entry.require_view().version
         held = await entry.broker.acquire(demand, excluded, version)
@@ -62,7 +63,7 @@
         if isinstance(ending, verdicts.Whole):
             measures.count_end(lifecycle.end(ending))
             return
-        if answer.has_begun:
+        if answer.has_begun or isinstance(ending, verdicts.CallerLeft):
             verdict = lifecycle.end(ending)
             measures.count_end(verdict)
             await answer.fail(verdict)
@@ -70,6 +71,8 @@
         is_final = isinstance(ending, verdicts.Refused)
         if is_final or demand.deadline.has_passed:
             break
+        if not entry.retries.take():
+            break
         excluded |= {held.endpoint}
     raise problems.RequestEnded(ending)
 
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -18,6 +18,7 @@
 from poplarwick_core import logs
 from poplarwick_endpoints import generation
 from poplarwick_entry import authentication
+from poplarwick_entry import bodies
 from poplarwick_entry import claimed
 from poplarwick_entry import context
 from poplarwick_entry import grants
@@ -157,7 +158,7 @@
         method=request.method,
         path=(raw_path or "/") + (f"?{query}" if query else ""),
         headers=select_headers(request.headers),
-        body=await request.read(),
+        body=await bodies.read_body(request),
         priority=parameters.parse_priority(
             request.headers.get(headers.PRIORITY)
         ),
@@ -220,7 +221,7 @@
     received: multidict.CIMultiDictProxy[str],
 ) -> multidict.CIMultiDict[str]:
     """Returns the end-to-end headers that are passed on."""
-    listed = received.get("Connection", "").lower().split(",")
+    listed = ",".join(received.getall("Connection", [])).lower().split(",")
     dropped = _NOT_FORWARDED | {name.strip() for name in listed}
     selected: multidict.CIMultiDict[str] = multidict.CIMultiDict()
     for name, value in received.items():
@@ -245,6 +246,7 @@
     excluded: frozenset[ids.EndpointId] = frozenset()
     demand = _make_demand(call)
     ending: verdicts.Ending = verdicts.DeadlinePassed()
+    entry.retries.note_first()
     for _ in range(MAX_ATTEMPTS):
         held = await entry.broker.acquire(demand, excluded, view.version)
         lifecycle.grant()
@@ -260,6 +262,8 @@
             return response
         if call.deadline.has_passed or not lifecycle.may_send:
             break
+        if not entry.retries.take():
+            break
         excluded |= {held.endpoint}
     raise problems.RequestEnded(ending)
 
--- /dev/null
+++ b/packages/entry/tests/entry_fakes.py
@@ -0,0 +1,170 @@
+"""An entry with real claims in front of endpoints made by a test."""
+
+import asyncio
+import contextlib
+import hashlib
+import uuid
+
+import aiohttp
+import uuid6
+from aiohttp import test_utils
+from aiohttp import web
+from kv_fake import KvFake
+from kv_fake import KvFakeClient
+
+from poplarwick_configuration import document
+from poplarwick_core import ids
+from poplarwick_endpoints import session as sessions
+from poplarwick_entry import application
+from poplarwick_entry import claimed
+from poplarwick_entry import context
+from poplarwick_entry import grants
+from poplarwick_entry import problems
+from poplarwick_outcomes import verdicts
+from poplarwick_outcomes.claims import client as clients
+from poplarwick_outcomes.claims import service as services
+from poplarwick_ownership import tenure as tenures
+from poplarwick_peers.wire import grant_pb2
+
+SECRETS = {"soaps": "secret-soaps", "roads": "secret-roads"}
+ORDERS = "/services/shop/orders"
+
+
+class FakeReporter:
+    """Keeps reports instead of sending them."""
+
+    def __init__(self):
+        self.reports = []
+        self.cancelled = []
+
+    def send(self, instance, report):
+        self.reports.append(report)
+
+    def cancel_and_send(self, instance, report, target):
+        self.cancelled.append(target.stream)
+        self.reports.append(report)
+
+
+class FakeBroker:
+    """Grants every request the same endpoint, unless it has no room."""
+
+    def __init__(self):
+        self.address = ""
+        self.has_room = True
+        self.reporter = FakeReporter()
+
+    async def acquire(self, demand, excluded, version):
+        if not self.has_room:
+            raise problems.refuse(verdicts.Reason.NO_ROOM, "full")
+        grant = grant_pb2.Grant(
+            grant_id=uuid.uuid4().hex,
+            endpoint="endpoint-1",
+            address=self.address,
+            stream_id=uuid.uuid4().hex,
+            epoch=1,
+        )
+        own = ids.InstanceId("instance-0")
+        return grants.HeldGrant(grant, own, 0, self.reporter)
+
+
+class Entry:
+    """A running entry.
+
+    Attributes:
+        broker: Grants requests.
+        service: Key-value service under the claims.
+    """
+
+    def __init__(self, broker, service, client, address):
+        self.broker = broker
+        self.service = service
+        self.address = address
+        self._client = client
+
+    async def call(self, path=ORDERS, method="POST", key=None, **options):
+        """Sends a request; returns status, headers and body."""
+        headers = {"Authorization": f"Bearer {SECRETS['soaps']}"}
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        headers |= options.pop("headers", {})
+        async with self._client.request(
+            method,
+            f"http://{self.address}{path}",
+            headers=headers,
+            **options,
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+
+def make_view():
+    organisations = tuple(
+        document.Organisation(
+            name,
+            (document.ApiKey("k", hashlib.sha256(s.encode()).hexdigest()),),
+        )
+        for name, s in SECRETS.items()
+    )
+    routes = (
+        document.Route("/orders", ("POST", "PUT"), idempotent=False),
+        document.Route("/stock", ("GET",)),
+    )
+    return document.View(
+        1,
+        document.Document(
+            environment="test",
+            organisations=organisations,
+            models=(document.Model("writer", 8_000_000, 8_000_000),),
+            services=(document.Service("shop", routes, timeout_s=5.0),),
+            domains=(document.Domain("d", "r"),),
+            endpoints=(),
+        ),
+    )
+
+
+def make_key():
+    return str(uuid6.uuid7())
+
+
+@contextlib.asynccontextmanager
+async def open_entry(endpoint, limit=application.MAX_BODY_BYTES):
+    """Yields an entry whose endpoint is the handler `endpoint`."""
+    service = KvFake()
+    claims = services.ClaimService(KvFakeClient(service), "test")
+    for resource in services.make_resources([ids.RegionId("r")]):
+        tenure = tenures.Tenure(resource, ids.Epoch(1), lambda: True)
+        await claims.begin_tenure(tenure)
+    back = web.Application(client_max_size=limit)
+    back.router.add_route("*", "/{path:.*}", endpoint)
+    broker = FakeBroker()
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        server = await enter(test_utils.TestServer(back))
+        broker.address = f"127.0.0.1:{server.port}"
+        shards = await enter(clients.ClaimClient(lambda shard: claims))
+        entry = context.EntryContext(
+            instance=ids.InstanceId("instance-0"),
+            broker=broker,
+            session=await enter(sessions.make_session()),
+            claimed=await enter(claimed.ClaimedCalls(shards)),
+            read_view=make_view,
+            read_readiness=lambda: None,
+            read_refusal=lambda: None,
+        )
+        front = await enter(
+            test_utils.TestServer(
+                application.make_application(entry), handler_cancellation=True
+            )
+        )
+        client = await enter(aiohttp.ClientSession(auto_decompress=False))
+        address = f"127.0.0.1:{front.port}"
+        yield Entry(broker, service, client, address)
+
+
+def run(main):
+    """Runs a test's coroutine with a generous limit."""
+
+    async def limited():
+        async with asyncio.timeout(60):
+            return await main()
+
+    return asyncio.run(limited())
