--- /dev/null
+++ b/features/steps/invariants.py
@@ -0,0 +1,405 @@
+"""Steps that bring about failures in a running system and check its history."""
+
+import asyncio
+import time
+
+import msgspec
+import tenacity
+import uuid6
+from behave import given
+from behave import then
+from behave import when
+
+from poplarwick_bench import caller
+from poplarwick_bench import chaos
+from poplarwick_bench import demo
+from poplarwick_bench import fleet
+from poplarwick_bench import history
+from poplarwick_bench import invariants
+from poplarwick_core import outcome
+from poplarwick_standins import engine_settings
+from poplarwick_standins import service
+
+WAIT_S = 20.0
+POLL_S = 0.02
+BYTES_PER_TOKEN = 4
+BAD_EVENTS = engine_settings.Faults(
+    duplicate_every=2, late_every=3, missing_every=7, crossed_every=4
+)
+CUT = engine_settings.Faults(cut_after_events=2, cuts=1)
+
+
+def get_history(context):
+    """Returns the history of the scenario."""
+    if "seen" not in context:
+        context.seen = history.History()
+        context.began_at_s = time.time()
+    return context.seen
+
+
+def make_completion(name, tokens, prompt_tokens=1_000, timeout_s=20.0):
+    """Returns a streamed completion call whose prompt no other call has."""
+    prompt = f"{name} {uuid6.uuid7()} ".ljust(
+        prompt_tokens * BYTES_PER_TOKEN, "x"
+    )
+    return caller.Call(
+        name=name,
+        organisation=demo.ORGANISATION,
+        secret=fleet.make_secret(demo.ORGANISATION),
+        timeout_s=timeout_s,
+        body={
+            "model": fleet.MODEL,
+            "prompt": prompt,
+            "max_tokens": tokens,
+            "stream": True,
+        },
+    )
+
+
+def make_order(key):
+    """Returns a call that may not be repeated."""
+    return caller.Call(
+        name=f"order {key}",
+        organisation=demo.ORGANISATION,
+        secret=fleet.make_secret(demo.ORGANISATION),
+        path=f"/services/{fleet.SERVICE}/orders",
+        body={"order": "tallow"},
+        timeout_s=10.0,
+        key=key,
+    )
+
+
+def make_caller(context, node=0):
+    """Returns a caller of one instance."""
+    address = context.system.nodes[node].address
+    return caller.Caller(context.system.lab.session, address)
+
+
+async def send_all(context, calls):
+    """Sends calls at once, to the instances in turn."""
+    count = len(context.system.nodes)
+    return await asyncio.gather(
+        *(
+            make_caller(context, index % count).send(call)
+            for index, call in enumerate(calls)
+        )
+    )
+
+
+async def post(context, address, path, body):
+    """Calls the control interface of a stand-in."""
+    url = f"http://{address}{path}"
+    data = msgspec.json.encode(body)
+    async with context.system.lab.session.post(url, data=data) as response:
+        assert response.status < 300, await response.text()
+
+
+async def wait_until(condition):
+    """Waits until a coroutine returns true."""
+    polling = tenacity.AsyncRetrying(
+        wait=tenacity.wait_fixed(POLL_S),
+        stop=tenacity.stop_after_delay(WAIT_S),
+        retry=tenacity.retry_if_result(lambda found: not found),
+    )
+    await polling(condition)
+
+
+async def wait_for_idle_engines(context):
+    """Waits until no engine holds memory."""
+    for engine in context.system.engines:
+        await context.system.lab.wait_idle(engine.address)
+
+
+async def read_versions(context):
+    """Notes the version that each instance has in force."""
+    seen = get_history(context)
+    for index, node in enumerate(context.system.node_settings):
+        status = await context.system.make_operator(index).read_status()
+        observed = history.Observation(
+            node.instance, int(status["version"]), time.time()
+        )
+        seen.observations.append(observed)
+    return [o.version for o in seen.observations[-len(context.system.nodes) :]]
+
+
+def find_endpoints(context, kind, name):
+    """Returns the endpoint ids of a domain, or of one endpoint."""
+    if kind == "endpoint":
+        return frozenset({name})
+    return frozenset(
+        endpoint.id
+        for endpoint in context.system.document.endpoints
+        if endpoint.domain == name
+    )
+
+
+@when("{count:d} requests of {tokens:d} prompt tokens are sent at once")
+def step_send(context, count, tokens):
+    calls = [
+        make_completion(f"call-{index}", 8, tokens) for index in range(count)
+    ]
+    get_history(context)
+    context.records = context.run(send_all(context, calls))
+    context.seen.records += context.records
+
+
+@when("{count:d} requests are sent at once")
+def step_send_short(context, count):
+    step_send(context, count, 1_000)
+
+
+@when("a request with a deadline of {timeout_s:f} s asks for {tokens:d} tokens")
+def step_send_with_deadline(context, timeout_s, tokens):
+    call = make_completion("slow", tokens, timeout_s=timeout_s)
+    get_history(context)
+    context.records = [context.run(make_caller(context).send(call))]
+    context.seen.records += context.records
+
+
+@when("a caller leaves in the middle of its answer")
+def step_leave(context):
+    async def leave():
+        begun = asyncio.Event()
+        call = make_completion("leaver", 2_000)
+        sending = asyncio.create_task(
+            make_caller(context).send(call, on_text=lambda text: begun.set())
+        )
+        async with asyncio.timeout(WAIT_S):
+            await begun.wait()
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+
+    get_history(context)
+    context.run(leave())
+
+
+@given("every engine sends spoilt events")
+def step_spoil(context):
+    for engine in context.system.engines:
+        path = "/control/faults"
+        context.run(post(context, engine.address, path, BAD_EVENTS))
+
+
+@given("every engine breaks one answer off")
+def step_cut(context):
+    for engine in context.system.engines:
+        context.run(post(context, engine.address, "/control/faults", CUT))
+
+
+@given("the key-value service is down")
+def step_kv_down(context):
+    seen = get_history(context)
+    makes = chaos.Chaos(context.system, seen)
+    context.run(makes.set_kv_faults({"outage": True}))
+
+
+@when("the key-value service is up again")
+def step_kv_up(context):
+    makes = chaos.Chaos(context.system, get_history(context))
+    context.run(makes.set_kv_faults({}))
+
+
+@given("the service loses the answer to the next call after running it")
+def step_drop_answer(context):
+    faults = service.ServiceFaults(drop_answers=1)
+    for child in context.system.services:
+        context.run(post(context, child.address, "/control/faults", faults))
+
+
+@when("a call that may not be repeated is sent {count:d} times in turn")
+def step_repeat_order(context, count):
+    seen = get_history(context)
+    key = str(uuid6.uuid7())
+    seen.once_keys.add(key)
+    for index in range(count):
+        node = index % len(context.system.nodes)
+        sender = make_caller(context, node)
+        seen.records.append(context.run(sender.send(make_order(key))))
+    context.records = seen.records[-count:]
+
+
+@when("a call that may not be repeated is sent {count:d} times at once")
+def step_race_order(context, count):
+    seen = get_history(context)
+    key = str(uuid6.uuid7())
+    seen.once_keys.add(key)
+    calls = [make_order(key) for _ in range(count)]
+    context.records = context.run(send_all(context, calls))
+    seen.records += context.records
+
+
+@when('operators take the {kind} "{name}" out')
+def step_take_out(context, kind, name):
+    accepted = context.run(context.system.make_operator().take_out(kind, name))
+    withdrawal = history.Withdrawal(
+        find_endpoints(context, kind, name), accepted.at_s
+    )
+    seen = get_history(context)
+    is_domain = kind == "domain"
+    found = seen.domain_withdrawals if is_domain else seen.endpoint_withdrawals
+    found.append(withdrawal)
+    context.withdrawal = withdrawal
+    # The limit is what is promised, so the work begins right after it.
+    until_s = accepted.at_s + invariants.WITHDRAWAL_LIMIT_S
+    context.run(asyncio.sleep(max(0.0, until_s - time.time())))
+
+
+@when('operators put the {kind} "{name}" back')
+def step_put_back(context, kind, name):
+    seen = get_history(context)
+    for found in (seen.domain_withdrawals, seen.endpoint_withdrawals):
+        found[:] = [
+            history.Withdrawal(w.endpoints, w.accepted_at_s, time.time())
+            if w.returned_at_s is None
+            else w
+            for w in found
+        ]
+    context.run(context.system.make_operator().put_in(kind, name))
+
+
+@then('"{name}" gets work again')
+def step_gets_work(context, name):
+    async def has_work():
+        calls = [make_completion(f"probe-{i}", 1) for i in range(6)]
+        records = await send_all(context, calls)
+        context.seen.records += records
+        return any(record.endpoint == name for record in records)
+
+    context.run(wait_until(has_work))
+
+
+@when("an instance is asked to stop while {count:d} answers are in progress")
+def step_stop_instance(context, count):
+    async def stop():
+        node = context.system.nodes[0]
+        begun = [asyncio.Event() for _ in range(count)]
+        sending = [
+            asyncio.create_task(
+                make_caller(context).send(
+                    make_completion(f"call-{index}", 400),
+                    on_text=lambda text, event=event: event.set(),
+                )
+            )
+            for index, event in enumerate(begun)
+        ]
+        async with asyncio.timeout(WAIT_S):
+            for event in begun:
+                await event.wait()
+        began_at_s = time.time()
+        node.terminate()
+        records = await asyncio.gather(*sending)
+        code = await node.wait(WAIT_S)
+        return records, history.Stop(node.name, began_at_s, code)
+
+    seen = get_history(context)
+    context.records, stopped = context.run(stop())
+    seen.records += context.records
+    seen.stops.append(stopped)
+
+
+@when("{count:d} changes are pushed through different instances")
+def step_push(context, count):
+    seen = get_history(context)
+    for index in range(count):
+        node = index % len(context.system.nodes)
+        operator = context.system.make_operator(node)
+        text = msgspec.json.encode(_vary(context.system.document, index))
+        seen.acceptances.append(context.run(operator.push(text)))
+
+
+@when("an instance is killed and started again")
+def step_restart_instance(context):
+    async def restart():
+        node = context.system.nodes[0]
+        await node.kill()
+        await node.start()
+        await context.system.lab.wait_ready(node)
+
+    get_history(context).killed.add(context.system.nodes[0].name)
+    context.run(restart())
+
+
+@then("every instance soon has the newest version in force")
+def step_in_force(context):
+    newest = context.seen.acceptances[-1]
+
+    async def is_in_force():
+        versions = await read_versions(context)
+        return all(version >= newest.version for version in versions)
+
+    context.run(wait_until(is_in_force))
+
+
+@then("every instance still has the newest version in force")
+def step_still_in_force(context):
+    versions = context.run(read_versions(context))
+    newest = context.seen.acceptances[-1].version
+    assert all(version >= newest for version in versions), versions
+
+
+@then("every request gets its own whole answer")
+def step_whole(context):
+    for record in context.records:
+        told = (record.status, record.code, record.outcome)
+        assert record.is_whole, (record.name, told)
+        assert caller.is_own_answer(record), record.name
+
+
+@then("no request gets a wrong answer as whole")
+def step_not_wrong(context):
+    for record in context.records:
+        assert record.outcome is not None, (record.name, record.code)
+        assert not record.is_whole or caller.is_own_answer(record)
+
+
+@then("the request is told that it did not end in time")
+def step_late(context):
+    for record in context.records:
+        assert not record.is_whole, record
+        ended = (outcome.Outcome.NOT_RUN, outcome.Outcome.FAILED)
+        assert record.outcome in ended, record
+
+
+@then('every call is told "{word}"')
+def step_told(context, word):
+    told = [record.outcome for record in context.records]
+    expected = outcome.Outcome(word)
+    assert all(found is expected for found in told), told
+
+
+@then('the last call is told "{word}" or "{other}"')
+def step_last_told(context, word, other):
+    expected = (outcome.Outcome(word), outcome.Outcome(other))
+    assert context.records[-1].outcome in expected, context.records[-1]
+
+
+@then("the call ran {count:d} times")
+def step_ran(context, count):
+    key = context.records[-1].key
+    executions = history.read_executions(context.system.lab.folder)
+    found = [e for e in executions if e.idempotency_key == key]
+    assert len(found) == count, found
+
+
+@then("no engine was overloaded")
+def step_not_overloaded(context):
+    executions = history.read_executions(context.system.lab.folder)
+    overloads = (history.Event.OVERLOADED, history.Event.COLD_OVERLOAD)
+    found = [e for e in executions if e.event in overloads]
+    assert not found, found
+
+
+@then('the check "{name}" holds')
+def step_check(context, name):
+    context.run(wait_for_idle_engines(context))
+    seen = get_history(context)
+    seen.executions = history.read_executions(context.system.lab.folder)
+    found = list(invariants.CHECKS[name](seen))
+    assert not found, found
+
+
+def _vary(base, index):
+    first, *others = base.organisations
+    limits = msgspec.structs.replace(first.limits, max_concurrent=5_000 + index)
+    changed = msgspec.structs.replace(first, limits=limits)
+    return msgspec.structs.replace(base, organisations=(changed, *others))
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import pathlib
 import shutil
@@ -35,6 +36,8 @@
         self.folder = folder or pathlib.Path(tempfile.mkdtemp(prefix="lab-"))
         self.folder.mkdir(parents=True, exist_ok=True)
         self._stack = contextlib.AsyncExitStack()
+        self._children: list[process.Process] = []
+        self._nodes: list[process.Process] = []
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Lab:
@@ -52,7 +55,9 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        """Ends all processes, the youngest first."""
+        """Ends all processes: first the instances, then what they need."""
+        await asyncio.gather(*(child.stop() for child in self._nodes))
+        await asyncio.gather(*(child.stop() for child in self._children))
         await self._stack.aclose()
         if not self.keeps_folder and error is None:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -100,6 +105,7 @@
         started = await self._start(
             node.instance, "poplarwick_node.main", ["--settings", str(path)]
         )
+        self._nodes.append(started)
         started.address = node.listen.callers
         return started
 
@@ -151,6 +157,7 @@
         self, name: str, module: str, arguments: list[str]
     ) -> process.Process:
         child = process.Process(name, module, arguments, self.folder)
+        self._children.append(child)
         return await self._stack.enter_async_context(child)
 
     async def _read_status(
