--- a/packages/bench/poplarwick_bench/fleet.py
+++ b/packages/bench/poplarwick_bench/fleet.py
@@ -258,7 +258,7 @@
             _make_organisation(plan, name) for name in plan.weights
         ),
         models=(plan.model,),
-        services=(document.Service(id=SERVICE, routes=plan.routes),),
+        services=_make_services(plan),
         domains=tuple(
             document.Domain(name, REGION) for name in name_domains(plan)
         ),
@@ -298,6 +298,12 @@
     )
 
 
+def _make_services(plan: Plan) -> tuple[document.Service, ...]:
+    if not plan.services:
+        return ()
+    return (document.Service(id=SERVICE, routes=plan.routes),)
+
+
 def _make_organisation(plan: Plan, name: str) -> document.Organisation:
     return document.Organisation(
         id=name,
