Split the follower and name refusals in the audit trail

Change: contact with peers and storing of marks stand in modules of their own; refusals carry their API kind and detail.

--- a/packages/administration/poplarwick_administration/_changes.py
+++ b/packages/administration/poplarwick_administration/_changes.py
@@ -60,7 +60,12 @@
                 )
             case result.Err(refusal):
                 await self.note_refusal(
-                    environment, change.action, operator, change_id, refusal
+                    environment,
+                    change.action,
+                    operator,
+                    change_id,
+                    refusal,
+                    change.detail,
                 )
                 if isinstance(refusal, changes.Superseded):
                     raise await self._make_superseded(documents, refusal)
@@ -73,9 +78,10 @@
         operator: access.Operator,
         change_id: str,
         refusal: changes.Refusal,
+        detail: str,
     ) -> None:
         """Logs a refusal and adds it to the audit trail if it can be."""
-        reason = type(refusal).__name__.lower()
+        reason = refusals.get_kind(refusal).value
         _log(environment, action, operator, change_id, reason)
         if isinstance(refusal, changes.NotStored | changes.Unresolved):
             return
@@ -83,6 +89,7 @@
             author=operator.name,
             change_id=change_id,
             action=action.value,
+            detail=detail,
             reason=reason,
             time_s=clock.wall_time_s(),
         )
--- a/packages/administration/poplarwick_administration/_documents.py
+++ b/packages/administration/poplarwick_administration/_documents.py
@@ -201,7 +201,7 @@
         time_s=entry.time_s,
         author=entry.author,
         action=entry.action,
-        detail="",
+        detail=entry.detail,
         change_id=entry.change_id,
         version=None,
         result=entry.reason,
--- a/packages/administration/poplarwick_administration/_service.py
+++ b/packages/administration/poplarwick_administration/_service.py
@@ -46,8 +46,9 @@
         operator = _guard.require_operator(request)
         self._require_own_environment(request)
         change_id = _requests.read_change_id(request)
+        target = _requests.read_target(request)
         made = await self.control.take_out(
-            _requests.read_target(request),
+            target,
             author=operator.name,
             change_id=change_id,
             is_forced=_requests.read_flag(request, "force"),
@@ -64,6 +65,7 @@
                     operator,
                     change_id,
                     refusal,
+                    str(target),
                 )
                 raise refusals.make_refusal(refusal)
         raise AssertionError
@@ -73,10 +75,9 @@
         operator = _guard.require_operator(request)
         self._require_own_environment(request)
         change_id = _requests.read_change_id(request)
+        target = _requests.read_target(request)
         made = await self.control.put_in(
-            _requests.read_target(request),
-            author=operator.name,
-            change_id=change_id,
+            target, author=operator.name, change_id=change_id
         )
         match made:
             case result.Ok(accepted):
@@ -88,6 +89,7 @@
                     operator,
                     change_id,
                     refusal,
+                    str(target),
                 )
                 raise refusals.make_refusal(refusal)
 
--- a/packages/administration/poplarwick_administration/messages.py
+++ b/packages/administration/poplarwick_administration/messages.py
@@ -25,6 +25,7 @@
         TOO_LARGE: The body exceeds its bound.
         INVALID: The document has problems.
         SUPERSEDED: Another change came first.
+        NOT_OUT: The target was not taken out of service.
         LEAVES_IDLE: A model or service would have no endpoint in service.
         NEVER_IN_FORCE: The version was never in force in its environment.
         TOO_MANY_CALLS: The caller exceeds its rate.
@@ -39,6 +40,7 @@
     TOO_LARGE = "too_large"
     INVALID = "invalid"
     SUPERSEDED = "superseded"
+    NOT_OUT = "not_out"
     LEAVES_IDLE = "leaves_idle"
     NEVER_IN_FORCE = "never_in_force"
     TOO_MANY_CALLS = "too_many_calls"
@@ -54,6 +56,7 @@
     ErrorKind.TOO_LARGE: 413,
     ErrorKind.INVALID: 422,
     ErrorKind.SUPERSEDED: 409,
+    ErrorKind.NOT_OUT: 409,
     ErrorKind.LEAVES_IDLE: 409,
     ErrorKind.NEVER_IN_FORCE: 409,
     ErrorKind.TOO_MANY_CALLS: 429,
--- a/packages/administration/poplarwick_administration/refusals.py
+++ b/packages/administration/poplarwick_administration/refusals.py
@@ -65,35 +65,37 @@
     return ApiError(messages.STATUS_BY_KIND[kind], body)
 
 
+def get_kind(refusal: changes.Refusal) -> messages.ErrorKind:
+    """Returns the kind of a refused change."""
+    return make_refusal(refusal).body.kind
+
+
 def make_refusal(refusal: changes.Refusal) -> ApiError:
     """Returns the API's form of a refused change."""
+    kinds = messages.ErrorKind
     match refusal:
         case changes.Invalid(problems):
             return make_invalid(problems)
         case changes.Superseded():
             return make_superseded(refusal, ())
         case changes.UnknownTarget(target):
-            return make_error(
-                messages.ErrorKind.NOT_FOUND, f"{target} is not known"
-            )
+            return make_error(kinds.NOT_FOUND, f"{target} is not known")
         case changes.NotOut(target):
             return make_error(
-                messages.ErrorKind.NOT_FOUND,
+                kinds.NOT_OUT,
                 f"{target} is not among the parts that were taken out; the "
                 "document itself may say that it is not in service",
             )
         case changes.LeavesIdle(names):
             return make_error(
-                messages.ErrorKind.LEAVES_IDLE,
+                kinds.LEAVES_IDLE,
                 "no endpoint would be left in service for " + ", ".join(names),
             )
         case changes.NotStored(reason):
-            return make_error(
-                messages.ErrorKind.NOT_STORED, f"not stored: {reason}"
-            )
+            return make_error(kinds.NOT_STORED, f"not stored: {reason}")
         case changes.Unresolved(change_id, reason):
             return make_error(
-                messages.ErrorKind.UNRESOLVED,
+                kinds.UNRESOLVED,
                 f"change {change_id} may have been stored; repeat it under "
                 f"the same id: {reason}",
             )
--- a/packages/configuration/poplarwick_configuration/record.py
+++ b/packages/configuration/poplarwick_configuration/record.py
@@ -60,6 +60,7 @@
         change_id: Idempotency key of the change.
         action: What was asked for.
         reason: Why it was refused.
+        detail: Details of what was asked for, in words.
         time_s: Time of the refusal in seconds since the Unix epoch.
     """
 
@@ -68,6 +69,7 @@
     action: str
     reason: str
     time_s: float
+    detail: str = ""
 
 
 def encode_record(record: VersionRecord) -> bytes:
--- a/packages/configuration/poplarwick_configuration/state.py
+++ b/packages/configuration/poplarwick_configuration/state.py
@@ -36,6 +36,7 @@
         self._held = holding.HeldMarks()
         self._listeners: list[ViewListener] = []
         self._changed = asyncio.Event()
+        self._has_unstored = asyncio.Event()
 
     @property
     def view(self) -> document.View | None:
@@ -121,9 +122,16 @@
                 change=mark.change_id,
             )
         if new:
+            self._has_unstored.set()
             self._refresh()
         return new
 
+    async def wait_for_unstored(self) -> None:
+        """Waits until marks are held that are not known to be stored."""
+        while not self.unstored:
+            self._has_unstored.clear()
+            await self._has_unstored.wait()
+
     def note_stored(self, mark: marks.Mark, version: int) -> None:
         """Notes which version holds the change of a held mark."""
         self._held.note_stored(mark.change_id, version)
--- a/packages/configuration/tests/test_spreading.py
+++ b/packages/configuration/tests/test_spreading.py
@@ -9,6 +9,7 @@
 import pytest
 import texts
 
+from poplarwick_configuration import _mark_writer
 from poplarwick_configuration import changes
 from poplarwick_configuration import follower
 from poplarwick_configuration import marks
@@ -35,7 +36,8 @@
     monkeypatch.setattr(follower, "MIN_RETRY_DELAY_S", 0.001)
     monkeypatch.setattr(follower, "MAX_RETRY_DELAY_S", 0.01)
     monkeypatch.setattr(follower, "PEER_PERIOD_S", 0.02)
-    monkeypatch.setattr(follower, "STORE_JITTER_S", 0.01)
+    monkeypatch.setattr(_mark_writer, "STORE_JITTER_S", 0.01)
+    monkeypatch.setattr(_mark_writer, "MAX_RETRY_DELAY_S", 0.05)
 
 
 class Fleet:
