Ask for the tokens of all waiting requests; keep admitting beside a silent keeper

Cause: a burst of requests of unlike sizes was refused with 429 far below the limit: the question for shares multiplied one request's tokens by the number waiting. Ruled out: the burst size of the buckets. Change: the sum of the waiting tokens is asked for; a request gives up only after an answer that shows the limit exhausted; while the accountable instance is silent each instance lends itself an even part. Bound while the keeper is silent: limit plus even parts.

--- a/packages/dispatch/poplarwick_dispatch/limits.py
+++ b/packages/dispatch/poplarwick_dispatch/limits.py
@@ -27,6 +27,8 @@
 ASK_TIMEOUT_S = 0.5
 RETRY_S = 0.05
 AHEAD_PERIODS = 0.25
+MAX_ASKS = 8
+FALLBACK_S = 1.0
 
 CallKeeper = Callable[
     [ids.InstanceId, limit_pb2.LeaseRequest],
@@ -72,6 +74,9 @@
     def __init__(self) -> None:
         self.in_use = 0
         self.waiting = 0
+        self.waiting_tokens = 0
+        self.is_exhausted = False
+        self.falls_back_until_s = 0.0
         self.places = 0
         self.spare = 0
         self.requests = 0
@@ -93,11 +98,37 @@
         ahead = int(self._used_before[0] * AHEAD_PERIODS)
         return max(self.waiting + ahead - self.requests, 0)
 
-    def count_wanted_tokens(self, tokens: int) -> int:
+    def count_wanted_tokens(self) -> int:
         if not self.waiting:
             return 0
         ahead = int(self._used_before[1] * AHEAD_PERIODS)
-        return max(self.waiting * tokens + ahead - self.tokens, 0)
+        return max(self.waiting_tokens + ahead - self.tokens, 0)
+
+    def receive(
+        self, demand: limit_pb2.Demand, lent: limit_pb2.Share, now_s: float
+    ) -> None:
+        self.places = lent.places
+        self.spare = lent.spare
+        self.requests += lent.requests
+        self.tokens += lent.tokens
+        self.expires_at_s = now_s + lent.lifetime_s
+        self.retry_after_s = lent.retry_after_s
+        self.is_exhausted = (
+            lent.places < demand.wanted
+            or lent.requests < demand.requests
+            or lent.tokens < demand.tokens
+        )
+
+    def fall_back(self, part: document.Limits, now_s: float) -> None:
+        """Lends this instance an even part while the keeper is silent."""
+        self.is_exhausted = True
+        if now_s < self.falls_back_until_s:
+            return
+        self.falls_back_until_s = now_s + FALLBACK_S
+        self.places = max(self.places, self.in_use, part.max_concurrent)
+        self.requests = max(self.requests, part.requests_per_s)
+        self.tokens = max(self.tokens, part.tokens_per_s)
+        self.expires_at_s = now_s + FALLBACK_S
 
     def find_lack(self, tokens: int, now_s: float) -> str | None:
         if now_s >= self.expires_at_s or self.in_use >= self.places:
@@ -202,47 +233,61 @@
         self, organisation: ids.OrganisationId, share: _Share, tokens: int
     ) -> None:
         share.waiting += 1
+        share.waiting_tokens += tokens
         try:
-            # The first question may have left before this request came.
-            for _ in range(2):
+            for attempt in range(MAX_ASKS):
                 if share.find_lack(tokens, self._now_s()) is None:
                     return
+                # The first question may have left before this request came.
+                if attempt > 1 and share.is_exhausted:
+                    return
                 if share.asking is None or share.asking.done():
                     share.asking = asyncio.create_task(
-                        self._ask(organisation, share, tokens)
+                        self._ask(organisation, share)
                     )
                 await asyncio.shield(share.asking)
         finally:
             share.waiting -= 1
+            share.waiting_tokens -= tokens
 
     async def _ask(
-        self, organisation: ids.OrganisationId, share: _Share, tokens: int
+        self, organisation: ids.OrganisationId, share: _Share
     ) -> None:
         now_s = self._now_s()
         is_held = now_s < share.expires_at_s
-        held = share.places if is_held else share.in_use
+        demand = limit_pb2.Demand(
+            organisation=organisation,
+            held=share.places if is_held else share.in_use,
+            wanted=share.in_use + share.waiting,
+            requests=share.count_wanted_requests(),
+            tokens=share.count_wanted_tokens(),
+        )
         request = limit_pb2.LeaseRequest(
-            holder=self._instance,
-            demands=[
-                limit_pb2.Demand(
-                    organisation=organisation,
-                    held=held,
-                    wanted=share.in_use + share.waiting,
-                    requests=share.count_wanted_requests(),
-                    tokens=share.count_wanted_tokens(tokens),
-                )
-            ],
+            holder=self._instance, demands=[demand]
         )
         reply = await self._call_accountable(organisation, request)
-        if reply is None or not reply.shares:
+        if reply is not None and reply.shares:
+            share.receive(demand, reply.shares[0], now_s)
             return
-        lent = reply.shares[0]
-        share.places = lent.places
-        share.spare = lent.spare
-        share.requests += lent.requests
-        share.tokens += lent.tokens
-        share.expires_at_s = now_s + lent.lifetime_s
-        share.retry_after_s = lent.retry_after_s
+        part = self._find_even_part(organisation)
+        if part is not None:
+            share.fall_back(part, self._now_s())
+
+    def _find_even_part(
+        self, organisation: ids.OrganisationId
+    ) -> document.Limits | None:
+        """Returns the limits divided by the number of instances."""
+        if self._view is None:
+            return None
+        found = self._view.find_organisation(organisation)
+        if found is None:
+            return None
+        count = max(len(self._list_members()), 1)
+        return document.Limits(
+            max_concurrent=max(found.limits.max_concurrent // count, 1),
+            requests_per_s=max(found.limits.requests_per_s // count, 1),
+            tokens_per_s=max(found.limits.tokens_per_s // count, 1),
+        )
 
     async def _call_accountable(
         self, organisation: ids.OrganisationId, request: limit_pb2.LeaseRequest
@@ -280,6 +325,4 @@
             return
         unused = share.places - share.in_use
         if unused > share.spare or (is_due and share.in_use > 0):
-            share.asking = asyncio.create_task(
-                self._ask(organisation, share, 0)
-            )
+            share.asking = asyncio.create_task(self._ask(organisation, share))
--- a/packages/dispatch/tests/test_limits.py
+++ b/packages/dispatch/tests/test_limits.py
@@ -188,3 +188,33 @@
             assert LIMIT <= peak <= LIMIT * share
 
     fakes.run(main())
+
+
+def test_requests_of_unlike_sizes_at_once_are_all_admitted():
+    async def main():
+        async with _open(tokens_per_s=1_000_000) as fleet:
+            limiter = fleet.limiters["i0"]
+            sizes = (10, 20_000, 10, 60_000, 100, 30_000)
+            found = await asyncio.gather(
+                *(limiter.admit(ORGANISATION, size) for size in sizes)
+            )
+            assert [r.is_ok() for r in found] == [True] * len(sizes)
+
+    fakes.run(main())
+
+
+def test_silent_keeper_leaves_each_instance_an_even_part():
+    async def never_answer(instance, request):
+        return None
+
+    async def main():
+        async with _open() as fleet:
+            dead = fleet.find_accountable()
+            alive = [m for m in fleet.members if m != dead]
+            held = []
+            for member in alive:
+                fleet.limiters[member]._call = never_answer
+                held += await fleet.admit(int(member[1]), 50)
+            assert len(held) == len(alive) * (LIMIT // len(fleet.members))
+
+    fakes.run(main())
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -14,6 +14,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_dispatch import limits
 from poplarwick_endpoints import session as sessions
 from poplarwick_entry import application
 from poplarwick_entry import claimed
@@ -30,6 +31,19 @@
 ORDERS = "/services/shop/orders"
 
 
+def make_limiter():
+    """Returns a limiter of a fleet of one instance."""
+    own = ids.InstanceId("instance-0")
+    keeper = limits.LimitKeeper(own, lambda: (own,), make_view())
+    return limits.Limiter(
+        own,
+        call=lambda instance, request: None,
+        keeper=keeper,
+        list_members=lambda: (own,),
+        view=make_view(),
+    )
+
+
 class FakeReporter:
     """Keeps reports instead of sending them."""
 
@@ -145,6 +159,7 @@
             instance=ids.InstanceId("instance-0"),
             broker=broker,
             session=await enter(sessions.make_session()),
+            limiter=await enter(make_limiter()),
             claimed=await enter(claimed.ClaimedCalls(shards)),
             read_view=make_view,
             read_readiness=lambda: None,
