Free memory on every exit, open cold starts on evidence, hold fair shares

Cause: a lost report or dead entry kept memory for ever; a cold endpoint got full load; a second of granted medium prompts could not be reordered. Change: a monitor for each engine (expiry, cancel, take-over, restarts), cold start window, ejection with a capped share, returning domains asked first; 1 s of medium prefill booked at an engine instead of 5 s.

--- a/packages/dispatch/poplarwick_dispatch/bookings.py
+++ b/packages/dispatch/poplarwick_dispatch/bookings.py
@@ -37,6 +37,7 @@
         granted_at_s: Time of the grant.
         expires_at_s: Time after which the endpoint is asked about it.
         ends_at_s: Time after which the request is cancelled.
+        wait_s: Prefill time booked ahead of it when it was granted.
         state: How far it has come.
     """
 
@@ -49,6 +50,7 @@
     granted_at_s: float
     expires_at_s: float
     ends_at_s: float
+    wait_s: float = 0.0
     state: BookingState = BookingState.GRANTED
 
 
--- a/packages/dispatch/poplarwick_dispatch/books.py
+++ b/packages/dispatch/poplarwick_dispatch/books.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from poplarwick_configuration import document
+from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import capacity
+from poplarwick_dispatch import health
+from poplarwick_dispatch import window
 from poplarwick_ownership import tenure as tenures
 
 PREFILL_BUDGET_S = 0.5
-MEDIUM_PREFILL_BUDGET_S = 5.0
+MEDIUM_PREFILL_BUDGET_S = 1.0
 LONG_MEMORY_SHARE = 0.75
 LONG_PREFILLS = 1
 
@@ -25,7 +30,11 @@
         endpoint: The endpoint as the document describes it.
         tenure: Tenure under which places are given.
         limits: What the warm endpoint carries.
-        in_service: Whether it receives new work.
+        in_service: Whether operators let it receive new work.
+        is_ready: Whether its running streams are known.
+        is_suspect: Whether its exact state must be read soon.
+        window: What it carries during a cold start.
+        health: Its failures.
         bookings: Places held now.
         memory_tokens: Memory booked.
         prompt_tokens: Prompt tokens of all places held.
@@ -36,12 +45,17 @@
         endpoint: document.Endpoint,
         tenure: tenures.Tenure,
         limits: capacity.Capacity,
+        now_s: Callable[[], float] = clock.now_s,
     ) -> None:
         self.endpoint = endpoint
         self.id = ids.EndpointId(endpoint.id)
         self.tenure = tenure
         self.limits = limits
         self.in_service = True
+        self.is_ready = False
+        self.is_suspect = False
+        self.window = window.ColdStartWindow(limits.cold_start)
+        self.health = health.Health(now_s)
         self.bookings: dict[ids.GrantId, bookings.Booking] = {}
         self.memory_tokens = 0
         self.prompt_tokens = 0
@@ -72,6 +86,10 @@
         """
         if len(self.bookings) >= self.limits.max_batch:
             return False
+        if not self.window.has_room(
+            len(self.bookings), self.prompt_tokens, cost.prompt_tokens
+        ):
+            return False
         if self.limits.is_service:
             return True
         return self._has_memory(cost) and self._has_prefill_time(cost, is_ahead)
@@ -128,5 +146,8 @@
                 budget_s = PREFILL_BUDGET_S
         if is_ahead:
             return self.estimate_wait_s(_MEDIUM) < PREFILL_BUDGET_S
+        # Shorter prompts alone never keep a longer one out.
+        if self._prefills[cost.length_class] == 0:
+            return True
         booked_s = self.estimate_wait_s(cost.length_class)
-        return booked_s == 0 or booked_s + cost.prefill_s <= budget_s
+        return booked_s + cost.prefill_s <= budget_s
--- a/packages/dispatch/poplarwick_dispatch/capacity.py
+++ b/packages/dispatch/poplarwick_dispatch/capacity.py
@@ -131,6 +131,11 @@
             )
 
 
+def make_adopted_cost(memory_tokens: int) -> Cost:
+    """Returns the need of a running stream, of which only memory is known."""
+    return Cost(memory_tokens, memory_tokens, 0.0, 0.0, 0.0, LengthClass.SHORT)
+
+
 def find_capacity(view: document.View, target: Target) -> Capacity | None:
     """Returns the capacity of one endpoint of a target, if it exists."""
     source: document.Model | document.Service | None = None
--- a/packages/dispatch/poplarwick_dispatch/dispatcher.py
+++ b/packages/dispatch/poplarwick_dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import types
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
+from poplarwick_dispatch import monitor as monitors
 from poplarwick_dispatch import pool as pools
 from poplarwick_dispatch import queue
 from poplarwick_dispatch import refusals
@@ -56,6 +58,10 @@
         self._pools: dict[capacity.Target, pools.Pool] = {}
         self._owners: dict[ids.EndpointId, pools.Pool] = {}
         self._grants: dict[ids.GrantId, books.EndpointBook] = {}
+        self._monitors: dict[
+            ids.EndpointId,
+            tuple[monitors.EndpointMonitor, contextlib.AsyncExitStack],
+        ] = {}
         self._is_draining = False
 
     async def __aenter__(self) -> Dispatcher:
@@ -68,6 +74,8 @@
         trace: types.TracebackType | None,
     ) -> None:
         self.drain()
+        for endpoint in tuple(self._monitors):
+            await self._stop_monitor(endpoint)
 
     def apply_view(self, view: document.View) -> None:
         """Takes a newer configuration into force at once."""
@@ -96,12 +104,16 @@
         pool = self._find_pool(_find_target(endpoint))
         if pool is None:
             return
-        book = books.EndpointBook(endpoint, tenure, pool.limits)
+        book = books.EndpointBook(endpoint, tenure, pool.limits, self._now_s)
         book.in_service = self._view.is_in_service(endpoint)
         pool.books[book.id] = book
         self._owners[book.id] = pool
         logs.log_event("tenure_begun", endpoint=endpoint.id, epoch=tenure.epoch)
-        pool.pump()
+        if pool.limits.is_service:
+            book.is_ready = True
+            pool.pump()
+        else:
+            await self._start_monitor(pool, book)
 
     async def end_tenure(
         self, tenure: tenures.Tenure, *, is_planned: bool
@@ -111,6 +123,7 @@
         pool = self._owners.get(endpoint_id)
         if pool is None or pool.books[endpoint_id].tenure is not tenure:
             return
+        await self._stop_monitor(endpoint_id)
         del self._owners[endpoint_id]
         book = pool.books.pop(endpoint_id)
         for grant in book.bookings:
@@ -184,6 +197,25 @@
         if request is not None:
             await stream.send_message(await self.report(request))
 
+    async def _start_monitor(
+        self, pool: pools.Pool, book: books.EndpointBook
+    ) -> None:
+        monitor = monitors.EndpointMonitor(
+            pool,
+            book,
+            self._make_control(book.endpoint.address),
+            self._is_live,
+            self._now_s,
+        )
+        stack = contextlib.AsyncExitStack()
+        await stack.enter_async_context(monitor)
+        self._monitors[book.id] = (monitor, stack)
+
+    async def _stop_monitor(self, endpoint: ids.EndpointId) -> None:
+        found = self._monitors.pop(endpoint, None)
+        if found is not None:
+            await found[1].aclose()
+
     async def _acquire(
         self, pool: pools.Pool, request: grant_pb2.AcquireRequest
     ) -> grant_pb2.AcquireReply:
@@ -257,17 +289,62 @@
         item: grant_pb2.GrantReport,
     ) -> None:
         booking = book.bookings[ids.GrantId(item.grant_id)]
-        booking.expires_at_s = self._now_s() + pools.GRANT_TTL_S
+        booking.expires_at_s = self._now_s() + pools.KEEP_S
         match item.kind:
             case grant_pb2.REPORT_FIRST_TOKEN:
-                book.end_prefill(booking, bookings.BookingState.RUNNING)
-            case grant_pb2.REPORT_PROGRESS | grant_pb2.REPORT_UNSPECIFIED:
-                return
+                self._note_first_token(book, booking, item.first_token_s)
             case grant_pb2.REPORT_COMPLETE:
+                book.health.note_success()
+                book.window.note_complete()
                 pool.note_complete(booking, item.output_tokens)
                 pool.release(book, booking)
-            case _:
+            case grant_pb2.REPORT_NOT_SENT:
+                self._note_not_sent(book, item.detail)
                 pool.release(book, booking)
+            case grant_pb2.REPORT_FAILED:
+                book.health.note_failure()
+                self._close(pool, book, booking)
+            case grant_pb2.REPORT_CANCELLED:
+                self._close(pool, book, booking)
+
+    def _note_first_token(
+        self,
+        book: books.EndpointBook,
+        booking: bookings.Booking,
+        first_token_s: float,
+    ) -> None:
+        book.end_prefill(booking, bookings.BookingState.RUNNING)
+        wait_s = booking.wait_s + booking.cost.prefill_s
+        if book.window.note_first_token(first_token_s, wait_s):
+            logs.log_event("endpoint_slow", endpoint=book.id)
+            self._suspect(book)
+
+    def _note_not_sent(self, book: books.EndpointBook, detail: str) -> None:
+        if detail == "status_503":
+            book.window.close()
+        if detail in ("status_503", "status_429"):
+            self._suspect(book)
+        else:
+            book.health.note_failure()
+
+    def _close(
+        self,
+        pool: pools.Pool,
+        book: books.EndpointBook,
+        booking: bookings.Booking,
+    ) -> None:
+        """Frees a place once the engine has confirmed that it is free."""
+        if pool.limits.is_service:
+            pool.release(book, booking)
+            return
+        book.end_prefill(booking, bookings.BookingState.CLOSING)
+        self._suspect(book)
+
+    def _suspect(self, book: books.EndpointBook) -> None:
+        book.is_suspect = True
+        found = self._monitors.get(book.id)
+        if found is not None:
+            found[0].wake()
 
     def _find_pool(self, target: capacity.Target) -> pools.Pool | None:
         pool = self._pools.get(target)
@@ -294,15 +371,24 @@
         for book in pool.books.values():
             book.limits = pool.limits
             endpoint = view.find_endpoint(book.id)
+            was_in_service = book.in_service
             book.in_service = endpoint is not None and view.is_in_service(
                 endpoint
             )
+            if book.in_service and not was_in_service:
+                self._return_to_service(book)
         if not pool.has_service:
             pool.refuse_all(
                 grant_pb2.REFUSAL_NO_ROOM, "all endpoints here are out"
             )
         pool.pump()
 
+    def _return_to_service(self, book: books.EndpointBook) -> None:
+        """Asks whether the endpoint turned cold before it gets new work."""
+        if book.id in self._monitors:
+            book.is_ready = False
+            self._suspect(book)
+
 
 def _find_target(endpoint: document.Endpoint) -> capacity.Target:
     if endpoint.model is not None:
--- a/packages/dispatch/poplarwick_dispatch/placement.py
+++ b/packages/dispatch/poplarwick_dispatch/placement.py
@@ -8,6 +8,7 @@
 from poplarwick_core import ids
 from poplarwick_dispatch import books
 from poplarwick_dispatch import capacity
+from poplarwick_dispatch import health
 from poplarwick_dispatch import queue
 
 LONG_HORIZON_S = 15.0
@@ -39,8 +40,17 @@
 
     @property
     def open_books(self) -> list[books.EndpointBook]:
-        """Accounts of the endpoints that receive new work."""
-        return [book for book in self.books.values() if book.in_service]
+        """Accounts of the endpoints that receive new work.
+
+        Ejected endpoints are left out unless they are too many: then the
+        fault is likely elsewhere, and the rest could not carry the load.
+        """
+        usable = [b for b in self.books.values() if b.in_service and b.is_ready]
+        healthy = [book for book in usable if not book.health.is_ejected]
+        ejected = len(usable) - len(healthy)
+        if ejected > len(usable) * health.MAX_EJECTED_SHARE:
+            return usable
+        return healthy
 
     def choose(
         self,
--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -17,7 +17,8 @@
 from poplarwick_dispatch import refusals
 from poplarwick_peers.wire import grant_pb2
 
-GRANT_TTL_S = 5.0
+GRANT_TTL_S = 2.0
+KEEP_S = 10.0
 END_MARGIN_S = 5.0
 LEAD_S = 1.0
 QUEUE_BOUND_S = {
@@ -91,7 +92,9 @@
         if self._now_s() + wait_s > waiter.latest_start_s:
             self._refuse_full(waiter, wait_s)
             return
-        self.counters.activate(waiter.organisation, class_queue.organisations)
+        waiting = self._list_waiting()
+        if waiter.organisation not in waiting:
+            self.counters.activate(waiter.organisation, waiting)
         class_queue.add(waiter)
         self._shed(class_queue, waiter.cost.length_class)
         self.pump()
@@ -111,6 +114,13 @@
             self.leave(waiter)
             _reply(waiter, refusals.make_refusal(reason, detail))
 
+    def move_waiting(self) -> None:
+        """Refuses what waits if no warm endpoint is left."""
+        if not any(book.window.is_open for book in self.placement.open_books):
+            self.refuse_all(
+                grant_pb2.REFUSAL_NO_ROOM, "endpoints are in a cold start"
+            )
+
     def pump(self) -> None:
         """Grants whatever fits, the least served organisation first."""
         if not self._has_waiters:
@@ -174,8 +184,13 @@
                     return True
         return False
 
-    def _list_waiting(self) -> set[ids.OrganisationId]:
-        return {o for q in self.queues.values() for o in q.organisations}
+    def _list_waiting(self) -> tuple[ids.OrganisationId, ...]:
+        found = dict.fromkeys(
+            organisation
+            for class_queue in self.queues.values()
+            for organisation in class_queue.organisations
+        )
+        return tuple(found)
 
     def _find_least_served(self) -> float:
         """Returns the least service of those that wait for prefill time.
@@ -199,17 +214,18 @@
         )
         if book is None:
             return False
-        booking = self._book(book, waiter)
+        booking = self._make_booking(book, waiter)
+        self.book(book, booking)
         self.counters.charge(waiter.organisation, waiter.cost.engine_s)
         _reply(waiter, self._make_grant(book, booking, waiter))
         return True
 
-    def _book(
+    def _make_booking(
         self, book: books.EndpointBook, waiter: queue.Waiter
     ) -> bookings.Booking:
         now_s = self._now_s()
         grant = ids.make_grant_id()
-        booking = bookings.Booking(
+        return bookings.Booking(
             grant=grant,
             stream=bookings.make_stream(
                 grant, ids.InstanceId(waiter.request.entry_instance)
@@ -221,10 +237,13 @@
             granted_at_s=now_s,
             expires_at_s=now_s + GRANT_TTL_S,
             ends_at_s=waiter.ends_at_s + END_MARGIN_S,
+            wait_s=book.estimate_wait_s(waiter.cost.length_class),
         )
+
+    def book(self, book: books.EndpointBook, booking: bookings.Booking) -> None:
+        """Takes a place at an endpoint."""
         book.add(booking)
-        self._grants[grant] = book
-        return booking
+        self._grants[booking.grant] = book
 
     def release(
         self, book: books.EndpointBook, booking: bookings.Booking
--- a/packages/dispatch/tests/dispatch_fakes.py
+++ b/packages/dispatch/tests/dispatch_fakes.py
@@ -9,12 +9,15 @@
 from poplarwick_configuration import document
 from poplarwick_core import ids
 from poplarwick_dispatch import dispatcher
+from poplarwick_dispatch import pool
 from poplarwick_endpoints import errors
 from poplarwick_endpoints import messages
 from poplarwick_ownership import tenure
 from poplarwick_peers.wire import grant_pb2
 
 REGION = ids.RegionId("r1")
+SETTLE_S = pool.GRANT_TTL_S + 0.5
+ENDS = (grant_pb2.REPORT_COMPLETE, grant_pb2.REPORT_NOT_SENT)
 SELF = ids.InstanceId("i1")
 
 
@@ -117,7 +120,13 @@
                 for o, w in weights.items()
             ),
             models=(model or make_model(),),
-            services=(document.Service(id="s", routes=()),),
+            services=(
+                document.Service(
+                    id="s",
+                    routes=(),
+                    cold_start=document.ColdStart(concurrent=32),
+                ),
+            ),
             domains=(
                 document.Domain("d1", "r1", in_service="d1" not in out),
                 document.Domain("d2", "r1", in_service="d2" not in out),
@@ -171,25 +180,41 @@
             held = make_tenure(endpoint.id)
             self.tenures[endpoint.id] = held
             await self.dispatcher.begin_tenure(held)
+        await asyncio.sleep(SETTLE_S)
         return self
 
     async def __aexit__(self, *error):
         await self.dispatcher.__aexit__(*error)
 
     def find_engine(self, endpoint):
-        found = self.view.find_endpoint(endpoint)
+        found = self.dispatcher._view.find_endpoint(endpoint)
         return self.engines[found.address]
 
     async def acquire(self, prompt=1000, output=100, **changes):
-        return await self.dispatcher.acquire(
+        """Acquires a grant and sends the request, as an entry does."""
+        reply = await self.dispatcher.acquire(
             make_request(prompt, output, **changes)
         )
+        if reply.HasField("grant"):
+            engine = self.find_engine(reply.grant.endpoint)
+            engine.start(reply.grant.stream_id, prompt + output)
+        return reply
 
     async def report(self, grant, kind, output_tokens=0, first_token_s=0.05):
+        if kind in ENDS:
+            engine = self.find_engine(grant.endpoint)
+            engine.streams.pop(grant.stream_id, None)
         return await self.dispatcher.report(
             make_report(grant, kind, output_tokens, first_token_s)
         )
 
+    def find_books(self):
+        return {
+            book.id: book
+            for pool in self.dispatcher._pools.values()
+            for book in pool.books.values()
+        }
+
 
 def make_request(prompt=1000, output=100, **changes):
     options = {
--- a/packages/dispatch/tests/dispatch_overload.py
+++ b/packages/dispatch/tests/dispatch_overload.py
@@ -85,7 +85,7 @@
 
 def main():
     weights = {"o1": 3, "o2": 2, "o3": 1}
-    demand = {"o1": 0.2, "o2": 0.2, "o3": 0.6}
+    demand = {"o1": 0.3, "o2": 0.3, "o3": 0.4}
     for load in (0.9, 1.0, 2.0, 3.0):
         for wanted in (None, demand):
             figures = run(load, weights, demand=wanted)
--- a/packages/dispatch/tests/dispatch_simulation.py
+++ b/packages/dispatch/tests/dispatch_simulation.py
@@ -129,17 +129,22 @@
         return self.end_s is not None and self.end_s <= self.arrival.timeout_s
 
 
-async def _send(engine, arrival, priority, result, start_s, on_first=None):
+async def _send(
+    engine, arrival, priority, result, start_s, on_first=None, name=None
+):
     while True:
         stream = engine.submit(arrival.prompt, arrival.output, priority)
         if stream is not None:
             break
         await asyncio.sleep(RETRY_S)
+    if name is not None:
+        engine.start(name, stream.memory)
     await stream.first
     result.first_s = fakes.now_s() - start_s
     if on_first is not None:
         await on_first(result.first_s)
     await stream.end
+    engine.streams.pop(name, None)
     result.end_s = fakes.now_s() - start_s
 
 
@@ -204,12 +209,13 @@
 async def serve_once(bed, result):
     arrival = result.arrival
     start_s = fakes.now_s()
-    reply = await bed.acquire(
+    request = fakes.make_request(
         arrival.prompt,
         arrival.output,
         timeout_s=arrival.timeout_s,
         organisation=arrival.organisation,
     )
+    reply = await bed.dispatcher.acquire(request)
     if not reply.HasField("grant"):
         result.reason = reply.refusal.reason
         return
@@ -224,7 +230,15 @@
             first_token_s=fakes.now_s() - sent_s,
         )
 
-    await _send(engine, arrival, grant.priority, result, start_s, on_first)
+    await _send(
+        engine,
+        arrival,
+        grant.priority,
+        result,
+        start_s,
+        on_first,
+        grant.stream_id,
+    )
     await bed.report(grant, grant_pb2.REPORT_COMPLETE, arrival.output)
 
 
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -121,6 +121,7 @@
             bed.engines["127.0.0.1:9000"] = fakes.FakeEngine()
             held = fakes.make_tenure("e0", is_valid=lambda: valid[0])
             await bed.dispatcher.begin_tenure(held)
+            await asyncio.sleep(fakes.SETTLE_S)
             assert (await bed.acquire()).HasField("grant")
             valid[0] = False
             reply = await bed.acquire(timeout_s=4.0)
@@ -150,7 +151,9 @@
     async def main():
         async with fakes.Bed() as bed:
             grant = grant_pb2.Grant(grant_id="gr-none")
-            reply = await bed.report(grant, grant_pb2.REPORT_COMPLETE)
+            reply = await bed.dispatcher.report(
+                fakes.make_report(grant, grant_pb2.REPORT_COMPLETE)
+            )
             assert list(reply.unknown_grants) == ["gr-none"]
 
     fakes.run(main())
