--- a/packages/configuration/poplarwick_configuration/_planning.py
+++ b/packages/configuration/poplarwick_configuration/_planning.py
@@ -47,12 +47,15 @@
     record: record.VersionRecord
     parts: dict[str, bytes]
 
-    def list_operations(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
-        """Returns the writes, the sections first and the head last."""
+    def list_sections(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
+        """Returns the writes of sections, which harm nobody on their own."""
+        return tuple(kv.Put(keys.section(d), p) for d, p in self.parts.items())
+
+    def list_records(self, keys: _keys.Keys) -> tuple[kv.Put, ...]:
+        """Returns the writes that only a successful change may make."""
         encoded = record.encode_record(self.record)
         version = self.record.version
         return (
-            *(kv.Put(keys.section(d), p) for d, p in self.parts.items()),
             kv.Put(keys.version(version), encoded),
             kv.Put(keys.change(self.record.change_id), str(version).encode()),
             kv.Put(keys.head, encoded),
@@ -145,11 +148,11 @@
 
 def plan_put_in(
     request: Request, change: changes.PutIn, head: record.VersionRecord
-) -> Plan | None:
-    """Plans a version with a target back in; None if it is in already."""
+) -> Plan | changes.NotOut:
+    """Plans a version with a target back in."""
     out = tuple(m for m in head.out if m.target != change.target)
     if len(out) == len(head.out):
-        return None
+        return changes.NotOut(change.target)
     return _plan_marks(request, record.Action.IN, head, out)
 
 
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -10,6 +10,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_dispatch import limits
 from poplarwick_entry import grants
 from poplarwick_entry import problems
 from poplarwick_outcomes import lifecycle
@@ -24,29 +25,35 @@
         instance: This instance.
         broker: Obtains grants.
         session: Session for calls to endpoints.
+        limiter: Shares of the organisations' fleet-wide limits.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
             reason why it does not.
+        read_refusal: Returns None when this instance may admit requests,
+            else the reason why it may not.
     """
 
     instance: ids.InstanceId
     broker: grants.GrantBroker
     session: aiohttp.ClientSession
+    limiter: limits.Limiter
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
+    read_refusal: Callable[[], str | None]
 
     def require_view(self) -> document.View:
         """Returns the configuration in force.
 
         Raises:
-            problems.RequestEnded: No configuration is known yet.
+            problems.RequestEnded: This instance may not admit requests.
         """
         view = self.read_view()
-        if view is None:
+        refusal = self.read_refusal()
+        if view is None or refusal is not None:
             raise problems.refuse(
                 verdicts.Reason.NOT_READY,
-                "this instance has no configuration yet",
+                refusal or "no configuration is known yet",
                 retry_after_s=1.0,
             )
         return view
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -18,6 +18,7 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_PREFIX = "test:"
 STEP_TIMEOUT_S = 1200
+UNIT_WORKERS = ("-n", "4", "--dist", "loadfile")
 
 LINTERS = {
     "format": ["ruff", "format", "--check", "."],
@@ -94,7 +95,9 @@
     print("== unit tests", flush=True)
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "unit.xml"
-        code = _run(["pytest", f"--junitxml={report}", "packages"])
+        code = _run(
+            ["pytest", *UNIT_WORKERS, f"--junitxml={report}", "packages"]
+        )
         if not report.exists():
             tally.failed.append(f"unit tests ended with code {code}")
             return
