--- a/packages/ownership/tests/simulated.py
+++ b/packages/ownership/tests/simulated.py
@@ -17,6 +17,7 @@
 
 TTL_S = 4
 CALL_TIMEOUT_S = 1.0
+HAND_OVER_S = 0.3
 REGION = ids.RegionId("r-1")
 
 
@@ -175,7 +176,8 @@
         self.current[begun.resource.id] = begun
 
     async def end_tenure(self, ended, *, is_planned):
-        await asyncio.sleep(0.01)
+        # Long enough for another instance to begin too early.
+        await asyncio.sleep(HAND_OVER_S)
         assert self.current.pop(ended.resource.id) is ended
         if is_planned:
             self.planned_ends += 1
--- a/packages/peers/tests/test_heartbeats.py
+++ b/packages/peers/tests/test_heartbeats.py
@@ -61,7 +61,10 @@
             if "i-1" not in watcher._monitors:
                 task = asyncio.create_task(watcher._monitor("i-1"))
                 watcher._monitors[ids.InstanceId("i-1")] = task
+            suspected = fleet.nodes["i-1"].view.own.incarnation
             await fleets.until(lambda: pings >= 60)
+            # Helpers reach it, so it hardly has to refute anything.
+            assert fleet.nodes["i-1"].view.own.incarnation - suspected < 10
             assert fleet.times_dead("i-1") == 0
             assert fleet.times_dead("i-0") == 0
 
