Split ownership into candidates, roster, electorate and confirmations

Change: no change of behaviour but that a holder asks for confirmation of claims that still wait, too.

--- a/packages/ownership/poplarwick_ownership/confirmations.py
+++ b/packages/ownership/poplarwick_ownership/confirmations.py
@@ -18,7 +18,6 @@
 from grpclib import server
 
 from poplarwick_core import ids
-from poplarwick_core import logs
 from poplarwick_ownership import _records
 from poplarwick_ownership import _view
 from poplarwick_ownership import tenure
@@ -28,9 +27,7 @@
 from poplarwick_peers.wire import ownership_pb2
 from poplarwick_platform import kv
 
-CONFIRMATION_S = 1.0
 ROUND_TIMEOUT_S = 0.4
-ROSTER_MEMORY_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,134 +123,6 @@
         return ownership_grpc.OwnershipServiceStub(channel)
 
 
-class Roster:
-    """Instances of the own region that may take part in a majority.
-
-    Args:
-        own: This instance.
-    """
-
-    def __init__(self, own: ids.InstanceId) -> None:
-        self._own = own
-        self._seen_s: dict[ids.InstanceId, float] = {own: 0.0}
-
-    @property
-    def instances(self) -> frozenset[ids.InstanceId]:
-        """The instances, this one included."""
-        return frozenset(self._seen_s)
-
-    @property
-    def majority(self) -> int:
-        """Smallest number of instances that is a majority."""
-        return len(self._seen_s) // 2 + 1
-
-    @property
-    def blocking(self) -> int:
-        """Smallest number of instances without which there is no majority."""
-        return len(self._seen_s) - self.majority + 1
-
-    def observe(
-        self,
-        known: set[ids.InstanceId],
-        leaving: set[ids.InstanceId],
-        now_s: float,
-    ) -> None:
-        """Takes over what the service has told.
-
-        Args:
-            known: Members of the region and holders of its resources.
-            leaving: Instances that end in a planned way.
-            now_s: Monotonic time.
-        """
-        for instance in known | {self._own}:
-            self._seen_s[instance] = now_s
-        for instance, seen_s in list(self._seen_s.items()):
-            is_old = now_s - seen_s > ROSTER_MEMORY_S
-            if instance != self._own and (is_old or instance in leaving):
-                del self._seen_s[instance]
-
-
-class Electorate:
-    """Asks and tells the instances of the roster.
-
-    Args:
-        view: The membership of this instance.
-        roster: The instances to ask.
-        peers: Calls to them.
-        read_clock: Returns monotonic seconds.
-    """
-
-    def __init__(
-        self,
-        view: membership.Membership,
-        roster: Roster,
-        peers: Peers,
-        read_clock: Callable[[], float],
-    ) -> None:
-        self.valid_until_s = 0.0
-        self.is_service_seen = False
-        self._membership = view
-        self._roster = roster
-        self._peers = peers
-        self._read_clock = read_clock
-
-    @property
-    def is_confirmed(self) -> bool:
-        """Whether a majority confirmed within the last second."""
-        return self._read_clock() < self.valid_until_s
-
-    async def confirm(
-        self,
-        lease: kv.LeaseId,
-        tenures: tuple[tenure.Tenure, ...],
-        clock_rate_margin: float,
-    ) -> None:
-        """Asks all others whether this instance may go on."""
-        sent_s = self._read_clock()
-        votes = await asyncio.gather(
-            *(
-                self._peers.confirm(member, lease, tenures)
-                for member in self._list_others()
-            )
-        )
-        given = [vote for vote in votes if vote is not None]
-        in_favour = 1 + sum(
-            vote.is_service_unavailable and not vote.is_superseded
-            for vote in given
-        )
-        self.is_service_seen = any(
-            not vote.is_service_unavailable for vote in given
-        )
-        if any(vote.is_superseded for vote in given):
-            logs.log_event("outage_tenures_superseded")
-            self.valid_until_s = 0.0
-        elif in_favour >= self._roster.majority:
-            self.valid_until_s = sent_s + CONFIRMATION_S * (
-                1 - clock_rate_margin
-            )
-
-    async def announce(
-        self, resources: dict[tenure.Resource, ids.Epoch]
-    ) -> bool:
-        """Tells all others; returns whether enough of them have heard."""
-        heard = await asyncio.gather(
-            *(
-                self._peers.announce(member, resources)
-                for member in self._list_others()
-            )
-        )
-        return 1 + sum(heard) >= self._roster.blocking
-
-    def _list_others(self) -> list[membership.Member]:
-        own = self._membership.own.instance
-        return [
-            member
-            for member in self._membership.members
-            if member.instance in self._roster.instances
-            and member.instance != own
-        ]
-
-
 class OwnershipService(ownership_grpc.OwnershipServiceBase):
     """Answers other instances' questions about ownership.
 
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -14,14 +14,14 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_ownership import _candidates
 from poplarwick_ownership import _claims
+from poplarwick_ownership import _electorate
 from poplarwick_ownership import _holding
 from poplarwick_ownership import _lease
 from poplarwick_ownership import _records
-from poplarwick_ownership import _stability
 from poplarwick_ownership import _view
 from poplarwick_ownership import confirmations
-from poplarwick_ownership import ranking
 from poplarwick_ownership import tenure
 from poplarwick_peers import membership
 from poplarwick_platform import kv
@@ -31,7 +31,6 @@
 MIN_CHECK_S = 0.01
 CONFIRM_PERIOD_S = 0.3
 CONFIRM_BEFORE_S = 1.5
-FALLBACK_S = 3.0
 MIN_TENURE_S = 10.0
 RELEASE_TIMEOUT_S = 5.0
 
@@ -102,23 +101,20 @@
         self.service = confirmations.OwnershipService(
             self._view, lambda: self._lease.is_unavailable
         )
-        self._roster = confirmations.Roster(self._instance)
-        self._electorate = (
-            None
-            if peers is None
-            else confirmations.Electorate(view, self._roster, peers, read_clock)
-        )
-        self._stability = _stability.Stability()
+        self._candidates = _candidates.Candidates(view, self._view, read_clock)
+        self._electorate = None
+        if peers is not None:
+            self._electorate = _electorate.Electorate(
+                view, self._candidates.roster, peers, read_clock
+            )
+        self._announcer = _electorate.Announcer(self._electorate)
         self._resources: dict[ResourceKey, tenure.Resource] = {}
         self._holdings: dict[ResourceKey, _holding.Holding] = {}
         self._claimed_s: dict[ResourceKey, float] = {}
-        self._vacant_s: dict[ResourceKey, float] = {}
         self._ended: dict[ResourceKey, ids.Epoch] = {}
         self._served: dict[ResourceKey, ids.Epoch] = {}
         self._releasing: set[ResourceKey] = set()
         self._is_draining = False
-        self._unheard: list[_holding.Holding] = []
-        self._unheard_changed = asyncio.Event()
         self._reconciling = asyncio.Lock()
         self._loops: list[asyncio.Task[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -165,7 +161,7 @@
             self._reconcile_repeatedly(),
             self._watch_validity(),
             self._confirm_in_outage(),
-            self._announce_claims(),
+            self._announcer.run(),
         )
         self._loops = [asyncio.create_task(loop) for loop in loops]
         return self
@@ -204,7 +200,9 @@
             if held is None or not self._lease.is_unavailable or not is_needed:
                 continue
             await self._electorate.confirm(
-                held.id, self.tenures, _lease.CLOCK_RATE_MARGIN
+                held.id,
+                tuple(h.tenure for h in self._holdings.values()),
+                _lease.CLOCK_RATE_MARGIN,
             )
             if self._electorate.is_service_seen:
                 self._lease.retry_soon()
@@ -247,16 +245,16 @@
             return
         if not self._view.is_loaded or self._is_draining:
             return
-        candidates = self._list_candidates()
+        self._candidates.refresh(self._resources.values())
         claims: list[_claims.Claim] = []
         leaving: list[tuple[ResourceKey, _holding.Holding]] = []
         for key, resource in self._resources.items():
             if key in self._releasing:
                 continue
-            claim = self._consider(key, resource, held, candidates)
+            claim = self._consider(key, resource, held)
             if claim is not None:
                 claims.append(claim)
-            elif self._should_move(key, resource, candidates):
+            elif self._should_move(key, resource):
                 leaving.append((key, self._holdings[key]))
         leaving += [
             (key, holding)
@@ -269,54 +267,11 @@
             await self._writer.claim(claims, held)
             self._adopt_won(claims, held)
 
-    def _list_candidates(self) -> list[ids.InstanceId]:
-        """Returns the instances that can own resources of this region."""
-        now_s = self._read_clock()
-        own = self._membership.own
-        live = (membership.MemberState.ALIVE, membership.MemberState.SUSPECT)
-        present = {
-            member.instance
-            for member in self._membership.members
-            if member.region == own.region and member.state in live
-        }
-        present &= self._view.holders
-        self._observe_roster(now_s)
-        self._stability.observe(present, now_s)
-        others = {
-            instance
-            for instance in present
-            if self._stability.is_settled(instance, now_s)
-        }
-        return sorted(others | {own.instance})
-
-    def _observe_roster(self, now_s: float) -> None:
-        region = self._membership.own.region
-        known = [m for m in self._membership.members if m.region == region]
-        leaving = membership.MemberState.LEAVING
-        self._roster.observe(
-            {m.instance for m in known} | self._list_recorded(),
-            {m.instance for m in known if m.state is leaving},
-            now_s,
-        )
-
-    def _list_recorded(self) -> set[ids.InstanceId]:
-        """Returns the last holders of the region's resources."""
-        records = (
-            self._view.find_owner(_records.make_owner_key(resource))
-            for resource in self._resources.values()
-        )
-        return {
-            known.record.instance
-            for known in records
-            if known is not None and known.record.lease != _records.NO_LEASE
-        }
-
     def _consider(
         self,
         key: ResourceKey,
         resource: tenure.Resource,
         held: _lease.HeldLease,
-        candidates: list[ids.InstanceId],
     ) -> _claims.Claim | None:
         """Returns the claim to make for a resource, if any."""
         known = self._view.find_owner(_records.make_owner_key(resource))
@@ -327,9 +282,9 @@
             holding.stop()
             return None
         if known is not None and self._view.is_lease_alive(known.record.lease):
-            self._vacant_s.pop(key, None)
+            self._candidates.note_held(resource)
             return None
-        if not self._is_turn(key, resource, candidates):
+        if not self._candidates.is_turn(resource):
             return None
         return _claims.Claim(resource, known, self._is_surely_ended(key, known))
 
@@ -340,7 +295,7 @@
         known: _view.KnownOwner,
     ) -> _claims.Claim | None:
         """Begins a tenure that was won, or claims an ended one again."""
-        self._vacant_s.pop(key, None)
+        self._candidates.note_held(resource)
         epoch = ids.Epoch(known.revision)
         holding = self._holdings.get(key)
         if holding is not None:
@@ -354,23 +309,6 @@
         self._begin(key, resource, known)
         return None
 
-    def _is_turn(
-        self,
-        key: ResourceKey,
-        resource: tenure.Resource,
-        candidates: list[ids.InstanceId],
-    ) -> bool:
-        """Returns whether this instance should claim a vacant resource.
-
-        Lower-ranked instances step in one after the other, should the better
-        ones fail to claim.
-        """
-        now_s = self._read_clock()
-        vacant_s = self._vacant_s.setdefault(key, now_s)
-        ranked = ranking.rank_owners(resource, candidates)
-        rank = ranked.index(self._instance)
-        return now_s - vacant_s >= rank * FALLBACK_S
-
     def _is_surely_ended(
         self, key: ResourceKey, known: _view.KnownOwner | None
     ) -> bool:
@@ -386,20 +324,14 @@
         has_served = self._served.get(key, 0) >= known.revision
         return has_served or known.record.follows_planned_end
 
-    def _should_move(
-        self,
-        key: ResourceKey,
-        resource: tenure.Resource,
-        candidates: list[ids.InstanceId],
-    ) -> bool:
+    def _should_move(self, key: ResourceKey, resource: tenure.Resource) -> bool:
         """Returns whether a better owner has appeared."""
         holding = self._holdings.get(key)
         if holding is None or not holding.is_active:
             return False
         if self._read_clock() - self._claimed_s[key] < MIN_TENURE_S:
             return False
-        best = ranking.rank_owners(resource, candidates)[0]
-        return best != self._instance
+        return not self._candidates.is_best(resource)
 
     def _adopt_won(
         self, claims: list[_claims.Claim], held: _lease.HeldLease
@@ -433,35 +365,6 @@
         wait_s = 0.0 if is_immediate else self._wait_s
         self._start(self._live(key, holding, known, wait_s))
 
-    async def _ensure_heard(self, holding: _holding.Holding) -> float:
-        """Makes sure that the earlier holder finds no majority any more.
-
-        Returns:
-            Time in seconds to wait from now on.
-        """
-        if self._electorate is None:
-            return 0.0
-        self._unheard.append(holding)
-        self._unheard_changed.set()
-        await holding.heard.wait()
-        return confirmations.CONFIRMATION_S
-
-    async def _announce_claims(self) -> None:
-        """Tells the others about claims after unplanned ends, in batches."""
-        while self._electorate is not None:
-            await self._unheard_changed.wait()
-            self._unheard_changed.clear()
-            told = [h for h in self._unheard if not h.has_ended]
-            claimed = {h.tenure.resource: h.tenure.epoch for h in told}
-            if await self._electorate.announce(claimed):
-                for holding in self._unheard:
-                    if holding in told or holding.has_ended:
-                        holding.heard.set()
-            self._unheard = [h for h in self._unheard if not h.heard.is_set()]
-            if self._unheard:
-                self._unheard_changed.set()
-                await asyncio.sleep(TICK_S)
-
     async def _live(
         self,
         key: ResourceKey,
@@ -471,7 +374,9 @@
     ) -> None:
         try:
             if not known.record.follows_planned_end:
-                wait_s = max(wait_s, await self._ensure_heard(holding))
+                wait_s = max(
+                    wait_s, await self._announcer.ensure_heard(holding)
+                )
             await holding.run(wait_s)
         finally:
             if holding.has_served:
