Move the tenures of an instance into a module of their own

Change: holdings.py keeps tenures by kind and id; a changed resource is handed over and claimed again.

--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import contextlib
-import functools
 import random
 import time
 from collections.abc import Callable
-from collections.abc import Coroutine
 from types import TracebackType
 from typing import Self
 
@@ -18,6 +16,7 @@
 from poplarwick_ownership import _claims
 from poplarwick_ownership import _electorate
 from poplarwick_ownership import _holding
+from poplarwick_ownership import _holdings
 from poplarwick_ownership import _lease
 from poplarwick_ownership import _records
 from poplarwick_ownership import _view
@@ -32,9 +31,6 @@
 CONFIRM_PERIOD_S = 0.3
 CONFIRM_BEFORE_S = 1.5
 MIN_TENURE_S = 10.0
-RELEASE_TIMEOUT_S = 5.0
-
-ResourceKey = tuple[tenure.ResourceKind, str]
 
 
 def read_boot_clock() -> float:
@@ -89,7 +85,6 @@
         margin_s = ttl_s * _lease.CLOCK_RATE_MARGIN
         self._wait_s = ttl_s + margin_s if wait_s is None else wait_s
         self._membership = view
-        self._listener = listener
         self._read_clock = read_clock
         self._instance = view.own.instance
         self._changed = asyncio.Event()
@@ -98,9 +93,6 @@
             client, self._instance, ttl_s, read_clock, self._changed.set
         )
         self._writer = _claims.ClaimWriter(client, self._instance, self._view)
-        self.service = confirmations.OwnershipService(
-            self._view, lambda: self._lease.is_unavailable
-        )
         self._candidates = _candidates.Candidates(view, self._view, read_clock)
         self._electorate = None
         if peers is not None:
@@ -108,31 +100,36 @@
                 view, self._candidates.roster, peers, read_clock
             )
         self._announcer = _electorate.Announcer(self._electorate)
-        self._resources: dict[ResourceKey, tenure.Resource] = {}
-        self._holdings: dict[ResourceKey, _holding.Holding] = {}
-        self._claimed_s: dict[ResourceKey, float] = {}
-        self._ended: dict[ResourceKey, ids.Epoch] = {}
-        self._served: dict[ResourceKey, ids.Epoch] = {}
-        self._releasing: set[ResourceKey] = set()
+        self._holdings = _holdings.Holdings(
+            listener,
+            self._writer,
+            self._announcer,
+            self._may_act,
+            read_clock,
+            self._changed.set,
+        )
+        self.service = confirmations.OwnershipService(
+            self._view, lambda: self._lease.is_unavailable
+        )
+        self._resources: dict[tenure.ResourceKey, tenure.Resource] = {}
         self._is_draining = False
         self._reconciling = asyncio.Lock()
         self._loops: list[asyncio.Task[None]] = []
-        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def tenures(self) -> tuple[tenure.Tenure, ...]:
         """Tenures held by this instance now."""
         return tuple(
-            holding.tenure
-            for holding in self._holdings.values()
-            if holding.is_valid()
+            holding.tenure for holding in self._holdings if holding.is_valid()
         )
 
     def set_resources(self, resources: tuple[tenure.Resource, ...]) -> None:
         """Replaces the set of resources that need an owner."""
         region = self._membership.own.region
         self._resources = {
-            _make_key(r): r for r in resources if r.region == region
+            resource.key: resource
+            for resource in resources
+            if resource.region == region
         }
         self._changed.set()
 
@@ -151,7 +148,7 @@
         self._is_draining = True
         async with self._reconciling:
             pass  # A claim under way is finished first.
-        await self._hand_over(list(self._holdings.items()))
+        await self._holdings.hand_over(list(self._holdings))
         await self._lease.revoke()
 
     async def __aenter__(self) -> Self:
@@ -172,11 +169,11 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._stop_all()
+        self._holdings.stop_all()
         for task in self._loops:
             task.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._holdings.close()
 
     @property
     def _valid_until_s(self) -> float:
@@ -201,7 +198,7 @@
                 continue
             await self._electorate.confirm(
                 held.id,
-                tuple(h.tenure for h in self._holdings.values()),
+                tuple(holding.tenure for holding in self._holdings),
                 _lease.CLOCK_RATE_MARGIN,
             )
             if self._electorate.is_service_seen:
@@ -212,15 +209,11 @@
         while True:
             left_s = self._valid_until_s - self._read_clock()
             if self._lease.held is None or left_s <= 0:
-                self._stop_all()
+                self._holdings.stop_all()
                 await asyncio.sleep(TICK_S)
                 continue
             await asyncio.sleep(min(max(left_s, MIN_CHECK_S), TICK_S))
 
-    def _stop_all(self) -> None:
-        for holding in self._holdings.values():
-            holding.stop()
-
     async def _reconcile_repeatedly(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -232,52 +225,43 @@
                     await self._reconcile()
             except kv.LeaseLostError:
                 self._lease.forget()
-                self._stop_all()
+                self._holdings.stop_all()
             except kv.KvError as error:
                 logs.log_event("claim_failed", reason=error)
                 await asyncio.sleep(TICK_S * random.uniform(0.5, 1.5))
 
     async def _reconcile(self) -> None:
         """Compares what should be held with what is held."""
-        self._forget_ended()
+        self._stop_superseded()
         held = self._lease.held
         if held is None or not self._lease.is_valid:
             return
         if not self._view.is_loaded or self._is_draining:
             return
         self._candidates.refresh(self._resources.values())
-        claims: list[_claims.Claim] = []
-        leaving: list[tuple[ResourceKey, _holding.Holding]] = []
-        for key, resource in self._resources.items():
-            if key in self._releasing:
-                continue
-            claim = self._consider(key, resource, held)
+        claims = []
+        for resource in self._resources.values():
+            claim = self._consider(resource, held)
             if claim is not None:
                 claims.append(claim)
-            elif self._should_move(key, resource):
-                leaving.append((key, self._holdings[key]))
-        leaving += [
-            (key, holding)
-            for key, holding in self._holdings.items()
-            if key not in self._resources and holding.is_active
-        ]
+        leaving = [h for h in self._holdings if self._should_leave(h)]
         if leaving:
-            self._start(self._hand_over(leaving))
+            self._holdings.start_hand_over(leaving)
         if claims:
             await self._writer.claim(claims, held)
-            self._adopt_won(claims, held)
+            for claim in claims:
+                self._begin_if_won(claim.resource, held)
 
     def _consider(
-        self,
-        key: ResourceKey,
-        resource: tenure.Resource,
-        held: _lease.HeldLease,
+        self, resource: tenure.Resource, held: _lease.HeldLease
     ) -> _claims.Claim | None:
         """Returns the claim to make for a resource, if any."""
-        known = self._view.find_owner(_records.make_owner_key(resource))
+        if self._holdings.is_releasing(resource):
+            return None
+        known = self._find_record(resource)
         if known is not None and known.record.lease == held.id:
-            return self._consider_own(key, resource, known)
-        holding = self._holdings.get(key)
+            return self._consider_own(resource, known, held)
+        holding = self._holdings.find(resource)
         if holding is not None:
             holding.stop()
             return None
@@ -286,159 +270,86 @@
             return None
         if not self._candidates.is_turn(resource):
             return None
-        return _claims.Claim(resource, known, self._is_surely_ended(key, known))
+        return self._make_claim(resource, known)
 
     def _consider_own(
         self,
-        key: ResourceKey,
         resource: tenure.Resource,
         known: _view.KnownOwner,
+        held: _lease.HeldLease,
     ) -> _claims.Claim | None:
         """Begins a tenure that was won, or claims an ended one again."""
         self._candidates.note_held(resource)
-        epoch = ids.Epoch(known.revision)
-        holding = self._holdings.get(key)
+        holding = self._holdings.find(resource)
         if holding is not None:
-            if holding.tenure.epoch != epoch:
+            if int(holding.tenure.epoch) != known.revision:
                 holding.stop()
             return None
-        if epoch <= self._ended.get(key, 0):
-            return _claims.Claim(
-                resource, known, self._is_surely_ended(key, known)
-            )
-        self._begin(key, resource, known)
+        if self._holdings.has_ended(resource, known.revision):
+            return self._make_claim(resource, known)
+        self._begin_if_won(resource, held)
         return None
 
-    def _is_surely_ended(
-        self, key: ResourceKey, known: _view.KnownOwner | None
+    def _begin_if_won(
+        self, resource: tenure.Resource, held: _lease.HeldLease
+    ) -> None:
+        """Begins the tenure of a resource that names this instance's lease."""
+        known = self._find_record(resource)
+        if known is None or known.record.lease != held.id:
+            return
+        if self._holdings.find(resource) is not None:
+            return
+        if self._holdings.has_ended(resource, known.revision):
+            return
+        is_immediate = known.record.follows_planned_end or resource.is_fenced
+        self._holdings.begin(
+            resource, known, 0.0 if is_immediate else self._wait_s
+        )
+
+    def _make_claim(
+        self, resource: tenure.Resource, known: _view.KnownOwner | None
+    ) -> _claims.Claim:
+        has_ended = known is None or self._has_surely_ended(resource, known)
+        return _claims.Claim(resource, known, has_ended)
+
+    def _has_surely_ended(
+        self, resource: tenure.Resource, known: _view.KnownOwner
     ) -> bool:
         """Returns whether no earlier tenure can still act."""
-        if known is None or known.record.lease == _records.NO_LEASE:
+        lease = known.record.lease
+        if lease == _records.NO_LEASE:
             return True
         held = self._lease.held
-        is_own = held is not None and held.id == known.record.lease
-        if not is_own and not self._lease.was_held(known.record.lease):
+        is_own = held is not None and held.id == lease
+        if not is_own and not self._lease.was_held(lease):
             return False
         # It was held here, and ended here. If it ended while it waited for
         # the tenure before, that one may not have ended yet.
-        has_served = self._served.get(key, 0) >= known.revision
+        has_served = self._holdings.has_served(resource, known.revision)
         return has_served or known.record.follows_planned_end
 
-    def _should_move(self, key: ResourceKey, resource: tenure.Resource) -> bool:
-        """Returns whether a better owner has appeared."""
-        holding = self._holdings.get(key)
-        if holding is None or not holding.is_active:
+    def _should_leave(self, holding: _holding.Holding) -> bool:
+        """Returns whether a tenure should be handed over."""
+        resource = holding.tenure.resource
+        if not holding.is_active:
             return False
-        if self._read_clock() - self._claimed_s[key] < MIN_TENURE_S:
+        if self._resources.get(resource.key) != resource:
+            return True
+        if self._holdings.read_age_s(resource) < MIN_TENURE_S:
             return False
         return not self._candidates.is_best(resource)
 
-    def _adopt_won(
-        self, claims: list[_claims.Claim], held: _lease.HeldLease
-    ) -> None:
-        for claim in claims:
-            known = self._view.find_owner(claim.key)
-            key = _make_key(claim.resource)
-            if (
-                known is not None
-                and known.record.lease == held.id
-                and known.revision > self._ended.get(key, 0)
-                and key not in self._holdings
-            ):
-                self._begin(key, claim.resource, known)
-
-    def _begin(
-        self,
-        key: ResourceKey,
-        resource: tenure.Resource,
-        known: _view.KnownOwner,
-    ) -> None:
-        holding = _holding.Holding(
-            resource,
-            ids.Epoch(known.revision),
-            self._listener,
-            functools.partial(self._may_act, known.record.lease),
-        )
-        self._holdings[key] = holding
-        self._claimed_s[key] = self._read_clock()
-        is_immediate = known.record.follows_planned_end or resource.is_fenced
-        wait_s = 0.0 if is_immediate else self._wait_s
-        self._start(self._live(key, holding, known, wait_s))
-
-    async def _live(
-        self,
-        key: ResourceKey,
-        holding: _holding.Holding,
-        known: _view.KnownOwner,
-        wait_s: float,
-    ) -> None:
-        try:
-            if not known.record.follows_planned_end:
-                wait_s = max(
-                    wait_s, await self._announcer.ensure_heard(holding)
-                )
-            await holding.run(wait_s)
-        finally:
-            if holding.has_served:
-                self._served[key] = holding.tenure.epoch
-            self._ended[key] = max(
-                self._ended.get(key, ids.Epoch(0)), holding.tenure.epoch
-            )
-            if self._holdings.get(key) is holding:
-                del self._holdings[key]
-            self._changed.set()
-
-    def _forget_ended(self) -> None:
-        for key, holding in self._holdings.items():
-            known = self._view.find_owner(
-                _records.make_owner_key(holding.tenure.resource)
-            )
+    def _stop_superseded(self) -> None:
+        """Ends tenures that have a successor."""
+        for holding in self._holdings:
+            known = self._find_record(holding.tenure.resource)
             if known is not None and known.revision > holding.tenure.epoch:
-                logs.log_event("tenure_superseded", resource=key[1])
+                logs.log_event(
+                    "tenure_superseded", resource=holding.tenure.resource.id
+                )
                 holding.stop()
 
-    async def _hand_over(
-        self, leaving: list[tuple[ResourceKey, _holding.Holding]]
-    ) -> None:
-        keys = {key for key, _ in leaving}
-        self._releasing |= keys
-        for _, holding in leaving:
-            holding.request_hand_over()
-        await asyncio.gather(*(h.ended.wait() for _, h in leaving))
-        ended = [
-            (h.tenure.resource, h.tenure.epoch)
-            for _, h in leaving
-            if h.has_served
-        ]
-        try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._release(ended)
-        except TimeoutError:
-            logs.log_event("release_failed", resources=len(ended))
-        finally:
-            self._releasing -= keys
-
-    async def _release(
-        self, ended: list[tuple[tenure.Resource, ids.Epoch]]
-    ) -> None:
-        while True:
-            try:
-                await self._writer.release(ended)
-                return
-            except kv.KvError as error:
-                logs.log_event("release_delayed", reason=error)
-                await asyncio.sleep(TICK_S * random.uniform(0.5, 1.5))
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.log_event("tenure_failed", "ERROR", reason=task.exception())
-
-
-def _make_key(resource: tenure.Resource) -> ResourceKey:
-    return resource.kind, resource.id
+    def _find_record(
+        self, resource: tenure.Resource
+    ) -> _view.KnownOwner | None:
+        return self._view.find_owner(_records.make_owner_key(resource))
--- a/packages/ownership/poplarwick_ownership/tenure.py
+++ b/packages/ownership/poplarwick_ownership/tenure.py
@@ -17,6 +17,9 @@
     SHARD = "shard"
 
 
+ResourceKey = tuple[ResourceKind, str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resource:
     """Something with one owner at a time.
@@ -34,6 +37,11 @@
     region: ids.RegionId
     is_fenced: bool = False
 
+    @property
+    def key(self) -> ResourceKey:
+        """What tells it from other resources, whatever its settings."""
+        return self.kind, self.id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tenure:
