--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -10,6 +10,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_dispatch import limits
 from poplarwick_entry import claimed
 from poplarwick_entry import grants
 from poplarwick_entry import problems
@@ -28,6 +29,7 @@
         session: Session for calls to endpoints.
         claimed: Runs calls that may not be repeated.
         retries: Budget of retries of this instance.
+        limiter: Shares of the organisations' fleet-wide limits.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
@@ -40,6 +42,7 @@
     broker: grants.GrantBroker
     session: aiohttp.ClientSession
     claimed: claimed.ClaimedCalls
+    limiter: limits.Limiter
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
     read_refusal: Callable[[], str | None]
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -17,6 +17,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_endpoints import generation
+from poplarwick_entry import admission
 from poplarwick_entry import authentication
 from poplarwick_entry import bodies
 from poplarwick_entry import claimed
@@ -110,15 +111,17 @@
         request, is_idempotent=call.route.idempotent
     )
     if call.route.idempotent:
-        return await _send_with_retries(entry, view, call, lifecycle)
+        async with admission.admit(entry.limiter, organisation, COST_TOKENS):
+            return await _send_with_retries(entry, view, call, lifecycle)
     key = claimed.require_key(request, ids.OrganisationId(organisation.id))
-    return await entry.claimed.run(
-        key,
-        _digest_content(call),
-        call.deadline,
-        lifecycle,
-        lambda: _send_with_retries(entry, view, call, lifecycle),
-    )
+    async with admission.admit(entry.limiter, organisation, COST_TOKENS):
+        return await entry.claimed.run(
+            key,
+            _digest_content(call),
+            call.deadline,
+            lifecycle,
+            lambda: _send_with_retries(entry, view, call, lifecycle),
+        )
 
 
 def _digest_content(call: Call) -> bytes:
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -6,6 +6,7 @@
 import uuid
 
 import aiohttp
+import result
 import uuid6
 from aiohttp import test_utils
 from aiohttp import web
@@ -30,18 +31,27 @@
 ORDERS = "/services/shop/orders"
 
 
+class FakeLimiter:
+    """Admits every request."""
+
+    async def admit(self, organisation, tokens):
+        return result.Ok(contextlib.nullcontext())
+
+
 class FakeReporter:
     """Keeps reports instead of sending them."""
 
     def __init__(self):
         self.reports = []
         self.cancelled = []
+        self.has_cancelled = asyncio.Event()
 
     def send(self, instance, report):
         self.reports.append(report)
 
     def cancel_and_send(self, instance, report, target):
         self.cancelled.append(target.stream)
+        self.has_cancelled.set()
         self.reports.append(report)
 
 
@@ -145,6 +155,7 @@
             instance=ids.InstanceId("instance-0"),
             broker=broker,
             session=await enter(sessions.make_session()),
+            limiter=FakeLimiter(),
             claimed=await enter(claimed.ClaimedCalls(shards)),
             read_view=make_view,
             read_readiness=lambda: None,
--- /dev/null
+++ b/packages/entry/tests/test_relayed_streams.py
@@ -0,0 +1,219 @@
+"""Tests that a caller gets its own whole answer or is told the truth."""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+import entry_fakes
+import pytest
+from aiohttp import web
+
+PATH = "/v1/completions"
+COUNT = 8
+
+
+def make_event(stream, seq, text, *, is_last=False):
+    fields = {
+        "choices": [
+            {
+                "index": 0,
+                "text": text,
+                "finish_reason": "stop" if is_last else None,
+            }
+        ],
+        "stream": stream,
+        "seq": seq,
+        "tokens": 1,
+    }
+    return b"data: " + json.dumps(fields).encode() + b"\n\n"
+
+
+class Engine:
+    """An engine whose connections follow a script.
+
+    Each entry of `script` says how many events one connection sends before
+    it breaks; None sends all that is left and the end mark.
+
+    Attributes:
+        runs: Streams that were started.
+        resumes: Values of `after` that were asked for.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.runs = []
+        self.resumes = []
+        self.knows_streams = True
+        self.extra = b""
+        self.payload = ""
+
+    async def handle(self, request):
+        if request.method == "GET":
+            after = int(request.query["after"])
+            self.resumes.append(after)
+            if not self.knows_streams:
+                return web.json_response({}, status=404)
+            return await self._send(request, request.path[-32:], after + 1)
+        stream = request.headers["Endpoint-Stream"]
+        self.runs.append(stream)
+        return await self._send(request, stream, 0)
+
+    async def _send(self, request, stream, start):
+        count = self.script.pop(0) if self.script else None
+        response = web.StreamResponse()
+        await response.prepare(request)
+        end = COUNT if count is None else start + count
+        for seq in range(start, min(end, COUNT)):
+            text = f"{len(self.runs)}.{seq}{self.payload} "
+            event = make_event(stream, seq, text, is_last=seq == COUNT - 1)
+            await response.write(event + self.extra)
+        if count is not None:
+            request.transport.close()
+            return response
+        await response.write(b"data: [DONE]\n\n")
+        return response
+
+
+def read_texts(body):
+    events = [
+        json.loads(part[len("data: ") :])
+        for part in body.decode().split("\n\n")
+        if part.startswith("data: {")
+    ]
+    return [e["choices"][0]["text"] for e in events if "choices" in e]
+
+
+def make_body(*, is_streamed=True):
+    fields = {"model": "writer", "prompt": "x", "stream": is_streamed}
+    return json.dumps(fields).encode()
+
+
+def make_texts(run):
+    return [f"{run}.{seq} " for seq in range(COUNT)]
+
+
+@pytest.mark.parametrize("script", [(3, None), (1, 0, 2, None), (COUNT, None)])
+def test_broken_stream_is_resumed_without_a_trace(script):
+    async def main():
+        engine = Engine(*script)
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, _, body = await entry.call(PATH, data=make_body())
+        assert read_texts(body) == make_texts(1)
+        assert body.endswith(b"data: [DONE]\n\n")
+        assert len(engine.runs) == 1
+        assert len(engine.resumes) == len(script) - 1
+
+    entry_fakes.run(main)
+
+
+def test_crossed_events_never_reach_a_caller():
+    async def main():
+        engine = Engine(2, None)
+        engine.extra = make_event("another", 0, "crossed", is_last=True)
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, _, body = await entry.call(PATH, data=make_body())
+        assert read_texts(body) == make_texts(1)
+        assert b"crossed" not in body
+
+    entry_fakes.run(main)
+
+
+def test_lost_stream_runs_again_while_the_caller_has_seen_nothing():
+    async def main():
+        engine = Engine(0, None)
+        engine.knows_streams = False
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, _, body = await entry.call(PATH, data=make_body())
+        assert read_texts(body) == make_texts(2)
+        assert len(engine.runs) == 2
+
+    entry_fakes.run(main)
+
+
+def test_lost_stream_is_not_run_again_once_the_caller_has_seen_text():
+    async def main():
+        engine = Engine(3, None)
+        engine.knows_streams = False
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, _, body = await entry.call(PATH, data=make_body())
+        assert read_texts(body) == make_texts(1)[:3]
+        assert b"[DONE]" not in body
+        last = json.loads(body.split(b"data: ")[-1])
+        assert last["error"]["outcome"] == "failed"
+        assert last["error"]["repeatable"]
+        assert len(engine.runs) == 1
+
+    entry_fakes.run(main)
+
+
+def test_gathered_answer_is_that_of_one_run():
+    async def main():
+        engine = Engine(3, None)
+        engine.knows_streams = False
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, headers, body = await entry.call(
+                PATH, data=make_body(is_streamed=False)
+            )
+        assert headers["Poplarwick-Outcome"] == "complete"
+        text = json.loads(body)["choices"][0]["text"]
+        assert text == "".join(make_texts(2))
+
+    entry_fakes.run(main)
+
+
+def test_caller_that_leaves_has_its_stream_cancelled():
+    async def main():
+        engine = Engine()
+        engine.payload = "x" * 1_000_000
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f"http://{entry.address}{PATH}",
+                    data=make_body(),
+                    headers={"Authorization": "Bearer secret-soaps"},
+                ) as response,
+            ):
+                await response.content.readany()
+                response.close()
+            reporter = entry.broker.reporter
+            async with asyncio.timeout(20):
+                await reporter.has_cancelled.wait()
+        assert reporter.cancelled == engine.runs
+        assert engine.resumes == []
+
+    entry_fakes.run(main)
+
+
+def test_caller_that_does_not_read_is_cut_off_after_its_deadline():
+    async def main():
+        engine = Engine()
+        engine.payload = "x" * 900_000
+        timeout_s = 1.0
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            host, _, port = entry.address.partition(":")
+            reader, writer = await asyncio.open_connection(
+                host, int(port), limit=1_024
+            )
+            body = make_body()
+            start_s = time.monotonic()
+            writer.write(
+                b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer secret-soaps\r\n"
+                b"Poplarwick-Timeout: %g\r\nContent-Length: %d\r\n\r\n%s"
+                % (timeout_s, len(body), body)
+            )
+            reporter = entry.broker.reporter
+            async with asyncio.timeout(20):
+                await reporter.has_cancelled.wait()
+            assert time.monotonic() - start_s >= timeout_s
+            async with asyncio.timeout(20):
+                with pytest.raises((ConnectionError, EOFError)):
+                    while True:
+                        if not await reader.read(65_536):
+                            raise EOFError
+            assert writer.is_closing() or reader.at_eof()
+            writer.close()
+
+    entry_fakes.run(main)
--- a/packages/node/poplarwick_node/daemon.py
+++ b/packages/node/poplarwick_node/daemon.py
@@ -27,6 +27,7 @@
 from poplarwick_entry import grants
 from poplarwick_entry import reports
 from poplarwick_node import _fleet
+from poplarwick_node import _limits
 from poplarwick_node import _resources
 from poplarwick_node import _shards
 from poplarwick_node import _telemetry
@@ -235,6 +236,13 @@
         )
     )
     broker = grants.GrantBroker(members, routes, local, channels, reporter)
+    limit_peers = _limits.LimitPeers(members, channels)
+    keeper = _limits.make_keeper(ids.InstanceId(checked.instance), limit_peers)
+    limiter = await enter(
+        _limits.make_limiter(
+            ids.InstanceId(checked.instance), limit_peers, keeper
+        )
+    )
     await enter(
         transport.PeerServer(
             checked.listen.peers,
@@ -242,6 +250,7 @@
                 local,
                 members.service,
                 shards,
+                keeper,
                 configurations.ConfigurationService(documents),
             ),
             peer_server_tls,
@@ -257,13 +266,14 @@
         checked, documents, members, local, owner, callers, fleet
     )
     documents.add_listener(
-        lambda view: _resources.apply_view(view, local, owner)
+        lambda view: _resources.apply_view(view, local, owner, limiter)
     )
     entry = context.EntryContext(
         instance=ids.InstanceId(checked.instance),
         broker=broker,
         session=calls,
         claimed=claimed_calls,
+        limiter=limiter,
         read_view=instance.read_view,
         read_readiness=instance.read_readiness,
         read_refusal=instance.read_refusal,
