Apply a changed document with less work

Cause: an instance split the whole text again for each version, and the garbage collector followed every part of the document. Change: sections that were fetched are kept as they are; parts of a document are not followed by the collector.

--- a/packages/administration/poplarwick_administration/_changes.py
+++ b/packages/administration/poplarwick_administration/_changes.py
@@ -107,7 +107,7 @@
             if refusal.head is not None and refusal.expected_version > 0:
                 old = await documents.load_text(refusal.expected_version)
                 new = await documents.read_text(refusal.head)
-                differences = list_differences(old.text, new)
+                differences = list_differences(old.text, new.text)
         except failures.StoreError as error:
             logs.log_event("conflict_not_shown", "WARNING", reason=error)
         return refusals.make_superseded(refusal, differences)
--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -15,8 +15,13 @@
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
 
-class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Base of all parts of the document."""
+class _Section(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
+    """Base of all parts of the document.
+
+    A document has no cycles, so the garbage collector need not follow it.
+    """
 
 
 class Limits(_Section, frozen=True):
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -242,8 +242,9 @@
             await self._contact.pull_from_parent(head)
         if head.version <= self.version:
             return
-        text = await self._store.read_text(head, self._state.sections)
-        self._state.apply(store.StoredText(head, text))
+        self._state.apply(
+            await self._store.read_text(head, self._state.sections)
+        )
 
     async def _keep_contact(self) -> None:
         """Asks other instances for what is newer, and probes the service.
--- a/packages/configuration/poplarwick_configuration/state.py
+++ b/packages/configuration/poplarwick_configuration/state.py
@@ -7,11 +7,9 @@
 from collections.abc import Callable
 
 from poplarwick_configuration import document
-from poplarwick_configuration import failures
 from poplarwick_configuration import holding
 from poplarwick_configuration import marks
 from poplarwick_configuration import record
-from poplarwick_configuration import sections
 from poplarwick_configuration import snapshot
 from poplarwick_configuration import store
 from poplarwick_core import jsonc
@@ -193,11 +191,7 @@
         head = state.record
         if head is not None and head.version > self.version:
             known = {**self._sections, **state.sections}
-            if any(digest not in known for digest in head.sections):
-                raise failures.MissingError("the snapshot lacks sections")
-            parts = [known[digest] for digest in head.sections]
-            text = store.join_sections(head, parts)
-            self.apply(store.StoredText(head, text))
+            self.apply(store.join_sections(head, known))
         return self.hold(state.held)
 
     def _replace_text(self, stored: store.StoredText) -> None:
@@ -205,8 +199,7 @@
         self._parsed = jsonc.decode_checked(
             stored.text, document.Document, source
         )
-        parts = sections.split_text(stored.text)
-        self._sections = {sections.digest_bytes(p): p for p in parts}
+        self._sections = dict(stored.parts)
 
     def _refresh(self) -> None:
         """Computes the view anew and tells the listeners."""
--- a/packages/configuration/poplarwick_configuration/store.py
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -34,10 +34,12 @@
     Attributes:
         record: Record of the version.
         text: The document, comments included.
+        parts: Sections of the text by digest.
     """
 
     record: record.VersionRecord
     text: str
+    parts: Mapping[str, bytes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,8 +132,10 @@
         async def read_document(
             version_record: record.VersionRecord,
         ) -> document.Document:
-            text = await self.read_text(version_record, known)
-            return jsonc.decode_checked(text, document.Document, "document")
+            stored = await self.read_text(version_record, known)
+            return jsonc.decode_checked(
+                stored.text, document.Document, "document"
+            )
 
         committer = _committer.Committer(self._kv, self._keys, read_document)
         return await committer.commit(request)
@@ -179,7 +183,7 @@
         self,
         version_record: record.VersionRecord,
         known: Mapping[str, bytes] | None = None,
-    ) -> str:
+    ) -> StoredText:
         """Reads the text of a version.
 
         Args:
@@ -190,10 +194,10 @@
             failures.MissingError: A section is not stored or is wrong.
             failures.UnavailableError: The service did not answer.
         """
-        parts = []
+        parts = {}
         for digest in version_record.sections:
             part = known.get(digest) if known is not None else None
-            parts.append(part or await self.read_section(digest))
+            parts[digest] = part or await self.read_section(digest)
         return join_sections(version_record, parts)
 
     async def confirm(self, version: int, instance: str) -> None:
@@ -283,7 +287,7 @@
                     f"{self.environment} has no document"
                 )
             version_record = head
-        return StoredText(version_record, await self.read_text(version_record))
+        return await self.read_text(version_record)
 
     async def load(self, version: int | None = None) -> document.View:
         """Reads a version; None means the newest one.
@@ -309,19 +313,27 @@
 
 
 def join_sections(
-    version_record: record.VersionRecord, parts: list[bytes]
-) -> str:
+    version_record: record.VersionRecord, parts: Mapping[str, bytes]
+) -> StoredText:
     """Returns the text of a version from its sections.
 
+    Args:
+        version_record: Record of the version.
+        parts: Sections by digest; others may be among them.
+
     Raises:
         failures.MissingError: The sections do not give the recorded text.
     """
-    data = b"".join(parts)
+    try:
+        own = {digest: parts[digest] for digest in version_record.sections}
+    except KeyError as error:
+        raise failures.MissingError(f"section {error} is missing") from error
+    data = b"".join(own[digest] for digest in version_record.sections)
     if sections.digest_bytes(data) != version_record.digest:
         raise failures.MissingError(
             f"sections of version {version_record.version} do not match"
         )
-    return data.decode()
+    return StoredText(version_record, data.decode(), own)
 
 
 def make_view(environment: str, stored: StoredText) -> document.View:
