--- a/packages/administration/poplarwick_administration/_session.py
+++ b/packages/administration/poplarwick_administration/_session.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import pathlib
+import ssl
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -50,6 +51,13 @@
         type=pathlib.Path,
         help="file that holds the operator's token",
     )
+    parser.add_argument(
+        "--authority",
+        metavar="FILE",
+        type=pathlib.Path,
+        help="certificates in PEM form that the instance's certificate must "
+        "chain to; without it plain HTTP is used",
+    )
     return parser
 
 
@@ -79,7 +87,10 @@
 def open_client(parsed: argparse.Namespace) -> client.AdministrationClient:
     """Returns a client of the instance that the options name."""
     token = parsed.token_file.read_text(encoding="utf-8").strip()
-    return client.AdministrationClient(parsed.server, token)
+    tls = None
+    if parsed.authority is not None:
+        tls = ssl.create_default_context(cafile=parsed.authority)
+    return client.AdministrationClient(parsed.server, token, tls)
 
 
 async def repeat_until_answered(
--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 import types
 from collections.abc import Mapping
 from typing import TypeVar
@@ -43,10 +44,20 @@
 
 
 class AdministrationClient:
-    """Calls the administration API of one instance."""
+    """Calls the administration API of one instance.
 
-    def __init__(self, server: str, token: str) -> None:
-        self._base = f"http://{server}"
+    Args:
+        server: Host and port of the instance's administration address.
+        token: The operator's token.
+        tls: TLS settings, or None for plain HTTP.
+    """
+
+    def __init__(
+        self, server: str, token: str, tls: ssl.SSLContext | None = None
+    ) -> None:
+        scheme = "http" if tls is None else "https"
+        self._base = f"{scheme}://{server}"
+        self._tls = tls
         self._headers = {"Authorization": f"Bearer {token}"}
         self._session: aiohttp.ClientSession | None = None
 
@@ -301,7 +312,7 @@
         url = yarl.URL(self._base + path, encoded=True)
         try:
             async with self._session.request(
-                method, url, data=body, headers=headers
+                method, url, data=body, headers=headers, ssl=self._tls or True
             ) as response:
                 return response.status, await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/packages/administration/tests/conftest.py
+++ b/packages/administration/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Makes the fakes of the configuration's tests importable."""
+"""Makes the helpers of these and of other packages' tests importable."""
 
 import pathlib
 import sys
@@ -7,3 +7,4 @@
 PACKAGES = HERE.parents[1]
 sys.path.insert(0, str(HERE))
 sys.path.insert(0, str(PACKAGES / "configuration" / "tests"))
+sys.path.insert(0, str(PACKAGES / "peers" / "tests"))
