--- a/packages/outcomes/poplarwick_outcomes/claims/client.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/client.py
@@ -101,12 +101,14 @@
         retry_s = MIN_RETRY_S
         searching_s = _now_s()
         is_claimed = False
+        may_be_stored = False
         while True:
             asked_s = _now_s()
             reply = await self._ask(attempt, end_s - asked_s)
             if not isinstance(reply, replies.NotOwner):
                 break
             is_claimed = is_claimed or reply.is_claimed
+            may_be_stored = may_be_stored or reply.is_lost
             if _now_s() - asked_s > OWNER_TIMEOUT_S:
                 searching_s, retry_s = _now_s(), MIN_RETRY_S
             give_up_s = min(end_s, searching_s + OWNER_TIMEOUT_S)
@@ -114,14 +116,14 @@
                 break
             await asyncio.sleep(retry_s)
             retry_s = min(2 * retry_s, MAX_RETRY_S)
-        if isinstance(reply, replies.NotOwner):
-            self.release(attempt)
-            if is_claimed:
-                return replies.Running()
-            return replies.Unavailable(MAX_RETRY_S)
-        if isinstance(reply, replies.Unavailable):
+        is_refused = isinstance(reply, (replies.NotOwner, replies.Unavailable))
+        if is_refused and may_be_stored:
             self.release(attempt)
-        return reply
+        if not isinstance(reply, replies.NotOwner):
+            return reply
+        if is_claimed:
+            return replies.Running()
+        return replies.Unavailable(MAX_RETRY_S)
 
     def resolve(
         self, attempt: records.Record, answer: records.Answer | None
@@ -150,9 +152,13 @@
             return replies.NotOwner()
         try:
             async with asyncio.timeout(timeout_s + REPLY_MARGIN_S):
-                return await owner.claim(attempt, timeout_s)
+                reply = await owner.claim(attempt, timeout_s)
         except (PeerError, TimeoutError):
-            return replies.NotOwner()
+            return replies.NotOwner(is_lost=True)
+        if isinstance(reply, replies.NotOwner):
+            # The owner may have lost the shard while it stored the claim.
+            return replies.NotOwner(reply.is_claimed, is_lost=True)
+        return reply
 
     def _start(
         self,
--- a/packages/outcomes/poplarwick_outcomes/claims/replies.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/replies.py
@@ -72,9 +72,11 @@
 
     Attributes:
         is_claimed: Whether another attempt held the claim when it did.
+        is_lost: Whether the claim may be stored all the same.
     """
 
     is_claimed: bool = False
+    is_lost: bool = False
 
 
 ClaimReply = (
--- a/packages/outcomes/tests/test_claim_shard.py
+++ b/packages/outcomes/tests/test_claim_shard.py
@@ -183,7 +183,7 @@
             await asyncio.sleep(6)
             reply = await shard.claim(make_attempt(world), 5)
             assert reply == replies.Granted()
-            index = [r.nonce for r in shard._index.values()]
+            index = [r.nonce for r in shard._book.index.values()]
             assert first.nonce not in index
 
     virtual_loop.run(main())
@@ -206,6 +206,25 @@
     virtual_loop.run(main())
 
 
+def test_attempt_is_not_granted_while_its_release_waits():
+    async def main():
+        async with open_world() as (world, shard):
+            first = make_attempt(world)
+            asked = asyncio.create_task(shard.claim(first, 5))
+            await asyncio.sleep(0.0001)
+            # The write is under way, so the claim is stored, then released.
+            await shard.release(first)
+            assert isinstance(await asked, replies.Unavailable)
+            await asyncio.sleep(0.05)
+            assert first.key in shard._book.index
+            reply = await shard.claim(first, 1)
+            assert isinstance(reply, replies.Unavailable)
+            reply = await shard.claim(make_attempt(world), 5)
+            assert reply == replies.Granted()
+
+    virtual_loop.run(main())
+
+
 def test_writes_do_not_grow_with_the_rate_of_calls():
     async def main():
         async with open_world() as (world, shard):
@@ -221,7 +240,7 @@
             elapsed_s = asyncio.get_running_loop().time()
             writes = world.service.writes - before
             assert writes <= elapsed_s / shards.MIN_COMMIT_INTERVAL_S + 1
-            states = [r.state for r in shard._index.values()]
+            states = [r.state for r in shard._book.index.values()]
             assert states == [records.State.ANSWERED] * 4_000
             all_shards = keys.SHARD_COUNT / shards.MIN_COMMIT_INTERVAL_S
             assert all_shards <= 50
