--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -6,6 +6,7 @@
 from poplarwick_core import ids
 from poplarwick_dispatch import dispatcher
 from poplarwick_dispatch import limits
+from poplarwick_outcomes.claims import service as shards
 from poplarwick_ownership import tenure
 
 
@@ -18,7 +19,15 @@
     """Takes a new version of the configuration into force."""
     local.apply_view(view)
     limiter.apply_view(view)
-    owner.set_resources(list_endpoints(view))
+    owner.set_resources((*list_endpoints(view), *list_shards(view)))
+
+
+def list_shards(view: document.View) -> tuple[tenure.Resource, ...]:
+    """Returns the shards of claims, spread over the regions."""
+    regions = sorted({domain.region for domain in view.document.domains})
+    if not regions:
+        return ()
+    return shards.make_resources([ids.RegionId(region) for region in regions])
 
 
 def list_endpoints(view: document.View) -> tuple[tenure.Resource, ...]:
