--- a/packages/ownership/tests/conftest.py
+++ b/packages/ownership/tests/conftest.py
@@ -1,8 +1,10 @@
-"""Makes the fakes of this folder importable by its tests."""
+"""Makes the fakes of this folder and of the peers importable by tests."""
 
 from __future__ import annotations
 
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
+_HERE = pathlib.Path(__file__).parent
+sys.path.insert(0, str(_HERE))
+sys.path.insert(0, str(_HERE.parent.parent / "peers" / "tests"))
--- a/packages/peers/tests/conftest.py
+++ b/packages/peers/tests/conftest.py
@@ -1,4 +1,6 @@
-"""Makes the helpers of these tests importable."""
+"""Makes the fakes of this folder importable by its tests."""
+
+from __future__ import annotations
 
 import pathlib
 import sys
--- a/packages/peers/tests/test_heartbeats.py
+++ b/packages/peers/tests/test_heartbeats.py
@@ -4,18 +4,12 @@
 
 import asyncio
 import dataclasses
-import importlib.util
-import pathlib
+
+import fleet_of_members as fleets
 
 from poplarwick_core import ids
 from poplarwick_peers import membership
 
-_spec = importlib.util.spec_from_file_location(
-    "fleet_of_members", pathlib.Path(__file__).parent / "fleet_of_members.py"
-)
-fleets = importlib.util.module_from_spec(_spec)
-_spec.loader.exec_module(fleets)
-
 State = membership.MemberState
 
 
