--- /dev/null
+++ b/packages/platform/poplarwick_platform/weights.py
@@ -0,0 +1,120 @@
+"""Client of the platform's rate-limited weight store.
+
+Engines download weights themselves; instances only learn sizes and the rate,
+so that they order no more loads at a time than the store can serve.
+"""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Self
+from typing import TypeVar
+from urllib import parse
+
+import aiohttp
+import msgspec
+
+from poplarwick_core import errors
+from poplarwick_core import ids
+
+READ_TIMEOUT_S = 5.0
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+
+T = TypeVar("T")
+
+
+class WeightStoreError(errors.PoplarwickError):
+    """The store could not be read."""
+
+
+class UnknownVersionError(WeightStoreError):
+    """The store does not hold this version."""
+
+
+class WeightLimits(msgspec.Struct, frozen=True):
+    """What the store can serve.
+
+    Attributes:
+        bytes_per_s: Rate that all downloads share.
+        max_downloads: Most downloads at once.
+    """
+
+    bytes_per_s: float
+    max_downloads: int
+
+
+class WeightVersion(msgspec.Struct, frozen=True):
+    """One version of a model's weights.
+
+    Attributes:
+        model: The model.
+        version: Name of the version.
+        size_bytes: Size of its weights.
+    """
+
+    model: ids.ModelId
+    version: str
+    size_bytes: int
+
+
+class WeightStoreClient:
+    """Reads limits and sizes over HTTP.
+
+    Args:
+        address: Host and port of the store.
+        timeout_s: Time in seconds after which a read has failed.
+    """
+
+    def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
+        self._base = f"http://{address}"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read_limits(self) -> WeightLimits:
+        """Returns what the store can serve.
+
+        Raises:
+            WeightStoreError: The store cannot be reached.
+        """
+        return await self._read("/limits", WeightLimits)
+
+    async def describe(self, model: ids.ModelId, version: str) -> WeightVersion:
+        """Returns the size of a version.
+
+        Raises:
+            UnknownVersionError: The store does not hold it.
+            WeightStoreError: The store cannot be reached.
+        """
+        names = (parse.quote(name, safe="") for name in (model, version))
+        path = "/models/{}/versions/{}".format(*names)
+        return await self._read(path, WeightVersion)
+
+    async def _read(self, path: str, kind: type[T]) -> T:
+        if self._session is None:
+            raise WeightStoreError("the client is closed")
+        try:
+            async with self._session.get(self._base + path) as response:
+                if response.status == _HTTP_NOT_FOUND:
+                    raise UnknownVersionError(path)
+                if response.status != _HTTP_OK:
+                    raise WeightStoreError(f"{path}: {response.status}")
+                return msgspec.json.decode(await response.read(), type=kind)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise WeightStoreError(repr(error)) from error
+        except msgspec.DecodeError as error:
+            raise WeightStoreError(f"malformed reply: {error}") from error
