--- a/packages/ownership/tests/test_leases.py
+++ b/packages/ownership/tests/test_leases.py
@@ -215,3 +215,28 @@
             )
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_no_storm_in_an_outage_and_after_it(monkeypatch):
+    async def scenario(loop):
+        count = 12
+        async with simulated.running(count=count, resources=48) as fleet:
+            await fleet.settle(20)
+            await fleet.pass_time(60)
+            service = fleet.service
+            service.is_out = True
+            await fleet.pass_time(5)
+            service.calls = 0
+            await fleet.pass_time(30)
+            # Each instance tries once in a tenth of a lease lifetime or less.
+            assert service.calls <= 30 * count * 10 / TTL_S
+            # All leases have ended when the service returns.
+            service.store.expire_leases()
+            service.calls = 0
+            service.is_out = False
+            await fleet.pass_time(1)
+            # Renewal, new lease and its key, a claim and its repetition.
+            assert service.calls <= 6 * count
+            await fleet.settle(40)
+
+    virtual_time.run(scenario, monkeypatch)
