Compare all resources only when something may have changed

Cause: every tick of 0.5 s compared all resources of the region. Change: a tick finds the candidates; the whole comparison runs on a change of records, leases, resources or candidates, while something is vacant, or every 5 s.

--- a/packages/ownership/poplarwick_ownership/_candidates.py
+++ b/packages/ownership/poplarwick_ownership/_candidates.py
@@ -41,18 +41,19 @@
         self._instances: list[ids.InstanceId] = []
         self._vacant_s: dict[tenure.Resource, float] = {}
 
-    def refresh(self, resources: Iterable[tenure.Resource]) -> None:
-        """Takes over what is known now.
+    @property
+    def has_vacant(self) -> bool:
+        """Whether a resource is known to have no owner."""
+        return bool(self._vacant_s)
+
+    def refresh(self) -> bool:
+        """Finds the candidates of now; returns whether they have changed.
 
         Candidates hold a living lease, so they can write claims, and have
         not come and gone lately. This instance is always one.
-
-        Args:
-            resources: All resources of the region.
         """
         now_s = self._read_clock()
-        own = self._members.own
-        region = [m for m in self._members.members if m.region == own.region]
+        region = self._list_region()
         present = {m.instance for m in region if m.state in _CAN_OWN}
         present &= self._view.holders
         self._stability.observe(present, now_s)
@@ -61,15 +62,22 @@
             for instance in present
             if self._stability.is_settled(instance, now_s)
         }
-        self._instances = sorted(settled | {own.instance})
+        before = self._instances
+        self._instances = sorted(settled | {self._members.own.instance})
+        return self._instances != before
+
+    def refresh_roster(self, resources: Iterable[tenure.Resource]) -> None:
+        """Takes over who may take part in a majority.
+
+        Args:
+            resources: All resources of the region.
+        """
+        region = self._list_region()
+        leaving = membership.MemberState.LEAVING
         self.roster.observe(
             {m.instance for m in region} | self._list_recorded(resources),
-            {
-                m.instance
-                for m in region
-                if m.state is membership.MemberState.LEAVING
-            },
-            now_s,
+            {m.instance for m in region if m.state is leaving},
+            self._read_clock(),
         )
 
     def is_best(self, resource: tenure.Resource) -> bool:
@@ -90,6 +98,15 @@
         """Records that a resource has an owner."""
         self._vacant_s.pop(resource, None)
 
+    def forget_all_but(self, resources: set[tenure.Resource]) -> None:
+        """Drops what is remembered of other resources."""
+        for resource in set(self._vacant_s) - resources:
+            del self._vacant_s[resource]
+
+    def _list_region(self) -> list[membership.Member]:
+        region = self._members.own.region
+        return [m for m in self._members.members if m.region == region]
+
     def _find_rank(self, resource: tenure.Resource) -> int:
         ranked = ranking.rank_owners(resource, self._instances)
         return ranked.index(self._members.own.instance)
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -27,6 +27,7 @@
 
 DEFAULT_TTL_S = 10
 TICK_S = 0.5
+SCAN_PERIOD_S = 5.0
 MIN_CHECK_S = 0.01
 CONFIRM_PERIOD_S = 0.3
 CONFIRM_BEFORE_S = 1.5
@@ -112,6 +113,7 @@
             self._view, lambda: self._lease.is_unavailable
         )
         self._resources: dict[tenure.ResourceKey, tenure.Resource] = {}
+        self._scanned_s = 0.0
         self._is_draining = False
         self._reconciling = asyncio.Lock()
         self._loops: list[asyncio.Task[None]] = []
@@ -131,6 +133,7 @@
             for resource in resources
             if resource.region == region
         }
+        self._candidates.forget_all_but(set(self._resources.values()))
         self._changed.set()
 
     def find_owner(self, resource: tenure.Resource) -> ids.InstanceId | None:
@@ -219,26 +222,42 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_S * random.uniform(0.8, 1.2)):
                     await self._changed.wait()
+            is_dirty = self._changed.is_set()
             self._changed.clear()
             try:
                 async with self._reconciling:
-                    await self._reconcile()
+                    await self._reconcile(is_dirty=is_dirty)
             except kv.LeaseLostError:
                 self._lease.forget()
                 self._holdings.stop_all()
             except kv.KvError as error:
                 logs.log_event("claim_failed", reason=error)
                 await asyncio.sleep(TICK_S * random.uniform(0.5, 1.5))
+                self._changed.set()
 
-    async def _reconcile(self) -> None:
-        """Compares what should be held with what is held."""
+    async def _reconcile(self, *, is_dirty: bool) -> None:
+        """Compares what should be held with what is held.
+
+        Args:
+            is_dirty: Whether records, leases or resources may have changed.
+        """
         self._stop_superseded()
         held = self._lease.held
         if held is None or not self._lease.is_valid:
             return
         if not self._view.is_loaded or self._is_draining:
             return
-        self._candidates.refresh(self._resources.values())
+        has_changed = self._candidates.refresh()
+        scan_age_s = self._read_clock() - self._scanned_s
+        if not (
+            is_dirty
+            or has_changed
+            or self._candidates.has_vacant
+            or scan_age_s >= SCAN_PERIOD_S
+        ):
+            return
+        self._scanned_s = self._read_clock()
+        self._candidates.refresh_roster(self._resources.values())
         claims = []
         for resource in self._resources.values():
             claim = self._consider(resource, held)
