Keep versions coming past paused peers and faulty listeners

Cause: a paused parent held a new version back for 7 s, and a fault in a listener would have ended the watch for good. Change: a parent is given 1 s, any other peer 2 s; faults of listeners and ends of tasks are logged; a head behind the version in force is logged; counters of versions, pulls and held marks.

--- a/packages/configuration/poplarwick_configuration/_contact.py
+++ b/packages/configuration/poplarwick_configuration/_contact.py
@@ -17,12 +17,19 @@
 from poplarwick_core import errors
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_core import metrics
 
-PARENT_WAIT_S = 2.0
+PARENT_WAIT_S = 0.8
+FETCH_TIMEOUT_S = 2.0
+PARENT_TIMEOUT_S = 1.0
 TREE_FANOUT = 4
 FORWARD_PEERS = 2
 START_PEERS = 8
 
+_PULLS = metrics.make_counter(
+    "configuration_pulls", "Questions to other instances about versions"
+)
+
 
 class PeerContact:
     """Asks other instances for what is newer.
@@ -96,6 +103,7 @@
                 head.version - 1,
                 tuple(self._state.sections),
                 PARENT_WAIT_S,
+                PARENT_TIMEOUT_S,
             )
 
     async def forward(self, held: tuple[marks.Mark, ...]) -> None:
@@ -113,8 +121,11 @@
         newer_than: int,
         known_sections: tuple[str, ...] = (),
         wait_s: float = 0.0,
+        timeout_s: float = FETCH_TIMEOUT_S,
     ) -> None:
-        found = await self._fetch(peer, newer_than, known_sections, wait_s)
+        found = await self._fetch(
+            peer, newer_than, known_sections, wait_s, timeout_s
+        )
         if found is not None:
             self._adopt(found)
 
@@ -124,19 +135,27 @@
         newer_than: int,
         known_sections: tuple[str, ...] = (),
         wait_s: float = 0.0,
+        timeout_s: float = FETCH_TIMEOUT_S,
     ) -> snapshot.Snapshot | None:
         try:
-            data = await self._peers.fetch_snapshot(
-                peer,
-                newer_than=newer_than,
-                known_sections=known_sections,
-                wait_s=wait_s,
-            )
+            async with asyncio.timeout(timeout_s):
+                data = await self._peers.fetch_snapshot(
+                    peer,
+                    newer_than=newer_than,
+                    known_sections=known_sections,
+                    wait_s=wait_s,
+                )
             self.last_contact_s = clock.now_s()
-            return snapshot.decode_snapshot(data)
-        except errors.PoplarwickError as error:
-            logs.log_event("configuration_pull_failed", peer=peer, reason=error)
+            found = snapshot.decode_snapshot(data)
+        except (errors.PoplarwickError, TimeoutError) as error:
+            reason = str(error) or "timeout"
+            logs.log_event(
+                "configuration_pull_failed", peer=peer, reason=reason
+            )
+            _PULLS.add(1, {"result": "failed"})
             return None
+        _PULLS.add(1, {"result": "answered"})
+        return found
 
     def _adopt(self, found: snapshot.Snapshot) -> None:
         try:
--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -183,7 +183,16 @@
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.log_event(
+                "configuration_task_failed",
+                "ERROR",
+                reason=repr(task.exception()),
+            )
 
     async def probe(self) -> bool:
         """Asks the key-value service and returns whether it answers."""
@@ -233,6 +242,13 @@
         self._last_answer_s = clock.now_s()
 
     async def _fetch(self, head: record.VersionRecord) -> None:
+        if head.version < self.version:
+            logs.log_event(
+                "configuration_head_behind",
+                "ERROR",
+                stored=head.version,
+                version=self.version,
+            )
         if head.version <= self.version:
             return
         known = self._state.sections
--- a/packages/configuration/poplarwick_configuration/state.py
+++ b/packages/configuration/poplarwick_configuration/state.py
@@ -14,9 +14,17 @@
 from poplarwick_configuration import store
 from poplarwick_core import jsonc
 from poplarwick_core import logs
+from poplarwick_core import metrics
 
 ViewListener = Callable[[document.View], None]
 
+_VERSIONS = metrics.make_counter(
+    "configuration_versions", "Versions that came in force here"
+)
+_HELD = metrics.make_counter(
+    "configuration_marks_held", "Marks that came in force before storage"
+)
+
 
 class VersionState:
     """Puts versions and marks in force; the version never goes down.
@@ -100,6 +108,7 @@
             author=new.author,
             change=new.change_id,
         )
+        _VERSIONS.add(1)
         self._refresh()
         return True
 
@@ -120,6 +129,7 @@
                 change=mark.change_id,
             )
         if new:
+            _HELD.add(len(new))
             self._has_unstored.set()
             self._refresh()
         return new
@@ -208,6 +218,19 @@
             effective = marks.apply_marks(self._parsed, out)
             self._view = document.View(self.version, effective)
             for listener in tuple(self._listeners):
-                listener(self._view)
+                _tell(listener, self._view)
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _tell(listener: ViewListener, view: document.View) -> None:
+    """Calls a listener; its fault must not keep versions from coming."""
+    try:
+        listener(view)
+    except Exception as error:
+        logs.log_event(
+            "configuration_listener_failed",
+            "ERROR",
+            version=view.version,
+            reason=repr(error),
+        )
--- a/packages/configuration/tests/fake_exchange.py
+++ b/packages/configuration/tests/fake_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from poplarwick_core import errors
 
 
@@ -11,13 +13,13 @@
     Attributes:
         followers: Running instances by id.
         cut: Pairs (asking, asked) that do not reach each other.
-        sections_sent: Number of sections that have travelled.
+        paused: Instances that never answer.
     """
 
     def __init__(self):
         self.followers = {}
         self.cut = set()
-        self.sections_sent = 0
+        self.paused = set()
 
     def open(self, own):
         return FakeExchange(self, own)
@@ -35,6 +37,8 @@
 
     async def fetch_snapshot(self, peer, *, newer_than, known_sections, wait_s):
         asked = self._find(peer)
+        if peer in self._network.paused:
+            await asyncio.Event().wait()
         data = await asked.make_snapshot(newer_than, known_sections, wait_s)
         self._find(peer)
         return data
--- a/packages/configuration/tests/test_spreading.py
+++ b/packages/configuration/tests/test_spreading.py
@@ -244,6 +244,33 @@
     run(check())
 
 
+def test_paused_parent_does_not_keep_a_version_from_its_children():
+    async def check():
+        async with running(6) as fleet:
+            fleet.network.paused.update(fleet.network.followers)
+            version = await fleet.push("c2", **make_wide_text({1}))
+            await fleet.wait_for(version)
+
+    run(check())
+
+
+def test_faulty_listener_does_not_keep_versions_from_coming():
+    async def check():
+        async with running(1) as fleet:
+
+            def fail(view):
+                raise ValueError("injected")
+
+            one = fleet.network.followers["i0"]
+            with pytest.raises(ValueError):
+                one.add_listener(fail)
+            for number in (2, 3):
+                await fleet.push(f"c{number}", weight=number, **TWO_DOMAINS)
+                await one.wait_for_version(number)
+
+    run(check())
+
+
 def test_lone_instance_probes_the_service(monkeypatch):
     monkeypatch.setattr(follower, "PROBE_AFTER_S", 0.01)
 
