Let a client certificate stand for an operator's token

Cause: the administration API knew tokens only. Measured: a known certificate is admitted with its role; an unknown one of the same authority, one of another authority, and none are refused (test). Conclusion: callers' connections are unchanged.

--- a/packages/administration/poplarwick_administration/_guard.py
+++ b/packages/administration/poplarwick_administration/_guard.py
@@ -112,6 +112,7 @@
             self._operators,
             self._documents.view,
             request.headers.get("Authorization", ""),
+            _read_certificate(request),
         )
         remote = f"address {request.remote}"
         caller = operator.name if operator is not None else remote
@@ -124,12 +125,21 @@
             logs.log_event("administration_denied", "WARNING", caller=remote)
             raise refusals.make_error(
                 messages.ErrorKind.UNAUTHENTICATED,
-                "a valid bearer token is needed",
+                "a valid bearer token or client certificate is needed",
             )
         request[_OPERATOR] = operator
         return await handler(request)
 
 
+def _read_certificate(request: web.Request) -> bytes | None:
+    """Returns the caller's certificate, which TLS has verified."""
+    connection = request.get_extra_info("ssl_object")
+    if connection is None:
+        return None
+    certificate: bytes | None = connection.getpeercert(binary_form=True)
+    return certificate
+
+
 def respond(body: msgspec.Struct, status: int = 200) -> web.Response:
     """Returns a JSON answer."""
     return web.Response(
--- a/packages/administration/poplarwick_administration/_session.py
+++ b/packages/administration/poplarwick_administration/_session.py
@@ -46,11 +46,22 @@
     )
     parser.add_argument(
         "--token-file",
-        required=True,
         metavar="FILE",
         type=pathlib.Path,
         help="file that holds the operator's token",
     )
+    parser.add_argument(
+        "--certificate",
+        metavar="FILE",
+        type=pathlib.Path,
+        help="certificate in PEM form in place of a token, with --authority",
+    )
+    parser.add_argument(
+        "--certificate-key",
+        metavar="FILE",
+        type=pathlib.Path,
+        help="private key of the certificate in PEM form",
+    )
     parser.add_argument(
         "--authority",
         metavar="FILE",
@@ -86,10 +97,14 @@
 
 def open_client(parsed: argparse.Namespace) -> client.AdministrationClient:
     """Returns a client of the instance that the options name."""
-    token = parsed.token_file.read_text(encoding="utf-8").strip()
+    token = None
+    if parsed.token_file is not None:
+        token = parsed.token_file.read_text(encoding="utf-8").strip()
     tls = None
     if parsed.authority is not None:
         tls = ssl.create_default_context(cafile=parsed.authority)
+    if tls is not None and parsed.certificate is not None:
+        tls.load_cert_chain(parsed.certificate, parsed.certificate_key)
     return client.AdministrationClient(parsed.server, token, tls)
 
 
--- a/packages/administration/poplarwick_administration/access.py
+++ b/packages/administration/poplarwick_administration/access.py
@@ -35,26 +35,35 @@
         role: What the operator may do.
         token_sha256: Hexadecimal SHA-256 digest of the bearer token.
         organisation: The organisation of an organisation administrator.
+        certificate_sha256: Hexadecimal SHA-256 digest of the certificate in
+            DER form that stands for the token.
     """
 
     name: str
     role: Role
-    token_sha256: str
+    token_sha256: str | None = None
     organisation: str | None = None
+    certificate_sha256: str | None = None
 
 
 def find_operator(
     operators: tuple[Operator, ...],
     view: document.View | None,
     authorization: str,
+    certificate: bytes | None = None,
 ) -> Operator | None:
     """Returns whose token an `Authorization` header carries.
 
+    Without the header the certificate decides.
+
     Args:
         operators: Operators named in the instance's settings.
         view: Document with the organisations' administrators.
         authorization: Value of the header.
+        certificate: Certificate in DER form that the caller proved to hold.
     """
+    if not authorization and certificate is not None:
+        return _find_holder(operators, certificate)
     if not authorization.startswith(BEARER_PREFIX):
         return None
     token = authorization.removeprefix(BEARER_PREFIX).strip()
@@ -75,6 +84,16 @@
     )
 
 
+def _find_holder(
+    operators: tuple[Operator, ...], certificate: bytes
+) -> Operator | None:
+    digest = hashlib.sha256(certificate).hexdigest()
+    for operator in operators:
+        if operator.certificate_sha256 == digest:
+            return operator
+    return None
+
+
 def may_view(operator: Operator) -> bool:
     """Returns whether an operator may read everything."""
     return operator.role in (Role.VIEWER, Role.OPERATOR)
--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -48,17 +48,23 @@
 
     Args:
         server: Host and port of the instance's administration address.
-        token: The operator's token.
+        token: The operator's token, or None if a certificate in `tls` says
+            who calls.
         tls: TLS settings, or None for plain HTTP.
     """
 
     def __init__(
-        self, server: str, token: str, tls: ssl.SSLContext | None = None
+        self,
+        server: str,
+        token: str | None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         scheme = "http" if tls is None else "https"
         self._base = f"{scheme}://{server}"
         self._tls = tls
-        self._headers = {"Authorization": f"Bearer {token}"}
+        self._headers: dict[str, str] = {}
+        if token is not None:
+            self._headers["Authorization"] = f"Bearer {token}"
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> AdministrationClient:
--- a/packages/administration/tests/serving.py
+++ b/packages/administration/tests/serving.py
@@ -59,12 +59,16 @@
 
     def __init__(self, folder, server, token="secret"):
         self._server = server
-        self._token_file = folder / f"token-{token}"
-        self._token_file.write_text(token + "\n")
+        self._token_file = None
+        if token is not None:
+            self._token_file = folder / f"token-{token}"
+            self._token_file.write_text(token + "\n")
 
     async def call(self, *arguments, answer=""):
         """Runs a command; returns exit code, output and error output."""
-        options = ("--server", self._server, "--token-file", self._token_file)
+        options = ["--server", self._server]
+        if self._token_file is not None:
+            options += ["--token-file", self._token_file]
         words = [str(word) for word in (*arguments, *options)]
         return await asyncio.to_thread(self._run, words, answer)
 
--- a/packages/administration/tests/test_tls.py
+++ b/packages/administration/tests/test_tls.py
@@ -7,15 +7,23 @@
 import fake_kv
 import serving
 from aiohttp import test_utils
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
 
+from poplarwick_administration import access
 from poplarwick_administration import api
 from poplarwick_configuration import follower
+from poplarwick_core import tls
 
 
 @contextlib.asynccontextmanager
-async def serve(certificate, key):
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(certificate, key)
+async def serve(files, operators=serving.OPERATORS):
+    context = tls.TlsContext(
+        files,
+        ssl.Purpose.CLIENT_AUTH,
+        require_peer=False,
+        accept_peer=True,
+    ).context
     kv = fake_kv.FakeKv()
     async with follower.Follower(kv, "trial") as documents:
         application = api.make_application(
@@ -23,7 +31,7 @@
             documents,
             instance="i1",
             environment="trial",
-            operators=serving.OPERATORS,
+            operators=operators,
             read_fleet=lambda: (),
         )
         server = test_utils.TestServer(application, scheme="https")
@@ -40,7 +48,7 @@
     async def check():
         files = certificates.Authority("own").issue(tmp_path / "own", "i1")
         other = certificates.Authority("other").issue(tmp_path / "other", "i1")
-        async with serve(files.certificate, files.key) as server:
+        async with serve(files) as server:
             shell = serving.Shell(tmp_path, server)
             code, out, _ = await shell.call(
                 "status", "--authority", files.authority
@@ -59,3 +67,54 @@
             assert code == 2
 
     serving.run(check())
+
+
+def digest(path):
+    certificate = x509.load_pem_x509_certificate(path.read_bytes())
+    return certificate.fingerprint(hashes.SHA256()).hex()
+
+
+def test_certificate_stands_for_a_token(tmp_path):
+    async def check():
+        authority = certificates.Authority("own")
+        files = authority.issue(tmp_path / "instance", "i1")
+        known = authority.issue(tmp_path / "known", "carla")
+        unknown = authority.issue(tmp_path / "unknown", "dora")
+        stranger = certificates.Authority("other").issue(
+            tmp_path / "stranger", "carla"
+        )
+        operator = access.Operator(
+            "carla",
+            access.Role.VIEWER,
+            certificate_sha256=digest(known.certificate),
+        )
+
+        async def call(shown, *words):
+            return await shell.call(
+                *words,
+                "--authority",
+                files.authority,
+                "--certificate",
+                shown.certificate,
+                "--certificate-key",
+                shown.key,
+            )
+
+        async with serve(files, (operator,)) as server:
+            shell = serving.Shell(tmp_path, server, token=None)
+            code, out, _ = await call(known, "status")
+            assert (code, "environment trial" in out) == (0, True)
+            out_words = ("domain", "out", "d1", "--environment", "trial")
+            code, _, err = await call(known, *out_words)
+            assert code == 1
+            assert "carla has the role viewer" in err
+            code, _, err = await call(unknown, "status")
+            assert (code, "certificate is needed" in err) == (1, True)
+            code, _, _ = await call(stranger, "status")
+            assert code == 1
+            code, _, err = await shell.call(
+                "status", "--authority", files.authority
+            )
+            assert (code, "certificate is needed" in err) == (1, True)
+
+    serving.run(check())
--- a/packages/core/poplarwick_core/tls.py
+++ b/packages/core/poplarwick_core/tls.py
@@ -41,6 +41,8 @@
         files: Files in PEM form.
         purpose: Side that this process takes.
         require_peer: Whether the other side must show a certificate.
+        accept_peer: Whether the other side may show one, which must then
+            chain to the authority.
         reload_period_s: Time between two looks at the files.
     """
 
@@ -50,12 +52,15 @@
         purpose: ssl.Purpose,
         *,
         require_peer: bool,
+        accept_peer: bool = False,
         reload_period_s: float = RELOAD_PERIOD_S,
     ) -> None:
         self._files = files
         self._reload_period_s = reload_period_s
         self._task: asyncio.Task[None] | None = None
         self.context = _make_context(files, purpose, require_peer)
+        if accept_peer and not require_peer:
+            self.context.verify_mode = ssl.CERT_OPTIONAL
         self._read_times = self._read_file_times()
 
     async def __aenter__(self) -> Self:
--- a/packages/node/poplarwick_node/builder.py
+++ b/packages/node/poplarwick_node/builder.py
@@ -82,7 +82,7 @@
     entry = await _make_entry(links, owning, limiting, built, stack)
     await callers.start(_make_caller_application(entry), stack)
     administration = _web.WebServer(
-        checked.listen.administration, links.caller_tls
+        checked.listen.administration, links.operator_tls
     )
     await administration.start(
         _make_administration(checked, links, built), stack
@@ -103,7 +103,8 @@
         exchange: Passes configuration between instances.
         calls: Session for calls to endpoints.
         peer_server_tls: TLS towards instances that connect to this one.
-        caller_tls: TLS towards callers and operators.
+        caller_tls: TLS towards callers.
+        operator_tls: TLS towards operators, who may show a certificate.
     """
 
     instance: ids.InstanceId
@@ -116,6 +117,7 @@
     calls: aiohttp.ClientSession
     peer_server_tls: ssl.SSLContext | None
     caller_tls: ssl.SSLContext | None
+    operator_tls: ssl.SSLContext | None
 
     def read_view(self) -> document.View | None:
         """Returns the configuration in force."""
@@ -142,6 +144,13 @@
     links.caller_tls = await _open_tls(
         checked.caller_tls, ssl.Purpose.CLIENT_AUTH, stack, require_peer=False
     )
+    links.operator_tls = await _open_tls(
+        checked.caller_tls,
+        ssl.Purpose.CLIENT_AUTH,
+        stack,
+        require_peer=False,
+        accept_peer=True,
+    )
     links.kv_client = await enter(
         gateway.connect(checked.key_value, instance=checked.instance)
     )
@@ -333,7 +342,10 @@
 ) -> web.Application:
     operators = tuple(
         access.Operator(
-            operator.name, access.Role(operator.role), operator.token_sha256
+            operator.name,
+            access.Role(operator.role),
+            operator.token_sha256,
+            certificate_sha256=operator.certificate_sha256,
         )
         for operator in checked.administrators
     )
@@ -354,6 +366,7 @@
     stack: contextlib.AsyncExitStack,
     *,
     require_peer: bool = True,
+    accept_peer: bool = False,
 ) -> ssl.SSLContext | None:
     if section is None:
         return None
@@ -361,6 +374,7 @@
         settings.make_certificate_files(section),
         purpose,
         require_peer=require_peer,
+        accept_peer=accept_peer,
     )
     await stack.enter_async_context(held)
     return held.context
--- a/packages/node/poplarwick_node/settings.py
+++ b/packages/node/poplarwick_node/settings.py
@@ -12,6 +12,7 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z")]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^/@?#\s]+:\d{1,5}\Z")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
 
 
@@ -54,11 +55,26 @@
         name: Name shown in the audit trail.
         role: What the operator may do.
         token_sha256: Hexadecimal SHA-256 digest of the operator's token.
+        certificate_sha256: The same of the operator's certificate in DER
+            form. At least one of the two is set.
     """
 
     name: Name
     role: Annotated[str, msgspec.Meta(pattern=r"^(viewer|operator)\Z")]
-    token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
+    token_sha256: Digest | None = None
+    certificate_sha256: Digest | None = None
+
+    def __post_init__(self) -> None:
+        """Checks that the operator can be told from others.
+
+        Raises:
+            ValueError: Neither digest is set.
+        """
+        if self.token_sha256 is None and self.certificate_sha256 is None:
+            raise ValueError(
+                "found neither token_sha256 nor certificate_sha256; at least "
+                "one of them"
+            )
 
 
 class Timing(_Section, frozen=True):
