Check large documents on a thread

Cause: a push of a large document held up the requests of the instance that took it. Change: checks, plans, differences, merges and edits of texts above 20,000 characters run on a thread.

--- a/packages/administration/poplarwick_administration/_changes.py
+++ b/packages/administration/poplarwick_administration/_changes.py
@@ -12,6 +12,7 @@
 from poplarwick_configuration import changes
 from poplarwick_configuration import difference
 from poplarwick_configuration import failures
+from poplarwick_configuration import offload
 from poplarwick_configuration import record
 from poplarwick_configuration import store
 from poplarwick_core import clock
@@ -107,7 +108,9 @@
             if refusal.head is not None and refusal.expected_version > 0:
                 old = await documents.load_text(refusal.expected_version)
                 new = await documents.read_text(refusal.head)
-                differences = list_differences(old.text, new.text)
+                differences = await offload.run_for_text(
+                    new.text, list_differences, old.text, new.text
+                )
         except failures.StoreError as error:
             logs.log_event("conflict_not_shown", "WARNING", reason=error)
         return refusals.make_superseded(refusal, differences)
--- a/packages/administration/poplarwick_administration/_documents.py
+++ b/packages/administration/poplarwick_administration/_documents.py
@@ -14,6 +14,7 @@
 from poplarwick_configuration import changes
 from poplarwick_configuration import compaction
 from poplarwick_configuration import failures
+from poplarwick_configuration import offload
 from poplarwick_configuration import promotion
 from poplarwick_configuration import record
 from poplarwick_configuration import store
@@ -89,8 +90,11 @@
             source_version=planned.source.version,
             target_version=planned.target.record.version,
             was_in_force=planned.was_in_force,
-            differences=_changes.list_differences(
-                planned.target.text, planned.merged
+            differences=await offload.run_for_text(
+                planned.merged,
+                _changes.list_differences,
+                planned.target.text,
+                planned.merged,
             ),
         )
         return _guard.respond(preview)
@@ -125,11 +129,14 @@
         source = self.desk.open_store(asked.source)
         promoted = await source.load_text(asked.version)
         target = await _load_current(self._open_store(request))
+        merged = await offload.run_for_text(
+            target.text, promotion.merge_texts, promoted.text, target.text
+        )
         return _Promotion(
             asked,
             promoted.record,
             target,
-            promotion.merge_texts(promoted.text, target.text),
+            merged,
             await source.is_confirmed(promoted.record.version),
         )
 
--- a/packages/administration/poplarwick_administration/_organisations.py
+++ b/packages/administration/poplarwick_administration/_organisations.py
@@ -5,6 +5,7 @@
 import dataclasses
 import secrets
 from collections.abc import Callable
+from typing import Concatenate
 from typing import ParamSpec
 
 import msgspec
@@ -19,6 +20,7 @@
 from poplarwick_configuration import changes
 from poplarwick_configuration import document
 from poplarwick_configuration import edit
+from poplarwick_configuration import offload
 from poplarwick_configuration import record
 from poplarwick_configuration import store
 from poplarwick_core import clock
@@ -48,7 +50,7 @@
         if not access.may_view(_guard.get_operator(request)):
             _guard.require_manager(request, name)
         stored = await self._load(request)
-        text = _edit(edit.cut_organisation, stored.text, name)
+        text = await _edit(edit.cut_organisation, stored.text, name)
         return _guard.respond(
             messages.SectionMessage(version=stored.record.version, text=text)
         )
@@ -59,8 +61,10 @@
         operator = _guard.require_manager(request, name)
         section = await _requests.read_text(request)
         stored = await self._load(request)
-        _check_section(operator, stored.text, name, section)
-        text = edit.replace_organisation(stored.text, name, section)
+        await _check_section(operator, stored.text, name, section)
+        text = await _edit(
+            edit.replace_organisation, stored.text, name, section
+        )
         return _guard.respond(
             await self._change(request, stored, text, f"section of {name}")
         )
@@ -73,13 +77,13 @@
         stored = await self._load(request)
         secret = SECRET_PREFIX + secrets.token_urlsafe(SECRET_BYTES)
         key = document.ApiKey(asked.id, access.digest_token(secret))
-        text = _edit(edit.add_key, stored.text, name, key)
+        text = await _edit(edit.add_key, stored.text, name, key)
         detail = f"key {asked.id} of {name} issued"
         if asked.replaces is not None:
             old = _find_key(stored.text, name, asked.replaces)
             expires_s = clock.wall_time_s() + asked.overlap_s
             old = msgspec.structs.replace(old, expires_s=expires_s)
-            text = _edit(edit.replace_key, text, name, old)
+            text = await _edit(edit.replace_key, text, name, old)
             detail += f" in place of {asked.replaces}"
         accepted = await self._change(request, stored, text, detail)
         if accepted.was_stored_before:
@@ -105,7 +109,7 @@
         stored = await self._load(request)
         key = _find_key(stored.text, name, key_id)
         key = msgspec.structs.replace(key, revoked=True)
-        text = _edit(edit.replace_key, stored.text, name, key)
+        text = await _edit(edit.replace_key, stored.text, name, key)
         return _guard.respond(
             await self._change(
                 request, stored, text, f"key {key_id} of {name} revoked"
@@ -134,11 +138,16 @@
         )
 
 
-def _edit(
-    function: Callable[P, str], *arguments: P.args, **options: P.kwargs
+async def _edit(
+    function: Callable[Concatenate[str, P], str],
+    text: str,
+    *arguments: P.args,
+    **options: P.kwargs,
 ) -> str:
     try:
-        return function(*arguments, **options)
+        return await offload.run_for_text(
+            text, function, text, *arguments, **options
+        )
     except edit.EditError as error:
         raise refusals.make_error(
             messages.ErrorKind.NOT_FOUND, str(error)
@@ -156,7 +165,7 @@
     )
 
 
-def _check_section(
+async def _check_section(
     operator: access.Operator, text: str, name: str, section: str
 ) -> None:
     """Refuses a section that is not valid or goes beyond the role."""
@@ -164,7 +173,7 @@
         new = jsonc.decode(section, document.Organisation, f"section {name}")
     except errors.DocumentError as error:
         raise refusals.make_bad_request(str(error)) from error
-    old_text = _edit(edit.cut_organisation, text, name)
+    old_text = await _edit(edit.cut_organisation, text, name)
     old = jsonc.decode(old_text, document.Organisation, f"section {name}")
     fields = ("id",) if access.may_change(operator) else OPERATOR_FIELDS
     for field in fields:
--- a/packages/configuration/poplarwick_configuration/_committer.py
+++ b/packages/configuration/poplarwick_configuration/_committer.py
@@ -20,6 +20,7 @@
 from poplarwick_configuration import changes
 from poplarwick_configuration import document
 from poplarwick_configuration import failures
+from poplarwick_configuration import offload
 from poplarwick_configuration import record
 from poplarwick_platform import kv
 
@@ -154,7 +155,9 @@
         change, head = request.change, state.head
         match change:
             case changes.NewText():
-                return _planning.plan_text(request, change, head)
+                return await offload.run_for_text(
+                    change.text, _planning.plan_text, request, change, head
+                )
             case changes.TakeOut(target=target):
                 if head is None:
                     return changes.UnknownTarget(target)
--- a/packages/configuration/poplarwick_configuration/store.py
+++ b/packages/configuration/poplarwick_configuration/store.py
@@ -20,6 +20,7 @@
 from poplarwick_configuration import document
 from poplarwick_configuration import failures
 from poplarwick_configuration import marks
+from poplarwick_configuration import offload
 from poplarwick_configuration import record
 from poplarwick_configuration import sections
 from poplarwick_core import clock
@@ -119,7 +120,12 @@
             What became of the change.
         """
         if isinstance(change, changes.NewText):
-            problems = _planning.check_text(change.text, self.environment)
+            problems = await offload.run_for_text(
+                change.text,
+                _planning.check_text,
+                change.text,
+                self.environment,
+            )
             if problems:
                 return result.Err(changes.Invalid(problems))
         request = _planning.Request(
