Commit the JSON schema of documents

Cause: the fields of a document stood in the code only. Change: 'poplarwick document schema' prints it; docs/reference holds it; a test compares both. Patterns use ECMAScript's end mark in schema and OpenAPI. Conclusion: editors can check a document while it is written.

--- a/packages/administration/poplarwick_administration/_document_commands.py
+++ b/packages/administration/poplarwick_administration/_document_commands.py
@@ -11,6 +11,7 @@
 from poplarwick_administration import _session
 from poplarwick_administration import messages
 from poplarwick_configuration import check
+from poplarwick_configuration import document
 from poplarwick_core import cli
 
 
@@ -27,6 +28,12 @@
     )
     checked.set_defaults(command=_check)
     checked.add_argument("file", metavar="FILE", type=pathlib.Path)
+    schema = commands.add_parser(
+        "schema",
+        help="prints the JSON schema of documents",
+        description="prints the JSON schema of documents",
+    )
+    schema.set_defaults(command=_print_schema)
     _add_push(commands)
     _add_reading(commands)
     _add_promote(commands)
@@ -119,6 +126,11 @@
     return cli.ExitCode.OK
 
 
+async def _print_schema(parsed: argparse.Namespace) -> cli.ExitCode:
+    print(document.encode_schema())
+    return cli.ExitCode.OK
+
+
 async def _push(parsed: argparse.Namespace) -> cli.ExitCode:
     text = _read_checked(parsed.file)
     if text is None:
--- a/packages/administration/poplarwick_administration/openapi.py
+++ b/packages/administration/poplarwick_administration/openapi.py
@@ -212,7 +212,9 @@
 
 def encode_description() -> str:
     """Returns the description as indented JSON text."""
-    return json.dumps(make_description(), indent=2, sort_keys=True) + "\n"
+    text = json.dumps(make_description(), indent=2, sort_keys=True)
+    # JSON schemas are read with ECMAScript's expressions, where "$" is the end.
+    return text.replace(r"\\Z", "$") + "\n"
 
 
 async def get_description(request: web.Request) -> web.Response:
--- a/packages/configuration/poplarwick_configuration/document.py
+++ b/packages/configuration/poplarwick_configuration/document.py
@@ -210,6 +210,14 @@
     instances_out: tuple[str, ...] = ()
 
 
+def encode_schema() -> str:
+    """Returns the JSON schema of documents as indented text."""
+    schema = msgspec.json.encode(msgspec.json.schema(Document))
+    # JSON schemas are read with ECMAScript's expressions, where "$" is the end.
+    schema = schema.replace(rb"\\Z", b"$")
+    return msgspec.json.format(schema).decode()
+
+
 class View:
     """Indexed read-only access to one version of a document.
 
--- a/packages/configuration/tests/test_check.py
+++ b/packages/configuration/tests/test_check.py
@@ -106,3 +106,9 @@
     assert sum(e.service is not None for e in parsed.endpoints) == services
     model = parsed.models[0]
     assert model.context_tokens > 2 * model.memory_tokens
+
+
+def test_committed_schema_is_that_of_the_code():
+    path = EXAMPLES.parent / "docs" / "reference" / "document.schema.json"
+    committed = path.read_text(encoding="utf-8")
+    assert committed == document.encode_schema() + "\n"
