--- a/packages/bench/poplarwick_bench/experiments/config.py
+++ b/packages/bench/poplarwick_bench/experiments/config.py
@@ -35,6 +35,7 @@
             asyncio.create_task(_watch(target.fleet, index, seen))
             for index in range(plan.instances)
         ]
+        first = await _count_audited(target.fleet)
         await makes.set_kv_faults(lost)
         refused = await asyncio.gather(
             _push(target.fleet, 0, changes_each, seen),
@@ -54,6 +55,7 @@
         "refused": sum(refused),
         "doubled_versions": len(versions) - len(set(versions)),
         "audit_missing": len(set(versions) - audited),
+        "stored_though_refused": len(audited - set(versions) - first),
         "in_force_p50_s": figures.compute_percentile_s(times, 50),
         "in_force_p99_s": figures.compute_percentile_s(times, 99),
         "never_in_force": sum(value < 0 for value in times),
--- a/packages/bench/poplarwick_bench/load.py
+++ b/packages/bench/poplarwick_bench/load.py
@@ -120,7 +120,7 @@
                 return asked_s * self._retry.pause_scale * jitter
             case outcome.Outcome.FAILED:
                 return LOST_ANSWER_PAUSE_S * jitter
+            case outcome.Outcome.UNKNOWN if not self._retry.retries_unknown:
+                return None
             case _:
-                if not self._retry.retries_unknown:
-                    return None
                 return LOST_ANSWER_PAUSE_S * jitter
--- a/packages/bench/poplarwick_bench/proxy.py
+++ b/packages/bench/poplarwick_bench/proxy.py
@@ -138,7 +138,7 @@
         direction: Direction,
     ) -> None:
         passed = 0
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._wait()
                 rules = self._rules
