Prefer endpoints that have cached the prompt's prefix

Cause: each prompt was prefilled anew wherever it landed. Change: prefix view from late, gapped events; expected time to first token picks the endpoint; hints count booked prefill and say where no endpoint is owned; metrics of grants and refusals.

--- a/packages/dispatch/poplarwick_dispatch/books.py
+++ b/packages/dispatch/poplarwick_dispatch/books.py
@@ -10,6 +10,7 @@
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import capacity
 from poplarwick_dispatch import health
+from poplarwick_dispatch import prefixes
 from poplarwick_dispatch import window
 from poplarwick_ownership import tenure as tenures
 
@@ -35,6 +36,7 @@
         is_suspect: Whether its exact state must be read soon.
         window: What it carries during a cold start.
         health: Its failures.
+        prefixes: Prompt prefixes that it is known to have cached.
         bookings: Places held now.
         memory_tokens: Memory booked.
         prompt_tokens: Prompt tokens of all places held.
@@ -56,6 +58,7 @@
         self.is_suspect = False
         self.window = window.ColdStartWindow(limits.cold_start)
         self.health = health.Health(now_s)
+        self.prefixes = prefixes.PrefixView()
         self.bookings: dict[ids.GrantId, bookings.Booking] = {}
         self.memory_tokens = 0
         self.prompt_tokens = 0
--- a/packages/dispatch/poplarwick_dispatch/dispatcher.py
+++ b/packages/dispatch/poplarwick_dispatch/dispatcher.py
@@ -15,7 +15,9 @@
 from poplarwick_core import logs
 from poplarwick_dispatch import bookings
 from poplarwick_dispatch import books
+from poplarwick_dispatch import cache_watch
 from poplarwick_dispatch import capacity
+from poplarwick_dispatch import measures
 from poplarwick_dispatch import monitor as monitors
 from poplarwick_dispatch import pool as pools
 from poplarwick_dispatch import queue
@@ -144,17 +146,20 @@
 
         Cancelling the call frees the place, whether it waited or was granted.
         """
-        if self._is_draining:
-            return refusals.make_refusal(
-                grant_pb2.REFUSAL_DRAINING, "the instance leaves"
-            )
-        pool = self._pools.get(_make_target(request))
-        if pool is None or not pool.books:
-            return refusals.make_refusal(
-                grant_pb2.REFUSAL_NOT_OWNER, "no endpoint here"
+        target = _make_target(request)
+        reply = await self._answer(target, request)
+        measures.count_reply(reply)
+        pool = self._pools.get(target)
+        if pool is not None and pool.books:
+            reply.room.append(pool.make_room())
+        else:
+            reply.room.append(
+                grant_pb2.Room(
+                    model=request.model,
+                    service=request.service,
+                    is_absent=True,
+                )
             )
-        reply = await self._acquire(pool, request)
-        reply.room.append(pool.make_room())
         return reply
 
     async def report(
@@ -200,15 +205,18 @@
     async def _start_monitor(
         self, pool: pools.Pool, book: books.EndpointBook
     ) -> None:
+        control = self._make_control(book.endpoint.address)
         monitor = monitors.EndpointMonitor(
             pool,
             book,
-            self._make_control(book.endpoint.address),
+            control,
             self._is_live,
             self._now_s,
         )
         stack = contextlib.AsyncExitStack()
         await stack.enter_async_context(monitor)
+        watch = cache_watch.CacheWatch(book.prefixes, control)
+        await stack.enter_async_context(watch)
         self._monitors[book.id] = (monitor, stack)
 
     async def _stop_monitor(self, endpoint: ids.EndpointId) -> None:
@@ -216,6 +224,20 @@
         if found is not None:
             await found[1].aclose()
 
+    async def _answer(
+        self, target: capacity.Target, request: grant_pb2.AcquireRequest
+    ) -> grant_pb2.AcquireReply:
+        if self._is_draining:
+            return refusals.make_refusal(
+                grant_pb2.REFUSAL_DRAINING, "the instance leaves"
+            )
+        pool = self._pools.get(target)
+        if pool is None or not pool.books:
+            return refusals.make_refusal(
+                grant_pb2.REFUSAL_NOT_OWNER, "no endpoint here"
+            )
+        return await self._acquire(pool, request)
+
     async def _acquire(
         self, pool: pools.Pool, request: grant_pb2.AcquireRequest
     ) -> grant_pb2.AcquireReply:
--- a/packages/dispatch/poplarwick_dispatch/placement.py
+++ b/packages/dispatch/poplarwick_dispatch/placement.py
@@ -85,7 +85,7 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda book: _score(book, waiter.cost))
+        return min(candidates, key=lambda book: _score(book, waiter))
 
     def count_long_endpoints(self, waiting_s: float) -> int:
         """Returns how many endpoints may prefill long prompts now.
@@ -140,8 +140,20 @@
         return waiter.cost.memory_tokens + held_tokens <= book.free_tokens
 
 
-def _score(book: books.EndpointBook, cost: capacity.Cost) -> tuple[float, int]:
-    wait_s = book.estimate_wait_s(cost.length_class)
+def _score(book: books.EndpointBook, waiter: queue.Waiter) -> tuple[float, int]:
+    """Returns the expected time to first token, then the load.
+
+    A cached prefix counts for the prefill that it saves, so that affinity
+    yields as soon as the wait behind it costs more.
+    """
+    cost = waiter.cost
+    first_s = book.estimate_wait_s(cost.length_class)
     if book.has_long_prefill and cost.length_class is not _LONG:
-        wait_s += INTERFERENCE_S
-    return (wait_s, len(book.bookings))
+        first_s += INTERFERENCE_S
+    if cost.prefill_s > 0:
+        cached = book.prefixes.estimate_cached_tokens(
+            waiter.request.prefix_digests
+        )
+        saved = min(cached / cost.prompt_tokens, 1.0)
+        first_s -= saved * cost.prefill_s
+    return (first_s, len(book.bookings))
--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -157,13 +157,20 @@
 
     def make_room(self) -> grant_pb2.Room:
         """Returns the hint about free capacity that rides on replies."""
-        endpoints = max(len(self.books), 1)
-        waiting_s = sum(q.work_s for q in self.queues.values())
         open_books = self.placement.open_books
+        waiting_s = sum(
+            class_queue.work_s
+            for length_class, class_queue in self.queues.items()
+            if length_class is not _LONG
+        )
+        waiting_s += sum(
+            book.estimate_wait_s(capacity.LengthClass.MEDIUM)
+            for book in open_books
+        )
         return grant_pb2.Room(
             model=self.target.model or "",
             service=self.target.service or "",
-            queue_s=waiting_s / endpoints,
+            queue_s=waiting_s / max(len(open_books), 1),
             free_tokens=max((b.free_tokens for b in open_books), default=0),
         )
 
--- a/packages/dispatch/poplarwick_dispatch/router.py
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -14,8 +14,8 @@
 
 MAX_HOPS = 4
 HINT_TTL_S = 2.0
+ABSENT_TTL_S = 10.0
 BUSY_QUEUE_S = 0.5
-LONG_PROMPT_TOKENS = 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,10 +57,13 @@
         target = request.model or request.service
         instances = (member.instance for member in members)
         ranked = _rendezvous.rank(_make_key(request), instances)
-        present = [i for i in ranked if not self._is_absent(i, target)]
-        chosen = present or ranked
-        chosen.sort(key=lambda i: self._is_busy(i, target, request))
-        return chosen[:MAX_HOPS]
+        ranked.sort(
+            key=lambda instance: (
+                self._is_absent(instance, target),
+                self._is_busy(instance, target, request),
+            )
+        )
+        return ranked[:MAX_HOPS]
 
     def note_rooms(
         self, instance: ids.InstanceId, rooms: Iterable[grant_pb2.Room]
@@ -69,20 +72,12 @@
         now_s = self._now_s()
         for room in rooms:
             key = (instance, room.model or room.service)
+            if room.is_absent:
+                self._absent[key] = now_s
+                continue
             self._hints[key] = _Hint(room.queue_s, room.free_tokens, now_s)
             self._absent.pop(key, None)
 
-    def note_refusal(
-        self,
-        instance: ids.InstanceId,
-        target: str,
-        reason: grant_pb2.RefusalReason,
-    ) -> None:
-        """Remembers that an instance has no endpoint or no room."""
-        now_s = self._now_s()
-        if reason == grant_pb2.REFUSAL_NOT_OWNER:
-            self._absent[(instance, target)] = now_s
-
     def forget(self, instance: ids.InstanceId) -> None:
         """Drops all hints of an instance that left."""
         for hints in (self._hints, self._absent):
@@ -91,7 +86,7 @@
 
     def _is_absent(self, instance: ids.InstanceId, target: str) -> bool:
         at_s = self._absent.get((instance, target))
-        return at_s is not None and self._now_s() - at_s < HINT_TTL_S
+        return at_s is not None and self._now_s() - at_s < ABSENT_TTL_S
 
     def _is_busy(
         self,
--- a/packages/dispatch/tests/dispatch_fakes.py
+++ b/packages/dispatch/tests/dispatch_fakes.py
@@ -62,6 +62,7 @@
     streams: dict[str, messages.StreamState] = dataclasses.field(
         default_factory=dict
     )
+    events: list[messages.CacheEvent] = dataclasses.field(default_factory=list)
     cancelled: list[str] = dataclasses.field(default_factory=list)
 
     def start(self, stream, memory_tokens=0, epoch=1, state="running"):
@@ -83,6 +84,13 @@
         await self._answer()
         return messages.EngineReport(now_s(), self.restart_id)
 
+    async def read_cache_events(self, after, wait_s):
+        await self._answer()
+        found = tuple(e for e in self.events if e.seq > after)
+        if not found:
+            await asyncio.sleep(1)
+        return messages.CacheEvents(self.restart_id, found)
+
     async def cancel(self, stream, epoch):
         await self._answer()
         self.cancelled.append(stream)
