--- a/packages/entry/poplarwick_entry/completions.py
+++ b/packages/entry/poplarwick_entry/completions.py
@@ -8,6 +8,7 @@
 from poplarwick_entry import admission
 from poplarwick_entry import answers
 from poplarwick_entry import authentication
+from poplarwick_entry import bodies
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import headers
@@ -33,7 +34,7 @@
     organisation = authentication.authenticate(request, view)
     checked = parameters.parse_completion(
         api,
-        await request.read(),
+        await bodies.read_body(request),
         organisation,
         view,
         priority=request.headers.get(headers.PRIORITY),
