--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -21,6 +21,8 @@
 KEEP_S = 10.0
 END_MARGIN_S = 5.0
 LEAD_S = 1.0
+LAST_HOP = 3
+FULL_QUEUE_S = 1.0
 QUEUE_BOUND_S = {
     capacity.LengthClass.SHORT: 2.0,
     capacity.LengthClass.MEDIUM: 15.0,
@@ -66,6 +68,7 @@
         self.queues = {c: queue.ClassQueue() for c in capacity.LengthClass}
         self.counters = fairness.ServiceCounters()
         self.pace = pace.Pace()
+        self._smallest = limits.estimate(1, 1)
         self._grants = grants
         self._now_s = now_s
 
@@ -89,6 +92,10 @@
             return
         class_queue = self.queues[waiter.cost.length_class]
         wait_s = self.estimate_wait_s(waiter)
+        if not self.limits.is_service and waiter.request.hops < LAST_HOP:
+            # Another owner may have room now; it costs one exchange to ask.
+            self._refuse_full(waiter, wait_s)
+            return
         if self._now_s() + wait_s > waiter.latest_start_s:
             self._refuse_full(waiter, wait_s)
             return
@@ -167,6 +174,8 @@
             book.estimate_wait_s(capacity.LengthClass.MEDIUM)
             for book in open_books
         )
+        if not any(book.has_room(self._smallest) for book in open_books):
+            waiting_s += FULL_QUEUE_S * len(open_books)
         return grant_pb2.Room(
             model=self.target.model or "",
             service=self.target.service or "",
--- a/packages/dispatch/poplarwick_dispatch/router.py
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -52,7 +52,8 @@
             members: Live instances of the region.
 
         Returns:
-            At most `MAX_HOPS` instances.
+            At most `MAX_HOPS` instances. If there are fewer, the best one comes
+            again for a model: a request waits only at the last hop.
         """
         target = request.model or request.service
         instances = (member.instance for member in members)
@@ -63,6 +64,8 @@
                 self._is_busy(instance, target, request),
             )
         )
+        if ranked and request.model:
+            ranked += [ranked[0]] * (MAX_HOPS - len(ranked))
         return ranked[:MAX_HOPS]
 
     def note_rooms(
@@ -78,6 +81,16 @@
             self._hints[key] = _Hint(room.queue_s, room.free_tokens, now_s)
             self._absent.pop(key, None)
 
+    def note_refusal(
+        self,
+        instance: ids.InstanceId,
+        target: str,
+        reason: grant_pb2.RefusalReason,
+    ) -> None:
+        """Remembers that an instance owns no endpoint of a target."""
+        if reason == grant_pb2.REFUSAL_NOT_OWNER:
+            self._absent[(instance, target)] = self._now_s()
+
     def forget(self, instance: ids.InstanceId) -> None:
         """Drops all hints of an instance that left."""
         for hints in (self._hints, self._absent):
--- a/packages/dispatch/tests/dispatch_fakes.py
+++ b/packages/dispatch/tests/dispatch_fakes.py
@@ -233,6 +233,7 @@
         "output_tokens": output,
         "timeout_s": 120.0,
         "entry_instance": "i2",
+        "hops": pool.LAST_HOP,
         **changes,
     }
     return grant_pb2.AcquireRequest(**options)
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
 import pytest
 
 from poplarwick_dispatch import dispatcher as dispatchers
+from poplarwick_dispatch import pool
 from poplarwick_peers.wire import grant_pb2
 
 
@@ -57,6 +58,18 @@
     fakes.run(main())
 
 
+def test_request_waits_only_at_the_last_hop():
+    async def main():
+        view = fakes.make_view(endpoints=1, model=fakes.make_model(max_batch=1))
+        async with fakes.Bed(view) as bed:
+            await bed.acquire(hops=0)
+            reply = await bed.acquire(hops=0)
+            assert reply.refusal.reason == grant_pb2.REFUSAL_NO_ROOM
+            assert reply.room[0].queue_s >= pool.FULL_QUEUE_S
+
+    fakes.run(main())
+
+
 def test_waiting_request_is_refused_when_it_cannot_end_in_time():
     async def main():
         view = fakes.make_view(endpoints=1, model=fakes.make_model(max_batch=1))
--- a/packages/dispatch/tests/test_router.py
+++ b/packages/dispatch/tests/test_router.py
@@ -51,12 +51,19 @@
     subject.note_rooms(ranked[0], [room])
     absent = grant_pb2.Room(model="m", is_absent=True)
     subject.note_rooms(ranked[1], [absent])
-    assert _rank(subject)[0] == ranked[2]
-    assert ranked[1] not in _rank(subject)
-
-
-def test_hops_are_bounded():
-    assert len(_rank(routers.Router())) == routers.MAX_HOPS
+    subject.note_refusal(ranked[2], "m", grant_pb2.REFUSAL_NOT_OWNER)
+    assert _rank(subject)[0] == ranked[3]
+    assert not {ranked[1], ranked[2]} & set(_rank(subject))
+
+
+def test_hops_are_bounded_and_few_members_are_asked_again():
+    for members in (MEMBERS, MEMBERS[:2], MEMBERS[:1]):
+        ranked = _rank(routers.Router(), members=members)
+        assert len(ranked) == routers.MAX_HOPS
+        distinct = min(len(members), routers.MAX_HOPS)
+        assert len(set(ranked)) == distinct
+        assert distinct == routers.MAX_HOPS or ranked[-1] == ranked[0]
+    assert _rank(routers.Router(), members=()) == []
 
 
 def test_forgotten_instance_leaves_no_hint():
