Ask only owners, then wait where the queue is shortest

Cause: a request was sent to instances that own nothing, and waited at the last of four whatever its queue; instances of other regions were ranked too.

--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import types
+from collections.abc import Callable
 from typing import Self
 
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_dispatch import dispatcher
+from poplarwick_dispatch import pool
 from poplarwick_dispatch import router
 from poplarwick_endpoints import generation
 from poplarwick_entry import problems
@@ -20,7 +23,6 @@
 from poplarwick_peers.wire import grant_grpc
 from poplarwick_peers.wire import grant_pb2
 
-MAX_HOPS = 4
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 3.0
 
@@ -155,6 +157,39 @@
         self._end.detail = detail
 
 
+class _Search:
+    """What the dispatchers asked so far have answered."""
+
+    def __init__(self) -> None:
+        self.refusal = grant_pb2.Refusal(
+            reason=grant_pb2.REFUSAL_NOT_OWNER,
+            detail="no instance owns an endpoint that serves this",
+        )
+        self.shortest_queue: ids.InstanceId | None = None
+        self._queue_s = math.inf
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no other dispatcher would answer otherwise."""
+        return self.refusal.reason in _FINAL_REASONS
+
+    def note(
+        self, instance: ids.InstanceId, reply: grant_pb2.AcquireReply
+    ) -> None:
+        """Takes in a refusal and the queue behind it."""
+        self.refusal = _choose_refusal(self.refusal, reply.refusal)
+        if reply.refusal.reason != grant_pb2.REFUSAL_NO_ROOM:
+            return
+        queue_s = sum(room.queue_s for room in reply.room)
+        if queue_s < self._queue_s:
+            self._queue_s = queue_s
+            self.shortest_queue = instance
+
+
+FindOwners = Callable[[str, str], frozenset[ids.InstanceId]]
+"""Returns the instances that own endpoints of a model or a service."""
+
+
 class GrantBroker:
     """Asks dispatchers for grants.
 
@@ -164,6 +199,7 @@
         local: Dispatcher of this instance.
         channels: Connections to other instances.
         reporter: Sends reports about granted requests.
+        find_owners: Tells which instances own suitable endpoints.
     """
 
     def __init__(
@@ -173,7 +209,9 @@
         local: dispatcher.Dispatcher,
         channels: transport.ChannelPool,
         reporter: reports.Reporter,
+        find_owners: FindOwners,
     ) -> None:
+        self._find_owners = find_owners
         self._members = members
         self._router = router
         self._local = local
@@ -194,31 +232,57 @@
             problems.RequestEnded: No dispatcher grants the request.
         """
         request = self._make_request(demand, excluded, version)
-        refusal = grant_pb2.Refusal(
-            reason=grant_pb2.REFUSAL_NOT_OWNER,
-            detail="no instance owns an endpoint that serves this",
-        )
-        ranked = self._router.rank(request, self._members.members)
-        for hop, instance in enumerate(ranked[:MAX_HOPS]):
-            if demand.deadline.has_passed:
+        search = _Search()
+        ranked = self._router.rank(request, self._list_candidates(demand))
+        for hop, instance in enumerate(dict.fromkeys(ranked[:-1])):
+            held = await self._try(instance, hop, request, demand, search)
+            if held is not None:
+                return held
+            if search.is_over:
                 break
-            request.hops = hop
-            request.timeout_s = demand.deadline.remaining_s
-            reply = await self._ask(instance, request)
-            if reply is None:
-                continue
-            self._router.note_rooms(instance, reply.room)
-            if reply.HasField("grant"):
-                return HeldGrant(
-                    reply.grant, instance, demand.priority, self._reporter
-                )
-            self._router.note_refusal(
-                instance, demand.model or demand.service, reply.refusal.reason
+        # Nobody has room at once: wait at the owner with the shortest queue.
+        waiting_at = search.shortest_queue or (ranked[-1] if ranked else None)
+        if waiting_at is not None and not search.is_over:
+            held = await self._try(
+                waiting_at, pool.LAST_HOP, request, demand, search
             )
-            refusal = _choose_refusal(refusal, reply.refusal)
-            if refusal.reason in _FINAL_REASONS:
-                break
-        raise make_error(refusal)
+            if held is not None:
+                return held
+        raise make_error(search.refusal)
+
+    def _list_candidates(self, demand: Demand) -> list[membership.Member]:
+        owners = self._find_owners(demand.model, demand.service)
+        members = self._members.members
+        owning = [m for m in members if m.instance in owners]
+        region = self._members.own.region
+        nearby = [m for m in owning if m.region == region]
+        return nearby or owning or [m for m in members if m.region == region]
+
+    async def _try(
+        self,
+        instance: ids.InstanceId,
+        hop: int,
+        request: grant_pb2.AcquireRequest,
+        demand: Demand,
+        search: _Search,
+    ) -> HeldGrant | None:
+        if demand.deadline.has_passed:
+            return None
+        request.hops = hop
+        request.timeout_s = demand.deadline.remaining_s
+        reply = await self._ask(instance, request)
+        if reply is None:
+            return None
+        self._router.note_rooms(instance, reply.room)
+        if reply.HasField("grant"):
+            return HeldGrant(
+                reply.grant, instance, demand.priority, self._reporter
+            )
+        self._router.note_refusal(
+            instance, demand.model or demand.service, reply.refusal.reason
+        )
+        search.note(instance, reply)
+        return None
 
     def _make_request(
         self, demand: Demand, excluded: frozenset[ids.EndpointId], version: int
--- a/packages/node/poplarwick_node/builder.py
+++ b/packages/node/poplarwick_node/builder.py
@@ -26,6 +26,7 @@
 from poplarwick_entry import reports
 from poplarwick_node import _fleet
 from poplarwick_node import _limits
+from poplarwick_node import _owners
 from poplarwick_node import _resources
 from poplarwick_node import _shards
 from poplarwick_node import _telemetry
@@ -327,7 +328,12 @@
         )
     )
     return grants.GrantBroker(
-        links.members, routes, owning.local, links.channels, reporter
+        links.members,
+        routes,
+        owning.local,
+        links.channels,
+        reporter,
+        _owners.OwnerIndex(links.read_view, owning.owner).find,
     )
 
 
