--- a/packages/peers/poplarwick_peers/heartbeats.py
+++ b/packages/peers/poplarwick_peers/heartbeats.py
@@ -8,14 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
 from types import TracebackType
-from typing import Protocol
 from typing import Self
 
 from grpclib import server
@@ -24,6 +22,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_peers import _channels
+from poplarwick_peers import _discovery
 from poplarwick_peers import _heartbeat_wire
 from poplarwick_peers import _probes
 from poplarwick_peers import _ring
@@ -32,13 +31,8 @@
 from poplarwick_peers import membership
 from poplarwick_peers.wire import heartbeat_grpc
 from poplarwick_peers.wire import heartbeat_pb2
-from poplarwick_platform import instances
 
 MAX_UPDATES = 8
-DISCOVERY_PERIOD_S = 2.0
-DISCOVERY_INSTANCES_PER_S = 16
-RECONNECT_PERIOD_S = 1.0
-FORGET_DEAD_S = 600.0
 SUSPICION_MIN_PERIODS = 2.0
 SUSPICION_MAX_PERIODS = 3.0
 PAUSE_PERIODS = 3.0
@@ -49,14 +43,6 @@
 _State = membership.MemberState
 
 
-class InstanceSource(Protocol):
-    """Where instances are discovered."""
-
-    async def read(self) -> tuple[instances.ListedInstance, ...]:
-        """Returns the listed instances."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hints:
     """What rides on heartbeats beside membership.
@@ -113,13 +99,12 @@
     def __init__(
         self,
         own: membership.Member,
-        source: InstanceSource,
+        source: _discovery.InstanceSource,
         period_s: float = 0.5,
         open_channel: _channels.OpenChannel = _channels.open_plain_channel,
         hints: Hints | None = None,
     ) -> None:
         self.service = HeartbeatService(self)
-        self._source = source
         self._period_s = period_s
         self._hints = hints or Hints()
         self._roster = _roster.Roster(own, self._handle_change)
@@ -134,8 +119,9 @@
         self._prober = _probes.Prober(self._channels, period_s)
         self._ring = _ring.Ring(own.instance)
         self._listeners: list[Callable[[MemberChange], None]] = []
-        self._listed: frozenset[ids.InstanceId] = frozenset()
-        self._died_s: dict[ids.InstanceId, float] = {}
+        self._discovery = _discovery.Discovery(
+            source, self._roster, lambda m: self._exchange(m, period_s)
+        )
         self._news = asyncio.Event()
         self._is_different: set[ids.InstanceId] = set()
         self._monitors: dict[ids.InstanceId, asyncio.Task[None]] = {}
@@ -167,7 +153,11 @@
         self._roster.set_own_state(_State.LEAVING)
 
     async def __aenter__(self) -> Self:
-        loops = (self._discover(), self._reconnect(), self._check_suspicions())
+        loops = (
+            self._discovery.follow_list(),
+            self._discovery.reconnect(),
+            self._check_suspicions(),
+        )
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         self._assign_monitors()
         return self
@@ -277,11 +267,9 @@
     def _handle_change(self, change: MemberChange) -> None:
         member = change.after
         before = change.before.state if change.before else None
+        self._discovery.note(member)
         if member.state is _State.DEAD:
-            self._died_s[member.instance] = clock.now_s()
             self._is_different.discard(member.instance)
-        else:
-            self._died_s.pop(member.instance, None)
         if member.state is not _State.ALIVE:
             news, self._news = self._news, asyncio.Event()
             news.set()
@@ -417,40 +405,6 @@
                     dataclasses.replace(member, state=_State.DEAD)
                 )
 
-    async def _discover(self) -> None:
-        while True:
-            with contextlib.suppress(instances.InstanceListError):
-                self._take_list(await self._source.read())
-            period_s = max(
-                DISCOVERY_PERIOD_S,
-                len(self._listed) / DISCOVERY_INSTANCES_PER_S,
-            )
-            await asyncio.sleep(period_s * random.uniform(0.75, 1.25))
-
-    def _take_list(self, listed: tuple[instances.ListedInstance, ...]) -> None:
-        self._listed = frozenset(entry.instance for entry in listed)
-        for entry in listed:
-            if self._roster.find(entry.instance) is None:
-                self._roster.merge(_make_listed_member(entry))
-        now_s = clock.now_s()
-        for instance, died_s in list(self._died_s.items()):
-            is_listed = instance in self._listed
-            if not is_listed and now_s - died_s > FORGET_DEAD_S:
-                self._roster.forget(instance)
-                del self._died_s[instance]
-
-    async def _reconnect(self) -> None:
-        """Pings dead instances that are still listed, one at a time."""
-        while True:
-            await asyncio.sleep(RECONNECT_PERIOD_S * random.uniform(0.5, 1.5))
-            dead = [
-                member
-                for member in self._roster.list_dead()
-                if member.instance in self._listed
-            ]
-            if dead:
-                await self._exchange(random.choice(dead), self._period_s)
-
 
 class HeartbeatService(heartbeat_grpc.HeartbeatServiceBase):
     """gRPC side of the membership of one instance."""
@@ -479,17 +433,3 @@
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(await self._view.answer_probe(request))
-
-
-def _make_listed_member(
-    entry: instances.ListedInstance,
-) -> membership.Member:
-    is_leaving = entry.state is instances.ListedState.LEAVING
-    return membership.Member(
-        instance=entry.instance,
-        address=entry.address,
-        domain=entry.domain,
-        region=entry.region,
-        incarnation=0,
-        state=_State.LEAVING if is_leaving else _State.ALIVE,
-    )
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -16,6 +16,7 @@
 
 from poplarwick_core import logs
 from poplarwick_platform import _budget
+from poplarwick_platform import _gateway_codec as codec
 from poplarwick_platform import _gateway_messages as messages
 from poplarwick_platform import _telemetry
 from poplarwick_platform import kv
@@ -27,11 +28,7 @@
 WATCH_RETRY_MAX_S = 2.0
 INSTANCE_HEADER = "x-poplarwick-instance"
 _LEASE_ID_BITS = 62
-_CODE_NOT_FOUND = 5
-_CODE_RESOURCE_EXHAUSTED = 8
 _HTTP_OK = 200
-_HTTP_SERVER_ERROR = 500
-_HTTP_TOO_MANY_REQUESTS = 429
 
 Reply = TypeVar("Reply", bound=messages.Message)
 
@@ -107,13 +104,13 @@
         """Reads one key, or all keys that begin with `key`."""
         reply = await self._call(
             "/v3/kv/range",
-            _make_range(key, is_prefix),
+            codec.make_range(key, is_prefix),
             messages.RangeReply,
             purpose,
             is_write=False,
         )
         return kv.Snapshot(
-            tuple(_make_entry(found) for found in reply.kvs),
+            tuple(codec.make_entry(found) for found in reply.kvs),
             kv.Revision(reply.header.revision),
         )
 
@@ -125,10 +122,10 @@
     ) -> kv.TransactionResult:
         """Applies all operations if all conditions hold."""
         request = messages.TxnRequest(
-            compare=tuple(_make_compare(c) for c in conditions),
-            success=tuple(_make_operation(o) for o in operations),
+            compare=tuple(codec.make_compare(c) for c in conditions),
+            success=tuple(codec.make_operation(o) for o in operations),
             failure=tuple(
-                messages.RequestOp(request_range=_make_range(c.key, False))
+                messages.RequestOp(request_range=codec.make_range(c.key, False))
                 for c in conditions
             ),
         )
@@ -141,7 +138,7 @@
         ranges = (r.response_range for r in reply.responses)
         return kv.Conflict(
             revision,
-            tuple(_make_entry(kvs) for r in ranges if r for kvs in r.kvs),
+            tuple(codec.make_entry(kvs) for r in ranges if r for kvs in r.kvs),
         )
 
     async def grant_lease(self, ttl_s: int, purpose: kv.Purpose) -> kv.LeaseId:
@@ -198,8 +195,10 @@
                             f"history before {result.compact_revision} is gone"
                         )
                     if result.events:
-                        yield tuple(_make_change(e) for e in result.events)
-                    start = kv.Revision(max(start, _find_next_revision(result)))
+                        yield tuple(codec.make_change(e) for e in result.events)
+                    start = kv.Revision(
+                        max(start, codec.find_next_revision(result))
+                    )
             except kv.UnavailableError as error:
                 logs.log_event("watch_lost", level="DEBUG", reason=error)
             await asyncio.sleep(random.uniform(0, pause_s))
@@ -209,7 +208,7 @@
         self, key: str, start: kv.Revision, is_prefix: bool
     ) -> AsyncIterator[messages.WatchResult]:
         session = self._open_session()
-        wanted = _make_range(key, is_prefix)
+        wanted = codec.make_range(key, is_prefix)
         request = messages.WatchRequest(
             messages.WatchCreateRequest(
                 key=wanted.key,
@@ -234,7 +233,7 @@
                     raise kv.UnavailableError(f"watch: {response.status}")
                 with _telemetry.count_watch():
                     async for line in response.content:
-                        yield _decode(line, messages.WatchReply).result
+                        yield codec.decode(line, messages.WatchReply).result
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             self._prefer_next(base)
             raise kv.UnavailableError(f"watch: {error!r}") from error
@@ -294,8 +293,8 @@
         async with session.post(url, data=body) as response:
             content = await response.read()
             if response.status == _HTTP_OK:
-                return _decode(content, kind)
-            raise _make_error(response.status, content)
+                return codec.decode(content, kind)
+            raise codec.make_error(response.status, content)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -305,91 +304,3 @@
     def _prefer_next(self, failed: str) -> None:
         if self._bases[self._preferred] == failed:
             self._preferred = (self._preferred + 1) % len(self._bases)
-
-
-def _make_error(status: int, content: bytes) -> kv.KvError:
-    try:
-        reply = _decode(content, messages.ErrorReply)
-    except kv.UnknownResultError:
-        reply = messages.ErrorReply(message=f"status {status}")
-    if (
-        reply.code == _CODE_RESOURCE_EXHAUSTED
-        or status == _HTTP_TOO_MANY_REQUESTS
-    ):
-        return kv.UnavailableError(reply.message)
-    if reply.code == _CODE_NOT_FOUND and "lease" in reply.message:
-        return kv.LeaseLostError(reply.message)
-    if status >= _HTTP_SERVER_ERROR:
-        return kv.UnknownResultError(reply.message)
-    return kv.KvError(reply.message)
-
-
-def _decode(content: bytes, kind: type[Reply]) -> Reply:
-    try:
-        return msgspec.json.decode(content, type=kind, strict=False)
-    except msgspec.DecodeError as error:
-        raise kv.UnknownResultError(f"malformed reply: {error}") from error
-
-
-def _make_range(key: str, is_prefix: bool) -> messages.RangeRequest:
-    start = key.encode()
-    return messages.RangeRequest(
-        start, _find_prefix_end(start) if is_prefix else b""
-    )
-
-
-def _find_prefix_end(prefix: bytes) -> bytes:
-    """Returns the first key after all keys with this prefix.
-
-    UTF-8 never contains the byte 0xff, so the last byte can grow by one.
-    """
-    return prefix[:-1] + bytes((prefix[-1] + 1,)) if prefix else b"\0"
-
-
-def _make_compare(condition: kv.Condition) -> messages.Compare:
-    match condition:
-        case kv.KeyAbsent(key):
-            return messages.Compare(key.encode(), "0")
-        case kv.KeyUnchanged(key, mod_revision):
-            return messages.Compare(key.encode(), str(mod_revision))
-
-
-def _make_operation(operation: kv.Operation) -> messages.RequestOp:
-    match operation:
-        case kv.Put(key, value, lease):
-            return messages.RequestOp(
-                request_put=messages.PutRequest(
-                    key.encode(), value, str(lease or 0)
-                )
-            )
-        case kv.Delete(key):
-            return messages.RequestOp(
-                request_delete_range=messages.DeleteRangeRequest(key.encode())
-            )
-
-
-def _make_entry(found: messages.KeyValue) -> kv.Entry:
-    return kv.Entry(
-        key=found.key.decode(),
-        value=found.value,
-        create_revision=kv.Revision(found.create_revision),
-        mod_revision=kv.Revision(found.mod_revision),
-        lease=kv.LeaseId(found.lease) if found.lease else None,
-    )
-
-
-def _make_change(event: messages.Event) -> kv.Change:
-    is_removal = event.type == "DELETE"
-    return kv.Change(
-        key=event.kv.key.decode(),
-        entry=None if is_removal else _make_entry(event.kv),
-        revision=kv.Revision(event.kv.mod_revision),
-    )
-
-
-def _find_next_revision(result: messages.WatchResult) -> int:
-    if result.events:
-        return result.events[-1].kv.mod_revision + 1
-    if result.created:
-        return 0
-    return result.header.revision + 1
