Replace a heartbeat monitor that fails

Cause: an unexpected error ended the task that watches a peer without a word. Result: pytest packages/peers/tests/test_many_members.py -k 'monitor or death or address': 5 passed.

--- a/packages/peers/poplarwick_peers/heartbeats.py
+++ b/packages/peers/poplarwick_peers/heartbeats.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -283,23 +284,36 @@
                 before=before.value if before else None,
                 incarnation=member.incarnation,
             )
-        if self._tasks and (
-            before is None or _State.DEAD in (before, member.state)
-        ):
+        if before is None or _State.DEAD in (before, member.state):
             self._assign_monitors()
         for listener in self._listeners:
             listener(change)
 
     def _assign_monitors(self) -> None:
+        if not self._tasks:
+            return
         wanted = self._ring.choose_targets(
             [member.instance for member in self.members]
         )
         for instance in set(self._monitors) - wanted:
             self._monitors.pop(instance).cancel()
         for instance in wanted - set(self._monitors):
-            self._monitors[instance] = asyncio.create_task(
-                self._monitor(instance)
+            task = asyncio.create_task(self._monitor(instance))
+            task.add_done_callback(
+                functools.partial(self._replace_monitor, instance)
             )
+            self._monitors[instance] = task
+
+    def _replace_monitor(
+        self, instance: ids.InstanceId, task: asyncio.Task[None]
+    ) -> None:
+        """Assigns monitors anew when one has ended by itself."""
+        if task.cancelled() or self._monitors.get(instance) is not task:
+            return
+        logs.log_event("monitor_failed", "ERROR", reason=task.exception())
+        del self._monitors[instance]
+        delay_s = self._period_s
+        asyncio.get_running_loop().call_later(delay_s, self._assign_monitors)
 
     async def _monitor(self, instance: ids.InstanceId) -> None:
         """Pings one peer as long as it is assigned to this instance."""
--- a/packages/peers/tests/test_many_members.py
+++ b/packages/peers/tests/test_many_members.py
@@ -87,3 +87,30 @@
             assert {gone for _, gone in network.removed} == {"i-2"}
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_monitor_that_fails_is_replaced(monkeypatch):
+    async def scenario(loop):
+        async with simulated_members.running(1, 0.0, 4) as network:
+            await asyncio.sleep(5)
+            view = network.views["i-0"]
+            view._prober.ping = fail_once(view._prober.ping)
+            await asyncio.sleep(5)
+            await simulated_members.detect_death(
+                network, "i-1", DETECTION_BOUND_S
+            )
+            assert len(view._monitors) == len(view.members) - 1
+            assert not any(task.done() for task in view._monitors.values())
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def fail_once(ping):
+    failures = iter((ValueError("broken"),))
+
+    async def ping_or_fail(*arguments):
+        for failure in failures:
+            raise failure
+        return await ping(*arguments)
+
+    return ping_or_fail
