--- a/packages/peers/tests/test_many_members.py
+++ b/packages/peers/tests/test_many_members.py
@@ -49,3 +49,68 @@
         assert large[1] <= small[1] * 1.5
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_one_way_partition_removes_no_one(monkeypatch):
+    async def scenario(loop):
+        async with simulated_members.running(1, 0.0, 8) as network:
+            await asyncio.sleep(10)
+            watched = {
+                (name, str(target))
+                for name, view in network.views.items()
+                for target in view._monitors
+            }
+            source, target = min(watched)
+            network.cut.add((source, target))
+            suspected = network.views[target].own.incarnation
+            await asyncio.sleep(60)
+            assert network.removed == []
+            # Helpers reach it, so it has nothing to refute.
+            assert network.views[target].own.incarnation == suspected
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def test_new_instance_at_a_dead_ones_address_is_not_taken_for_it(monkeypatch):
+    async def scenario(loop):
+        async with simulated_members.running(1, 0.0, 8) as network:
+            await asyncio.sleep(10)
+            old = network.views["i-2"]
+            await old.__aexit__(None, None, None)
+            view = simulated_members.add_member(network, "i-new", "i-2")
+            async with view:
+                await asyncio.sleep(DETECTION_BOUND_S)
+                others = [v for v in network.views.values() if v is not view]
+                assert not any(v.find("i-2") for v in others)
+                await asyncio.sleep(60)
+                assert all(v.find("i-new") for v in others)
+            assert {gone for _, gone in network.removed} == {"i-2"}
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def test_monitor_that_fails_is_replaced(monkeypatch):
+    async def scenario(loop):
+        async with simulated_members.running(1, 0.0, 4) as network:
+            await asyncio.sleep(5)
+            view = network.views["i-0"]
+            view._prober.ping = fail_once(view._prober.ping)
+            await asyncio.sleep(5)
+            await simulated_members.detect_death(
+                network, "i-1", DETECTION_BOUND_S
+            )
+            assert len(view._monitors) == len(view.members) - 1
+            assert not any(task.done() for task in view._monitors.values())
+
+    virtual_time.run(scenario, monkeypatch)
+
+
+def fail_once(ping):
+    failures = iter((ValueError("broken"),))
+
+    async def ping_or_fail(*arguments):
+        for failure in failures:
+            raise failure
+        return await ping(*arguments)
+
+    return ping_or_fail
