--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -27,9 +27,9 @@
         instance: This instance.
         broker: Obtains grants.
         session: Session for calls to endpoints.
+        limiter: Shares of the organisations' fleet-wide limits.
         claimed: Runs calls that may not be repeated.
         retries: Budget of retries of this instance.
-        limiter: Shares of the organisations' fleet-wide limits.
         read_view: Returns the configuration in force, or None before the
             first one is known.
         read_readiness: Returns None when this instance serves, else the
@@ -41,8 +41,8 @@
     instance: ids.InstanceId
     broker: grants.GrantBroker
     session: aiohttp.ClientSession
-    claimed: claimed.ClaimedCalls
     limiter: limits.Limiter
+    claimed: claimed.ClaimedCalls
     read_view: Callable[[], document.View | None]
     read_readiness: Callable[[], str | None]
     read_refusal: Callable[[], str | None]
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -111,17 +111,27 @@
         request, is_idempotent=call.route.idempotent
     )
     if call.route.idempotent:
-        async with admission.admit(entry.limiter, organisation, COST_TOKENS):
-            return await _send_with_retries(entry, view, call, lifecycle)
+        return await _send_within_limits(entry, view, call, lifecycle)
     key = claimed.require_key(request, ids.OrganisationId(organisation.id))
-    async with admission.admit(entry.limiter, organisation, COST_TOKENS):
-        return await entry.claimed.run(
-            key,
-            _digest_content(call),
-            call.deadline,
-            lifecycle,
-            lambda: _send_with_retries(entry, view, call, lifecycle),
-        )
+    return await entry.claimed.run(
+        key,
+        _digest_content(call),
+        call.deadline,
+        lifecycle,
+        lambda: _send_within_limits(entry, view, call, lifecycle),
+    )
+
+
+async def _send_within_limits(
+    entry: context.EntryContext,
+    view: document.View,
+    call: Call,
+    lifecycle: lifecycles.Lifecycle,
+) -> web.Response:
+    # A claimed call enters here only once its claim is granted: a retry of a
+    # key that may have run must never be told "not run" for a limit.
+    async with admission.admit(entry.limiter, call.organisation, COST_TOKENS):
+        return await _send_with_retries(entry, view, call, lifecycle)
 
 
 def _digest_content(call: Call) -> bytes:
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -6,7 +6,6 @@
 import uuid
 
 import aiohttp
-import result
 import uuid6
 from aiohttp import test_utils
 from aiohttp import web
@@ -15,6 +14,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import ids
+from poplarwick_dispatch import limits
 from poplarwick_endpoints import session as sessions
 from poplarwick_entry import application
 from poplarwick_entry import claimed
@@ -31,11 +31,17 @@
 ORDERS = "/services/shop/orders"
 
 
-class FakeLimiter:
-    """Admits every request."""
-
-    async def admit(self, organisation, tokens):
-        return result.Ok(contextlib.nullcontext())
+def make_limiter():
+    """Returns a limiter of a fleet of one instance."""
+    own = ids.InstanceId("instance-0")
+    keeper = limits.LimitKeeper(own, lambda: (own,), make_view())
+    return limits.Limiter(
+        own,
+        call=lambda instance, request: None,
+        keeper=keeper,
+        list_members=lambda: (own,),
+        view=make_view(),
+    )
 
 
 class FakeReporter:
@@ -155,7 +161,7 @@
             instance=ids.InstanceId("instance-0"),
             broker=broker,
             session=await enter(sessions.make_session()),
-            limiter=FakeLimiter(),
+            limiter=await enter(make_limiter()),
             claimed=await enter(claimed.ClaimedCalls(shards)),
             read_view=make_view,
             read_readiness=lambda: None,
