--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -14,6 +14,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import clock
+from poplarwick_core import errors
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_endpoints import generation
@@ -59,11 +60,16 @@
 }
 _SET_BY_SERVER = frozenset(("date", "server"))
 MAX_REFUSAL_BYTES = 4_096
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _REFUSAL_STATUS = frozenset((409, 429, 503))
 _REFUSAL_TYPES = frozenset(("stale_epoch", "overloaded", "cold_overload"))
 _UNSAFE_SEGMENT = re.compile(r"[\x00-\x1f\x7f\\]")
 
 
+class _TooLargeError(errors.PoplarwickError):
+    """An endpoint's answer exceeds the limit."""
+
+
 class _RefusalDetail(msgspec.Struct):
     type: str
 
@@ -312,7 +318,14 @@
             timeout=aiohttp.ClientTimeout(total=remaining_s),
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await _read_answer(response)
+    except _TooLargeError as error:
+        held.note_end(grant_pb2.REPORT_FAILED, detail="too_large")
+        raise problems.RequestEnded(
+            verdicts.EndpointFailed(
+                f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
+            )
+        ) from error
     except generation.CONNECT_ERRORS as error:
         lifecycle.note_refusal()
         held.note_end(grant_pb2.REPORT_NOT_SENT, detail="connect")
@@ -334,6 +347,15 @@
     return _make_answer(response, body, call, held)
 
 
+async def _read_answer(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            raise _TooLargeError
+    return bytes(body)
+
+
 def _has_refused(status: int, body: bytes) -> bool:
     """Returns whether an answer tells that the call was not run."""
     if status not in _REFUSAL_STATUS or len(body) > MAX_REFUSAL_BYTES:
--- a/packages/entry/tests/test_claimed_calls.py
+++ b/packages/entry/tests/test_claimed_calls.py
@@ -8,6 +8,8 @@
 import pytest
 from aiohttp import web
 
+from poplarwick_entry import services
+
 
 class Shop:
     """A plain service that counts what it runs."""
@@ -224,3 +226,21 @@
                 assert body == packed
 
     entry_fakes.run(main)
+
+
+def test_answer_beyond_the_limit_is_failed_and_not_run_again(monkeypatch):
+    async def main():
+        shop = Shop()
+        shop.body = b"x" * 2_000
+        key = entry_fakes.make_key()
+        async with entry_fakes.open_entry(shop.handle) as entry:
+            status, headers, _ = await entry.call(key=key, data=b"one")
+            assert status == 502
+            assert headers["Poplarwick-Outcome"] == "failed"
+            assert headers["x-should-retry"] == "false"
+            _, headers, _ = await entry.call(key=key, data=b"one")
+            assert headers["Poplarwick-Outcome"] == "unknown"
+        assert len(shop.runs) == 1
+
+    monkeypatch.setattr(services, "MAX_ANSWER_BYTES", 1_000)
+    entry_fakes.run(main)
