Probe an outage once, not by every shard

Measured: a test in virtual time: an owner of all 16 shards makes at most 60 calls in an outage of 60 s and serves again within 3.5 s. pytest packages/outcomes packages/entry, 280 passed.

--- a/packages/outcomes/poplarwick_outcomes/claims/service.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -46,6 +47,9 @@
         self._timing = timing
         self._wall_time_s = wall_time_s
         self._shards: dict[int, shards.Shard] = {}
+        # Shards are read one after the other, so that an outage is probed
+        # once and not by every shard.
+        self._opening = asyncio.Lock()
 
     async def begin_tenure(self, tenure: tenures.Tenure) -> None:
         """Takes a shard over; its content is read in the background."""
@@ -56,7 +60,9 @@
         journal = journals.Journal(
             self._client, self._environment, number, tenure.epoch
         )
-        shard = shards.Shard(journal, tenure, self._timing, self._wall_time_s)
+        shard = shards.Shard(
+            journal, tenure, self._timing, self._wall_time_s, self._opening
+        )
         self._shards[number] = await shard.__aenter__()
 
     async def end_tenure(
--- a/packages/outcomes/poplarwick_outcomes/claims/shard.py
+++ b/packages/outcomes/poplarwick_outcomes/claims/shard.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -29,7 +30,7 @@
 HORIZON_MARGIN_S = 300
 HORIZON_STEP_S = 60
 MAX_RECORDS = 50_000
-RUN_MARGIN_S = 5.0
+MAX_PAUSE_S = 2.0
 MS_PER_S = 1_000
 
 
@@ -54,6 +55,13 @@
     Use it as a context manager: it opens the journal and stores changes in a
     task of its own until it is left.
 
+    Args:
+        journal: Stored form of the shard.
+        tenure: Tenure under which this instance owns the shard.
+        timing: Periods of the shard.
+        wall_time_s: Clock that the age of keys is measured by.
+        opening: Held while a shard is read; shared by an instance's shards.
+
     Attributes:
         is_open: Whether the shard's content is known and no later owner is.
     """
@@ -64,8 +72,11 @@
         tenure: tenures.Tenure,
         timing: Timing | None = None,
         wall_time_s: Callable[[], float] = clock.wall_time_s,
+        opening: asyncio.Lock | None = None,
     ) -> None:
         self.is_open = False
+        self._opening = opening or asyncio.Lock()
+        self._outage_s = 0.0
         self._journal = journal
         self._tenure = tenure
         self._timing = timing or Timing()
@@ -280,10 +291,15 @@
             self._close()
 
     async def _open(self) -> None:
+        async with self._opening:
+            content = await self._read_content()
+        self._book.load(content)
+        self.is_open = True
+
+    async def _read_content(self) -> journals.Content:
         while True:
             try:
-                content = await self._journal.open()
-                break
+                return await self._journal.open()
             except (journals.DoubtError, journals.UnwrittenError) as error:
                 logs.log_event(
                     "claim_shard_waits",
@@ -291,9 +307,7 @@
                     shard=self._tenure.resource.id,
                     reason=str(error),
                 )
-                await asyncio.sleep(self._timing.min_commit_interval_s)
-        self._book.load(content)
-        self.is_open = True
+                await asyncio.sleep(self._lengthen_outage_s())
 
     async def _commit(self) -> None:
         batch = self._book.select()
@@ -329,7 +343,7 @@
 
     def _note_outage(self, batch: books.Batch, *, is_in_doubt: bool) -> None:
         self._is_down = True
-        self._next_commit_s = _now_s() + self._timing.min_commit_interval_s
+        self._next_commit_s = _now_s() + self._lengthen_outage_s()
         reply = self._make_unavailable()
         self._book.give_up(batch, reply, is_in_doubt=is_in_doubt)
 
@@ -340,6 +354,7 @@
         batch: books.Batch,
     ) -> None:
         self._is_down = False
+        self._outage_s = 0.0
         match done:
             case journals.Stored():
                 self._book.take_stored(change)
@@ -350,6 +365,12 @@
             self._dropped_ms = self._journal.horizon_ms
             self._book.drop_expired(self._dropped_ms)
 
+    def _lengthen_outage_s(self) -> float:
+        """Returns the pause before the next try, longer with each failure."""
+        least_s = self._timing.min_commit_interval_s
+        self._outage_s = min(max(least_s, 2 * self._outage_s), MAX_PAUSE_S)
+        return self._outage_s * random.uniform(0.75, 1.25)
+
     def _close(self) -> None:
         self.is_open = False
         self._book.close()
--- a/packages/outcomes/tests/kv_fake.py
+++ b/packages/outcomes/tests/kv_fake.py
@@ -100,10 +100,12 @@
         self.faults = faults or Faults()
         self.awake = asyncio.Event()
         self.awake.set()
+        self.calls = 0
         self._random = random.Random(seed)
         self._late = set()
 
     async def read(self, key, purpose, *, is_prefix=False):
+        self.calls += 1
         await self._travel()
         entries = self.service.find(key, is_prefix)
         revision = self.service.revision
@@ -111,6 +113,7 @@
         return kv.Snapshot(entries, revision)
 
     async def commit(self, conditions, operations, purpose):
+        self.calls += 1
         await self._travel()
         if self._happens(self.faults.refused):
             raise kv.UnavailableError("refused")
--- a/packages/outcomes/tests/test_claim_shard.py
+++ b/packages/outcomes/tests/test_claim_shard.py
@@ -273,6 +273,30 @@
     asyncio.run(main())
 
 
+def test_outage_is_probed_seldom_by_the_owner_of_all_shards():
+    async def main():
+        store = KvFake()
+        client = KvFakeClient(store)
+        service = services.ClaimService(client, "test")
+        store.is_down = True
+        resources = services.make_resources([ids.RegionId("r")])
+        for resource in resources:
+            tenure = tenures.Tenure(resource, ids.Epoch(1), lambda: True)
+            await service.begin_tenure(tenure)
+        await asyncio.sleep(60)
+        assert client.calls <= 60
+        store.is_down = False
+        await asyncio.sleep(shards.MAX_PAUSE_S * 1.25 + 1)
+        key = keys.ClaimKey((15).to_bytes(8) + bytes(8), 1 << 50)
+        attempt = clients.make_attempt(key, CONTENT, 1 << 50)
+        assert await service.claim(attempt, 1) == replies.Granted()
+        for resource in resources:
+            tenure = tenures.Tenure(resource, ids.Epoch(1), lambda: True)
+            await service.end_tenure(tenure, is_planned=False)
+
+    virtual_loop.run(main())
+
+
 def test_claim_without_an_owner_is_refused_in_time():
     async def main():
         async with clients.ClaimClient(lambda shard: None) as client:
