Hand over what an instance owns when it is taken out

Change: ownership leaves excluded instances out of its candidates; an excluded one hands over at once and claims nothing; the node passes the document's list. Conclusion: the roster that confirms in an outage is left as it is, so taking an instance out moves no majority.

--- a/features/service.feature
+++ b/features/service.feature
@@ -27,3 +27,12 @@
     Then the published API accepts the key
     When an operator revokes the key "fresh"
     Then the published API refuses the key
+
+  Scenario: An instance taken out hands over what it owns
+    When an operator takes "instance/instance-0" out through instance 1 under the id "rest-0"
+    Then "instance-0" owns nothing and the others own everything
+    When an operator puts "instance/instance-0" in through instance 1 under the id "back-0"
+    And an operator takes "instance/instance-1" out through instance 0 under the id "rest-1"
+    Then "instance-1" owns nothing and the others own everything
+    When an operator puts "instance/instance-1" in through instance 0 under the id "back-1"
+    Then "instance instance-1" is in service at every instance
--- a/features/steps/service.py
+++ b/features/steps/service.py
@@ -67,30 +67,65 @@
 
 @when('an operator takes "{target}" out through instance {number:d}')
 def step_take_out(context, target, number):
+    take_out(context, target, number, CHANGE_ID)
+
+
+@when('an operator puts "{target}" in through instance {number:d}')
+def step_put_in(context, target, number):
+    put_in(context, target, number, f"{CHANGE_ID}-in")
+
+
+@when(
+    'an operator takes "{target}" out through instance {number:d} '
+    'under the id "{change_id}"'
+)
+def step_take_out_by_id(context, target, number, change_id):
+    take_out(context, target, number, change_id)
+
+
+@when(
+    'an operator puts "{target}" in through instance {number:d} '
+    'under the id "{change_id}"'
+)
+def step_put_in_by_id(context, target, number, change_id):
+    put_in(context, target, number, change_id)
+
+
+def take_out(context, target, number, change_id):
+    """Takes a target out through one instance and keeps the answer."""
     context.answer = context.run(
         call(
             context,
             number,
             lambda c: c.take_out(
-                fleet.ENVIRONMENT, target, change_id=CHANGE_ID
+                fleet.ENVIRONMENT, target, change_id=change_id
             ),
         )
     )
 
 
-@when('an operator puts "{target}" in through instance {number:d}')
-def step_put_in(context, target, number):
+def put_in(context, target, number, change_id):
+    """Puts a target back in through one instance."""
     context.run(
         call(
             context,
             number,
-            lambda c: c.put_in(
-                fleet.ENVIRONMENT, target, change_id=f"{CHANGE_ID}-in"
-            ),
+            lambda c: c.put_in(fleet.ENVIRONMENT, target, change_id=change_id),
         )
     )
 
 
+@then('"{name}" owns nothing and the others own everything')
+def step_owns_nothing(context, name):
+    wanted = {e.id for e in context.system.document.endpoints}
+
+    def is_met(status):
+        owned = {one.instance: set(one.endpoints) for one in status.instances}
+        return not owned.pop(name) and set().union(*owned.values()) == wanted
+
+    context.run(wait_for_all(context, is_met))
+
+
 @then('the answer says "{text}"')
 def step_answer_says(context, text):
     assert isinstance(context.answer, messages.HeldMessage), context.answer
--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -19,6 +19,8 @@
     """Takes a new version of the configuration into force."""
     local.apply_view(view)
     limiter.apply_view(view)
+    out = map(ids.InstanceId, view.document.instances_out)
+    owner.set_excluded(frozenset(out))
     owner.set_resources((*list_endpoints(view), *list_shards(view)))
 
 
--- a/packages/ownership/poplarwick_ownership/_candidates.py
+++ b/packages/ownership/poplarwick_ownership/_candidates.py
@@ -21,6 +21,10 @@
 class Candidates:
     """Instances that can own resources of this instance's region.
 
+    Attributes:
+        roster: Instances whose confirmation counts in an outage.
+        excluded: Instances that operators took out of service.
+
     Args:
         members: The membership of this instance.
         view: Records and living leases.
@@ -34,6 +38,7 @@
         read_clock: Callable[[], float],
     ) -> None:
         self.roster = _roster.Roster(members.own.instance)
+        self.excluded: frozenset[ids.InstanceId] = frozenset()
         self._members = members
         self._view = view
         self._read_clock = read_clock
@@ -45,7 +50,8 @@
         """Takes over what is known now.
 
         Candidates hold a living lease, so they can write claims, and have
-        not come and gone lately. This instance is always one.
+        not come and gone lately. This instance is always one, unless
+        operators took it out of service.
 
         Args:
             resources: All resources of the region.
@@ -61,7 +67,8 @@
             for instance in present
             if self._stability.is_settled(instance, now_s)
         }
-        self._instances = sorted(settled | {own.instance})
+        able = (settled | {own.instance}) - self.excluded
+        self._instances = sorted(able)
         self.roster.observe(
             {m.instance for m in region} | self._list_recorded(resources),
             {
@@ -72,9 +79,14 @@
             now_s,
         )
 
+    @property
+    def is_own_excluded(self) -> bool:
+        """Whether operators took this instance out of service."""
+        return self._members.own.instance in self.excluded
+
     def is_best(self, resource: tenure.Resource) -> bool:
         """Returns whether this instance should own a resource."""
-        return self._find_rank(resource) == 0
+        return not self.is_own_excluded and self._find_rank(resource) == 0
 
     def is_turn(self, resource: tenure.Resource) -> bool:
         """Returns whether this instance should claim a vacant resource.
@@ -82,6 +94,8 @@
         Lower-ranked instances step in one after the other, should the better
         ones fail to claim.
         """
+        if self.is_own_excluded:
+            return False
         now_s = self._read_clock()
         vacant_s = self._vacant_s.setdefault(resource, now_s)
         return now_s - vacant_s >= self._find_rank(resource) * FALLBACK_S
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -133,6 +133,11 @@
         }
         self._changed.set()
 
+    def set_excluded(self, instances: frozenset[ids.InstanceId]) -> None:
+        """Replaces the set of instances that may own nothing."""
+        self._candidates.excluded = instances
+        self._changed.set()
+
     def find_owner(self, resource: tenure.Resource) -> ids.InstanceId | None:
         """Returns the instance that holds a resource, as far as is known.
 
@@ -335,6 +340,8 @@
             return False
         if self._resources.get(resource.key) != resource:
             return True
+        if self._candidates.is_own_excluded:
+            return True
         if self._holdings.read_age_s(resource) < MIN_TENURE_S:
             return False
         return not self._candidates.is_best(resource)
--- a/packages/ownership/poplarwick_ownership/tenure.py
+++ b/packages/ownership/poplarwick_ownership/tenure.py
@@ -78,6 +78,13 @@
         """Replaces the set of resources that need an owner."""
         ...
 
+    def set_excluded(self, instances: frozenset[ids.InstanceId]) -> None:
+        """Replaces the set of instances that may own nothing.
+
+        What such an instance owns is handed over.
+        """
+        ...
+
     @property
     def tenures(self) -> tuple[Tenure, ...]:
         """Tenures held by this instance now."""
--- a/packages/ownership/tests/test_leases.py
+++ b/packages/ownership/tests/test_leases.py
@@ -215,3 +215,31 @@
             )
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_instance_taken_out_hands_over_and_claims_nothing(monkeypatch):
+    async def scenario(loop):
+        async with simulated.running(count=3, resources=12) as fleet:
+            await fleet.settle(5)
+            await fleet.pass_time(20)
+            name = fleet.list_valid("e-0")[0]
+            out = fleet.instances[name]
+            held = len(out.recorder.current)
+            assert held
+            for one in fleet.instances.values():
+                one.ownership.set_excluded(frozenset({name}))
+            await fleet.pass_time(TTL_S)
+            assert not out.recorder.current
+            assert out.recorder.planned_ends >= held
+            assert out.recorder.unplanned_ends == 0
+            begun = len(fleet.begun)
+            await fleet.pass_time(60)
+            assert fleet.is_settled()
+            assert len(fleet.begun) == begun
+            for one in fleet.instances.values():
+                one.ownership.set_excluded(frozenset())
+            await fleet.pass_time(60)
+            assert fleet.is_settled()
+            assert out.recorder.current
+
+    virtual_time.run(scenario, monkeypatch)
