Tell a restored service without false alarms

Cause: a watch that brought an older version than a peer had just passed on raised the alarm of a service that fell back. Change: only a read that began after the version was in force raises it. Measured: test with a service put back to an older state; no alarm before. Conclusion: docs unchanged.

--- a/packages/configuration/poplarwick_configuration/follower.py
+++ b/packages/configuration/poplarwick_configuration/follower.py
@@ -232,9 +232,18 @@
                 await self._fetch(record.decode_record(newest.value))
 
     async def _read_head(self) -> store.Head:
+        before = self.version
         head = await self._store.read_head()
         self._note_service()
         self._was_tried.set()
+        stored = head.record.version if head.record is not None else 0
+        if stored < before:
+            logs.log_event(
+                "configuration_head_behind",
+                "ERROR",
+                stored=stored,
+                version=before,
+            )
         return head
 
     def _note_service(self) -> None:
@@ -242,13 +251,6 @@
         self._last_answer_s = clock.now_s()
 
     async def _fetch(self, head: record.VersionRecord) -> None:
-        if head.version < self.version:
-            logs.log_event(
-                "configuration_head_behind",
-                "ERROR",
-                stored=head.version,
-                version=self.version,
-            )
         if head.version <= self.version:
             return
         known = self._state.sections
--- a/packages/configuration/tests/test_follower.py
+++ b/packages/configuration/tests/test_follower.py
@@ -92,3 +92,28 @@
         assert follows.version == 2
 
     run(check())
+
+
+def test_restored_service_is_told_and_takes_no_version_back(monkeypatch):
+    events = []
+
+    async def check():
+        service = fake_kv.FakeKv()
+        await push(service, 1, "c1")
+        backup = dict(service.entries)
+        async with follower.Follower(service, "trial") as documents:
+            await push(service, 2, "c2")
+            await documents.wait_for_version(2)
+            assert await documents.probe()
+            assert "configuration_head_behind" not in events
+            service.entries = backup
+            assert await documents.probe()
+            assert "configuration_head_behind" in events
+            assert documents.version == 2
+
+    monkeypatch.setattr(
+        follower.logs,
+        "log_event",
+        lambda event, *rest, **fields: events.append(event),
+    )
+    run(check())
