--- a/packages/ownership/poplarwick_ownership/_candidates.py
+++ b/packages/ownership/poplarwick_ownership/_candidates.py
@@ -21,6 +21,10 @@
 class Candidates:
     """Instances that can own resources of this instance's region.
 
+    Attributes:
+        roster: Instances whose confirmation counts in an outage.
+        excluded: Instances that operators took out of service.
+
     Args:
         members: The membership of this instance.
         view: Records and living leases.
@@ -34,6 +38,7 @@
         read_clock: Callable[[], float],
     ) -> None:
         self.roster = _roster.Roster(members.own.instance)
+        self.excluded: frozenset[ids.InstanceId] = frozenset()
         self._members = members
         self._view = view
         self._read_clock = read_clock
@@ -50,7 +55,8 @@
         """Finds the candidates of now; returns whether they have changed.
 
         Candidates hold a living lease, so they can write claims, and have
-        not come and gone lately. This instance is always one.
+        not come and gone lately. This instance is always one, unless
+        operators took it out of service.
         """
         now_s = self._read_clock()
         region = self._list_region()
@@ -63,7 +69,8 @@
             if self._stability.is_settled(instance, now_s)
         }
         before = self._instances
-        self._instances = sorted(settled | {self._members.own.instance})
+        own = self._members.own.instance
+        self._instances = sorted((settled | {own}) - self.excluded)
         return self._instances != before
 
     def refresh_roster(self, resources: Iterable[tenure.Resource]) -> None:
@@ -80,9 +87,14 @@
             self._read_clock(),
         )
 
+    @property
+    def is_own_excluded(self) -> bool:
+        """Whether operators took this instance out of service."""
+        return self._members.own.instance in self.excluded
+
     def is_best(self, resource: tenure.Resource) -> bool:
         """Returns whether this instance should own a resource."""
-        return self._find_rank(resource) == 0
+        return not self.is_own_excluded and self._find_rank(resource) == 0
 
     def is_turn(self, resource: tenure.Resource) -> bool:
         """Returns whether this instance should claim a vacant resource.
@@ -90,6 +102,8 @@
         Lower-ranked instances step in one after the other, should the better
         ones fail to claim.
         """
+        if self.is_own_excluded:
+            return False
         now_s = self._read_clock()
         vacant_s = self._vacant_s.setdefault(resource, now_s)
         return now_s - vacant_s >= self._find_rank(resource) * FALLBACK_S
