--- a/packages/bench/poplarwick_bench/experiments/outage.py
+++ b/packages/bench/poplarwick_bench/experiments/outage.py
@@ -12,6 +12,7 @@
 from poplarwick_bench import system
 from poplarwick_bench import trial
 from poplarwick_bench.experiments import once
+from poplarwick_core import outcome
 
 DRAIN_S = 25.0
 BEGINS_AT = 0.2
@@ -46,6 +47,10 @@
     return {
         **once.describe(seen),
         "failed_in_outage": len(lost),
+        "never_whole": sum(
+            record.outcome is not outcome.Outcome.COMPLETE
+            for record in figures.find_last(seen.records)
+        ),
         "peak_kv_writes_per_s": float(statistics["peak_writes_per_s"]),
         "peak_kv_reads_per_s": float(statistics["peak_reads_per_s"]),
         "kv_refused": float(statistics["refused"]),
