--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -21,6 +21,8 @@
 KEEP_S = 10.0
 END_MARGIN_S = 5.0
 LEAD_S = 1.0
+LAST_HOP = 3
+FULL_QUEUE_S = 1.0
 QUEUE_BOUND_S = {
     capacity.LengthClass.SHORT: 2.0,
     capacity.LengthClass.MEDIUM: 15.0,
@@ -66,6 +68,7 @@
         self.queues = {c: queue.ClassQueue() for c in capacity.LengthClass}
         self.counters = fairness.ServiceCounters()
         self.pace = pace.Pace()
+        self._smallest = limits.estimate(1, 1)
         self._grants = grants
         self._now_s = now_s
 
@@ -89,6 +92,10 @@
             return
         class_queue = self.queues[waiter.cost.length_class]
         wait_s = self.estimate_wait_s(waiter)
+        if not self.limits.is_service and waiter.request.hops < LAST_HOP:
+            # Another owner may have room now; it costs one exchange to ask.
+            self._refuse_full(waiter, wait_s)
+            return
         if self._now_s() + wait_s > waiter.latest_start_s:
             self._refuse_full(waiter, wait_s)
             return
@@ -157,13 +164,22 @@
 
     def make_room(self) -> grant_pb2.Room:
         """Returns the hint about free capacity that rides on replies."""
-        endpoints = max(len(self.books), 1)
-        waiting_s = sum(q.work_s for q in self.queues.values())
         open_books = self.placement.open_books
+        waiting_s = sum(
+            class_queue.work_s
+            for length_class, class_queue in self.queues.items()
+            if length_class is not _LONG
+        )
+        waiting_s += sum(
+            book.estimate_wait_s(capacity.LengthClass.MEDIUM)
+            for book in open_books
+        )
+        if not any(book.has_room(self._smallest) for book in open_books):
+            waiting_s += FULL_QUEUE_S * len(open_books)
         return grant_pb2.Room(
             model=self.target.model or "",
             service=self.target.service or "",
-            queue_s=waiting_s / endpoints,
+            queue_s=waiting_s / max(len(open_books), 1),
             free_tokens=max((b.free_tokens for b in open_books), default=0),
         )
 
