Skip the wait for old grants at a fresh engine; ask one absent owner again

Change: an engine that keeps epochs and has seen none needs no wait; one expired hint is asked again for each request; first tokens from 0.05 s of prefill count as evidence. Open: with all lengths shorts still wait 2 s, because the entry sends its own priority instead of Grant.priority (entry/grants.py, HeldGrant).

--- a/packages/dispatch/poplarwick_dispatch/monitor.py
+++ b/packages/dispatch/poplarwick_dispatch/monitor.py
@@ -99,16 +99,20 @@
         """Fences earlier owners and adopts what runs.
 
         An engine that ignores epochs may still get a request on a grant of the
-        earlier owner; none is sent after the lifetime of a grant.
+        earlier owner; none is sent after the lifetime of a grant. Each owner
+        fences first, so an engine that keeps epochs and has seen none had no
+        earlier owner.
         """
         while True:
             try:
+                before = await self._control.read_state()
                 await self._control.cancel(
                     FENCE_STREAM, self._book.tenure.epoch
                 )
-                if not self._book.endpoint.checks_epochs:
-                    await asyncio.sleep(pools.GRANT_TTL_S)
                 state = await self._control.read_state()
+                if self._may_get_old_grants(before, state):
+                    await asyncio.sleep(pools.GRANT_TTL_S)
+                    state = await self._control.read_state()
                 break
             except errors.EndpointError as error:
                 self._book.health.note_failure()
@@ -128,6 +132,14 @@
         )
         self._pool.pump()
 
+    def _may_get_old_grants(
+        self, before: messages.EngineState, fenced: messages.EngineState
+    ) -> bool:
+        if self._book.endpoint.checks_epochs:
+            return False
+        keeps_epochs = fenced.epoch == self._book.tenure.epoch
+        return before.epoch > 0 or not keeps_epochs
+
     def _adopt(self, stream: messages.StreamState) -> None:
         parsed = bookings.parse_stream(stream.stream)
         grant, entry = parsed or (ids.make_grant_id(), ids.InstanceId(""))
--- a/packages/dispatch/poplarwick_dispatch/router.py
+++ b/packages/dispatch/poplarwick_dispatch/router.py
@@ -14,7 +14,7 @@
 
 MAX_HOPS = 4
 HINT_TTL_S = 2.0
-ABSENT_TTL_S = 10.0
+ABSENT_TTL_S = 5.0
 BUSY_QUEUE_S = 0.5
 
 
@@ -58,9 +58,10 @@
         target = request.model or request.service
         instances = (member.instance for member in members)
         ranked = _rendezvous.rank(_make_key(request), instances)
+        retried = self._find_retried(ranked, target)
         ranked.sort(
             key=lambda instance: (
-                self._is_absent(instance, target),
+                (instance, target) in self._absent and instance != retried,
                 self._is_busy(instance, target, request),
             )
         )
@@ -97,9 +98,20 @@
             for key in [k for k in hints if k[0] == instance]:
                 del hints[key]
 
-    def _is_absent(self, instance: ids.InstanceId, target: str) -> bool:
-        at_s = self._absent.get((instance, target))
-        return at_s is not None and self._now_s() - at_s < ABSENT_TTL_S
+    def _find_retried(
+        self, ranked: list[ids.InstanceId], target: str
+    ) -> ids.InstanceId | None:
+        """Returns the one instance that may own an endpoint by now.
+
+        Only one is asked again for a request, so that many hints that expire
+        together cannot use up its hops.
+        """
+        oldest_s = self._now_s() - ABSENT_TTL_S
+        for instance in ranked:
+            at_s = self._absent.get((instance, target))
+            if at_s is not None and at_s < oldest_s:
+                return instance
+        return None
 
     def _is_busy(
         self,
--- a/packages/dispatch/poplarwick_dispatch/window.py
+++ b/packages/dispatch/poplarwick_dispatch/window.py
@@ -9,7 +9,8 @@
 WARM_RATIO = 1.5
 COLD_RATIO = 4.0
 COLD_SAMPLES = 5
-SAMPLE_PREFILL_S = 0.1
+CACHED_RATIO = 0.6
+SAMPLE_PREFILL_S = 0.05
 
 
 class ColdStartWindow:
@@ -17,7 +18,8 @@
 
     One more place for each completion doubles the window for each round of
     requests. It is wide open after `WARM_COMPLETIONS`, or earlier after
-    `WARM_SAMPLES` first tokens in a row at the warm rate.
+    `WARM_SAMPLES` first tokens at the warm rate, of which each slow one takes
+    two back.
 
     Attributes:
         is_open: Whether the endpoint counts as warm.
@@ -84,7 +86,13 @@
         if expected_s < SAMPLE_PREFILL_S:
             return False
         ratio = measured_s / expected_s
-        self._warm_samples = self._warm_samples + 1 if ratio < WARM_RATIO else 0
+        if ratio < CACHED_RATIO:
+            # A cached prefix says nothing about the speed.
+            return False
+        if ratio < WARM_RATIO:
+            self._warm_samples += 1
+        else:
+            self._warm_samples = max(self._warm_samples - 2, 0)
         self._slow_samples = self._slow_samples + 1 if ratio > COLD_RATIO else 0
         if self._warm_samples >= WARM_SAMPLES:
             self.is_open = True
--- a/packages/dispatch/tests/dispatch_fakes.py
+++ b/packages/dispatch/tests/dispatch_fakes.py
@@ -58,6 +58,8 @@
     """An engine that keeps streams and answers control calls."""
 
     restart_id: str = "a"
+    epoch: int = 0
+    keeps_epochs: bool = True
     is_reachable: bool = True
     streams: dict[str, messages.StreamState] = dataclasses.field(
         default_factory=dict
@@ -77,7 +79,9 @@
     async def read_state(self):
         await self._answer()
         return messages.EngineState(
-            self.restart_id, streams=tuple(self.streams.values())
+            self.restart_id,
+            epoch=self.epoch,
+            streams=tuple(self.streams.values()),
         )
 
     async def read_report(self):
@@ -94,6 +98,8 @@
     async def cancel(self, stream, epoch):
         await self._answer()
         self.cancelled.append(stream)
+        if self.keeps_epochs:
+            self.epoch = max(self.epoch, epoch)
         found = self.streams.pop(stream, None)
         if found is None:
             return messages.CancelState.UNKNOWN
--- a/packages/dispatch/tests/test_monitor.py
+++ b/packages/dispatch/tests/test_monitor.py
@@ -13,6 +13,7 @@
 from poplarwick_configuration import document
 from poplarwick_dispatch import health
 from poplarwick_dispatch import pool as pools
+from poplarwick_dispatch import window
 from poplarwick_peers.wire import grant_pb2
 
 EXPIRED_S = pools.GRANT_TTL_S + 2.5
@@ -104,6 +105,7 @@
             fakes.make_view(endpoints=1), is_live=lambda i: i == "i2"
         )
         engine = bed.engines["127.0.0.1:9000"]
+        engine.epoch = 1
         engine.start("gr-1.i2", 500)
         engine.start("gr-2.gone", 300)
         engine.start("foreign", 200)
@@ -136,6 +138,33 @@
     fakes.run(main())
 
 
+@pytest.mark.parametrize(
+    ("epoch", "keeps_epochs", "is_immediate"),
+    [(0, True, True), (1, True, False), (0, False, False)],
+)
+def test_new_owner_waits_for_grants_of_an_earlier_one(
+    epoch, keeps_epochs, is_immediate
+):
+    async def main():
+        bed = fakes.Bed(fakes.make_view(endpoints=1))
+        engine = bed.engines["127.0.0.1:9000"]
+        engine.epoch = epoch
+        engine.keeps_epochs = keeps_epochs
+        async with bed.dispatcher:
+            await bed.dispatcher.begin_tenure(fakes.make_tenure("e0", 2))
+            await asyncio.sleep(0.5)
+            book = bed.find_books()["e0"]
+            assert book.is_ready == is_immediate
+            # Sent on a grant of the earlier owner.
+            engine.start("gr-1.i2", 500, epoch=1)
+            await asyncio.sleep(pools.GRANT_TTL_S)
+            assert book.is_ready
+            if not is_immediate:
+                assert _count_memory(bed) == 500
+
+    fakes.run(main())
+
+
 def test_unannounced_restart_closes_the_window_and_moves_the_queue():
     async def main():
         model = fakes.make_model(max_batch=8, cold_start=COLD)
@@ -216,6 +245,27 @@
     fakes.run(main())
 
 
+def test_first_tokens_at_the_warm_rate_open_the_window():
+    async def main():
+        model = fakes.make_model(cold_start=COLD, prefill_tokens_per_s=10_000)
+        view = fakes.make_view(endpoints=1, model=model)
+        async with fakes.Bed(view) as bed:
+            book = bed.find_books()["e0"]
+            for first_s, opens in ((0.4, False), (0.05, False), (0.22, True)):
+                for _ in range(window.WARM_SAMPLES):
+                    grant = (await bed.acquire(2_000)).grant
+                    await bed.report(
+                        grant,
+                        grant_pb2.REPORT_FIRST_TOKEN,
+                        first_token_s=first_s,
+                    )
+                    # Not completed: only the first tokens are evidence.
+                    await bed.report(grant, grant_pb2.REPORT_NOT_SENT)
+                assert book.window.is_open == opens
+
+    fakes.run(main())
+
+
 def test_returning_domain_is_asked_for_restarts_before_new_work():
     async def main():
         model = fakes.make_model(cold_start=COLD)
--- a/packages/dispatch/tests/test_router.py
+++ b/packages/dispatch/tests/test_router.py
@@ -56,6 +56,21 @@
     assert not {ranked[1], ranked[2]} & set(_rank(subject))
 
 
+def test_expired_absences_cost_one_hop_only():
+    time_s = [0.0]
+    subject = routers.Router(lambda: time_s[0])
+    ranked = sorted(m.instance for m in MEMBERS)
+    for instance in ranked[:5]:
+        subject.note_refusal(instance, "m", grant_pb2.REFUSAL_NOT_OWNER)
+    time_s[0] += routers.ABSENT_TTL_S + 1
+    for digest in range(1, 50):
+        asked = _rank(subject, digest)
+        assert len(set(asked) & set(ranked[:5])) == 1
+    room = grant_pb2.Room(model="m", free_tokens=10**6)
+    subject.note_rooms(ranked[0], [room])
+    assert any(_rank(subject, d)[0] == ranked[0] for d in range(1, 50))
+
+
 def test_hops_are_bounded_and_few_members_are_asked_again():
     for members in (MEMBERS, MEMBERS[:2], MEMBERS[:1]):
         ranked = _rank(routers.Router(), members=members)
