Spread resources soon after a start; hand over only while the service answers

Change: a tenure may move for balance after 2 s (it was 10 s; damping of flapping instances stays); a hand-over for balance first renews the lease and is dropped if the service does not answer.

--- a/packages/ownership/poplarwick_ownership/_holdings.py
+++ b/packages/ownership/poplarwick_ownership/_holdings.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import random
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterator
@@ -108,9 +109,29 @@
         for holding in self:
             holding.stop()
 
-    def start_hand_over(self, leaving: list[_holding.Holding]) -> None:
-        """Hands tenures over in the background."""
-        self._start(self.hand_over(leaving))
+    def start_hand_over(
+        self,
+        leaving: list[_holding.Holding],
+        check_service: Callable[[], Awaitable[bool]],
+    ) -> None:
+        """Hands tenures over in the background if the service answers now.
+
+        In an outage no one could claim them.
+        """
+        self._start(self._hand_over_if_possible(leaving, check_service))
+
+    async def _hand_over_if_possible(
+        self,
+        leaving: list[_holding.Holding],
+        check_service: Callable[[], Awaitable[bool]],
+    ) -> None:
+        resources = {holding.tenure.resource.key for holding in leaving}
+        self._releasing |= resources
+        try:
+            if await check_service():
+                await self.hand_over(leaving)
+        finally:
+            self._releasing -= resources
 
     async def hand_over(self, leaving: list[_holding.Holding]) -> None:
         """Ends tenures in a planned way and records that."""
--- a/packages/ownership/poplarwick_ownership/_lease.py
+++ b/packages/ownership/poplarwick_ownership/_lease.py
@@ -100,6 +100,16 @@
         self.valid_until_s = 0.0
         self._notify()
 
+    async def check(self) -> bool:
+        """Renews the lease now; returns whether the service answered."""
+        if self.held is None:
+            return False
+        try:
+            await self._renew(self.held)
+        except kv.KvError:
+            return False
+        return True
+
     async def revoke(self) -> None:
         """Ends the lease before a planned stop."""
         held = self.held
--- a/packages/ownership/poplarwick_ownership/leases.py
+++ b/packages/ownership/poplarwick_ownership/leases.py
@@ -31,7 +31,7 @@
 MIN_CHECK_S = 0.01
 CONFIRM_PERIOD_S = 0.3
 CONFIRM_BEFORE_S = 1.5
-MIN_TENURE_S = 10.0
+MIN_TENURE_S = 2.0
 
 
 def read_boot_clock() -> float:
@@ -265,7 +265,7 @@
                 claims.append(claim)
         leaving = [h for h in self._holdings if self._should_leave(h)]
         if leaving:
-            self._holdings.start_hand_over(leaving)
+            self._holdings.start_hand_over(leaving, self._lease.check)
         if claims:
             await self._writer.claim(claims, held)
             for claim in claims:
@@ -350,7 +350,7 @@
     def _should_leave(self, holding: _holding.Holding) -> bool:
         """Returns whether a tenure should be handed over."""
         resource = holding.tenure.resource
-        if not holding.is_active:
+        if not holding.is_active or self._holdings.is_releasing(resource):
             return False
         if self._resources.get(resource.key) != resource:
             return True
--- a/packages/ownership/tests/test_leases.py
+++ b/packages/ownership/tests/test_leases.py
@@ -240,3 +240,22 @@
             await fleet.settle(40)
 
     virtual_time.run(scenario, monkeypatch)
+
+
+def test_no_hand_over_for_balance_begins_in_an_outage(monkeypatch):
+    async def scenario(loop):
+        async with simulated.running(count=1, resources=12) as fleet:
+            await fleet.settle(5)
+            await fleet.start("i-1")
+            # The newcomer is not yet settled when the service goes away.
+            await fleet.pass_time(1)
+            fleet.service.is_out = True
+            await fleet.pass_time(5 * TTL_S)
+            assert fleet.is_settled()
+            fleet.service.store.extend_leases()
+            fleet.service.is_out = False
+            await fleet.pass_time(30)
+            assert fleet.is_settled()
+            assert fleet.instances["i-1"].recorder.current
+
+    virtual_time.run(scenario, monkeypatch)
--- a/packages/ownership/tests/test_wire.py
+++ b/packages/ownership/tests/test_wire.py
@@ -12,6 +12,7 @@
 from poplarwick_core import ids
 from poplarwick_ownership import confirmations
 from poplarwick_ownership import leases
+from poplarwick_ownership import ranking
 from poplarwick_ownership import tenure
 from poplarwick_peers import heartbeats
 from poplarwick_peers import transport
@@ -113,6 +114,16 @@
     return sum(len(instance.ownership.tenures) for instance in fleet)
 
 
+def is_balanced(fleet) -> bool:
+    """Whether each instance holds just what it is preferred for."""
+    names = [instance.view.own.instance for instance in fleet]
+    return count_valid(fleet) == len(RESOURCES) and all(
+        ranking.rank_owners(begun.resource, names)[0] == name
+        for name, instance in zip(names, fleet, strict=True)
+        for begun in instance.ownership.tenures
+    )
+
+
 async def until(condition) -> None:
     async with asyncio.timeout(GENEROUS_S):
         while not condition():  # noqa: ASYNC110
@@ -133,6 +144,7 @@
             await until(
                 lambda: all(len(i.view.members) == len(fleet) for i in fleet)
             )
+            await until(lambda: is_balanced(fleet))
             await set_faults(address, outage=True)
             loop = asyncio.get_running_loop()
             end_s = loop.time() + 3 * TTL_S
