Send the priority that the dispatcher chose; tell ownership which endpoints are fenced

Cause: the entry sent the caller's priority to the engine, so engines ran short and long prompts first come, first served; every endpoint waited a lease lifetime after its owner's death, also where it checks epochs. Change: the grant's priority goes to the engine; is_fenced follows checks_epochs of the document.

--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -95,7 +95,6 @@
         self,
         grant: grant_pb2.Grant,
         instance: ids.InstanceId,
-        priority: int,
         reporter: reports.Reporter,
     ) -> None:
         self.endpoint = ids.EndpointId(grant.endpoint)
@@ -103,7 +102,7 @@
             address=grant.address,
             stream=ids.StreamId(grant.stream_id),
             epoch=ids.Epoch(grant.epoch),
-            priority=priority,
+            priority=grant.priority,
         )
         self._grant = grant
         self._instance = instance
@@ -275,9 +274,7 @@
             return None
         self._router.note_rooms(instance, reply.room)
         if reply.HasField("grant"):
-            return HeldGrant(
-                reply.grant, instance, demand.priority, self._reporter
-            )
+            return HeldGrant(reply.grant, instance, self._reporter)
         self._router.note_refusal(
             instance, demand.model or demand.service, reply.refusal.reason
         )
--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -44,6 +44,7 @@
                 tenure.ResourceKind.ENDPOINT,
                 endpoint.id,
                 ids.RegionId(domain.region),
+                is_fenced=endpoint.checks_epochs,
             )
         )
     return tuple(resources)
