Pick ports below the range of outgoing connections; keep failed labs' logs

Cause: once in 14 systems an instance ended at its start in the features (load average 13); its log was gone. Ports were picked from the range that outgoing connections use; that this was the cause is likely, not shown. Change: ports from 12,000 to 32,000; a fixture that fails keeps its lab.

--- a/features/environment.py
+++ b/features/environment.py
@@ -27,13 +27,18 @@
         own_lab = lab.Lab()
         runner.run(own_lab.__aenter__())
         context.run = runner.run
+        failure = None
         try:
             plan = make_plan(is_cold=is_cold)
             context.system = fleet.Fleet(own_lab, plan)
             runner.run(context.system.start())
             yield context.system
+        except Exception as error:
+            # A lab that failed keeps its logs.
+            failure = error
+            raise
         finally:
-            runner.run(own_lab.__aexit__(None, None, None))
+            runner.run(own_lab.__aexit__(None, failure, None))
 
 
 def make_plan(*, is_cold):
--- a/packages/bench/poplarwick_bench/lab.py
+++ b/packages/bench/poplarwick_bench/lab.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import shutil
 import socket
 import tempfile
@@ -19,6 +20,8 @@
 from poplarwick_node import settings
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.02
 
@@ -180,11 +183,17 @@
 
 
 def find_free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses whose ports are free at the moment."""
-    with contextlib.ExitStack() as stack:
-        found = []
-        for _ in range(count):
-            probe = stack.enter_context(socket.socket())
-            probe.bind((LOOPBACK, 0))
-            found.append(f"{LOOPBACK}:{probe.getsockname()[1]}")
-        return found
+    """Returns loopback addresses whose ports are free at the moment.
+
+    They lie below the range that the system gives to outgoing connections, so
+    that none of those takes a port before its process listens.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        address = f"{LOOPBACK}:{port}"
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            if address not in found:
+                found.append(address)
+    return found
--- a/packages/bench/tests/test_lab.py
+++ b/packages/bench/tests/test_lab.py
@@ -91,3 +91,10 @@
         assert not own_lab.folder.exists()
 
     asyncio.run(run())
+
+
+def test_free_addresses_differ_and_lie_below_outgoing_ports():
+    found = lab.find_free_addresses(50)
+    ports = {int(address.rpartition(":")[2]) for address in found}
+    assert len(ports) == 50
+    assert all(lab.FIRST_PORT <= port < lab.LAST_PORT for port in ports)
