End the started processes when the bench is told to stop

Change: SIGTERM cancels the command, so that the lab cleans up. Measured: timeout 5 poplarwick-bench demo leaves none of its processes.

--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import pathlib
+import signal
 import sys
 
 from poplarwick_bench import demo
@@ -31,17 +32,27 @@
     parsed = parser.parse_args(arguments)
     logs.configure_logs("WARNING")
     try:
-        return int(asyncio.run(parsed.command(parsed)))
+        return int(asyncio.run(_run(parsed)))
     except errors.DocumentError as error:
         print(f"poplarwick-bench: {error}", file=sys.stderr)
         return cli.ExitCode.USAGE
     except (errors.PoplarwickError, OSError) as error:
         print(f"poplarwick-bench: {error}", file=sys.stderr)
         return cli.ExitCode.FAILURE
+    except asyncio.CancelledError:
+        return cli.ExitCode.FAILURE
     except KeyboardInterrupt:
         return cli.ExitCode.OK
 
 
+async def _run(parsed: argparse.Namespace) -> int:
+    # Told to stop, the bench ends the processes that it started.
+    task = asyncio.ensure_future(parsed.command(parsed))
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return int(await task)
+
+
 def _add_demo(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
 ) -> None:
