--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -74,7 +74,7 @@
             epoch=1,
         )
         own = ids.InstanceId("instance-0")
-        return grants.HeldGrant(grant, own, 0, self.reporter)
+        return grants.HeldGrant(grant, own, self.reporter)
 
 
 class Entry:
--- a/packages/entry/tests/test_relayed_streams.py
+++ b/packages/entry/tests/test_relayed_streams.py
@@ -9,6 +9,11 @@
 import pytest
 from aiohttp import web
 
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_entry import grants
+from poplarwick_peers.wire import grant_pb2
+
 PATH = "/v1/completions"
 COUNT = 8
 
@@ -217,3 +222,12 @@
             writer.close()
 
     entry_fakes.run(main)
+
+
+def test_engine_gets_the_priority_that_the_dispatcher_chose():
+    grant = grant_pb2.Grant(grant_id="g", stream_id="s", priority=7)
+    held = grants.HeldGrant(
+        grant, ids.InstanceId("i"), entry_fakes.FakeReporter()
+    )
+    sent = held.target.make_headers(clock.make_deadline(1.0))
+    assert sent["Endpoint-Priority"] == "7"
