Let instances that start together share the endpoints at once

Change: an instance looks for START_S who is there before it claims, and counts those as settled; the entry waits up to 3 s while endpoints have no owner; readiness waits for owners.

--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import math
 import random
@@ -23,6 +24,8 @@
 from poplarwick_peers.wire import grant_grpc
 from poplarwick_peers.wire import grant_pb2
 
+OWNER_WAIT_S = 3.0
+OWNER_RETRY_S = 0.1
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 3.0
 
@@ -32,6 +35,14 @@
     grant_pb2.REFUSAL_TOO_LONG: verdicts.Reason.TOO_LONG,
     grant_pb2.REFUSAL_DRAINING: verdicts.Reason.DRAINING,
 }
+_PASSING_REASONS = frozenset(
+    (
+        grant_pb2.REFUSAL_NOT_OWNER,
+        grant_pb2.REFUSAL_DRAINING,
+    )
+)
+"""Refusals that end once endpoints have a new owner."""
+
 _FINAL_REASONS = frozenset(
     (
         grant_pb2.REFUSAL_LIMIT,
@@ -231,7 +242,23 @@
             problems.RequestEnded: No dispatcher grants the request.
         """
         request = self._make_request(demand, excluded, version)
-        search = _Search()
+        wait = clock.make_deadline(OWNER_WAIT_S)
+        while True:
+            search = _Search()
+            held = await self._search(request, demand, search)
+            if held is not None:
+                return held
+            may_wait = search.refusal.reason in _PASSING_REASONS
+            if not may_wait or wait.has_passed or demand.deadline.has_passed:
+                raise make_error(search.refusal)
+            await asyncio.sleep(OWNER_RETRY_S)
+
+    async def _search(
+        self,
+        request: grant_pb2.AcquireRequest,
+        demand: Demand,
+        search: _Search,
+    ) -> HeldGrant | None:
         ranked = self._router.rank(request, self._list_candidates(demand))
         for hop, instance in enumerate(dict.fromkeys(ranked[:-1])):
             held = await self._try(instance, hop, request, demand, search)
@@ -241,13 +268,11 @@
                 break
         # Nobody has room at once: wait at the owner with the shortest queue.
         waiting_at = search.shortest_queue or (ranked[-1] if ranked else None)
-        if waiting_at is not None and not search.is_over:
-            held = await self._try(
-                waiting_at, pool.LAST_HOP, request, demand, search
-            )
-            if held is not None:
-                return held
-        raise make_error(search.refusal)
+        if waiting_at is None or search.is_over:
+            return None
+        return await self._try(
+            waiting_at, pool.LAST_HOP, request, demand, search
+        )
 
     def _list_candidates(self, demand: Demand) -> list[membership.Member]:
         owners = self._find_owners(demand.model, demand.service)
--- a/packages/node/poplarwick_node/_fleet.py
+++ b/packages/node/poplarwick_node/_fleet.py
@@ -64,9 +64,7 @@
         self, owner: leases.LeaseOwnership
     ) -> collections.defaultdict[ids.InstanceId, list[str]]:
         grouped = collections.defaultdict(list)
-        view = self._read_view()
-        resources = _resources.list_endpoints(view) if view else ()
-        for resource in resources:
+        for resource in _resources.list_endpoints(self._read_view()):
             instance = owner.find_owner(resource)
             if instance is not None:
                 grouped[instance].append(resource.id)
--- a/packages/node/poplarwick_node/_resources.py
+++ b/packages/node/poplarwick_node/_resources.py
@@ -32,8 +32,12 @@
     return shards.make_resources([ids.RegionId(region) for region in regions])
 
 
-def list_endpoints(view: document.View) -> tuple[tenure.Resource, ...]:
+def list_endpoints(
+    view: document.View | None,
+) -> tuple[tenure.Resource, ...]:
     """Returns the endpoints; each belongs to the region of its domain."""
+    if view is None:
+        return ()
     resources = []
     for endpoint in view.document.endpoints:
         domain = view.find_domain(ids.DomainId(endpoint.domain))
--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -7,15 +7,18 @@
 from poplarwick_administration import messages
 from poplarwick_configuration import document
 from poplarwick_configuration import follower
+from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_dispatch import dispatcher
 from poplarwick_node import _fleet
+from poplarwick_node import _resources
 from poplarwick_node import _web
 from poplarwick_node import settings
 from poplarwick_ownership import leases
 from poplarwick_peers import heartbeats
 
 ISOLATION_LIMIT_S = 10.0
+OWNERS_TIMEOUT_S = 5.0
 
 
 class Instance:
@@ -37,6 +40,8 @@
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
+        self._began_s = clock.now_s()
+        self._was_settled = False
         self._settings = checked
         self._documents = documents
         self._members = members
@@ -58,8 +63,20 @@
             return refusal
         if view is not None and self._is_out(view):
             return "operators took the instance out of service"
+        if not self._is_settled():
+            return "endpoints are finding their owners"
         return None
 
+    def _is_settled(self) -> bool:
+        """Whether endpoints have owners, or none was found in time."""
+        if not self._was_settled:
+            waited_s = clock.now_s() - self._began_s
+            resources = _resources.list_endpoints(self.read_view())
+            self._was_settled = waited_s > OWNERS_TIMEOUT_S or all(
+                self._owner.find_owner(resource) for resource in resources
+            )
+        return self._was_settled
+
     def read_refusal(self) -> str | None:
         """Returns why this instance admits no request, or None."""
         if self._documents.view is None:
--- a/packages/ownership/poplarwick_ownership/_candidates.py
+++ b/packages/ownership/poplarwick_ownership/_candidates.py
@@ -100,11 +100,14 @@
         """Returns whether this instance should claim a vacant resource.
 
         Lower-ranked instances step in one after the other, should the better
-        ones fail to claim.
+        ones fail to claim. An instance that starts first looks who is there.
         """
         if self.is_own_excluded:
             return False
         now_s = self._read_clock()
+        if self._stability.is_starting(now_s):
+            self._vacant_s.setdefault(resource, now_s)
+            return False
         vacant_s = self._vacant_s.setdefault(resource, now_s)
         return now_s - vacant_s >= self._find_rank(resource) * FALLBACK_S
 
