--- a/packages/dispatch/poplarwick_dispatch/pool.py
+++ b/packages/dispatch/poplarwick_dispatch/pool.py
@@ -165,6 +165,13 @@
     def make_room(self) -> grant_pb2.Room:
         """Returns the hint about free capacity that rides on replies."""
         open_books = self.placement.open_books
+        if not self.has_service:
+            # Nothing waits here, but only because nothing can run here.
+            return grant_pb2.Room(
+                model=self.target.model or "",
+                service=self.target.service or "",
+                is_absent=True,
+            )
         waiting_s = sum(
             class_queue.work_s
             for length_class, class_queue in self.queues.items()
--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -190,6 +190,8 @@
         self.refusal = _choose_refusal(self.refusal, reply.refusal)
         if reply.refusal.reason != grant_pb2.REFUSAL_NO_ROOM:
             return
+        if any(room.is_absent for room in reply.room):
+            return
         queue_s = sum(room.queue_s for room in reply.room)
         if queue_s < self._queue_s:
             self._queue_s = queue_s
--- /dev/null
+++ b/packages/entry/tests/test_grants.py
@@ -0,0 +1,117 @@
+"""Tests of where a request waits when nobody has room at once."""
+
+import asyncio
+
+import pytest
+
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_entry import grants
+from poplarwick_entry import problems
+from poplarwick_peers import membership
+from poplarwick_peers.wire import grant_pb2
+
+MEMBERS = tuple(
+    membership.Member(f"i{n}", f"127.0.0.1:{n}", "d", "r", 1) for n in range(4)
+)
+
+
+class Members:
+    own = MEMBERS[0]
+    members = MEMBERS
+
+    def find(self, instance):
+        return None
+
+
+class Router:
+    def rank(self, request, members):
+        return [member.instance for member in members]
+
+    def note_rooms(self, instance, rooms):
+        pass
+
+    def note_refusal(self, instance, target, reason):
+        pass
+
+
+class Broker(grants.GrantBroker):
+    """Asks answers made by a test instead of instances."""
+
+    def __init__(self, answers):
+        owners = frozenset(ids.InstanceId(name) for name in answers)
+        super().__init__(
+            Members(), Router(), None, None, None, lambda model, service: owners
+        )
+        self.answers = answers
+        self.asked = []
+
+    async def _ask(self, instance, request):
+        self.asked.append((instance, request.hops))
+        return self.answers[instance](request)
+
+
+def refuse(reason, **room):
+    refusal = grant_pb2.Refusal(reason=reason)
+    rooms = [grant_pb2.Room(model="m", **room)]
+    return grant_pb2.AcquireReply(refusal=refusal, room=rooms)
+
+
+def be_out(request):
+    return refuse(grant_pb2.REFUSAL_NO_ROOM, is_absent=True)
+
+
+def be_busy(queue_s):
+    def answer(request):
+        if request.hops == grants.pool.LAST_HOP:
+            grant = grant_pb2.Grant(grant_id="g", endpoint="e")
+            return grant_pb2.AcquireReply(grant=grant)
+        return refuse(grant_pb2.REFUSAL_NO_ROOM, queue_s=queue_s)
+
+    return answer
+
+
+def acquire(broker, timeout_s=5.0):
+    demand = grants.Demand(
+        request=ids.RequestId("q"),
+        organisation=ids.OrganisationId("o"),
+        deadline=clock.make_deadline(timeout_s),
+        model="m",
+    )
+    return asyncio.run(broker.acquire(demand, frozenset(), 1))
+
+
+def test_request_waits_at_the_shortest_queue():
+    broker = Broker(
+        {"i0": be_busy(3.0), "i1": be_busy(1.0), "i2": be_busy(2.0)}
+    )
+    assert acquire(broker).endpoint == "e"
+    assert broker.asked[-1] == ("i1", grants.pool.LAST_HOP)
+
+
+def test_request_never_waits_where_all_endpoints_are_out_of_service():
+    broker = Broker({"i0": be_out, "i1": be_busy(9.0), "i2": be_out})
+    assert acquire(broker).endpoint == "e"
+    assert broker.asked[-1] == ("i1", grants.pool.LAST_HOP)
+
+
+def test_request_waits_while_endpoints_change_owners():
+    calls = []
+
+    def change_owner(request):
+        calls.append(request.hops)
+        if len(calls) < 3:
+            return refuse(grant_pb2.REFUSAL_NOT_OWNER)
+        grant = grant_pb2.Grant(grant_id="g", endpoint="e")
+        return grant_pb2.AcquireReply(grant=grant)
+
+    assert acquire(Broker({"i0": change_owner})).endpoint == "e"
+
+
+def test_full_fleet_is_refused_at_once():
+    def be_full(request):
+        return refuse(grant_pb2.REFUSAL_NO_ROOM, queue_s=1.0)
+
+    with pytest.raises(problems.RequestEnded) as caught:
+        acquire(Broker({"i0": be_full}))
+    assert caught.value.ending.retry_after_s > 0
