Keep what a search for room learns in a module of its own

Change: _search holds refusals and their ranking; the reporter sends what is queued before it closes; retain goes. Conclusion: behaviour unchanged but for the last reports.

--- /dev/null
+++ b/packages/entry/poplarwick_entry/_search.py
@@ -0,0 +1,107 @@
+"""What a request learns while it looks for a dispatcher with room."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from poplarwick_core import ids
+from poplarwick_entry import problems
+from poplarwick_outcomes import verdicts
+from poplarwick_peers.wire import grant_pb2
+
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_MAX_S = 3.0
+
+_REASONS = {
+    grant_pb2.REFUSAL_DEADLINE: verdicts.Reason.DEADLINE,
+    grant_pb2.REFUSAL_LIMIT: verdicts.Reason.LIMIT,
+    grant_pb2.REFUSAL_TOO_LONG: verdicts.Reason.TOO_LONG,
+    grant_pb2.REFUSAL_DRAINING: verdicts.Reason.DRAINING,
+}
+_PASSING_REASONS = frozenset(
+    (
+        grant_pb2.REFUSAL_NOT_OWNER,
+        grant_pb2.REFUSAL_DRAINING,
+    )
+)
+"""Refusals that end once endpoints have a new owner."""
+
+_FINAL_REASONS = frozenset(
+    (
+        grant_pb2.REFUSAL_LIMIT,
+        grant_pb2.REFUSAL_TOO_LONG,
+    )
+)
+_RANK = (
+    grant_pb2.REFUSAL_DEADLINE,
+    grant_pb2.REFUSAL_NO_ROOM,
+    grant_pb2.REFUSAL_DRAINING,
+    grant_pb2.REFUSAL_CANCELLED,
+    grant_pb2.REFUSAL_NOT_OWNER,
+)
+
+
+class Search:
+    """What the dispatchers asked so far have answered."""
+
+    def __init__(self) -> None:
+        self.refusal = grant_pb2.Refusal(
+            reason=grant_pb2.REFUSAL_NOT_OWNER,
+            detail="no instance owns an endpoint that serves this",
+        )
+        self.shortest_queue: ids.InstanceId | None = None
+        self._queue_s = math.inf
+
+    @property
+    def is_passing(self) -> bool:
+        """Whether the refusal ends once endpoints have a new owner."""
+        return self.refusal.reason in _PASSING_REASONS
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no other dispatcher would answer otherwise."""
+        return self.refusal.reason in _FINAL_REASONS
+
+    def note(
+        self, instance: ids.InstanceId, reply: grant_pb2.AcquireReply
+    ) -> None:
+        """Takes in a refusal and the queue behind it."""
+        self.refusal = _choose_refusal(self.refusal, reply.refusal)
+        if reply.refusal.reason != grant_pb2.REFUSAL_NO_ROOM:
+            return
+        if any(room.is_absent for room in reply.room):
+            return
+        queue_s = sum(room.queue_s for room in reply.room)
+        if queue_s < self._queue_s:
+            self._queue_s = queue_s
+            self.shortest_queue = instance
+
+
+def make_error(refusal: grant_pb2.Refusal) -> problems.RequestEnded:
+    """Returns the error for a request that no dispatcher granted."""
+    reason = _REASONS.get(refusal.reason, verdicts.Reason.NO_ROOM)
+    retry_after_s: float | None = refusal.retry_after_s
+    if reason is verdicts.Reason.TOO_LONG:
+        retry_after_s = None
+    elif not retry_after_s:
+        retry_after_s = random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+    return problems.refuse(
+        reason,
+        refusal.detail or "no endpoint has room for the request",
+        retry_after_s=retry_after_s,
+    )
+
+
+def _choose_refusal(
+    earlier: grant_pb2.Refusal, later: grant_pb2.Refusal
+) -> grant_pb2.Refusal:
+    """Returns the refusal that tells the caller most."""
+    if later.reason in _FINAL_REASONS:
+        return later
+    order = {reason: place for place, reason in enumerate(_RANK)}
+    if order.get(later.reason, len(_RANK)) <= order.get(
+        earlier.reason, len(_RANK)
+    ):
+        return later
+    return earlier
--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import dataclasses
-import math
-import random
 import types
 from collections.abc import Callable
 from typing import Self
@@ -16,9 +14,8 @@
 from poplarwick_dispatch import pool
 from poplarwick_dispatch import router
 from poplarwick_endpoints import generation
-from poplarwick_entry import problems
+from poplarwick_entry import _search
 from poplarwick_entry import reports
-from poplarwick_outcomes import verdicts
 from poplarwick_peers import membership
 from poplarwick_peers import transport
 from poplarwick_peers.wire import grant_grpc
@@ -26,42 +23,13 @@
 
 OWNER_WAIT_S = 3.0
 OWNER_RETRY_S = 0.1
-RETRY_AFTER_MIN_S = 1.0
-RETRY_AFTER_MAX_S = 3.0
-
-_REASONS = {
-    grant_pb2.REFUSAL_DEADLINE: verdicts.Reason.DEADLINE,
-    grant_pb2.REFUSAL_LIMIT: verdicts.Reason.LIMIT,
-    grant_pb2.REFUSAL_TOO_LONG: verdicts.Reason.TOO_LONG,
-    grant_pb2.REFUSAL_DRAINING: verdicts.Reason.DRAINING,
-}
-_PASSING_REASONS = frozenset(
-    (
-        grant_pb2.REFUSAL_NOT_OWNER,
-        grant_pb2.REFUSAL_DRAINING,
-    )
-)
-"""Refusals that end once endpoints have a new owner."""
 
-_FINAL_REASONS = frozenset(
-    (
-        grant_pb2.REFUSAL_LIMIT,
-        grant_pb2.REFUSAL_TOO_LONG,
-    )
-)
 _ENDED_AT_ENDPOINT = frozenset(
     (
         grant_pb2.REPORT_COMPLETE,
         grant_pb2.REPORT_NOT_SENT,
     )
 )
-_RANK = (
-    grant_pb2.REFUSAL_DEADLINE,
-    grant_pb2.REFUSAL_NO_ROOM,
-    grant_pb2.REFUSAL_DRAINING,
-    grant_pb2.REFUSAL_CANCELLED,
-    grant_pb2.REFUSAL_NOT_OWNER,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,37 +135,6 @@
         self._end.detail = detail
 
 
-class _Search:
-    """What the dispatchers asked so far have answered."""
-
-    def __init__(self) -> None:
-        self.refusal = grant_pb2.Refusal(
-            reason=grant_pb2.REFUSAL_NOT_OWNER,
-            detail="no instance owns an endpoint that serves this",
-        )
-        self.shortest_queue: ids.InstanceId | None = None
-        self._queue_s = math.inf
-
-    @property
-    def is_over(self) -> bool:
-        """Whether no other dispatcher would answer otherwise."""
-        return self.refusal.reason in _FINAL_REASONS
-
-    def note(
-        self, instance: ids.InstanceId, reply: grant_pb2.AcquireReply
-    ) -> None:
-        """Takes in a refusal and the queue behind it."""
-        self.refusal = _choose_refusal(self.refusal, reply.refusal)
-        if reply.refusal.reason != grant_pb2.REFUSAL_NO_ROOM:
-            return
-        if any(room.is_absent for room in reply.room):
-            return
-        queue_s = sum(room.queue_s for room in reply.room)
-        if queue_s < self._queue_s:
-            self._queue_s = queue_s
-            self.shortest_queue = instance
-
-
 FindOwners = Callable[[str, str], frozenset[ids.InstanceId]]
 """Returns the instances that own endpoints of a model or a service."""
 
@@ -246,20 +183,20 @@
         request = self._make_request(demand, excluded, version)
         wait = clock.make_deadline(OWNER_WAIT_S)
         while True:
-            search = _Search()
-            held = await self._search(request, demand, search)
+            search = _search.Search()
+            held = await self._ask_owners(request, demand, search)
             if held is not None:
                 return held
-            may_wait = search.refusal.reason in _PASSING_REASONS
+            may_wait = search.is_passing
             if not may_wait or wait.has_passed or demand.deadline.has_passed:
-                raise make_error(search.refusal)
+                raise _search.make_error(search.refusal)
             await asyncio.sleep(OWNER_RETRY_S)
 
-    async def _search(
+    async def _ask_owners(
         self,
         request: grant_pb2.AcquireRequest,
         demand: Demand,
-        search: _Search,
+        search: _search.Search,
     ) -> HeldGrant | None:
         ranked = self._router.rank(request, self._list_candidates(demand))
         for hop, instance in enumerate(dict.fromkeys(ranked[:-1])):
@@ -290,7 +227,7 @@
         hop: int,
         request: grant_pb2.AcquireRequest,
         demand: Demand,
-        search: _Search,
+        search: _search.Search,
     ) -> HeldGrant | None:
         if demand.deadline.has_passed:
             return None
@@ -339,32 +276,3 @@
         except transport.CALL_ERRORS:
             # A grant whose reply was lost is never used; it expires.
             return None
-
-
-def make_error(refusal: grant_pb2.Refusal) -> problems.RequestEnded:
-    """Returns the error for a request that no dispatcher granted."""
-    reason = _REASONS.get(refusal.reason, verdicts.Reason.NO_ROOM)
-    retry_after_s: float | None = refusal.retry_after_s
-    if reason is verdicts.Reason.TOO_LONG:
-        retry_after_s = None
-    elif not retry_after_s:
-        retry_after_s = random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
-    return problems.refuse(
-        reason,
-        refusal.detail or "no endpoint has room for the request",
-        retry_after_s=retry_after_s,
-    )
-
-
-def _choose_refusal(
-    earlier: grant_pb2.Refusal, later: grant_pb2.Refusal
-) -> grant_pb2.Refusal:
-    """Returns the refusal that tells the caller most."""
-    if later.reason in _FINAL_REASONS:
-        return later
-    order = {reason: place for place, reason in enumerate(_RANK)}
-    if order.get(later.reason, len(_RANK)) <= order.get(
-        earlier.reason, len(_RANK)
-    ):
-        return later
-    return earlier
--- a/packages/entry/poplarwick_entry/reports.py
+++ b/packages/entry/poplarwick_entry/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import types
 from typing import Self
 
@@ -24,6 +25,7 @@
 RETRY_DELAY_S = 0.2
 MAX_TRIES = 5
 MAX_BATCH = 256
+LAST_FLUSH_S = 2.0
 
 
 class Reporter:
@@ -69,6 +71,9 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_FLUSH_S):
+                await self.flush()
         for task in self._tasks.values():
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
--- a/packages/peers/poplarwick_peers/transport.py
+++ b/packages/peers/poplarwick_peers/transport.py
@@ -113,12 +113,6 @@
         host, port = split_address(address)
         return client.Channel(host, port, ssl=self._tls)
 
-    def retain(self, addresses: frozenset[str]) -> None:
-        """Closes the channels to all other addresses."""
-        for address in tuple(self._channels):
-            if address not in addresses:
-                self._channels.pop(address).close()
-
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits `host:port`; IPv6 hosts stand in brackets.
