--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,27 @@
+"""Starts an instance from a checkout, without installing its packages."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SETTINGS_VARIABLE = "POPLARWICK_NODE_FILE"
+
+
+def main() -> int:
+    """Puts the checkout's packages on the path and runs the daemon."""
+    sys.path[:0] = [str(path) for path in sorted(ROOT.glob("packages/*"))]
+    sys.path.insert(0, str(ROOT / "platform"))
+    from poplarwick_node import main as node
+
+    settings = os.environ.get(SETTINGS_VARIABLE)
+    if not settings:
+        print(f"launch: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
+        return 2
+    return node.main(["--platform-settings", settings])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/catalogue/poplarwick_catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""What is routed where: routes, services, organisations, endpoints."""
--- /dev/null
+++ b/packages/catalogue/poplarwick_catalogue/routing.py
@@ -0,0 +1,77 @@
+"""The routing configuration in force and its look-ups."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from poplarwick_catalogue import types
+from poplarwick_core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Routing:
+    """One version of the routing configuration.
+
+    Attributes:
+        version: Number of the version; later versions have higher numbers.
+        routes_by_host: Routes of each host, the longest prefix first.
+        services: Services by id.
+        limits: What callers may send.
+        organisations_by_key: Organisations by key; None where requests carry
+            no key.
+    """
+
+    version: int
+    routes_by_host: Mapping[str, tuple[types.Route, ...]]
+    services: Mapping[ids.ServiceId, types.Service]
+    limits: types.CallerLimits
+    organisations_by_key: Mapping[types.ApiKey, types.Organisation] | None
+
+    def find_route(self, host: str, path: str) -> types.Route | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        Args:
+            host: Value of the Host header; a port and case are ignored.
+            path: Path without the query.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self.routes_by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def make_routing(
+    version: int,
+    routes: Sequence[types.Route],
+    services: Sequence[types.Service],
+    limits: types.CallerLimits,
+    organisations_by_key: Mapping[types.ApiKey, types.Organisation] | None,
+) -> Routing:
+    """Indexes a configuration."""
+    by_host: dict[str, list[types.Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    for found in by_host.values():
+        found.sort(key=lambda route: len(route.path_prefix), reverse=True)
+    return Routing(
+        version,
+        {host: tuple(found) for host, found in by_host.items()},
+        {service.id: service for service in services},
+        limits,
+        organisations_by_key,
+    )
+
+
+def choose_service(route: types.Route, draw: random.Random) -> ids.ServiceId:
+    """Draws one of a route's services by their weights."""
+    destinations = route.destinations
+    if len(destinations) == 1:
+        return destinations[0].service
+    weights = [destination.weight for destination in destinations]
+    if not any(weights):
+        return destinations[0].service
+    return draw.choices(destinations, weights)[0].service
--- /dev/null
+++ b/packages/coordination/poplarwick_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Lets one instance place the requests of all."""
--- /dev/null
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -0,0 +1,336 @@
+"""Gets places for this instance's requests."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+
+from poplarwick_catalogue import catalogue
+from poplarwick_catalogue import deployment
+from poplarwick_coordination import candidates
+from poplarwick_coordination import links
+from poplarwick_coordination import store_changes
+from poplarwick_coordination import wire_codec
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import desk
+from poplarwick_placement import work
+from poplarwick_platform import kv
+from poplarwick_platform import mirror
+
+TICK_S = 0.02
+"""Period at which requests that wait at this instance are tried again."""
+
+ANSWER_SHARE = 0.4
+"""Part of the time left to be on time after which a silent placer is not
+waited for."""
+
+HEARD_S = 0.4
+"""A placer heard within this time is alive: one and a half beats."""
+
+Send = Callable[[placement_pb2.EntryMessage], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Asked:
+    wanted: work.Work
+    decision: asyncio.Future[work.Decision]
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    wanted: work.Work
+    placement: work.Placement
+    has_begun: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """The placer that serves this instance.
+
+    Attributes:
+        placer: Its instance.
+        epoch: Number of its tenure.
+        send: Sends a message to it.
+        heard_at_s: When it was last heard.
+    """
+
+    placer: str
+    epoch: int
+    send: Send
+    heard_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request whose place was decided.
+
+    Attributes:
+        ask: Number of the request at this instance.
+        decision: Where it runs, or why it does not.
+        decided_by: Placer that decided, or "own".
+        waited_s: Time from the question to the decision.
+    """
+
+    ask: int
+    decision: work.Decision
+    decided_by: str
+    waited_s: float
+
+
+class Broker:
+    """Asks the placer, or decides alone where none answers.
+
+    Args:
+        known: What is routed where.
+        copy: Mirror of the store.
+        bounds: Bounds of the deployment.
+        note_later: Called with the tenure of each placer that calls.
+    """
+
+    def __init__(
+        self,
+        known: catalogue.Catalogue,
+        copy: mirror.Mirror,
+        bounds: deployment.Bounds,
+        note_later: Callable[[ids.Epoch], None],
+    ) -> None:
+        self.link: Link | None = None
+        self._catalogue = known
+        self._mirror = copy
+        self._bounds = bounds
+        self._note_later = note_later
+        self._desk = desk.Desk(packs=False, draw=random.Random())
+        self._fresh = False
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, _Asked] = {}
+        self._running: dict[int, _Running] = {}
+        self._own: set[int] = set()
+        self._wake = asyncio.Event()
+        known.add_listener(self._note_catalogue)
+
+    @property
+    def instances(self) -> int:
+        """Number of known instances, at least one."""
+        return max(len(self._catalogue.members), 1)
+
+    async def run(self) -> None:
+        """Decides on the requests that wait here, until cancelled."""
+        while True:
+            self._wake.clear()
+            await self._wake.wait()
+            while self._own or self._asked:
+                self._take_back_unanswered()
+                self._decide_own()
+                await asyncio.sleep(TICK_S)
+
+    async def place(self, wanted: work.Work) -> Ticket:
+        """Returns where a request runs, or why it does not.
+
+        The caller reports the end of each placed request.
+        """
+        ask = next(self._numbers)
+        began_s = clock.now_s()
+        asked = _Asked(wanted, asyncio.get_running_loop().create_future())
+        self._asked[ask] = asked
+        by = self._submit(ask, wanted)
+        try:
+            decision = await asked.decision
+        except asyncio.CancelledError:
+            self.note_end(ask, work.Result.GIVEN_UP)
+            raise
+        finally:
+            self._asked.pop(ask, None)
+        if ask in self._own:
+            self._own.discard(ask)
+            by = "own"
+        if isinstance(decision, work.Placement):
+            self._note_placed(ask, wanted, decision, by)
+        return Ticket(ask, decision, by, clock.now_s() - began_s)
+
+    def note_first(self, ask: int) -> None:
+        """Notes the first event of a placed request."""
+        running = self._running.get(ask)
+        if running is None or running.has_begun:
+            return
+        running.has_begun = True
+        self._desk.note_first(ask, clock.now_s())
+        message = placement_pb2.EntryMessage()
+        message.began.ask = ask
+        self._send(message)
+
+    def note_end(self, ask: int, result: work.Result) -> None:
+        """Notes the end of a request, placed or not."""
+        self._running.pop(ask, None)
+        self._own.discard(ask)
+        self._desk.note_end(ask, result, clock.now_s())
+        message = placement_pb2.EntryMessage()
+        message.ended.ask = ask
+        message.ended.result = result.value
+        self._send(message)
+
+    def attach(self, link: Link) -> bool:
+        """Follows a placer unless a later one is known."""
+        current = self.link
+        if current is not None and current.epoch > link.epoch:
+            return False
+        self._note_later(ids.Epoch(link.epoch))
+        self.link = link
+        logs.log_event("placer_followed", placer=link.placer, epoch=link.epoch)
+        for ask, running in self._running.items():
+            self._send_running(ask, running)
+        for ask, asked in self._asked.items():
+            if not asked.decision.done():
+                self._forget_own(ask)
+                self._send_ask(ask, asked.wanted)
+        return True
+
+    def detach(self, link: Link, reason: object) -> None:
+        """Stops following a placer; what waited there is decided here."""
+        if self.link is not link:
+            return
+        self.link = None
+        logs.log_event(
+            "placer_lost", "WARNING", placer=link.placer, reason=reason
+        )
+        for ask, asked in self._asked.items():
+            if not asked.decision.done():
+                self._submit_own(ask, asked.wanted)
+        self._decide_own()
+
+    def handle(
+        self, link: Link, message: placement_pb2.PlacerMessage
+    ) -> None:
+        """Acts on a message of the placer."""
+        link.heard_at_s = clock.now_s()
+        match message.WhichOneof("kind"):
+            case "decision":
+                self._take_decision(message.decision)
+            case "changes":
+                store_changes.apply_changes(self._mirror, message.changes)
+
+    def make_beat(self) -> placement_pb2.EntryMessage:
+        """Returns a beat for the placer."""
+        message = placement_pb2.EntryMessage()
+        message.beat.revision = self._mirror.revision
+        return message
+
+    def _take_decision(self, message: placement_pb2.Decision) -> None:
+        asked = self._asked.get(message.ask)
+        if asked is None or asked.decision.done():
+            self._return_late(message)
+            return
+        if message.ask in self._own:
+            self._forget_own(message.ask)
+        asked.decision.set_result(wire_codec.decode_decision(message))
+
+    def _return_late(self, message: placement_pb2.Decision) -> None:
+        # The request was placed here or has ended: its place is given back.
+        if message.ask in self._running:
+            return
+        returned = placement_pb2.EntryMessage()
+        returned.ended.ask = message.ask
+        returned.ended.result = work.Result.GIVEN_UP.value
+        self._send(returned)
+
+    def _submit(self, ask: int, wanted: work.Work) -> str:
+        self._wake.set()
+        if self.link is None:
+            self._submit_own(ask, wanted)
+            self._decide_own()
+            return "own"
+        placer = self.link.placer
+        self._send_ask(ask, wanted)
+        return placer
+
+    def _submit_own(self, ask: int, wanted: work.Work) -> None:
+        self._own.add(ask)
+        self._desk.ask(ask, wanted, clock.now_s())
+        self._wake.set()
+
+    def _forget_own(self, ask: int) -> None:
+        if ask in self._own:
+            self._own.discard(ask)
+            self._desk.note_end(ask, work.Result.GIVEN_UP, clock.now_s())
+
+    def _take_back_unanswered(self) -> None:
+        link = self.link
+        if link is None:
+            return
+        now_s = clock.now_s()
+        if now_s - link.heard_at_s < HEARD_S:
+            return
+        for ask, asked in self._asked.items():
+            left_s = asked.wanted.on_time_at_s - now_s
+            if ask in self._own or asked.decision.done():
+                continue
+            if now_s - link.heard_at_s > ANSWER_SHARE * max(left_s, 0):
+                logs.log_event(
+                    "placer_not_waited_for",
+                    request=asked.wanted.request,
+                    placer=link.placer,
+                    silent_s=now_s - link.heard_at_s,
+                )
+                self._submit_own(ask, asked.wanted)
+
+    def _decide_own(self) -> None:
+        if not self._own:
+            return
+        self._refresh()
+        for key, decision in self._desk.decide(clock.now_s()):
+            assert isinstance(key, int)
+            asked = self._asked.get(key)
+            if asked is not None and not asked.decision.done():
+                asked.decision.set_result(decision)
+
+    def _note_placed(
+        self, ask: int, wanted: work.Work, placement: work.Placement, by: str
+    ) -> None:
+        running = _Running(wanted, placement)
+        self._running[ask] = running
+        if by == "own":
+            self._send_running(ask, running)
+            return
+        self._refresh()
+        self._desk.adopt(
+            ask, wanted, placement.endpoint, clock.now_s(), has_begun=False
+        )
+
+    def _send_ask(self, ask: int, wanted: work.Work) -> None:
+        message = placement_pb2.EntryMessage()
+        message.ask.CopyFrom(
+            wire_codec.encode_work(ask, wanted, clock.now_s())
+        )
+        self._send(message)
+
+    def _send_running(self, ask: int, running: _Running) -> None:
+        message = placement_pb2.EntryMessage()
+        message.running.ask.CopyFrom(
+            wire_codec.encode_work(ask, running.wanted, clock.now_s())
+        )
+        message.running.endpoint = running.placement.endpoint
+        message.running.has_begun = running.has_begun
+        self._send(message)
+
+    def _send(self, message: placement_pb2.EntryMessage) -> None:
+        if self.link is not None:
+            self.link.send(message)
+
+    def _note_catalogue(self) -> None:
+        self._fresh = False
+        self._wake.set()
+
+    def _refresh(self) -> None:
+        if self._fresh:
+            return
+        self._desk.set_candidates(
+            candidates.make_candidates(
+                self._catalogue, self._bounds, candidates.Scope.INSTANCE
+            )
+        )
+        self._fresh = True
--- /dev/null
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -0,0 +1,336 @@
+"""Places the requests of all instances while this one holds the tenure."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+from grpclib import client
+
+from poplarwick_catalogue import catalogue
+from poplarwick_catalogue import deployment
+from poplarwick_coordination import candidates
+from poplarwick_coordination import links
+from poplarwick_coordination import store_changes
+from poplarwick_coordination import wire_codec
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_peers import transport
+from poplarwick_peers.wire import placement_grpc
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import desk
+from poplarwick_placement import work
+from poplarwick_platform import kv
+from poplarwick_platform import mirror
+
+TICK_S = 0.02
+"""Period at which waiting requests are tried again; under half a pass."""
+
+IDLE_TICK_S = 0.25
+"""Period at which an idle placer looks at its state."""
+
+REDIAL_S = 0.4
+"""Pause before an instance that was lost is called again."""
+
+DIAL_TIMEOUT_S = 1.0
+"""Longest time to connect to another instance."""
+
+REPAIR_AFTER_S = 0.4
+"""Time that an instance may lag behind the store before the placer passes
+changes on to it; its own watch tells it sooner if it works."""
+
+KEEP_LOST_S = 2.0
+"""Time that the requests of a lost instance stay booked; it may only have
+lost this stream."""
+
+
+class Key(NamedTuple):
+    """A request at the desk: the instance that asked and its number."""
+
+    instance: ids.InstanceId
+    ask: int
+
+
+class Receiver(Protocol):
+    """Takes messages to an instance."""
+
+    def __call__(self, message: placement_pb2.PlacerMessage) -> None:
+        """Takes one message."""
+        ...
+
+
+class Session:
+    """An instance that this placer serves."""
+
+    def __init__(self, instance: ids.InstanceId, receive: Receiver) -> None:
+        self.instance = instance
+        self.send = receive
+        self.revision = 0
+        self.behind_since_s: float | None = None
+
+
+class Placer:
+    """Serves all instances that it can reach.
+
+    Args:
+        instance: This instance.
+        known: What is routed where.
+        copy: Mirror of the store.
+        bounds: Bounds of the deployment.
+        open_channel: Opens a connection to another instance.
+        epoch: Number of the tenure.
+        note_later: Called with a later tenure that another instance knows.
+    """
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        known: catalogue.Catalogue,
+        copy: mirror.Mirror,
+        bounds: deployment.Bounds,
+        open_channel: Callable[[str], client.Channel],
+        epoch: ids.Epoch,
+    ) -> None:
+        self.epoch = epoch
+        self._instance = instance
+        self._catalogue = known
+        self._mirror = copy
+        self._bounds = bounds
+        self._open_channel = open_channel
+        self._desk = desk.Desk(packs=True, draw=random.Random())
+        self._sessions: dict[ids.InstanceId, Session] = {}
+        self._lost_at_s: dict[ids.InstanceId, float] = {}
+        self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
+        self._wake = asyncio.Event()
+        self._fresh = False
+        known.add_listener(self._note_catalogue)
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._beat())
+            group.create_task(self._decide())
+
+    def stop(self) -> None:
+        """Ends all streams."""
+        self._catalogue.remove_listener(self._note_catalogue)
+        for dial in self._dials.values():
+            dial.cancel()
+
+    def open_session(
+        self, instance: ids.InstanceId, receive: Receiver
+    ) -> Session:
+        """Begins to serve an instance; its earlier requests are forgotten."""
+        self._drop_requests(instance)
+        self._lost_at_s.pop(instance, None)
+        session = Session(instance, receive)
+        self._sessions[instance] = session
+        opening = placement_pb2.PlacerMessage()
+        opening.opening.placer = self._instance
+        opening.opening.epoch = self.epoch
+        session.send(opening)
+        logs.log_event("session_opened", peer=instance, epoch=self.epoch)
+        return session
+
+    def close_session(self, session: Session, reason: object) -> None:
+        """Ends serving an instance."""
+        if self._sessions.get(session.instance) is not session:
+            return
+        del self._sessions[session.instance]
+        self._lost_at_s[session.instance] = clock.now_s()
+        logs.log_event("session_closed", peer=session.instance, reason=reason)
+
+    def handle(
+        self, session: Session, message: placement_pb2.EntryMessage
+    ) -> None:
+        """Acts on a message of an instance."""
+        now_s = clock.now_s()
+        match message.WhichOneof("kind"):
+            case "beat":
+                self._note_revision(session, message.beat.revision, now_s)
+                return
+            case "ask":
+                wanted = wire_codec.decode_work(message.ask, now_s)
+                key = Key(session.instance, message.ask.ask)
+                self._desk.ask(key, wanted, now_s)
+            case "running":
+                asked = message.running.ask
+                self._desk.adopt(
+                    Key(session.instance, asked.ask),
+                    wire_codec.decode_work(asked, now_s),
+                    ids.EndpointId(message.running.endpoint),
+                    now_s,
+                    has_begun=message.running.has_begun,
+                )
+            case "began":
+                key = Key(session.instance, message.began.ask)
+                self._desk.note_first(key, now_s)
+            case "ended":
+                key = Key(session.instance, message.ended.ask)
+                result = work.Result(message.ended.result)
+                self._desk.note_end(key, result, now_s)
+        self._send_decisions()
+
+    def _note_catalogue(self) -> None:
+        self._fresh = False
+        self._wake.set()
+
+    def _refresh(self) -> None:
+        if self._fresh:
+            return
+        self._desk.set_candidates(
+            candidates.make_candidates(
+                self._catalogue, self._bounds, candidates.Scope.FLEET
+            )
+        )
+        self._fresh = True
+
+    async def _decide(self) -> None:
+        while True:
+            self._send_decisions()
+            self._drop_lost()
+            waits = self._desk.waiting_count > 0
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S if waits else IDLE_TICK_S):
+                    await self._wake.wait()
+
+    def _send_decisions(self) -> None:
+        self._refresh()
+        for key, decision in self._desk.decide(clock.now_s()):
+            assert isinstance(key, Key)
+            session = self._sessions.get(key.instance)
+            if session is not None:
+                session.send(wire_codec.encode_decision(key.ask, decision))
+        if self._desk.waiting_count:
+            self._wake.set()
+
+    def _drop_lost(self) -> None:
+        now_s = clock.now_s()
+        self._desk.expire(now_s)
+        for instance, lost_at_s in list(self._lost_at_s.items()):
+            if now_s - lost_at_s > KEEP_LOST_S:
+                del self._lost_at_s[instance]
+                self._drop_requests(instance)
+
+    def _drop_requests(self, instance: ids.InstanceId) -> None:
+        def is_of_instance(key: desk.Key) -> bool:
+            return isinstance(key, Key) and key.instance == instance
+
+        self._desk.forget(is_of_instance, clock.now_s())
+
+    async def _beat(self) -> None:
+        while True:
+            self._dial_members()
+            beat = placement_pb2.PlacerMessage()
+            beat.beat.revision = self._mirror.revision
+            for session in list(self._sessions.values()):
+                session.send(beat)
+                self._repair(session)
+            await asyncio.sleep(links.BEAT_PERIOD_S)
+
+    def _note_revision(
+        self, session: Session, revision: int, now_s: float
+    ) -> None:
+        session.revision = revision
+        if revision >= self._mirror.revision:
+            session.behind_since_s = None
+        elif session.behind_since_s is None:
+            session.behind_since_s = now_s
+
+    def _repair(self, session: Session) -> None:
+        behind_since_s = session.behind_since_s
+        if behind_since_s is None:
+            return
+        if clock.now_s() - behind_since_s < REPAIR_AFTER_S:
+            return
+        message = placement_pb2.PlacerMessage()
+        message.changes.CopyFrom(
+            store_changes.encode_changes(
+                self._mirror, kv.Revision(session.revision)
+            )
+        )
+        session.behind_since_s = None
+        session.send(message)
+
+    def _dial_members(self) -> None:
+        members = self._catalogue.members
+        for instance, member in members.items():
+            if instance == self._instance or instance in self._dials:
+                continue
+            self._dials[instance] = asyncio.create_task(
+                self._keep_serving(instance, member.address)
+            )
+        for instance in [i for i in self._dials if i not in members]:
+            self._dials.pop(instance).cancel()
+
+    async def _keep_serving(
+        self, instance: ids.InstanceId, address: str
+    ) -> None:
+        while True:
+            channel = self._open_channel(address)
+            try:
+                await self._serve(instance, channel)
+            except transport.CALL_ERRORS as error:
+                logs.log_event("peer_lost", peer=instance, reason=repr(error))
+            finally:
+                channel.close()
+            await asyncio.sleep(REDIAL_S)
+            current = self._catalogue.members.get(instance)
+            if current is not None:
+                address = current.address
+
+    async def _serve(
+        self, instance: ids.InstanceId, channel: client.Channel
+    ) -> None:
+        async with asyncio.timeout(DIAL_TIMEOUT_S):
+            await channel.__connect__()
+        stub = placement_grpc.PlacementServiceStub(channel)
+        outbox: links.Outbox[placement_pb2.PlacerMessage] = links.Outbox()
+        watchdog = links.Watchdog()
+        async with stub.Serve.open() as stream:
+            await stream.send_request()
+            session = self.open_session(instance, outbox.put)
+
+            async def receive() -> None:
+                async for message in stream:
+                    watchdog.note()
+                    self.handle(session, message)
+
+            async def send() -> None:
+                while True:
+                    await stream.send_message(await outbox.get())
+
+            try:
+                await run_until_first_ends(
+                    receive(),
+                    send(),
+                    watchdog.wait_for_silence(lambda: outbox.is_overrun),
+                )
+            finally:
+                self.close_session(session, "stream_ended")
+                await stream.cancel()
+
+
+async def run_until_first_ends(*coroutines: object) -> None:
+    """Runs coroutines until one ends; the others are cancelled.
+
+    Raises:
+        Exception: What the coroutine raised that ended first.
+    """
+    tasks = [asyncio.ensure_future(c) for c in coroutines]  # type: ignore[call-overload]
+    try:
+        done, _ = await asyncio.wait(
+            tasks, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -0,0 +1,107 @@
+"""Turns requests and decisions into messages between instances and back."""
+
+from __future__ import annotations
+
+from poplarwick_core import ids
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import work
+
+
+def encode_work(
+    ask: int, wanted: work.Work, now_s: float
+) -> placement_pb2.Ask:
+    """Encodes a request; times become times left."""
+    return placement_pb2.Ask(
+        ask=ask,
+        request=wanted.request,
+        service=wanted.service,
+        prompt_tokens=wanted.prompt_tokens,
+        output_tokens=wanted.output_tokens,
+        on_time_s=wanted.on_time_at_s - now_s,
+        deadline_s=wanted.deadline_at_s - now_s,
+        pause_limit_s=wanted.pause_limit_s,
+        priority=wanted.priority,
+        avoided=sorted(wanted.avoided),
+    )
+
+
+def decode_work(message: placement_pb2.Ask, now_s: float) -> work.Work:
+    """Decodes a request; times left become times of this clock."""
+    return work.Work(
+        request=ids.RequestId(message.request),
+        service=ids.ServiceId(message.service),
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        on_time_at_s=now_s + message.on_time_s,
+        deadline_at_s=now_s + message.deadline_s,
+        pause_limit_s=message.pause_limit_s,
+        priority=message.priority,
+        avoided=frozenset(ids.EndpointId(e) for e in message.avoided),
+    )
+
+
+def encode_decision(
+    ask: int, decision: work.Decision
+) -> placement_pb2.PlacerMessage:
+    """Encodes a decision on a request."""
+    message = placement_pb2.PlacerMessage()
+    message.decision.ask = ask
+    match decision:
+        case work.Placement():
+            message.decision.placement.CopyFrom(_encode_placement(decision))
+        case work.Refusal(reason, retry_after_s):
+            message.decision.refusal.reason = reason.value
+            message.decision.refusal.retry_after_s = retry_after_s
+    return message
+
+
+def decode_decision(message: placement_pb2.Decision) -> work.Decision:
+    """Decodes a decision.
+
+    Raises:
+        ValueError: The message holds no decision.
+    """
+    match message.WhichOneof("outcome"):
+        case "placement":
+            return _decode_placement(message.placement)
+        case "refusal":
+            return work.Refusal(
+                work.RefusalReason(message.refusal.reason),
+                message.refusal.retry_after_s,
+            )
+        case _:
+            raise ValueError(f"no decision on ask {message.ask}")
+
+
+def _encode_placement(placement: work.Placement) -> placement_pb2.Placement:
+    return placement_pb2.Placement(
+        endpoint=placement.endpoint,
+        address=placement.address,
+        helpers=[
+            placement_pb2.Helper(
+                endpoint=helper.endpoint,
+                address=helper.address,
+                ticket_tokens=helper.ticket_tokens,
+            )
+            for helper in placement.helpers
+        ],
+        expected_first_s=placement.expected_first_s,
+        reason=placement.reason,
+    )
+
+
+def _decode_placement(message: placement_pb2.Placement) -> work.Placement:
+    return work.Placement(
+        ids.EndpointId(message.endpoint),
+        message.address,
+        tuple(
+            work.Helper(
+                ids.EndpointId(helper.endpoint),
+                helper.address,
+                helper.ticket_tokens,
+            )
+            for helper in message.helpers
+        ),
+        message.expected_first_s,
+        message.reason,
+    )
--- a/packages/core/poplarwick_core/logs.py
+++ b/packages/core/poplarwick_core/logs.py
@@ -8,19 +8,28 @@
 
 from loguru import logger
 
+from poplarwick_core import clock
+from poplarwick_core import log_writer
+
 _NEEDS_QUOTES = frozenset(" =\"'\n\r\t\\")
 
 
-def configure_logs(level: str = "INFO", **bound: str) -> None:
-    """Sends all events to standard error.
+def configure_logs(
+    level: str = "INFO",
+    writer: log_writer.LineWriter | None = None,
+    **bound: str,
+) -> None:
+    """Sends all events to standard error or to a writer.
 
     Args:
         level: Lowest level that is written.
+        writer: Takes the lines in place of standard error.
         **bound: Fields added to every line, such as the instance id.
     """
     logger.remove()
     logger.configure(extra={"bound": bound})
-    logger.add(sys.stderr, level=level, format=_format_record)
+    sink = sys.stderr if writer is None else writer.write
+    logger.add(sink, level=level, format=_format_record)
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
@@ -42,6 +51,7 @@
         "time": time.strftime("%Y-%m-%dT%H:%M:%S.%fZ"),
         "level": record["level"].name.lower(),
         "event": extra.get("event", record["message"]),
+        "at_s": f"{clock.now_s():.4f}",
         **extra.get("bound", {}),
         **extra.get("fields", {}),
     }
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to endpoints and answers back."""
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -0,0 +1,329 @@
+"""Takes callers' requests and gives them their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import types as python_types
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Self
+
+import multidict
+from aiohttp import web
+
+from poplarwick_catalogue import routing
+from poplarwick_core import clock
+from poplarwick_core import logs
+from poplarwick_forwarding import admission
+from poplarwick_forwarding import answers
+from poplarwick_forwarding import dialect
+from poplarwick_forwarding import exchange
+from poplarwick_forwarding import headers
+from poplarwick_forwarding import runs
+
+BODY_LIMIT_BYTES = 4 << 20
+"""Largest body before a configuration is known."""
+
+HEADER_LIMIT_BYTES = 16_384
+"""Longest header line or field; the platform's limit on a whole header
+section."""
+
+KEEP_IDLE_S = 20.0
+"""Time that an idle connection is kept; over the configuration's idle limit,
+so that a connection is not closed while a caller begins to use it."""
+
+STOPPED_RETRY_S = 0.1
+"""When a caller refused by a stopping instance comes back; the balancer sends
+it to another one at once."""
+
+MOST_REQUESTS = 1_200
+"""Requests in progress at one instance; bounds memory and descriptors."""
+
+
+class Front:
+    """Serves callers while its context is open.
+
+    Args:
+        address: Host and port to listen on.
+        read_routing: Reads the configuration in force.
+        names: Names on the wire.
+        runner: Runs requests.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        read_routing: Callable[[], routing.Routing | None],
+        names: dialect.Dialect,
+        runner: runs.Runner,
+    ) -> None:
+        self.is_leaving = False
+        self.is_closed = False
+        self.in_progress = 0
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._read_routing = read_routing
+        self._names = names
+        self._runner = runner
+        self._draw = random.Random()
+        self._numbers = itertools.count(1)
+        self._web: web.Server[web.BaseRequest] | None = None
+        self._listener: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self._web = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_IDLE_S,
+            max_line_size=HEADER_LIMIT_BYTES,
+            max_field_size=HEADER_LIMIT_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._web, self._host, self._port, backlog=1024
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: python_types.TracebackType | None,
+    ) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        if self._web is not None:
+            await self._web.shutdown(0.1)
+
+    def stop_listening(self) -> None:
+        """Takes no further connections; idle ones are closed."""
+        self.is_closed = True
+        if self._listener is not None:
+            self._listener.close()
+        if self._web is not None:
+            self._web.pre_shutdown()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        received_at_s = clock.now_s()
+        self.in_progress += 1
+        try:
+            response = await self._answer(request, received_at_s)
+        finally:
+            self.in_progress -= 1
+        if self.is_leaving:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self, request: web.BaseRequest, received_at_s: float
+    ) -> web.StreamResponse:
+        rules = self._read_routing()
+        if rules is None or self.is_closed:
+            reason = "stopping" if self.is_closed else "no_configuration"
+            return self._refuse(request, reason)
+        if self.in_progress > MOST_REQUESTS:
+            return self._refuse(request, "too_many_requests")
+        if not request.raw_path.startswith("/"):
+            return _reject(request, admission.Rejection.UNREADABLE)
+        try:
+            call = self._names.read_call(request.headers)
+        except dialect.CallError as error:
+            logs.log_event("request_unreadable", "WARNING", reason=error)
+            return _reject(request, admission.Rejection.UNREADABLE)
+        body = await _read_body(request, rules.limits.body_bytes)
+        if body is None:
+            return _reject(request, admission.Rejection.BODY_TOO_LARGE)
+        admitted = admission.admit(
+            rules, request.headers.get("Host", ""), request.raw_path, call
+        )
+        if isinstance(admitted, admission.Rejection):
+            logs.log_event(
+                "request_rejected",
+                request=call.request,
+                status=admitted.value,
+                version=rules.version,
+            )
+            return _reject(request, admitted)
+        asked = self._make_exchange(
+            request, call, admitted, body, received_at_s
+        )
+        return await self._run(request, asked, rules.version)
+
+    def _make_exchange(
+        self,
+        request: web.BaseRequest,
+        call: dialect.Call,
+        admitted: admission.Admitted,
+        body: bytes,
+        received_at_s: float,
+    ) -> exchange.Exchange:
+        passed = headers.select_headers(
+            request.headers, self._names.replaced_headers
+        )
+        return exchange.Exchange(
+            call=call,
+            admitted=admitted,
+            service=routing.choose_service(admitted.route, self._draw),
+            method=request.method,
+            target=request.raw_path,
+            headers=dict(passed),
+            body=body,
+            received_at_s=received_at_s,
+            ends_at_s=exchange.make_end_s(admitted.route, call, received_at_s),
+        )
+
+    async def _run(
+        self, request: web.BaseRequest, asked: exchange.Exchange, version: int
+    ) -> web.StreamResponse:
+        logs.log_event(
+            "request_received",
+            request=asked.call.request,
+            route=asked.route.name,
+            service=asked.service,
+            version=version,
+            prompt_tokens=asked.call.prompt_tokens or None,
+            time_left_s=asked.ends_at_s - asked.received_at_s,
+        )
+        sink = _ResponseSink(request, lambda: self.is_leaving)
+        try:
+            ending = await self._runner.run(asked, sink)
+        except asyncio.CancelledError:
+            _log_end(asked, "caller_left", sink)
+            raise
+        except ConnectionError as error:
+            _log_end(asked, "caller_left", sink, reason=repr(error))
+            raise
+        match ending:
+            case answers.WholeAnswer(status, passed, body):
+                _log_end(asked, "answered", sink, status=status)
+                return web.Response(status=status, headers=passed, body=body)
+            case answers.Streamed():
+                _log_end(asked, "streamed", sink)
+                assert sink.response is not None
+                return sink.response
+            case answers.StreamCut(reason):
+                _log_end(asked, "cut", sink, reason=reason)
+                assert sink.response is not None
+                # Without its last chunk the answer cannot pass for whole.
+                if request.transport is not None:
+                    request.transport.abort()
+                return sink.response
+            case answers.OwnAnswer(failure, reason, retry_after_s):
+                _log_end(
+                    asked, "failed", sink, status=failure.value, reason=reason
+                )
+                return self._make_own(failure, reason, retry_after_s)
+
+    def _refuse(
+        self, request: web.BaseRequest, reason: str
+    ) -> web.StreamResponse:
+        logs.log_event("request_refused", "WARNING", reason=reason)
+        response = self._make_own(
+            answers.Failure.REFUSED, reason, STOPPED_RETRY_S
+        )
+        if not request.can_read_body:
+            return response
+        response.force_close()
+        return response
+
+    def _make_own(
+        self,
+        failure: answers.Failure,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> web.Response:
+        told = {}
+        if failure is answers.Failure.REFUSED and retry_after_s is not None:
+            told = self._names.make_refusal_headers(retry_after_s)
+        return web.Response(
+            status=failure.value, headers=told, text=reason + "\n"
+        )
+
+
+class _ResponseSink:
+    """Writes a stream to the caller's connection."""
+
+    def __init__(
+        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
+    ) -> None:
+        self.has_begun = False
+        self.response: web.StreamResponse | None = None
+        self.first_at_s: float | None = None
+        self.events_bytes = 0
+        self._request = request
+        self._is_leaving = is_leaving
+
+    async def begin(self, status: int, passed: Mapping[str, str]) -> None:
+        """Sends the head of the answer."""
+        response = web.StreamResponse(
+            status=status, headers=multidict.CIMultiDict(passed)
+        )
+        response.enable_chunked_encoding()
+        if self._is_leaving():
+            response.force_close()
+        self.response = response
+        self.has_begun = True
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Sends whole events."""
+        assert self.response is not None, "the answer has not begun"
+        if self.first_at_s is None:
+            self.first_at_s = clock.now_s()
+        self.events_bytes += len(data)
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the answer as complete."""
+        assert self.response is not None, "the answer has not begun"
+        await self.response.write_eof()
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Returns the whole body, or None if it is over the limit."""
+    if not request.can_read_body:
+        return b""
+    if (request.content_length or 0) > limit:
+        return None
+    parts = bytearray()
+    async for part in request.content.iter_any():
+        parts += part
+        if len(parts) > limit:
+            return None
+    return bytes(parts)
+
+
+def _reject(
+    request: web.BaseRequest, rejection: admission.Rejection
+) -> web.Response:
+    response = web.Response(
+        status=rejection.value, text=rejection.name.lower() + "\n"
+    )
+    if request.can_read_body and not request.content.is_eof():
+        response.force_close()
+    return response
+
+
+def _log_end(
+    asked: exchange.Exchange,
+    outcome: str,
+    sink: _ResponseSink,
+    **fields: object,
+) -> None:
+    first_s = None
+    if sink.first_at_s is not None:
+        first_s = sink.first_at_s - asked.received_at_s
+    logs.log_event(
+        "request_ended",
+        request=asked.call.request,
+        outcome=outcome,
+        route=asked.route.name,
+        first_s=first_s,
+        total_s=clock.now_s() - asked.received_at_s,
+        bytes=sink.events_bytes or None,
+        **fields,
+    )
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/reservations.py
@@ -0,0 +1,127 @@
+"""Holds memory at engines for a prompt that one engine cannot hold.
+
+All of a group's memory is reserved or none; it is renewed while the request
+runs and given back on every exit. Short leases return the memory if this
+instance dies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import AsyncIterator
+
+from poplarwick_core import logs
+from poplarwick_forwarding import dialect
+from poplarwick_placement import work
+
+HOLD_S = 3.0
+"""Life of a reservation without a renewal; under the four seconds in which
+unused memory must be back."""
+
+RENEW_PERIOD_S = 1.0
+"""Two renewals may be lost without losing the reservation."""
+
+RELEASE_TRIES = 3
+"""Times that a release is tried; after them the reservation runs out."""
+
+RELEASE_PAUSE_S = 0.3
+"""Pause between tries of a release."""
+
+Held = tuple[tuple[work.Helper, str | None], ...]
+
+
+class Reservations:
+    """Reserves, renews and releases the memory of groups.
+
+    Args:
+        orders: Orders to engines.
+    """
+
+    def __init__(self, orders: dialect.Orders) -> None:
+        self._orders = orders
+        self._releasing: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def hold(
+        self, helpers: tuple[work.Helper, ...]
+    ) -> AsyncIterator[Held]:
+        """Holds the helpers' memory while the context is open.
+
+        Raises:
+            dialect.ReservationError: Not all of the memory was free.
+        """
+        held: Held = tuple(
+            (helper, secrets.token_hex(8) if helper.ticket_tokens else None)
+            for helper in helpers
+        )
+        reserved = [(h, ticket) for h, ticket in held if ticket is not None]
+        if not reserved:
+            yield held
+            return
+        renewing: asyncio.Task[None] | None = None
+        try:
+            await self._reserve(reserved)
+            renewing = asyncio.create_task(self._keep(reserved))
+            yield held
+        finally:
+            if renewing is not None:
+                renewing.cancel()
+            self._release_later(reserved)
+
+    async def drain(self) -> None:
+        """Waits until all releases have ended."""
+        if self._releasing:
+            await asyncio.wait(self._releasing)
+
+    async def _reserve(self, reserved: list[tuple[work.Helper, str]]) -> None:
+        results = await asyncio.gather(
+            *(self._reserve_one(helper, ticket) for helper, ticket in reserved),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    async def _reserve_one(self, helper: work.Helper, ticket: str) -> None:
+        await self._orders.reserve(
+            helper.address, ticket, helper.ticket_tokens, HOLD_S
+        )
+
+    async def _keep(self, reserved: list[tuple[work.Helper, str]]) -> None:
+        while True:
+            await asyncio.sleep(RENEW_PERIOD_S)
+            for helper, ticket in reserved:
+                try:
+                    await self._reserve_one(helper, ticket)
+                except dialect.ReservationError as error:
+                    logs.log_event(
+                        "reservation_not_renewed",
+                        "WARNING",
+                        endpoint=helper.endpoint,
+                        ticket=ticket,
+                        reason=error,
+                    )
+
+    def _release_later(self, reserved: list[tuple[work.Helper, str]]) -> None:
+        for helper, ticket in reserved:
+            task = asyncio.create_task(self._release(helper, ticket))
+            self._releasing.add(task)
+            task.add_done_callback(self._releasing.discard)
+
+    async def _release(self, helper: work.Helper, ticket: str) -> None:
+        for _ in range(RELEASE_TRIES):
+            try:
+                await self._orders.release(helper.address, ticket)
+            except dialect.ReservationError as error:
+                logs.log_event(
+                    "reservation_not_released",
+                    "WARNING",
+                    endpoint=helper.endpoint,
+                    ticket=ticket,
+                    reason=error,
+                )
+                await asyncio.sleep(RELEASE_PAUSE_S)
+            else:
+                return
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -0,0 +1,465 @@
+"""Runs a request on endpoints until it has its one ending."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from poplarwick_catalogue import types
+from poplarwick_coordination import broker
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_forwarding import answers
+from poplarwick_forwarding import dialect
+from poplarwick_forwarding import events
+from poplarwick_forwarding import exchange
+from poplarwick_forwarding import reservations
+from poplarwick_forwarding import upstream
+from poplarwick_placement import repeats
+from poplarwick_placement import work
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers understand that a request has not run."""
+
+MOST_SENDS = 5
+"""Times that one request is sent in all, refusals by endpoints included."""
+
+STALL_MIN_S = 1.2
+"""Shortest silence in a stream after which it goes on elsewhere; callers give
+up after two seconds."""
+
+STALL_PAUSES = 2.5
+"""The same in pauses of the route's limit; callers give up after eight."""
+
+FIRST_SLACK_S = 0.8
+"""Time beside twice the expected one after which a first event is late enough
+to try another endpoint."""
+
+PLAIN_TARGETS = 3
+"""The same for plain answers, in target latencies of the route."""
+
+RETRY_AFTER_SHARE = 0.2
+"""Part of the time left that a refused caller waits; over a third of it,
+callers do not wait as asked."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What has happened to a request so far.
+
+    Attributes:
+        sends: Times that it was sent.
+        runs: Times that it may have run.
+        last_event_id: Last event that the caller has.
+        resumes_at_s: When its stream broke; None for a new run.
+        avoided: Endpoints that it should not run on again.
+    """
+
+    last_event_id: int | None
+    sends: int = 0
+    runs: int = 0
+    resumes_at_s: float | None = None
+    avoided: frozenset[ids.EndpointId] = frozenset()
+
+
+class Runner:
+    """Runs requests.
+
+    Args:
+        broker_: Gets places.
+        sender: Sends requests to endpoints.
+        names: Names on the wire.
+        holder: Reserves memory for large prompts.
+        make_budget: Makes a service's share of repeats.
+    """
+
+    def __init__(
+        self,
+        broker_: broker.Broker,
+        sender: upstream.Upstream,
+        names: dialect.Dialect,
+        holder: reservations.Reservations,
+        make_budget: Callable[[], repeats.RepeatBudget],
+    ) -> None:
+        self._broker = broker_
+        self._upstream = sender
+        self._names = names
+        self._reservations = holder
+        self._make_budget = make_budget
+        self._budgets: dict[ids.ServiceId, repeats.RepeatBudget] = {}
+
+    async def run(
+        self, asked: exchange.Exchange, sink: answers.Sink
+    ) -> answers.Ending:
+        """Runs a request and returns how it ended."""
+        progress = _Progress(asked.call.last_event_id)
+        self._budget_of(asked).note_request(clock.now_s())
+        try:
+            async with asyncio.timeout(asked.ends_at_s - clock.now_s()):
+                return await self._run(asked, sink, progress)
+        except TimeoutError:
+            return _end_unfinished(asked, sink, progress, "time_over")
+
+    async def _run(
+        self,
+        asked: exchange.Exchange,
+        sink: answers.Sink,
+        progress: _Progress,
+    ) -> answers.Ending:
+        while True:
+            ticket = await self._broker.place(
+                asked.make_work(
+                    progress.avoided, resumes_at_s=progress.resumes_at_s
+                )
+            )
+            match ticket.decision:
+                case work.Refusal(reason, retry_after_s):
+                    _log_refusal(asked, ticket, reason)
+                    return _end_refused(
+                        asked, sink, progress, reason.value, retry_after_s
+                    )
+                case work.Placement() as placement:
+                    _log_placement(asked, ticket, placement, progress)
+            try:
+                return await self._attempt(
+                    asked, sink, progress, ticket.ask, placement
+                )
+            except upstream.SendError as error:
+                ending = self._take_failure(
+                    asked, sink, progress, placement, error
+                )
+            if ending is not None:
+                return ending
+
+    def _take_failure(
+        self,
+        asked: exchange.Exchange,
+        sink: answers.Sink,
+        progress: _Progress,
+        placement: work.Placement,
+        error: upstream.SendError,
+    ) -> answers.Ending | None:
+        """Returns the ending, or None where another endpoint may be tried."""
+        if error.may_have_run:
+            progress.runs += 1
+            progress.avoided |= {placement.endpoint}
+        if sink.has_begun:
+            progress.resumes_at_s = clock.now_s()
+        problem = self._find_obstacle(asked, progress, error)
+        logs.log_event(
+            "attempt_failed",
+            "WARNING",
+            request=asked.call.request,
+            endpoint=placement.endpoint,
+            result=error.result.value,
+            may_have_run=error.may_have_run,
+            reason=error,
+            repeated=problem is None,
+            obstacle=problem,
+        )
+        if problem is None:
+            return None
+        return _end_unfinished(asked, sink, progress, problem)
+
+    def _find_obstacle(
+        self,
+        asked: exchange.Exchange,
+        progress: _Progress,
+        error: upstream.SendError,
+    ) -> str | None:
+        if error.may_have_run:
+            if not asked.route.may_repeat:
+                return "may_have_run"
+            if progress.runs >= asked.route.max_attempts:
+                return "attempts_spent"
+        if progress.sends >= MOST_SENDS:
+            return "sends_spent"
+        taken = self._budget_of(asked).take(
+            self._broker.instances, clock.now_s()
+        )
+        return None if taken else "repeat_budget_spent"
+
+    async def _attempt(
+        self,
+        asked: exchange.Exchange,
+        sink: answers.Sink,
+        progress: _Progress,
+        ask: int,
+        placement: work.Placement,
+    ) -> answers.Ending:
+        result = work.Result.GIVEN_UP
+        try:
+            async with self._reservations.hold(placement.helpers) as held:
+                progress.sends += 1
+                ending = await self._send(
+                    asked, sink, progress, ask, placement, held
+                )
+            result = work.Result.DONE
+            return ending
+        except dialect.ReservationError as error:
+            result = work.Result.FULL
+            raise upstream.SendError(
+                str(error), result, may_have_run=False
+            ) from error
+        except upstream.SendError as error:
+            result = error.result
+            raise
+        finally:
+            self._broker.note_end(ask, result)
+
+    async def _send(
+        self,
+        asked: exchange.Exchange,
+        sink: answers.Sink,
+        progress: _Progress,
+        ask: int,
+        placement: work.Placement,
+        held: reservations.Held,
+    ) -> answers.Ending:
+        left_s = asked.ends_at_s - clock.now_s()
+        organisation = asked.admitted.organisation
+        told = self._names.make_send_headers(
+            dialect.Send(
+                placement.endpoint,
+                organisation.id if organisation else None,
+                left_s,
+                progress.last_event_id,
+                held,
+            )
+        )
+        request = upstream.Request(
+            asked.method, asked.target, {**asked.headers, **told}, asked.body
+        )
+        first_s = _choose_first_timeout_s(asked, progress, placement, left_s)
+        async with self._upstream.send(
+            placement.address, request, first_timeout_s=first_s
+        ) as answer:
+            _check_head(asked, answer)
+            if asked.route.kind is types.RequestKind.STREAM and (
+                answer.status == 200
+            ):
+                await self._relay(asked, sink, progress, ask, answer)
+                return answers.Streamed()
+            body = await answer.read_whole()
+            self._broker.note_first(ask)
+            if sink.has_begun:
+                raise upstream.SendError(
+                    f"status {answer.status} to a stream that goes on",
+                    work.Result.FAILED,
+                    may_have_run=True,
+                )
+            return answers.WholeAnswer(answer.status, answer.headers, body)
+
+    async def _relay(
+        self,
+        asked: exchange.Exchange,
+        sink: answers.Sink,
+        progress: _Progress,
+        ask: int,
+        answer: upstream.Answer,
+    ) -> None:
+        splitter = events.EventSplitter()
+        parts = answer.read_parts()
+        while True:
+            part = await _read_next(asked, progress, parts)
+            if part is None:
+                break
+            try:
+                whole = splitter.feed(part)
+                data = _join_events(whole, progress)
+            except events.EventError as error:
+                raise upstream.SendError(
+                    str(error), work.Result.BROKEN, may_have_run=True
+                ) from error
+            if not data:
+                continue
+            self._broker.note_first(ask)
+            if not sink.has_begun:
+                await sink.begin(answer.status, answer.headers)
+            await sink.write(data)
+        if splitter.has_rest:
+            raise upstream.SendError(
+                "stream ended inside an event",
+                work.Result.BROKEN,
+                may_have_run=True,
+            )
+        if not sink.has_begun:
+            await sink.begin(answer.status, answer.headers)
+        await sink.finish()
+
+    def _budget_of(self, asked: exchange.Exchange) -> repeats.RepeatBudget:
+        budget = self._budgets.get(asked.service)
+        if budget is None:
+            budget = self._budgets[asked.service] = self._make_budget()
+        return budget
+
+
+def _join_events(whole: list[events.Event], progress: _Progress) -> bytes:
+    """Checks the order of events and returns their bytes.
+
+    Raises:
+        EventError: An event is missing or comes twice.
+    """
+    last = progress.last_event_id
+    for event in whole:
+        if event.id is None:
+            continue
+        if last is not None and event.id != last + 1:
+            raise events.EventError(f"event {event.id} after event {last}")
+        last = event.id
+    progress.last_event_id = last
+    return b"".join(event.data for event in whole)
+
+
+async def _read_next(
+    asked: exchange.Exchange,
+    progress: _Progress,
+    parts: object,
+) -> bytes | None:
+    may_move = (
+        asked.route.may_resume
+        and progress.runs + 1 < asked.route.max_attempts
+    )
+    pause_limit_s = asked.route.pause_limit_s or STALL_MIN_S
+    stall_s = max(STALL_MIN_S, STALL_PAUSES * pause_limit_s)
+    try:
+        async with asyncio.timeout(stall_s if may_move else None):
+            return await anext(parts, None)  # type: ignore[call-overload,no-any-return]
+    except TimeoutError as error:
+        raise upstream.SendError(
+            f"no event for {stall_s:.1f} s",
+            work.Result.SILENT,
+            may_have_run=True,
+        ) from error
+
+
+def _choose_first_timeout_s(
+    asked: exchange.Exchange,
+    progress: _Progress,
+    placement: work.Placement,
+    left_s: float,
+) -> float:
+    may_move = (
+        asked.route.may_repeat
+        and progress.runs + 1 < asked.route.max_attempts
+    )
+    if not may_move:
+        return left_s
+    if asked.route.kind is types.RequestKind.STREAM:
+        return 2 * placement.expected_first_s + FIRST_SLACK_S
+    return PLAIN_TARGETS * asked.route.target_latency_s
+
+
+def _check_head(
+    asked: exchange.Exchange, answer: upstream.Answer
+) -> None:
+    """Checks that an answer may be passed on.
+
+    Raises:
+        SendError: It may not.
+    """
+    head = answer.head
+    if head.is_misdirected:
+        raise upstream.SendError(
+            "another endpoint has the address",
+            work.Result.MISDIRECTED,
+            may_have_run=False,
+        )
+    if head.has_not_run:
+        raise upstream.SendError(
+            f"refused with status {answer.status}, blames {head.at_fault}",
+            work.Result.FULL,
+            may_have_run=False,
+        )
+    problem = None
+    if head.request is not None and head.request != asked.call.request:
+        problem = f"answer to request {head.request}"
+    elif answer.status in PROMISES:
+        problem = f"status {answer.status} from an endpoint that may have run"
+    elif answer.status < 300 and not head.is_signed:
+        problem = "success without a signature"
+    elif "Content-Encoding" in answer.headers:
+        problem = "encoded body"
+    if problem is not None:
+        raise upstream.SendError(
+            problem, work.Result.BROKEN, may_have_run=True
+        )
+
+
+def _end_refused(
+    asked: exchange.Exchange,
+    sink: answers.Sink,
+    progress: _Progress,
+    reason: str,
+    retry_after_s: float,
+) -> answers.Ending:
+    if sink.has_begun:
+        return answers.StreamCut(reason)
+    if progress.runs:
+        return answers.OwnAnswer(answers.Failure.BROKEN, reason)
+    left_s = max(asked.ends_at_s - clock.now_s(), 0.0)
+    return answers.OwnAnswer(
+        answers.Failure.REFUSED,
+        reason,
+        min(retry_after_s, RETRY_AFTER_SHARE * left_s),
+    )
+
+
+def _end_unfinished(
+    asked: exchange.Exchange,
+    sink: answers.Sink,
+    progress: _Progress,
+    reason: str,
+) -> answers.Ending:
+    if not progress.runs and not progress.sends:
+        return _end_refused(asked, sink, progress, reason, 0.0)
+    if sink.has_begun:
+        return answers.StreamCut(reason)
+    if clock.now_s() >= asked.ends_at_s:
+        return answers.OwnAnswer(answers.Failure.TIMED_OUT, reason)
+    if not progress.runs:
+        return _end_refused(asked, sink, progress, reason, 0.0)
+    return answers.OwnAnswer(answers.Failure.BROKEN, reason)
+
+
+def _log_placement(
+    asked: exchange.Exchange,
+    ticket: broker.Ticket,
+    placement: work.Placement,
+    progress: _Progress,
+) -> None:
+    logs.log_event(
+        "request_placed",
+        request=asked.call.request,
+        endpoint=placement.endpoint,
+        address=placement.address,
+        helpers=len(placement.helpers) or None,
+        reserved_tokens=sum(h.ticket_tokens for h in placement.helpers)
+        or None,
+        expected_first_s=placement.expected_first_s,
+        reason=placement.reason,
+        placer=ticket.decided_by,
+        waited_s=ticket.waited_s,
+        send=progress.sends + 1,
+        resumes_after=progress.last_event_id
+        if progress.resumes_at_s
+        else None,
+    )
+
+
+def _log_refusal(
+    asked: exchange.Exchange,
+    ticket: broker.Ticket,
+    reason: work.RefusalReason,
+) -> None:
+    logs.log_event(
+        "request_not_placed",
+        "WARNING",
+        request=asked.call.request,
+        service=asked.service,
+        reason=reason.value,
+        placer=ticket.decided_by,
+        waited_s=ticket.waited_s,
+    )
--- a/packages/node/poplarwick_node/main.py
+++ b/packages/node/poplarwick_node/main.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import pathlib
 import sys
 
 from poplarwick_core import cli
 from poplarwick_core import errors
+from poplarwick_core import log_writer
 from poplarwick_core import logs
-from poplarwick_core import tls
-from poplarwick_node import daemon
-from poplarwick_node import settings
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -19,38 +18,79 @@
     parser = cli.make_parser(
         "poplarwick-node", "Runs one instance of the serving layer."
     )
-    parser.add_argument(
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument(
         "--settings",
-        required=True,
         metavar="FILE",
         help="settings of the instance, in JSON with comments",
     )
+    source.add_argument(
+        "--platform-settings",
+        metavar="FILE",
+        help="settings file of the users' platform; serves its protocol",
+    )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
     parsed = parser.parse_args(arguments)
+    # The two ways share no parts, and an instance loads only its own: its
+    # memory is paid for.
+    if parsed.platform_settings is not None:
+        return _run_on_platform(parsed)
+    return _run_alone(parsed)
+
+
+def _run_alone(parsed: argparse.Namespace) -> int:
+    from poplarwick_core import tls
+    from poplarwick_node import daemon
+    from poplarwick_node import settings
+
     try:
         checked = settings.read_settings(pathlib.Path(parsed.settings))
     except errors.DocumentError as error:
-        print(f"poplarwick-node: {error}", file=sys.stderr)
-        return cli.ExitCode.USAGE
+        return _report_usage(error)
     if parsed.check:
         return cli.ExitCode.OK
     logs.configure_logs(checked.log.level, instance=checked.instance)
-    return _run(checked)
-
-
-def _run(checked: settings.Settings) -> int:
     try:
         asyncio.run(daemon.run(checked))
     except tls.TlsError as error:
-        print(f"poplarwick-node: {error}", file=sys.stderr)
-        return cli.ExitCode.USAGE
+        return _report_usage(error)
+    except OSError as error:
+        return _report_failure(error)
+    return cli.ExitCode.OK
+
+
+def _run_on_platform(parsed: argparse.Namespace) -> int:
+    from poplarwick_adapter import settings
+    from poplarwick_node import platform_instance
+
+    try:
+        place = settings.read_settings(pathlib.Path(parsed.platform_settings))
+    except errors.DocumentError as error:
+        return _report_usage(error)
+    if parsed.check:
+        return cli.ExitCode.OK
+    writer = log_writer.LineWriter(sys.stdout.fileno())
+    logs.configure_logs(writer=writer, instance=place.instance)
+    try:
+        asyncio.run(platform_instance.PlatformInstance(place).run())
     except OSError as error:
-        logs.log_event("start_failed", "ERROR", reason=error)
-        return cli.ExitCode.FAILURE
+        return _report_failure(error)
+    finally:
+        writer.close()
     return cli.ExitCode.OK
 
 
+def _report_usage(error: Exception) -> int:
+    print(f"poplarwick-node: {error}", file=sys.stderr)
+    return cli.ExitCode.USAGE
+
+
+def _report_failure(error: OSError) -> int:
+    logs.log_event("start_failed", "ERROR", reason=error)
+    return cli.ExitCode.FAILURE
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -0,0 +1,213 @@
+"""Builds and runs one instance on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from poplarwick_adapter import dialect
+from poplarwick_adapter import entry_codec
+from poplarwick_adapter import keys
+from poplarwick_adapter import orders
+from poplarwick_adapter import store
+from poplarwick_catalogue import catalogue
+from poplarwick_catalogue import deployment
+from poplarwick_coordination import attachment
+from poplarwick_coordination import broker
+from poplarwick_coordination import placing
+from poplarwick_coordination import registration
+from poplarwick_coordination import tenure
+from poplarwick_core import clock
+from poplarwick_core import logs
+from poplarwick_forwarding import front
+from poplarwick_forwarding import readiness
+from poplarwick_forwarding import reservations
+from poplarwick_forwarding import runs
+from poplarwick_forwarding import upstream
+from poplarwick_peers import transport
+from poplarwick_placement import repeats
+from poplarwick_platform import feed
+from poplarwick_platform import mirror
+
+BALANCER_S = 2.6
+"""Time from a readiness off until the balancer has noticed: two checks a
+second apart, and the way."""
+
+EXIT_MARGIN_S = 0.6
+"""Time kept of the grace period for closing what is open."""
+
+WATCH_PERIOD_S = 0.25
+"""Period of the check for freezes and for the store's return."""
+
+FREEZE_S = 0.5
+"""Delay of that check that counts as a freeze; far over what a busy loop
+takes."""
+
+
+class PlatformInstance:
+    """One instance: an entry, and the placer while it holds the tenure.
+
+    Args:
+        place: Where it runs.
+    """
+
+    def __init__(self, place: deployment.Deployment) -> None:
+        self._place = place
+        self._mirror = mirror.Mirror()
+        self._catalogue = catalogue.Catalogue(
+            self._mirror, entry_codec.decode_entry
+        )
+        self._is_leaving = False
+
+    async def run(self) -> None:
+        """Runs until told to stop."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: logs.log_event("settings_signalled")
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            await self._build(stack)
+            logs.log_event(
+                "started",
+                callers=self._place.caller_address,
+                store=self._place.store_address,
+                domain=self._place.domain,
+            )
+            await stop.wait()
+            await self._leave()
+        logs.log_event("stopped")
+
+    async def _build(self, stack: contextlib.AsyncExitStack) -> None:
+        enter = stack.enter_async_context
+        place = self._place
+        client = await enter(store.StoreClient(place.store_address))
+        self._feed = feed.Feed(client, self._mirror, self._note_reachable)
+        self._tenure = tenure.Tenure(
+            client,
+            self._mirror,
+            keys.PLACER,
+            place.instance,
+            lambda: list(self._catalogue.members),
+            place.lease_ttl_min_s,
+        )
+        self._broker = broker.Broker(
+            self._catalogue,
+            self._mirror,
+            place.bounds,
+            self._tenure.note_later,
+        )
+        channels = await enter(transport.ChannelPool())
+        placing_role = placing.PlacingRole(
+            place.instance,
+            self._catalogue,
+            self._mirror,
+            place.bounds,
+            channels.open,
+            self._broker,
+        )
+        self._tenure.on_change(placing_role.set_epoch)
+        await enter(
+            transport.PeerServer(
+                place.peer_address,
+                (attachment.AttachmentService(self._broker),),
+            )
+        )
+        names = dialect.PlatformDialect()
+        ordering = await enter(orders.PlatformOrders())
+        self._reservations = reservations.Reservations(ordering)
+        sender = await enter(upstream.Upstream(names))
+        runner = runs.Runner(
+            self._broker, sender, names, self._reservations, self._make_budget
+        )
+        self._front = await enter(
+            front.Front(
+                place.caller_address,
+                lambda: self._catalogue.routing,
+                names,
+                runner,
+            )
+        )
+        await enter(
+            readiness.ReadinessServer(place.readiness_address, self._is_ready)
+        )
+        register = registration.Registration(
+            client,
+            self._catalogue,
+            place.instance,
+            place.peer_address,
+            keys.MEMBER_PREFIX + place.instance,
+            entry_codec.encode_member(place.peer_address),
+        )
+        self._start(stack, self._feed.run())
+        self._start(stack, self._tenure.run())
+        self._start(stack, self._broker.run())
+        self._start(stack, placing_role.run())
+        self._start(stack, register.run())
+        self._start(stack, self._watch())
+
+    def _start(
+        self,
+        stack: contextlib.AsyncExitStack,
+        work: Coroutine[Any, Any, None],
+    ) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_tell_failure)
+        stack.callback(task.cancel)
+
+    def _make_budget(self) -> repeats.RepeatBudget:
+        bounds = self._place.bounds
+        return repeats.RepeatBudget(
+            bounds.repeat_ratio, bounds.repeat_extra, bounds.repeat_window_s
+        )
+
+    def _note_reachable(self, reachable: bool) -> None:
+        del reachable
+        self._catalogue.note_store_away()
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_leaving
+            and self._catalogue.routing is not None
+            and bool(self._catalogue.endpoints)
+        )
+
+    async def _watch(self) -> None:
+        before_s = clock.now_s()
+        while True:
+            await asyncio.sleep(WATCH_PERIOD_S)
+            now_s = clock.now_s()
+            if now_s - before_s > WATCH_PERIOD_S + FREEZE_S:
+                logs.log_event(
+                    "freeze_noticed", "WARNING", frozen_s=now_s - before_s
+                )
+            before_s = now_s
+            if not self._feed.is_reachable:
+                self._catalogue.note_store_away()
+            self._catalogue.drop_lapsed()
+
+    async def _leave(self) -> None:
+        began_s = clock.now_s()
+        logs.log_event("stopping", in_progress=self._front.in_progress)
+        self._is_leaving = True
+        self._front.is_leaving = True
+        await self._tenure.resign()
+        await asyncio.sleep(BALANCER_S)
+        self._front.stop_listening()
+        ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
+        while self._front.in_progress and clock.now_s() < ends_s:
+            await asyncio.sleep(0.02)
+        await self._reservations.drain()
+
+
+def _tell_failure(task: asyncio.Task[None]) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    logs.log_event(
+        "task_failed", "ERROR", reason=repr(task.exception())
+    )
--- /dev/null
+++ b/packages/placement/poplarwick_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides where a request runs, waits or is refused."""
--- /dev/null
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -0,0 +1,318 @@
+"""Places requests on endpoints, keeps them waiting or refuses them."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+from collections.abc import Hashable
+from collections.abc import Iterable
+
+from poplarwick_catalogue import types
+from poplarwick_core import ids
+from poplarwick_placement import cold_window
+from poplarwick_placement import loads
+from poplarwick_placement import packing
+from poplarwick_placement import spreading
+from poplarwick_placement import trust
+from poplarwick_placement import waiting
+from poplarwick_placement import work
+
+Key = Hashable
+"""Tells one asked-for request from all others."""
+
+RETRY_AFTER_MIN_S = 0.1
+"""Shortest time that a refused caller is asked to wait."""
+
+ABSENT_PATIENCE = 0.5
+"""Part of the time in which an answer is on time that a request waits for an
+endpoint of a service that has none."""
+
+PANIC_SHARE = 0.5
+"""Where fewer endpoints than this share are trusted, all are used: the fault
+is then more likely on the way to them."""
+
+
+EXPIRE_AFTER_S = 1.0
+"""Time past its deadline after which a request is no longer counted; instances
+end theirs at the deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that may be used.
+
+    Attributes:
+        endpoint: The endpoint.
+        profile: Profile of its engine, None for a plain service.
+        is_open: Whether it takes new work.
+        cold_until_s: Monotonic time until which it is cold.
+        cold_limit: Most sends to it in a second while it is cold.
+    """
+
+    endpoint: types.Endpoint
+    profile: types.EngineProfile | None
+    is_open: bool
+    cold_until_s: float
+    cold_limit: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Place:
+    candidate: Candidate
+    load: loads.EndpointLoad
+    trust: trust.Trust
+    window: cold_window.ColdWindow
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    wanted: work.Work
+    endpoint: ids.EndpointId
+    helpers: tuple[ids.EndpointId, ...]
+
+
+class Desk:
+    """Decides over a set of endpoints; does no input or output.
+
+    Args:
+        packs: Whether all requests in flight are known here, so that requests
+            may be packed; else they are spread.
+        draw: Source of randomness.
+    """
+
+    def __init__(self, *, packs: bool, draw: random.Random) -> None:
+        self._packs = packs
+        self._draw = draw
+        self._places: dict[ids.EndpointId, _Place] = {}
+        self._waiting: dict[Key, waiting.Waiting] = {}
+        self._running: dict[Key, _Running] = {}
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def running_count(self) -> int:
+        """Number of requests that are known to run."""
+        return len(self._running)
+
+    def set_candidates(self, candidates: Iterable[Candidate]) -> None:
+        """Takes over the endpoints in service; loads of known ones stay."""
+        places: dict[ids.EndpointId, _Place] = {}
+        for candidate in candidates:
+            endpoint = candidate.endpoint.id
+            known = self._places.get(endpoint)
+            if known is None or _has_restarted(known, candidate):
+                known = _make_place(candidate)
+            known.candidate = candidate
+            known.load.endpoint = candidate.endpoint
+            known.load.profile = candidate.profile
+            known.window.limit = candidate.cold_limit
+            places[endpoint] = known
+        self._places = places
+
+    def ask(self, key: Key, wanted: work.Work, now_s: float) -> None:
+        """Takes a request that is to be placed."""
+        profile = self._find_profile(wanted.service)
+        self._waiting[key] = waiting.Waiting(
+            wanted, now_s, waiting.calculate_ideal_s(wanted, profile)
+        )
+
+    def adopt(
+        self,
+        key: Key,
+        wanted: work.Work,
+        endpoint: ids.EndpointId,
+        now_s: float,
+        *,
+        has_begun: bool,
+    ) -> None:
+        """Books a request that was placed elsewhere."""
+        self.note_end(key, work.Result.GIVEN_UP, now_s)
+        place = self._places.get(endpoint)
+        if place is None:
+            return
+        read_s = 0.0
+        if not has_begun:
+            read_s = place.load.calculate_read_s(wanted.prompt_tokens, 1)
+        place.load.book_lead(
+            key, wanted, read_s, wanted.memory_tokens, now_s
+        )
+        self._running[key] = _Running(wanted, endpoint, ())
+        if has_begun:
+            place.load.note_first(key, now_s)
+
+    def note_first(self, key: Key, now_s: float) -> None:
+        """Notes the first event of a request."""
+        for place in self._places_of(key):
+            place.load.note_first(key, now_s)
+
+    def note_end(self, key: Key, result: work.Result, now_s: float) -> None:
+        """Notes the end of a request, or that it is not wanted any more."""
+        self._waiting.pop(key, None)
+        running = self._running.get(key)
+        if running is None:
+            return
+        for place in self._places_of(key):
+            place.load.release(key, now_s)
+        lead = self._places.get(running.endpoint)
+        if lead is not None:
+            lead.trust.note(result, now_s)
+        del self._running[key]
+
+    def forget(self, has_gone: Callable[[Key], bool], now_s: float) -> None:
+        """Drops all requests whose keys are told to be gone."""
+        for key in [*self._waiting, *self._running]:
+            if has_gone(key):
+                self.note_end(key, work.Result.GIVEN_UP, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drops requests whose deadline is long over: their instance died."""
+        for key, running in list(self._running.items()):
+            if now_s > running.wanted.deadline_at_s + EXPIRE_AFTER_S:
+                self.note_end(key, work.Result.GIVEN_UP, now_s)
+
+    def note_pace(self, endpoint: ids.EndpointId, pace: float) -> None:
+        """Notes how slow an engine says that it is; 1 is its profile."""
+        place = self._places.get(endpoint)
+        if place is not None:
+            place.load.pace = max(pace, 1.0)
+
+    def decide(self, now_s: float) -> list[tuple[Key, work.Decision]]:
+        """Decides what can be decided now; the rest goes on waiting."""
+        ranked = sorted(
+            self._waiting.items(),
+            key=lambda item: waiting.make_rank(item[1], now_s),
+        )
+        decided: list[tuple[Key, work.Decision]] = []
+        for key, one in ranked:
+            decision = self._decide_one(key, one, now_s)
+            if decision is not None:
+                del self._waiting[key]
+                decided.append((key, decision))
+        return decided
+
+    def _decide_one(
+        self, key: Key, one: waiting.Waiting, now_s: float
+    ) -> work.Decision | None:
+        wanted = one.wanted
+        if not one.has_time(now_s):
+            return _refuse(work.RefusalReason.NO_TIME)
+        open_ = self._find_open(wanted)
+        if not open_:
+            waited_s = now_s - one.arrived_at_s
+            patience_s = ABSENT_PATIENCE * (
+                wanted.on_time_at_s - one.arrived_at_s
+            )
+            if waited_s < patience_s:
+                return None
+            return _refuse(work.RefusalReason.NO_ENDPOINT)
+        usable = _filter_trusted(open_, now_s)
+        choice = self._choose(wanted, usable, now_s)
+        if choice is None:
+            return None
+        if not waiting.should_start(one, choice, now_s):
+            return None
+        return self._book(key, wanted, choice, now_s)
+
+    def _choose(
+        self, wanted: work.Work, usable: list[_Place], now_s: float
+    ) -> packing.Choice | None:
+        leads = [
+            place.load
+            for place in usable
+            if now_s >= place.candidate.cold_until_s
+            or place.window.has_room(now_s)
+        ]
+        helping = [place.load for place in usable]
+        if self._packs:
+            return packing.choose(wanted, leads, helping, now_s)
+        return spreading.choose(wanted, leads, helping, now_s, self._draw)
+
+    def _book(
+        self,
+        key: Key,
+        wanted: work.Work,
+        choice: packing.Choice,
+        now_s: float,
+    ) -> work.Placement:
+        reserved = sum(ticket for _, ticket in choice.helpers)
+        choice.lead.book_lead(
+            key, wanted, choice.read_s, wanted.memory_tokens - reserved, now_s
+        )
+        for load, ticket in choice.helpers:
+            load.book_part(key, wanted, choice.read_s, ticket, now_s)
+        lead = choice.lead.endpoint
+        place = self._places[lead.id]
+        if now_s < place.candidate.cold_until_s:
+            place.window.note_send(now_s)
+        self._running[key] = _Running(
+            wanted,
+            lead.id,
+            tuple(load.endpoint.id for load, _ in choice.helpers),
+        )
+        return work.Placement(
+            lead.id,
+            lead.address,
+            tuple(
+                work.Helper(load.endpoint.id, load.endpoint.address, ticket)
+                for load, ticket in choice.helpers
+            ),
+            choice.first_s,
+            "packed" if self._packs else "spread",
+        )
+
+    def _find_open(self, wanted: work.Work) -> list[_Place]:
+        return [
+            place
+            for place in self._places.values()
+            if place.candidate.is_open
+            and place.candidate.endpoint.service == wanted.service
+            and place.candidate.endpoint.id not in wanted.avoided
+        ]
+
+    def _find_profile(
+        self, service: ids.ServiceId
+    ) -> types.EngineProfile | None:
+        for place in self._places.values():
+            if place.candidate.endpoint.service == service:
+                return place.candidate.profile
+        return None
+
+    def _places_of(self, key: Key) -> list[_Place]:
+        running = self._running.get(key)
+        if running is None:
+            return []
+        found = (running.endpoint, *running.helpers)
+        return [self._places[e] for e in found if e in self._places]
+
+
+def _filter_trusted(open_: list[_Place], now_s: float) -> list[_Place]:
+    trusted = [
+        place
+        for place in open_
+        if place.trust.allows(len(place.load.leads), now_s)
+    ]
+    if len(trusted) < PANIC_SHARE * len(open_):
+        return open_
+    return trusted
+
+
+def _has_restarted(known: _Place, candidate: Candidate) -> bool:
+    before = known.candidate.endpoint
+    return before.started_at_ms != candidate.endpoint.started_at_ms
+
+
+def _make_place(candidate: Candidate) -> _Place:
+    return _Place(
+        candidate,
+        loads.EndpointLoad(candidate.endpoint, candidate.profile),
+        trust.Trust(),
+        cold_window.ColdWindow(candidate.cold_limit),
+    )
+
+
+def _refuse(reason: work.RefusalReason) -> work.Refusal:
+    return work.Refusal(reason, RETRY_AFTER_MIN_S)
--- /dev/null
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -0,0 +1,198 @@
+"""What an endpoint is known to carry."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Hashable
+
+from poplarwick_catalogue import types
+from poplarwick_placement import engine_model
+from poplarwick_placement import work
+
+LATE_LOSS = 0.75
+"""Share of its value that a request loses by being late: the users' sheets
+give a late answer a quarter of an on-time one's worth."""
+
+MEMORY_SHARE = 0.98
+"""Part of an engine's memory that is booked; the rest covers rounding to the
+engine's blocks of tokens."""
+
+
+@dataclasses.dataclass(slots=True)
+class Booking:
+    """One request's share of an endpoint.
+
+    Attributes:
+        work: What the request needs.
+        read_s: Time that the endpoint reads for it.
+        memory_tokens: Memory that it takes here.
+        first_at_s: When its first event came; None before.
+        is_harmed: Whether a pause already makes it late.
+    """
+
+    work: work.Work
+    read_s: float
+    memory_tokens: int
+    first_at_s: float | None = None
+    is_harmed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointLoad:
+    """Requests at one endpoint and what they mean for the next one.
+
+    Attributes:
+        endpoint: The endpoint.
+        profile: Profile of its engine; None for a plain service.
+        leads: Requests that run here.
+        parts: Requests for which this endpoint reads a part.
+        read_until_s: When the reading booked so far is expected to end.
+        pace: Slowness against the profile; 1 is the profile's speed.
+    """
+
+    endpoint: types.Endpoint
+    profile: types.EngineProfile | None
+    leads: dict[Hashable, Booking] = dataclasses.field(default_factory=dict)
+    parts: dict[Hashable, Booking] = dataclasses.field(default_factory=dict)
+    read_until_s: float = 0.0
+    pace: float = 1.0
+
+    @property
+    def slots(self) -> int:
+        """Requests that the endpoint runs at once."""
+        return self.profile.slots if self.profile else self.endpoint.slots
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that no known request holds."""
+        return self.slots - len(self.leads)
+
+    @property
+    def free_memory_tokens(self) -> int:
+        """Engine memory that no known request holds."""
+        if self.profile is None:
+            return 0
+        used = sum(b.memory_tokens for b in self.leads.values())
+        used += sum(b.memory_tokens for b in self.parts.values())
+        return int(self.profile.memory_tokens * MEMORY_SHARE) - used
+
+    def calculate_pass_s(self, extra: work.Work | None = None) -> float:
+        """Returns the time of a pass without reading.
+
+        Args:
+            extra: A further request that would write.
+        """
+        if self.profile is None:
+            return 0.0
+        context = sum(b.work.prompt_tokens for b in self.leads.values())
+        writers = len(self.leads)
+        if extra is not None:
+            context += extra.prompt_tokens
+            writers += 1
+        return self.pace * engine_model.calculate_pass_s(
+            self.profile, writers, context
+        )
+
+    def calculate_read_s(self, prompt_tokens: int, engines: int) -> float:
+        """Returns the time to read one of several parts of a prompt here."""
+        if self.profile is None:
+            return 0.0
+        return self.pace * engine_model.calculate_read_s(
+            self.profile, prompt_tokens, engines
+        )
+
+    def calculate_backlog_s(self, now_s: float) -> float:
+        """Returns the time until the reading booked so far ends."""
+        return max(self.read_until_s - now_s, 0.0)
+
+    def estimate_first_s(
+        self, wanted: work.Work, read_s: float, now_s: float
+    ) -> float:
+        """Returns the expected time to a request's first event here."""
+        residual_s = self.calculate_pass_s() / 2 if self.leads else 0.0
+        return (
+            residual_s
+            + self.calculate_backlog_s(now_s)
+            + read_s
+            + self.calculate_pass_s(wanted)
+        )
+
+    def calculate_harm(self, read_s: float, now_s: float) -> float:
+        """Returns the value lost by pauses that a further read causes."""
+        if not self.leads:
+            return 0.0
+        pause_s = (
+            self.calculate_pass_s() + self.calculate_backlog_s(now_s) + read_s
+        )
+        return sum(
+            booking.work.value * LATE_LOSS
+            for booking in self.leads.values()
+            if _is_newly_late(booking, pause_s, read_s, now_s)
+        )
+
+    def book_lead(
+        self,
+        key: Hashable,
+        wanted: work.Work,
+        read_s: float,
+        memory_tokens: int,
+        now_s: float,
+    ) -> None:
+        """Books a request that runs here."""
+        self._book_read(read_s, now_s)
+        self.leads[key] = Booking(wanted, read_s, memory_tokens)
+
+    def book_part(
+        self,
+        key: Hashable,
+        wanted: work.Work,
+        read_s: float,
+        memory_tokens: int,
+        now_s: float,
+    ) -> None:
+        """Books a part of a prompt that is read here for another endpoint."""
+        self._book_read(read_s, now_s)
+        self.parts[key] = Booking(wanted, read_s, memory_tokens)
+
+    def note_first(self, key: Hashable, now_s: float) -> None:
+        """Notes that a request's first event came: its prompt is read."""
+        lead = self.leads.get(key)
+        if lead is not None:
+            lead.first_at_s = now_s
+        part = self.parts.get(key)
+        if part is not None and part.memory_tokens == 0:
+            del self.parts[key]
+        if all(b.first_at_s for b in self.leads.values()) and not self.parts:
+            self.read_until_s = now_s
+
+    def release(self, key: Hashable, now_s: float) -> None:
+        """Forgets a request that has ended."""
+        self.leads.pop(key, None)
+        self.parts.pop(key, None)
+        if not self.leads and not self.parts:
+            self.read_until_s = now_s
+
+    def _book_read(self, read_s: float, now_s: float) -> None:
+        if self.leads:
+            pause_s = (
+                self.calculate_pass_s()
+                + self.calculate_backlog_s(now_s)
+                + read_s
+            )
+            for booking in self.leads.values():
+                if _is_newly_late(booking, pause_s, read_s, now_s):
+                    booking.is_harmed = True
+        self.read_until_s = max(self.read_until_s, now_s) + read_s
+
+
+def _is_newly_late(
+    booking: Booking, pause_s: float, read_s: float, now_s: float
+) -> bool:
+    if booking.is_harmed:
+        return False
+    if booking.first_at_s is None:
+        # Its own reading goes on first; a further read delays its first
+        # event only when it is still far from done.
+        left_s = booking.work.on_time_at_s - now_s
+        return left_s > 0 and pause_s > max(left_s, read_s)
+    return pause_s > booking.work.pause_limit_s
