Read long prompts in turn on many engines; keep what waits at the placer

Change: a group starts when all its engines are idle, as large as helps; the engine of a prompt without an event yet takes no part of another; engines that a waiting prompt needs are not given to those behind it.

--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -33,9 +33,12 @@
 STALL_PAUSES = 2.5
 """The same in pauses of the route's limit; callers give up after eight."""
 
-FIRST_SLACK_S = 0.8
-"""Time beside twice the expected one after which a first event is late enough
-to try another endpoint."""
+FIRST_FACTOR = 4
+"""Multiple of the expected time after which, with the slack, a first event is
+late enough to try another endpoint: reading a long prompt twice is dear."""
+
+FIRST_SLACK_S = 1.0
+"""Time beside that; over a pass of the busiest engine."""
 
 PLAIN_TARGETS = 3
 """The same for plain answers, in target latencies of the route."""
@@ -348,7 +351,7 @@
     if not may_move:
         return left_s
     if asked.route.kind is types.RequestKind.STREAM:
-        return 2 * placement.expected_first_s + FIRST_SLACK_S
+        return FIRST_FACTOR * placement.expected_first_s + FIRST_SLACK_S
     return PLAIN_TARGETS * asked.route.target_latency_s
 
 
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -187,15 +187,21 @@
             key=lambda item: waiting.make_rank(item[1], now_s),
         )
         decided: list[tuple[Key, work.Decision]] = []
+        # Engines that a request waits for are not given to those behind it.
+        awaited: set[ids.EndpointId] = set()
         for key, one in ranked:
-            decision = self._decide_one(key, one, now_s)
+            decision = self._decide_one(key, one, awaited, now_s)
             if decision is not None:
                 del self._waiting[key]
                 decided.append((key, decision))
         return decided
 
     def _decide_one(
-        self, key: Key, one: waiting.Waiting, now_s: float
+        self,
+        key: Key,
+        one: waiting.Waiting,
+        awaited: set[ids.EndpointId],
+        now_s: float,
     ) -> work.Decision | None:
         wanted = one.wanted
         if not one.has_time(now_s):
@@ -210,15 +216,20 @@
                 return None
             return _refuse(work.RefusalReason.NO_ENDPOINT)
         usable = _filter_trusted(open_, now_s)
-        choice = self._choose(wanted, usable, now_s)
+        choice = self._choose(wanted, usable, awaited, now_s)
         if choice is None:
             return None
         if not waiting.should_start(one, choice, now_s):
+            awaited.update(choice.engines)
             return None
         return self._book(key, wanted, choice, now_s)
 
     def _choose(
-        self, wanted: work.Work, usable: list[_Place], now_s: float
+        self,
+        wanted: work.Work,
+        usable: list[_Place],
+        awaited: set[ids.EndpointId],
+        now_s: float,
     ) -> packing.Choice | None:
         leads = [
             place.load
@@ -228,7 +239,7 @@
         ]
         helping = [place.load for place in usable]
         if self._packs:
-            return packing.choose(wanted, leads, helping, now_s)
+            return packing.choose(wanted, leads, helping, awaited, now_s)
         return spreading.choose(wanted, leads, helping, now_s, self._draw)
 
     def _book(
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -18,6 +18,14 @@
 engine's blocks of tokens."""
 
 
+OWN_READ_S = 0.04
+"""Least time left of a read whose first event has not come; about a pass."""
+
+OVERDUE_S = 1.5
+"""Time past the expected end of a read after which it does not count: work that
+depends on a lost engine is cut off after it."""
+
+
 @dataclasses.dataclass(slots=True)
 class Booking:
     """One request's share of an endpoint.
@@ -25,17 +33,25 @@
     Attributes:
         work: What the request needs.
         read_s: Time that the endpoint reads for it.
+        whole_read_s: Time that one engine would read the whole prompt.
         memory_tokens: Memory that it takes here.
+        due_at_s: When its reading is expected to end.
         first_at_s: When its first event came; None before.
         is_harmed: Whether a pause already makes it late.
     """
 
     work: work.Work
     read_s: float
+    whole_read_s: float
     memory_tokens: int
+    due_at_s: float
     first_at_s: float | None = None
     is_harmed: bool = False
 
+    def is_plausible(self, now_s: float) -> bool:
+        """Tells whether its first event may still be on its way."""
+        return now_s < self.due_at_s + OVERDUE_S
+
 
 @dataclasses.dataclass(slots=True)
 class EndpointLoad:
@@ -102,8 +118,16 @@
         )
 
     def calculate_backlog_s(self, now_s: float) -> float:
-        """Returns the time until the reading booked so far ends."""
-        return max(self.read_until_s - now_s, 0.0)
+        """Returns the time until the reading booked so far ends.
+
+        Parts for others go ahead of an engine's own reads, so an engine whose
+        own request has no event yet is not done, whatever the estimate says.
+        """
+        estimated_s = max(self.read_until_s - now_s, 0.0)
+        for booking in self.leads.values():
+            if booking.first_at_s is None and booking.is_plausible(now_s):
+                return max(estimated_s, OWN_READ_S)
+        return estimated_s
 
     def estimate_first_s(
         self, wanted: work.Work, read_s: float, now_s: float
@@ -118,12 +142,10 @@
         )
 
     def calculate_harm(self, read_s: float, now_s: float) -> float:
-        """Returns the value lost by pauses that a further read causes."""
+        """Returns the value lost by the pause that a read of this time causes."""
         if not self.leads:
             return 0.0
-        pause_s = (
-            self.calculate_pass_s() + self.calculate_backlog_s(now_s) + read_s
-        )
+        pause_s = self.calculate_pass_s() + read_s
         return sum(
             booking.work.value * LATE_LOSS
             for booking in self.leads.values()
@@ -140,7 +162,9 @@
     ) -> None:
         """Books a request that runs here."""
         self._book_read(read_s, now_s)
-        self.leads[key] = Booking(wanted, read_s, memory_tokens)
+        self.leads[key] = self._make_booking(
+            wanted, read_s, memory_tokens
+        )
 
     def book_part(
         self,
@@ -152,7 +176,9 @@
     ) -> None:
         """Books a part of a prompt that is read here for another endpoint."""
         self._book_read(read_s, now_s)
-        self.parts[key] = Booking(wanted, read_s, memory_tokens)
+        self.parts[key] = self._make_booking(
+            wanted, read_s, memory_tokens
+        )
 
     def note_first(self, key: Hashable, now_s: float) -> None:
         """Notes that a request's first event came: its prompt is read."""
@@ -172,6 +198,14 @@
         if not self.leads and not self.parts:
             self.read_until_s = now_s
 
+    def _make_booking(
+        self, wanted: work.Work, read_s: float, memory_tokens: int
+    ) -> Booking:
+        whole_s = self.calculate_read_s(wanted.prompt_tokens, 1)
+        return Booking(
+            wanted, read_s, whole_s, memory_tokens, self.read_until_s
+        )
+
     def _book_read(self, read_s: float, now_s: float) -> None:
         if self.leads:
             pause_s = (
--- a/packages/placement/poplarwick_placement/waiting.py
+++ b/packages/placement/poplarwick_placement/waiting.py
@@ -2,8 +2,8 @@
 
 Load pattern: more work than fits at the moment, of which some can still be on
 time and some cannot. What can be on time goes first, by its latest start;
-what is late goes in order of its deadline and never harms others, until half
-of its time is gone.
+what is late goes by arrival and size and never harms others, until half of its
+time is gone.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 from poplarwick_placement import packing
 from poplarwick_placement import work
 
-IDEAL_GROUP = 4
-"""Engines that read a long prompt when there is room; more save little."""
+IDEAL_GROUP = 12
+"""Engines that read a long prompt when there is room for it."""
 
 SMALL_LOSS = 0.05
 """Share of a request's own value that others may lose at once for it."""
@@ -24,6 +24,10 @@
 PATIENCE = 0.5
 """Part of a request's time after which it may harm others to finish."""
 
+SLOW_FACTOR = 3
+"""Multiple of the ideal time to a first event over which a late request waits
+for more engines: a long prompt on one engine holds it for many seconds."""
+
 MARGIN_S = 0.05
 """Time kept for the ways between instances and a pass that has begun."""
 
@@ -65,9 +69,15 @@
 
 
 def make_rank(waiting: Waiting, now_s: float) -> tuple[int, bool, float]:
-    """Returns the order in which waiting requests are tried."""
+    """Returns the order in which waiting requests are tried.
+
+    What can be on time goes by its latest start, what cannot by its arrival.
+    Both yield to smaller work by the time that they would hold up others.
+    """
     is_late = now_s > waiting.latest_start_s
-    due_s = waiting.wanted.deadline_at_s if is_late else waiting.latest_start_s
+    due_s = waiting.latest_start_s + waiting.ideal_s
+    if is_late:
+        due_s = waiting.arrived_at_s + waiting.ideal_s * IDEAL_GROUP
     return (waiting.wanted.priority, is_late, due_s)
 
 
@@ -75,11 +85,14 @@
     waiting: Waiting, choice: packing.Choice, now_s: float
 ) -> bool:
     """Tells whether to take a choice now or to wait for a better one."""
-    if choice.loss <= waiting.wanted.value * SMALL_LOSS:
+    is_settled = choice.starts_in_s <= packing.START_SPREAD_S
+    if choice.loss <= waiting.wanted.value * SMALL_LOSS and is_settled:
         return True
-    if now_s < waiting.latest_start_s:
+    if now_s < waiting.latest_start_s or not is_settled:
         return False
-    if choice.loss < waiting.wanted.value:
-        return True
     total_s = waiting.wanted.deadline_at_s - waiting.arrived_at_s
-    return now_s - waiting.arrived_at_s > PATIENCE * total_s
+    if now_s - waiting.arrived_at_s > PATIENCE * total_s:
+        return True
+    if choice.first_s > SLOW_FACTOR * waiting.ideal_s + MARGIN_S:
+        return False
+    return choice.loss < waiting.wanted.value
