--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # several work trees.
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
-export PYTHONPATH := $(subst $(SPACE),:,$(abspath $(wildcard packages/*)))
+export PYTHONPATH := $(subst $(SPACE),:,$(abspath $(wildcard packages/*) platform))
 export PATH := $(abspath $(BIN)):$(PATH)
 
 .PHONY: help install run test lint format bench bench-quick generate
@@ -22,12 +22,12 @@
 
 install: $(STAMP) ## Creates the environment with the locked dependencies.
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	@$(BIN)/python -m pip install -q --no-compile --disable-pip-version-check \
 	  -r requirements.lock
 	@$(BIN)/python -m pip install -q --no-compile --disable-pip-version-check --no-deps \
-	  --no-build-isolation $(foreach p,$(wildcard packages/*),-e $(p))
+	  --no-build-isolation $(foreach p,$(wildcard packages/*) platform,-e ./$(p))
 	@touch $@
 
 run: install ## Starts an embedded system and sends PROMPT=FILE (ONCE=1 ends).
--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -11,7 +11,6 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import candidates
-from poplarwick_coordination import links
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
 from poplarwick_core import clock
@@ -20,7 +19,6 @@
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import desk
 from poplarwick_placement import work
-from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
 TICK_S = 0.02
@@ -203,9 +201,7 @@
                 self._submit_own(ask, asked.wanted)
         self._decide_own()
 
-    def handle(
-        self, link: Link, message: placement_pb2.PlacerMessage
-    ) -> None:
+    def handle(self, link: Link, message: placement_pb2.PlacerMessage) -> None:
         """Acts on a message of the placer."""
         link.heard_at_s = clock.now_s()
         match message.WhichOneof("kind"):
@@ -303,9 +299,7 @@
 
     def _send_ask(self, ask: int, wanted: work.Work) -> None:
         message = placement_pb2.EntryMessage()
-        message.ask.CopyFrom(
-            wire_codec.encode_work(ask, wanted, clock.now_s())
-        )
+        message.ask.CopyFrom(wire_codec.encode_work(ask, wanted, clock.now_s()))
         self._send(message)
 
     def _send_running(self, ask: int, running: _Running) -> None:
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -325,9 +325,7 @@
     """
     tasks = [asyncio.ensure_future(c) for c in coroutines]  # type: ignore[call-overload]
     try:
-        done, _ = await asyncio.wait(
-            tasks, return_when=asyncio.FIRST_COMPLETED
-        )
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             task.result()
     finally:
--- a/packages/coordination/poplarwick_coordination/store_changes.py
+++ b/packages/coordination/poplarwick_coordination/store_changes.py
@@ -25,9 +25,7 @@
     )
 
 
-def apply_changes(
-    copy: mirror.Mirror, message: placement_pb2.Changes
-) -> None:
+def apply_changes(copy: mirror.Mirror, message: placement_pb2.Changes) -> None:
     """Takes over changes that another instance sent."""
     copy.apply_changes(
         [_decode_item(item) for item in message.items],
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -117,9 +117,7 @@
         if self._is_held() or not self._may_stand or not self._mirror.revision:
             await asyncio.sleep(POLL_S)
             return
-        lease = await self._client.grant_lease(
-            self._ttl_s, kv.Purpose.LEASE
-        )
+        lease = await self._client.grant_lease(self._ttl_s, kv.Purpose.LEASE)
         value = f"{self._instance} {secrets.token_hex(8)}".encode()
         try:
             result = await self._client.commit(
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -7,9 +7,7 @@
 from poplarwick_placement import work
 
 
-def encode_work(
-    ask: int, wanted: work.Work, now_s: float
-) -> placement_pb2.Ask:
+def encode_work(ask: int, wanted: work.Work, now_s: float) -> placement_pb2.Ask:
     """Encodes a request; times become times left."""
     return placement_pb2.Ask(
         ask=ask,
--- a/packages/forwarding/poplarwick_forwarding/dialect.py
+++ b/packages/forwarding/poplarwick_forwarding/dialect.py
@@ -94,7 +94,9 @@
         """Returns the headers that an endpoint is sent."""
         ...
 
-    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+    def read_answer(
+        self, status: int, headers: Mapping[str, str]
+    ) -> AnswerHead:
         """Reads the head of an endpoint's answer."""
         ...
 
--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 import types as python_types
 from collections.abc import Callable
 from collections.abc import Mapping
+from typing import Any
 from typing import Self
 
 import multidict
@@ -62,6 +64,8 @@
         self.is_leaving = False
         self.is_closed = False
         self.in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._read_routing = read_routing
@@ -69,7 +73,7 @@
         self._runner = runner
         self._draw = random.Random()
         self._numbers = itertools.count(1)
-        self._web: web.Server[web.BaseRequest] | None = None
+        self._web: web.Server | None = None
         self._listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
@@ -107,13 +111,23 @@
         if self._web is not None:
             self._web.pre_shutdown()
 
+    async def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until no request is in progress, or until the time is over."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        return not self.in_progress
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         received_at_s = clock.now_s()
         self.in_progress += 1
+        self._idle.clear()
         try:
             response = await self._answer(request, received_at_s)
         finally:
             self.in_progress -= 1
+            if not self.in_progress:
+                self._idle.set()
         if self.is_leaving:
             response.force_close()
         return response
@@ -312,7 +326,7 @@
     asked: exchange.Exchange,
     outcome: str,
     sink: _ResponseSink,
-    **fields: object,
+    **fields: Any,
 ) -> None:
     first_s = None
     if sink.first_at_s is not None:
--- a/packages/forwarding/poplarwick_forwarding/readiness.py
+++ b/packages/forwarding/poplarwick_forwarding/readiness.py
@@ -24,7 +24,7 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._is_ready = is_ready
-        self._web: web.Server[web.BaseRequest] | None = None
+        self._web: web.Server | None = None
         self._listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -322,8 +322,7 @@
     parts: object,
 ) -> bytes | None:
     may_move = (
-        asked.route.may_resume
-        and progress.runs + 1 < asked.route.max_attempts
+        asked.route.may_resume and progress.runs + 1 < asked.route.max_attempts
     )
     pause_limit_s = asked.route.pause_limit_s or STALL_MIN_S
     stall_s = max(STALL_MIN_S, STALL_PAUSES * pause_limit_s)
@@ -345,8 +344,7 @@
     left_s: float,
 ) -> float:
     may_move = (
-        asked.route.may_repeat
-        and progress.runs + 1 < asked.route.max_attempts
+        asked.route.may_repeat and progress.runs + 1 < asked.route.max_attempts
     )
     if not may_move:
         return left_s
@@ -355,9 +353,7 @@
     return PLAIN_TARGETS * asked.route.target_latency_s
 
 
-def _check_head(
-    asked: exchange.Exchange, answer: upstream.Answer
-) -> None:
+def _check_head(asked: exchange.Exchange, answer: upstream.Answer) -> None:
     """Checks that an answer may be passed on.
 
     Raises:
@@ -386,9 +382,7 @@
     elif "Content-Encoding" in answer.headers:
         problem = "encoded body"
     if problem is not None:
-        raise upstream.SendError(
-            problem, work.Result.BROKEN, may_have_run=True
-        )
+        raise upstream.SendError(problem, work.Result.BROKEN, may_have_run=True)
 
 
 def _end_refused(
@@ -439,16 +433,13 @@
         endpoint=placement.endpoint,
         address=placement.address,
         helpers=len(placement.helpers) or None,
-        reserved_tokens=sum(h.ticket_tokens for h in placement.helpers)
-        or None,
+        reserved_tokens=sum(h.ticket_tokens for h in placement.helpers) or None,
         expected_first_s=placement.expected_first_s,
         reason=placement.reason,
         placer=ticket.decided_by,
         waited_s=ticket.waited_s,
         send=progress.sends + 1,
-        resumes_after=progress.last_event_id
-        if progress.resumes_at_s
-        else None,
+        resumes_after=progress.last_event_id if progress.resumes_at_s else None,
     )
 
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -200,14 +200,16 @@
         await asyncio.sleep(BALANCER_S)
         self._front.stop_listening()
         ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
-        while self._front.in_progress and clock.now_s() < ends_s:
-            await asyncio.sleep(0.02)
+        if not await self._front.wait_until_idle(ends_s - clock.now_s()):
+            logs.log_event(
+                "stop_cuts_requests",
+                "WARNING",
+                in_progress=self._front.in_progress,
+            )
         await self._reservations.drain()
 
 
 def _tell_failure(task: asyncio.Task[None]) -> None:
     if task.cancelled() or task.exception() is None:
         return
-    logs.log_event(
-        "task_failed", "ERROR", reason=repr(task.exception())
-    )
+    logs.log_event("task_failed", "ERROR", reason=repr(task.exception()))
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -137,9 +137,7 @@
         read_s = 0.0
         if not has_begun:
             read_s = place.load.calculate_read_s(wanted.prompt_tokens, 1)
-        place.load.book_lead(
-            key, wanted, read_s, wanted.memory_tokens, now_s
-        )
+        place.load.book_lead(key, wanted, read_s, wanted.memory_tokens, now_s)
         self._running[key] = _Running(wanted, endpoint, ())
         if has_begun:
             place.load.note_first(key, now_s)
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -142,7 +142,7 @@
         )
 
     def calculate_harm(self, read_s: float, now_s: float) -> float:
-        """Returns the value lost by the pause that a read of this time causes."""
+        """Returns the value lost by the pause that such a read causes."""
         if not self.leads:
             return 0.0
         pause_s = self.calculate_pass_s() + read_s
@@ -162,9 +162,7 @@
     ) -> None:
         """Books a request that runs here."""
         self._book_read(read_s, now_s)
-        self.leads[key] = self._make_booking(
-            wanted, read_s, memory_tokens
-        )
+        self.leads[key] = self._make_booking(wanted, read_s, memory_tokens)
 
     def book_part(
         self,
@@ -176,9 +174,7 @@
     ) -> None:
         """Books a part of a prompt that is read here for another endpoint."""
         self._book_read(read_s, now_s)
-        self.parts[key] = self._make_booking(
-            wanted, read_s, memory_tokens
-        )
+        self.parts[key] = self._make_booking(wanted, read_s, memory_tokens)
 
     def note_first(self, key: Hashable, now_s: float) -> None:
         """Notes that a request's first event came: its prompt is read."""
--- a/packages/placement/poplarwick_placement/repeats.py
+++ b/packages/placement/poplarwick_placement/repeats.py
@@ -42,9 +42,8 @@
             now_s: Monotonic time.
         """
         self._forget(now_s)
-        allowed = (
-            self._ratio * len(self._requests)
-            + self._extra / max(instances, 1)
+        allowed = self._ratio * len(self._requests) + self._extra / max(
+            instances, 1
         )
         if len(self._repeats) + 1 > allowed:
             return False
--- a/packages/placement/poplarwick_placement/spreading.py
+++ b/packages/placement/poplarwick_placement/spreading.py
@@ -49,7 +49,12 @@
     read_s = lead.calculate_read_s(wanted.prompt_tokens, len(helpers) + 1)
     first_s = lead.estimate_first_s(wanted, read_s, now_s)
     return packing.Choice(
-        lead, tuple(zip(helpers, tickets, strict=True)), read_s, 0.0, first_s, 0.0
+        lead,
+        tuple(zip(helpers, tickets, strict=True)),
+        read_s,
+        0.0,
+        first_s,
+        0.0,
     )
 
 
--- a/packages/placement/poplarwick_placement/trust.py
+++ b/packages/placement/poplarwick_placement/trust.py
@@ -46,9 +46,7 @@
     def note(self, result: work.Result, now_s: float) -> None:
         """Learns from the end of a request."""
         if result is work.Result.FULL:
-            self.paused_until_s = max(
-                self.paused_until_s, now_s + FULL_PAUSE_S
-            )
+            self.paused_until_s = max(self.paused_until_s, now_s + FULL_PAUSE_S)
         elif result in FAILURES:
             pause_s = min(FIRST_PAUSE_S * 2**self.strikes, LONGEST_PAUSE_S)
             self.strikes += 1
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
 import ssl
@@ -141,10 +142,13 @@
             tuple(codec.make_entry(kvs) for r in ranges if r for kvs in r.kvs),
         )
 
-    async def grant_lease(self, ttl_s: int, purpose: kv.Purpose) -> kv.LeaseId:
+    async def grant_lease(
+        self, ttl_s: float, purpose: kv.Purpose
+    ) -> kv.LeaseId:
         """Creates a lease that expires unless it is kept alive."""
         request = messages.LeaseGrantRequest(
-            id=str(secrets.randbits(_LEASE_ID_BITS) + 1), ttl=str(ttl_s)
+            id=str(secrets.randbits(_LEASE_ID_BITS) + 1),
+            ttl=str(math.ceil(ttl_s)),
         )
         reply = await self._call(
             "/v3/lease/grant",
--- a/packages/platform/poplarwick_platform/kv.py
+++ b/packages/platform/poplarwick_platform/kv.py
@@ -172,7 +172,7 @@
         """Applies all operations if all conditions hold."""
         ...
 
-    async def grant_lease(self, ttl_s: int, purpose: Purpose) -> LeaseId:
+    async def grant_lease(self, ttl_s: float, purpose: Purpose) -> LeaseId:
         """Creates a lease that expires unless it is kept alive."""
         ...
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -27,7 +27,8 @@
         "mypy",
         *sorted(
             str(p)
-            for p in ROOT.glob("packages/*/*/")
+            for pattern in ("packages/*/*/", "platform/*/")
+            for p in ROOT.glob(pattern)
             if (p / "py.typed").exists()
         ),
     ],
@@ -96,7 +97,13 @@
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "unit.xml"
         code = _run(
-            ["pytest", *UNIT_WORKERS, f"--junitxml={report}", "packages"]
+            [
+                "pytest",
+                *UNIT_WORKERS,
+                f"--junitxml={report}",
+                "packages",
+                "platform",
+            ]
         )
         if not report.exists():
             tally.failed.append(f"unit tests ended with code {code}")
