Answer connections that were made as listening ended

Cause: aiohttp drops all that arrives on a connection it was told to close, and a connection told so before its first wait stays open until the process ends. Change: the stop closes the listener only; open connections get a refusal.

--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -103,13 +103,20 @@
         if self._web is not None:
             await self._web.shutdown(0.1)
 
+    @property
+    def connections(self) -> list[web.RequestHandler]:
+        """Open connections of callers."""
+        return [] if self._web is None else self._web.connections
+
     def stop_listening(self) -> None:
-        """Takes no further connections; idle ones are closed."""
+        """Takes no further connections and refuses further requests.
+
+        Open connections stay: aiohttp drops what arrives on a connection that
+        it was told to close, and a caller's request would go unanswered.
+        """
         self.is_closed = True
         if self._listener is not None:
             self._listener.close()
-        if self._web is not None:
-            self._web.pre_shutdown()
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Waits until no request is in progress, or until the time is over."""
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -119,7 +119,7 @@
         runner = runs.Runner(
             self._broker, sender, names, self._reservations, self._make_budget
         )
-        self._front = await enter(
+        self.front = await enter(
             front.Front(
                 place.caller_address,
                 lambda: self.catalogue.routing,
@@ -187,18 +187,18 @@
 
     async def _leave(self) -> None:
         began_s = clock.now_s()
-        logs.log_event("stopping", in_progress=self._front.in_progress)
+        logs.log_event("stopping", in_progress=self.front.in_progress)
         self._is_leaving = True
-        self._front.is_leaving = True
+        self.front.is_leaving = True
         await self._tenure.resign()
         await asyncio.sleep(BALANCER_S)
-        self._front.stop_listening()
+        self.front.stop_listening()
         ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
-        if not await self._front.wait_until_idle(ends_s - clock.now_s()):
+        if not await self.front.wait_until_idle(ends_s - clock.now_s()):
             logs.log_event(
                 "stop_cuts_requests",
                 "WARNING",
-                in_progress=self._front.in_progress,
+                in_progress=self.front.in_progress,
             )
         await self._reservations.drain()
 
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -120,10 +120,15 @@
 
     def ask(self, key: Key, wanted: work.Work, now_s: float) -> None:
         """Takes a request that is to be placed."""
-        profile = self._find_profile(wanted.service)
-        self._waiting[key] = waiting.Waiting(
-            wanted, now_s, waiting.calculate_ideal_s(wanted, profile)
-        )
+        engines = [
+            place.candidate
+            for place in self._places.values()
+            if place.candidate.endpoint.service == wanted.service
+            and place.candidate.is_open
+        ]
+        profile = engines[0].profile if engines else None
+        ideal_s = waiting.calculate_ideal_s(wanted, profile, len(engines))
+        self._waiting[key] = waiting.Waiting(wanted, now_s, ideal_s)
 
     def adopt(
         self,
@@ -326,14 +331,6 @@
             and place.candidate.endpoint.id not in wanted.avoided
         ]
 
-    def _find_profile(
-        self, service: ids.ServiceId
-    ) -> types.EngineProfile | None:
-        for place in self._places.values():
-            if place.candidate.endpoint.service == service:
-                return place.candidate.profile
-        return None
-
     def _places_of(self, key: Key) -> list[_Place]:
         running = self._running.get(key)
         if running is None:
--- a/packages/placement/poplarwick_placement/waiting.py
+++ b/packages/placement/poplarwick_placement/waiting.py
@@ -57,14 +57,20 @@
 
 
 def calculate_ideal_s(
-    wanted: work.Work, profile: types.EngineProfile | None
+    wanted: work.Work, profile: types.EngineProfile | None, engines: int
 ) -> float:
-    """Returns the time to the first event on idle endpoints."""
+    """Returns the time to the first event on idle endpoints.
+
+    Args:
+        wanted: What the request needs.
+        profile: Profile of the engines; None for a plain service.
+        engines: Number of endpoints of the service.
+    """
     if profile is None:
         return 0.0
     read_s = engine_model.calculate_read_s(profile, wanted.prompt_tokens)
     if read_s > packing.LONG_READ_S:
-        read_s /= IDEAL_GROUP
+        read_s /= max(min(IDEAL_GROUP, engines), 1)
     return read_s + engine_model.calculate_pass_s(profile, 1, 0)
 
 
--- /dev/null
+++ b/packages/placement/tests/test_desk.py
@@ -0,0 +1,259 @@
+"""The desk: booking, waiting, refusing and what it learns of endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import engine_world as worlds
+from hypothesis import given
+from hypothesis import strategies as st
+
+from poplarwick_core import ids
+from poplarwick_placement import desk
+from poplarwick_placement import work
+
+SHORT = 5_000
+LONG = 180_000
+
+
+def make_desk(engines=4, *, packs=True, **changes):
+    placer = desk.Desk(packs=packs, draw=random.Random(1))
+    placer.set_candidates(make_candidates(engines, **changes))
+    return placer
+
+
+def make_candidates(engines=4, *, cold_until_s=0.0, limit=36.0, profile=True):
+    return [
+        desk.Candidate(
+            worlds.make_endpoint(number),
+            worlds.PROFILE if profile else None,
+            True,
+            cold_until_s,
+            limit,
+        )
+        for number in range(engines)
+    ]
+
+
+def make_work(tokens=SHORT, now_s=0.0, **changes):
+    wanted = work.Work(
+        request=ids.RequestId("r"),
+        service=worlds.POOL,
+        prompt_tokens=tokens,
+        output_tokens=1_000,
+        on_time_at_s=now_s + (0.3 if tokens == SHORT else 3.0),
+        deadline_at_s=now_s + 10.0,
+        pause_limit_s=0.25 if tokens == SHORT else 1.0,
+    )
+    return dataclasses.replace(wanted, **changes)
+
+
+def ask(placer, key, wanted, now_s=0.0):
+    placer.ask(key, wanted, now_s)
+    return dict(placer.decide(now_s)).get(key)
+
+
+def test_short_requests_are_packed_on_one_engine_with_a_slot_left():
+    placer = make_desk()
+    places = []
+    for number in range(8):
+        now_s = number * 0.2
+        decision = ask(placer, number, make_work(now_s=now_s), now_s)
+        placer.note_first(number, now_s + 0.1)
+        places.append(decision.endpoint)
+    assert len(set(places[:7])) == 1
+    assert places[7] != places[0]
+
+
+def test_without_knowledge_of_others_requests_are_spread():
+    placer = make_desk(packs=False)
+    places = {ask(placer, n, make_work()).endpoint for n in range(4)}
+    assert len(places) == 4
+
+
+def test_a_long_prompt_is_read_beside_the_engine_of_short_ones():
+    placer = make_desk()
+    short = ask(placer, "short", make_work())
+    placer.note_first("short", 0.1)
+    long = ask(placer, "long", make_work(LONG, 0.2), 0.2)
+    used = {long.endpoint, *(helper.endpoint for helper in long.helpers)}
+    assert short.endpoint not in used
+    assert len(used) > 1
+
+
+def test_a_second_long_prompt_waits_until_the_first_one_is_read():
+    placer = make_desk(engines=6)
+    first = ask(placer, 1, make_work(LONG))
+    assert ask(placer, 2, make_work(LONG)) is None
+    placer.note_first(1, first.expected_first_s)
+    decided = dict(placer.decide(first.expected_first_s + 0.05))
+    assert isinstance(decided[2], work.Placement)
+
+
+def test_a_prompt_over_an_engines_memory_gets_all_its_memory_or_none():
+    placer = make_desk(engines=4)
+    placed = ask(placer, 1, make_work(700_000, deadline_at_s=100.0))
+    reserved = sum(helper.ticket_tokens for helper in placed.helpers)
+    assert 700_000 + 1_000 - 405_000 <= reserved
+    assert all(h.ticket_tokens <= 405_000 for h in placed.helpers)
+    alone = make_desk(engines=1)
+    assert ask(alone, 1, make_work(700_000, deadline_at_s=100.0)) is None
+
+
+def test_a_request_without_time_for_a_first_event_is_refused_at_once():
+    placer = make_desk()
+    late = make_work(LONG, deadline_at_s=0.05)
+    refused = ask(placer, 1, late)
+    assert refused.reason is work.RefusalReason.NO_TIME
+
+
+def test_nothing_is_refused_while_slots_are_free():
+    placer = make_desk(engines=4)
+    decisions = [ask(placer, n, make_work()) for n in range(32)]
+    assert not any(isinstance(d, work.Refusal) for d in decisions)
+
+
+def test_a_service_without_endpoints_is_refused_after_a_short_wait():
+    placer = desk.Desk(packs=True, draw=random.Random(1))
+    assert ask(placer, 1, make_work()) is None
+    decided = dict(placer.decide(0.1))
+    assert decided[1].reason is work.RefusalReason.NO_ENDPOINT
+
+
+def test_a_draining_endpoint_gets_nothing_new():
+    placer = make_desk(engines=2)
+    first, second = make_candidates(2)
+    draining = dataclasses.replace(first, is_open=False)
+    placer.set_candidates([draining, second])
+    places = set()
+    for number in range(7):
+        now_s = number * 0.2
+        wanted = make_work(now_s=now_s)
+        places.add(ask(placer, number, wanted, now_s).endpoint)
+        placer.note_first(number, now_s + 0.1)
+    assert places == {second.endpoint.id}
+
+
+def test_a_cold_endpoint_gets_no_more_than_its_limit_in_a_second():
+    placer = make_desk(engines=1, cold_until_s=100.0, limit=3.0)
+    sent = 0
+    for step in range(300):
+        now_s = step * 0.01
+        decision = ask(placer, step, make_work(now_s=now_s), now_s)
+        if isinstance(decision, work.Placement):
+            sent += 1
+            placer.note_end(step, work.Result.DONE, now_s)
+    assert sent <= 3 * 3
+
+
+def test_a_cold_endpoint_that_restarts_under_its_id_starts_anew():
+    placer = make_desk(engines=1)
+    ask(placer, 1, make_work())
+    (candidate,) = make_candidates(1)
+    reborn = dataclasses.replace(candidate.endpoint, started_at_ms=2)
+    placer.set_candidates([dataclasses.replace(candidate, endpoint=reborn)])
+    placer.note_end(1, work.Result.BROKEN, 0.1)
+    assert placer.running_count == 0
+
+
+def test_an_endpoint_that_was_silent_is_avoided_and_tried_again_later():
+    placer = make_desk(engines=3)
+    first = ask(placer, 1, make_work())
+    placer.note_end(1, work.Result.SILENT, 0.1)
+    again = ask(placer, 2, make_work(now_s=0.1), 0.1)
+    assert again.endpoint != first.endpoint
+    later = set()
+    for number in range(20):
+        now_s = 2.0 + number * 0.2
+        wanted = make_work(now_s=now_s)
+        later.add(ask(placer, 10 + number, wanted, now_s).endpoint)
+        placer.note_first(10 + number, now_s + 0.1)
+        if number >= 14:
+            placer.note_end(number - 4, work.Result.DONE, now_s + 0.1)
+    assert first.endpoint in later
+
+
+def test_blame_falls_on_the_helper_and_not_on_the_lead():
+    placer = make_desk(engines=4)
+    placed = ask(placer, 1, make_work(LONG))
+    helper = placed.helpers[0]
+    placer.note_end(1, work.Result.FULL, 0.1, helper.address)
+    again = ask(placer, 2, make_work(LONG, 0.2), 0.2)
+    used = {again.endpoint, *(h.endpoint for h in again.helpers)}
+    assert helper.endpoint not in used
+
+
+def test_missed_reports_do_not_condemn_an_endpoint_that_serves():
+    placer = make_desk(engines=2)
+    first = ask(placer, 1, make_work())
+    placer.note_first(1, 0.1)
+    for _ in range(3):
+        placer.note_report(first.endpoint, None)
+    near = ask(placer, 2, make_work(now_s=0.5), 0.5)
+    assert near.endpoint == first.endpoint
+    later = ask(placer, 3, make_work(now_s=5.0), 5.0)
+    assert later.endpoint != first.endpoint
+
+
+def test_a_plain_endpoint_that_fails_more_than_its_peers_is_left():
+    placer = make_desk(engines=2, profile=False)
+    for number in range(40):
+        decision = ask(placer, number, make_work(0))
+        bad = decision.endpoint == "e0"
+        result = work.Result.FAILED if bad else work.Result.DONE
+        placer.note_end(number, result, number * 0.01)
+    places = [ask(placer, 100 + n, make_work(0)).endpoint for n in range(3)]
+    assert places.count("e1") >= 2
+
+
+def test_requests_of_a_lost_instance_are_forgotten():
+    placer = make_desk(engines=1)
+    for number in range(8):
+        ask(placer, ("a", number), make_work())
+    placer.forget(lambda key: key[0] == "a", 1.0)
+    assert placer.running_count == 0
+    later = ask(placer, ("b", 1), make_work(now_s=1.1), 1.1)
+    assert isinstance(later, work.Placement)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["ask", "first", "end", "lose", "tick"]),
+            st.integers(0, 5),
+            st.sampled_from([SHORT, 45_000, LONG, 600_000]),
+        ),
+        max_size=60,
+    )
+)
+def test_no_order_of_events_overbooks_an_engine(steps):
+    placer = make_desk(engines=3)
+    now_s = 0.0
+    placed = {}
+    for action, key, tokens in steps:
+        now_s += 0.03
+        match action:
+            case "ask" if key not in placed:
+                placer.ask(key, make_work(tokens, now_s), now_s)
+            case "first":
+                placer.note_first(key, now_s)
+            case "end":
+                placer.note_end(key, work.Result.DONE, now_s)
+                placed.pop(key, None)
+            case "lose":
+                placer.note_end(key, work.Result.SILENT, now_s)
+                placed.pop(key, None)
+        placed.update(placer.decide(now_s))
+        check_bounds(placed)
+
+
+def check_bounds(placed):
+    leads = {}
+    for decision in placed.values():
+        if isinstance(decision, work.Placement):
+            leads[decision.endpoint] = leads.get(decision.endpoint, 0) + 1
+            group = [h.endpoint for h in decision.helpers]
+            assert decision.endpoint not in group
+            assert len(set(group)) == len(group) <= 16
+    assert all(count <= worlds.PROFILE.slots for count in leads.values())
