--- a/packages/administration/poplarwick_administration/main.py
+++ b/packages/administration/poplarwick_administration/main.py
@@ -1,7 +1,7 @@
 """Command line for operators.
 
-Every command but `document check` talks to the administration API of one
-instance, no matter which.
+Every command but `document check` and `explain` talks to the administration
+API of one instance, no matter which.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import sys
 
 from poplarwick_administration import _document_commands
+from poplarwick_administration import _explain_command
 from poplarwick_administration import _output
 from poplarwick_administration import _record_commands
 from poplarwick_administration import _service_commands
@@ -52,6 +53,7 @@
     _document_commands.add_commands(groups)
     _service_commands.add_commands(groups)
     _record_commands.add_commands(groups)
+    _explain_command.add_commands(groups)
     return parser
 
 
--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from poplarwick_catalogue import log_events
 from poplarwick_catalogue import routing
 from poplarwick_catalogue import types
 from poplarwick_core import clock
@@ -139,7 +140,7 @@
         ]
         for endpoint in gone:
             del self.endpoints[endpoint]
-            logs.log_event("endpoint_gone", endpoint=endpoint, lapsed=True)
+            logs.log(log_events.EndpointGone(endpoint=endpoint, lapsed=True))
         if gone:
             self._notify()
 
@@ -154,12 +155,12 @@
                 continue
             if isinstance(item, ForeignItem):
                 self.foreign_count += 1
-                logs.log_event(
-                    "foreign_entry_ignored",
-                    "WARNING",
-                    key=change.key,
-                    revision=change.revision,
-                    problem=item.problem,
+                logs.log(
+                    log_events.ForeignEntryIgnored(
+                        key=change.key,
+                        revision=change.revision,
+                        problem=item.problem,
+                    )
                 )
                 self._keep_through_foreign(change.key, before)
                 continue
@@ -183,8 +184,8 @@
                 self._set_endpoint(endpoint, revision)
             case EvacuationItem(domain):
                 self.evacuated.add(domain)
-                logs.log_event(
-                    "domain_taken_out", domain=domain, revision=revision
+                logs.log(
+                    log_events.DomainTakenOut(domain=domain, revision=revision)
                 )
             case MemberItem(instance):
                 self.members[instance] = item
@@ -195,16 +196,17 @@
         self, found: routing.Routing, revision: kv.Revision
     ) -> None:
         if self.routing and found.version < self.routing.version:
-            logs.log_event(
-                "configuration_ignored",
-                "WARNING",
-                version=found.version,
-                in_force=self.routing.version,
+            logs.log(
+                log_events.ConfigurationIgnored(
+                    version=found.version, in_force=self.routing.version
+                )
             )
             return
         self.routing = found
-        logs.log_event(
-            "configuration_in_force", version=found.version, revision=revision
+        logs.log(
+            log_events.ConfigurationInForce(
+                version=found.version, revision=revision
+            )
         )
 
     def _set_endpoint(
@@ -216,15 +218,16 @@
             endpoint, now + endpoint.cold_left_s
         )
         if before is None or before.endpoint != endpoint:
-            logs.log_event(
-                "endpoint_changed",
-                endpoint=endpoint.id,
-                service=endpoint.service,
-                address=endpoint.address,
-                domain=endpoint.domain,
-                state=endpoint.state.value,
-                cold_left_s=endpoint.cold_left_s or None,
-                revision=revision,
+            logs.log(
+                log_events.EndpointChanged(
+                    endpoint=endpoint.id,
+                    service=endpoint.service,
+                    address=endpoint.address,
+                    domain=endpoint.domain,
+                    state=endpoint.state.value,
+                    cold_left_s=endpoint.cold_left_s or None,
+                    revision=revision,
+                )
             )
 
     def _remove(self, item: Item | None) -> None:
@@ -233,7 +236,7 @@
                 self._remove_endpoint(endpoint.id)
             case EvacuationItem(domain):
                 self.evacuated.discard(domain)
-                logs.log_event("domain_taken_back", domain=domain)
+                logs.log(log_events.DomainTakenBack(domain=domain))
             case MemberItem(instance):
                 self.members.pop(instance, None)
             case _:
@@ -246,10 +249,10 @@
             return
         if clock.now_s() < self._doubt_until_s:
             known.lapsed_at_s = clock.now_s()
-            logs.log_event("endpoint_entry_lapsed", endpoint=endpoint)
+            logs.log(log_events.EndpointEntryLapsed(endpoint=endpoint))
             return
         del self.endpoints[endpoint]
-        logs.log_event("endpoint_gone", endpoint=endpoint, lapsed=False)
+        logs.log(log_events.EndpointGone(endpoint=endpoint, lapsed=False))
 
     def _notify(self) -> None:
         for listener in tuple(self._listeners):
--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -11,6 +11,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import candidates
+from poplarwick_coordination import log_events
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
 from poplarwick_core import clock
@@ -195,7 +196,9 @@
             return False
         self._note_later(ids.Epoch(link.epoch))
         self.link = link
-        logs.log_event("placer_followed", placer=link.placer, epoch=link.epoch)
+        logs.log(
+            log_events.PlacerFollowed(placer=link.placer, epoch=link.epoch)
+        )
         for ask, running in self._running.items():
             self._send_running(ask, running)
         for ask, asked in self._asked.items():
@@ -209,9 +212,7 @@
         if self.link is not link:
             return
         self.link = None
-        logs.log_event(
-            "placer_lost", "WARNING", placer=link.placer, reason=reason
-        )
+        logs.log(log_events.PlacerLost(placer=link.placer, reason=str(reason)))
         for ask, asked in self._asked.items():
             if not asked.decision.done():
                 self._submit_own(ask, asked.wanted)
@@ -289,11 +290,12 @@
             if ask in self._own or asked.decision.done():
                 continue
             if now_s - link.heard_at_s > ANSWER_SHARE * max(left_s, 0):
-                logs.log_event(
-                    "placer_not_waited_for",
-                    request=asked.wanted.request,
-                    placer=link.placer,
-                    silent_s=now_s - link.heard_at_s,
+                logs.log(
+                    log_events.PlacerNotWaitedFor(
+                        request=asked.wanted.request,
+                        placer=link.placer,
+                        silent_s=now_s - link.heard_at_s,
+                    )
                 )
                 self._submit_own(ask, asked.wanted)
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -15,6 +15,7 @@
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import candidates
 from poplarwick_coordination import links
+from poplarwick_coordination import log_events
 from poplarwick_coordination import reports
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
@@ -138,7 +139,7 @@
         opening.opening.placer = self._instance
         opening.opening.epoch = self.epoch
         session.send(opening)
-        logs.log_event("session_opened", peer=instance, epoch=self.epoch)
+        logs.log(log_events.SessionOpened(peer=instance, epoch=self.epoch))
         return session
 
     def close_session(self, session: Session, reason: object) -> None:
@@ -147,7 +148,9 @@
             return
         del self._sessions[session.instance]
         self._lost_at_s[session.instance] = clock.now_s()
-        logs.log_event("session_closed", peer=session.instance, reason=reason)
+        logs.log(
+            log_events.SessionClosed(peer=session.instance, reason=str(reason))
+        )
 
     def handle(
         self, session: Session, message: placement_pb2.EntryMessage
@@ -186,7 +189,7 @@
     ) -> None:
         if not self._desk.note_report(endpoint, pace):
             return
-        logs.log_event("endpoint_doubted", "WARNING", endpoint=endpoint)
+        logs.log(log_events.EndpointDoubted(endpoint=endpoint))
         message = placement_pb2.PlacerMessage()
         message.doubt.endpoint = endpoint
         for session in list(self._sessions.values()):
@@ -293,7 +296,7 @@
             try:
                 await self._serve(instance, channel)
             except transport.CALL_ERRORS as error:
-                logs.log_event("peer_lost", peer=instance, reason=repr(error))
+                logs.log(log_events.PeerLost(peer=instance, reason=repr(error)))
             finally:
                 channel.close()
             await asyncio.sleep(REDIAL_S)
--- a/packages/coordination/poplarwick_coordination/placing.py
+++ b/packages/coordination/poplarwick_coordination/placing.py
@@ -10,6 +10,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import broker
+from poplarwick_coordination import log_events
 from poplarwick_coordination import placer
 from poplarwick_coordination import reports
 from poplarwick_core import clock
@@ -90,8 +91,8 @@
             await asyncio.wait((serving,))
             own.stop()
             if not serving.cancelled() and serving.exception() is not None:
-                logs.log_event(
-                    "placer_failed", "ERROR", reason=repr(serving.exception())
+                logs.log(
+                    log_events.PlacerFailed(reason=repr(serving.exception()))
                 )
             self._broker.detach(link, "tenure_ended")
 
--- a/packages/coordination/poplarwick_coordination/registration.py
+++ b/packages/coordination/poplarwick_coordination/registration.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from poplarwick_catalogue import catalogue
+from poplarwick_coordination import log_events
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_platform import kv
@@ -67,6 +68,6 @@
                 kv.Purpose.HOUSEKEEPING,
             )
         except kv.KvError as error:
-            logs.log_event("registration_failed", "WARNING", reason=error)
+            logs.log(log_events.RegistrationFailed(reason=str(error)))
             return
         await asyncio.sleep(SETTLE_S)
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -14,6 +14,7 @@
 import zlib
 from collections.abc import Callable
 
+from poplarwick_coordination import log_events
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_platform import kv
@@ -85,15 +86,15 @@
                     await asyncio.sleep(POLL_S)
             except kv.LeaseLostError as error:
                 self._lease = None
-                logs.log_event("tenure_lease_lost", "WARNING", reason=error)
+                logs.log(log_events.TenureLeaseLost(reason=str(error)))
             except kv.KvError as error:
-                logs.log_event("tenure_call_failed", "WARNING", reason=error)
+                logs.log(log_events.TenureCallFailed(reason=str(error)))
                 await asyncio.sleep(RENEW_PERIOD_S)
 
     def note_later(self, epoch: ids.Epoch) -> None:
         """Ends this instance's tenure when another one holds a later one."""
         if self.epoch is not None and epoch > self.epoch:
-            logs.log_event("tenure_superseded", own=self.epoch, later=epoch)
+            logs.log(log_events.TenureSuperseded(own=self.epoch, later=epoch))
             self._lease = None
             self._set(None)
 
@@ -107,7 +108,7 @@
         try:
             await self._client.revoke_lease(lease)
         except kv.KvError as error:
-            logs.log_event("tenure_not_returned", "WARNING", reason=error)
+            logs.log(log_events.TenureNotReturned(reason=str(error)))
 
     def _is_held(self) -> bool:
         return self._mirror.get(self._key) is not None
@@ -154,10 +155,10 @@
     def _set(self, epoch: ids.Epoch | None) -> None:
         if epoch == self.epoch:
             return
-        self.epoch = epoch
-        logs.log_event(
-            "tenure_taken" if epoch is not None else "tenure_ended",
-            epoch=epoch,
-        )
+        before, self.epoch = self.epoch, epoch
+        if epoch is not None:
+            logs.log(log_events.TenureTaken(epoch=epoch))
+        elif before is not None:
+            logs.log(log_events.TenureEnded(epoch=before))
         if self._changed is not None:
             self._changed(epoch)
--- a/packages/core/poplarwick_core/logs.py
+++ b/packages/core/poplarwick_core/logs.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import datetime
+import functools
+import re
 import sys
 from typing import Any
+from typing import ClassVar
 
+import msgspec
 from loguru import logger
 
 from poplarwick_core import clock
@@ -32,6 +36,29 @@
     logger.add(sink, level=level, format=_format_record)
 
 
+class Event(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all typed events.
+
+    An event is written under the name of its class in lower case, with
+    underscores; fields that are None are left out.
+    """
+
+    level: ClassVar[str] = "INFO"
+
+
+def log(event: Event) -> None:
+    """Writes a typed event."""
+    fields = msgspec.structs.asdict(event)
+    name = read_event_name(type(event))
+    logger.opt(depth=1).bind(event=name, fields=fields).log(event.level, name)
+
+
+@functools.cache
+def read_event_name(kind: type[Event]) -> str:
+    """Returns the name that events of a class are written under."""
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", kind.__name__).lower()
+
+
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Writes one event.
 
--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -23,6 +23,8 @@
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import exchange
 from poplarwick_forwarding import headers
+from poplarwick_forwarding import log_events
+from poplarwick_forwarding import measures
 from poplarwick_forwarding import runs
 
 BODY_LIMIT_BYTES = 4 << 20
@@ -153,7 +155,7 @@
         try:
             call = self._names.read_call(request.headers)
         except dialect.CallError as error:
-            logs.log_event("request_unreadable", "WARNING", reason=error)
+            logs.log(log_events.RequestUnreadable(reason=str(error)))
             return _reject(request, admission.Rejection.UNREADABLE)
         body = await _read_body(request, rules.limits.body_bytes)
         if body is None:
@@ -162,11 +164,12 @@
             rules, request.headers.get("Host", ""), request.raw_path, call
         )
         if isinstance(admitted, admission.Rejection):
-            logs.log_event(
-                "request_rejected",
-                request=call.request,
-                status=admitted.value,
-                version=rules.version,
+            logs.log(
+                log_events.RequestRejected(
+                    request=call.request,
+                    status=admitted.value,
+                    version=rules.version,
+                )
             )
             return _reject(request, admitted)
         asked = self._make_exchange(
@@ -200,14 +203,15 @@
     async def _run(
         self, request: web.BaseRequest, asked: exchange.Exchange, version: int
     ) -> web.StreamResponse:
-        logs.log_event(
-            "request_received",
-            request=asked.call.request,
-            route=asked.route.name,
-            service=asked.service,
-            version=version,
-            prompt_tokens=asked.call.prompt_tokens or None,
-            time_left_s=asked.ends_at_s - asked.received_at_s,
+        logs.log(
+            log_events.RequestReceived(
+                request=asked.call.request,
+                route=asked.route.name,
+                service=asked.service,
+                version=version,
+                prompt_tokens=asked.call.prompt_tokens or None,
+                time_left_s=asked.ends_at_s - asked.received_at_s,
+            )
         )
         sink = _ResponseSink(request, lambda: self.is_leaving)
         try:
@@ -242,7 +246,7 @@
     def _refuse(
         self, request: web.BaseRequest, reason: str
     ) -> web.StreamResponse:
-        logs.log_event("request_refused", "WARNING", reason=reason)
+        logs.log(log_events.RequestRefused(reason=str(reason)))
         response = self._make_own(
             answers.Failure.REFUSED, reason, STOPPED_RETRY_S
         )
@@ -338,13 +342,23 @@
     first_s = None
     if sink.first_at_s is not None:
         first_s = sink.first_at_s - asked.received_at_s
-    logs.log_event(
-        "request_ended",
-        request=asked.call.request,
-        outcome=outcome,
-        route=asked.route.name,
-        first_s=first_s,
-        total_s=clock.now_s() - asked.received_at_s,
-        bytes=sink.events_bytes or None,
-        **fields,
+    total_s = clock.now_s() - asked.received_at_s
+    labels = {
+        "route": asked.route.name,
+        "size": measures.name_size(asked.call.prompt_tokens),
+    }
+    measures.ended.add(1, {**labels, "outcome": outcome})
+    measures.total_s.record(total_s, labels)
+    if first_s is not None:
+        measures.first_s.record(first_s, labels)
+    logs.log(
+        log_events.RequestEnded(
+            request=asked.call.request,
+            outcome=outcome,
+            route=asked.route.name,
+            first_s=first_s,
+            total_s=total_s,
+            bytes=sink.events_bytes or None,
+            **fields,
+        )
     )
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/measures.py
@@ -0,0 +1,42 @@
+"""Metrics of callers' requests.
+
+Label sets are bounded: outcomes, reasons, results and size classes are closed
+sets, and routes are those of the configuration in force.
+"""
+
+from __future__ import annotations
+
+from poplarwick_core import metrics
+
+ended = metrics.make_counter(
+    "requests_ended", "Requests by route, size class and outcome."
+)
+refused = metrics.make_counter("requests_refused", "Refusals by reason.")
+attempts = metrics.make_counter(
+    "attempts_failed", "Attempts without a usable answer, by result."
+)
+resumed = metrics.make_counter(
+    "streams_resumed", "Streams that went on at another endpoint."
+)
+placed_s = metrics.make_histogram(
+    "placing_seconds", "Time that requests wait for a place."
+)
+first_s = metrics.make_histogram(
+    "first_event_seconds", "Time to the first event, by route and size class."
+)
+total_s = metrics.make_histogram(
+    "request_seconds", "Time to the ending, by route and size class."
+)
+
+SIZE_CLASSES = ((0, "none"), (10_000, "short"), (100_000, "long"))
+"""Upper bounds in prompt tokens, and names, of the size classes."""
+
+LARGEST_CLASS = "giant"
+
+
+def name_size(prompt_tokens: int) -> str:
+    """Returns the size class of a prompt."""
+    for bound, name in SIZE_CLASSES:
+        if prompt_tokens <= bound:
+            return name
+    return LARGEST_CLASS
--- a/packages/forwarding/poplarwick_forwarding/reservations.py
+++ b/packages/forwarding/poplarwick_forwarding/reservations.py
@@ -14,6 +14,7 @@
 
 from poplarwick_core import logs
 from poplarwick_forwarding import dialect
+from poplarwick_forwarding import log_events
 from poplarwick_placement import work
 
 HOLD_S = 3.0
@@ -96,12 +97,12 @@
                 try:
                     await self._reserve_one(helper, ticket)
                 except dialect.ReservationError as error:
-                    logs.log_event(
-                        "reservation_not_renewed",
-                        "WARNING",
-                        endpoint=helper.endpoint,
-                        ticket=ticket,
-                        reason=error,
+                    logs.log(
+                        log_events.ReservationNotRenewed(
+                            endpoint=helper.endpoint,
+                            ticket=ticket,
+                            reason=str(error),
+                        )
                     )
 
     def _release_later(self, reserved: list[tuple[work.Helper, str]]) -> None:
@@ -115,12 +116,12 @@
             try:
                 await self._orders.release(helper.address, ticket)
             except dialect.ReservationError as error:
-                logs.log_event(
-                    "reservation_not_released",
-                    "WARNING",
-                    endpoint=helper.endpoint,
-                    ticket=ticket,
-                    reason=error,
+                logs.log(
+                    log_events.ReservationNotReleased(
+                        endpoint=helper.endpoint,
+                        ticket=ticket,
+                        reason=str(error),
+                    )
                 )
                 await asyncio.sleep(RELEASE_PAUSE_S)
             else:
--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -15,6 +15,8 @@
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import events
 from poplarwick_forwarding import exchange
+from poplarwick_forwarding import log_events
+from poplarwick_forwarding import measures
 from poplarwick_forwarding import patience
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import upstream
@@ -152,19 +154,20 @@
         if error.may_have_run:
             progress.runs += 1
             progress.avoided |= {placement.endpoint}
+        measures.attempts.add(1, {"result": error.result.value})
         if sink.has_begun:
             progress.resumes_at_s = clock.now_s()
         problem = self._find_obstacle(asked, progress, error)
-        logs.log_event(
-            "attempt_failed",
-            "WARNING",
-            request=asked.call.request,
-            endpoint=placement.endpoint,
-            result=error.result.value,
-            may_have_run=error.may_have_run,
-            reason=error,
-            repeated=problem is None,
-            obstacle=problem,
+        logs.log(
+            log_events.AttemptFailed(
+                request=asked.call.request,
+                endpoint=placement.endpoint,
+                result=error.result.value,
+                may_have_run=error.may_have_run,
+                reason=str(error),
+                repeated=problem is None,
+                obstacle=problem,
+            )
         )
         if problem is None:
             return None
@@ -456,19 +459,26 @@
     placement: work.Placement,
     progress: _Progress,
 ) -> None:
-    logs.log_event(
-        "request_placed",
-        request=asked.call.request,
-        endpoint=placement.endpoint,
-        address=placement.address,
-        helpers=len(placement.helpers) or None,
-        reserved_tokens=sum(h.ticket_tokens for h in placement.helpers) or None,
-        expected_first_s=placement.expected_first_s,
-        reason=placement.reason,
-        placer=ticket.decided_by,
-        waited_s=ticket.waited_s,
-        send=progress.sends + 1,
-        resumes_after=progress.last_event_id if progress.resumes_at_s else None,
+    measures.placed_s.record(ticket.waited_s)
+    if progress.resumes_at_s is not None:
+        measures.resumed.add(1)
+    logs.log(
+        log_events.RequestPlaced(
+            request=asked.call.request,
+            endpoint=placement.endpoint,
+            address=placement.address,
+            helpers=len(placement.helpers) or None,
+            reserved_tokens=sum(h.ticket_tokens for h in placement.helpers)
+            or None,
+            expected_first_s=placement.expected_first_s,
+            reason=str(placement.reason),
+            placer=ticket.decided_by,
+            waited_s=ticket.waited_s,
+            send=progress.sends + 1,
+            resumes_after=progress.last_event_id
+            if progress.resumes_at_s
+            else None,
+        )
     )
 
 
@@ -477,12 +487,13 @@
     ticket: broker.Ticket,
     reason: work.RefusalReason,
 ) -> None:
-    logs.log_event(
-        "request_not_placed",
-        "WARNING",
-        request=asked.call.request,
-        service=asked.service,
-        reason=reason.value,
-        placer=ticket.decided_by,
-        waited_s=ticket.waited_s,
+    measures.refused.add(1, {"reason": reason.value})
+    logs.log(
+        log_events.RequestNotPlaced(
+            request=asked.call.request,
+            service=asked.service,
+            reason=reason.value,
+            placer=ticket.decided_by,
+            waited_s=ticket.waited_s,
+        )
     )
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -27,6 +27,8 @@
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import runs
 from poplarwick_forwarding import upstream
+from poplarwick_node import log_events
+from poplarwick_node import metrics_server
 from poplarwick_peers import transport
 from poplarwick_placement import repeats
 from poplarwick_platform import feed
@@ -66,19 +68,21 @@
         """Runs until `stop` is set, then leaves gracefully."""
         async with contextlib.AsyncExitStack() as stack:
             await self._build(stack)
-            logs.log_event(
-                "started",
-                callers=self._place.caller_address,
-                store=self._place.store_address,
-                domain=self._place.domain,
+            logs.log(
+                log_events.Started(
+                    callers=self._place.caller_address,
+                    store=self._place.store_address,
+                    domain=self._place.domain,
+                )
             )
             await stop.wait()
             await self._leave()
-        logs.log_event("stopped")
+        logs.log(log_events.Stopped())
 
     async def _build(self, stack: contextlib.AsyncExitStack) -> None:
         enter = stack.enter_async_context
         place = self._place
+        await enter(metrics_server.MetricsServer(place.metrics_address))
         client = await enter(store.StoreClient(place.store_address))
         self._feed = feed.Feed(client, self._mirror, self._note_reachable)
         self._tenure = tenure.Tenure(
@@ -177,9 +181,7 @@
             await asyncio.sleep(WATCH_PERIOD_S)
             now_s = clock.now_s()
             if now_s - before_s > WATCH_PERIOD_S + FREEZE_S:
-                logs.log_event(
-                    "freeze_noticed", "WARNING", frozen_s=now_s - before_s
-                )
+                logs.log(log_events.FreezeNoticed(frozen_s=now_s - before_s))
             before_s = now_s
             if not self._feed.is_reachable:
                 self.catalogue.note_store_away()
@@ -187,7 +189,7 @@
 
     async def _leave(self) -> None:
         began_s = clock.now_s()
-        logs.log_event("stopping", in_progress=self.front.in_progress)
+        logs.log(log_events.Stopping(in_progress=self.front.in_progress))
         self._is_leaving = True
         self.front.is_leaving = True
         await self._tenure.resign()
@@ -195,10 +197,8 @@
         self.front.stop_listening()
         ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
         if not await self.front.wait_until_idle(ends_s - clock.now_s()):
-            logs.log_event(
-                "stop_cuts_requests",
-                "WARNING",
-                in_progress=self.front.in_progress,
+            logs.log(
+                log_events.StopCutsRequests(in_progress=self.front.in_progress)
             )
         await self._reservations.drain()
 
@@ -210,12 +210,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(
-        signal.SIGHUP, lambda: logs.log_event("settings_signalled")
+        signal.SIGHUP, lambda: logs.log(log_events.SettingsSignalled())
     )
+    metrics_server.collect_metrics()
     await PlatformInstance(place).run(stop)
 
 
 def _tell_failure(task: asyncio.Task[None]) -> None:
     if task.cancelled() or task.exception() is None:
         return
-    logs.log_event("task_failed", "ERROR", reason=repr(task.exception()))
+    logs.log(log_events.TaskFailed(reason=repr(task.exception())))
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -296,6 +296,7 @@
         choice: packing.Choice,
         now_s: float,
     ) -> work.Placement:
+        reason = self._explain(choice, now_s)
         reserved = sum(ticket for _, ticket in choice.helpers)
         choice.lead.book_lead(
             key, wanted, choice.read_s, wanted.memory_tokens - reserved, now_s
@@ -319,7 +320,16 @@
                 for load, ticket in choice.helpers
             ),
             choice.first_s,
-            "packed" if self._packs else "spread",
+            reason,
+        )
+
+    def _explain(self, choice: packing.Choice, now_s: float) -> str:
+        lead = choice.lead
+        rule = "packed" if self._packs else "spread"
+        return (
+            f"{rule} running={len(lead.leads)}/{lead.slots} "
+            f"backlog_s={lead.calculate_backlog_s(now_s):.3f} "
+            f"pace={lead.pace:.2f} loss={choice.loss:.0f}"
         )
 
     def _find_open(self, wanted: work.Work) -> list[_Place]:
--- a/packages/platform/poplarwick_platform/feed.py
+++ b/packages/platform/poplarwick_platform/feed.py
@@ -8,6 +8,7 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_platform import kv
+from poplarwick_platform import log_events
 from poplarwick_platform import mirror
 
 RETRY_MIN_S = 0.1
@@ -49,7 +50,7 @@
                 pause_s = RETRY_MIN_S
                 await self._follow()
             except kv.CompactedError as error:
-                logs.log_event("store_history_gone", reason=error)
+                logs.log(log_events.StoreHistoryGone(reason=str(error)))
                 continue
             except kv.KvError as error:
                 self._note(False, error)
@@ -79,10 +80,11 @@
         if reachable == self.is_reachable:
             return
         self.is_reachable = reachable
-        logs.log_event(
-            "store_reached" if reachable else "store_lost",
-            "INFO" if reachable else "WARNING",
-            reason=reason,
-            revision=self._mirror.revision,
-        )
+        revision = self._mirror.revision
+        if reachable:
+            logs.log(log_events.StoreReached(revision=revision))
+        else:
+            logs.log(
+                log_events.StoreLost(reason=str(reason), revision=revision)
+            )
         self._on_reachable(reachable)
