--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
@@ -44,6 +45,9 @@
 WATCH_PERIOD_S = 0.25
 """Period of the check for freezes and for the store's return."""
 
+RESTART_PAUSE_S = 0.5
+"""Pause before a part that ended by a fault runs again; bounds its log."""
+
 FREEZE_S = 0.5
 """Delay of that check that counts as a freeze; far over what a busy loop
 takes."""
@@ -84,8 +88,9 @@
         place = self._place
         await enter(metrics_server.MetricsServer(place.metrics_address))
         client = await enter(store.StoreClient(place.store_address))
-        self._feed = feed.Feed(client, self._mirror, self._note_reachable)
-        self._tenure = tenure.Tenure(
+        self.store_client = client
+        self.feed = feed.Feed(client, self._mirror, self._note_reachable)
+        self.tenure = tenure.Tenure(
             client,
             self._mirror,
             keys.PLACER,
@@ -93,11 +98,11 @@
             lambda: list(self.catalogue.members),
             place.lease_ttl_min_s,
         )
-        self._broker = broker.Broker(
+        self.broker = broker.Broker(
             self.catalogue,
             self._mirror,
             place.bounds,
-            self._tenure.note_later,
+            self.tenure.note_later,
         )
         channels = await enter(transport.ChannelPool())
         ordering = await enter(orders.PlatformOrders())
@@ -107,21 +112,21 @@
             self._mirror,
             place.bounds,
             channels.open,
-            self._broker,
+            self.broker,
             ordering,
         )
-        self._tenure.on_change(placing_role.set_epoch)
+        self.tenure.on_change(placing_role.set_epoch)
         await enter(
             transport.PeerServer(
                 place.peer_address,
-                (attachment.AttachmentService(self._broker),),
+                (attachment.AttachmentService(self.broker),),
             )
         )
         names = dialect.PlatformDialect()
         self._reservations = reservations.Reservations(ordering)
         sender = await enter(upstream.Upstream(names))
         runner = runs.Runner(
-            self._broker, sender, names, self._reservations, self._make_budget
+            self.broker, sender, names, self._reservations, self._make_budget
         )
         self.front = await enter(
             front.Front(
@@ -142,20 +147,19 @@
             keys.MEMBER_PREFIX + place.instance,
             entry_codec.encode_member(place.peer_address),
         )
-        self._start(stack, self._feed.run())
-        self._start(stack, self._tenure.run())
-        self._start(stack, self._broker.run())
-        self._start(stack, placing_role.run())
-        self._start(stack, register.run())
-        self._start(stack, self._watch())
+        self._start(stack, self.feed.run)
+        self._start(stack, self.tenure.run)
+        self._start(stack, self.broker.run)
+        self._start(stack, placing_role.run)
+        self._start(stack, register.run)
+        self._start(stack, self._watch)
 
     def _start(
         self,
         stack: contextlib.AsyncExitStack,
-        work: Coroutine[Any, Any, None],
+        run_part: Callable[[], Coroutine[Any, Any, None]],
     ) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_tell_failure)
+        task = asyncio.create_task(_keep_running(run_part))
         stack.callback(task.cancel)
 
     def _make_budget(self) -> repeats.RepeatBudget:
@@ -183,7 +187,7 @@
             if now_s - before_s > WATCH_PERIOD_S + FREEZE_S:
                 logs.log(log_events.FreezeNoticed(frozen_s=now_s - before_s))
             before_s = now_s
-            if not self._feed.is_reachable:
+            if not self.feed.is_reachable:
                 self.catalogue.note_store_away()
             self.catalogue.drop_lapsed()
 
@@ -192,7 +196,7 @@
         logs.log(log_events.Stopping(in_progress=self.front.in_progress))
         self._is_leaving = True
         self.front.is_leaving = True
-        await self._tenure.resign()
+        await self.tenure.resign()
         await asyncio.sleep(BALANCER_S)
         self.front.stop_listening()
         ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
@@ -216,7 +220,13 @@
     await PlatformInstance(place).run(stop)
 
 
-def _tell_failure(task: asyncio.Task[None]) -> None:
-    if task.cancelled() or task.exception() is None:
-        return
-    logs.log(log_events.TaskFailed(reason=repr(task.exception())))
+async def _keep_running(
+    run_part: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Runs a part of the instance, again after a fault, until cancelled."""
+    while True:
+        try:
+            await run_part()
+        except Exception as error:
+            logs.log(log_events.TaskFailed(reason=repr(error)))
+        await asyncio.sleep(RESTART_PAUSE_S)
--- /dev/null
+++ b/tests/adapter/test_instances.py
@@ -0,0 +1,256 @@
+"""Several instances together: placing, store outages, operators' changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import replica_standin
+import world as worlds
+
+from poplarwick_adapter import keys
+
+WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
+
+
+def play(tmp_path, scenario, **options):
+    async def run():
+        async with worlds.running(tmp_path, **options) as world:
+            await scenario(world)
+
+    asyncio.run(run())
+
+
+async def stream(world, instance=0):
+    async with world.call("/label/", instance, tokens=5_000) as answer:
+        assert answer.status == 200
+        assert await answer.read() == WHOLE
+
+
+def find_placer(world):
+    for instance in world.instances:
+        if instance.part.tenure.epoch is not None:
+            return instance
+    return None
+
+
+async def wait_for_links(world, instances):
+    await worlds.eventually(
+        lambda: all(i.part.broker.link is not None for i in instances)
+    )
+
+
+def test_one_instance_places_for_all(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placers = {i.part.broker.link.placer for i in world.instances}
+        assert len(placers) == 1
+        for number in range(3):
+            await stream(world, number)
+
+    play(tmp_path, scenario, instances=3)
+
+
+def test_another_instance_places_after_the_placer_was_killed(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        epoch = placer.part.tenure.epoch
+        others = [i for i in world.instances if i is not placer]
+        await placer.end()
+        for instance in others:
+            await stream(world, world.instances.index(instance))
+        await worlds.eventually(
+            lambda: any((i.part.tenure.epoch or 0) > epoch for i in others)
+        )
+        await worlds.eventually(
+            lambda: all(
+                i.part.broker.link and i.part.broker.link.epoch > epoch
+                for i in others
+            )
+        )
+
+    play(tmp_path, scenario, instances=3)
+
+
+def test_serving_goes_on_with_what_is_known_while_the_store_is_down(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        world.store.is_down = True
+        await worlds.eventually(
+            lambda: not world.instances[0].part.feed.is_reachable
+        )
+        await asyncio.sleep(2)
+        for number in range(2):
+            assert await world.is_ready(world.instances[number])
+            await stream(world, number)
+
+    play(tmp_path, scenario, instances=2)
+
+
+def test_entries_that_lapsed_in_an_outage_are_used_until_they_had_their_time(
+    tmp_path,
+):
+    async def scenario(world):
+        part = world.instances[0].part
+        world.store.is_down = True
+        await worlds.eventually(lambda: not part.feed.is_reachable)
+        for replica in world.replicas:
+            world.store.items.pop(f"servers/{replica.name}")
+        world.store.revision += 1
+        world.store.compact()
+        world.store.is_down = False
+        await worlds.eventually(lambda: part.feed.is_reachable)
+        await stream(world)
+        back = world.replicas[0]
+        await world.store.put(f"servers/{back.name}", back.make_entry())
+        await worlds.eventually(
+            lambda: list(part.catalogue.endpoints) == [back.name]
+        )
+        await stream(world)
+
+    play(tmp_path, scenario)
+
+
+def test_an_instance_that_the_store_refuses_learns_from_the_placer(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        other = next(i for i in world.instances if i is not placer)
+
+        class Refusal:
+            async def __aenter__(self):
+                raise ConnectionError("refused for this test")
+
+            async def __aexit__(self, *_):
+                pass
+
+        def refuse(*_, **__):
+            return Refusal()
+
+        other.part.store_client._session.request = refuse
+        await worlds.eventually(lambda: not other.part.feed.is_reachable)
+        await world.store.put("op/config", worlds.make_configuration(7))
+        await worlds.eventually(
+            lambda: other.part.catalogue.routing.version == 7, 4
+        )
+
+    play(tmp_path, scenario, instances=2)
+
+
+def test_a_new_configuration_is_in_force_within_its_bound(tmp_path):
+    async def scenario(world):
+        routes = [worlds.make_route("new", "idempotent", "orders")]
+        await world.store.put("op/config", worlds.make_configuration(2, routes))
+        await worlds.eventually(
+            lambda: all(
+                i.part.catalogue.routing.version == 2 for i in world.instances
+            ),
+            2,
+        )
+        async with world.call("/new/") as answer:
+            assert answer.status == 200
+        async with world.call("/label/") as answer:
+            assert answer.status == 404
+
+    play(tmp_path, scenario, instances=2)
+
+
+def test_an_older_or_unreadable_configuration_does_not_take_its_place(
+    tmp_path,
+):
+    async def scenario(world):
+        part = world.instances[0].part
+        await world.store.put("op/config", worlds.make_configuration(5))
+        await worlds.eventually(lambda: part.catalogue.routing.version == 5)
+        await world.store.put("op/config", worlds.make_configuration(4))
+        await world.store.put("op/config", b"\xff\x00")
+        await worlds.eventually(lambda: part.catalogue.foreign_count == 1)
+        assert part.catalogue.routing.version == 5
+        await stream(world)
+
+    play(tmp_path, scenario)
+
+
+def test_a_revoked_key_is_refused(tmp_path):
+    async def scenario(world):
+        tenants = [{"name": "one", "api_keys": ["other"], "priority": 1}]
+        await world.store.put(
+            "op/config", worlds.make_configuration(2, None, tenants)
+        )
+        part = world.instances[0].part
+        await worlds.eventually(lambda: part.catalogue.routing.version == 2)
+        async with world.call("/label/", tokens=5_000) as answer:
+            assert answer.status == 401
+
+    play(tmp_path, scenario)
+
+
+def test_a_domain_taken_out_gets_nothing_until_it_is_taken_back(tmp_path):
+    async def scenario(world):
+        part = world.instances[0].part
+        away = world.replicas[0]
+        entry = away.make_entry(zone="b")
+        await world.store.put(f"servers/{away.name}", entry)
+        await world.store.put(keys.EVACUATED_PREFIX + "b", {})
+        await worlds.eventually(lambda: "b" in part.catalogue.evacuated)
+        before = len(away.runs)
+        for _ in range(6):
+            await stream(world)
+        assert len(away.runs) == before
+        await world.store.remove(keys.EVACUATED_PREFIX + "b")
+        world.replicas[1].fault = replica_standin.Fault.FULL
+        await worlds.eventually(lambda: "b" not in part.catalogue.evacuated)
+        await stream(world)
+        assert len(away.runs) > before
+
+    play(tmp_path, scenario)
+
+
+def test_a_draining_endpoint_gets_nothing_new(tmp_path):
+    async def scenario(world):
+        part = world.instances[0].part
+        leaving = world.replicas[0]
+        await world.store.put(
+            f"servers/{leaving.name}", leaving.make_entry("draining")
+        )
+        await worlds.eventually(
+            lambda: (
+                part.catalogue.endpoints[leaving.name].endpoint.state.value
+                == "draining"
+            )
+        )
+        before = len(leaving.runs)
+        for _ in range(4):
+            await stream(world)
+        assert len(leaving.runs) == before
+
+    play(tmp_path, scenario)
+
+
+def test_an_instance_without_a_configuration_is_not_ready_and_promises(
+    tmp_path,
+):
+    async def scenario(world):
+        fresh = worlds.Instance("front-9", "127.0.0.1:1", tmp_path)
+        world.instances.append(fresh)
+        await asyncio.sleep(0.5)
+        assert not await world.is_ready(fresh)
+        async with world.call("/label/", 1) as answer:
+            assert answer.status == 503
+        await fresh.end()
+
+    play(tmp_path, scenario)
+
+
+def test_a_placer_that_is_not_heard_is_not_waited_for(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        other = next(i for i in world.instances if i is not placer)
+        # The placer's messages stop, as if its machine stood still.
+        other.part.broker.handle = lambda *_: None
+        began_s = asyncio.get_running_loop().time()
+        await stream(world, world.instances.index(other))
+        assert asyncio.get_running_loop().time() - began_s < 2
+
+    play(tmp_path, scenario, instances=2)
