--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -58,12 +58,14 @@
         epoch: Number of its tenure.
         send: Sends a message to it.
         heard_at_s: When it was last heard.
+        hears_store: Whether it passes the store's changes on.
     """
 
     placer: str
     epoch: int
     send: Send
     heard_at_s: float
+    hears_store: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +93,7 @@
         copy: Mirror of the store.
         bounds: Bounds of the deployment.
         note_later: Called with the tenure of each placer that calls.
+        hears_store: Tells whether changes come in from the store now.
     """
 
     def __init__(
@@ -99,13 +102,22 @@
         copy: mirror.Mirror,
         bounds: deployment.Bounds,
         note_later: Callable[[ids.Epoch], None],
+        hears_store: Callable[[], bool],
     ) -> None:
+        self._hears_store = hears_store
+        self.linkless_since_s = clock.now_s()
         self.link: Link | None = None
         self._catalogue = known
         self._mirror = copy
         self._bounds = bounds
         self._note_later = note_later
-        self._desk = desk.Desk(packs=False, draw=random.Random())
+        self._desk = desk.Desk(
+            packs=False,
+            draw=random.Random(),
+            make_budget=lambda: candidates.make_budget(
+                bounds, candidates.Scope.INSTANCE, self.instances
+            ),
+        )
         self._fresh = False
         self._numbers = itertools.count(1)
         self._asked: dict[int, _Asked] = {}
@@ -135,6 +147,8 @@
         The caller reports the end of each placed request.
         """
         ask = next(self._numbers)
+        if not wanted.is_repeat:
+            self._desk.count_request(wanted.service, clock.now_s())
         began_s = clock.now_s()
         asked = _Asked(wanted, asyncio.get_running_loop().create_future())
         self._asked[ask] = asked
@@ -212,6 +226,7 @@
         if self.link is not link:
             return
         self.link = None
+        self.linkless_since_s = clock.now_s()
         logs.log(log_events.PlacerLost(placer=link.placer, reason=str(reason)))
         for ask, asked in self._asked.items():
             if not asked.decision.done():
@@ -222,6 +237,8 @@
         """Acts on a message of the placer."""
         link.heard_at_s = clock.now_s()
         match message.WhichOneof("kind"):
+            case "beat":
+                link.hears_store = message.beat.hears_store
             case "decision":
                 self._take_decision(message.decision)
             case "changes":
@@ -233,6 +250,7 @@
         """Returns a beat for the placer."""
         message = placement_pb2.EntryMessage()
         message.beat.revision = self._mirror.revision
+        message.beat.hears_store = self._hears_store()
         return message
 
     def _tell_doubt(self, endpoint: ids.EndpointId) -> None:
--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -8,6 +8,7 @@
 from poplarwick_catalogue import deployment
 from poplarwick_catalogue import types
 from poplarwick_placement import desk
+from poplarwick_placement import repeats
 
 PLACER_SHARE = 0.4
 """Part of a cold endpoint's bound that one placer uses: two may overlap while
@@ -16,6 +17,13 @@
 ALONE_SHARE = 1 - 2 * PLACER_SHARE
 """Part of the bound that all instances without a placer share."""
 
+PLACER_REPEATS = 0.45
+"""Part of the allowance of repeats that one placer uses; as above, two may
+overlap within one window."""
+
+ALONE_REPEATS = 1 - 2 * PLACER_REPEATS
+"""Part of that allowance that all instances without a placer share."""
+
 
 class Scope(enum.Enum):
     """Whose requests a desk places."""
@@ -64,3 +72,22 @@
     if scope is Scope.FLEET:
         return whole * PLACER_SHARE
     return max(whole * ALONE_SHARE / max(len(known.members), 1), 1.0)
+
+
+def make_budget(
+    bounds: deployment.Bounds, scope: Scope, instances: int
+) -> repeats.RepeatBudget:
+    """Returns a desk's share of the fleet's allowance of repeats.
+
+    Args:
+        bounds: Bounds of the deployment.
+        scope: Whose requests the desk places.
+        instances: Number of instances that share what is not the placer's.
+    """
+    share = PLACER_REPEATS if scope is Scope.FLEET else ALONE_REPEATS
+    extra = bounds.repeat_extra * share
+    if scope is Scope.INSTANCE:
+        extra /= max(instances, 1)
+    return repeats.RepeatBudget(
+        bounds.repeat_ratio * share, extra, bounds.repeat_window_s
+    )
--- /dev/null
+++ b/packages/coordination/poplarwick_coordination/following.py
@@ -0,0 +1,51 @@
+"""Decides which instances follow the store themselves.
+
+Load pattern: changes that come in quick succession at a large fleet, where a
+watch of every instance would return for each of them. The placer follows the
+store and passes changes on; a few instances follow it too, so that one of them
+can place at once when the placer is lost.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+
+from poplarwick_coordination import broker
+from poplarwick_core import clock
+from poplarwick_core import ids
+
+GUARDIANS = 2
+"""Instances beside the placer that follow the store."""
+
+LINKLESS_S = 0.5
+"""Time without a placer after which an instance follows the store itself; a
+tenure that is handed over takes less."""
+
+
+def needs_store(
+    instance: ids.InstanceId,
+    members: Iterable[ids.InstanceId],
+    own: broker.Broker,
+    *,
+    is_placer: bool,
+) -> bool:
+    """Tells whether an instance follows the store itself."""
+    if is_placer:
+        return True
+    if own.link is None:
+        return clock.now_s() - own.linkless_since_s > LINKLESS_S
+    if not own.link.hears_store:
+        return True
+    return rank_instance(instance, members) < GUARDIANS
+
+
+def rank_instance(
+    instance: ids.InstanceId, members: Iterable[ids.InstanceId]
+) -> int:
+    """Returns an instance's place in an order that all agree on.
+
+    An instance that is not among the members comes after them.
+    """
+    ranked = sorted(members, key=lambda name: zlib.crc32(name.encode()))
+    return ranked.index(instance) if instance in ranked else len(ranked)
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -30,8 +30,8 @@
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
-TICK_S = 0.02
-"""Period at which waiting requests are tried again; under half a pass."""
+TICK_S = 0.015
+"""Period at which waiting requests are tried again; a third of a pass."""
 
 IDLE_TICK_S = 0.25
 """Period at which an idle placer looks at its state."""
@@ -73,6 +73,7 @@
         self.instance = instance
         self.send = receive
         self.revision = 0
+        self.hears_store = True
         self.behind_since_s: float | None = None
 
 
@@ -87,6 +88,7 @@
         open_channel: Opens a connection to another instance.
         epoch: Number of the tenure.
         reader: Reads engines' reports.
+        hears_store: Tells whether changes come in from the store now.
     """
 
     def __init__(
@@ -98,7 +100,9 @@
         open_channel: Callable[[str], client.Channel],
         epoch: ids.Epoch,
         reader: reports.Reader,
+        hears_store: Callable[[], bool],
     ) -> None:
+        self._hears_store = hears_store
         self.epoch = epoch
         self._reports = reports.ReportPoller(reader, known, self._note_report)
         self._instance = instance
@@ -106,13 +110,20 @@
         self._mirror = copy
         self._bounds = bounds
         self._open_channel = open_channel
-        self._desk = desk.Desk(packs=True, draw=random.Random())
+        self._desk = desk.Desk(
+            packs=True,
+            draw=random.Random(),
+            make_budget=lambda: candidates.make_budget(
+                bounds, candidates.Scope.FLEET, len(known.members)
+            ),
+        )
         self._sessions: dict[ids.InstanceId, Session] = {}
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._wake = asyncio.Event()
         self._fresh = False
         known.add_listener(self._note_catalogue)
+        copy.add_listener(self._pass_on)
 
     async def run(self) -> None:
         """Serves until cancelled."""
@@ -124,6 +135,7 @@
     def stop(self) -> None:
         """Ends all streams."""
         self._catalogue.remove_listener(self._note_catalogue)
+        self._mirror.remove_listener(self._pass_on)
         for dial in self._dials.values():
             dial.cancel()
 
@@ -159,12 +171,18 @@
         now_s = clock.now_s()
         match message.WhichOneof("kind"):
             case "beat":
-                self._note_revision(session, message.beat.revision, now_s)
+                self._note_beat(session, message.beat, now_s)
                 return
             case "ask":
                 wanted = wire_codec.decode_work(message.ask, now_s)
                 key = Key(session.instance, message.ask.ask)
+                self._refresh()
+                if not wanted.is_repeat:
+                    self._desk.count_request(wanted.service, now_s)
                 self._desk.ask(key, wanted, now_s)
+                decision = self._desk.decide_new(key, now_s)
+                if decision is not None:
+                    self._send_decision(key, decision)
             case "running":
                 asked = message.running.ask
                 self._desk.adopt(
@@ -182,7 +200,8 @@
                 result = work.Result(message.ended.result)
                 blamed = message.ended.blamed or None
                 self._desk.note_end(key, result, now_s, blamed)
-        self._send_decisions()
+        if self._desk.waiting_count:
+            self._wake.set()
 
     def _note_report(
         self, endpoint: ids.EndpointId, pace: float | None
@@ -211,23 +230,28 @@
 
     async def _decide(self) -> None:
         while True:
+            self._wake.clear()
             self._send_decisions()
             self._drop_lost()
+            # Changes of a tick are answered together: each decision looks at
+            # all endpoints.
+            await asyncio.sleep(TICK_S)
             waits = self._desk.waiting_count > 0
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TICK_S if waits else IDLE_TICK_S):
-                    await self._wake.wait()
+            if not waits:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(IDLE_TICK_S):
+                        await self._wake.wait()
 
     def _send_decisions(self) -> None:
         self._refresh()
         for key, decision in self._desk.decide(clock.now_s()):
             assert isinstance(key, Key)
-            session = self._sessions.get(key.instance)
-            if session is not None:
-                session.send(wire_codec.encode_decision(key.ask, decision))
-        if self._desk.waiting_count:
-            self._wake.set()
+            self._send_decision(key, decision)
+
+    def _send_decision(self, key: Key, decision: work.Decision) -> None:
+        session = self._sessions.get(key.instance)
+        if session is not None:
+            session.send(wire_codec.encode_decision(key.ask, decision))
 
     def _drop_lost(self) -> None:
         now_s = clock.now_s()
@@ -248,32 +272,45 @@
             self._dial_members()
             beat = placement_pb2.PlacerMessage()
             beat.beat.revision = self._mirror.revision
+            beat.beat.hears_store = self._hears_store()
             for session in list(self._sessions.values()):
                 session.send(beat)
                 self._repair(session)
             await asyncio.sleep(links.BEAT_PERIOD_S)
 
-    def _note_revision(
-        self, session: Session, revision: int, now_s: float
+    def _note_beat(
+        self, session: Session, beat: placement_pb2.Beat, now_s: float
     ) -> None:
-        session.revision = revision
-        if revision >= self._mirror.revision:
+        session.hears_store = beat.hears_store
+        session.revision = max(session.revision, beat.revision)
+        if session.revision >= self._mirror.revision:
             session.behind_since_s = None
+        elif not session.hears_store:
+            self._send_changes(session)
         elif session.behind_since_s is None:
             session.behind_since_s = now_s
 
+    def _pass_on(self, changes: tuple[kv.Change, ...]) -> None:
+        del changes  # An instance may lack more than the newest ones.
+        for session in self._sessions.values():
+            if not session.hears_store and session.revision:
+                self._send_changes(session)
+
     def _repair(self, session: Session) -> None:
         behind_since_s = session.behind_since_s
         if behind_since_s is None:
             return
-        if clock.now_s() - behind_since_s < REPAIR_AFTER_S:
-            return
+        if clock.now_s() - behind_since_s >= REPAIR_AFTER_S:
+            self._send_changes(session)
+
+    def _send_changes(self, session: Session) -> None:
         message = placement_pb2.PlacerMessage()
         message.changes.CopyFrom(
             store_changes.encode_changes(
                 self._mirror, kv.Revision(session.revision)
             )
         )
+        session.revision = self._mirror.revision
         session.behind_since_s = None
         session.send(message)
 
--- a/packages/coordination/poplarwick_coordination/placing.py
+++ b/packages/coordination/poplarwick_coordination/placing.py
@@ -34,6 +34,7 @@
         open_channel: Opens a connection to another instance.
         broker_: Broker of this instance.
         reader: Reads engines' reports.
+        hears_store: Tells whether changes come in from the store now.
     """
 
     def __init__(
@@ -45,7 +46,9 @@
         open_channel: Callable[[str], client.Channel],
         broker_: broker.Broker,
         reader: reports.Reader,
+        hears_store: Callable[[], bool],
     ) -> None:
+        self._hears_store = hears_store
         self._reader = reader
         self._instance = instance
         self._catalogue = known
@@ -78,6 +81,7 @@
             self._open_channel,
             epoch,
             self._reader,
+            self._hears_store,
         )
         serving = asyncio.create_task(own.run())
         link, session = self._link(own, epoch)
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -11,9 +11,9 @@
 import asyncio
 import random
 import secrets
-import zlib
 from collections.abc import Callable
 
+from poplarwick_coordination import following
 from poplarwick_coordination import log_events
 from poplarwick_core import ids
 from poplarwick_core import logs
@@ -137,12 +137,7 @@
             self._set(ids.Epoch(result.revision))
 
     def _calculate_delay_s(self) -> float:
-        ranked = sorted(
-            self._read_members(), key=lambda name: zlib.crc32(name.encode())
-        )
-        rank = TAKE_RANKS
-        if self._instance in ranked:
-            rank = ranked.index(self._instance)
+        rank = following.rank_instance(self._instance, self._read_members())
         if rank >= TAKE_RANKS:
             rank = random.randrange(TAKE_RANKS)
         return rank * TAKE_STEP_S
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -20,6 +20,7 @@
         pause_limit_s=wanted.pause_limit_s,
         priority=wanted.priority,
         avoided=sorted(wanted.avoided),
+        is_repeat=wanted.is_repeat,
     )
 
 
@@ -35,6 +36,7 @@
         pause_limit_s=message.pause_limit_s,
         priority=message.priority,
         avoided=frozenset(ids.EndpointId(e) for e in message.avoided),
+        is_repeat=message.is_repeat,
     )
 
 
--- a/packages/forwarding/poplarwick_forwarding/exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/exchange.py
@@ -50,12 +50,14 @@
         avoided: frozenset[ids.EndpointId],
         *,
         resumes_at_s: float | None,
+        is_repeat: bool,
     ) -> work.Work:
         """Returns what the request needs of an endpoint.
 
         Args:
             avoided: Endpoints that it should not run on.
             resumes_at_s: When its stream broke; None for a new run.
+            is_repeat: Whether it was sent to an endpoint before.
         """
         on_time_at_s = self.received_at_s + self.route.target_latency_s
         if resumes_at_s is not None:
@@ -71,6 +73,7 @@
             pause_limit_s=pause_limit_s or self.route.timeout_s,
             priority=self.admitted.priority,
             avoided=avoided,
+            is_repeat=is_repeat,
         )
 
 
--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 
 from poplarwick_catalogue import types
 from poplarwick_coordination import broker
@@ -20,7 +19,6 @@
 from poplarwick_forwarding import patience
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import upstream
-from poplarwick_placement import repeats
 from poplarwick_placement import work
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -81,7 +79,6 @@
         sender: Sends requests to endpoints.
         names: Names on the wire.
         holder: Reserves memory for large prompts.
-        make_budget: Makes a service's share of repeats.
     """
 
     def __init__(
@@ -90,21 +87,17 @@
         sender: upstream.Upstream,
         names: dialect.Dialect,
         holder: reservations.Reservations,
-        make_budget: Callable[[], repeats.RepeatBudget],
     ) -> None:
         self._broker = broker_
         self._upstream = sender
         self._names = names
         self._reservations = holder
-        self._make_budget = make_budget
-        self._budgets: dict[ids.ServiceId, repeats.RepeatBudget] = {}
 
     async def run(
         self, asked: exchange.Exchange, sink: answers.Sink
     ) -> answers.Ending:
         """Runs a request and returns how it ended."""
         progress = _Progress(asked.call.last_event_id)
-        self._budget_of(asked).note_request(clock.now_s())
         try:
             async with asyncio.timeout(asked.ends_at_s - clock.now_s()):
                 return await self._run(asked, sink, progress)
@@ -120,7 +113,9 @@
         while True:
             ticket = await self._broker.place(
                 asked.make_work(
-                    progress.avoided, resumes_at_s=progress.resumes_at_s
+                    progress.avoided,
+                    resumes_at_s=progress.resumes_at_s,
+                    is_repeat=progress.sends > 0,
                 )
             )
             match ticket.decision:
@@ -186,10 +181,7 @@
                 return "attempts_spent"
         if progress.sends >= MOST_SENDS:
             return "sends_spent"
-        taken = self._budget_of(asked).take(
-            self._broker.instances, clock.now_s()
-        )
-        return None if taken else "repeat_budget_spent"
+        return None
 
     async def _attempt(
         self,
@@ -338,12 +330,6 @@
             await sink.begin(answer.status, answer.headers)
         await sink.finish()
 
-    def _budget_of(self, asked: exchange.Exchange) -> repeats.RepeatBudget:
-        budget = self._budgets.get(asked.service)
-        if budget is None:
-            budget = self._budgets[asked.service] = self._make_budget()
-        return budget
-
 
 def _join_events(whole: list[events.Event], progress: _Progress) -> bytes:
     """Checks the order of events and returns their bytes.
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -18,6 +18,7 @@
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import attachment
 from poplarwick_coordination import broker
+from poplarwick_coordination import following
 from poplarwick_coordination import placing
 from poplarwick_coordination import registration
 from poplarwick_coordination import tenure
@@ -31,7 +32,6 @@
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
 from poplarwick_peers import transport
-from poplarwick_placement import repeats
 from poplarwick_platform import feed
 from poplarwick_platform import mirror
 
@@ -89,7 +89,9 @@
         await enter(metrics_server.MetricsServer(place.metrics_address))
         client = await enter(store.StoreClient(place.store_address))
         self.store_client = client
-        self.feed = feed.Feed(client, self._mirror, self._note_reachable)
+        self.feed = feed.Feed(
+            client, self._mirror, self._note_reachable, self._needs_store
+        )
         self.tenure = tenure.Tenure(
             client,
             self._mirror,
@@ -103,6 +105,7 @@
             self._mirror,
             place.bounds,
             self.tenure.note_later,
+            lambda: self.feed.hears_store,
         )
         channels = await enter(transport.ChannelPool())
         ordering = await enter(orders.PlatformOrders())
@@ -114,6 +117,7 @@
             channels.open,
             self.broker,
             ordering,
+            lambda: self.feed.hears_store,
         )
         self.tenure.on_change(placing_role.set_epoch)
         await enter(
@@ -125,9 +129,7 @@
         names = dialect.PlatformDialect()
         self._reservations = reservations.Reservations(ordering)
         sender = await enter(upstream.Upstream(names))
-        runner = runs.Runner(
-            self.broker, sender, names, self._reservations, self._make_budget
-        )
+        runner = runs.Runner(self.broker, sender, names, self._reservations)
         self.front = await enter(
             front.Front(
                 place.caller_address,
@@ -162,10 +164,14 @@
         task = asyncio.create_task(_keep_running(run_part))
         stack.callback(task.cancel)
 
-    def _make_budget(self) -> repeats.RepeatBudget:
-        bounds = self._place.bounds
-        return repeats.RepeatBudget(
-            bounds.repeat_ratio, bounds.repeat_extra, bounds.repeat_window_s
+    def _needs_store(self) -> bool:
+        if not self._mirror.revision:
+            return True
+        return following.needs_store(
+            self._place.instance,
+            self.catalogue.members,
+            self.broker,
+            is_placer=self.tenure.epoch is not None,
         )
 
     def _note_reachable(self, reachable: bool) -> None:
@@ -187,7 +193,7 @@
             if now_s - before_s > WATCH_PERIOD_S + FREEZE_S:
                 logs.log(log_events.FreezeNoticed(frozen_s=now_s - before_s))
             before_s = now_s
-            if not self.feed.is_reachable:
+            if self.feed.is_away:
                 self.catalogue.note_store_away()
             self.catalogue.drop_lapsed()
 
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -13,6 +13,7 @@
 from poplarwick_placement import cold_window
 from poplarwick_placement import loads
 from poplarwick_placement import packing
+from poplarwick_placement import repeats
 from poplarwick_placement import spreading
 from poplarwick_placement import trust
 from poplarwick_placement import waiting
@@ -33,10 +34,6 @@
 """When to come back to a service without endpoints: they come and go within
 seconds."""
 
-PANIC_SHARE = 0.5
-"""Where fewer endpoints than this share are trusted, all are used: the fault
-is then more likely on the way to them."""
-
 
 EXPIRE_AFTER_S = 1.0
 """Time past its deadline after which a request is no longer counted; instances
@@ -77,6 +74,36 @@
     helpers: tuple[ids.EndpointId, ...]
 
 
+class _Turn:
+    """What is worked out once for all decisions of one moment.
+
+    Attributes:
+        now_s: The moment.
+        awaited: Engines that a request waits for; they are not given to those
+            behind it.
+        open_by_service: Endpoints that take new work.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self.now_s = now_s
+        self.awaited: set[ids.EndpointId] = set()
+        self.open_by_service: dict[ids.ServiceId, list[_Place]] = {}
+        self._views: dict[ids.EndpointId, loads.LoadView] = {}
+
+    def view(self, place: _Place) -> loads.LoadView:
+        """Returns the load of an endpoint."""
+        endpoint = place.candidate.endpoint.id
+        found = self._views.get(endpoint)
+        if found is None:
+            found = self._views[endpoint] = place.load.make_view(self.now_s)
+        return found
+
+    def forget(self, endpoints: Iterable[ids.EndpointId]) -> None:
+        """Forgets loads that have changed."""
+        for endpoint in endpoints:
+            self._views.pop(endpoint, None)
+
+
 class Desk:
     """Decides over a set of endpoints; does no input or output.
 
@@ -84,9 +111,18 @@
         packs: Whether all requests in flight are known here, so that requests
             may be packed; else they are spread.
         draw: Source of randomness.
+        make_budget: Makes the allowance of repeats of a service.
     """
 
-    def __init__(self, *, packs: bool, draw: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        packs: bool,
+        draw: random.Random,
+        make_budget: Callable[[], repeats.RepeatBudget],
+    ) -> None:
+        self._make_budget = make_budget
+        self._budgets: dict[ids.ServiceId, repeats.RepeatBudget] = {}
         self._packs = packs
         self._draw = draw
         self._places: dict[ids.EndpointId, _Place] = {}
@@ -121,14 +157,21 @@
     def ask(self, key: Key, wanted: work.Work, now_s: float) -> None:
         """Takes a request that is to be placed."""
         engines = [
-            place.candidate
+            place
             for place in self._places.values()
             if place.candidate.endpoint.service == wanted.service
             and place.candidate.is_open
         ]
-        profile = engines[0].profile if engines else None
+        profile = engines[0].candidate.profile if engines else None
+        is_long = profile is not None and not packing.is_short(
+            wanted, engines[0].load
+        )
         ideal_s = waiting.calculate_ideal_s(wanted, profile, len(engines))
-        self._waiting[key] = waiting.Waiting(wanted, now_s, ideal_s)
+        self._waiting[key] = waiting.Waiting(wanted, now_s, ideal_s, is_long)
+
+    def count_request(self, service: ids.ServiceId, now_s: float) -> None:
+        """Counts a request towards its service's allowance of repeats."""
+        self._budget_of(service).note_request(now_s)
 
     def adopt(
         self,
@@ -231,71 +274,73 @@
             self._waiting.items(),
             key=lambda item: waiting.make_rank(item[1], now_s),
         )
+        turn = _Turn(now_s)
         decided: list[tuple[Key, work.Decision]] = []
-        # Engines that a request waits for are not given to those behind it.
-        awaited: set[ids.EndpointId] = set()
         for key, one in ranked:
-            decision = self._decide_one(key, one, awaited, now_s)
+            decision = self._decide_one(key, one, turn)
             if decision is not None:
                 del self._waiting[key]
                 decided.append((key, decision))
         return decided
 
+    def decide_new(self, key: Key, now_s: float) -> work.Decision | None:
+        """Decides on one request unless others like it wait already."""
+        one = self._waiting[key]
+        for other_key, other in self._waiting.items():
+            is_alike = (
+                other.is_long == one.is_long
+                and other.wanted.service == one.wanted.service
+            )
+            if is_alike and other_key != key:
+                return None
+        decision = self._decide_one(key, one, _Turn(now_s))
+        if decision is not None:
+            del self._waiting[key]
+        return decision
+
     def _decide_one(
-        self,
-        key: Key,
-        one: waiting.Waiting,
-        awaited: set[ids.EndpointId],
-        now_s: float,
+        self, key: Key, one: waiting.Waiting, turn: _Turn
     ) -> work.Decision | None:
-        wanted = one.wanted
+        wanted, now_s = one.wanted, turn.now_s
         if not one.has_time(now_s):
             return _refuse(work.RefusalReason.NO_TIME)
-        open_ = self._find_open(wanted)
+        open_ = self._find_open(wanted, turn)
         if not open_:
-            waited_s = now_s - one.arrived_at_s
-            patience_s = ABSENT_PATIENCE * (
-                wanted.on_time_at_s - one.arrived_at_s
-            )
-            if waited_s < patience_s:
-                return None
-            return work.Refusal(
-                work.RefusalReason.NO_ENDPOINT, ABSENT_RETRY_AFTER_S
-            )
-        usable = _filter_trusted(open_, now_s)
-        choice = self._choose(wanted, usable, awaited, now_s)
+            return _wait_for_endpoint(one, now_s)
+        choice = self._choose(wanted, _filter_trusted(open_, now_s), turn)
         if choice is None:
             return None
         if not waiting.should_start(one, choice, now_s):
-            awaited.update(choice.engines)
+            turn.awaited.update(choice.engines)
             return None
-        return self._book(key, wanted, choice, now_s)
+        if wanted.is_repeat and not self._budget_of(wanted.service).take(now_s):
+            return _refuse(work.RefusalReason.REPEAT_BUDGET)
+        return self._book(key, wanted, choice, turn)
 
     def _choose(
-        self,
-        wanted: work.Work,
-        usable: list[_Place],
-        awaited: set[ids.EndpointId],
-        now_s: float,
+        self, wanted: work.Work, usable: list[_Place], turn: _Turn
     ) -> packing.Choice | None:
         leads = [
-            place.load
+            turn.view(place)
             for place in usable
-            if now_s >= place.candidate.cold_until_s
-            or place.window.has_room(now_s)
+            if turn.now_s >= place.candidate.cold_until_s
+            or place.window.has_room(turn.now_s)
         ]
-        helping = [place.load for place in usable]
+        helping = [turn.view(place) for place in usable]
         if self._packs:
-            return packing.choose(wanted, leads, helping, awaited, now_s)
-        return spreading.choose(wanted, leads, helping, now_s, self._draw)
+            return packing.choose(
+                wanted, leads, helping, turn.awaited, turn.now_s
+            )
+        return spreading.choose(wanted, leads, helping, self._draw)
 
     def _book(
         self,
         key: Key,
         wanted: work.Work,
         choice: packing.Choice,
-        now_s: float,
+        turn: _Turn,
     ) -> work.Placement:
+        now_s = turn.now_s
         reason = self._explain(choice, now_s)
         reserved = sum(ticket for _, ticket in choice.helpers)
         choice.lead.book_lead(
@@ -303,6 +348,7 @@
         )
         for load, ticket in choice.helpers:
             load.book_part(key, wanted, choice.read_s, ticket, now_s)
+        turn.forget(choice.engines)
         lead = choice.lead.endpoint
         place = self._places[lead.id]
         if now_s < place.candidate.cold_until_s:
@@ -332,15 +378,29 @@
             f"pace={lead.pace:.2f} loss={choice.loss:.0f}"
         )
 
-    def _find_open(self, wanted: work.Work) -> list[_Place]:
+    def _find_open(self, wanted: work.Work, turn: _Turn) -> list[_Place]:
+        open_ = turn.open_by_service.get(wanted.service)
+        if open_ is None:
+            open_ = turn.open_by_service[wanted.service] = [
+                place
+                for place in self._places.values()
+                if place.candidate.is_open
+                and place.candidate.endpoint.service == wanted.service
+            ]
+        if not wanted.avoided:
+            return open_
         return [
             place
-            for place in self._places.values()
-            if place.candidate.is_open
-            and place.candidate.endpoint.service == wanted.service
-            and place.candidate.endpoint.id not in wanted.avoided
+            for place in open_
+            if place.candidate.endpoint.id not in wanted.avoided
         ]
 
+    def _budget_of(self, service: ids.ServiceId) -> repeats.RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._make_budget()
+        return budget
+
     def _places_of(self, key: Key) -> list[_Place]:
         running = self._running.get(key)
         if running is None:
@@ -355,9 +415,17 @@
         for place in open_
         if place.trust.allows(len(place.load.leads), now_s)
     ]
-    if len(trusted) < PANIC_SHARE * len(open_):
-        return open_
-    return trusted
+    # Where none is trusted, the fault is more likely on the way to them.
+    return trusted or open_
+
+
+def _wait_for_endpoint(
+    one: waiting.Waiting, now_s: float
+) -> work.Refusal | None:
+    on_time_s = one.wanted.on_time_at_s - one.arrived_at_s
+    if now_s - one.arrived_at_s < ABSENT_PATIENCE * on_time_s:
+        return None
+    return work.Refusal(work.RefusalReason.NO_ENDPOINT, ABSENT_RETRY_AFTER_S)
 
 
 def _has_restarted(known: _Place, candidate: Candidate) -> bool:
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Hashable
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
 from poplarwick_placement import work
 
+LONG_READ_S = 0.1
+"""Reading time over which a prompt counts as long; about the pause that a
+short request's limit leaves beside two passes."""
+
 LATE_LOSS = 0.75
 """Share of its value that a request loses by being late: the users' sheets
 give a late answer a quarter of an on-time one's worth."""
@@ -58,6 +63,50 @@
         return now_s < self.due_at_s + OVERDUE_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadView:
+    """An endpoint's load at one moment, as far as choices need it.
+
+    Attributes:
+        load: The load.
+        writers: Requests that run.
+        context_tokens: Sum of their prompts.
+        free_slots: Slots that no known request holds.
+        free_memory_tokens: Memory that no known request holds.
+        has_short: Whether a request with a short prompt runs.
+        backlog_s: Time until the reading booked so far ends.
+        residual_s: Expected time until the pass in progress ends.
+        slack_s: Longest read that holds up no writer past its limit.
+    """
+
+    load: EndpointLoad
+    writers: int
+    context_tokens: int
+    free_slots: int
+    free_memory_tokens: int
+    has_short: bool
+    backlog_s: float
+    residual_s: float
+    slack_s: float
+
+    def estimate_first_s(self, wanted: work.Work, read_s: float) -> float:
+        """Returns the expected time to a request's first event here."""
+        pass_s = 0.0
+        if self.load.profile is not None:
+            pass_s = self.load.pace * engine_model.calculate_pass_s(
+                self.load.profile,
+                self.writers + 1,
+                self.context_tokens + wanted.prompt_tokens,
+            )
+        return self.residual_s + self.backlog_s + read_s + pass_s
+
+    def calculate_harm(self, read_s: float, now_s: float) -> float:
+        """Returns the value lost by the pause that such a read causes."""
+        if read_s <= self.slack_s:
+            return 0.0
+        return self.load.calculate_harm(read_s, now_s)
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointLoad:
     """Requests at one endpoint and what they mean for the next one.
@@ -101,21 +150,13 @@
         used += sum(b.memory_tokens for b in self.parts.values())
         return int(self.profile.memory_tokens * MEMORY_SHARE) - used
 
-    def calculate_pass_s(self, extra: work.Work | None = None) -> float:
-        """Returns the time of a pass without reading.
-
-        Args:
-            extra: A further request that would write.
-        """
+    def calculate_pass_s(self) -> float:
+        """Returns the time of a pass without reading."""
         if self.profile is None:
             return 0.0
         context = sum(b.work.prompt_tokens for b in self.leads.values())
-        writers = len(self.leads)
-        if extra is not None:
-            context += extra.prompt_tokens
-            writers += 1
         return self.pace * engine_model.calculate_pass_s(
-            self.profile, writers, context
+            self.profile, len(self.leads), context
         )
 
     def calculate_read_s(self, prompt_tokens: int, engines: int) -> float:
@@ -138,16 +179,35 @@
                 return max(estimated_s, OWN_READ_S)
         return estimated_s
 
-    def estimate_first_s(
-        self, wanted: work.Work, read_s: float, now_s: float
-    ) -> float:
-        """Returns the expected time to a request's first event here."""
-        residual_s = self.calculate_pass_s() / 2 if self.leads else 0.0
-        return (
-            residual_s
-            + self.calculate_backlog_s(now_s)
-            + read_s
-            + self.calculate_pass_s(wanted)
+    def calculate_slack_s(self, now_s: float) -> float:
+        """Returns the longest read that holds up no writer past its limit."""
+        pass_s = self.calculate_pass_s()
+        slack_s = math.inf
+        for booking in self.leads.values():
+            if booking.is_harmed:
+                continue
+            limit_s = booking.work.pause_limit_s
+            if booking.first_at_s is None:
+                limit_s = booking.work.on_time_at_s - now_s
+                if limit_s <= 0:
+                    continue
+            slack_s = min(slack_s, limit_s - pass_s)
+        return slack_s
+
+    def make_view(self, now_s: float) -> LoadView:
+        """Returns what a choice needs to know, worked out once."""
+        pass_s = self.calculate_pass_s()
+        leads = self.leads.values()
+        return LoadView(
+            load=self,
+            writers=len(self.leads),
+            context_tokens=sum(b.work.prompt_tokens for b in leads),
+            free_slots=self.free_slots,
+            free_memory_tokens=self.free_memory_tokens,
+            has_short=any(b.whole_read_s <= LONG_READ_S for b in leads),
+            backlog_s=self.calculate_backlog_s(now_s),
+            residual_s=pass_s / 2 if self.leads else 0.0,
+            slack_s=self.calculate_slack_s(now_s),
         )
 
     def calculate_harm(self, read_s: float, now_s: float) -> float:
--- a/packages/placement/poplarwick_placement/packing.py
+++ b/packages/placement/poplarwick_placement/packing.py
@@ -22,9 +22,12 @@
 """Numbers of engines that are weighed for one prompt; the engines take at most
 sixteen helpers."""
 
-LONG_READ_S = 0.1
-"""Reading time over which a prompt counts as long; about the pause that a
-short request's limit leaves beside two passes."""
+HARMFUL_SIZES = (12, 6, 3, 1)
+"""Sizes that are weighed where every group holds up writers or is late."""
+
+SLOW_PACE = 1.5
+"""Slowness against the fastest engine over which one takes no part: a group
+waits for its slowest member."""
 
 START_SPREAD_S = 0.03
 """Reading that an engine may still have when a group starts on it; under a
@@ -71,8 +74,8 @@
 
 def choose(
     wanted: work.Work,
-    usable: Sequence[loads.EndpointLoad],
-    helping: Sequence[loads.EndpointLoad],
+    usable: Sequence[loads.LoadView],
+    helping: Sequence[loads.LoadView],
     awaited: Set[ids.EndpointId],
     now_s: float,
 ) -> Choice | None:
@@ -85,158 +88,191 @@
         awaited: Engines that long prompts ahead of this one wait for.
         now_s: Monotonic time.
     """
-    open_ = [load for load in usable if load.free_slots > 0]
+    open_ = [view for view in usable if view.free_slots > 0]
     if not open_:
         return None
-    if open_[0].profile is None:
+    if open_[0].load.profile is None:
         return _choose_plain(open_)
-    if open_[0].calculate_read_s(wanted.prompt_tokens, 1) <= LONG_READ_S:
+    if is_short(wanted, open_[0].load):
         return _choose_short(wanted, open_, now_s)
+    kept = _keep_for_short(helping)
     return _choose_long(
         wanted,
-        [load for load in open_ if load.endpoint.id not in awaited],
-        [load for load in helping if load.endpoint.id not in awaited],
+        [view for view in open_ if _is_offered(view, kept, awaited)],
+        [view for view in helping if _is_offered(view, kept, awaited)],
         now_s,
     )
 
 
-def _choose_plain(open_: Sequence[loads.EndpointLoad]) -> Choice:
+def is_short(wanted: work.Work, load: loads.EndpointLoad) -> bool:
+    """Tells whether a prompt holds up nobody while it is read."""
+    return load.calculate_read_s(wanted.prompt_tokens, 1) <= loads.LONG_READ_S
+
+
+def _is_offered(
+    view: loads.LoadView,
+    kept: loads.LoadView | None,
+    awaited: Set[ids.EndpointId],
+) -> bool:
+    return view is not kept and view.load.endpoint.id not in awaited
+
+
+def _choose_plain(open_: Sequence[loads.LoadView]) -> Choice:
     """Returns the endpoint of a plain service that answers soonest.
 
     An endpoint that fails more often than its best peer counts as slower.
     """
-    best_share = min(load.failure_share for load in open_)
+    best_share = min(view.load.failure_share for view in open_)
 
-    def estimate_s(load: loads.EndpointLoad) -> float:
+    def estimate_s(view: loads.LoadView) -> float:
+        load = view.load
         excess = load.failure_share - best_share
-        return (
-            load.answer_s * (len(load.leads) + 1) * (1 + FAILURE_COST * excess)
-        )
+        return load.answer_s * (view.writers + 1) * (1 + FAILURE_COST * excess)
 
-    load = min(open_, key=estimate_s)
+    load = min(open_, key=estimate_s).load
     return Choice(load, (), 0.0, 0.0, load.answer_s, 0.0)
 
 
 def _choose_short(
-    wanted: work.Work, open_: Sequence[loads.EndpointLoad], now_s: float
+    wanted: work.Work, open_: Sequence[loads.LoadView], now_s: float
 ) -> Choice | None:
     best: tuple[float, bool, int, float] | None = None
     choice = None
-    for load in open_:
-        if not _fits(wanted, load):
+    for view in open_:
+        if wanted.memory_tokens > view.free_memory_tokens:
             continue
-        read_s = load.calculate_read_s(wanted.prompt_tokens, 1)
-        first_s = load.estimate_first_s(wanted, read_s, now_s)
-        loss = load.calculate_harm(
-            read_s + load.calculate_backlog_s(now_s), now_s
-        ) + _calculate_late_loss(wanted, first_s, now_s)
-        is_last_slot = load.free_slots == 1
-        rank = (loss, is_last_slot, -len(load.leads), first_s)
+        read_s = view.load.calculate_read_s(wanted.prompt_tokens, 1)
+        first_s = view.estimate_first_s(wanted, read_s)
+        loss = view.calculate_harm(read_s + view.backlog_s, now_s)
+        loss += _calculate_late_loss(wanted, first_s, now_s)
+        rank = (loss, view.free_slots == 1, -view.writers, first_s)
         if best is None or rank < best:
             best = rank
-            choice = Choice(load, (), read_s, 0.0, first_s, loss)
+            choice = Choice(view.load, (), read_s, 0.0, first_s, loss)
     return choice
 
 
 def _choose_long(
     wanted: work.Work,
-    open_: Sequence[loads.EndpointLoad],
-    helping: Sequence[loads.EndpointLoad],
+    open_: Sequence[loads.LoadView],
+    helping: Sequence[loads.LoadView],
     now_s: float,
 ) -> Choice | None:
-    kept = _keep_for_short(helping)
+    if not open_ or not helping:
+        return None
+    ordered = _order_engines(helping)
+    leads = set(map(id, open_))
     best: Choice | None = None
     for size in GROUP_SIZES:
-        choice = _choose_group(wanted, open_, helping, kept, size, now_s)
-        if choice is None:
-            continue
-        if best is None or (choice.loss, choice.first_s) < (
-            best.loss,
-            best.first_s,
+        choice = _form_group(wanted, ordered, leads, size, now_s)
+        if choice is not None and (
+            best is None
+            or (choice.loss, choice.first_s) < (best.loss, best.first_s)
         ):
             best = choice
+    if best is not None and best.loss == 0:
+        return best
+    for size in HARMFUL_SIZES:
+        by_harm = sorted(
+            ordered,
+            key=lambda view: view.calculate_harm(
+                _calculate_part_s(wanted, view, size), now_s
+            ),
+        )
+        choice = _form_group(
+            wanted, by_harm, leads, size, now_s, is_harmless=False
+        )
+        if choice is not None and (best is None or choice.loss < best.loss):
+            best = choice
     return best
 
 
-def _choose_group(
+def _order_engines(
+    helping: Sequence[loads.LoadView],
+) -> list[loads.LoadView]:
+    """Returns engines without those that would hold up a group, idle first."""
+    limit = SLOW_PACE * min(view.load.pace for view in helping)
+    even = [view for view in helping if view.load.pace <= limit]
+    return sorted(
+        even,
+        key=lambda view: (view.backlog_s > 0, view.backlog_s, view.writers),
+    )
+
+
+def _calculate_part_s(
+    wanted: work.Work, view: loads.LoadView, size: int
+) -> float:
+    return view.load.calculate_read_s(wanted.prompt_tokens, size)
+
+
+def _form_group(
     wanted: work.Work,
-    open_: Sequence[loads.EndpointLoad],
-    helping: Sequence[loads.EndpointLoad],
-    kept: loads.EndpointLoad | None,
+    ordered: Sequence[loads.LoadView],
+    leads: Set[int],
     size: int,
     now_s: float,
+    *,
+    is_harmless: bool = True,
 ) -> Choice | None:
-    def rank(load: loads.EndpointLoad) -> tuple[float, float, int]:
-        read_s = load.calculate_read_s(wanted.prompt_tokens, size)
-        return (
-            load.calculate_harm(read_s, now_s),
-            load.calculate_backlog_s(now_s),
-            len(load.leads),
-        )
-
-    leads = [load for load in open_ if load is not kept]
-    if not leads:
+    """Returns a group of the first engines that fit, None if too few do."""
+    fitting = [
+        view
+        for view in ordered
+        if not is_harmless
+        or _calculate_part_s(wanted, view, size) <= view.slack_s
+    ]
+    able = [view for view in fitting if id(view) in leads]
+    if not able or len(fitting) < size:
         return None
-    lead = min(leads, key=lambda load: (not _fits(wanted, load), rank(load)))
-    others = sorted(
-        (
-            load
-            for load in helping
-            if load is not lead
-            and load is not kept
-            and len(load.parts) < load.slots
-        ),
-        key=rank,
-    )[: size - 1]
-    if len(others) < size - 1:
+    lead = next(
+        (v for v in able if wanted.memory_tokens <= v.free_memory_tokens),
+        max(able, key=lambda view: view.free_memory_tokens),
+    )
+    helpers = [
+        view
+        for view in fitting
+        if view is not lead and len(view.load.parts) < view.load.slots
+    ][: size - 1]
+    if len(helpers) < size - 1:
         return None
-    tickets = share_memory(wanted, lead, others)
+    tickets = share_memory(wanted, lead, helpers)
     if tickets is None:
         return None
-    return _weigh(wanted, lead, tuple(zip(others, tickets, strict=True)), now_s)
+    return _weigh(wanted, lead, helpers, tickets, now_s)
 
 
 def _weigh(
     wanted: work.Work,
-    lead: loads.EndpointLoad,
-    helpers: tuple[tuple[loads.EndpointLoad, int], ...],
+    lead: loads.LoadView,
+    helpers: Sequence[loads.LoadView],
+    tickets: Sequence[int],
     now_s: float,
 ) -> Choice:
-    engines = [lead, *(load for load, _ in helpers)]
+    engines = [lead, *helpers]
     read_s = max(
-        load.calculate_read_s(wanted.prompt_tokens, len(engines))
-        for load in engines
-    )
-    first_s = max(
-        load.estimate_first_s(wanted, read_s, now_s) for load in engines
+        _calculate_part_s(wanted, view, len(engines)) for view in engines
     )
-    harm = sum(load.calculate_harm(read_s, now_s) for load in engines)
+    first_s = max(view.estimate_first_s(wanted, read_s) for view in engines)
+    loss = sum(view.calculate_harm(read_s, now_s) for view in engines)
+    loss += _calculate_late_loss(wanted, first_s, now_s)
     return Choice(
-        lead,
-        helpers,
+        lead.load,
+        tuple(zip((v.load for v in helpers), tickets, strict=True)),
         read_s,
-        max(load.calculate_backlog_s(now_s) for load in engines),
+        max(view.backlog_s for view in engines),
         first_s,
-        harm + _calculate_late_loss(wanted, first_s, now_s),
+        loss,
     )
 
 
 def _keep_for_short(
-    helping: Sequence[loads.EndpointLoad],
-) -> loads.EndpointLoad | None:
+    helping: Sequence[loads.LoadView],
+) -> loads.LoadView | None:
     """Returns the engine that long prompts leave to short requests."""
-    room = sum(
-        max(load.free_slots - 1, 0)
-        for load in helping
-        if any(_is_short(booking) for booking in load.leads.values())
-    )
+    room = sum(max(v.free_slots - 1, 0) for v in helping if v.has_short)
     if room >= SHORT_ROOM or len(helping) < 2:
         return None
-    return min(helping, key=lambda load: (len(load.leads), load.read_until_s))
-
-
-def _is_short(booking: loads.Booking) -> bool:
-    return booking.whole_read_s <= LONG_READ_S
+    return min(helping, key=lambda view: (view.writers, view.backlog_s))
 
 
 def _calculate_late_loss(
@@ -249,16 +285,10 @@
     return wanted.value * loads.LATE_LOSS
 
 
-def _fits(wanted: work.Work, load: loads.EndpointLoad) -> bool:
-    if load.profile is None:
-        return True
-    return wanted.memory_tokens <= load.free_memory_tokens
-
-
 def share_memory(
     wanted: work.Work,
-    lead: loads.EndpointLoad,
-    helpers: Sequence[loads.EndpointLoad],
+    lead: loads.LoadView,
+    helpers: Sequence[loads.LoadView],
 ) -> list[int] | None:
     """Returns the memory to reserve at each helper, None if it is too little.
 
@@ -266,7 +296,7 @@
     lie at the lead.
     """
     missing = wanted.memory_tokens - max(lead.free_memory_tokens, 0)
-    if lead.profile is None or missing <= 0:
+    if lead.load.profile is None or missing <= 0:
         return [0] * len(helpers)
     missing = min(missing + TICKET_STEP_TOKENS, wanted.prompt_tokens)
     tickets = []
--- a/packages/placement/poplarwick_placement/repeats.py
+++ b/packages/placement/poplarwick_placement/repeats.py
@@ -1,4 +1,4 @@
-"""Bounds how often an instance sends requests a second time.
+"""Bounds how often requests are sent a second time.
 
 Load pattern: endpoints that fail or are full while callers press, so that
 each failure would become several sends.
@@ -8,23 +8,19 @@
 
 import collections
 
-SAFE_SHARE = 0.8
-"""Part of the fleet's allowance that the instances use together; the rest
-covers requests counted in another window at the endpoints."""
-
 
 class RepeatBudget:
-    """An instance's static share of the allowance of all instances.
+    """A share of the fleet's allowance.
 
     Args:
-        ratio: Repeats allowed for each request.
-        extra: Repeats allowed in a window beside the ratio, for all instances.
+        ratio: Repeats allowed for each counted request.
+        extra: Repeats allowed in a window beside the ratio.
         window_s: Window over which both are counted.
     """
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
-        self._ratio = ratio * SAFE_SHARE
-        self._extra = extra * SAFE_SHARE
+        self._ratio = ratio
+        self._extra = extra
         self._window_s = window_s
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
@@ -34,17 +30,10 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def take(self, instances: int, now_s: float) -> bool:
-        """Takes one repeat if the share allows it.
-
-        Args:
-            instances: Instances that share the allowance.
-            now_s: Monotonic time.
-        """
+    def take(self, now_s: float) -> bool:
+        """Takes one repeat if the share allows it."""
         self._forget(now_s)
-        allowed = self._ratio * len(self._requests) + self._extra / max(
-            instances, 1
-        )
+        allowed = self._ratio * len(self._requests) + self._extra
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_s)
--- a/packages/placement/poplarwick_placement/spreading.py
+++ b/packages/placement/poplarwick_placement/spreading.py
@@ -18,51 +18,52 @@
 """Engines that read one prompt here; each group made by one instance is
 unknown to the others, so groups stay small."""
 
+SHARED_READ_S = 1.0
+"""Reading time over which a prompt is shared; a shorter one alone is on time
+by the users' sheets."""
+
 
 def choose(
     wanted: work.Work,
-    usable: Sequence[loads.EndpointLoad],
-    helping: Sequence[loads.EndpointLoad],
-    now_s: float,
+    usable: Sequence[loads.LoadView],
+    helping: Sequence[loads.LoadView],
     draw: random.Random,
 ) -> packing.Choice | None:
     """Returns the endpoint with the least known backlog, ties at random."""
-    open_ = [load for load in usable if load.free_slots > 0]
+    open_ = [view for view in usable if view.free_slots > 0]
     if not open_:
         return None
     lead = min(
         open_,
-        key=lambda load: (
-            load.calculate_backlog_s(now_s),
-            len(load.leads) + len(load.parts),
+        key=lambda view: (
+            view.backlog_s,
+            view.writers + len(view.load.parts),
             draw.random(),
         ),
     )
-    size = _choose_size(wanted, lead)
-    helpers = draw.sample(
-        [load for load in helping if load is not lead],
-        k=min(size - 1, len(helping) - (lead in helping)),
-    )
+    others = [view for view in helping if view is not lead]
+    size = min(_choose_size(wanted, lead), len(others) + 1)
+    helpers = draw.sample(others, k=size - 1)
     tickets = packing.share_memory(wanted, lead, helpers)
     if tickets is None:
         return None
-    read_s = lead.calculate_read_s(wanted.prompt_tokens, len(helpers) + 1)
-    first_s = lead.estimate_first_s(wanted, read_s, now_s)
+    read_s = lead.load.calculate_read_s(wanted.prompt_tokens, size)
     return packing.Choice(
-        lead,
-        tuple(zip(helpers, tickets, strict=True)),
+        lead.load,
+        tuple(zip((v.load for v in helpers), tickets, strict=True)),
         read_s,
         0.0,
-        first_s,
+        lead.estimate_first_s(wanted, read_s),
         0.0,
     )
 
 
-def _choose_size(wanted: work.Work, lead: loads.EndpointLoad) -> int:
-    if lead.profile is None:
+def _choose_size(wanted: work.Work, lead: loads.LoadView) -> int:
+    load = lead.load
+    if load.profile is None:
         return 1
-    whole = lead.profile.memory_tokens
     if wanted.memory_tokens > lead.free_memory_tokens:
+        whole = load.profile.memory_tokens
         return max(LARGEST_GROUP, -(-2 * wanted.memory_tokens // whole))
-    read_s = lead.calculate_read_s(wanted.prompt_tokens, 1)
-    return LARGEST_GROUP if read_s > 1.0 else 1
+    read_s = load.calculate_read_s(wanted.prompt_tokens, 1)
+    return LARGEST_GROUP if read_s > SHARED_READ_S else 1
--- a/packages/placement/poplarwick_placement/waiting.py
+++ b/packages/placement/poplarwick_placement/waiting.py
@@ -12,6 +12,7 @@
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
+from poplarwick_placement import loads
 from poplarwick_placement import packing
 from poplarwick_placement import work
 
@@ -40,11 +41,13 @@
         wanted: What it needs.
         arrived_at_s: When it was asked for.
         ideal_s: Time to its first event on idle endpoints.
+        is_long: Whether its prompt holds up others while it is read.
     """
 
     wanted: work.Work
     arrived_at_s: float
     ideal_s: float
+    is_long: bool = False
 
     @property
     def latest_start_s(self) -> float:
@@ -69,7 +72,7 @@
     if profile is None:
         return 0.0
     read_s = engine_model.calculate_read_s(profile, wanted.prompt_tokens)
-    if read_s > packing.LONG_READ_S:
+    if read_s > loads.LONG_READ_S:
         read_s /= max(min(IDEAL_GROUP, engines), 1)
     return read_s + engine_model.calculate_pass_s(profile, 1, 0)
 
--- a/packages/placement/poplarwick_placement/work.py
+++ b/packages/placement/poplarwick_placement/work.py
@@ -26,6 +26,7 @@
         pause_limit_s: Longest pause between events that is on time.
         priority: Rank; 0 is the highest.
         avoided: Endpoints that it was sent to before.
+        is_repeat: Whether it was sent to an endpoint before.
     """
 
     request: ids.RequestId
@@ -37,6 +38,7 @@
     pause_limit_s: float
     priority: int = 0
     avoided: frozenset[ids.EndpointId] = frozenset()
+    is_repeat: bool = False
 
     @property
     def memory_tokens(self) -> int:
@@ -92,6 +94,7 @@
     TOO_LARGE = "too_large"
     OVERLOAD = "overload"
     NO_TIME = "no_time"
+    REPEAT_BUDGET = "repeat_budget_spent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placement/tests/engine_world.py
+++ b/packages/placement/tests/engine_world.py
@@ -16,6 +16,7 @@
 from poplarwick_core import ids
 from poplarwick_placement import desk
 from poplarwick_placement import engine_model
+from poplarwick_placement import repeats
 from poplarwick_placement import work
 
 PROFILE = types.EngineProfile(
@@ -315,3 +316,12 @@
         cold_left_s=0.0,
         started_at_ms=1,
     )
+
+
+def make_desk(*, packs: bool = True, seed: int = 1) -> desk.Desk:
+    """Returns a desk that may repeat as often as a small fleet may."""
+    return desk.Desk(
+        packs=packs,
+        draw=random.Random(seed),
+        make_budget=lambda: repeats.RepeatBudget(0.2, 100, 10.0),
+    )
--- a/packages/placement/tests/test_day_replay.py
+++ b/packages/placement/tests/test_day_replay.py
@@ -6,13 +6,9 @@
 
 from __future__ import annotations
 
-import random
-
 import engine_world as worlds
 import pytest
 
-from poplarwick_placement import desk
-
 LONG_TURN = {"label": 0.37, "contract": 1.3, "dossier": 2.7}
 SHORT_TURN = {"label": 2.5, "contract": 0.5, "dossier": 0.05}
 TURNS = (
@@ -30,7 +26,7 @@
 
 
 def replay(seed, *, packs=True, engines=16, scale=0.82):
-    placer = desk.Desk(packs=packs, draw=random.Random(seed))
+    placer = worlds.make_desk(packs=packs, seed=seed)
     world = worlds.World(placer, engines)
     jobs = {name: [] for name in KINDS}
     for number, (span, factors) in enumerate(TURNS):
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 
 import engine_world as worlds
 from hypothesis import given
@@ -18,7 +17,7 @@
 
 
 def make_desk(engines=4, *, packs=True, **changes):
-    placer = desk.Desk(packs=packs, draw=random.Random(1))
+    placer = worlds.make_desk(packs=packs, seed=1)
     placer.set_candidates(make_candidates(engines, **changes))
     return placer
 
@@ -115,7 +114,7 @@
 
 
 def test_a_service_without_endpoints_is_refused_after_a_short_wait():
-    placer = desk.Desk(packs=True, draw=random.Random(1))
+    placer = worlds.make_desk(packs=True, seed=1)
     assert ask(placer, 1, make_work()) is None
     decided = dict(placer.decide(0.1))
     assert decided[1].reason is work.RefusalReason.NO_ENDPOINT
--- a/packages/platform/poplarwick_platform/feed.py
+++ b/packages/platform/poplarwick_platform/feed.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_platform import kv
 from poplarwick_platform import log_events
@@ -19,6 +18,9 @@
 """Longest pause; leaves over a second of a two-second bound on configuration
 for the read itself once the store is back."""
 
+REST_S = 0.1
+"""Period at which a feed that is not needed looks whether it is."""
+
 
 class Feed:
     """Reads all keys once, then follows their changes.
@@ -27,6 +29,8 @@
         client: Client of the service.
         target: Mirror to keep up to date.
         on_reachable: Called with whether the service answers, at each change.
+        is_needed: Tells whether the mirror is to be kept up to date from
+            here; other instances may do it.
     """
 
     def __init__(
@@ -34,29 +38,58 @@
         client: kv.KvClient,
         target: mirror.Mirror,
         on_reachable: Callable[[bool], None],
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.is_reachable = False
-        self.answered_at_s = 0.0
+        self.is_following = False
         self._client = client
         self._mirror = target
         self._on_reachable = on_reachable
+        self._is_needed = is_needed
+
+    @property
+    def hears_store(self) -> bool:
+        """Whether changes come in from the service now."""
+        return self.is_following and self.is_reachable
+
+    @property
+    def is_away(self) -> bool:
+        """Whether the service is followed and does not answer."""
+        return self.is_following and not self.is_reachable
 
     async def run(self) -> None:
-        """Follows the service until cancelled."""
+        """Follows the service while needed, until cancelled."""
         pause_s = RETRY_MIN_S
         while True:
+            self.is_following = self._is_needed()
+            if not self.is_following:
+                await asyncio.sleep(REST_S)
+                continue
             try:
-                await self._read()
-                pause_s = RETRY_MIN_S
+                if not self._mirror.revision:
+                    await self._read()
                 await self._follow()
+                pause_s = RETRY_MIN_S
+                continue
             except kv.CompactedError as error:
                 logs.log(log_events.StoreHistoryGone(reason=str(error)))
+                pause_s = await self._read_again(pause_s)
                 continue
             except kv.KvError as error:
                 self._note(False, error)
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_MAX_S)
 
+    async def _read_again(self, pause_s: float) -> float:
+        """Reads all keys after a gap; returns the pause after a failure."""
+        try:
+            await self._read()
+        except kv.KvError as error:
+            self._note(False, error)
+            await asyncio.sleep(pause_s)
+            return min(pause_s * 2, RETRY_MAX_S)
+        return RETRY_MIN_S
+
     async def _read(self) -> None:
         snapshot = await self._client.read(
             "", kv.Purpose.CONFIGURATION, is_prefix=True
@@ -73,10 +106,10 @@
                 default=self._mirror.revision,
             )
             self._mirror.apply_changes(changes, newest)
+            if not self._is_needed():
+                return
 
     def _note(self, reachable: bool, reason: object = None) -> None:
-        if reachable:
-            self.answered_at_s = clock.now_s()
         if reachable == self.is_reachable:
             return
         self.is_reachable = reachable
--- a/packages/platform/poplarwick_platform/mirror.py
+++ b/packages/platform/poplarwick_platform/mirror.py
@@ -56,6 +56,10 @@
         """Calls `listener` with each batch of changes that was news."""
         self._listeners.append(listener)
 
+    def remove_listener(self, listener: Listener) -> None:
+        """Undoes `add_listener`."""
+        self._listeners.remove(listener)
+
     def apply_snapshot(self, snapshot: kv.Snapshot) -> None:
         """Takes over a read of all keys.
 
@@ -86,7 +90,7 @@
         news = tuple(change for change in changes if self._take(change))
         self.revision = max(self.revision, revision)
         if news:
-            for listener in self._listeners:
+            for listener in tuple(self._listeners):
                 listener(news)
 
     def _take(self, change: kv.Change) -> bool:
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -8,6 +8,7 @@
 import world as worlds
 
 from poplarwick_adapter import keys
+from poplarwick_coordination import following
 
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
 
@@ -254,3 +255,30 @@
         assert asyncio.get_running_loop().time() - began_s < 2
 
     play(tmp_path, scenario, instances=2)
+
+
+def test_only_the_placer_and_its_guardians_follow_the_store(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+
+        def count():
+            return sum(i.part.feed.is_following for i in world.instances)
+
+        await worlds.eventually(lambda: count() <= following.GUARDIANS + 1)
+        await world.store.put("op/config", worlds.make_configuration(3))
+        await worlds.eventually(
+            lambda: all(
+                i.part.catalogue.routing.version == 3 for i in world.instances
+            ),
+            2,
+        )
+        placer = find_placer(world)
+        await placer.end()
+        others = [i for i in world.instances if i is not placer]
+        await world.store.put("op/config", worlds.make_configuration(4))
+        await worlds.eventually(
+            lambda: all(i.part.catalogue.routing.version == 4 for i in others),
+            3,
+        )
+
+    play(tmp_path, scenario, instances=5)
