Hand the tenure over at a stop, place through outages, step down when isolated

Change: a stopping placer names the newest instance that stays; without the store, an instance that has had no placer for a second begins with a number of its own rank and ends unless it reaches half of the instances, as does any placer; a lone instance's requests are not packed. The placer's part of repeats is half, that of lone instances a quarter; a new placer begins with half of its part spent. Entries of instances unreachable for 15 s are removed.

--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -94,6 +94,7 @@
         bounds: Bounds of the deployment.
         note_later: Called with the tenure of each placer that calls.
         hears_store: Tells whether changes come in from the store now.
+        accept: Called with the tenure that a stopping placer hands over.
     """
 
     def __init__(
@@ -103,7 +104,11 @@
         bounds: deployment.Bounds,
         note_later: Callable[[ids.Epoch], None],
         hears_store: Callable[[], bool],
+        accept: Callable[[ids.Epoch], None],
     ) -> None:
+        self._accept = accept
+        self.is_leaving = False
+        self.last_epoch = 0
         self._hears_store = hears_store
         self.linkless_since_s = clock.now_s()
         self.link: Link | None = None
@@ -209,6 +214,7 @@
         if current is not None and current.epoch > link.epoch:
             return False
         self._note_later(ids.Epoch(link.epoch))
+        self.last_epoch = max(self.last_epoch, link.epoch)
         self.link = link
         logs.log(
             log_events.PlacerFollowed(placer=link.placer, epoch=link.epoch)
@@ -243,6 +249,8 @@
                 self._take_decision(message.decision)
             case "changes":
                 store_changes.apply_changes(self._mirror, message.changes)
+            case "handover":
+                self._accept(ids.Epoch(message.handover.epoch))
             case "doubt":
                 self._tell_doubt(ids.EndpointId(message.doubt.endpoint))
 
@@ -251,6 +259,7 @@
         message = placement_pb2.EntryMessage()
         message.beat.revision = self._mirror.revision
         message.beat.hears_store = self._hears_store()
+        message.beat.is_leaving = self.is_leaving
         return message
 
     def _tell_doubt(self, endpoint: ids.EndpointId) -> None:
--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -7,6 +7,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_catalogue import types
+from poplarwick_core import clock
 from poplarwick_placement import desk
 from poplarwick_placement import repeats
 
@@ -17,11 +18,11 @@
 ALONE_SHARE = 1 - 2 * PLACER_SHARE
 """Part of the bound that all instances without a placer share."""
 
-PLACER_REPEATS = 0.45
-"""Part of the allowance of repeats that one placer uses; as above, two may
-overlap within one window."""
+PLACER_REPEATS = 0.5
+"""Part of the allowance of repeats that one placer uses. A new one begins with
+half of it spent, for what its predecessor used in the same window."""
 
-ALONE_REPEATS = 1 - 2 * PLACER_REPEATS
+ALONE_REPEATS = 1 - 1.5 * PLACER_REPEATS
 """Part of that allowance that all instances without a placer share."""
 
 
@@ -88,6 +89,9 @@
     extra = bounds.repeat_extra * share
     if scope is Scope.INSTANCE:
         extra /= max(instances, 1)
-    return repeats.RepeatBudget(
+    budget = repeats.RepeatBudget(
         bounds.repeat_ratio * share, extra, bounds.repeat_window_s
     )
+    if scope is Scope.FLEET:
+        budget.charge(round(extra / 2), clock.now_s())
+    return budget
--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -187,3 +187,36 @@
     """
 
     epoch: int
+
+
+class TenureHandedOver(logs.Event, frozen=True, kw_only=True):
+    """This instance stops and lets another one place for all.
+
+    Attributes:
+        peer: The other instance.
+        epoch: Number of its tenure.
+    """
+
+    peer: str
+    epoch: int
+
+
+class PlacerIsolated(logs.Event, frozen=True, kw_only=True):
+    """This placer reaches less than half of the instances and steps down.
+
+    Attributes:
+        epoch: Number of its tenure.
+    """
+
+    level = "WARNING"
+    epoch: int
+
+
+class MemberForgotten(logs.Event, frozen=True, kw_only=True):
+    """An instance was unreachable for long; its entry is removed.
+
+    Attributes:
+        peer: The instance.
+    """
+
+    peer: str
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -74,6 +74,8 @@
         self.send = receive
         self.revision = 0
         self.hears_store = True
+        self.is_leaving = False
+        self.opened_at_s = clock.now_s()
         self.behind_since_s: float | None = None
 
 
@@ -120,6 +122,7 @@
         self._sessions: dict[ids.InstanceId, Session] = {}
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
+        self._unreachable_since_s: dict[ids.InstanceId, float] = {}
         self._wake = asyncio.Event()
         self._fresh = False
         known.add_listener(self._note_catalogue)
@@ -139,6 +142,45 @@
         for dial in self._dials.values():
             dial.cancel()
 
+    @property
+    def has_majority(self) -> bool:
+        """Whether at least half of the other instances are served."""
+        others = [i for i in self._catalogue.members if i != self._instance]
+        served = sum(i in self._sessions for i in others)
+        return 2 * served >= len(others)
+
+    def hand_over(self) -> bool:
+        """Lets another instance place from now on; tells whether one does."""
+        able = [
+            session
+            for session in self._sessions.values()
+            if session.instance != self._instance
+            and not session.is_leaving
+            and session.revision
+        ]
+        if not able:
+            return False
+        # Where instances restart in turn, the newest will not stop next.
+        successor = max(able, key=lambda session: session.opened_at_s)
+        message = placement_pb2.PlacerMessage()
+        message.handover.epoch = self.epoch + 1
+        successor.send(message)
+        logs.log(
+            log_events.TenureHandedOver(
+                peer=successor.instance, epoch=self.epoch + 1
+            )
+        )
+        return True
+
+    def find_unreachable(self, for_s: float) -> list[ids.InstanceId]:
+        """Returns instances that could not be reached for a time."""
+        now_s = clock.now_s()
+        return [
+            instance
+            for instance, since_s in self._unreachable_since_s.items()
+            if now_s - since_s > for_s
+        ]
+
     def open_session(
         self, instance: ids.InstanceId, receive: Receiver
     ) -> Session:
@@ -147,6 +189,7 @@
         self._lost_at_s.pop(instance, None)
         session = Session(instance, receive)
         self._sessions[instance] = session
+        self._unreachable_since_s.pop(instance, None)
         opening = placement_pb2.PlacerMessage()
         opening.opening.placer = self._instance
         opening.opening.epoch = self.epoch
@@ -282,6 +325,7 @@
         self, session: Session, beat: placement_pb2.Beat, now_s: float
     ) -> None:
         session.hears_store = beat.hears_store
+        session.is_leaving = beat.is_leaving
         session.revision = max(session.revision, beat.revision)
         if session.revision >= self._mirror.revision:
             session.behind_since_s = None
@@ -324,11 +368,14 @@
             )
         for instance in [i for i in self._dials if i not in members]:
             self._dials.pop(instance).cancel()
+            self._unreachable_since_s.pop(instance, None)
 
     async def _keep_serving(
         self, instance: ids.InstanceId, address: str
     ) -> None:
         while True:
+            if instance not in self._sessions:
+                self._unreachable_since_s.setdefault(instance, clock.now_s())
             channel = self._open_channel(address)
             try:
                 await self._serve(instance, channel)
--- a/packages/coordination/poplarwick_coordination/placing.py
+++ b/packages/coordination/poplarwick_coordination/placing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from grpclib import client
 
@@ -23,6 +24,30 @@
 """Period at which the own broker hears of the own placer."""
 
 
+MAJORITY_POLL_S = 0.02
+"""Period at which a new placer looks whether most instances are reached."""
+
+ISOLATION_S = 1.2
+"""Time with less than half of the instances after which a placer steps down;
+longer than it takes to reach instances that start together."""
+
+FORGET_S = 15.0
+"""Time after which an instance that cannot be reached is forgotten; one that
+was only cut off writes its entry anew."""
+
+
+class Keep(Protocol):
+    """What a placer does to the store."""
+
+    async def step_down(self) -> None:
+        """Ends the tenure for a while."""
+        ...
+
+    async def forget_member(self, instance: ids.InstanceId) -> None:
+        """Removes the entry of an instance."""
+        ...
+
+
 class PlacingRole:
     """Starts and ends the placer as the tenure changes.
 
@@ -35,6 +60,7 @@
         broker_: Broker of this instance.
         reader: Reads engines' reports.
         hears_store: Tells whether changes come in from the store now.
+        keep: Ends the tenure and forgets instances in the store.
     """
 
     def __init__(
@@ -47,7 +73,10 @@
         broker_: broker.Broker,
         reader: reports.Reader,
         hears_store: Callable[[], bool],
+        keep: Keep,
     ) -> None:
+        self._keep = keep
+        self._placer: placer.Placer | None = None
         self._hears_store = hears_store
         self._reader = reader
         self._instance = instance
@@ -72,8 +101,12 @@
             if self._epoch is not None:
                 await self._place(self._epoch)
 
+    def hand_over(self) -> bool:
+        """Lets another instance place; tells whether one was asked to."""
+        return self._placer is not None and self._placer.hand_over()
+
     async def _place(self, epoch: ids.Epoch) -> None:
-        own = placer.Placer(
+        own = self._placer = placer.Placer(
             self._instance,
             self._catalogue,
             self._mirror,
@@ -84,13 +117,10 @@
             self._hears_store,
         )
         serving = asyncio.create_task(own.run())
-        link, session = self._link(own, epoch)
         try:
-            while self._epoch == epoch and not serving.done():
-                link.heard_at_s = clock.now_s()
-                own.handle(session, self._broker.make_beat())
-                await asyncio.sleep(LOCAL_BEAT_S)
+            await self._serve(own, epoch, serving)
         finally:
+            self._placer = None
             serving.cancel()
             await asyncio.wait((serving,))
             own.stop()
@@ -98,7 +128,41 @@
                 logs.log(
                     log_events.PlacerFailed(reason=repr(serving.exception()))
                 )
-            self._broker.detach(link, "tenure_ended")
+
+    async def _serve(
+        self,
+        own: placer.Placer,
+        epoch: ids.Epoch,
+        serving: asyncio.Task[None],
+    ) -> None:
+        """Serves while there is the tenure and most instances are reached.
+
+        Requests of this instance are packed only then: packing without
+        knowing the others' requests overruns endpoints.
+        """
+        linked: tuple[broker.Link, placer.Session] | None = None
+        majority_at_s = clock.now_s()
+        try:
+            while self._epoch == epoch and not serving.done():
+                now_s = clock.now_s()
+                if own.has_majority:
+                    majority_at_s = now_s
+                    linked = linked or self._link(own, epoch)
+                elif now_s - majority_at_s > ISOLATION_S:
+                    logs.log(log_events.PlacerIsolated(epoch=epoch))
+                    await self._keep.step_down()
+                    return
+                if linked is not None:
+                    linked[0].heard_at_s = now_s
+                    own.handle(linked[1], self._broker.make_beat())
+                for instance in own.find_unreachable(FORGET_S):
+                    await self._keep.forget_member(instance)
+                await asyncio.sleep(
+                    LOCAL_BEAT_S if linked is not None else MAJORITY_POLL_S
+                )
+        finally:
+            if linked is not None:
+                self._broker.detach(linked[0], "tenure_ended")
 
     def _link(
         self, own: placer.Placer, epoch: ids.Epoch
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -9,12 +9,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import dataclasses
 import random
 import secrets
 from collections.abc import Callable
 
 from poplarwick_coordination import following
 from poplarwick_coordination import log_events
+from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_platform import kv
@@ -34,10 +37,40 @@
 TAKE_RANKS = 8
 """Ranks that are kept apart; later ones come at a random one of them."""
 
+EPOCH_STEP = 1_000
+"""Numbers between two tenures taken through the store, for tenures that were
+handed over or begun in an outage in between."""
+
+OUTAGE_WAIT_S = 1.0
+"""Time without a placer and without the store after which one is chosen
+without it; a hand-over takes less."""
+
+OUTAGE_STEP_S = 0.3
+"""Delay between instances that begin in an outage, by rank; an instance that
+places reaches the others in less."""
+
+STEP_DOWN_S = 3.0
+"""Time for which an instance that reaches few others does not stand."""
+
 POLL_S = 0.1
 """Period at which the state of the key is looked at; it comes by a watch."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What decides whether an instance places without the store.
+
+    Attributes:
+        is_store_away: Whether the store does not answer this instance.
+        linkless_s: Time without a placer; None while there is one.
+        last_epoch: Highest tenure that this instance knows of.
+    """
+
+    is_store_away: bool
+    linkless_s: float | None
+    last_epoch: int
+
+
 class Tenure:
     """Holds the tenure if no other instance does.
 
@@ -48,6 +81,7 @@
         instance: This instance.
         read_members: Reads the known instances.
         lease_ttl_min_s: Shortest lease that the store grants.
+        read_standing: Reads what decides whether to place without the store.
     """
 
     def __init__(
@@ -58,7 +92,12 @@
         instance: ids.InstanceId,
         read_members: Callable[[], list[ids.InstanceId]],
         lease_ttl_min_s: float,
+        read_standing: Callable[[], Standing],
     ) -> None:
+        self._read_standing = read_standing
+        self._stands_after_s = 0.0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self.epoch: ids.Epoch | None = None
         self._client = client
         self._mirror = copy
@@ -80,15 +119,17 @@
             try:
                 if self._lease is not None:
                     await self._renew()
-                elif self._may_stand and not self._is_held():
+                elif self._can_stand() and not self._is_held():
                     await self._stand()
                 else:
+                    self._place_in_outage()
                     await asyncio.sleep(POLL_S)
             except kv.LeaseLostError as error:
                 self._lease = None
                 logs.log(log_events.TenureLeaseLost(reason=str(error)))
             except kv.KvError as error:
                 logs.log(log_events.TenureCallFailed(reason=str(error)))
+                self._place_in_outage()
                 await asyncio.sleep(RENEW_PERIOD_S)
 
     def note_later(self, epoch: ids.Epoch) -> None:
@@ -98,9 +139,29 @@
             self._lease = None
             self._set(None)
 
+    def accept(self, epoch: ids.Epoch) -> None:
+        """Goes on with the tenure of an instance that stops."""
+        if self._may_stand and epoch > (self.epoch or 0):
+            self._set(epoch)
+
+    async def wait_until_ended(self, timeout_s: float) -> bool:
+        """Waits until this instance has no tenure; tells whether it is so."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        return self.epoch is None
+
+    async def step_down(self) -> None:
+        """Gives the tenure up for a while, since few can be served."""
+        self._stands_after_s = clock.now_s() + STEP_DOWN_S
+        await self._end()
+
     async def resign(self) -> None:
         """Gives the tenure up for good, so that another instance takes it."""
         self._may_stand = False
+        await self._end()
+
+    async def _end(self) -> None:
         lease, self._lease = self._lease, None
         self._set(None)
         if lease is None:
@@ -110,6 +171,29 @@
         except kv.KvError as error:
             logs.log(log_events.TenureNotReturned(reason=str(error)))
 
+    def _can_stand(self) -> bool:
+        return self._may_stand and clock.now_s() >= self._stands_after_s
+
+    def _place_in_outage(self) -> None:
+        """Places without a lease while nobody does and the store is away.
+
+        Of several instances that begin, the first by rank has the highest
+        number, and one that reaches few instances ends at once.
+        """
+        standing = self._read_standing()
+        if self.epoch is not None or not self._can_stand():
+            return
+        if not standing.is_store_away or standing.linkless_s is None:
+            return
+        rank = min(
+            following.rank_instance(self._instance, self._read_members()),
+            TAKE_RANKS,
+        )
+        if standing.linkless_s < OUTAGE_WAIT_S + rank * OUTAGE_STEP_S:
+            return
+        if standing.last_epoch % EPOCH_STEP < EPOCH_STEP / 2:
+            self._set(ids.Epoch(standing.last_epoch + 2 + TAKE_RANKS - rank))
+
     def _is_held(self) -> bool:
         return self._mirror.get(self._key) is not None
 
@@ -134,7 +218,9 @@
             result = kv.Committed(snapshot.entries[0].mod_revision)
         if isinstance(result, kv.Committed) and self._may_stand:
             self._lease = lease
-            self._set(ids.Epoch(result.revision))
+            # A placer that has only lost its lease keeps its instances.
+            if self.epoch is None:
+                self._set(ids.Epoch(result.revision * EPOCH_STEP))
 
     def _calculate_delay_s(self) -> float:
         rank = following.rank_instance(self._instance, self._read_members())
@@ -151,6 +237,10 @@
         if epoch == self.epoch:
             return
         before, self.epoch = self.epoch, epoch
+        if epoch is None:
+            self._idle.set()
+        else:
+            self._idle.clear()
         if epoch is not None:
             logs.log(log_events.TenureTaken(epoch=epoch))
         elif before is not None:
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -82,3 +82,9 @@
 
     level = "WARNING"
     reason: str
+
+
+class HandoverUnanswered(logs.Event, frozen=True):
+    """The instance that was to place next did not call in time."""
+
+    level = "WARNING"
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -19,10 +19,12 @@
 from poplarwick_coordination import attachment
 from poplarwick_coordination import broker
 from poplarwick_coordination import following
+from poplarwick_coordination import log_events as coordination_events
 from poplarwick_coordination import placing
 from poplarwick_coordination import registration
 from poplarwick_coordination import tenure
 from poplarwick_core import clock
+from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import front
 from poplarwick_forwarding import readiness
@@ -33,6 +35,7 @@
 from poplarwick_node import metrics_server
 from poplarwick_peers import transport
 from poplarwick_platform import feed
+from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
 BALANCER_S = 2.6
@@ -48,6 +51,9 @@
 RESTART_PAUSE_S = 0.5
 """Pause before a part that ended by a fault runs again; bounds its log."""
 
+HANDOVER_S = 0.5
+"""Longest wait for the next placer to call; it does within some ways."""
+
 FREEZE_S = 0.5
 """Delay of that check that counts as a freeze; far over what a busy loop
 takes."""
@@ -61,7 +67,7 @@
     """
 
     def __init__(self, place: deployment.Deployment) -> None:
-        self._place = place
+        self.place = place
         self._mirror = mirror.Mirror()
         self.catalogue = catalogue.Catalogue(
             self._mirror, entry_codec.decode_entry
@@ -74,9 +80,9 @@
             await self._build(stack)
             logs.log(
                 log_events.Started(
-                    callers=self._place.caller_address,
-                    store=self._place.store_address,
-                    domain=self._place.domain,
+                    callers=self.place.caller_address,
+                    store=self.place.store_address,
+                    domain=self.place.domain,
                 )
             )
             await stop.wait()
@@ -85,7 +91,7 @@
 
     async def _build(self, stack: contextlib.AsyncExitStack) -> None:
         enter = stack.enter_async_context
-        place = self._place
+        place = self.place
         await enter(metrics_server.MetricsServer(place.metrics_address))
         client = await enter(store.StoreClient(place.store_address))
         self.store_client = client
@@ -99,6 +105,7 @@
             place.instance,
             lambda: list(self.catalogue.members),
             place.lease_ttl_min_s,
+            self._read_standing,
         )
         self.broker = broker.Broker(
             self.catalogue,
@@ -106,6 +113,7 @@
             place.bounds,
             self.tenure.note_later,
             lambda: self.feed.hears_store,
+            self.tenure.accept,
         )
         channels = await enter(transport.ChannelPool())
         ordering = await enter(orders.PlatformOrders())
@@ -118,7 +126,9 @@
             self.broker,
             ordering,
             lambda: self.feed.hears_store,
+            self,
         )
+        self._placing = placing_role
         self.tenure.on_change(placing_role.set_epoch)
         await enter(
             transport.PeerServer(
@@ -164,11 +174,35 @@
         task = asyncio.create_task(_keep_running(run_part))
         stack.callback(task.cancel)
 
+    async def step_down(self) -> None:
+        """Ends this instance's tenure for a while."""
+        await self.tenure.step_down()
+
+    async def forget_member(self, instance: ids.InstanceId) -> None:
+        """Removes the entry of an instance that is gone."""
+        key = keys.MEMBER_PREFIX + instance
+        try:
+            await self.store_client.commit(
+                (), (kv.Delete(key),), kv.Purpose.HOUSEKEEPING
+            )
+        except kv.KvError as error:
+            logs.log(coordination_events.TenureCallFailed(reason=str(error)))
+            return
+        logs.log(coordination_events.MemberForgotten(peer=instance))
+
+    def _read_standing(self) -> tenure.Standing:
+        linkless_s = None
+        if self.broker.link is None:
+            linkless_s = clock.now_s() - self.broker.linkless_since_s
+        return tenure.Standing(
+            self.feed.is_away, linkless_s, self.broker.last_epoch
+        )
+
     def _needs_store(self) -> bool:
         if not self._mirror.revision:
             return True
         return following.needs_store(
-            self._place.instance,
+            self.place.instance,
             self.catalogue.members,
             self.broker,
             is_placer=self.tenure.epoch is not None,
@@ -202,16 +236,24 @@
         logs.log(log_events.Stopping(in_progress=self.front.in_progress))
         self._is_leaving = True
         self.front.is_leaving = True
+        self.broker.is_leaving = True
+        await self._hand_over()
         await self.tenure.resign()
         await asyncio.sleep(BALANCER_S)
         self.front.stop_listening()
-        ends_s = began_s + self._place.bounds.grace_s - EXIT_MARGIN_S
+        ends_s = began_s + self.place.bounds.grace_s - EXIT_MARGIN_S
         if not await self.front.wait_until_idle(ends_s - clock.now_s()):
             logs.log(
                 log_events.StopCutsRequests(in_progress=self.front.in_progress)
             )
         await self._reservations.drain()
 
+    async def _hand_over(self) -> None:
+        if self.tenure.epoch is None or not self._placing.hand_over():
+            return
+        if not await self.tenure.wait_until_ended(HANDOVER_S):
+            logs.log(log_events.HandoverUnanswered())
+
 
 async def run(place: deployment.Deployment) -> None:
     """Runs an instance until the process is told to stop."""
--- a/packages/placement/poplarwick_placement/repeats.py
+++ b/packages/placement/poplarwick_placement/repeats.py
@@ -30,6 +30,10 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
+    def charge(self, repeats: int, now_s: float) -> None:
+        """Counts repeats that others may have taken in this window."""
+        self._repeats.extend([now_s] * repeats)
+
     def take(self, now_s: float) -> bool:
         """Takes one repeat if the share allows it."""
         self._forget(now_s)
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -9,6 +9,7 @@
 
 from poplarwick_adapter import keys
 from poplarwick_coordination import following
+from poplarwick_coordination import links
 
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
 
@@ -282,3 +283,58 @@
         )
 
     play(tmp_path, scenario, instances=5)
+
+
+def test_a_stopping_placer_hands_over_also_without_the_store(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        others = [i for i in world.instances if i is not placer]
+        # The placer knows an instance's state from its first beats.
+        await asyncio.sleep(3 * links.BEAT_PERIOD_S)
+        world.store.is_silent = True
+        placer.stop.set()
+        await worlds.eventually(
+            lambda: any(i.part.tenure.epoch for i in others), 1
+        )
+        (successor,) = [i for i in others if i.part.tenure.epoch]
+        name = successor.part.place.instance
+        await worlds.eventually(
+            lambda: all(
+                i.part.broker.link and i.part.broker.link.placer == name
+                for i in others
+            ),
+            2,
+        )
+        await stream(world, world.instances.index(others[0]))
+
+    play(tmp_path, scenario, instances=3)
+
+
+def test_an_instance_places_in_an_outage_after_the_placer_was_killed(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        others = [i for i in world.instances if i is not placer]
+        world.store.is_down = True
+        await placer.end()
+        await worlds.eventually(
+            lambda: any(i.part.tenure.epoch for i in others), 5
+        )
+        await wait_for_links(world, others)
+        assert len({i.part.broker.link.epoch for i in others}) == 1
+
+    play(tmp_path, scenario, instances=4)
+
+
+def test_a_placer_that_reaches_nobody_steps_down(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        placer = find_placer(world)
+        for other in world.instances:
+            if other is not placer:
+                await other.end()
+        await worlds.eventually(lambda: placer.part.tenure.epoch is None, 5)
+        await stream(world, world.instances.index(placer))
+
+    play(tmp_path, scenario, instances=3)
