--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -48,10 +48,13 @@
     Attributes:
         instance: Name of the instance.
         address: Host and port of its service for other instances.
+        strength: Processor time and link against those of a usual instance,
+            at most 1.
     """
 
     instance: ids.InstanceId
     address: str
+    strength: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/catalogue/poplarwick_catalogue/deployment.py
+++ b/packages/catalogue/poplarwick_catalogue/deployment.py
@@ -54,6 +54,8 @@
         metrics_address: Host and port of the metrics.
         store_address: Host and port of the platform's store.
         lease_ttl_min_s: Shortest lease that the store grants.
+        strength: Processor time and link against those of a usual instance,
+            at most 1.
         bounds: Bounds of the deployment.
     """
 
@@ -67,4 +69,5 @@
     metrics_address: str
     store_address: str
     lease_ttl_min_s: float
+    strength: float
     bounds: Bounds
--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -59,6 +59,7 @@
         send: Sends a message to it.
         heard_at_s: When it was last heard.
         hears_store: Whether it passes the store's changes on.
+        revision: Revision up to which it knows the store.
     """
 
     placer: str
@@ -66,6 +67,7 @@
     send: Send
     heard_at_s: float
     hears_store: bool = False
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +133,13 @@
         self._wake = asyncio.Event()
         known.add_listener(self._note_catalogue)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the placer knows more of the store."""
+        return self.link is not None and (
+            self.link.revision > self._mirror.revision
+        )
+
     @property
     def instances(self) -> int:
         """Number of known instances, at least one."""
@@ -245,6 +254,7 @@
         match message.WhichOneof("kind"):
             case "beat":
                 link.hears_store = message.beat.hears_store
+                link.revision = message.beat.revision
             case "decision":
                 self._take_decision(message.decision)
             case "changes":
--- a/packages/coordination/poplarwick_coordination/following.py
+++ b/packages/coordination/poplarwick_coordination/following.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Mapping
 
+from poplarwick_catalogue import catalogue
 from poplarwick_coordination import broker
 from poplarwick_core import clock
 from poplarwick_core import ids
@@ -25,7 +26,7 @@
 
 def needs_store(
     instance: ids.InstanceId,
-    members: Iterable[ids.InstanceId],
+    members: Mapping[ids.InstanceId, catalogue.MemberItem],
     own: broker.Broker,
     *,
     is_placer: bool,
@@ -35,17 +36,22 @@
         return True
     if own.link is None:
         return clock.now_s() - own.linkless_since_s > LINKLESS_S
-    if not own.link.hears_store:
+    if not own.link.hears_store or own.is_behind:
         return True
     return rank_instance(instance, members) < GUARDIANS
 
 
 def rank_instance(
-    instance: ids.InstanceId, members: Iterable[ids.InstanceId]
+    instance: ids.InstanceId,
+    members: Mapping[ids.InstanceId, catalogue.MemberItem],
 ) -> int:
     """Returns an instance's place in an order that all agree on.
 
-    An instance that is not among the members comes after them.
+    Instances with more processor time and a larger link come first. An
+    instance that is not among the members comes after them.
     """
-    ranked = sorted(members, key=lambda name: zlib.crc32(name.encode()))
+    ranked = sorted(
+        members,
+        key=lambda name: (-members[name].strength, zlib.crc32(name.encode())),
+    )
     return ranked.index(instance) if instance in ranked else len(ranked)
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -313,14 +313,18 @@
     async def _beat(self) -> None:
         while True:
             self._dial_members()
-            beat = placement_pb2.PlacerMessage()
-            beat.beat.revision = self._mirror.revision
-            beat.beat.hears_store = self._hears_store()
+            beat = self._make_beat()
             for session in list(self._sessions.values()):
                 session.send(beat)
                 self._repair(session)
             await asyncio.sleep(links.BEAT_PERIOD_S)
 
+    def _make_beat(self) -> placement_pb2.PlacerMessage:
+        beat = placement_pb2.PlacerMessage()
+        beat.beat.revision = self._mirror.revision
+        beat.beat.hears_store = self._hears_store()
+        return beat
+
     def _note_beat(
         self, session: Session, beat: placement_pb2.Beat, now_s: float
     ) -> None:
@@ -329,16 +333,26 @@
         session.revision = max(session.revision, beat.revision)
         if session.revision >= self._mirror.revision:
             session.behind_since_s = None
-        elif not session.hears_store:
-            self._send_changes(session)
         elif session.behind_since_s is None:
             session.behind_since_s = now_s
 
     def _pass_on(self, changes: tuple[kv.Change, ...]) -> None:
         del changes  # An instance may lack more than the newest ones.
+        encoded: dict[int, placement_pb2.Changes] = {}
         for session in self._sessions.values():
-            if not session.hears_store and session.revision:
-                self._send_changes(session)
+            if session.hears_store or not session.revision:
+                continue
+            found = encoded.get(session.revision)
+            if found is None:
+                found = encoded[session.revision] = (
+                    store_changes.encode_changes(
+                        self._mirror, kv.Revision(session.revision)
+                    )
+                )
+            if store_changes.is_large(found):
+                session.send(self._make_beat())
+            else:
+                self._send_changes(session, found)
 
     def _repair(self, session: Session) -> None:
         behind_since_s = session.behind_since_s
@@ -347,10 +361,13 @@
         if clock.now_s() - behind_since_s >= REPAIR_AFTER_S:
             self._send_changes(session)
 
-    def _send_changes(self, session: Session) -> None:
+    def _send_changes(
+        self, session: Session, encoded: placement_pb2.Changes | None = None
+    ) -> None:
         message = placement_pb2.PlacerMessage()
         message.changes.CopyFrom(
-            store_changes.encode_changes(
+            encoded
+            or store_changes.encode_changes(
                 self._mirror, kv.Revision(session.revision)
             )
         )
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -14,7 +14,9 @@
 import random
 import secrets
 from collections.abc import Callable
+from collections.abc import Mapping
 
+from poplarwick_catalogue import catalogue
 from poplarwick_coordination import following
 from poplarwick_coordination import log_events
 from poplarwick_core import clock
@@ -90,7 +92,9 @@
         copy: mirror.Mirror,
         key: str,
         instance: ids.InstanceId,
-        read_members: Callable[[], list[ids.InstanceId]],
+        read_members: Callable[
+            [], Mapping[ids.InstanceId, catalogue.MemberItem]
+        ],
         lease_ttl_min_s: float,
         read_standing: Callable[[], Standing],
     ) -> None:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -68,9 +68,9 @@
 
     def __init__(self, place: deployment.Deployment) -> None:
         self.place = place
-        self._mirror = mirror.Mirror()
+        self.mirror = mirror.Mirror()
         self.catalogue = catalogue.Catalogue(
-            self._mirror, entry_codec.decode_entry
+            self.mirror, entry_codec.decode_entry
         )
         self._is_leaving = False
 
@@ -96,20 +96,20 @@
         client = await enter(store.StoreClient(place.store_address))
         self.store_client = client
         self.feed = feed.Feed(
-            client, self._mirror, self._note_reachable, self._needs_store
+            client, self.mirror, self._note_reachable, self._needs_store
         )
         self.tenure = tenure.Tenure(
             client,
-            self._mirror,
+            self.mirror,
             keys.PLACER,
             place.instance,
-            lambda: list(self.catalogue.members),
+            lambda: self.catalogue.members,
             place.lease_ttl_min_s,
             self._read_standing,
         )
         self.broker = broker.Broker(
             self.catalogue,
-            self._mirror,
+            self.mirror,
             place.bounds,
             self.tenure.note_later,
             lambda: self.feed.hears_store,
@@ -120,7 +120,7 @@
         placing_role = placing.PlacingRole(
             place.instance,
             self.catalogue,
-            self._mirror,
+            self.mirror,
             place.bounds,
             channels.open,
             self.broker,
@@ -157,7 +157,7 @@
             place.instance,
             place.peer_address,
             keys.MEMBER_PREFIX + place.instance,
-            entry_codec.encode_member(place.peer_address),
+            entry_codec.encode_member(place.peer_address, place.strength),
         )
         self._start(stack, self.feed.run)
         self._start(stack, self.tenure.run)
@@ -199,7 +199,7 @@
         )
 
     def _needs_store(self) -> bool:
-        if not self._mirror.revision:
+        if not self.mirror.revision:
             return True
         return following.needs_store(
             self.place.instance,
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 
 import replica_standin
 import world as worlds
@@ -10,6 +11,7 @@
 from poplarwick_adapter import keys
 from poplarwick_coordination import following
 from poplarwick_coordination import links
+from poplarwick_coordination import store_changes
 
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
 
@@ -321,8 +323,13 @@
         await worlds.eventually(
             lambda: any(i.part.tenure.epoch for i in others), 5
         )
-        await wait_for_links(world, others)
-        assert len({i.part.broker.link.epoch for i in others}) == 1
+        await worlds.eventually(
+            lambda: (
+                all(i.part.broker.link for i in others)
+                and len({i.part.broker.link.epoch for i in others}) == 1
+            ),
+            5,
+        )
 
     play(tmp_path, scenario, instances=4)
 
@@ -338,3 +345,25 @@
         await stream(world, world.instances.index(placer))
 
     play(tmp_path, scenario, instances=3)
+
+
+def test_a_large_configuration_reaches_all_without_being_pushed(tmp_path):
+    async def scenario(world):
+        await wait_for_links(world, world.instances)
+        routes = [
+            worlds.make_route(secrets.token_hex(24), "idempotent", "orders")
+            for _ in range(600)
+        ]
+        await world.store.put("op/config", worlds.make_configuration(2, routes))
+        await worlds.eventually(
+            lambda: all(
+                i.part.catalogue.routing.version == 2 for i in world.instances
+            ),
+            2,
+        )
+        for instance in world.instances:
+            copy = instance.part.mirror
+            changes = store_changes.encode_changes(copy, 0)
+            assert store_changes.is_large(changes)
+
+    play(tmp_path, scenario, instances=5)
