Keep requests in the regions that their route and organisation name

Deployments with several regions may name homes; an endpoint elsewhere is not used, and where route and organisation name none in common, none is.

--- a/packages/catalogue/poplarwick_catalogue/types.py
+++ b/packages/catalogue/poplarwick_catalogue/types.py
@@ -163,10 +163,12 @@
     Attributes:
         id: The organisation.
         priority: Rank that goes before the route's, or None.
+        regions: Regions that may take its requests; empty means all.
     """
 
     id: ids.OrganisationId
     priority: int | None
+    regions: tuple[ids.RegionId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -93,7 +93,7 @@
     Args:
         known: What is routed where.
         copy: Mirror of the store.
-        bounds: Bounds of the deployment.
+        place: Where the instance runs.
         note_later: Called with the tenure of each placer that calls.
         hears_store: Tells whether changes come in from the store now.
         accept: Called with the tenure that a stopping placer hands over.
@@ -103,7 +103,7 @@
         self,
         known: catalogue.Catalogue,
         copy: mirror.Mirror,
-        bounds: deployment.Bounds,
+        place: deployment.Deployment,
         note_later: Callable[[ids.Epoch], None],
         hears_store: Callable[[], bool],
         accept: Callable[[ids.Epoch], None],
@@ -116,13 +116,13 @@
         self.link: Link | None = None
         self._catalogue = known
         self._mirror = copy
-        self._bounds = bounds
+        self._place = place
         self._note_later = note_later
         self._desk = desk.Desk(
             packs=False,
             draw=random.Random(),
             make_budget=lambda: candidates.make_budget(
-                bounds, candidates.Scope.INSTANCE, self.instances
+                place.bounds, candidates.Scope.INSTANCE, self.instances
             ),
         )
         self._fresh = False
@@ -386,7 +386,7 @@
             return
         self._desk.set_candidates(
             candidates.make_candidates(
-                self._catalogue, self._bounds, candidates.Scope.INSTANCE
+                self._catalogue, self._place, candidates.Scope.INSTANCE
             )
         )
         self._fresh = True
--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -35,7 +35,7 @@
 
 def make_candidates(
     known: catalogue.Catalogue,
-    bounds: deployment.Bounds,
+    place: deployment.Deployment,
     scope: Scope,
 ) -> list[desk.Candidate]:
     """Returns all known endpoints with what bounds their use."""
@@ -50,7 +50,7 @@
             noted.endpoint.state is types.EndpointState.READY
             and noted.endpoint.domain not in known.evacuated
         )
-        limit = _calculate_cold_limit(service, bounds, scope, known)
+        limit = _calculate_cold_limit(service, place.bounds, scope, known)
         found.append(
             desk.Candidate(
                 noted.endpoint,
@@ -58,6 +58,7 @@
                 is_open,
                 noted.cold_until_s,
                 limit,
+                place.regions_by_domain.get(noted.endpoint.domain),
             )
         )
     return found
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -86,7 +86,7 @@
         instance: This instance.
         known: What is routed where.
         copy: Mirror of the store.
-        bounds: Bounds of the deployment.
+        place: Where the instance runs.
         open_channel: Opens a connection to another instance.
         epoch: Number of the tenure.
         reader: Reads engines' reports.
@@ -98,7 +98,7 @@
         instance: ids.InstanceId,
         known: catalogue.Catalogue,
         copy: mirror.Mirror,
-        bounds: deployment.Bounds,
+        place: deployment.Deployment,
         open_channel: Callable[[str], client.Channel],
         epoch: ids.Epoch,
         reader: reports.Reader,
@@ -110,13 +110,13 @@
         self._instance = instance
         self._catalogue = known
         self._mirror = copy
-        self._bounds = bounds
+        self._place = place
         self._open_channel = open_channel
         self._desk = desk.Desk(
             packs=True,
             draw=random.Random(),
             make_budget=lambda: candidates.make_budget(
-                bounds, candidates.Scope.FLEET, len(known.members)
+                place.bounds, candidates.Scope.FLEET, len(known.members)
             ),
         )
         self._sessions: dict[ids.InstanceId, Session] = {}
@@ -266,7 +266,7 @@
             return
         self._desk.set_candidates(
             candidates.make_candidates(
-                self._catalogue, self._bounds, candidates.Scope.FLEET
+                self._catalogue, self._place, candidates.Scope.FLEET
             )
         )
         self._fresh = True
--- a/packages/coordination/poplarwick_coordination/placing.py
+++ b/packages/coordination/poplarwick_coordination/placing.py
@@ -55,7 +55,7 @@
         instance: This instance.
         known: What is routed where.
         copy: Mirror of the store.
-        bounds: Bounds of the deployment.
+        place: Where the instance runs.
         open_channel: Opens a connection to another instance.
         broker_: Broker of this instance.
         reader: Reads engines' reports.
@@ -68,7 +68,7 @@
         instance: ids.InstanceId,
         known: catalogue.Catalogue,
         copy: mirror.Mirror,
-        bounds: deployment.Bounds,
+        place: deployment.Deployment,
         open_channel: Callable[[str], client.Channel],
         broker_: broker.Broker,
         reader: reports.Reader,
@@ -82,7 +82,7 @@
         self._instance = instance
         self._catalogue = known
         self._mirror = copy
-        self._bounds = bounds
+        self._deployment = place
         self._open_channel = open_channel
         self._broker = broker_
         self._epoch: ids.Epoch | None = None
@@ -110,7 +110,7 @@
             self._instance,
             self._catalogue,
             self._mirror,
-            self._bounds,
+            self._deployment,
             self._open_channel,
             epoch,
             self._reader,
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -21,6 +21,7 @@
         priority=wanted.priority,
         avoided=sorted(wanted.avoided),
         is_repeat=wanted.is_repeat,
+        regions=sorted(wanted.regions),
     )
 
 
@@ -37,6 +38,7 @@
         priority=message.priority,
         avoided=frozenset(ids.EndpointId(e) for e in message.avoided),
         is_repeat=message.is_repeat,
+        regions=frozenset(ids.RegionId(r) for r in message.regions),
     )
 
 
--- a/packages/forwarding/poplarwick_forwarding/admission.py
+++ b/packages/forwarding/poplarwick_forwarding/admission.py
@@ -7,6 +7,7 @@
 
 from poplarwick_catalogue import routing
 from poplarwick_catalogue import types
+from poplarwick_core import ids
 from poplarwick_forwarding import dialect
 
 
@@ -39,6 +40,20 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def regions(self) -> frozenset[ids.RegionId] | None:
+        """Regions that may run the request; empty means all, None means none.
+
+        Where the route and the organisation both name regions, both bind.
+        """
+        by_route = frozenset(self.route.regions)
+        by_organisation = frozenset(
+            self.organisation.regions if self.organisation else ()
+        )
+        if by_route and by_organisation:
+            return (by_route & by_organisation) or None
+        return by_route or by_organisation
+
 
 def admit(
     rules: routing.Routing, host: str, target: str, call: dialect.Call
--- a/packages/forwarding/poplarwick_forwarding/exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/exchange.py
@@ -10,6 +10,9 @@
 from poplarwick_forwarding import dialect
 from poplarwick_placement import work
 
+NOWHERE = frozenset({ids.RegionId("")})
+"""Stands for no region at all: no endpoint is in it."""
+
 RESUME_AIM_S = 0.5
 """Time in which a broken stream should go on: callers see a pause."""
 
@@ -62,6 +65,7 @@
         on_time_at_s = self.received_at_s + self.route.target_latency_s
         if resumes_at_s is not None:
             on_time_at_s = resumes_at_s + RESUME_AIM_S
+        regions = self.admitted.regions
         pause_limit_s = self.route.pause_limit_s
         return work.Work(
             request=self.call.request,
@@ -74,6 +78,7 @@
             priority=self.admitted.priority,
             avoided=avoided,
             is_repeat=is_repeat,
+            regions=regions if regions is not None else NOWHERE,
         )
 
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -110,7 +110,7 @@
         self.broker = broker.Broker(
             self.catalogue,
             self.mirror,
-            place.bounds,
+            place,
             self.tenure.note_later,
             lambda: self.feed.hears_store,
             self.tenure.accept,
@@ -121,7 +121,7 @@
             place.instance,
             self.catalogue,
             self.mirror,
-            place.bounds,
+            place,
             channels.open,
             self.broker,
             ordering,
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -50,6 +50,7 @@
         is_open: Whether it takes new work.
         cold_until_s: Monotonic time until which it is cold.
         cold_limit: Most sends to it in a second while it is cold.
+        region: Region that it is in; None where that is not known.
     """
 
     endpoint: types.Endpoint
@@ -57,6 +58,7 @@
     is_open: bool
     cold_until_s: float
     cold_limit: float
+    region: ids.RegionId | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -387,12 +389,13 @@
                 if place.candidate.is_open
                 and place.candidate.endpoint.service == wanted.service
             ]
-        if not wanted.avoided:
+        if not wanted.avoided and not wanted.regions:
             return open_
         return [
             place
             for place in open_
             if place.candidate.endpoint.id not in wanted.avoided
+            and (not wanted.regions or place.candidate.region in wanted.regions)
         ]
 
     def _budget_of(self, service: ids.ServiceId) -> repeats.RepeatBudget:
--- a/packages/placement/poplarwick_placement/work.py
+++ b/packages/placement/poplarwick_placement/work.py
@@ -27,6 +27,7 @@
         priority: Rank; 0 is the highest.
         avoided: Endpoints that it was sent to before.
         is_repeat: Whether it was sent to an endpoint before.
+        regions: Regions that may run it; empty means all.
     """
 
     request: ids.RequestId
@@ -39,6 +40,7 @@
     priority: int = 0
     avoided: frozenset[ids.EndpointId] = frozenset()
     is_repeat: bool = False
+    regions: frozenset[ids.RegionId] = frozenset()
 
     @property
     def memory_tokens(self) -> int:
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -134,6 +134,24 @@
     assert places == {second.endpoint.id}
 
 
+def test_a_request_stays_in_its_regions():
+    placer = make_desk(engines=2)
+    first, second = make_candidates(2)
+    placer.set_candidates(
+        [
+            dataclasses.replace(first, region=ids.RegionId("north")),
+            dataclasses.replace(second, region=ids.RegionId("south")),
+        ]
+    )
+    for number in range(6):
+        now_s = number * 0.2
+        south = make_work(
+            now_s=now_s, regions=frozenset({ids.RegionId("south")})
+        )
+        assert ask(placer, number, south, now_s).endpoint == second.endpoint.id
+        placer.note_first(number, now_s + 0.1)
+
+
 def test_a_cold_endpoint_gets_no_more_than_its_limit_in_a_second():
     placer = make_desk(engines=1, cold_until_s=100.0, limit=3.0)
     sent = 0
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -15,6 +15,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
 from poplarwick_core import errors
+from poplarwick_forwarding import admission
 from poplarwick_forwarding import dialect
 
 SERVER = {
@@ -140,3 +141,31 @@
 def test_a_refusal_tells_when_to_come_back():
     told = NAMES.make_refusal_headers(0.25)
     assert told == {"Retry-After": "0.250"}
+
+
+def test_routes_and_organisations_keep_requests_in_regions():
+    def admit(route_regions, tenant_regions):
+        found = worlds.make_configuration(
+            1,
+            [
+                worlds.make_route(
+                    "a", "idempotent", "orders", allowed_regions=route_regions
+                )
+            ],
+            [
+                {
+                    "name": "one",
+                    "api_keys": [worlds.KEY],
+                    "allowed_regions": tenant_regions,
+                }
+            ],
+        )
+        call = NAMES.read_call({"X-Api-Key": worlds.KEY})
+        rules = decode("op/config", found).routing
+        return admission.admit(rules, worlds.HOST, "/a/", call).regions
+
+    assert admit([], []) == frozenset()
+    assert admit(["n"], []) == {"n"}
+    assert admit([], ["s"]) == {"s"}
+    assert admit(["n", "s"], ["s"]) == {"s"}
+    assert admit(["n"], ["s"]) is None
