--- /dev/null
+++ b/scripts/measure_placement.py
@@ -0,0 +1,91 @@
+"""Measures the processor time of placing one request, by endpoints.
+
+Prints a line for each number of endpoints: microseconds for a request with a
+short prompt and for one with a long prompt, at half of the slots in use.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import random
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "packages" / "placement" / "tests"))
+
+import engine_world  # noqa: E402 (found through the path above)
+
+from poplarwick_core import ids  # noqa: E402
+from poplarwick_placement import desk  # noqa: E402
+from poplarwick_placement import work  # noqa: E402
+
+SIZES = (16, 54, 78, 200, 490)
+SHORT_TOKENS = 5_000
+LONG_TOKENS = 180_000
+LOAD = 0.5
+
+
+def main() -> int:
+    """Runs the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=300)
+    requests = parser.parse_args().requests
+    print("endpoints  short_us  long_us")
+    for endpoints in SIZES:
+        short_us = measure(endpoints, SHORT_TOKENS, requests)
+        long_us = measure(endpoints, LONG_TOKENS, max(requests // 10, 1))
+        print(f"{endpoints:9d}  {short_us:8.0f}  {long_us:7.0f}")
+    return 0
+
+
+def measure(endpoints: int, tokens: int, requests: int) -> float:
+    """Returns the mean time in microseconds to decide on a request."""
+    placer = engine_world.make_desk(seed=1)
+    placer.set_candidates(
+        desk.Candidate(
+            engine_world.make_endpoint(number),
+            engine_world.PROFILE,
+            True,
+            0.0,
+            36.0,
+        )
+        for number in range(endpoints)
+    )
+    _fill(placer, endpoints)
+    now_s, spent_s = 1_000.0, 0.0
+    for number in range(requests):
+        now_s += 1.0
+        began_s = time.process_time()
+        placer.ask(("m", number), _make_work(tokens, now_s), now_s)
+        placer.decide_new(("m", number), now_s)
+        spent_s += time.process_time() - began_s
+        placer.note_first(("m", number), now_s + 0.5)
+        placer.note_end(("m", number), work.Result.DONE, now_s + 0.6)
+    return spent_s / requests * 1e6
+
+
+def _fill(placer: desk.Desk, endpoints: int) -> None:
+    draw = random.Random(1)
+    slots = engine_world.PROFILE.slots
+    for number in range(int(endpoints * slots * LOAD)):
+        endpoint = ids.EndpointId(f"e{number * 2 // slots % endpoints}")
+        wanted = _make_work(draw.randrange(1_000, 10_000), 0.0)
+        placer.adopt(("f", number), wanted, endpoint, 0.0, has_begun=True)
+
+
+def _make_work(tokens: int, now_s: float) -> work.Work:
+    return work.Work(
+        request=ids.RequestId("r"),
+        service=engine_world.POOL,
+        prompt_tokens=tokens,
+        output_tokens=1_000,
+        on_time_at_s=now_s + 3.0,
+        deadline_at_s=now_s + 20.0,
+        pause_limit_s=0.25,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
