--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -151,7 +151,7 @@
                 known = _make_place(candidate)
             known.candidate = candidate
             known.load.endpoint = candidate.endpoint
-            known.load.profile = candidate.profile
+            known.load.set_profile(candidate.profile)
             known.window.limit = candidate.cold_limit
             places[endpoint] = known
         self._places = places
@@ -267,7 +267,7 @@
         was_lost = place.trust.is_lost
         place.trust.note_report(answered=pace is not None)
         if pace is not None:
-            place.load.pace = max(pace, 1.0)
+            place.load.set_pace(max(pace, 1.0))
         return place.trust.is_lost and not was_lost
 
     def decide(self, now_s: float) -> list[tuple[Key, work.Decision]]:
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -107,6 +107,28 @@
         return self.load.calculate_harm(read_s, now_s)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Summary:
+    """What changes only with the requests booked.
+
+    Attributes:
+        pass_s: Time of a pass without reading.
+        context_tokens: Sum of the writers' prompts.
+        free_memory_tokens: Memory that no known request holds.
+        has_short: Whether a request with a short prompt runs.
+        pause_limit_s: Shortest pause limit of the requests that write and are
+            on time.
+        unread: Requests whose first event has not come.
+    """
+
+    pass_s: float
+    context_tokens: int
+    free_memory_tokens: int
+    has_short: bool
+    pause_limit_s: float
+    unread: tuple[Booking, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointLoad:
     """Requests at one endpoint and what they mean for the next one.
@@ -130,6 +152,7 @@
     pace: float = 1.0
     answer_s: float = 0.05
     failure_share: float = 0.0
+    _summary: _Summary | None = None
 
     @property
     def slots(self) -> int:
@@ -144,20 +167,23 @@
     @property
     def free_memory_tokens(self) -> int:
         """Engine memory that no known request holds."""
-        if self.profile is None:
-            return 0
-        used = sum(b.memory_tokens for b in self.leads.values())
-        used += sum(b.memory_tokens for b in self.parts.values())
-        return int(self.profile.memory_tokens * MEMORY_SHARE) - used
+        return self._summarise().free_memory_tokens
 
     def calculate_pass_s(self) -> float:
         """Returns the time of a pass without reading."""
-        if self.profile is None:
-            return 0.0
-        context = sum(b.work.prompt_tokens for b in self.leads.values())
-        return self.pace * engine_model.calculate_pass_s(
-            self.profile, len(self.leads), context
-        )
+        return self._summarise().pass_s
+
+    def set_profile(self, profile: types.EngineProfile | None) -> None:
+        """Takes over the profile of the engine."""
+        if profile != self.profile:
+            self.profile = profile
+            self._summary = None
+
+    def set_pace(self, pace: float) -> None:
+        """Takes over how slow the engine is; 1 is its profile's speed."""
+        if pace != self.pace:
+            self.pace = pace
+            self._summary = None
 
     def calculate_read_s(self, prompt_tokens: int, engines: int) -> float:
         """Returns the time to read one of several parts of a prompt here."""
@@ -174,39 +200,33 @@
         own request has no event yet is not done, whatever the estimate says.
         """
         estimated_s = max(self.read_until_s - now_s, 0.0)
-        for booking in self.leads.values():
-            if booking.first_at_s is None and booking.is_plausible(now_s):
+        for booking in self._summarise().unread:
+            if booking.is_plausible(now_s):
                 return max(estimated_s, OWN_READ_S)
         return estimated_s
 
     def calculate_slack_s(self, now_s: float) -> float:
         """Returns the longest read that holds up no writer past its limit."""
-        pass_s = self.calculate_pass_s()
-        slack_s = math.inf
-        for booking in self.leads.values():
-            if booking.is_harmed:
-                continue
-            limit_s = booking.work.pause_limit_s
-            if booking.first_at_s is None:
-                limit_s = booking.work.on_time_at_s - now_s
-                if limit_s <= 0:
-                    continue
-            slack_s = min(slack_s, limit_s - pass_s)
-        return slack_s
+        summary = self._summarise()
+        limit_s = summary.pause_limit_s
+        for booking in summary.unread:
+            left_s = booking.work.on_time_at_s - now_s
+            if left_s > 0 and not booking.is_harmed:
+                limit_s = min(limit_s, left_s)
+        return limit_s - summary.pass_s
 
     def make_view(self, now_s: float) -> LoadView:
         """Returns what a choice needs to know, worked out once."""
-        pass_s = self.calculate_pass_s()
-        leads = self.leads.values()
+        summary = self._summarise()
         return LoadView(
             load=self,
             writers=len(self.leads),
-            context_tokens=sum(b.work.prompt_tokens for b in leads),
+            context_tokens=summary.context_tokens,
             free_slots=self.free_slots,
-            free_memory_tokens=self.free_memory_tokens,
-            has_short=any(b.whole_read_s <= LONG_READ_S for b in leads),
+            free_memory_tokens=summary.free_memory_tokens,
+            has_short=summary.has_short,
             backlog_s=self.calculate_backlog_s(now_s),
-            residual_s=pass_s / 2 if self.leads else 0.0,
+            residual_s=summary.pass_s / 2 if self.leads else 0.0,
             slack_s=self.calculate_slack_s(now_s),
         )
 
@@ -230,10 +250,12 @@
         now_s: float,
     ) -> None:
         """Books a request that runs here."""
+        self._summary = None
         self._book_read(read_s, now_s)
         self.leads[key] = self._make_booking(
             wanted, read_s, memory_tokens, now_s
         )
+        self._summary = None
 
     def book_part(
         self,
@@ -244,10 +266,12 @@
         now_s: float,
     ) -> None:
         """Books a part of a prompt that is read here for another endpoint."""
+        self._summary = None
         self._book_read(read_s, now_s)
         self.parts[key] = self._make_booking(
             wanted, read_s, memory_tokens, now_s
         )
+        self._summary = None
 
     def note_answer(self, key: Hashable, now_s: float) -> None:
         """Learns the time of a plain service's answer."""
@@ -258,6 +282,7 @@
 
     def note_first(self, key: Hashable, now_s: float) -> None:
         """Notes that a request's first event came: its prompt is read."""
+        self._summary = None
         lead = self.leads.get(key)
         if lead is not None:
             lead.first_at_s = now_s
@@ -269,11 +294,44 @@
 
     def release(self, key: Hashable, now_s: float) -> None:
         """Forgets a request that has ended."""
+        self._summary = None
         self.leads.pop(key, None)
         self.parts.pop(key, None)
         if not self.leads and not self.parts:
             self.read_until_s = now_s
 
+    def _summarise(self) -> _Summary:
+        if self._summary is None:
+            self._summary = self._make_summary()
+        return self._summary
+
+    def _make_summary(self) -> _Summary:
+        leads = self.leads.values()
+        context = sum(b.work.prompt_tokens for b in leads)
+        pass_s, free = 0.0, 0
+        if self.profile is not None:
+            pass_s = self.pace * engine_model.calculate_pass_s(
+                self.profile, len(leads), context
+            )
+            used = sum(b.memory_tokens for b in leads)
+            used += sum(b.memory_tokens for b in self.parts.values())
+            free = int(self.profile.memory_tokens * MEMORY_SHARE) - used
+        return _Summary(
+            pass_s=pass_s,
+            context_tokens=context,
+            free_memory_tokens=free,
+            has_short=any(b.whole_read_s <= LONG_READ_S for b in leads),
+            pause_limit_s=min(
+                (
+                    b.work.pause_limit_s
+                    for b in leads
+                    if b.first_at_s is not None and not b.is_harmed
+                ),
+                default=math.inf,
+            ),
+            unread=tuple(b for b in leads if b.first_at_s is None),
+        )
+
     def _make_booking(
         self,
         wanted: work.Work,
