Leave endpoints whose address another one has; wait a little after a start

After all machines had lost power while the store was away, callers' one second try was refused by instances that learned the configuration a second later. Change: an endpoint that another one has replaced is not used until its entry tells of a new start; a request waits up to a quarter of its time, 2.5 s at most, for a configuration after a start.

--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -27,9 +27,6 @@
 from poplarwick_forwarding import measures
 from poplarwick_forwarding import runs
 
-BODY_LIMIT_BYTES = 4 << 20
-"""Largest body before a configuration is known."""
-
 HEADER_LIMIT_BYTES = 16_384
 """Longest header line or field; the platform's limit on a whole header
 section."""
@@ -42,6 +39,16 @@
 """When a caller refused by a stopping instance comes back; the balancer sends
 it to another one at once."""
 
+START_WAIT_SHARE = 0.25
+"""Part of its time that a request waits for an instance that has just started
+to learn the configuration; what is left is enough to be served."""
+
+START_WAIT_MAX_S = 2.5
+"""Longest such wait."""
+
+START_POLL_S = 0.02
+"""Period at which the configuration is looked for meanwhile."""
+
 MOST_REQUESTS = 1_200
 """Requests in progress at one instance; bounds memory and descriptors."""
 
@@ -144,10 +151,8 @@
     async def _answer(
         self, request: web.BaseRequest, received_at_s: float
     ) -> web.StreamResponse:
-        rules = self._read_routing()
-        if rules is None or self.is_closed:
-            reason = "stopping" if self.is_closed else "no_configuration"
-            return self._refuse(request, reason)
+        if self.is_closed:
+            return self._refuse(request, "stopping")
         if self.in_progress > MOST_REQUESTS:
             return self._refuse(request, "too_many_requests")
         if not request.raw_path.startswith("/"):
@@ -157,6 +162,9 @@
         except dialect.CallError as error:
             logs.log(log_events.RequestUnreadable(reason=str(error)))
             return _reject(request, admission.Rejection.UNREADABLE)
+        rules = await self._wait_for_routing(call)
+        if rules is None:
+            return self._refuse(request, "no_configuration")
         body = await _read_body(request, rules.limits.body_bytes)
         if body is None:
             return _reject(request, admission.Rejection.BODY_TOO_LARGE)
@@ -177,6 +185,25 @@
         )
         return await self._run(request, asked, rules.version)
 
+    async def _wait_for_routing(
+        self, call: dialect.Call
+    ) -> routing.Routing | None:
+        """Returns the configuration, waiting a little after a start.
+
+        An instance that has just started while the store was away usually
+        learns it within a second or two; a caller that is refused may have no
+        second try.
+        """
+        left_s = call.time_left_s or START_WAIT_MAX_S
+        ends_s = clock.now_s() + min(
+            START_WAIT_SHARE * left_s, START_WAIT_MAX_S
+        )
+        while True:
+            rules = self._read_routing()
+            if rules is not None or clock.now_s() >= ends_s:
+                return rules
+            await asyncio.sleep(START_POLL_S)
+
     def _make_exchange(
         self,
         request: web.BaseRequest,
--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -24,8 +24,9 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses by which callers understand that a request has not run."""
 
-MOST_SENDS = 5
-"""Times that one request is sent in all, refusals by endpoints included."""
+MOST_SENDS = 8
+"""Times that one request is sent in all, refusals by endpoints included: when
+a failure domain comes back, many known endpoints are gone at once."""
 
 STALL_MIN_S = 1.2
 """Shortest silence in a stream after which it goes on elsewhere; callers give
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -387,6 +387,7 @@
                 place
                 for place in self._places.values()
                 if place.candidate.is_open
+                and not place.trust.is_replaced
                 and place.candidate.endpoint.service == wanted.service
             ]
         if not wanted.avoided and not wanted.regions:
@@ -418,8 +419,10 @@
         for place in open_
         if place.trust.allows(len(place.load.leads), now_s)
     ]
+    if trusted:
+        return trusted
     # Where none is trusted, the fault is more likely on the way to them.
-    return trusted or open_
+    return open_
 
 
 def _wait_for_endpoint(
--- a/packages/placement/poplarwick_placement/trust.py
+++ b/packages/placement/poplarwick_placement/trust.py
@@ -40,7 +40,6 @@
         work.Result.UNREACHABLE,
         work.Result.SILENT,
         work.Result.BROKEN,
-        work.Result.MISDIRECTED,
     }
 )
 
@@ -57,6 +56,8 @@
         missed_reports: Reports in a row that were not answered.
         good_at_s: When a request last went well here.
         failure_share: Weighted share of answers that were failures.
+        is_replaced: Whether another endpoint was found at its address; this
+            start of it is gone for good.
     """
 
     paused_until_s: float = 0.0
@@ -66,6 +67,7 @@
     missed_reports: int = 0
     good_at_s: float = 0.0
     failure_share: float = 0.0
+    is_replaced: bool = False
 
     @property
     def is_lost(self) -> bool:
@@ -78,6 +80,8 @@
             pause_s = min(FULL_PAUSE_S * 2**self.refusals, FULL_PAUSE_MAX_S)
             self.refusals += 1
             self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+        elif result is work.Result.MISDIRECTED:
+            self.is_replaced = True
         elif result in FAILURES:
             pause_s = min(FIRST_PAUSE_S * 2**self.strikes, LONGEST_PAUSE_S)
             self.strikes += 1
@@ -101,7 +105,7 @@
 
     def allows(self, running: int, now_s: float) -> bool:
         """Tells whether a further request may be sent."""
-        if now_s < self.paused_until_s:
+        if self.is_replaced or now_s < self.paused_until_s:
             return False
         if self.is_lost and now_s - self.good_at_s > GOOD_FOR_S:
             return False
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -191,6 +191,30 @@
     assert first.endpoint in later
 
 
+def test_a_replaced_endpoint_is_not_asked_again_until_its_entry_changes():
+    placer = make_desk(engines=2)
+    first = ask(placer, 1, make_work())
+    placer.note_end(1, work.Result.MISDIRECTED, 0.1)
+    for number in range(6):
+        now_s = 20.0 + number * 0.2
+        later = ask(placer, 10 + number, make_work(now_s=now_s), now_s)
+        assert later.endpoint != first.endpoint
+        placer.note_first(10 + number, now_s + 0.1)
+    placer.set_candidates(
+        dataclasses.replace(
+            c, endpoint=dataclasses.replace(c.endpoint, started_at_ms=2)
+        )
+        for c in make_candidates(2)
+    )
+    places = set()
+    for number in range(9):
+        now_s = 30.0 + number * 0.2
+        wanted = make_work(now_s=now_s)
+        places.add(ask(placer, 30 + number, wanted, now_s).endpoint)
+        placer.note_first(30 + number, now_s + 0.1)
+    assert first.endpoint in places
+
+
 def test_blame_falls_on_the_helper_and_not_on_the_lead():
     placer = make_desk(engines=4)
     placed = ask(placer, 1, make_work(LONG))
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -367,3 +367,20 @@
             assert store_changes.is_large(changes)
 
     play(tmp_path, scenario, instances=5)
+
+
+def test_a_request_waits_a_little_for_an_instance_that_has_just_started(
+    tmp_path,
+):
+    async def scenario(world):
+        world.store.is_down = True
+        fresh = worlds.Instance("front-9", world.store.address, tmp_path)
+        world.instances.append(fresh)
+        await asyncio.sleep(0.5)
+        asked = asyncio.create_task(stream(world, 1))
+        await asyncio.sleep(0.3)
+        world.store.is_down = False
+        await asked
+        await fresh.end()
+
+    play(tmp_path, scenario)
