--- a/packages/entry/poplarwick_entry/_search.py
+++ b/packages/entry/poplarwick_entry/_search.py
@@ -40,6 +40,7 @@
     grant_pb2.REFUSAL_CANCELLED,
     grant_pb2.REFUSAL_NOT_OWNER,
 )
+_PLACES = {reason: place for place, reason in enumerate(_RANK)}
 
 
 class Search:
@@ -99,9 +100,10 @@
     """Returns the refusal that tells the caller most."""
     if later.reason in _FINAL_REASONS:
         return later
-    order = {reason: place for place, reason in enumerate(_RANK)}
-    if order.get(later.reason, len(_RANK)) <= order.get(
-        earlier.reason, len(_RANK)
-    ):
+    if _find_place(later) <= _find_place(earlier):
         return later
     return earlier
+
+
+def _find_place(refusal: grant_pb2.Refusal) -> int:
+    return _PLACES.get(refusal.reason, len(_PLACES))
--- a/packages/platform/poplarwick_platform/instances.py
+++ b/packages/platform/poplarwick_platform/instances.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import enum
-from types import TracebackType
-from typing import Self
 
 import aiohttp
 import msgspec
 
 from poplarwick_core import errors
 from poplarwick_core import ids
+from poplarwick_platform import _http_session
 
 READ_TIMEOUT_S = 2.0
 _HTTP_OK = 200
@@ -45,7 +44,7 @@
     state: ListedState = ListedState.LIVE
 
 
-class InstanceListClient:
+class InstanceListClient(_http_session.SessionOwner):
     """Reads the list over HTTP.
 
     Args:
@@ -54,23 +53,8 @@
     """
 
     def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
+        super().__init__(timeout_s)
         self._url = f"http://{address}/instances"
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._session: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self) -> Self:
-        self._session = aiohttp.ClientSession(timeout=self._timeout)
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
 
     async def read(self) -> tuple[ListedInstance, ...]:
         """Returns the listed instances.
--- a/packages/platform/poplarwick_platform/weights.py
+++ b/packages/platform/poplarwick_platform/weights.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from types import TracebackType
-from typing import Self
 from typing import TypeVar
 from urllib import parse
 
@@ -16,6 +14,7 @@
 
 from poplarwick_core import errors
 from poplarwick_core import ids
+from poplarwick_platform import _http_session
 
 READ_TIMEOUT_S = 5.0
 _HTTP_OK = 200
@@ -58,7 +57,7 @@
     size_bytes: int
 
 
-class WeightStoreClient:
+class WeightStoreClient(_http_session.SessionOwner):
     """Reads limits and sizes over HTTP.
 
     Args:
@@ -67,23 +66,8 @@
     """
 
     def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
+        super().__init__(timeout_s)
         self._base = f"http://{address}"
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._session: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self) -> Self:
-        self._session = aiohttp.ClientSession(timeout=self._timeout)
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
 
     async def read_limits(self) -> WeightLimits:
         """Returns what the store can serve.
