Refuse at once a prompt that no group can hold; name the check's path in the adapter

A prompt over the memory of all engines together waited until its time was over (test in test_desk.py).

--- a/packages/administration/poplarwick_administration/explanation.py
+++ b/packages/administration/poplarwick_administration/explanation.py
@@ -39,10 +39,8 @@
 """Events that bear on all requests of the instance that wrote them."""
 
 CAUSES = {
-    "absent": "no endpoint of the service was in service",
     "no_endpoint": "no endpoint of the service was in service",
     "no_time": "no endpoint could have answered within the time left",
-    "overload": "more work waited than could be done in time",
     "too_large": "no group of engines can hold the prompt",
     "may_have_run": "an endpoint may have run it and it must not run twice",
     "attempts_spent": "it was sent as often as its route allows",
--- a/packages/forwarding/poplarwick_forwarding/readiness.py
+++ b/packages/forwarding/poplarwick_forwarding/readiness.py
@@ -9,18 +9,20 @@
 
 from aiohttp import web
 
-READY_PATH = "/v1/ready"
-
 
 class ReadinessServer:
     """Answers readiness checks while its context is open.
 
     Args:
         address: Host and port to listen on.
+        path: Path of the check.
         is_ready: Tells whether the instance takes callers.
     """
 
-    def __init__(self, address: str, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, address: str, path: str, is_ready: Callable[[], bool]
+    ) -> None:
+        self._path = path
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._is_ready = is_ready
@@ -47,6 +49,6 @@
             await self._web.shutdown(0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path != READY_PATH:
+        if request.path != self._path:
             return web.Response(status=404)
         return web.Response(status=200 if self._is_ready() else 503)
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -149,7 +149,9 @@
             )
         )
         await enter(
-            readiness.ReadinessServer(place.readiness_address, self._is_ready)
+            readiness.ReadinessServer(
+                place.readiness_address, dialect.READY_PATH, self._is_ready
+            )
         )
         register = registration.Registration(
             client,
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -311,7 +311,7 @@
             return _wait_for_endpoint(one, now_s)
         choice = self._choose(wanted, _filter_trusted(open_, now_s), turn)
         if choice is None:
-            return None
+            return _refuse_too_large(wanted, open_)
         if not waiting.should_start(one, choice, now_s):
             turn.awaited.update(choice.engines)
             return None
@@ -425,6 +425,20 @@
     return open_
 
 
+def _refuse_too_large(
+    wanted: work.Work, open_: list[_Place]
+) -> work.Refusal | None:
+    """Refuses a prompt that no group of these engines could ever hold."""
+    sizes = sorted(
+        (p.load.profile.memory_tokens for p in open_ if p.load.profile),
+        reverse=True,
+    )
+    largest = sum(sizes[: packing.GROUP_SIZES[0]])
+    if not sizes or wanted.memory_tokens <= largest * loads.MEMORY_SHARE:
+        return None
+    return work.Refusal(work.RefusalReason.TOO_LARGE, ABSENT_RETRY_AFTER_S)
+
+
 def _wait_for_endpoint(
     one: waiting.Waiting, now_s: float
 ) -> work.Refusal | None:
--- a/packages/placement/poplarwick_placement/work.py
+++ b/packages/placement/poplarwick_placement/work.py
@@ -94,7 +94,6 @@
 
     NO_ENDPOINT = "no_endpoint"
     TOO_LARGE = "too_large"
-    OVERLOAD = "overload"
     NO_TIME = "no_time"
     REPEAT_BUDGET = "repeat_budget_spent"
 
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -96,8 +96,12 @@
     reserved = sum(helper.ticket_tokens for helper in placed.helpers)
     assert 700_000 + 1_000 - 405_000 <= reserved
     assert all(h.ticket_tokens <= 405_000 for h in placed.helpers)
-    alone = make_desk(engines=1)
-    assert ask(alone, 1, make_work(700_000, deadline_at_s=100.0)) is None
+
+
+def test_a_prompt_that_no_group_can_hold_is_refused_at_once():
+    placer = make_desk(engines=1)
+    refused = ask(placer, 1, make_work(700_000, deadline_at_s=100.0))
+    assert refused.reason is work.RefusalReason.TOO_LARGE
 
 
 def test_a_request_without_time_for_a_first_event_is_refused_at_once():
