--- a/packages/administration/poplarwick_administration/explanation.py
+++ b/packages/administration/poplarwick_administration/explanation.py
@@ -21,6 +21,16 @@
 MOST_STEPS = 1_000
 """Lines of one request that are kept; a request has a few per attempt."""
 
+ENDINGS = frozenset(
+    {
+        "request_ended",
+        "request_refused",
+        "request_rejected",
+        "request_unreadable",
+    }
+)
+"""Events of which each attempt of a caller has exactly one."""
+
 INSTANCE_BELIEFS = frozenset(
     {
         "configuration_in_force",
@@ -48,6 +58,8 @@
     "repeat_budget_spent": "the allowance of repeats was used up",
     "time_over": "its time was over while an endpoint worked on it",
     "stopping": "the instance was stopping",
+    "no_configuration": "the instance had not learned a configuration yet",
+    "too_many_requests": "the instance had too many requests in progress",
 }
 """What the reasons of an ending mean."""
 
@@ -89,7 +101,7 @@
     story.steps.sort(key=lambda line: line.time)
     if not story.steps:
         return story
-    story.endings = sum(s.event == "request_ended" for s in story.steps)
+    story.endings = sum(s.event in ENDINGS for s in story.steps)
     story.cause = find_cause(story.steps)
     story.beliefs = _find_beliefs(story.steps, logs)
     return story
@@ -100,9 +112,9 @@
     ends = [step for step in steps if step.event == "request_ended"]
     failures = [step for step in steps if step.event == "attempt_failed"]
     if not ends:
-        rejected = [s for s in steps if s.event == "request_rejected"]
-        if rejected:
-            return f"the configuration refuses it: {rejected[-1].fields}"
+        turned_away = [s for s in steps if s.event in ENDINGS]
+        if turned_away:
+            return _describe_rejection(turned_away[-1])
         return "it has no ending: its instance was killed or still works on it"
     outcome = ends[-1].fields.get("outcome", "")
     reason = ends[-1].fields.get("reason", "")
@@ -119,6 +131,21 @@
             return f"{told}; {last}" if last else told
 
 
+def _describe_rejection(step: log_lines.LogLine) -> str:
+    fields = step.fields
+    match step.event:
+        case "request_rejected":
+            return (
+                f"version {fields.get('version')} of the configuration "
+                f"answers it with {fields.get('status')}"
+            )
+        case "request_unreadable":
+            return f"its headers cannot be read: {fields.get('reason')}"
+        case _:
+            reason = fields.get("reason", "")
+            return CAUSES.get(reason, reason)
+
+
 def _describe_failure(step: log_lines.LogLine) -> str:
     fields = step.fields
     return (
--- a/packages/forwarding/poplarwick_forwarding/dialect.py
+++ b/packages/forwarding/poplarwick_forwarding/dialect.py
@@ -90,6 +90,10 @@
         """
         ...
 
+    def read_request_id(self, headers: Mapping[str, str]) -> str | None:
+        """Returns the id of the caller's attempt, None if it has none."""
+        ...
+
     def make_send_headers(self, send: Send) -> dict[str, str]:
         """Returns the headers that an endpoint is sent."""
         ...
--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -160,7 +160,12 @@
         try:
             call = self._names.read_call(request.headers)
         except dialect.CallError as error:
-            logs.log(log_events.RequestUnreadable(reason=str(error)))
+            logs.log(
+                log_events.RequestUnreadable(
+                    request=self._names.read_request_id(request.headers),
+                    reason=str(error),
+                )
+            )
             return _reject(request, admission.Rejection.UNREADABLE)
         rules = await self._wait_for_routing(call)
         if rules is None:
@@ -273,7 +278,12 @@
     def _refuse(
         self, request: web.BaseRequest, reason: str
     ) -> web.StreamResponse:
-        logs.log(log_events.RequestRefused(reason=str(reason)))
+        logs.log(
+            log_events.RequestRefused(
+                request=self._names.read_request_id(request.headers),
+                reason=reason,
+            )
+        )
         response = self._make_own(
             answers.Failure.REFUSED, reason, STOPPED_RETRY_S
         )
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -41,11 +41,13 @@
     """A request's headers cannot be read.
 
     Attributes:
+        request: Id of the request.
         reason: The header and what is wrong with it.
     """
 
     level = "WARNING"
 
+    request: str | None = None
     reason: str
 
 
@@ -87,11 +89,13 @@
     """A request was refused before it was read.
 
     Attributes:
+        request: Id of the request.
         reason: Why.
     """
 
     level = "WARNING"
 
+    request: str | None = None
     reason: str
 
 
