--- a/packages/coordination/poplarwick_coordination/attachment.py
+++ b/packages/coordination/poplarwick_coordination/attachment.py
@@ -7,7 +7,6 @@
 
 from poplarwick_coordination import broker
 from poplarwick_coordination import links
-from poplarwick_coordination import placer
 from poplarwick_core import clock
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
@@ -52,10 +51,6 @@
                 watchdog.note()
                 self._broker.handle(link, message)
 
-        async def send() -> None:
-            while True:
-                await stream.send_message(await outbox.get())
-
         async def beat() -> None:
             while self._broker.link is link:
                 outbox.put(self._broker.make_beat())
@@ -63,9 +58,9 @@
 
         reason: object = "stream_ended"
         try:
-            await placer.run_until_first_ends(
+            await links.run_until_first_ends(
                 receive(),
-                send(),
+                outbox.send_all(stream.send_message),
                 beat(),
                 watchdog.wait_for_silence(lambda: outbox.is_overrun),
             )
--- a/packages/coordination/poplarwick_coordination/links.py
+++ b/packages/coordination/poplarwick_coordination/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Generic
 from typing import TypeVar
@@ -37,9 +38,10 @@
         except asyncio.QueueFull:
             self.is_overrun = True
 
-    async def get(self) -> Sent:
-        """Returns the next message."""
-        return await self._queue.get()
+    async def send_all(self, send: Callable[[Sent], Awaitable[None]]) -> None:
+        """Sends messages as they come, until cancelled."""
+        while True:
+            await send(await self._queue.get())
 
 
 class Watchdog:
@@ -58,3 +60,20 @@
             if is_overrun():
                 return
             await asyncio.sleep(BEAT_PERIOD_S)
+
+
+async def run_until_first_ends(*coroutines: object) -> None:
+    """Runs coroutines until one ends; the others are cancelled.
+
+    Raises:
+        Exception: What the coroutine raised that ended first.
+    """
+    tasks = [asyncio.ensure_future(c) for c in coroutines]  # type: ignore[call-overload]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -422,33 +422,12 @@
                     watchdog.note()
                     self.handle(session, message)
 
-            async def send() -> None:
-                while True:
-                    await stream.send_message(await outbox.get())
-
             try:
-                await run_until_first_ends(
+                await links.run_until_first_ends(
                     receive(),
-                    send(),
+                    outbox.send_all(stream.send_message),
                     watchdog.wait_for_silence(lambda: outbox.is_overrun),
                 )
             finally:
                 self.close_session(session, "stream_ended")
                 await stream.cancel()
-
-
-async def run_until_first_ends(*coroutines: object) -> None:
-    """Runs coroutines until one ends; the others are cancelled.
-
-    Raises:
-        Exception: What the coroutine raised that ended first.
-    """
-    tasks = [asyncio.ensure_future(c) for c in coroutines]  # type: ignore[call-overload]
-    try:
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            task.result()
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 import types as python_types
 from collections.abc import Callable
@@ -81,7 +80,6 @@
         self._names = names
         self._runner = runner
         self._draw = random.Random()
-        self._numbers = itertools.count(1)
         self._web: web.Server | None = None
         self._listener: asyncio.Server | None = None
 
--- a/packages/node/poplarwick_node/_telemetry.py
+++ b/packages/node/poplarwick_node/_telemetry.py
@@ -8,17 +8,25 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
 
+METRICS_PATH = "/metrics"
 
-def add_metrics(application: web.Application) -> None:
-    """Adds `/metrics` to an application."""
+
+def collect_metrics() -> None:
+    """Begins to collect metrics; called once, before parts are built."""
     reader = prometheus.PrometheusMetricReader()
     metrics.set_meter_provider(
         sdk_metrics.MeterProvider(metric_readers=[reader])
     )
-    application.router.add_get("/metrics", _show_metrics)
 
 
-async def _show_metrics(request: web.Request) -> web.Response:
+def add_metrics(application: web.Application) -> None:
+    """Adds `/metrics` to an application."""
+    collect_metrics()
+    application.router.add_get(METRICS_PATH, show_metrics)
+
+
+async def show_metrics(request: web.BaseRequest) -> web.Response:
+    """Answers with all metrics as text."""
     return web.Response(
         body=prometheus_client.generate_latest(),
         headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
--- a/packages/node/poplarwick_node/metrics_server.py
+++ b/packages/node/poplarwick_node/metrics_server.py
@@ -6,17 +6,12 @@
 import types
 from typing import Self
 
-import prometheus_client
 from aiohttp import web
-from opentelemetry import metrics
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
 
 from poplarwick_core import logs
+from poplarwick_node import _telemetry
 from poplarwick_node import log_events
 
-METRICS_PATH = "/metrics"
-
 
 class MetricsServer:
     """Answers with all metrics as text while its context is open.
@@ -57,17 +52,6 @@
             await self._web.shutdown(0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path != METRICS_PATH:
+        if request.path != _telemetry.METRICS_PATH:
             return web.Response(status=404)
-        return web.Response(
-            body=prometheus_client.generate_latest(),
-            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
-        )
-
-
-def collect_metrics() -> None:
-    """Begins to collect metrics; called once, before parts are built."""
-    reader = prometheus.PrometheusMetricReader()
-    metrics.set_meter_provider(
-        sdk_metrics.MeterProvider(metric_readers=[reader])
-    )
+        return await _telemetry.show_metrics(request)
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -31,6 +31,7 @@
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import runs
 from poplarwick_forwarding import upstream
+from poplarwick_node import _telemetry
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
 from poplarwick_peers import transport
@@ -266,7 +267,7 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: logs.log(log_events.SettingsSignalled())
     )
-    metrics_server.collect_metrics()
+    _telemetry.collect_metrics()
     await PlatformInstance(place).run(stop)
 
 
