Share repeats by the instances known now, not at the first request

Cause: a budget took its share from the members known at a service's first request. An instance that has just started knows itself only, so it took the whole quarter that all instances without a placer share until it ended; several of them together could pass the fleet's allowance. Change: a budget asks for its share at each repeat. Bounds that are decoded and used nowhere are gone; the two codec tests that named drain_ms name grace_s, and check one bound more.

--- a/packages/catalogue/poplarwick_catalogue/deployment.py
+++ b/packages/catalogue/poplarwick_catalogue/deployment.py
@@ -13,36 +13,33 @@
     """Bounds that the platform sets for all instances together.
 
     Attributes:
-        drain_s: Time after which a leaving endpoint gets no new work.
         grace_s: Time from the signal to stop until the process is killed.
-        configuration_s: Time in which a configuration must be in force.
         repeat_ratio: Repeats allowed for each request of a service.
         repeat_window_s: Window over which repeats are counted.
         repeat_extra: Repeats allowed in a window beside the ratio.
         cold_factor: Multiple of a cold endpoint's rate that it bears.
         cold_slack: Requests in a second that it bears beside that.
-        stall_s: Time that work stalls when an engine it depends on is lost.
         hold_max_s: Longest time that engine memory may be reserved for.
         free_s: Time in which reserved memory must be given back after use.
     """
 
-    drain_s: float
     grace_s: float
-    configuration_s: float
     repeat_ratio: float
     repeat_window_s: float
     repeat_extra: float
     cold_factor: float
     cold_slack: float
-    stall_s: float
     hold_max_s: float
     free_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Deployment:
     """One instance's place on the platform.
 
+    Addresses stay as they are while the process runs; `bounds` are replaced
+    when the settings change.
+
     Attributes:
         instance: Name of the instance.
         domain: Its failure domain.
@@ -56,7 +53,7 @@
         lease_ttl_min_s: Shortest lease that the store grants.
         strength: Processor time and link against those of a usual instance,
             at most 1.
-        bounds: Bounds of the deployment.
+        bounds: Bounds of the deployment, as the settings tell them now.
     """
 
     instance: ids.InstanceId
--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -122,7 +122,10 @@
             packs=False,
             draw=random.Random(),
             make_budget=lambda: candidates.make_budget(
-                place.bounds, candidates.Scope.INSTANCE, self.instances
+                lambda: place.bounds,
+                candidates.Scope.INSTANCE,
+                lambda: self.instances,
+                clock.now_s(),
             ),
         )
         self._fresh = False
--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_catalogue import types
-from poplarwick_core import clock
 from poplarwick_placement import desk
 from poplarwick_placement import repeats
 
@@ -77,22 +77,32 @@
 
 
 def make_budget(
-    bounds: deployment.Bounds, scope: Scope, instances: int
+    read_bounds: Callable[[], deployment.Bounds],
+    scope: Scope,
+    count_instances: Callable[[], int],
+    now_s: float,
 ) -> repeats.RepeatBudget:
     """Returns a desk's share of the fleet's allowance of repeats.
 
     Args:
-        bounds: Bounds of the deployment.
+        read_bounds: Tells the bounds in force.
         scope: Whose requests the desk places.
-        instances: Number of instances that share what is not the placer's.
+        count_instances: Tells how many instances share what is not the
+            placer's; an instance that has just started learns of others later.
+        now_s: Monotonic time.
     """
     share = PLACER_REPEATS if scope is Scope.FLEET else ALONE_REPEATS
-    extra = bounds.repeat_extra * share
-    if scope is Scope.INSTANCE:
-        extra /= max(instances, 1)
-    budget = repeats.RepeatBudget(
-        bounds.repeat_ratio * share, extra, bounds.repeat_window_s
-    )
+
+    def read_allowance() -> repeats.Allowance:
+        bounds = read_bounds()
+        extra = bounds.repeat_extra * share
+        if scope is Scope.INSTANCE:
+            extra /= max(count_instances(), 1)
+        return repeats.Allowance(
+            bounds.repeat_ratio * share, extra, bounds.repeat_window_s
+        )
+
+    budget = repeats.RepeatBudget(read_allowance)
     if scope is Scope.FLEET:
-        budget.charge(round(extra / 2), clock.now_s())
+        budget.charge(round(read_allowance().extra / 2), now_s)
     return budget
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -116,7 +116,10 @@
             packs=True,
             draw=random.Random(),
             make_budget=lambda: candidates.make_budget(
-                place.bounds, candidates.Scope.FLEET, len(known.members)
+                lambda: place.bounds,
+                candidates.Scope.FLEET,
+                lambda: len(known.members),
+                clock.now_s(),
             ),
         )
         self._sessions: dict[ids.InstanceId, Session] = {}
--- a/packages/placement/poplarwick_placement/repeats.py
+++ b/packages/placement/poplarwick_placement/repeats.py
@@ -7,28 +7,42 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+from collections.abc import Callable
 
 
-class RepeatBudget:
-    """A share of the fleet's allowance.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allowance:
+    """How many repeats are allowed now.
 
-    Args:
+    Attributes:
         ratio: Repeats allowed for each counted request.
         extra: Repeats allowed in a window beside the ratio.
         window_s: Window over which both are counted.
     """
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._extra = extra
-        self._window_s = window_s
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class RepeatBudget:
+    """A share of the fleet's allowance.
+
+    Args:
+        read_allowance: Tells the share as it is now: it changes with the
+            number of instances and with the bounds.
+    """
+
+    def __init__(self, read_allowance: Callable[[], Allowance]) -> None:
+        self._read_allowance = read_allowance
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
     def note_request(self, now_s: float) -> None:
         """Counts a caller's request."""
         self._requests.append(now_s)
-        self._forget(now_s)
+        self._forget(self._read_allowance().window_s, now_s)
 
     def charge(self, repeats: int, now_s: float) -> None:
         """Counts repeats that others may have taken in this window."""
@@ -36,14 +50,15 @@
 
     def take(self, now_s: float) -> bool:
         """Takes one repeat if the share allows it."""
-        self._forget(now_s)
-        allowed = self._ratio * len(self._requests) + self._extra
+        allowance = self._read_allowance()
+        self._forget(allowance.window_s, now_s)
+        allowed = allowance.ratio * len(self._requests) + allowance.extra
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_s)
         return True
 
-    def _forget(self, now_s: float) -> None:
+    def _forget(self, window_s: float, now_s: float) -> None:
         for noted in (self._requests, self._repeats):
-            while noted and noted[0] <= now_s - self._window_s:
+            while noted and noted[0] <= now_s - window_s:
                 noted.popleft()
--- a/packages/placement/tests/engine_world.py
+++ b/packages/placement/tests/engine_world.py
@@ -323,5 +323,7 @@
     return desk.Desk(
         packs=packs,
         draw=random.Random(seed),
-        make_budget=lambda: repeats.RepeatBudget(0.2, 100, 10.0),
+        make_budget=lambda: repeats.RepeatBudget(
+            lambda: repeats.Allowance(0.2, 100, 10.0)
+        ),
     )
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -112,16 +112,17 @@
     )
     place = settings.read_settings(path)
     assert place.instance == "front-1"
-    assert place.bounds.drain_s == 2.0
+    assert place.bounds.grace_s == 8.0
+    assert place.bounds.free_s == 4.0
     assert place.peer_address == "127.0.0.1:3"
 
 
 def test_a_settings_file_without_a_field_is_refused_by_name(tmp_path):
     path = tmp_path / "s.json"
     found = worlds.make_settings("front-1", [1, 2, 3, 4], "127.0.0.1:9")
-    del found["bounds"]["drain_ms"]
+    del found["bounds"]["grace_s"]
     path.write_text(json.dumps(found))
-    with pytest.raises(errors.DocumentError, match=r"drain_ms") as caught:
+    with pytest.raises(errors.DocumentError, match=r"grace_s") as caught:
         settings.read_settings(path)
     assert caught.value.path == "$.bounds"
 
