Follow the settings file; hold engine memory by the bounds

Cause: a changed settings file was only logged, and reservations lived 3 s whatever free_ms said: with a bound of 2 s a dead instance left memory held. Change: the file is read each second and at SIGHUP; changed bounds are in force at once, other fields are named in settings_need_restart, an unreadable file changes nothing. Reservations live three quarters of free_ms.

--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -123,6 +123,10 @@
         """Undoes `add_listener`."""
         self._listeners.remove(listener)
 
+    def refresh(self) -> None:
+        """Has listeners look again: what they derive from has changed."""
+        self._notify()
+
     def note_store_away(self) -> None:
         """Notes that the store does not answer now.
 
--- a/packages/forwarding/poplarwick_forwarding/reservations.py
+++ b/packages/forwarding/poplarwick_forwarding/reservations.py
@@ -11,18 +11,20 @@
 import contextlib
 import secrets
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 
+from poplarwick_catalogue import deployment
 from poplarwick_core import logs
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import log_events
 from poplarwick_placement import work
 
-HOLD_S = 3.0
-"""Life of a reservation without a renewal; under the four seconds in which
-unused memory must be back."""
+HOLD_SHARE = 0.75
+"""Life of a reservation without a renewal, as a part of the time in which
+unused memory must be back; the rest covers an order that arrives late."""
 
-RENEW_PERIOD_S = 1.0
-"""Two renewals may be lost without losing the reservation."""
+RENEWALS = 3
+"""Renewals within the life of a reservation: two may be lost."""
 
 RELEASE_TRIES = 3
 """Times that a release is tried; after them the reservation runs out."""
@@ -38,10 +40,16 @@
 
     Args:
         orders: Orders to engines.
+        read_bounds: Tells the bounds in force.
     """
 
-    def __init__(self, orders: dialect.Orders) -> None:
+    def __init__(
+        self,
+        orders: dialect.Orders,
+        read_bounds: Callable[[], deployment.Bounds],
+    ) -> None:
         self._orders = orders
+        self._read_bounds = read_bounds
         self._releasing: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
@@ -87,12 +95,17 @@
 
     async def _reserve_one(self, helper: work.Helper, ticket: str) -> None:
         await self._orders.reserve(
-            helper.address, ticket, helper.ticket_tokens, HOLD_S
+            helper.address, ticket, helper.ticket_tokens, self._hold_s
         )
 
+    @property
+    def _hold_s(self) -> float:
+        bounds = self._read_bounds()
+        return min(HOLD_SHARE * bounds.free_s, bounds.hold_max_s)
+
     async def _keep(self, reserved: list[tuple[work.Helper, str]]) -> None:
         while True:
-            await asyncio.sleep(RENEW_PERIOD_S)
+            await asyncio.sleep(self._hold_s / RENEWALS)
             for helper, ticket in reserved:
                 try:
                     await self._reserve_one(helper, ticket)
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -61,6 +61,40 @@
     """The process was told that its settings changed."""
 
 
+class SettingsApplied(logs.Event, frozen=True, kw_only=True):
+    """Changed bounds of the settings are in force.
+
+    Attributes:
+        bounds: The changed bounds with their new values.
+    """
+
+    bounds: str
+
+
+class SettingsNeedRestart(logs.Event, frozen=True, kw_only=True):
+    """Settings changed that are in force only after a restart.
+
+    Attributes:
+        fields: Names of these settings.
+    """
+
+    level = "WARNING"
+
+    fields: str
+
+
+class SettingsNotRead(logs.Event, frozen=True, kw_only=True):
+    """The settings file cannot be read; what was read before stays in force.
+
+    Attributes:
+        reason: File, place in it and problem.
+    """
+
+    level = "WARNING"
+
+    reason: str
+
+
 class TaskFailed(logs.Event, frozen=True, kw_only=True):
     """A task of the instance ended by a fault.
 
--- a/packages/node/poplarwick_node/main.py
+++ b/packages/node/poplarwick_node/main.py
@@ -63,10 +63,14 @@
 
 def _run_on_platform(parsed: argparse.Namespace) -> int:
     from poplarwick_adapter import settings
+    from poplarwick_catalogue import deployment
     from poplarwick_node import platform_instance
 
+    def read_place() -> deployment.Deployment:
+        return settings.read_settings(pathlib.Path(parsed.platform_settings))
+
     try:
-        place = settings.read_settings(pathlib.Path(parsed.platform_settings))
+        place = read_place()
     except errors.DocumentError as error:
         return _report_usage(error)
     if parsed.check:
@@ -74,7 +78,9 @@
     writer = log_writer.LineWriter(sys.stdout.fileno())
     logs.configure_logs(writer=writer, instance=place.instance)
     try:
-        asyncio.run(platform_instance.run(place))
+        asyncio.run(platform_instance.run(read_place))
+    except errors.DocumentError as error:
+        return _report_usage(error)
     except OSError as error:
         return _report_failure(error)
     finally:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -34,6 +34,7 @@
 from poplarwick_node import _telemetry
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
+from poplarwick_node import settings_follower
 from poplarwick_peers import transport
 from poplarwick_platform import feed
 from poplarwick_platform import kv
@@ -65,14 +66,22 @@
 
     Args:
         place: Where it runs.
+        read_place: Reads the settings again; None where they stay.
     """
 
-    def __init__(self, place: deployment.Deployment) -> None:
+    def __init__(
+        self,
+        place: deployment.Deployment,
+        read_place: Callable[[], deployment.Deployment] | None = None,
+    ) -> None:
         self.place = place
         self.mirror = mirror.Mirror()
         self.catalogue = catalogue.Catalogue(
             self.mirror, entry_codec.decode_entry
         )
+        self.settings = settings_follower.SettingsFollower(
+            place, read_place or (lambda: place), self.catalogue.refresh
+        )
         self._is_leaving = False
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -138,7 +147,9 @@
             )
         )
         names = dialect.PlatformDialect()
-        self._reservations = reservations.Reservations(ordering)
+        self._reservations = reservations.Reservations(
+            ordering, lambda: place.bounds
+        )
         sender = await enter(upstream.Upstream(names))
         runner = runs.Runner(self.broker, sender, names, self._reservations)
         self.front = await enter(
@@ -167,6 +178,7 @@
         self._start(stack, self.broker.run)
         self._start(stack, placing_role.run)
         self._start(stack, register.run)
+        self._start(stack, self.settings.run)
         self._start(stack, self._watch)
 
     def _start(
@@ -258,17 +270,23 @@
             logs.log(log_events.HandoverUnanswered())
 
 
-async def run(place: deployment.Deployment) -> None:
-    """Runs an instance until the process is told to stop."""
+async def run(read_place: Callable[[], deployment.Deployment]) -> None:
+    """Runs an instance until the process is told to stop.
+
+    Args:
+        read_place: Reads the settings.
+
+    Raises:
+        errors.DocumentError: The settings cannot be read.
+    """
+    instance = PlatformInstance(read_place(), read_place)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: logs.log(log_events.SettingsSignalled())
-    )
+    loop.add_signal_handler(signal.SIGHUP, instance.settings.note_signal)
     _telemetry.collect_metrics()
-    await PlatformInstance(place).run(stop)
+    await instance.run(stop)
 
 
 async def _keep_running(
