Leave engines that fail more often than their peers

Cause: only plain services told grey endpoints by their failures; an engine that answers every second request with 500 stayed the one that is packed. Change: a short request loses the excess of failures over the best peer times its value; long prompts leave engines with such an excess. Excess under 0.15 (one or two failures) is borne. The third test plays engines that all fail alike.

--- a/packages/placement/poplarwick_placement/packing.py
+++ b/packages/placement/poplarwick_placement/packing.py
@@ -41,6 +41,10 @@
 """How much a share of failures slows an endpoint down in a choice: one that
 fails two in five more than its peers is the last to be chosen."""
 
+FAILURE_SLACK = 0.15
+"""Excess of failures over the best peer that is borne: one failure in ten
+answers moves the share by about that much."""
+
 TICKET_STEP_TOKENS = 1_024
 """Reservations are rounded up to this, well above an engine's block."""
 
@@ -138,6 +142,7 @@
 ) -> Choice | None:
     best: tuple[float, bool, int, float] | None = None
     choice = None
+    best_share = min(view.load.failure_share for view in open_)
     for view in open_:
         if wanted.memory_tokens > view.free_memory_tokens:
             continue
@@ -145,6 +150,7 @@
         first_s = view.estimate_first_s(wanted, read_s)
         loss = view.calculate_harm(read_s + view.backlog_s, now_s)
         loss += _calculate_late_loss(wanted, first_s, now_s)
+        loss += _calculate_failure_loss(wanted, view, best_share)
         rank = (loss, view.free_slots == 1, -view.writers, first_s)
         if best is None or rank < best:
             best = rank
@@ -193,12 +199,25 @@
     """Returns engines without those that would hold up a group, idle first."""
     limit = SLOW_PACE * min(view.load.pace for view in helping)
     even = [view for view in helping if view.load.pace <= limit]
+    sound = _leave_failing(even)
     return sorted(
-        even,
+        sound,
         key=lambda view: (view.backlog_s > 0, view.backlog_s, view.writers),
     )
 
 
+def _leave_failing(
+    views: Sequence[loads.LoadView],
+) -> Sequence[loads.LoadView]:
+    """Returns engines that do not fail more often than the best of them."""
+    best_share = min(view.load.failure_share for view in views)
+    return [
+        view
+        for view in views
+        if view.load.failure_share <= best_share + FAILURE_SLACK
+    ]
+
+
 def _calculate_part_s(
     wanted: work.Work, view: loads.LoadView, size: int
 ) -> float:
@@ -275,6 +294,14 @@
     return min(helping, key=lambda view: (view.writers, view.backlog_s))
 
 
+def _calculate_failure_loss(
+    wanted: work.Work, view: loads.LoadView, best_share: float
+) -> float:
+    """Returns the value lost by failures beyond those of the best peer."""
+    excess = view.load.failure_share - best_share
+    return wanted.value * excess if excess > FAILURE_SLACK else 0.0
+
+
 def _calculate_late_loss(
     wanted: work.Work, first_s: float, now_s: float
 ) -> float:
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -252,6 +252,51 @@
     assert places.count("e1") >= 2
 
 
+def fail_on(placer, endpoint, requests=40):
+    """Plays requests of which those on one engine fail every second time."""
+    failures = 0
+    for number in range(requests):
+        now_s = number * 0.2
+        decision = ask(placer, number, make_work(now_s=now_s), now_s)
+        result = work.Result.DONE
+        if decision.endpoint == endpoint and number % 2:
+            result = work.Result.FAILED
+            failures += 1
+        placer.note_end(number, result, now_s + 0.1)
+    return failures
+
+
+def test_an_engine_that_fails_more_than_its_peers_gets_no_short_requests():
+    placer = make_desk(engines=3)
+    first = ask(placer, "first", make_work()).endpoint
+    placer.note_end("first", work.Result.DONE, 0.0)
+    assert fail_on(placer, first) <= 3
+    later = {
+        ask(placer, 100 + n, make_work(now_s=20.0 + n), 20.0 + n).endpoint
+        for n in range(3)
+    }
+    assert first not in later
+
+
+def test_an_engine_that_fails_more_than_its_peers_reads_no_long_prompt():
+    placer = make_desk(engines=3)
+    first = ask(placer, "first", make_work()).endpoint
+    placer.note_end("first", work.Result.DONE, 0.0)
+    fail_on(placer, first)
+    long = ask(placer, "long", make_work(LONG, 20.0), 20.0)
+    assert first not in {long.endpoint, *(h.endpoint for h in long.helpers)}
+
+
+def test_engines_that_all_fail_alike_are_all_used():
+    placer = make_desk(engines=6)
+    for number in range(40):
+        now_s = number * 0.2
+        ask(placer, number, make_work(now_s=now_s), now_s)
+        placer.note_end(number, work.Result.FAILED, now_s + 0.1)
+    placed = ask(placer, "long", make_work(LONG, 20.0), 20.0)
+    assert isinstance(placed, work.Placement)
+
+
 def test_requests_of_a_lost_instance_are_forgotten():
     placer = make_desk(engines=1)
     for number in range(8):
