Answer 408 when a request's body does not arrive in its time

Cause: a body that never ended was read for ever: its caller got no answer and a stop waited for it until the end of the grace period. Change: a body has the time that its caller waits, else 30 s; then 408, which promises that it has not run, and the connection is closed. Before: the new test does not end (no limit in the code); after: it passes.

--- a/packages/forwarding/poplarwick_forwarding/answers.py
+++ b/packages/forwarding/poplarwick_forwarding/answers.py
@@ -17,6 +17,9 @@
     BROKEN = 502
     """An endpoint may have run the request; there is no whole answer."""
 
+    BODY_LATE = 408
+    """The request's body did not arrive in time; it has not run."""
+
     TIMED_OUT = 504
     """As `BROKEN`, because the time is over."""
 
--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -48,6 +48,10 @@
 START_POLL_S = 0.02
 """Period at which the configuration is looked for meanwhile."""
 
+BODY_MAX_S = 30.0
+"""Time in which a body must have arrived where the caller names none; twice
+the longest deadline of the users' sheets."""
+
 MOST_REQUESTS = 1_200
 """Requests in progress at one instance; bounds memory and descriptors."""
 
@@ -168,7 +172,13 @@
         rules = await self._wait_for_routing(call)
         if rules is None:
             return self._refuse(request, "no_configuration")
-        body = await _read_body(request, rules.limits.body_bytes)
+        try:
+            async with asyncio.timeout(_choose_body_s(call)):
+                body = await _read_body(request, rules.limits.body_bytes)
+        except TimeoutError:
+            return self._refuse(
+                request, "body_not_read", answers.Failure.BODY_LATE
+            )
         if body is None:
             return _reject(request, admission.Rejection.BODY_TOO_LARGE)
         admitted = admission.admit(
@@ -274,7 +284,10 @@
                 return self._make_own(failure, reason, retry_after_s)
 
     def _refuse(
-        self, request: web.BaseRequest, reason: str
+        self,
+        request: web.BaseRequest,
+        reason: str,
+        failure: answers.Failure = answers.Failure.REFUSED,
     ) -> web.StreamResponse:
         logs.log(
             log_events.RequestRefused(
@@ -282,9 +295,7 @@
                 reason=reason,
             )
         )
-        response = self._make_own(
-            answers.Failure.REFUSED, reason, STOPPED_RETRY_S
-        )
+        response = self._make_own(failure, reason, STOPPED_RETRY_S)
         if not request.can_read_body:
             return response
         response.force_close()
@@ -343,6 +354,11 @@
         await self.response.write_eof()
 
 
+def _choose_body_s(call: dialect.Call) -> float:
+    """Returns how long a body may take: the time that its caller waits."""
+    return call.time_left_s or BODY_MAX_S
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """Returns the whole body, or None if it is over the limit."""
     if not request.can_read_body:
--- a/tests/adapter/test_forwarding.py
+++ b/tests/adapter/test_forwarding.py
@@ -324,3 +324,25 @@
         writer.close()
 
     play(tmp_path, scenario)
+
+
+def test_a_body_that_does_not_arrive_is_answered_when_its_time_is_over(
+    tmp_path,
+):
+    async def scenario(world):
+        host, port = world.instances[0].front.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /stock/ HTTP/1.1\r\nHost: {worlds.HOST}\r\n"
+            f"Request-Id: r1\r\nDeadline-Ms: 200\r\nX-Api-Key: {worlds.KEY}\r\n"
+            "Content-Length: 100\r\n\r\nhalf".encode()
+        )
+        async with asyncio.timeout(worlds.GENEROUS_S):
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.read()
+        assert head.startswith(b"HTTP/1.1 408 ")
+        assert world.instances[0].part.front.in_progress == 0
+        assert not any(r.runs for r in world.replicas)
+        writer.close()
+
+    play(tmp_path, scenario)
