Count store calls by purpose and result; gauge endpoints by state

The adapter's client counts its calls as the other gateway does, through the same module (call_metrics, public now). Gauges of endpoints by service and state, instances and the configuration's version are read when metrics are.

--- a/packages/core/poplarwick_core/metrics.py
+++ b/packages/core/poplarwick_core/metrics.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
+
 from opentelemetry import metrics
 
 METER_NAME = "poplarwick"
@@ -30,6 +33,26 @@
     return meter.create_counter(f"poplarwick_{name}", description=description)
 
 
+def make_gauge(
+    name: str,
+    description: str,
+    observe: Callable[[], Iterable[metrics.Observation]],
+) -> None:
+    """Adds a gauge named `poplarwick_<name>`, read when metrics are.
+
+    Args:
+        name: Its name.
+        description: What it tells.
+        observe: Returns the values with their labels.
+    """
+    meter = metrics.get_meter(METER_NAME)
+    meter.create_observable_gauge(
+        f"poplarwick_{name}",
+        callbacks=[lambda _: observe()],
+        description=description,
+    )
+
+
 def make_histogram(name: str, description: str) -> metrics.Histogram:
     """Returns a histogram of durations in seconds, `poplarwick_<name>`."""
     meter = metrics.get_meter(METER_NAME)
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -32,6 +32,7 @@
 from poplarwick_forwarding import runs
 from poplarwick_forwarding import upstream
 from poplarwick_node import _telemetry
+from poplarwick_node import belief_metrics
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
 from poplarwick_node import settings_follower
@@ -286,6 +287,7 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, instance.settings.note_signal)
     _telemetry.collect_metrics()
+    belief_metrics.add_gauges(instance.catalogue)
     await instance.run(stop)
 
 
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -19,7 +19,7 @@
 from poplarwick_platform import _budget
 from poplarwick_platform import _gateway_codec as codec
 from poplarwick_platform import _gateway_messages as messages
-from poplarwick_platform import _telemetry
+from poplarwick_platform import call_metrics
 from poplarwick_platform import kv
 
 CALL_TIMEOUT_S = 2.0
@@ -235,7 +235,7 @@
             ) as response:
                 if response.status != _HTTP_OK:
                     raise kv.UnavailableError(f"watch: {response.status}")
-                with _telemetry.count_watch():
+                with call_metrics.count_watch():
                     async for line in response.content:
                         yield codec.decode(line, messages.WatchReply).result
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -252,7 +252,7 @@
         is_write: bool,
     ) -> Reply:
         kind_of_call = "write" if is_write else "read"
-        with _telemetry.count_call(purpose, kind_of_call):
+        with call_metrics.count_call(purpose, kind_of_call):
             await self._budget.take(purpose)
             try:
                 reply = await self._try_all(path, request, kind, is_write)
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import types
 
 import pytest
 import store_standin
 
 from poplarwick_adapter import store
+from poplarwick_platform import call_metrics
 from poplarwick_platform import feed
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -129,3 +131,24 @@
         task.cancel()
 
     play(scenario)
+
+
+def test_calls_are_counted_by_purpose_and_result(monkeypatch):
+    counted = []
+    monkeypatch.setattr(
+        call_metrics,
+        "_calls",
+        types.SimpleNamespace(add=lambda _, labels: counted.append(labels)),
+    )
+
+    async def scenario(standin, client):
+        await client.read("op/config", PURPOSE)
+        standin.is_down = True
+        with pytest.raises(kv.UnavailableError):
+            await client.grant_lease(1.0, PURPOSE)
+
+    play(scenario)
+    assert counted == [
+        {"purpose": "lease", "kind": "kv-key", "result": "ok"},
+        {"purpose": "lease", "kind": "kv-lease", "result": "unavailable"},
+    ]
