Move the platform's stand-ins to the stand-ins package; type them

The soak and the adapter's tests share them. The replica gains slots, a queue, memory for prompts and reservations, reading time by prompt, and notes of arrivals; the store gains slow and late calls. Test content is unchanged.

--- /dev/null
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -0,0 +1,453 @@
+"""Stand-in of a replica on the users' platform, with planted faults.
+
+Speaks the platform's protocol, so its names stand here too. An engine reads
+prompts at a replica's published speed, runs as many requests as it has slots,
+and sets memory aside for them and for reservations.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import json
+import socket
+import struct
+import time
+import types
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from typing import Any
+from typing import Self
+
+import multidict
+from aiohttp import web
+
+READ_TOKENS_PER_S = 154_000
+"""Speed at which an engine reads a prompt alone, as the users' sheets say."""
+
+QUEUE_PLACES = 4
+"""Requests that wait at a replica beside those in its slots."""
+
+SILENCE_S = 60.0
+"""Time that a silent replica holds a request."""
+
+
+class Fault(enum.Enum):
+    """What goes wrong with the requests to come."""
+
+    NONE = "none"
+    FULL = "full"
+    SILENT = "silent"
+    CUT_INSIDE_EVENT = "cut_inside_event"
+    CUT_BEFORE_END = "cut_before_end"
+    SKIP_EVENT = "skip_event"
+    OTHER_REQUEST = "other_request"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    BARE_503 = "bare_503"
+    RESET_WITHOUT_LENGTH = "reset_without_length"
+    ERROR = "error"
+    STALL = "stall"
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that was run."""
+
+    request: str
+    headers: Mapping[str, str]
+    method: str
+    target: str
+    body: bytes
+    fault: Fault = Fault.NONE
+    ended: str = "running"
+    began_at_s: float = 0.0
+    ended_at_s: float | None = None
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request that reached a replica, whatever became of it."""
+
+    request: str
+    at_s: float
+    status: int | None = None
+
+
+@dataclasses.dataclass
+class Ticket:
+    """Memory that is set aside.
+
+    Attributes:
+        tokens: Its size.
+        expires_at_s: When it ends without a renewal.
+        users: Requests that use it now.
+        idle_since_s: Since when no request uses it.
+        was_used: Whether a request has used it.
+        most_users: Most requests that used it at once.
+    """
+
+    tokens: int
+    expires_at_s: float
+    users: set[str]
+    idle_since_s: float
+    was_used: bool = False
+    most_users: int = 0
+
+
+class Replica:
+    """Answers requests while its context is open.
+
+    Args:
+        name: Its id.
+        service: Service that it belongs to.
+        zone: Its zone.
+        address: Host and port to listen on; port 0 takes a free one.
+        peers: Replicas by address, for prompts that several of them read.
+
+    Attributes:
+        fault: Fault of each request.
+        plan: Faults of the next requests, before `fault`; replicas may share
+            one list.
+        shown_address: Address that callers use; the own one unless a proxy
+            stands between.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        zone: str = "a",
+        address: str = "127.0.0.1:0",
+        peers: Mapping[str, Replica] | None = None,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.address = address
+        self.shown_address: str | None = None
+        self.fault = Fault.NONE
+        self.plan: list[Fault] = []
+        self.events = 5
+        self.event_s = 0.01
+        self.work_s = 0.01
+        self.slots = 8
+        self.free_tokens = 405_000
+        self.cold_until_s = 0.0
+        self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
+        self.tickets: dict[str, Ticket] = {}
+        self.ended_tickets: list[Ticket] = []
+        self._peers = {} if peers is None else peers
+        self._running = 0
+        self._waiting = 0
+        self._used_tokens = 0
+        self._place = asyncio.Condition()
+        self._is_open = False
+
+    async def __aenter__(self) -> Self:
+        self._server = web.Server(
+            self._handle, access_log=None, handler_cancellation=True
+        )
+        loop = asyncio.get_running_loop()
+        host, _, port = self.address.rpartition(":")
+        self._listener = await loop.create_server(
+            self._server, host, int(port), reuse_address=True
+        )
+        host, number = self._listener.sockets[0].getsockname()
+        self.address = f"{host}:{number}"
+        self._is_open = True
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        await self.crash()
+
+    async def crash(self) -> None:
+        """Ends at once; what runs is cut off."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._listener.close()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self._server.shutdown(0)
+
+    def make_entry(
+        self, state: str = "ready", **changes: Any
+    ) -> dict[str, Any]:
+        """Returns the entry of this replica in the store."""
+        cold_s = max(self.cold_until_s - time.monotonic(), 0.0)
+        return {
+            "service": self.service,
+            "address": self.shown_address or self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_left_ms": round(cold_s * 1_000),
+            "sequence": 1,
+            "born": 1,
+            **changes,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/v1/report":
+            return web.json_response({"pace": 1.0, "queued": 0, "running": 0})
+        if request.path == "/v1/order":
+            return await self._order(request)
+        arrival = Arrival(request.headers["Request-Id"], time.monotonic())
+        if request.headers.get("Expect-Instance") != self.name:
+            return web.Response(status=421, headers={"Replica-Id": "other"})
+        self.arrivals.append(arrival)
+        if self.fault is Fault.FULL:
+            return _refuse(self.address)
+        async with contextlib.AsyncExitStack() as stack:
+            refusal = await self._admit(request, stack)
+            if refusal is not None:
+                arrival.status = refusal.status
+                return refusal
+            return await self._run_noted(request, arrival)
+
+    async def _run_noted(
+        self, request: web.BaseRequest, arrival: Arrival
+    ) -> web.StreamResponse:
+        run = Run(
+            arrival.request,
+            multidict.CIMultiDict(request.headers),
+            request.method,
+            request.raw_path,
+            await request.read(),
+            self.plan.pop(0) if self.plan else self.fault,
+            began_at_s=time.monotonic(),
+        )
+        self.runs.append(run)
+        try:
+            response = await self._run(request, run)
+            run.ended = "done"
+            arrival.status = response.status
+            return response
+        except asyncio.CancelledError:
+            run.ended = "cancelled"
+            raise
+        except ConnectionError:
+            run.ended = "cut"
+            raise
+        finally:
+            run.ended_at_s = time.monotonic()
+
+    async def _admit(
+        self, request: web.BaseRequest, stack: contextlib.AsyncExitStack
+    ) -> web.Response | None:
+        """Takes a slot, memory and tickets; returns a refusal otherwise."""
+        if self._running >= self.slots and self._waiting >= QUEUE_PLACES:
+            return _refuse(self.address)
+        await stack.enter_async_context(self._take_slot())
+        name = request.headers["Request-Id"]
+        tickets: list[Ticket] = []
+        for address, ticket_id in _read_helpers(request.headers):
+            peer = self._peers.get(address)
+            if ticket_id is None:
+                continue
+            ticket = None if peer is None else peer.find_ticket(ticket_id)
+            if ticket is None:
+                return _refuse(address)
+            tickets.append(ticket)
+        tokens = sum(_read_counts(request.headers))
+        tokens -= min(sum(t.tokens for t in tickets), tokens)
+        if tokens > self.free_tokens - self._count_set_aside():
+            return _refuse(self.address)
+        self._used_tokens += tokens
+        stack.callback(self._give_back, tokens)
+        for ticket in tickets:
+            stack.enter_context(_use(ticket, name))
+        return None
+
+    @contextlib.asynccontextmanager
+    async def _take_slot(self) -> AsyncIterator[None]:
+        self._waiting += 1
+        try:
+            async with self._place:
+                await self._place.wait_for(lambda: self._running < self.slots)
+                self._running += 1
+        finally:
+            self._waiting -= 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+            async with self._place:
+                self._place.notify()
+
+    def _give_back(self, tokens: int) -> None:
+        self._used_tokens -= tokens
+
+    def _count_set_aside(self) -> int:
+        self._end_tickets()
+        reserved = sum(ticket.tokens for ticket in self.tickets.values())
+        return self._used_tokens + reserved
+
+    def find_ticket(self, ticket: str) -> Ticket | None:
+        """Returns memory that is set aside here, None if there is none."""
+        self._end_tickets()
+        return self.tickets.get(ticket)
+
+    def _end_tickets(self) -> None:
+        now_s = time.monotonic()
+        for name, ticket in list(self.tickets.items()):
+            if now_s > ticket.expires_at_s:
+                self.ended_tickets.append(self.tickets.pop(name))
+
+    async def _order(self, request: web.BaseRequest) -> web.Response:
+        order = json.loads(await request.read())
+        self._end_tickets()
+        name = order["id"]
+        if order["op"] == "release":
+            if name in self.tickets:
+                self.ended_tickets.append(self.tickets.pop(name))
+            return web.json_response({"free": self.free_tokens})
+        now_s = time.monotonic()
+        known = self.tickets.get(name)
+        free = self.free_tokens - self._count_set_aside()
+        if order["tokens"] > free + (known.tokens if known else 0):
+            return web.json_response({"free": 0}, status=409)
+        expires_at_s = now_s + order["hold_ms"] / 1_000
+        if known is None:
+            self.tickets[name] = Ticket(
+                order["tokens"], expires_at_s, set(), now_s
+            )
+        else:
+            known.expires_at_s = expires_at_s
+        return web.json_response({"free": free})
+
+    def make_event(self, request: str, number: int) -> bytes:
+        """Returns one event of a stream."""
+        del request
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+    def make_body(self, request: str) -> str:
+        """Returns the body of a plain answer."""
+        del request
+        return f"answer of {self.name}"
+
+    def choose_events(self, headers: Mapping[str, str]) -> int:
+        """Returns how many events a stream has."""
+        del headers
+        return self.events
+
+    async def _run(
+        self, request: web.BaseRequest, run: Run
+    ) -> web.StreamResponse:
+        if run.fault is Fault.SILENT:
+            await asyncio.sleep(SILENCE_S)
+        headers = {
+            "Request-Id": run.request,
+            "Response-Stamp": f"s-{self.name}",
+        }
+        match run.fault:
+            case Fault.OTHER_REQUEST:
+                headers["Request-Id"] = "another"
+            case Fault.UNSIGNED:
+                del headers["Response-Stamp"]
+            case Fault.ENCODED:
+                headers["Content-Encoding"] = "br"
+            case Fault.BARE_503:
+                return web.Response(status=503, headers=headers)
+            case Fault.ERROR:
+                return web.Response(status=500, headers=headers, text="error")
+            case Fault.RESET_WITHOUT_LENGTH:
+                return await self._reset_without_length(request, headers)
+            case _:
+                pass
+        if "Token-Counts" in request.headers:
+            return await self._stream(request, run, headers)
+        await asyncio.sleep(self.work_s)
+        return web.Response(headers=headers, text=self.make_body(run.request))
+
+    async def _reset_without_length(
+        self, request: web.BaseRequest, headers: Mapping[str, str]
+    ) -> web.Response:
+        lines = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+        transport = request.transport
+        assert transport is not None
+        transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nhalf of it".encode())
+        await asyncio.sleep(0.05)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        transport.abort()
+        return web.Response()
+
+    async def _stream(
+        self, request: web.BaseRequest, run: Run, headers: Mapping[str, str]
+    ) -> web.StreamResponse:
+        readers = 1 + len(_read_helpers(request.headers))
+        prompt_tokens, _ = _read_counts(request.headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        await asyncio.sleep(prompt_tokens / READ_TOKENS_PER_S / readers)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        events = self.choose_events(request.headers)
+        for number in range(first, events + 1):
+            await asyncio.sleep(self.event_s)
+            event = self.make_event(run.request, number)
+            middle = number == (first + events) // 2
+            if middle and run.fault is Fault.SKIP_EVENT:
+                continue
+            if middle and run.fault is Fault.STALL:
+                await asyncio.sleep(SILENCE_S)
+            if middle and run.fault is Fault.CUT_INSIDE_EVENT:
+                await response.write(event[:-6])
+                _abort(request)
+            if middle and run.fault is Fault.CUT_BEFORE_END:
+                _abort(request)
+            await response.write(event)
+        await response.write_eof()
+        return response
+
+
+def _refuse(at_fault: str) -> web.Response:
+    return web.Response(
+        status=503, headers={"Not-Executed": "1", "At-Server": at_fault}
+    )
+
+
+def _read_counts(headers: Mapping[str, str]) -> tuple[int, int]:
+    prompt, _, output = headers.get("Token-Counts", "0,0").partition(",")
+    return int(prompt), int(output)
+
+
+def _read_helpers(
+    headers: Mapping[str, str],
+) -> list[tuple[str, str | None]]:
+    found: list[tuple[str, str | None]] = []
+    for word in headers.get("Helpers", "").split(","):
+        address, _, ticket = word.strip().partition("/")
+        if address:
+            found.append((address, ticket or None))
+    return found
+
+
+@contextlib.contextmanager
+def _use(ticket: Ticket, request: str) -> Any:
+    ticket.users.add(request)
+    ticket.was_used = True
+    ticket.most_users = max(ticket.most_users, len(ticket.users))
+    try:
+        yield
+    finally:
+        ticket.users.discard(request)
+        ticket.idle_since_s = time.monotonic()
+
+
+def _abort(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/tests/adapter/store_standin.py
+++ b/packages/standins/poplarwick_standins/platform_store.py
@@ -1,4 +1,7 @@
-"""Stand-in of the platform's store, on loopback, with planted faults."""
+"""Stand-in of the users' platform's store, on loopback, with planted faults.
+
+Speaks the platform's protocol, so its names stand here too.
+"""
 
 from __future__ import annotations
 
@@ -6,9 +9,16 @@
 import base64
 import dataclasses
 import json
+import types
+from collections.abc import Mapping
+from typing import Any
+from typing import Self
 
 from aiohttp import web
 
+SILENCE_S = 60.0
+"""Time that a silent store holds a call; longer than any caller waits."""
+
 
 @dataclasses.dataclass
 class Item:
@@ -20,7 +30,7 @@
     created: int
     lease: int = 0
 
-    def encode(self) -> dict:
+    def encode(self) -> dict[str, Any]:
         """Returns the item as it is sent."""
         return {
             "key": self.key,
@@ -38,24 +48,31 @@
         is_down: Answers 503 to everything.
         is_silent: Answers nothing.
         loses_answers: Does what is asked and drops the connection.
+        delay_s: Time that each call takes.
+        acts_late_s: Time after which a write without an answer takes effect;
+            0 for writes that are answered.
         page: Items on one page of a range.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 1
-        self.log: list[dict] = []
+        self.log: list[dict[str, Any]] = []
         self.kept_from = 0
         self.leases: dict[int, float] = {}
         self.lease_ttls: dict[int, float] = {}
         self.is_down = False
         self.is_silent = False
         self.loses_answers = False
+        self.delay_s = 0.0
+        self.acts_late_s = 0.0
+        self.address = ""
+        self._late: set[asyncio.Task[web.StreamResponse]] = set()
         self.page = 3
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
 
-    async def __aenter__(self):
+    async def __aenter__(self) -> Self:
         self._server = web.Server(self._handle, access_log=None)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self._server, "127.0.0.1", 0)
@@ -64,7 +81,14 @@
         self._expiry = asyncio.create_task(self._expire())
         return self
 
-    async def __aexit__(self, *_):
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for task in self._late:
+            task.cancel()
         self._expiry.cancel()
         self._listener.close()
         await self._server.shutdown(0.1)
@@ -121,19 +145,36 @@
             self._remove(key)
         await self._tell()
 
-    async def _handle(self, request):
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls.append(request.path)
         if self.is_silent:
-            await asyncio.sleep(60)
+            await asyncio.sleep(SILENCE_S)
         if self.is_down:
             return web.Response(status=503)
-        response = await self._answer(request)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        body = await request.read()
+        if self.acts_late_s and request.method != "GET":
+            self._act_late(request, body)
+            return web.Response()
+        response = await self._answer(request, body)
         if self.loses_answers and request.method != "GET":
-            request.transport.abort()
+            _abort(request)
         return response
 
-    async def _answer(self, request):
-        body = await request.read()
+    def _act_late(self, request: web.BaseRequest, body: bytes) -> None:
+        async def act() -> web.StreamResponse:
+            await asyncio.sleep(self.acts_late_s)
+            return await self._answer(request, body)
+
+        task = asyncio.create_task(act())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        _abort(request)
+
+    async def _answer(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
         asked = json.loads(body) if body else {}
         match request.path.split("/")[2:]:
             case ["kv-key"]:
@@ -153,7 +194,7 @@
                 return web.json_response({})
         return web.Response(status=404)
 
-    def _read_key(self, key):
+    def _read_key(self, key: str) -> web.Response:
         item = self.items.get(key)
         if item is None:
             return web.Response(status=404)
@@ -161,7 +202,7 @@
             {**item.encode(), "current_rev": self.revision}
         )
 
-    def _read_range(self, query):
+    def _read_range(self, query: Mapping[str, str]) -> web.Response:
         after = query.get("start_after", "")
         found = sorted(
             key
@@ -178,13 +219,13 @@
             }
         )
 
-    async def _watch(self, query):
+    async def _watch(self, query: Mapping[str, str]) -> web.Response:
         after = int(query["start_after"])
         wait_s = int(query["wait_ms"]) / 1000
         if after < self.kept_from:
             return web.Response(status=410)
 
-        def find():
+        def find() -> list[dict[str, Any]]:
             return [
                 event
                 for event in self.log
@@ -201,7 +242,7 @@
             {"events": find(), "current_rev": self.revision}
         )
 
-    async def _commit(self, asked):
+    async def _commit(self, asked: dict[str, Any]) -> web.Response:
         for row in asked["precondition"]:
             item = self.items.get(row["key"])
             if (item.revision if item else 0) != row["revision"]:
@@ -220,18 +261,23 @@
         await self._tell()
         return web.json_response({"revision": self.revision})
 
-    def _grant(self, ttl_ms):
+    def _grant(self, ttl_ms: int) -> web.Response:
         lease = 1000 + len(self.lease_ttls)
         self.lease_ttls[lease] = ttl_ms / 1000
         self._renew(lease)
         return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
 
-    def _keep(self, lease):
+    def _keep(self, lease: int) -> web.Response:
         if lease not in self.leases:
             return web.Response(status=404)
         self._renew(lease)
         return web.json_response({"ttl_ms": self.lease_ttls[lease] * 1000})
 
-    def _renew(self, lease):
+    def _renew(self, lease: int) -> None:
         now_s = asyncio.get_running_loop().time()
         self.leases[lease] = now_s + self.lease_ttls[lease]
+
+
+def _abort(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/tests/adapter/test_explaining.py
+++ b/tests/adapter/test_explaining.py
@@ -5,13 +5,13 @@
 import asyncio
 
 import pytest
-import replica_standin
 import world as worlds
 
 from poplarwick_administration import explanation
 from poplarwick_core import logs
+from poplarwick_standins import platform_replica
 
-Fault = replica_standin.Fault
+Fault = platform_replica.Fault
 
 
 class Lines:
--- a/tests/adapter/test_forwarding.py
+++ b/tests/adapter/test_forwarding.py
@@ -6,10 +6,11 @@
 
 import aiohttp
 import pytest
-import replica_standin
 import world as worlds
 
-Fault = replica_standin.Fault
+from poplarwick_standins import platform_replica
+
+Fault = platform_replica.Fault
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
 
 
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -5,13 +5,13 @@
 import asyncio
 import secrets
 
-import replica_standin
 import world as worlds
 
 from poplarwick_adapter import keys
 from poplarwick_coordination import following
 from poplarwick_coordination import links
 from poplarwick_coordination import store_changes
+from poplarwick_standins import platform_replica
 
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
 
@@ -202,7 +202,7 @@
             await stream(world)
         assert len(away.runs) == before
         await world.store.remove(keys.EVACUATED_PREFIX + "b")
-        world.replicas[1].fault = replica_standin.Fault.FULL
+        world.replicas[1].fault = platform_replica.Fault.FULL
         await worlds.eventually(lambda: "b" not in part.catalogue.evacuated)
         await stream(world)
         assert len(away.runs) > before
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -6,13 +6,13 @@
 import types
 
 import pytest
-import store_standin
 
 from poplarwick_adapter import store
 from poplarwick_platform import call_metrics
 from poplarwick_platform import feed
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
+from poplarwick_standins import platform_store
 
 PURPOSE = kv.Purpose.LEASE
 
@@ -20,7 +20,7 @@
 def play(scenario):
     async def run():
         async with (
-            store_standin.Store() as standin,
+            platform_store.Store() as standin,
             store.StoreClient(standin.address) as client,
         ):
             await scenario(standin, client)
--- a/tests/adapter/world.py
+++ b/tests/adapter/world.py
@@ -10,11 +10,11 @@
 import socket
 
 import aiohttp
-import replica_standin
-import store_standin
 
 from poplarwick_adapter import settings
 from poplarwick_node import platform_instance
+from poplarwick_standins import platform_replica
+from poplarwick_standins import platform_store
 
 HOST = "front.example"
 KEY = "key-of-one"
@@ -196,15 +196,17 @@
 async def running(folder, *, pool=2, orders=1, instances=1, **bounds):
     """Runs a world."""
     async with contextlib.AsyncExitStack() as stack:
-        store = await stack.enter_async_context(store_standin.Store())
+        store = await stack.enter_async_context(platform_store.Store())
         session = await stack.enter_async_context(aiohttp.ClientSession())
         world = World(store, session)
         await store.put("op/config", make_configuration())
+        peers = {}
         for number in range(pool + orders):
             service = "pool" if number < pool else "orders"
             replica = await stack.enter_async_context(
-                replica_standin.Replica(f"i-{number}", service)
+                platform_replica.Replica(f"i-{number}", service, peers=peers)
             )
+            peers[replica.address] = replica
             world.replicas.append(replica)
             await store.put(f"servers/{replica.name}", replica.make_entry())
         for number in range(instances):
