Deal out a cold endpoint's sends in whole ones; no instance rounds up

Cause: an instance alone had max(share, 1) sends a second. Where the share is under one (60 instances and a bound of 59: 0.2), all alone together could send 60 and two placers 47 to an endpoint that bears 59. Change: what two placers leave of the bound is dealt out in whole sends, each endpoint's from another instance on.

--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import enum
+import zlib
 from collections.abc import Callable
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_catalogue import types
+from poplarwick_core import ids
 from poplarwick_placement import desk
 from poplarwick_placement import repeats
 
@@ -15,8 +17,8 @@
 """Part of a cold endpoint's bound that one placer uses: two may overlap while
 one takes over from another, and instances without a placer need the rest."""
 
-ALONE_SHARE = 1 - 2 * PLACER_SHARE
-"""Part of the bound that all instances without a placer share."""
+OVERLAPPING_PLACERS = 2
+"""Placers that may be at work in the same second."""
 
 PLACER_REPEATS = 0.5
 """Part of the allowance of repeats that one placer uses. A new one begins with
@@ -50,7 +52,9 @@
             noted.endpoint.state is types.EndpointState.READY
             and noted.endpoint.domain not in known.evacuated
         )
-        limit = _calculate_cold_limit(service, place.bounds, scope, known)
+        limit = _calculate_cold_limit(
+            service, place, scope, known, noted.endpoint.id
+        )
         found.append(
             desk.Candidate(
                 noted.endpoint,
@@ -66,14 +70,28 @@
 
 def _calculate_cold_limit(
     service: types.Service,
-    bounds: deployment.Bounds,
+    place: deployment.Deployment,
     scope: Scope,
     known: catalogue.Catalogue,
-) -> float:
+    endpoint: ids.EndpointId,
+) -> int:
+    """Returns a desk's share of the sends that a cold endpoint bears.
+
+    What placers leave is dealt out to instances in whole sends, each
+    endpoint's from another instance on: where there are fewer sends than
+    instances, the others send nothing to it while they are alone.
+    """
+    bounds = place.bounds
     whole = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
+    placers = int(whole * PLACER_SHARE)
     if scope is Scope.FLEET:
-        return whole * PLACER_SHARE
-    return max(whole * ALONE_SHARE / max(len(known.members), 1), 1.0)
+        return placers
+    instances = sorted({*known.members, place.instance})
+    share, rest = divmod(
+        int(whole) - OVERLAPPING_PLACERS * placers, len(instances)
+    )
+    turn = instances.index(place.instance) + zlib.crc32(endpoint.encode())
+    return share + (turn % len(instances) < rest)
 
 
 def make_budget(
--- a/packages/coordination/tests/test_candidates.py
+++ b/packages/coordination/tests/test_candidates.py
@@ -4,8 +4,13 @@
 
 import pytest
 
+from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
+from poplarwick_catalogue import routing
+from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
+from poplarwick_core import ids
+from poplarwick_platform import mirror
 
 BOUNDS = deployment.Bounds(
     grace_s=8.0,
@@ -72,3 +77,86 @@
         for _ in members
     )
     assert placers + before + alone <= BOUNDS.repeat_extra
+
+
+POOL = ids.ServiceId("pool")
+
+
+def make_place(name):
+    return deployment.Deployment(
+        instance=ids.InstanceId(name),
+        domain=ids.DomainId("a"),
+        region=ids.RegionId("r"),
+        regions_by_domain={},
+        caller_address="127.0.0.1:1",
+        readiness_address="127.0.0.1:2",
+        peer_address="127.0.0.1:3",
+        metrics_address="127.0.0.1:4",
+        store_address="127.0.0.1:5",
+        lease_ttl_min_s=1.0,
+        strength=1.0,
+        bounds=BOUNDS,
+    )
+
+
+def make_known(instances, cold_per_s, endpoints=5):
+    known = catalogue.Catalogue(mirror.Mirror(), lambda *_: None)
+    service = types.Service(
+        id=POOL,
+        health_path="/health",
+        max_connections=100,
+        cold_start_s=3.0,
+        cold_requests_per_s=cold_per_s,
+        engine=None,
+    )
+    limits = types.CallerLimits(
+        header_bytes=1, body_bytes=1, header_timeout_s=1.0, idle_timeout_s=1.0
+    )
+    known.routing = routing.make_routing(1, [], [service], limits, None)
+    for number in range(instances):
+        name = ids.InstanceId(f"front-{number}")
+        known.members[name] = catalogue.MemberItem(name, "127.0.0.1:3")
+    for number in range(endpoints):
+        endpoint = types.Endpoint(
+            id=ids.EndpointId(f"e{number}"),
+            service=POOL,
+            address="127.0.0.1:1",
+            domain=ids.DomainId("a"),
+            slots=8,
+            state=types.EndpointState.READY,
+            cold_left_s=3.0,
+            started_at_ms=1,
+        )
+        known.endpoints[endpoint.id] = catalogue.KnownEndpoint(endpoint, 3.0)
+    return known
+
+
+@pytest.mark.parametrize("instances", [1, 6, 60, 82, 300])
+@pytest.mark.parametrize("cold_per_s", [0.0, 2.0, 36.0])
+def test_sends_of_all_desks_stay_within_a_cold_endpoints_bound(
+    instances, cold_per_s
+):
+    known = make_known(instances, cold_per_s)
+    fleet = candidates.make_candidates(
+        known, make_place("front-0"), candidates.Scope.FLEET
+    )
+    alone = [
+        candidates.make_candidates(
+            known, make_place(name), candidates.Scope.INSTANCE
+        )
+        for name in known.members
+    ]
+    bound = cold_per_s * BOUNDS.cold_factor + BOUNDS.cold_slack
+    for number, placer in enumerate(fleet):
+        total = 2 * placer.cold_limit
+        total += sum(own[number].cold_limit for own in alone)
+        assert total <= bound
+
+
+def test_each_instance_alone_may_send_to_some_cold_endpoint():
+    known = make_known(8, 2.0, endpoints=40)
+    for name in known.members:
+        own = candidates.make_candidates(
+            known, make_place(name), candidates.Scope.INSTANCE
+        )
+        assert any(candidate.cold_limit >= 1 for candidate in own)
