Let the prompts that give least go last when not all can be on time

Change: long prompts go by their due times; those that cannot all be on time go last by rank, then by what they give for the engines' time (Moore's algorithm, triage.py). request_received tells the rank, request_placed the engines of a group.

--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -249,6 +249,7 @@
                 route=asked.route.name,
                 service=asked.service,
                 version=version,
+                priority=asked.admitted.priority,
                 prompt_tokens=asked.call.prompt_tokens or None,
                 time_left_s=asked.ends_at_s - asked.received_at_s,
             )
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -73,6 +73,7 @@
         route: Its route.
         service: Service that runs it.
         version: Version in force.
+        priority: Its rank; 0 is the highest.
         prompt_tokens: Length of its prompt.
         time_left_s: Time until it must have its answer.
     """
@@ -81,6 +82,7 @@
     route: str
     service: str
     version: int
+    priority: int
     prompt_tokens: int | None = None
     time_left_s: float
 
@@ -106,7 +108,7 @@
         request: Id of the request.
         endpoint: Id of the endpoint.
         address: Its host and port.
-        helpers: Engines that read parts of the prompt.
+        helpers: Ids of the engines that read parts of the prompt.
         reserved_tokens: Memory reserved at them.
         expected_first_s: Expected time to the answer or first event.
         reason: Rule that chose the endpoint.
@@ -119,7 +121,7 @@
     request: str
     endpoint: str
     address: str
-    helpers: int | None = None
+    helpers: str | None = None
     reserved_tokens: int | None = None
     expected_first_s: float
     reason: str
--- a/packages/forwarding/poplarwick_forwarding/runs.py
+++ b/packages/forwarding/poplarwick_forwarding/runs.py
@@ -454,7 +454,7 @@
             request=asked.call.request,
             endpoint=placement.endpoint,
             address=placement.address,
-            helpers=len(placement.helpers) or None,
+            helpers=",".join(h.endpoint for h in placement.helpers) or None,
             reserved_tokens=sum(h.ticket_tokens for h in placement.helpers)
             or None,
             expected_first_s=placement.expected_first_s,
--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -15,6 +15,7 @@
 from poplarwick_placement import packing
 from poplarwick_placement import repeats
 from poplarwick_placement import spreading
+from poplarwick_placement import triage
 from poplarwick_placement import trust
 from poplarwick_placement import waiting
 from poplarwick_placement import work
@@ -272,11 +273,14 @@
 
     def decide(self, now_s: float) -> list[tuple[Key, work.Decision]]:
         """Decides what can be decided now; the rest goes on waiting."""
+        turn = _Turn(now_s)
+        last = self._choose_last(turn)
         ranked = sorted(
             self._waiting.items(),
-            key=lambda item: waiting.make_rank(item[1], now_s),
+            key=lambda item: waiting.make_rank(
+                item[1], now_s, goes_last=item[0] in last
+            ),
         )
-        turn = _Turn(now_s)
         decided: list[tuple[Key, work.Decision]] = []
         for key, one in ranked:
             decision = self._decide_one(key, one, turn)
@@ -300,6 +304,32 @@
             del self._waiting[key]
         return decision
 
+    def _choose_last(self, turn: _Turn) -> set[Key]:
+        """Returns the long prompts that yield to others of their service."""
+        jobs: dict[ids.ServiceId, list[triage.Job]] = {}
+        for key, one in self._waiting.items():
+            if one.is_long and turn.now_s <= one.latest_start_s:
+                engines = len(self._find_open(one.wanted, turn))
+                job = waiting.make_job(key, one, engines)
+                jobs.setdefault(one.wanted.service, []).append(job)
+        last: set[Key] = set()
+        for service, waits in jobs.items():
+            if len(waits) > 1:
+                free_at_s = turn.now_s + self._calculate_backlog_s(
+                    service, turn
+                )
+                last |= triage.choose_last(waits, free_at_s)
+        return last
+
+    def _calculate_backlog_s(
+        self, service: ids.ServiceId, turn: _Turn
+    ) -> float:
+        backlogs = [
+            turn.view(place).backlog_s
+            for place in turn.open_by_service.get(service, ())
+        ]
+        return sum(backlogs) / max(len(backlogs), 1)
+
     def _decide_one(
         self, key: Key, one: waiting.Waiting, turn: _Turn
     ) -> work.Decision | None:
--- a/packages/placement/poplarwick_placement/waiting.py
+++ b/packages/placement/poplarwick_placement/waiting.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Hashable
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
 from poplarwick_placement import loads
 from poplarwick_placement import packing
+from poplarwick_placement import triage
 from poplarwick_placement import work
 
 IDEAL_GROUP = 12
@@ -77,17 +79,47 @@
     return read_s + engine_model.calculate_pass_s(profile, 1, 0)
 
 
-def make_rank(waiting: Waiting, now_s: float) -> tuple[int, bool, float]:
+def make_job(key: Hashable, waiting: Waiting, engines: int) -> triage.Job:
+    """Returns a long prompt as all engines together would read it.
+
+    Args:
+        key: Tells it from others.
+        waiting: The request.
+        engines: Engines that are open to it.
+    """
+    readers = max(min(engines - 1, packing.GROUP_SIZES[0]), 1)
+    # `ideal_s` is the time of a group of usual size.
+    group = max(min(IDEAL_GROUP, engines), 1)
+    return triage.Job(
+        key,
+        waiting.wanted.on_time_at_s - MARGIN_S,
+        waiting.ideal_s * group / readers + MARGIN_S,
+        waiting.wanted.priority,
+        waiting.wanted.value,
+    )
+
+
+def make_rank(
+    waiting: Waiting, now_s: float, *, goes_last: bool
+) -> tuple[bool, int, float]:
     """Returns the order in which waiting requests are tried.
 
-    What can be on time goes by its latest start, what cannot by its arrival.
-    Both yield to smaller work by the time that they would hold up others.
+    What can be on time goes by its latest start; among long prompts this holds
+    over priorities, as those that cannot all be on time go last. What cannot
+    be on time goes by priority and arrival. Both yield to smaller work by the
+    time that they would hold up others.
+
+    Args:
+        waiting: The request.
+        now_s: Monotonic time.
+        goes_last: Whether it yields to others that can be on time.
     """
-    is_late = now_s > waiting.latest_start_s
-    due_s = waiting.latest_start_s + waiting.ideal_s
-    if is_late:
+    priority = waiting.wanted.priority
+    if goes_last or now_s > waiting.latest_start_s:
         due_s = waiting.arrived_at_s + waiting.ideal_s * IDEAL_GROUP
-    return (waiting.wanted.priority, is_late, due_s)
+        return (True, priority, due_s)
+    due_s = waiting.latest_start_s + waiting.ideal_s
+    return (False, 0 if waiting.is_long else priority, due_s)
 
 
 def should_start(
