Start a part only when the part before it is surely read

An engine reads the newest part first, so what is left of the one before waits for all of it. Parts were started up to 30 ms before the worked-out end of the last, which itself left out the way and the pass in progress. Change: a read is booked 40 ms longer. The engine model of the tests reads the newest part first too: it was kinder than the engines.

--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -29,6 +29,12 @@
 OWN_READ_S = 0.04
 """Least time left of a read whose first event has not come; about a pass."""
 
+READ_MARGIN_S = 0.04
+"""Time that a read may end later than worked out: the way to the engine, and
+most of the pass that goes on there when it arrives. An engine's newest part
+goes ahead of all other reads, so one that comes too early holds the rest of
+the one before it up for the whole of its own time."""
+
 OVERDUE_S = 1.5
 """Time past the expected end of a read after which it does not count: work that
 depends on a lost engine is cut off after it."""
@@ -354,7 +360,8 @@
             for booking in self.leads.values():
                 if _is_newly_late(booking, pause_s, read_s, now_s):
                     booking.is_harmed = True
-        self.read_until_s = max(self.read_until_s, now_s) + read_s
+        begins_s = max(self.read_until_s, now_s)
+        self.read_until_s = begins_s + read_s + READ_MARGIN_S
 
 
 def _is_newly_late(
--- a/packages/placement/tests/engine_world.py
+++ b/packages/placement/tests/engine_world.py
@@ -179,8 +179,14 @@
             is_lead = place == placement.endpoint
             queue = engine.reads if is_lead else engine.parts
 
-            def add(engine: Engine = engine, queue: list[Read] = queue) -> None:
-                queue.append(Read(job, part_s, whole_s / chunks))
+            def add(
+                engine: Engine = engine,
+                queue: list[Read] = queue,
+                is_lead: bool = is_lead,
+            ) -> None:
+                # The newest part goes ahead of all other reads.
+                first = len(queue) if is_lead else 0
+                queue.insert(first, Read(job, part_s, whole_s / chunks))
                 self._kick(engine)
 
             self.at(self.now_s + WAY_S, add)
