--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -6,6 +6,7 @@
 
 import pytest
 import world as worlds
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -131,6 +132,9 @@
 
 
 @given(st.text(max_size=20))
+@example("0\x1f")
+@example("9" * 5_000)
+@example("-5,3")
 def test_headers_are_read_or_refused_by_name(text):
     for name in ("Deadline-Ms", "Token-Counts", "Last-Event-Id"):
         try:
