--- a/packages/placement/poplarwick_placement/desk.py
+++ b/packages/placement/poplarwick_placement/desk.py
@@ -227,6 +227,8 @@
         lead = self._places.get(running.endpoint)
         if lead is not None and result is work.Result.DONE:
             lead.load.note_answer(key, now_s)
+        if lead is not None and result is work.Result.SILENT:
+            result = _judge_silence(lead, key)
         for place in places:
             place.load.release(key, now_s)
         del self._running[key]
@@ -443,6 +445,18 @@
         return [self._places[e] for e in found if e in self._places]
 
 
+def _judge_silence(place: _Place, key: Key) -> work.Result:
+    """Returns what the silence of one request says of its endpoint.
+
+    Requests may take longer than their route allows; an endpoint that has
+    answered a later one meanwhile is not silent.
+    """
+    booking = place.load.leads.get(key)
+    if booking is not None and place.trust.good_at_s > booking.booked_at_s:
+        return work.Result.GIVEN_UP
+    return work.Result.SILENT
+
+
 def _filter_trusted(open_: list[_Place], now_s: float) -> list[_Place]:
     trusted = [
         place
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -195,6 +195,20 @@
     assert first.endpoint in later
 
 
+def test_an_endpoint_that_answers_others_is_not_silent():
+    placer = make_desk(engines=1, profile=False)
+    first = ask(placer, "slow", make_work(0))
+    ask(placer, "quick", make_work(0, now_s=0.1), 0.1)
+    placer.note_end("quick", work.Result.DONE, 0.15)
+    placer.note_end("slow", work.Result.SILENT, 0.4)
+    placer.set_candidates(make_candidates(2, profile=False))
+    places = []
+    for number in range(4):
+        wanted = make_work(0, now_s=0.4)
+        places.append(ask(placer, number, wanted, 0.4).endpoint)
+    assert first.endpoint in places
+
+
 def test_a_replaced_endpoint_is_not_asked_again_until_its_entry_changes():
     placer = make_desk(engines=2)
     first = ask(placer, 1, make_work())
