--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -30,6 +30,7 @@
     _add_list(commands)
     _add_compare(commands)
     _add_report(commands)
+    _add_replay(commands)
     _add_soak(commands)
     parsed = parser.parse_args(arguments)
     logs.configure_logs("WARNING")
@@ -138,6 +139,50 @@
     parser.set_defaults(command=_write_report)
 
 
+def _add_replay(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = commands.add_parser(
+        "replay",
+        help="replays days whose mix turns over on the placing decisions",
+    )
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=8, help="number of days")
+    parser.add_argument(
+        "--engines", type=int, default=16, help="number of model engines"
+    )
+    parser.add_argument(
+        "--scale", type=float, default=1.0, help="multiple of the usual load"
+    )
+    parser.add_argument(
+        "--spread",
+        action="store_true",
+        help="place as instances do that hear of no placer",
+    )
+    parser.set_defaults(command=_run_replay)
+
+
+async def _run_replay(parsed: argparse.Namespace) -> int:
+    from poplarwick_bench.replay import traffic
+
+    days = [
+        traffic.replay_turns(
+            seed,
+            packs=not parsed.spread,
+            count=parsed.engines,
+            scale=parsed.scale,
+        )
+        for seed in range(parsed.seed, parsed.seed + parsed.seeds)
+    ]
+    print("kind       calls  on time  of worth")
+    for name, kind in traffic.KINDS.items():
+        jobs = [job for day in days for job in day[name]]
+        on_time = traffic.share_on_time(jobs)
+        credit = traffic.calculate_credit(kind, jobs)
+        print(f"{name:<10} {len(jobs):>5}  {on_time:>7.3f}  {credit:>8.3f}")
+    return cli.ExitCode.OK
+
+
 def _add_soak(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
 ) -> None:
--- /dev/null
+++ b/packages/bench/poplarwick_bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays loads on the placing decisions, with engines on a virtual clock."""
--- a/packages/placement/tests/engine_world.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -2,7 +2,7 @@
 
 Implements the engines' published times: steps, strides, chunks, pairs, parts
 that are read ahead of an engine's own reads, one event for each writer and
-pass.
+pass. An engine reads the newest part first.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 
 from poplarwick_catalogue import types
 from poplarwick_core import ids
@@ -32,9 +33,15 @@
     hop_s=1e-4,
     report_lag_s=0.2,
 )
+"""The engines of the users' sheets."""
+
 POOL = ids.ServiceId("pool")
+
 WAY_S = 0.003
+"""Time of a way between an instance and an endpoint."""
+
 TICK_S = 0.02
+"""Period at which waiting requests are tried again."""
 
 
 @dataclasses.dataclass
@@ -45,6 +52,7 @@
     wanted: work.Work
     arrived_s: float
     parts_left: int = 1
+    lead: ids.EndpointId | None = None
     first_s: float | None = None
     last_event_s: float = 0.0
     worst_pause_s: float = 0.0
@@ -63,6 +71,14 @@
             and self.ended_s <= self.wanted.deadline_at_s
         )
 
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller had all of it before it gave up."""
+        return (
+            self.ended_s is not None
+            and self.ended_s <= self.wanted.deadline_at_s
+        )
+
 
 @dataclasses.dataclass
 class Read:
@@ -119,7 +135,7 @@
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
         self._desk = placer
-        self._events: list[tuple[float, int, object]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self.engines = {
             e.id: Engine(e) for e in (make_endpoint(n) for n in range(engines))
@@ -129,7 +145,7 @@
             for engine in self.engines.values()
         )
 
-    def at(self, time_s: float, action: object) -> None:
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
         """Calls an action at a time."""
         heapq.heappush(self._events, (time_s, next(self._numbers), action))
 
@@ -159,6 +175,7 @@
 
     def _decide(self) -> None:
         for key, decision in self._desk.decide(self.now_s):
+            assert isinstance(key, int), "jobs are numbered"
             job = self.jobs[key]
             match decision:
                 case work.Placement():
@@ -208,6 +225,7 @@
             for job in done:
                 job.parts_left -= 1
                 if job.parts_left == 0:
+                    assert job.lead is not None, "a placed job has a lead"
                     lead = self.engines[job.lead]
                     lead.writers.append(job)
                     # Steps that follow the last chunk in the same pass write.
@@ -242,74 +260,6 @@
             self.at(self.now_s + WAY_S, end)
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """A kind of request in a mix."""
-
-    per_s: float
-    prompt_tokens: float
-    spread: float
-    most_tokens: int
-    events: float
-    aim_s: float
-    pause_s: float
-    deadline_s: float
-    worth: float
-
-
-LABEL = Kind(16, 4_960, 0.9, 23_800, 38, 0.3, 0.25, 10, 1.3)
-CONTRACT = Kind(0.9, 45_000, 0.5, 110_000, 23, 1.5, 0.6, 10, 3.9)
-DOSSIER = Kind(0.42, 182_000, 0.55, 900_000, 19, 3.0, 1.0, 15, 24)
-
-
-def add_traffic(
-    world: World,
-    kind: Kind,
-    factor: float,
-    span: tuple[float, float],
-    seed: int,
-) -> list[Job]:
-    """Adds requests of one kind at random times and of random lengths."""
-    draw = random.Random(seed)
-    jobs = []
-    time_s = span[0]
-    variance = draw_variance(kind.spread)
-    mean = kind.prompt_tokens
-    while True:
-        time_s += draw.expovariate(kind.per_s * factor)
-        if time_s >= span[1]:
-            return jobs
-        tokens = draw.lognormvariate(0, variance**0.5) * mean
-        tokens /= 2.718281828 ** (variance / 2)
-        events = max(int(draw.gauss(kind.events, kind.events / 2)), 2)
-        jobs.append(
-            world.arrive(
-                time_s,
-                work.Work(
-                    request=ids.RequestId(f"r{len(world.jobs)}"),
-                    service=POOL,
-                    prompt_tokens=min(int(tokens), kind.most_tokens),
-                    output_tokens=events * PROFILE.stride,
-                    on_time_at_s=time_s + kind.aim_s,
-                    deadline_at_s=time_s + kind.deadline_s,
-                    pause_limit_s=kind.pause_s,
-                ),
-            )
-        )
-
-
-def draw_variance(spread: float) -> float:
-    """Returns the variance of the logarithm for a coefficient of variation."""
-    import math
-
-    return math.log(1 + spread * spread)
-
-
-def share_on_time(jobs: list[Job]) -> float:
-    """Returns the share of jobs that were on time."""
-    return sum(job.is_on_time for job in jobs) / max(len(jobs), 1)
-
-
 def make_endpoint(number: int) -> types.Endpoint:
     """Returns an engine's entry."""
     return types.Endpoint(
--- a/packages/placement/tests/test_day_replay.py
+++ b/packages/placement/tests/test_day_replay.py
@@ -6,40 +6,16 @@
 
 from __future__ import annotations
 
-import engine_world as worlds
 import pytest
 
-LONG_TURN = {"label": 0.37, "contract": 1.3, "dossier": 2.7}
-SHORT_TURN = {"label": 2.5, "contract": 0.5, "dossier": 0.05}
-TURNS = (
-    ((2.0, 11.5), LONG_TURN),
-    ((12.0, 21.5), SHORT_TURN),
-    ((23.0, 32.5), LONG_TURN),
-)
-KINDS = {
-    "label": worlds.LABEL,
-    "contract": worlds.CONTRACT,
-    "dossier": worlds.DOSSIER,
-}
+from poplarwick_bench.replay import traffic
+
 QUIET_WORTH = 0.85
 """The users' target for a quiet day."""
 
 
-def replay(seed, *, packs=True, engines=16, scale=0.82):
-    placer = worlds.make_desk(packs=packs, seed=seed)
-    world = worlds.World(placer, engines)
-    jobs = {name: [] for name in KINDS}
-    for number, (span, factors) in enumerate(TURNS):
-        for name, kind in KINDS.items():
-            jobs[name] += worlds.add_traffic(
-                world,
-                kind,
-                factors[name] * scale,
-                span,
-                seed * 100 + number * 10 + len(name),
-            )
-    world.run(60.0)
-    return jobs
+def replay(seed, *, packs=True, scale=0.82):
+    return traffic.replay_turns(seed, packs=packs, scale=scale)
 
 
 def credit(jobs):
@@ -52,8 +28,8 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_short_and_long_are_on_time_while_the_mix_turns_over(seed):
     jobs = replay(seed)
-    for name in KINDS:
-        assert worlds.share_on_time(jobs[name]) >= QUIET_WORTH, name
+    for name in traffic.KINDS:
+        assert traffic.share_on_time(jobs[name]) >= QUIET_WORTH, name
 
 
 def test_packing_serves_more_on_time_than_spreading():
--- a/packages/placement/tests/test_desk.py
+++ b/packages/placement/tests/test_desk.py
@@ -4,10 +4,10 @@
 
 import dataclasses
 
-import engine_world as worlds
 from hypothesis import given
 from hypothesis import strategies as st
 
+from poplarwick_bench.replay import engines as worlds
 from poplarwick_core import ids
 from poplarwick_placement import desk
 from poplarwick_placement import work
--- a/packages/placement/tests/test_triage.py
+++ b/packages/placement/tests/test_triage.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import engine_world as worlds
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from poplarwick_core import ids
+from poplarwick_bench.replay import engines
+from poplarwick_bench.replay import traffic
 from poplarwick_placement import triage
-from poplarwick_placement import work
 
 BURST = (
     (0.47, 278_067),
@@ -94,23 +93,21 @@
 
 def play_burst(low_rank, seed):
     """Plays the burst; returns the giants that were late."""
-    world = worlds.World(worlds.make_desk(seed=seed), ENGINES)
+    world = engines.World(engines.make_desk(seed=seed), ENGINES)
     jobs = []
     for at_s, tokens in BURST:
         is_giant = tokens > GIANT_TOKENS
-        kind = worlds.DOSSIER if is_giant else worlds.CONTRACT
-        wanted = work.Work(
-            request=ids.RequestId(f"r{tokens}"),
-            service=worlds.POOL,
-            prompt_tokens=tokens,
-            output_tokens=int(kind.events) * worlds.PROFILE.stride,
-            on_time_at_s=at_s + kind.aim_s,
-            deadline_at_s=at_s + kind.deadline_s,
-            pause_limit_s=kind.pause_s,
+        kind = traffic.DOSSIER if is_giant else traffic.CONTRACT
+        wanted = traffic.make_work(
+            kind,
+            at_s,
+            tokens,
+            int(kind.events),
+            f"r{tokens}",
             priority=1 if tokens in low_rank else 0,
         )
         jobs.append(world.arrive(at_s, wanted))
-    worlds.add_traffic(world, worlds.LABEL, 0.37, (0.0, 11.5), seed)
+    traffic.add_traffic(world, traffic.LABEL, 0.37, (0.0, 11.5), seed)
     world.run(40.0)
     return [
         job.wanted.prompt_tokens
--- a/scripts/measure_placement.py
+++ b/scripts/measure_placement.py
@@ -7,19 +7,14 @@
 from __future__ import annotations
 
 import argparse
-import pathlib
 import random
 import sys
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "packages" / "placement" / "tests"))
-
-import engine_world  # noqa: E402 (found through the path above)
-
-from poplarwick_core import ids  # noqa: E402
-from poplarwick_placement import desk  # noqa: E402
-from poplarwick_placement import work  # noqa: E402
+from poplarwick_bench.replay import engines
+from poplarwick_core import ids
+from poplarwick_placement import desk
+from poplarwick_placement import work
 
 SIZES = (16, 54, 78, 200, 490)
 SHORT_TOKENS = 5_000
@@ -42,11 +37,11 @@
 
 def measure(endpoints: int, tokens: int, requests: int) -> float:
     """Returns the mean time in microseconds to decide on a request."""
-    placer = engine_world.make_desk(seed=1)
+    placer = engines.make_desk(seed=1)
     placer.set_candidates(
         desk.Candidate(
-            engine_world.make_endpoint(number),
-            engine_world.PROFILE,
+            engines.make_endpoint(number),
+            engines.PROFILE,
             True,
             0.0,
             36.0,
@@ -68,7 +63,7 @@
 
 def _fill(placer: desk.Desk, endpoints: int) -> None:
     draw = random.Random(1)
-    slots = engine_world.PROFILE.slots
+    slots = engines.PROFILE.slots
     for number in range(int(endpoints * slots * LOAD)):
         endpoint = ids.EndpointId(f"e{number * 2 // slots % endpoints}")
         wanted = _make_work(draw.randrange(1_000, 10_000), 0.0)
@@ -78,7 +73,7 @@
 def _make_work(tokens: int, now_s: float) -> work.Work:
     return work.Work(
         request=ids.RequestId("r"),
-        service=engine_world.POOL,
+        service=engines.POOL,
         prompt_tokens=tokens,
         output_tokens=1_000,
         on_time_at_s=now_s + 3.0,
