Tell a placer that the store refuses what others hear from it

Change: an instance that hears the store tells its placer what that lacks: at once if the placer hears nothing, after 0.2 s if its own watch lags.

--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -20,6 +20,7 @@
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import desk
 from poplarwick_placement import work
+from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
 TICK_S = 0.02
@@ -32,6 +33,10 @@
 HEARD_S = 0.4
 """A placer heard within this time is alive: one and a half beats."""
 
+AHEAD_S = 0.2
+"""Time that a placer which follows the store itself may lag behind; its own
+watch tells it within some ways and one beat."""
+
 Send = Callable[[placement_pb2.EntryMessage], None]
 
 
@@ -128,6 +133,7 @@
                 clock.now_s(),
             ),
         )
+        self._ahead_since_s: float | None = None
         self._fresh = False
         self._numbers = itertools.count(1)
         self._asked: dict[int, _Asked] = {}
@@ -258,6 +264,7 @@
             case "beat":
                 link.hears_store = message.beat.hears_store
                 link.revision = message.beat.revision
+                self._tell_changes(link)
             case "decision":
                 self._take_decision(message.decision)
             case "changes":
@@ -275,6 +282,35 @@
         message.beat.is_leaving = self.is_leaving
         return message
 
+    def _tell_changes(self, link: Link) -> None:
+        """Tells the placer what it does not hear from the store itself.
+
+        The store may refuse the placer and serve others; until its lease ends
+        it would place by what it knew.
+        """
+        if not self._hears_store() or link.revision >= self._mirror.revision:
+            self._ahead_since_s = None
+            return
+        now_s = clock.now_s()
+        if self._ahead_since_s is None:
+            self._ahead_since_s = now_s
+        if link.hears_store and now_s - self._ahead_since_s < AHEAD_S:
+            return
+        message = placement_pb2.EntryMessage()
+        message.changes.CopyFrom(
+            store_changes.encode_changes(
+                self._mirror, kv.Revision(link.revision)
+            )
+        )
+        link.send(message)
+        logs.log(
+            log_events.PlacerTold(
+                placer=link.placer,
+                since=link.revision,
+                revision=self._mirror.revision,
+            )
+        )
+
     def _tell_doubt(self, endpoint: ids.EndpointId) -> None:
         for running in list(self._running.values()):
             if running.placement.endpoint == endpoint and running.on_doubt:
--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -220,3 +220,17 @@
     """
 
     peer: str
+
+
+class PlacerTold(logs.Event, frozen=True, kw_only=True):
+    """The placer was told changes that the store did not tell it.
+
+    Attributes:
+        placer: The placing instance.
+        since: Revision that it knew.
+        revision: Revision that it knows now.
+    """
+
+    placer: str
+    since: int
+    revision: int
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -219,6 +219,9 @@
             case "beat":
                 self._note_beat(session, message.beat, now_s)
                 return
+            case "changes":
+                store_changes.apply_changes(self._mirror, message.changes)
+                return
             case "ask":
                 wanted = wire_codec.decode_work(message.ask, now_s)
                 key = Key(session.instance, message.ask.ask)
--- /dev/null
+++ b/scripts/measure_logging.py
@@ -0,0 +1,106 @@
+"""Measures what a request's log lines cost, against placing the request.
+
+Prints the lines of a streamed request, microseconds a line and a request, and
+the ratio to one placing decision over sixteen engines. The ratio says more
+than the times: both change with the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import time
+
+from poplarwick_bench.replay import engines
+from poplarwick_bench.replay import traffic
+from poplarwick_core import log_writer
+from poplarwick_core import logs
+from poplarwick_forwarding import log_events
+from poplarwick_placement import work
+
+ENGINES = 16
+PROMPT_TOKENS = 5_000
+
+
+def main() -> int:
+    """Runs the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=2_000)
+    requests = parser.parse_args().requests
+    lines = _make_lines()
+    request_us = _measure_logging(lines, requests)
+    placing_us = _measure_placing(requests)
+    print(f"lines a request   {len(lines)}")
+    print(f"us a line         {request_us / len(lines):.1f}")
+    print(f"us a request      {request_us:.1f}")
+    print(f"over one decision {request_us / placing_us:.2f}")
+    return 0
+
+
+def _make_lines() -> list[logs.Event]:
+    request = "9c41d07be2a35f68"
+    return [
+        log_events.RequestReceived(
+            request=request,
+            route="r-2yhvz3p",
+            service="huvo11a",
+            version=7,
+            priority=1,
+            prompt_tokens=PROMPT_TOKENS,
+            time_left_s=10.0,
+        ),
+        log_events.RequestPlaced(
+            request=request,
+            endpoint="i-7f3a91c2",
+            address="10.1.64.30:8080",
+            expected_first_s=0.087654,
+            reason="packed running=5/8 backlog_s=0.000 pace=1.00 loss=0",
+            placer="front-eu-central-a-2",
+            waited_s=0.00312,
+            send=1,
+        ),
+        log_events.RequestEnded(
+            request=request,
+            outcome="streamed",
+            route="r-2yhvz3p",
+            first_s=0.123456,
+            total_s=1.98765,
+            bytes=2_470,
+        ),
+    ]
+
+
+def _measure_logging(lines: list[logs.Event], requests: int) -> float:
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    writer = log_writer.LineWriter(descriptor)
+    logs.configure_logs(writer=writer, instance="front-eu-central-a-1")
+    began_s = time.process_time()
+    for _ in range(requests):
+        for line in lines:
+            logs.log(line)
+    took_s = time.process_time() - began_s
+    writer.close()
+    os.close(descriptor)
+    return took_s / requests * 1e6
+
+
+def _measure_placing(requests: int) -> float:
+    desk = engines.make_desk(seed=1)
+    engines.World(desk, ENGINES)
+    began_s = time.process_time()
+    for number in range(requests):
+        now_s = number * 0.05
+        wanted = traffic.make_work(
+            traffic.LABEL, now_s, PROMPT_TOKENS, 38, f"r{number}"
+        )
+        desk.ask(number, wanted, now_s)
+        desk.decide(now_s)
+        desk.note_first(number, now_s + 0.1)
+        if number >= ENGINES:
+            desk.note_end(number - ENGINES, work.Result.DONE, now_s)
+    return (time.process_time() - began_s) / requests * 1e6
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
 
 import world as worlds
 
 from poplarwick_adapter import keys
+from poplarwick_bench import proxy
 from poplarwick_coordination import following
 from poplarwick_coordination import links
 from poplarwick_coordination import store_changes
+from poplarwick_coordination import tenure
 from poplarwick_standins import platform_replica
 
 WHOLE = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6))
@@ -54,6 +57,45 @@
     play(tmp_path, scenario, instances=3)
 
 
+def test_a_placer_that_the_store_refuses_hears_changes_from_others(
+    tmp_path, monkeypatch
+):
+    # The placer keeps its tenure all through the test.
+    monkeypatch.setattr(tenure, "LEASE_TTL_S", 60.0)
+
+    async def scenario(world):
+        async with contextlib.AsyncExitStack() as stack:
+            links_to_store = []
+            for number in range(3):
+                link = await stack.enter_async_context(
+                    proxy.Proxy(world.store.address)
+                )
+                links_to_store.append(link)
+                instance = worlds.Instance(
+                    f"front-{number}", link.address, tmp_path
+                )
+                world.instances.append(instance)
+                stack.push_async_callback(instance.end)
+            await world.wait_ready()
+            await wait_for_links(world, world.instances)
+            placer = find_placer(world)
+            link = links_to_store[world.instances.index(placer)]
+            link.apply(proxy.Rules(refuses=True))
+            link.reset()
+            await worlds.eventually(lambda: placer.part.feed.is_away)
+            leaving = world.replicas[0]
+            await world.store.put(
+                f"servers/{leaving.name}", leaving.make_entry("draining")
+            )
+            known = placer.part.catalogue.endpoints
+            await worlds.eventually(
+                lambda: known[leaving.name].endpoint.state.value == "draining"
+            )
+            assert find_placer(world) is placer
+
+    play(tmp_path, scenario, instances=0)
+
+
 def test_another_instance_places_after_the_placer_was_killed(tmp_path):
     async def scenario(world):
         await wait_for_links(world, world.instances)
