--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -262,7 +262,7 @@
             raise
         except ConnectionError as error:
             _log_end(asked, "caller_left", sink, reason=repr(error))
-            raise
+            return _drop(request, sink)
         match ending:
             case answers.WholeAnswer(status, passed, body):
                 _log_end(asked, "answered", sink, status=status)
@@ -273,11 +273,8 @@
                 return sink.response
             case answers.StreamCut(reason):
                 _log_end(asked, "cut", sink, reason=reason)
-                assert sink.response is not None
                 # Without its last chunk the answer cannot pass for whole.
-                if request.transport is not None:
-                    request.transport.abort()
-                return sink.response
+                return _drop(request, sink)
             case answers.OwnAnswer(failure, reason, retry_after_s):
                 _log_end(
                     asked, "failed", sink, status=failure.value, reason=reason
@@ -355,6 +352,14 @@
         await self.response.write_eof()
 
 
+def _drop(request: web.BaseRequest, sink: _ResponseSink) -> web.StreamResponse:
+    """Closes a caller's connection without the rest of its answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    # Nothing of the answer below reaches the caller.
+    return sink.response or web.Response(status=answers.Failure.BROKEN.value)
+
+
 def _choose_body_s(call: dialect.Call) -> float:
     """Returns how long a body may take: the time that its caller waits."""
     return call.time_left_s or BODY_MAX_S
--- a/tests/adapter/test_forwarding.py
+++ b/tests/adapter/test_forwarding.py
@@ -8,6 +8,7 @@
 import pytest
 import world as worlds
 
+from poplarwick_forwarding import front
 from poplarwick_standins import platform_replica
 
 Fault = platform_replica.Fault
@@ -327,6 +328,26 @@
     play(tmp_path, scenario)
 
 
+def test_a_connection_lost_while_an_event_is_written_is_no_error(
+    tmp_path, monkeypatch, caplog
+):
+    async def lose(sink, data):
+        raise ConnectionResetError("the caller has gone")
+
+    monkeypatch.setattr(front._ResponseSink, "write", lose)
+
+    async def scenario(world):
+        with pytest.raises(aiohttp.ClientError):
+            async with world.call("/label/", tokens=5_000) as answer:
+                await answer.read()
+        await worlds.eventually(
+            lambda: world.instances[0].part.front.in_progress == 0
+        )
+
+    play(tmp_path, scenario)
+    assert not [r for r in caplog.records if r.levelname == "ERROR"]
+
+
 def test_a_body_that_does_not_arrive_is_answered_when_its_time_is_over(
     tmp_path,
 ):
