Outlive a settings signal during the start

On the platform a settings file may change at any moment, and imports take half a second. Change: the launcher and the daemon ignore the signal until they handle it; the file is read after that.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -12,6 +13,9 @@
 
 def main() -> int:
     """Puts the checkout's packages on the path and runs the daemon."""
+    # Until the daemon handles it, a changed settings file would end the
+    # process: imports take half a second. The file is read after them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.path[:0] = [str(path) for path in sorted(ROOT.glob("packages/*"))]
     sys.path.insert(0, str(ROOT / "platform"))
     from poplarwick_node import main as node
--- a/packages/node/poplarwick_node/main.py
+++ b/packages/node/poplarwick_node/main.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import pathlib
+import signal
 import sys
 
 from poplarwick_core import cli
@@ -15,6 +16,9 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Runs an instance until it is told to stop."""
+    # The signal ends a process that does not handle it yet; the settings are
+    # read later anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = cli.make_parser(
         "poplarwick-node", "Runs one instance of the serving layer."
     )
