Tell the longest pause of a stream in its ending and as a metric

Cause: a stream whose first event was in time and that was late by a pause could not be told from one on time, neither by log nor by metrics.

--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -322,7 +322,9 @@
         self.has_begun = False
         self.response: web.StreamResponse | None = None
         self.first_at_s: float | None = None
+        self.longest_pause_s = 0.0
         self.events_bytes = 0
+        self._last_at_s: float | None = None
         self._request = request
         self._is_leaving = is_leaving
 
@@ -341,8 +343,13 @@
     async def write(self, data: bytes) -> None:
         """Sends whole events."""
         assert self.response is not None, "the answer has not begun"
-        if self.first_at_s is None:
-            self.first_at_s = clock.now_s()
+        now_s = clock.now_s()
+        if self._last_at_s is None:
+            self.first_at_s = now_s
+        else:
+            pause_s = now_s - self._last_at_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_at_s = now_s
         self.events_bytes += len(data)
         await self.response.write(data)
 
@@ -408,12 +415,14 @@
     measures.total_s.record(total_s, labels)
     if first_s is not None:
         measures.first_s.record(first_s, labels)
+        measures.pause_s.record(sink.longest_pause_s, labels)
     logs.log(
         log_events.RequestEnded(
             request=asked.call.request,
             outcome=outcome,
             route=asked.route.name,
             first_s=first_s,
+            pause_s=sink.longest_pause_s or None,
             total_s=total_s,
             bytes=sink.events_bytes or None,
             **fields,
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -185,6 +185,7 @@
         status: Status of the answer.
         reason: Why it failed.
         first_s: Time to the first event.
+        pause_s: Longest pause between events.
         total_s: Time to the ending.
         bytes: Bytes of a stream.
     """
@@ -195,5 +196,6 @@
     status: int | None = None
     reason: str | None = None
     first_s: float | None = None
+    pause_s: float | None = None
     total_s: float
     bytes: int | None = None
--- a/packages/forwarding/poplarwick_forwarding/measures.py
+++ b/packages/forwarding/poplarwick_forwarding/measures.py
@@ -24,6 +24,10 @@
 first_s = metrics.make_histogram(
     "first_event_seconds", "Time to the first event, by route and size class."
 )
+pause_s = metrics.make_histogram(
+    "stream_pause_seconds",
+    "Longest pause of each stream, by route and size class.",
+)
 total_s = metrics.make_histogram(
     "request_seconds", "Time to the ending, by route and size class."
 )
--- a/tests/adapter/test_explaining.py
+++ b/tests/adapter/test_explaining.py
@@ -92,6 +92,25 @@
     assert told in story.cause
 
 
+def test_the_ending_tells_the_longest_pause_of_a_stream(tmp_path, lines):
+    pause_s = 0.2
+
+    async def scenario():
+        async with worlds.running(tmp_path) as world:
+            for replica in world.replicas:
+                replica.event_s = pause_s
+            return await send(world, "/label/", tokens=5_000)
+
+    name = asyncio.run(scenario())
+    (ending,) = [
+        line
+        for line in lines.kept
+        if f"request={name} " in line and "event=request_ended" in line
+    ]
+    told_s = float(ending.split("pause_s=")[1].split()[0])
+    assert told_s >= pause_s / 2
+
+
 def test_a_killed_instance_leaves_no_ending(tmp_path, lines):
     async def scenario():
         async with worlds.running(tmp_path) as world:
