Trust an endpoint that goes down and up more slowly each time

Cause: one request that ended well wiped an endpoint's failures, so one that flaps every few seconds was paused half a second each time. Change: failures are forgotten after ten seconds without one.

--- a/packages/placement/poplarwick_placement/trust.py
+++ b/packages/placement/poplarwick_placement/trust.py
@@ -19,6 +19,11 @@
 LONGEST_PAUSE_S = 4.0
 """Longest pause, about as long as an endpoint takes to come back."""
 
+FORGIVE_AFTER_S = 10.0
+"""Time without a failure after which earlier ones are forgotten; over twice the
+longest pause, so that an endpoint that goes down and up by turns is trusted
+more slowly each time."""
+
 FULL_PAUSE_MAX_S = 1.0
 """Longest such pause; an endpoint that refuses everything is asked once a
 second."""
@@ -50,7 +55,8 @@
 
     Attributes:
         paused_until_s: Time before which it gets no new request.
-        strikes: Failures since the last request that ended well.
+        strikes: Failures that are not forgotten.
+        failed_at_s: When the last one was.
         on_probation: Whether it gets one request at a time.
         refusals: Refusals for lack of room in a row.
         missed_reports: Reports in a row that were not answered.
@@ -62,6 +68,7 @@
 
     paused_until_s: float = 0.0
     strikes: int = 0
+    failed_at_s: float = 0.0
     on_probation: bool = False
     refusals: int = 0
     missed_reports: int = 0
@@ -83,6 +90,9 @@
         elif result is work.Result.MISDIRECTED:
             self.is_replaced = True
         elif result in FAILURES:
+            if now_s - self.failed_at_s > FORGIVE_AFTER_S:
+                self.strikes = 0
+            self.failed_at_s = now_s
             pause_s = min(FIRST_PAUSE_S * 2**self.strikes, LONGEST_PAUSE_S)
             self.strikes += 1
             self.on_probation = True
@@ -90,7 +100,6 @@
         elif result in (work.Result.DONE, work.Result.FAILED):
             failed = result is work.Result.FAILED
             self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
-            self.strikes = 0
             self.refusals = 0
             self.on_probation = False
             self.good_at_s = now_s
