Replay soak regressions at their own length; example deployments for tests

Three tests wrote the same bounds and places; they share examples.py now. The soak's driver treats links to the store and to endpoints alike.

--- a/packages/bench/poplarwick_bench/main.py
+++ b/packages/bench/poplarwick_bench/main.py
@@ -197,6 +197,12 @@
     parser.add_argument(
         "--minutes", type=float, default=1.0, help="length of each load"
     )
+    parser.add_argument(
+        "--regressions",
+        metavar="FILE",
+        type=pathlib.Path,
+        help="play the seeds of this file, each with its own length",
+    )
     parser.add_argument(
         "--planned", action="store_true", help="only planned work"
     )
@@ -216,10 +222,10 @@
 
 async def _run_soak(parsed: argparse.Namespace) -> int:
     holds = True
-    for seed in range(parsed.seed, parsed.seed + parsed.seeds):
+    for seed, seconds in _choose_soaks(parsed):
         options = soak.Options(
             seed=seed,
-            duration_s=parsed.minutes * 60,
+            duration_s=seconds,
             is_timed=not parsed.untimed,
             planned_only=parsed.planned,
             keep=parsed.keep and parsed.keep / str(seed),
@@ -231,6 +237,15 @@
     return cli.ExitCode.OK if holds else cli.ExitCode.FAILURE
 
 
+def _choose_soaks(parsed: argparse.Namespace) -> list[tuple[int, float]]:
+    """Returns seeds and lengths of load in seconds."""
+    if parsed.regressions is None:
+        seeds = range(parsed.seed, parsed.seed + parsed.seeds)
+        return [(seed, parsed.minutes * 60) for seed in seeds]
+    found = jsonc.read_file(parsed.regressions, soak.Regressions)
+    return [(entry.seed, entry.seconds) for entry in found.seeds]
+
+
 async def _write_report(parsed: argparse.Namespace) -> int:
     report.write_report(parsed.results, parsed.output)
     print(parsed.output)
--- a/packages/bench/poplarwick_bench/soak/driver.py
+++ b/packages/bench/poplarwick_bench/soak/driver.py
@@ -29,6 +29,26 @@
 JITTER_S = 0.05
 """Time added to each piece on a slow link."""
 
+LINK_RULES = {
+    schedule.Kind.STORE_REFUSES_ONE: proxy.Rules(refuses=True),
+    schedule.Kind.STORE_SILENT_TO_ONE: proxy.Rules(is_stalled=True),
+    schedule.Kind.STORE_UNHEARD_BY_ONE: proxy.Rules(
+        loses=frozenset({proxy.Direction.ANSWER})
+    ),
+    schedule.Kind.LINK_DELAY: proxy.Rules(delay_s=DELAY_S, jitter_s=JITTER_S),
+    schedule.Kind.LINK_RESET: proxy.Rules(),
+    schedule.Kind.LINK_STALL: proxy.Rules(is_stalled=True),
+    schedule.Kind.LINK_ONE_WAY: proxy.Rules(
+        loses=frozenset({proxy.Direction.ANSWER})
+    ),
+}
+"""What a link does while a fault lasts."""
+
+RESETTING = frozenset(
+    {schedule.Kind.STORE_REFUSES_ONE, schedule.Kind.LINK_RESET}
+)
+"""Faults that begin with a reset of all connections of a link."""
+
 SPOILT = (
     platform_replica.Fault.CUT_INSIDE_EVENT,
     platform_replica.Fault.CUT_BEFORE_END,
@@ -219,20 +239,24 @@
 
     async def _cut_from_store(self, fault: schedule.Fault) -> None:
         instance = self._choose_instance(fault)
-        noted = self._interrupt(instance.name)
-        link = instance.to_store
-        match fault.kind:
-            case schedule.Kind.STORE_REFUSES_ONE:
-                link.apply(proxy.Rules(refuses=True))
-                link.reset()
-            case schedule.Kind.STORE_SILENT_TO_ONE:
-                link.apply(proxy.Rules(is_stalled=True))
-            case _:
-                lost = frozenset({proxy.Direction.ANSWER})
-                link.apply(proxy.Rules(loses=lost))
+        await self._spoil_link(instance.to_store, instance.name, fault)
+
+    async def _harm_link(self, fault: schedule.Fault) -> None:
+        endpoint = self._choose_endpoint(fault)
+        await self._spoil_link(endpoint.link, endpoint.replica.name, fault)
+
+    async def _spoil_link(
+        self, link: proxy.Proxy, target: str, fault: schedule.Fault
+    ) -> None:
+        rules = LINK_RULES[fault.kind]
+        noted = self._interrupt(target)
+        link.apply(rules)
+        if fault.kind in RESETTING:
+            link.reset()
         await asyncio.sleep(fault.lasts_s)
         link.apply(proxy.Rules())
-        if fault.kind is schedule.Kind.STORE_UNHEARD_BY_ONE:
+        if rules.loses:
+            # Bytes were lost, so what is left of a connection is worthless.
             link.reset()
         noted.ends_at_s = time.monotonic()
 
@@ -265,27 +289,6 @@
         replica.plan = []
         noted.ends_at_s = time.monotonic()
 
-    async def _harm_link(self, fault: schedule.Fault) -> None:
-        endpoint = self._choose_endpoint(fault)
-        noted = self._interrupt(endpoint.replica.name)
-        link = endpoint.link
-        match fault.kind:
-            case schedule.Kind.LINK_DELAY:
-                link.apply(proxy.Rules(delay_s=DELAY_S, jitter_s=JITTER_S))
-            case schedule.Kind.LINK_STALL:
-                link.apply(proxy.Rules(is_stalled=True))
-            case schedule.Kind.LINK_ONE_WAY:
-                lost = frozenset({proxy.Direction.ANSWER})
-                link.apply(proxy.Rules(loses=lost))
-            case _:
-                link.reset()
-        await asyncio.sleep(fault.lasts_s)
-        link.apply(proxy.Rules())
-        if fault.kind is schedule.Kind.LINK_ONE_WAY:
-            # Bytes were lost, so what is left of a connection is worthless.
-            link.reset()
-        noted.ends_at_s = time.monotonic()
-
     async def _take_away_endpoint(self, fault: schedule.Fault) -> None:
         endpoint = self._choose_endpoint(fault)
         if not endpoint.is_up or endpoint.entry_state != "ready":
--- a/packages/bench/poplarwick_bench/soak/run.py
+++ b/packages/bench/poplarwick_bench/soak/run.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 
+import msgspec
+
 from poplarwick_bench.soak import callers
 from poplarwick_bench.soak import checks
 from poplarwick_bench.soak import driver
@@ -66,6 +68,28 @@
     folder: pathlib.Path | None
 
 
+class Regression(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A seed that found something.
+
+    Attributes:
+        seed: The seed.
+        seconds: Length of the load.
+        check: Check that found it.
+        cause: What the cause was.
+    """
+
+    seed: int
+    seconds: float
+    check: str
+    cause: str
+
+
+class Regressions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Content of a file of regressions."""
+
+    seeds: list[Regression]
+
+
 async def run(options: Options) -> Result:
     """Runs a soak."""
     record = records.Record()
--- a/packages/bench/tests/test_soak_run.py
+++ b/packages/bench/tests/test_soak_run.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import pathlib
 
 import pytest
 
 from poplarwick_bench.soak import fleet
 from poplarwick_bench.soak import run as soak
+from poplarwick_core import jsonc
 
 ROOT = pathlib.Path(__file__).parents[3]
 SECONDS = 12.0
@@ -28,8 +28,10 @@
 
 
 def read_regressions():
-    found = json.loads((ROOT / "soak" / "regressions.json").read_text())
-    return [entry["seed"] for entry in found["seeds"]]
+    path = ROOT / "soak" / "regressions.json"
+    return [
+        entry.seed for entry in jsonc.read_file(path, soak.Regressions).seeds
+    ]
 
 
 @pytest.mark.parametrize("seed", [1, *read_regressions()])
--- a/packages/coordination/tests/test_candidates.py
+++ b/packages/coordination/tests/test_candidates.py
@@ -4,24 +4,15 @@
 
 import pytest
 
+from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
-from poplarwick_catalogue import deployment
 from poplarwick_catalogue import routing
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
 from poplarwick_core import ids
 from poplarwick_platform import mirror
 
-BOUNDS = deployment.Bounds(
-    grace_s=8.0,
-    repeat_ratio=0.2,
-    repeat_window_s=10.0,
-    repeat_extra=100.0,
-    cold_factor=1.5,
-    cold_slack=5.0,
-    hold_max_s=20.0,
-    free_s=4.0,
-)
+BOUNDS = examples.BOUNDS
 
 
 def take_all(budget, now_s=0.0):
@@ -51,16 +42,7 @@
     budget = candidates.make_budget(
         lambda: bounds[0], candidates.Scope.INSTANCE, lambda: 1, now_s=0.0
     )
-    bounds[0] = deployment.Bounds(
-        grace_s=8.0,
-        repeat_ratio=0.0,
-        repeat_window_s=10.0,
-        repeat_extra=0.0,
-        cold_factor=1.5,
-        cold_slack=5.0,
-        hold_max_s=20.0,
-        free_s=4.0,
-    )
+    bounds[0] = examples.make_bounds(repeat_ratio=0.0, repeat_extra=0.0)
     assert take_all(budget) == 0
 
 
@@ -82,23 +64,6 @@
 POOL = ids.ServiceId("pool")
 
 
-def make_place(name):
-    return deployment.Deployment(
-        instance=ids.InstanceId(name),
-        domain=ids.DomainId("a"),
-        region=ids.RegionId("r"),
-        regions_by_domain={},
-        caller_address="127.0.0.1:1",
-        readiness_address="127.0.0.1:2",
-        peer_address="127.0.0.1:3",
-        metrics_address="127.0.0.1:4",
-        store_address="127.0.0.1:5",
-        lease_ttl_min_s=1.0,
-        strength=1.0,
-        bounds=BOUNDS,
-    )
-
-
 def make_known(instances, cold_per_s, endpoints=5):
     known = catalogue.Catalogue(mirror.Mirror(), lambda *_: None)
     service = types.Service(
@@ -138,11 +103,11 @@
 ):
     known = make_known(instances, cold_per_s)
     fleet = candidates.make_candidates(
-        known, make_place("front-0"), candidates.Scope.FLEET
+        known, examples.make_deployment("front-0"), candidates.Scope.FLEET
     )
     alone = [
         candidates.make_candidates(
-            known, make_place(name), candidates.Scope.INSTANCE
+            known, examples.make_deployment(name), candidates.Scope.INSTANCE
         )
         for name in known.members
     ]
@@ -157,6 +122,6 @@
     known = make_known(8, 2.0, endpoints=40)
     for name in known.members:
         own = candidates.make_candidates(
-            known, make_place(name), candidates.Scope.INSTANCE
+            known, examples.make_deployment(name), candidates.Scope.INSTANCE
         )
         assert any(candidate.cold_limit >= 1 for candidate in own)
--- a/packages/forwarding/tests/test_reservations.py
+++ b/packages/forwarding/tests/test_reservations.py
@@ -3,26 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 import pytest
 
-from poplarwick_catalogue import deployment
+from poplarwick_bench import examples
 from poplarwick_core import ids
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import reservations
 from poplarwick_placement import work
 
-BOUNDS = deployment.Bounds(
-    grace_s=8.0,
-    repeat_ratio=0.2,
-    repeat_window_s=10.0,
-    repeat_extra=100.0,
-    cold_factor=1.5,
-    cold_slack=5.0,
-    hold_max_s=20.0,
-    free_s=4.0,
-)
 HELPERS = tuple(
     work.Helper(ids.EndpointId(f"e{n}"), f"127.0.0.1:{n}", 1_024)
     for n in range(3)
@@ -54,7 +43,7 @@
     free_s, hold_max_s
 ):
     orders = Orders()
-    bounds = dataclasses.replace(BOUNDS, free_s=free_s, hold_max_s=hold_max_s)
+    bounds = examples.make_bounds(free_s=free_s, hold_max_s=hold_max_s)
     holder = reservations.Reservations(orders, lambda: bounds)
 
     async def hold():
@@ -69,7 +58,7 @@
 
 def test_memory_is_held_at_all_engines_or_at_none():
     orders = Orders(refuses={"127.0.0.1:1"})
-    holder = reservations.Reservations(orders, lambda: BOUNDS)
+    holder = reservations.Reservations(orders, lambda: examples.BOUNDS)
 
     async def hold():
         with pytest.raises(dialect.ReservationError):
@@ -83,7 +72,7 @@
 
 def test_memory_is_renewed_while_it_is_used_and_returned_after():
     orders = Orders()
-    bounds = dataclasses.replace(BOUNDS, free_s=0.08)
+    bounds = examples.make_bounds(free_s=0.08)
     holder = reservations.Reservations(orders, lambda: bounds)
 
     async def hold():
--- a/packages/node/tests/test_settings_follower.py
+++ b/packages/node/tests/test_settings_follower.py
@@ -3,44 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 import pytest
 
-from poplarwick_catalogue import deployment
+from poplarwick_bench import examples
 from poplarwick_core import errors
-from poplarwick_core import ids
 from poplarwick_node import log_events
 from poplarwick_node import settings_follower
 
-BOUNDS = deployment.Bounds(
-    grace_s=8.0,
-    repeat_ratio=0.2,
-    repeat_window_s=10.0,
-    repeat_extra=100.0,
-    cold_factor=1.5,
-    cold_slack=5.0,
-    hold_max_s=20.0,
-    free_s=4.0,
-)
-
-
-def make_place(**changes):
-    place = deployment.Deployment(
-        instance=ids.InstanceId("one"),
-        domain=ids.DomainId("a"),
-        region=ids.RegionId("r"),
-        regions_by_domain={},
-        caller_address="127.0.0.1:1",
-        readiness_address="127.0.0.1:2",
-        peer_address="127.0.0.1:3",
-        metrics_address="127.0.0.1:4",
-        store_address="127.0.0.1:5",
-        lease_ttl_min_s=1.0,
-        strength=1.0,
-        bounds=BOUNDS,
-    )
-    return dataclasses.replace(place, **changes)
+make_place = examples.make_deployment
 
 
 class File:
@@ -80,7 +51,7 @@
 
 
 def test_changed_bounds_are_in_force_at_once(follower, file, events, refreshes):
-    changed = dataclasses.replace(BOUNDS, cold_slack=1.0, free_s=2.0)
+    changed = examples.make_bounds(cold_slack=1.0, free_s=2.0)
     file.content = make_place(bounds=changed)
     follower.reload()
     assert follower._place.bounds == changed
@@ -103,7 +74,7 @@
     file.content = errors.DocumentError("s.json", "$.bounds", "missing")
     follower.reload()
     follower.reload()
-    assert follower._place.bounds == BOUNDS
+    assert follower._place.bounds == examples.BOUNDS
     assert [type(e) for e in events] == [log_events.SettingsNotRead]
 
 
@@ -132,7 +103,7 @@
     follower, file, monkeypatch
 ):
     monkeypatch.setattr(settings_follower, "POLL_S", 60.0)
-    changed = dataclasses.replace(BOUNDS, grace_s=4.0)
+    changed = examples.make_bounds(grace_s=4.0)
     asyncio.run(_run_until_applied(follower, file, changed))
 
 
@@ -141,5 +112,5 @@
 ):
     monkeypatch.setattr(settings_follower, "POLL_S", 0.02)
     monkeypatch.setattr(follower, "note_signal", lambda: None)
-    changed = dataclasses.replace(BOUNDS, grace_s=4.0)
+    changed = examples.make_bounds(grace_s=4.0)
     asyncio.run(_run_until_applied(follower, file, changed))
