--- a/packages/bench/poplarwick_bench/soak/driver.py
+++ b/packages/bench/poplarwick_bench/soak/driver.py
@@ -6,7 +6,10 @@
 import itertools
 import math
 import time
+from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
+from typing import Any
 
 import aiohttp
 
@@ -84,6 +87,37 @@
         self._record = system.record
         self._numbers = itertools.count(1)
         self._stopping = asyncio.Lock()
+        kind = schedule.Kind
+        self._actions: dict[
+            schedule.Kind,
+            Callable[[schedule.Fault], Coroutine[Any, Any, None]],
+        ] = {
+            kind.INSTANCE_KILL: self._kill_one,
+            kind.ALL_KILL: self._kill_all,
+            kind.INSTANCE_PAUSE: self._pause,
+            kind.INSTANCE_STOP: self._stop,
+            kind.SETTINGS_CHANGE: self._change_settings,
+            kind.STORE_DOWN: self._harm_store,
+            kind.STORE_SLOW: self._harm_store,
+            kind.STORE_LOSES_ANSWERS: self._harm_store,
+            kind.STORE_ACTS_LATE: self._harm_store,
+            kind.STORE_FORGETS: self._harm_store,
+            kind.STORE_REFUSES_ONE: self._cut_from_store,
+            kind.STORE_SILENT_TO_ONE: self._cut_from_store,
+            kind.STORE_UNHEARD_BY_ONE: self._cut_from_store,
+            kind.ENDPOINT_CRASH: self._crash_endpoint,
+            kind.ENDPOINT_SILENT: self._spoil_endpoint,
+            kind.ENDPOINT_SPOILS: self._spoil_endpoint,
+            kind.ENDPOINT_COLD: self._turn_cold,
+            kind.LINK_DELAY: self._harm_link,
+            kind.LINK_RESET: self._harm_link,
+            kind.LINK_STALL: self._harm_link,
+            kind.LINK_ONE_WAY: self._harm_link,
+            kind.ENDPOINT_LEAVES: self._take_away_endpoint,
+            kind.DOMAIN_OUT: self._take_out_domain,
+            kind.CONFIGURATION_CHANGE: self._change_routes,
+            kind.KEY_TAKEN_AWAY: self._change_keys,
+        }
 
     async def run(self, faults: Sequence[schedule.Fault]) -> None:
         """Brings all faults about at their times; returns after the last."""
@@ -93,57 +127,7 @@
 
     async def _bring_about(self, fault: schedule.Fault) -> None:
         await asyncio.sleep(fault.at_s)
-        kind = schedule.Kind
-        match fault.kind:
-            case kind.INSTANCE_KILL:
-                await self._kill([self._choose_instance(fault)])
-            case kind.ALL_KILL:
-                self._record.killed_all_at_s = time.monotonic()
-                await self._kill(self._system.instances)
-            case kind.INSTANCE_PAUSE:
-                await self._pause(fault)
-            case kind.INSTANCE_STOP:
-                await self._stop(fault)
-            case kind.SETTINGS_CHANGE:
-                await self._change_settings(fault)
-            case (
-                kind.STORE_DOWN
-                | kind.STORE_SLOW
-                | kind.STORE_LOSES_ANSWERS
-                | kind.STORE_ACTS_LATE
-                | kind.STORE_FORGETS
-            ):
-                await self._harm_store(fault)
-            case (
-                kind.STORE_REFUSES_ONE
-                | kind.STORE_SILENT_TO_ONE
-                | kind.STORE_UNHEARD_BY_ONE
-            ):
-                await self._cut_from_store(fault)
-            case kind.ENDPOINT_CRASH:
-                await self._crash_endpoint(fault)
-            case kind.ENDPOINT_SILENT | kind.ENDPOINT_SPOILS:
-                await self._spoil_endpoint(fault)
-            case kind.ENDPOINT_COLD:
-                endpoint = self._choose_endpoint(fault)
-                if endpoint.is_up:
-                    self._system.turn_cold(endpoint)
-                    await self._system.write_entry(endpoint)
-            case (
-                kind.LINK_DELAY
-                | kind.LINK_RESET
-                | kind.LINK_STALL
-                | kind.LINK_ONE_WAY
-            ):
-                await self._harm_link(fault)
-            case kind.ENDPOINT_LEAVES:
-                await self._take_away_endpoint(fault)
-            case kind.DOMAIN_OUT:
-                await self._take_out_domain(fault)
-            case kind.CONFIGURATION_CHANGE:
-                await self._change_routes(fault)
-            case kind.KEY_TAKEN_AWAY:
-                await self._change_keys(fault)
+        await self._actions[fault.kind](fault)
 
     def _choose_instance(self, fault: schedule.Fault) -> fleet.Instance:
         instances = self._system.instances
@@ -162,6 +146,14 @@
         self._record.interruptions.append(noted)
         return noted
 
+    async def _kill_one(self, fault: schedule.Fault) -> None:
+        await self._kill([self._choose_instance(fault)])
+
+    async def _kill_all(self, fault: schedule.Fault) -> None:
+        del fault
+        self._record.killed_all_at_s = time.monotonic()
+        await self._kill(self._system.instances)
+
     async def _kill(self, instances: Sequence[fleet.Instance]) -> None:
         hit = [i for i in instances if i.is_meant_to_run]
         noted = [self._interrupt(instance.name) for instance in hit]
@@ -275,6 +267,12 @@
         await self._system.start_replica(endpoint)
         noted.ends_at_s = time.monotonic()
 
+    async def _turn_cold(self, fault: schedule.Fault) -> None:
+        endpoint = self._choose_endpoint(fault)
+        if endpoint.is_up:
+            self._system.turn_cold(endpoint)
+            await self._system.write_entry(endpoint)
+
     async def _spoil_endpoint(self, fault: schedule.Fault) -> None:
         endpoint = self._choose_endpoint(fault)
         replica = endpoint.replica
--- a/packages/bench/tests/test_soak_checks.py
+++ b/packages/bench/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 
 from poplarwick_bench.soak import callers
 from poplarwick_bench.soak import checks
+from poplarwick_bench.soak import driver
 from poplarwick_bench.soak import fleet
 from poplarwick_bench.soak import records
 from poplarwick_bench.soak import schedule
@@ -254,6 +255,11 @@
     assert {fault.kind for fault in first} == set(schedule.Kind)
 
 
+def test_every_kind_of_fault_is_brought_about_by_the_driver(tmp_path):
+    system = fleet.Fleet(tmp_path, records.Record())
+    assert set(driver.Driver(system)._actions) == set(schedule.Kind)
+
+
 def test_a_planned_schedule_has_nothing_that_excuses_a_cut():
     faults = schedule.draw_schedule(1, 120.0, planned_only=True)
     assert faults and all(fault.kind.is_planned for fault in faults)
