Keep one list of hop-by-hop headers

The callers' front had written again what the services of the entry had; both read core's list now. No behaviour changes; tests of both pass as they were.

--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -15,6 +15,7 @@
 from poplarwick_configuration import document
 from poplarwick_core import clock
 from poplarwick_core import errors
+from poplarwick_core import http_headers
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_endpoints import generation
@@ -37,20 +38,7 @@
 MAX_ATTEMPTS = 3
 COST_TOKENS = 1
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-_NOT_FORWARDED = _HOP_BY_HOP | {
+_NOT_FORWARDED = http_headers.HOP_BY_HOP | {
     "authorization",
     "content-length",
     "expect",
--- a/packages/forwarding/poplarwick_forwarding/headers.py
+++ b/packages/forwarding/poplarwick_forwarding/headers.py
@@ -7,20 +7,7 @@
 
 import multidict
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+from poplarwick_core import http_headers
 
 LENGTH = frozenset({"content-length", "expect"})
 """Headers that are made anew for a body that was read whole."""
@@ -39,7 +26,7 @@
         token.strip().lower()
         for token in headers.get("Connection", "").split(",")
     }
-    left_out = HOP_BY_HOP | LENGTH | named | frozenset(dropped)
+    left_out = http_headers.HOP_BY_HOP | LENGTH | named | frozenset(dropped)
     return multidict.CIMultiDict(
         (name, value)
         for name, value in headers.items()
