--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -10,9 +10,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import types
 from collections.abc import AsyncIterator
-from typing import Self
 
 import aiohttp
 import yarl
@@ -20,6 +18,7 @@
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import headers
 from poplarwick_placement import work
+from poplarwick_platform import http_session
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to connect; over a hundred times the way inside a region, and
@@ -134,7 +133,7 @@
     return None if protocol is None else protocol.closed
 
 
-class Upstream:
+class Upstream(http_session.SessionOwner):
     """Connections to endpoints while its context is open.
 
     Args:
@@ -142,33 +141,8 @@
     """
 
     def __init__(self, names: dialect.Dialect) -> None:
+        super().__init__(_make_session)
         self._names = names
-        self._session: aiohttp.ClientSession | None = None
-
-    async def __aenter__(self) -> Self:
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=(
-                "User-Agent",
-                "Accept",
-                "Accept-Encoding",
-                "Content-Type",
-            ),
-            auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
-            read_bufsize=READ_BYTES,
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        if self._session is not None:
-            await self._session.close()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -195,9 +169,8 @@
     async def _open(
         self, address: str, request: Request
     ) -> aiohttp.ClientResponse:
-        assert self._session is not None, "the context is not open"
         try:
-            return await self._session.request(
+            return await self.session.request(
                 request.method,
                 yarl.URL(f"http://{address}{request.target}", encoded=True),
                 headers=request.headers,
@@ -219,3 +192,19 @@
                 work.Result.BROKEN,
                 may_have_run=True,
             ) from error
+
+
+def _make_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+        ),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+        read_bufsize=READ_BYTES,
+    )
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -1,7 +1,8 @@
-"""The HTTP session of a client of the platform."""
+"""The HTTP session of a client."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
@@ -12,15 +13,17 @@
     """Keeps an HTTP session while its context is open.
 
     Args:
-        timeout_s: Time in seconds after which a call has failed.
+        make_session: Makes the session, within the running loop.
     """
 
-    def __init__(self, timeout_s: float) -> None:
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+    def __init__(
+        self, make_session: Callable[[], aiohttp.ClientSession]
+    ) -> None:
+        self._make_session = make_session
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
-        self._session = aiohttp.ClientSession(timeout=self._timeout)
+        self._session = self._make_session()
         return self
 
     async def __aexit__(
@@ -32,3 +35,14 @@
         if self._session is not None:
             await self._session.close()
             self._session = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The session, within the context."""
+        assert self._session is not None, "the context is not open"
+        return self._session
+
+
+def make_timed_session(timeout_s: float) -> aiohttp.ClientSession:
+    """Returns a session whose calls fail after a time in seconds."""
+    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=timeout_s))
--- a/packages/platform/poplarwick_platform/instances.py
+++ b/packages/platform/poplarwick_platform/instances.py
@@ -9,7 +9,7 @@
 
 from poplarwick_core import errors
 from poplarwick_core import ids
-from poplarwick_platform import _http_session
+from poplarwick_platform import http_session
 
 READ_TIMEOUT_S = 2.0
 _HTTP_OK = 200
@@ -44,7 +44,7 @@
     state: ListedState = ListedState.LIVE
 
 
-class InstanceListClient(_http_session.SessionOwner):
+class InstanceListClient(http_session.SessionOwner):
     """Reads the list over HTTP.
 
     Args:
@@ -53,7 +53,7 @@
     """
 
     def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
-        super().__init__(timeout_s)
+        super().__init__(lambda: http_session.make_timed_session(timeout_s))
         self._url = f"http://{address}/instances"
 
     async def read(self) -> tuple[ListedInstance, ...]:
--- a/packages/platform/poplarwick_platform/weights.py
+++ b/packages/platform/poplarwick_platform/weights.py
@@ -14,7 +14,7 @@
 
 from poplarwick_core import errors
 from poplarwick_core import ids
-from poplarwick_platform import _http_session
+from poplarwick_platform import http_session
 
 READ_TIMEOUT_S = 5.0
 _HTTP_OK = 200
@@ -57,7 +57,7 @@
     size_bytes: int
 
 
-class WeightStoreClient(_http_session.SessionOwner):
+class WeightStoreClient(http_session.SessionOwner):
     """Reads limits and sizes over HTTP.
 
     Args:
@@ -66,7 +66,7 @@
     """
 
     def __init__(self, address: str, timeout_s: float = READ_TIMEOUT_S) -> None:
-        super().__init__(timeout_s)
+        super().__init__(lambda: http_session.make_timed_session(timeout_s))
         self._base = f"http://{address}"
 
     async def read_limits(self) -> WeightLimits:
