--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -256,12 +256,7 @@
         now_s: float,
     ) -> None:
         """Books a request that runs here."""
-        self._summary = None
-        self._book_read(read_s, now_s)
-        self.leads[key] = self._make_booking(
-            wanted, read_s, memory_tokens, now_s
-        )
-        self._summary = None
+        self._book(self.leads, key, wanted, read_s, memory_tokens, now_s)
 
     def book_part(
         self,
@@ -272,12 +267,7 @@
         now_s: float,
     ) -> None:
         """Books a part of a prompt that is read here for another endpoint."""
-        self._summary = None
-        self._book_read(read_s, now_s)
-        self.parts[key] = self._make_booking(
-            wanted, read_s, memory_tokens, now_s
-        )
-        self._summary = None
+        self._book(self.parts, key, wanted, read_s, memory_tokens, now_s)
 
     def note_answer(self, key: Hashable, now_s: float) -> None:
         """Learns the time of a plain service's answer."""
@@ -338,17 +328,21 @@
             unread=tuple(b for b in leads if b.first_at_s is None),
         )
 
-    def _make_booking(
+    def _book(
         self,
+        bookings: dict[Hashable, Booking],
+        key: Hashable,
         wanted: work.Work,
         read_s: float,
         memory_tokens: int,
         now_s: float,
-    ) -> Booking:
+    ) -> None:
+        self._book_read(read_s, now_s)
         whole_s = self.calculate_read_s(wanted.prompt_tokens, 1)
-        return Booking(
+        bookings[key] = Booking(
             wanted, read_s, whole_s, memory_tokens, now_s, self.read_until_s
         )
+        self._summary = None
 
     def _book_read(self, read_s: float, now_s: float) -> None:
         if self.leads:
