Read the settings once at the start; flatten a refusal

The daemon read and decoded the file to know its name, then the instance read it again. An early return in the front only repeated the last line.

--- a/packages/forwarding/poplarwick_forwarding/front.py
+++ b/packages/forwarding/poplarwick_forwarding/front.py
@@ -294,9 +294,8 @@
             )
         )
         response = self._make_own(failure, reason, STOPPED_RETRY_S)
-        if not request.can_read_body:
-            return response
-        response.force_close()
+        if request.can_read_body:
+            response.force_close()
         return response
 
     def _make_own(
--- a/packages/node/poplarwick_node/main.py
+++ b/packages/node/poplarwick_node/main.py
@@ -82,9 +82,7 @@
     writer = log_writer.LineWriter(sys.stdout.fileno())
     logs.configure_logs(writer=writer, instance=place.instance)
     try:
-        asyncio.run(platform_instance.run(read_place))
-    except errors.DocumentError as error:
-        return _report_usage(error)
+        asyncio.run(platform_instance.run(place, read_place))
     except OSError as error:
         return _report_failure(error)
     finally:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -271,16 +271,17 @@
             logs.log(log_events.HandoverUnanswered())
 
 
-async def run(read_place: Callable[[], deployment.Deployment]) -> None:
+async def run(
+    place: deployment.Deployment,
+    read_place: Callable[[], deployment.Deployment],
+) -> None:
     """Runs an instance until the process is told to stop.
 
     Args:
-        read_place: Reads the settings.
-
-    Raises:
-        errors.DocumentError: The settings cannot be read.
+        place: Where it runs.
+        read_place: Reads that again.
     """
-    instance = PlatformInstance(read_place(), read_place)
+    instance = PlatformInstance(place, read_place)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
