Let one feed keep the desks of placer and broker fresh

Both made a desk, listened to the catalogue and took its endpoints over before a decision, word by word alike; DeskFeed does it for both. The order of all instances was sorted anew for each endpoint at each change of the catalogue; it is worked out once a change now.

--- a/packages/coordination/poplarwick_coordination/broker.py
+++ b/packages/coordination/poplarwick_coordination/broker.py
@@ -5,12 +5,12 @@
 import asyncio
 import dataclasses
 import itertools
-import random
 from collections.abc import Callable
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import candidates
+from poplarwick_coordination import desk_feed
 from poplarwick_coordination import log_events
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
@@ -18,7 +18,6 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
-from poplarwick_placement import desk
 from poplarwick_placement import work
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -123,24 +122,16 @@
         self._mirror = copy
         self._place = place
         self._note_later = note_later
-        self._desk = desk.Desk(
-            packs=False,
-            draw=random.Random(),
-            make_budget=lambda: candidates.make_budget(
-                lambda: place.bounds,
-                candidates.Scope.INSTANCE,
-                lambda: self.instances,
-                clock.now_s(),
-            ),
-        )
         self._ahead_since_s: float | None = None
-        self._fresh = False
         self._numbers = itertools.count(1)
         self._asked: dict[int, _Asked] = {}
         self._running: dict[int, _Running] = {}
         self._own: set[int] = set()
         self._wake = asyncio.Event()
-        known.add_listener(self._note_catalogue)
+        self._feed = desk_feed.DeskFeed(
+            known, place, candidates.Scope.INSTANCE, self._wake.set
+        )
+        self._desk = self._feed.desk
 
     @property
     def is_behind(self) -> bool:
@@ -149,11 +140,6 @@
             self.link.revision > self._mirror.revision
         )
 
-    @property
-    def instances(self) -> int:
-        """Number of known instances, at least one."""
-        return max(len(self._catalogue.members), 1)
-
     async def run(self) -> None:
         """Decides on the requests that wait here, until cancelled."""
         while True:
@@ -378,7 +364,7 @@
     def _decide_own(self) -> None:
         if not self._own:
             return
-        self._refresh()
+        self._feed.refresh()
         for key, decision in self._desk.decide(clock.now_s()):
             assert isinstance(key, int)
             asked = self._asked.get(key)
@@ -393,7 +379,7 @@
         if by == "own":
             self._send_running(ask, running)
             return
-        self._refresh()
+        self._feed.refresh()
         self._desk.adopt(
             ask, wanted, placement.endpoint, clock.now_s(), has_begun=False
         )
@@ -415,17 +401,3 @@
     def _send(self, message: placement_pb2.EntryMessage) -> None:
         if self.link is not None:
             self.link.send(message)
-
-    def _note_catalogue(self) -> None:
-        self._fresh = False
-        self._wake.set()
-
-    def _refresh(self) -> None:
-        if self._fresh:
-            return
-        self._desk.set_candidates(
-            candidates.make_candidates(
-                self._catalogue, self._place, candidates.Scope.INSTANCE
-            )
-        )
-        self._fresh = True
--- a/packages/coordination/poplarwick_coordination/candidates.py
+++ b/packages/coordination/poplarwick_coordination/candidates.py
@@ -5,6 +5,7 @@
 import enum
 import zlib
 from collections.abc import Callable
+from typing import NamedTuple
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
@@ -35,6 +36,13 @@
     INSTANCE = "instance"
 
 
+class _Turn(NamedTuple):
+    """An instance's number in an order that all agree on, and how many."""
+
+    number: int
+    instances: int
+
+
 def make_candidates(
     known: catalogue.Catalogue,
     place: deployment.Deployment,
@@ -43,6 +51,7 @@
     """Returns all known endpoints with what bounds their use."""
     if known.routing is None:
         return []
+    turn = _find_turn(known, place)
     found = []
     for noted in known.endpoints.values():
         service = known.routing.services.get(noted.endpoint.service)
@@ -53,7 +62,7 @@
             and noted.endpoint.domain not in known.evacuated
         )
         limit = _calculate_cold_limit(
-            service, place, scope, known, noted.endpoint.id
+            service, place.bounds, scope, turn, noted.endpoint.id
         )
         found.append(
             desk.Candidate(
@@ -68,11 +77,18 @@
     return found
 
 
+def _find_turn(
+    known: catalogue.Catalogue, place: deployment.Deployment
+) -> _Turn:
+    instances = sorted({*known.members, place.instance})
+    return _Turn(instances.index(place.instance), len(instances))
+
+
 def _calculate_cold_limit(
     service: types.Service,
-    place: deployment.Deployment,
+    bounds: deployment.Bounds,
     scope: Scope,
-    known: catalogue.Catalogue,
+    turn: _Turn,
     endpoint: ids.EndpointId,
 ) -> int:
     """Returns a desk's share of the sends that a cold endpoint bears.
@@ -81,17 +97,15 @@
     endpoint's from another instance on: where there are fewer sends than
     instances, the others send nothing to it while they are alone.
     """
-    bounds = place.bounds
     whole = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
     placers = int(whole * PLACER_SHARE)
     if scope is Scope.FLEET:
         return placers
-    instances = sorted({*known.members, place.instance})
     share, rest = divmod(
-        int(whole) - OVERLAPPING_PLACERS * placers, len(instances)
+        int(whole) - OVERLAPPING_PLACERS * placers, turn.instances
     )
-    turn = instances.index(place.instance) + zlib.crc32(endpoint.encode())
-    return share + (turn % len(instances) < rest)
+    number = turn.number + zlib.crc32(endpoint.encode())
+    return share + (number % turn.instances < rest)
 
 
 def make_budget(
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
@@ -14,6 +13,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import candidates
+from poplarwick_coordination import desk_feed
 from poplarwick_coordination import links
 from poplarwick_coordination import log_events
 from poplarwick_coordination import reports
@@ -112,23 +112,15 @@
         self._mirror = copy
         self._place = place
         self._open_channel = open_channel
-        self._desk = desk.Desk(
-            packs=True,
-            draw=random.Random(),
-            make_budget=lambda: candidates.make_budget(
-                lambda: place.bounds,
-                candidates.Scope.FLEET,
-                lambda: len(known.members),
-                clock.now_s(),
-            ),
-        )
         self._sessions: dict[ids.InstanceId, Session] = {}
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._unreachable_since_s: dict[ids.InstanceId, float] = {}
         self._wake = asyncio.Event()
-        self._fresh = False
-        known.add_listener(self._note_catalogue)
+        self._feed = desk_feed.DeskFeed(
+            known, place, candidates.Scope.FLEET, self._wake.set
+        )
+        self._desk = self._feed.desk
         copy.add_listener(self._pass_on)
 
     async def run(self) -> None:
@@ -140,7 +132,7 @@
 
     def stop(self) -> None:
         """Ends all streams."""
-        self._catalogue.remove_listener(self._note_catalogue)
+        self._feed.stop()
         self._mirror.remove_listener(self._pass_on)
         for dial in self._dials.values():
             dial.cancel()
@@ -225,7 +217,7 @@
             case "ask":
                 wanted = wire_codec.decode_work(message.ask, now_s)
                 key = Key(session.instance, message.ask.ask)
-                self._refresh()
+                self._feed.refresh()
                 if not wanted.is_repeat:
                     self._desk.count_request(wanted.service, now_s)
                 self._desk.ask(key, wanted, now_s)
@@ -263,20 +255,6 @@
         for session in list(self._sessions.values()):
             session.send(message)
 
-    def _note_catalogue(self) -> None:
-        self._fresh = False
-        self._wake.set()
-
-    def _refresh(self) -> None:
-        if self._fresh:
-            return
-        self._desk.set_candidates(
-            candidates.make_candidates(
-                self._catalogue, self._place, candidates.Scope.FLEET
-            )
-        )
-        self._fresh = True
-
     async def _decide(self) -> None:
         while True:
             self._wake.clear()
@@ -292,7 +270,7 @@
                         await self._wake.wait()
 
     def _send_decisions(self) -> None:
-        self._refresh()
+        self._feed.refresh()
         for key, decision in self._desk.decide(clock.now_s()):
             assert isinstance(key, Key)
             self._send_decision(key, decision)
