Serve readiness and metrics by one small page server

Both were a server of their own with the same set-up and end. PageServer answers one path; readiness and metrics say what the answer is. An address of the metrics that is taken is logged and borne, as before, and has a test now.

--- a/packages/node/poplarwick_node/_telemetry.py
+++ b/packages/node/poplarwick_node/_telemetry.py
@@ -27,6 +27,12 @@
 
 async def show_metrics(request: web.BaseRequest) -> web.Response:
     """Answers with all metrics as text."""
+    del request
+    return make_page()
+
+
+def make_page() -> web.Response:
+    """Returns all metrics as text."""
     return web.Response(
         body=prometheus_client.generate_latest(),
         headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
--- a/packages/forwarding/poplarwick_forwarding/readiness.py
+++ b/packages/node/poplarwick_node/page_server.py
@@ -1,4 +1,4 @@
-"""Tells the balancer whether this instance takes callers."""
+"""Serves one page to operators or to the balancer."""
 
 from __future__ import annotations
 
@@ -10,22 +10,22 @@
 from aiohttp import web
 
 
-class ReadinessServer:
-    """Answers readiness checks while its context is open.
+class PageServer:
+    """Answers one path while its context is open.
 
     Args:
         address: Host and port to listen on.
-        path: Path of the check.
-        is_ready: Tells whether the instance takes callers.
+        path: The path; others are answered with 404.
+        make_page: Makes the answer.
     """
 
     def __init__(
-        self, address: str, path: str, is_ready: Callable[[], bool]
+        self, address: str, path: str, make_page: Callable[[], web.Response]
     ) -> None:
         self._path = path
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
-        self._is_ready = is_ready
+        self._make_page = make_page
         self._web: web.Server | None = None
         self._listener: asyncio.Server | None = None
 
@@ -51,4 +51,4 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self._path:
             return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
+        return self._make_page()
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -9,6 +9,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from aiohttp import web
+
 from poplarwick_adapter import dialect
 from poplarwick_adapter import entry_codec
 from poplarwick_adapter import keys
@@ -27,7 +29,6 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import front
-from poplarwick_forwarding import readiness
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import runs
 from poplarwick_forwarding import upstream
@@ -35,6 +36,7 @@
 from poplarwick_node import belief_metrics
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
+from poplarwick_node import page_server
 from poplarwick_node import settings_follower
 from poplarwick_peers import transport
 from poplarwick_platform import feed
@@ -103,7 +105,7 @@
     async def _build(self, stack: contextlib.AsyncExitStack) -> None:
         enter = stack.enter_async_context
         place = self.place
-        await enter(metrics_server.MetricsServer(place.metrics_address))
+        await enter(metrics_server.serve_metrics(place.metrics_address))
         client = await enter(store.StoreClient(place.store_address))
         self.store_client = client
         self.feed = feed.Feed(
@@ -162,8 +164,10 @@
             )
         )
         await enter(
-            readiness.ReadinessServer(
-                place.readiness_address, dialect.READY_PATH, self._is_ready
+            page_server.PageServer(
+                place.readiness_address,
+                dialect.READY_PATH,
+                lambda: web.Response(status=200 if self._is_ready() else 503),
             )
         )
         register = registration.Registration(
--- /dev/null
+++ b/packages/node/tests/test_pages.py
@@ -0,0 +1,62 @@
+"""Pages for operators and the balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from poplarwick_node import metrics_server
+from poplarwick_node import page_server
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def read(address, path):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{address}{path}") as response,
+    ):
+        return response.status, await response.text()
+
+
+@pytest.mark.parametrize(("path", "status"), [("/page", 503), ("/other", 404)])
+def test_one_path_is_answered(path, status):
+    async def run():
+        address = find_address()
+        async with page_server.PageServer(
+            address, "/page", lambda: web.Response(status=503)
+        ):
+            assert (await read(address, path))[0] == status
+
+    asyncio.run(run())
+
+
+def test_metrics_are_served_as_text():
+    async def run():
+        address = find_address()
+        async with metrics_server.serve_metrics(address):
+            status, text = await read(address, "/metrics")
+            assert status == 200
+            assert "# HELP" in text
+
+    asyncio.run(run())
+
+
+def test_an_occupied_metrics_address_does_not_keep_an_instance_from_serving():
+    async def run():
+        with socket.socket() as occupied:
+            occupied.bind(("127.0.0.1", 0))
+            occupied.listen()
+            port = occupied.getsockname()[1]
+            async with metrics_server.serve_metrics(f"127.0.0.1:{port}"):
+                pass
+
+    asyncio.run(run())
