Keep the platform's names out of the soak; open its endpoints in one way

Headers, keys and bounds of the wire stood in five places of the soak; they are in platform_calls and platform_documents of the stand-ins, which speak the platform's protocol. A start of an endpoint and its first one were opened by two copies; start_replica had a parameter that nothing passed. Interruptions tell themselves whether they overlap a span.

--- a/packages/bench/poplarwick_bench/soak/callers.py
+++ b/packages/bench/poplarwick_bench/soak/callers.py
@@ -14,6 +14,7 @@
 
 from poplarwick_bench.soak import fleet
 from poplarwick_bench.soak import records
+from poplarwick_standins import platform_calls
 
 BALANCER_PERIOD_S = 1.0
 """Period of the balancer's readiness checks."""
@@ -189,18 +190,9 @@
         Whether its connection can be used again.
     """
     record.calls.append(call)
-    headers = {
-        "Host": "front.example",
-        "Request-Id": call.request,
-        "Deadline-Ms": str(round(call.deadline_s * 1_000)),
-        "X-Api-Key": call.key,
-    }
-    if tokens is not None:
-        headers["Token-Counts"] = f"{tokens},{events}"
-        headers["Model"] = "m"
-        headers["Prompt-Prefix"] = (
-            f"ab12:40,{abs(hash(call.request)):x}:{tokens - 40}"
-        )
+    headers = platform_calls.make_headers(
+        call.request, call.key, call.deadline_s, tokens, events
+    )
     limit_s = leaves_s or call.deadline_s + GRACE_S
     try:
         async with asyncio.timeout(limit_s):
@@ -235,7 +227,7 @@
         allow_redirects=False,
     ) as response:
         call.status = response.status
-        call.signature = response.headers.get("Response-Stamp")
+        call.signature = response.headers.get(platform_calls.SIGNATURE)
         body = await response.read()
         call.outcome = records.Outcome.WHOLE
         if response.status == 200:
--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterator
 
 from poplarwick_bench.soak import records
+from poplarwick_standins import platform_calls
+from poplarwick_standins import platform_documents
 from poplarwick_standins import platform_replica
 
 SETTLE_S = 3.0
@@ -71,6 +73,9 @@
 
 MISDIRECTED = 421
 
+ORGANISATION = "one"
+"""The one organisation that calls."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
@@ -104,7 +109,9 @@
         if call.problem is not None:
             yield _make("answers", call, call.problem)
         elif call.status == 200 and call.outcome is records.Outcome.WHOLE:
-            signer = (call.signature or "").removeprefix("s-")
+            signer = (call.signature or "").removeprefix(
+                platform_calls.SIGNATURE_PREFIX
+            )
             if (signer, call.request) not in names:
                 yield _make(
                     "answers",
@@ -141,9 +148,9 @@
                 yield Finding(
                     "requests", run.request, run.began_at_s, "nobody sent it"
                 )
-            elif run.body != call.body or "X-Api-Key" in run.headers:
+            elif run.body != call.body or platform_calls.has_key(run.headers):
                 yield _make("requests", call, "changed on its way")
-            elif run.headers.get("Tenant") != "one":
+            elif platform_calls.read_tenant(run.headers) != ORGANISATION:
                 yield _make("requests", call, "runs for another organisation")
 
 
@@ -440,14 +447,14 @@
 
 def make_bounds() -> dict[str, float]:
     """Returns the bounds that instances are given, by the platform's names."""
-    return {
-        "drain_ms": DRAIN_S * 1_000,
-        "config_apply_ms": CONFIGURATION_S * 1_000,
-        "evacuation_ms": EVACUATION_S * 1_000,
-        "retry_budget_ratio": REPEAT_RATIO,
-        "budget_window_s": REPEAT_WINDOW_S,
-        "budget_extra_retries": REPEAT_EXTRA,
-        "cold_overage": COLD_FACTOR,
-        "cold_slack": COLD_SLACK,
-        "free_ms": FREE_S * 1_000,
-    }
+    return platform_documents.make_bounds(
+        drain_s=DRAIN_S,
+        configuration_s=CONFIGURATION_S,
+        evacuation_s=EVACUATION_S,
+        repeat_ratio=REPEAT_RATIO,
+        repeat_window_s=REPEAT_WINDOW_S,
+        repeat_extra=REPEAT_EXTRA,
+        cold_factor=COLD_FACTOR,
+        cold_slack=COLD_SLACK,
+        free_s=FREE_S,
+    )
--- a/packages/bench/poplarwick_bench/soak/driver.py
+++ b/packages/bench/poplarwick_bench/soak/driver.py
@@ -19,6 +19,7 @@
 from poplarwick_bench.soak import fleet
 from poplarwick_bench.soak import records
 from poplarwick_bench.soak import schedule
+from poplarwick_standins import platform_calls
 from poplarwick_standins import platform_documents as documents
 from poplarwick_standins import platform_replica
 
@@ -263,7 +264,9 @@
         await asyncio.sleep(fault.lasts_s)
         if fault.target % 2:
             # A new start has a new id; the old entry lapses.
-            await self._system.store.remove(f"servers/{name}")
+            await self._system.store.remove(
+                platform_calls.make_endpoint_key(name)
+            )
         await self._system.start_replica(endpoint)
         noted.ends_at_s = time.monotonic()
 
@@ -301,14 +304,16 @@
         await replica.wait_until_idle()
         if endpoint.replica is replica and endpoint.is_up:
             endpoint.is_up = False
-            await self._system.store.remove(f"servers/{replica.name}")
+            await self._system.store.remove(
+                platform_calls.make_endpoint_key(replica.name)
+            )
             await replica.crash()
             await self._system.start_replica(endpoint)
         noted.ends_at_s = time.monotonic()
 
     async def _take_out_domain(self, fault: schedule.Fault) -> None:
         domain = fleet.DOMAINS[fault.target % len(fleet.DOMAINS)]
-        key = f"op/evacuate/{domain}"
+        key = platform_calls.make_evacuation_key(domain)
         if key in self._system.store.items:
             return
         await self._system.store.put(key, {})
--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -22,6 +22,7 @@
 from poplarwick_bench import proxy
 from poplarwick_bench.soak import checks
 from poplarwick_bench.soak import records
+from poplarwick_standins import platform_calls
 from poplarwick_standins import platform_documents as documents
 from poplarwick_standins import platform_replica
 from poplarwick_standins import platform_store
@@ -87,7 +88,7 @@
     @property
     def readiness_url(self) -> str:
         """Address that the balancer asks."""
-        return f"http://{self.ip}:{PORTS[1]}/v1/ready"
+        return f"http://{self.ip}:{PORTS[1]}{platform_calls.READY_PATH}"
 
 
 class SoakReplica(platform_replica.Replica):
@@ -103,8 +104,7 @@
 
     def choose_events(self, headers: Mapping[str, str]) -> int:
         """Returns how many events a stream has."""
-        _, _, output = headers["Token-Counts"].partition(",")
-        return int(output)
+        return platform_calls.read_events(headers)
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,11 +194,17 @@
         """Writes the next version; returns when the store took it."""
         self.version += 1
         await self.store.put(
-            "op/config",
+            platform_calls.CONFIGURATION_KEY,
             documents.make_configuration(
                 self.version,
                 self.routes,
-                [{"name": "one", "api_keys": self.keys, "priority": 1}],
+                [
+                    {
+                        "name": checks.ORGANISATION,
+                        "api_keys": self.keys,
+                        "priority": 1,
+                    }
+                ],
                 cold_per_s=checks.COLD_PER_S,
             ),
         )
@@ -208,7 +214,7 @@
         """Writes an endpoint's entry; returns when the store took it."""
         replica = endpoint.replica
         await self.store.put(
-            f"servers/{replica.name}",
+            platform_calls.make_endpoint_key(replica.name),
             replica.make_entry(endpoint.entry_state),
         )
         return time.monotonic()
@@ -228,32 +234,16 @@
         fresh.write_text(json.dumps(found), encoding="utf-8")
         fresh.replace(instance.settings)
 
-    async def start_replica(
-        self, endpoint: Endpoint, *, name: str | None = None
-    ) -> None:
-        """Starts an endpoint anew at its place, cold.
-
-        Args:
-            endpoint: Its place.
-            name: Id that it keeps; None for a new one.
-        """
+    async def start_replica(self, endpoint: Endpoint) -> None:
+        """Starts an endpoint anew at its place: cold, with a new id."""
         before = endpoint.replica
-        after = SoakReplica(
-            name or self._make_name(),
-            before.service,
-            before.zone,
-            peers=self._peers,
-        )
-        after.shown_address = endpoint.link.address
-        await after.__aenter__()
+        after = await self._open_replica(before.service, before.zone)
         endpoint.link.target = after.address
         endpoint.replica = after
         endpoint.entry_state = "ready"
         endpoint.is_up = True
-        self._peers[endpoint.link.address] = after
-        self.record.endpoints.append(after)
         self.turn_cold(endpoint)
-        await self.write_entry(endpoint)
+        await self._show(endpoint)
 
     def turn_cold(self, endpoint: Endpoint) -> None:
         """Makes an engine cold; its entry is to be written after."""
@@ -280,22 +270,26 @@
             if endpoint.is_up and endpoint.replica.set_aside
         ]
 
-    def _make_name(self) -> str:
-        return f"e-{next(self._starts)}"
-
     async def _add_endpoint(self, service: str, domain: str) -> None:
-        replica = SoakReplica(
-            self._make_name(), service, domain, peers=self._peers
-        )
-        await replica.__aenter__()
+        replica = await self._open_replica(service, domain)
         link = await self._stack.enter_async_context(
             proxy.Proxy(replica.address)
         )
-        replica.shown_address = link.address
-        self._peers[link.address] = replica
         endpoint = Endpoint(replica, link)
         self.endpoints.append(endpoint)
+        await self._show(endpoint)
+
+    async def _open_replica(self, service: str, domain: str) -> SoakReplica:
+        name = f"e-{next(self._starts)}"
+        replica = SoakReplica(name, service, domain, peers=self._peers)
+        await replica.__aenter__()
         self.record.endpoints.append(replica)
+        return replica
+
+    async def _show(self, endpoint: Endpoint) -> None:
+        """Lets an endpoint be found, by the address of its proxy."""
+        endpoint.replica.shown_address = endpoint.link.address
+        self._peers[endpoint.link.address] = endpoint.replica
         await self.write_entry(endpoint)
 
     async def _add_instance(self, number: int) -> None:
@@ -343,7 +337,9 @@
                     continue
                 since_s = silent_since_s.setdefault(name, time.monotonic())
                 if time.monotonic() - since_s > LAPSE_S:
-                    await self.store.remove(f"servers/{name}")
+                    await self.store.remove(
+                        platform_calls.make_endpoint_key(name)
+                    )
 
     async def _sample(self) -> None:
         while True:
--- a/packages/bench/poplarwick_bench/soak/records.py
+++ b/packages/bench/poplarwick_bench/soak/records.py
@@ -85,6 +85,10 @@
     ends_at_s: float
     is_planned: bool = False
 
+    def overlaps(self, begins_at_s: float, ends_at_s: float) -> bool:
+        """Tells whether some of it lies in a span."""
+        return self.begins_at_s <= ends_at_s and self.ends_at_s >= begins_at_s
+
 
 class ChangeKind(enum.Enum):
     """What operators changed."""
@@ -172,17 +176,13 @@
     ) -> bool:
         """Tells whether nothing harmed an instance or the store in a span."""
         return not any(
-            i.target in (instance, STORE)
-            and i.begins_at_s <= ends_at_s
-            and i.ends_at_s >= begins_at_s
+            i.target in (instance, STORE) and i.overlaps(begins_at_s, ends_at_s)
             for i in self.interruptions
         )
 
     def is_unharmed(self, begins_at_s: float, ends_at_s: float) -> bool:
         """Tells whether nothing but planned work went on in a span."""
         return not any(
-            not i.is_planned
-            and i.begins_at_s <= ends_at_s
-            and i.ends_at_s >= begins_at_s
+            not i.is_planned and i.overlaps(begins_at_s, ends_at_s)
             for i in self.interruptions
         )
--- a/packages/standins/poplarwick_standins/platform_documents.py
+++ b/packages/standins/poplarwick_standins/platform_documents.py
@@ -92,6 +92,32 @@
     }
 
 
+def make_bounds(
+    *,
+    drain_s: float,
+    configuration_s: float,
+    evacuation_s: float,
+    repeat_ratio: float,
+    repeat_window_s: float,
+    repeat_extra: float,
+    cold_factor: float,
+    cold_slack: float,
+    free_s: float,
+) -> dict[str, float]:
+    """Returns bounds as a settings file has them."""
+    return {
+        "drain_ms": drain_s * 1_000,
+        "config_apply_ms": configuration_s * 1_000,
+        "evacuation_ms": evacuation_s * 1_000,
+        "retry_budget_ratio": repeat_ratio,
+        "budget_window_s": repeat_window_s,
+        "budget_extra_retries": repeat_extra,
+        "cold_overage": cold_factor,
+        "cold_slack": cold_slack,
+        "free_ms": free_s * 1_000,
+    }
+
+
 def make_settings(
     name: str,
     ports: Sequence[int],
