Log which requests are copies of one request, and confirmed crashes

Each time that a caller sends a request it has another id, so a request that comes again could not be recognised in the logs, and nothing told which ends of endpoints were taken for crashes. request_received and attempt_failed name the fingerprint of the request (organisation, host, method, path and body); the placer logs endpoint_crashed. No decision changes.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -31,6 +31,22 @@
     reason: str
 
 
+class EndpointCrashed(logs.Event, frozen=True, kw_only=True):
+    """An endpoint that cut answers off was found to have ended.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        cuts: Number of answers that it cut off.
+        suspects: Number of requests that may have caused it.
+    """
+
+    level = "WARNING"
+
+    endpoint: str
+    cuts: int
+    suspects: int
+
+
 class PlacerFailed(logs.Event, frozen=True, kw_only=True):
     """The placer of this instance stopped because of an exception.
 
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -10,8 +10,11 @@
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
+from poplarwick_coordination import log_events
 from poplarwick_core import clock
 from poplarwick_core import ids
+from poplarwick_core import logs
+from poplarwick_placement import crash_evidence
 from poplarwick_placement import messages
 from poplarwick_placement import scheduler
 
@@ -51,6 +54,7 @@
                 )
                 is not None
             ),
+            on_crash=_log_crash,
         )
         catalogue_.quarantines.add_listener(self._forgive)
         self._catalogue = catalogue_
@@ -134,3 +138,11 @@
     def _mark_stale(self) -> None:
         self._is_fresh = False
         self._on_change()
+
+
+def _log_crash(crash: crash_evidence.ConfirmedCrash) -> None:
+    logs.log(
+        log_events.EndpointCrashed(
+            endpoint=crash.endpoint, cuts=crash.cuts, suspects=crash.suspects
+        )
+    )
--- a/packages/core/poplarwick_core/ids.py
+++ b/packages/core/poplarwick_core/ids.py
@@ -32,6 +32,9 @@
 PromptPartId = NewType("PromptPartId", str)
 """Id of a part of a prompt; prompts that begin alike share parts."""
 
+RequestFingerprint = NewType("RequestFingerprint", str)
+"""Digest that is the same for all copies of one request."""
+
 StreamId = NewType("StreamId", str)
 """A generation stream at an engine."""
 
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -19,6 +19,7 @@
 from poplarwick_core import logs
 from poplarwick_forwarding import admission
 from poplarwick_forwarding import dialect
+from poplarwick_forwarding import fingerprints
 from poplarwick_forwarding import headers
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import log_events
@@ -181,7 +182,9 @@
             return self._refuse(request, "no_configuration")
         try:
             async with asyncio.timeout(_choose_body_timeout_s(metadata)):
-                body = await _read_body(request, rules.limits.body_bytes)
+                body, digest = await _read_body(
+                    request, rules.limits.body_bytes
+                )
         except TimeoutError:
             return self._refuse(
                 request, "body_not_read", outcomes.Failure.BODY_LATE
@@ -201,7 +204,7 @@
             )
             return _reject(request, admitted)
         exchange = self._make_exchange(
-            request, metadata, admitted, body, received_at_s
+            request, metadata, admitted, body, digest, received_at_s
         )
         return await self._run(request, exchange, rules.version)
 
@@ -230,8 +233,10 @@
         metadata: dialect.RequestMetadata,
         admitted: admission.Admission,
         body: bytes,
+        digest: fingerprints.BodyDigest,
         received_at_s: float,
     ) -> http_exchange.Exchange:
+        organisation = admitted.organisation
         forwarded = headers.select_headers(
             request.headers, self._dialect.replaced_headers
         )
@@ -243,6 +248,12 @@
             target=request.raw_path,
             headers=dict(forwarded),
             body=body,
+            fingerprint=digest.make_fingerprint(
+                organisation.id if organisation else None,
+                request.headers.get("Host", ""),
+                request.method,
+                request.raw_path,
+            ),
             received_at_s=received_at_s,
             deadline_at_s=http_exchange.calculate_deadline_s(
                 admitted.route, metadata, received_at_s
@@ -258,6 +269,7 @@
         logs.log(
             log_events.RequestReceived(
                 request=exchange.metadata.request_id,
+                fingerprint=exchange.fingerprint,
                 route=exchange.route.name,
                 service=exchange.service,
                 version=version,
@@ -394,18 +406,22 @@
     return metadata.time_left_s or BODY_TIMEOUT_S
 
 
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+async def _read_body(
+    request: web.BaseRequest, limit: int
+) -> tuple[bytes | None, fingerprints.BodyDigest]:
     """Returns the complete body, or None if it exceeds the limit."""
+    digest = fingerprints.BodyDigest()
     if not request.can_read_body:
-        return b""
+        return b"", digest
     if (request.content_length or 0) > limit:
-        return None
+        return None, digest
     buffer = bytearray()
     async for chunk in request.content.iter_any():
         buffer += chunk
+        digest.add(chunk)
         if len(buffer) > limit:
-            return None
-    return bytes(buffer)
+            return None, digest
+    return bytes(buffer), digest
 
 
 def _reject(
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -29,6 +29,7 @@
         target: Path and query as received.
         headers: Headers to forward.
         body: The complete body.
+        fingerprint: What all copies of the request have in common.
         received_at_s: Monotonic time at which the request arrived.
         deadline_at_s: Monotonic time by which the caller must have the
             complete response.
@@ -41,6 +42,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    fingerprint: ids.RequestFingerprint
     received_at_s: float
     deadline_at_s: float
 
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -70,6 +70,7 @@
 
     Attributes:
         request: Id of the request.
+        fingerprint: What all copies of the request have in common.
         route: Name of its route.
         service: Service that runs it.
         version: Version of the configuration in force.
@@ -79,6 +80,7 @@
     """
 
     request: str
+    fingerprint: str
     route: str
     service: str
     version: int
@@ -176,6 +178,7 @@
         reason: Error that ended the attempt.
         repeated: Whether the request is retried.
         obstacle: Why it is not retried.
+        fingerprint: What all copies of the request have in common.
         parts: Parts of its prompt that other requests may share.
         written_s: Time from the head of the response to its last event; None
             without a head.
@@ -190,6 +193,7 @@
     reason: str
     repeated: bool
     obstacle: str | None = None
+    fingerprint: str
     parts: str | None = None
     written_s: float | None = None
 
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -264,6 +264,7 @@
                 reason=str(error),
                 repeated=no_retry_reason is None,
                 obstacle=no_retry_reason,
+                fingerprint=exchange.fingerprint,
                 parts=",".join(exchange.metadata.shared_parts) or None,
                 written_s=progress.written_s,
             )
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -98,6 +98,7 @@
         target="/order/",
         headers={},
         body=b"",
+        fingerprint=ids.RequestFingerprint("f0"),
         received_at_s=now_s,
         deadline_at_s=now_s + TIME_LEFT_S,
     )
--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -16,6 +16,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable
 from typing import NamedTuple
 
 from poplarwick_catalogue import types
@@ -83,6 +84,20 @@
     endpoints: tuple[ids.EndpointId, ...]
 
 
+class ConfirmedCrash(NamedTuple):
+    """An endpoint that cut answers off and was found to have ended.
+
+    Attributes:
+        endpoint: The endpoint.
+        cuts: Number of answers that it cut off.
+        suspects: Number of requests that may have caused it.
+    """
+
+    endpoint: ids.EndpointId
+    cuts: int
+    suspects: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Cut:
     parts: tuple[ids.PromptPartId, ...]
@@ -134,9 +149,17 @@
 
 
 class CrashEvidence:
-    """Weighs crashes of endpoints against complete answers, by part."""
+    """Weighs crashes of endpoints against complete answers, by part.
+
+    Args:
+        on_confirmed: Called with each crash once it is confirmed.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_confirmed: Callable[[ConfirmedCrash], None] = lambda crash: None,
+    ) -> None:
+        self._on_confirmed = on_confirmed
         self._crashes: dict[types.EndpointStart, _Crash] = {}
         self._sound: collections.OrderedDict[
             tuple[_Scope, ids.PromptPartId], _SoundRecord
@@ -241,15 +264,23 @@
         """Records that an endpoint cannot be reached."""
         crash = self._crashes.get(endpoint.start)
         if crash is not None and not crash.is_confirmed:
-            crash.confirmed_at_s = now_s
-            self._invalidate(has_new_crash=True)
+            self._confirm(crash, now_s)
 
     def record_gone(self, endpoint: types.Endpoint) -> None:
         """Records that an endpoint has ended or has started again."""
         crash = self._crashes.get(endpoint.start)
         if crash is not None:
-            crash.confirmed_at_s = float("-inf")
-            self._invalidate(has_new_crash=True)
+            self._confirm(crash, float("-inf"))
+
+    def _confirm(self, crash: _Crash, now_s: float) -> None:
+        if not crash.is_confirmed:
+            self._on_confirmed(
+                ConfirmedCrash(
+                    crash.endpoint, len(crash.cuts), len(crash.find_suspects())
+                )
+            )
+        crash.confirmed_at_s = now_s
+        self._invalidate(has_new_crash=True)
 
     def is_unconfirmed(self, endpoint: types.Endpoint) -> bool:
         """Returns whether it is open if an endpoint has crashed."""
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -90,6 +90,7 @@
         rng: Source of randomness.
         make_budget: Creates the retry budget of a service.
         is_quarantined: Returns whether no endpoint may get a request.
+        on_crash: Called with each endpoint that is found to have crashed.
     """
 
     def __init__(
@@ -101,9 +102,12 @@
         is_quarantined: Callable[
             [messages.PlacementRequest], bool
         ] = lambda request: False,
+        on_crash: Callable[
+            [crash_evidence.ConfirmedCrash], None
+        ] = lambda crash: None,
     ) -> None:
         self._is_quarantined = is_quarantined
-        self._evidence = crash_evidence.CrashEvidence()
+        self._evidence = crash_evidence.CrashEvidence(on_crash)
         self._make_budget = make_budget
         self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
         self._is_global = is_global
