--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -153,8 +153,10 @@
             None if they connect directly.
         crashing_parts: Ids of the parts of prompts that crash the replica when
             it begins to write an answer on them; replicas may share one set.
-        crash_causes: Parts of the prompt that crashed the replica; empty if
-            none did.
+        crashing_bodies: Bodies of requests that crash the replica when it
+            begins to run them; replicas may share one set.
+        crash_causes: Parts of the prompt, or the body, that crashed the
+            replica; empty if none did.
         crashed_at_s: Monotonic time of that crash; None if there was none.
         notice_headers: Headers that are added to every response.
         event_count: Number of events per stream.
@@ -185,6 +187,7 @@
         self.fault = Fault.NONE
         self.fault_plan: list[Fault] = []
         self.crashing_parts: set[str] = set()
+        self.crashing_bodies: set[bytes] = set()
         self.crash_causes: set[str] = set()
         self.crashed_at_s: float | None = None
         self.notice_headers: dict[str, str] = {}
@@ -494,6 +497,7 @@
         if "Token-Counts" in request.headers:
             return await self._stream(request, execution, headers)
         await asyncio.sleep(self.response_delay_s)
+        await self._crash_on(execution)
         return web.Response(
             headers=headers, text=self.make_body(execution.request_id)
         )
@@ -555,6 +559,19 @@
         while True:
             await response.write(b"x" * ENDLESS_PART_BYTES)
 
+    async def _crash_on(self, execution: Execution) -> None:
+        """Crashes if the request or a part of its prompt does so."""
+        causes = set(_read_parts(execution.headers)) & self.crashing_parts
+        if execution.body in self.crashing_bodies:
+            causes.add(execution.body.decode(errors="replace"))
+        if not causes:
+            return
+        self.crash_causes = causes
+        self.crashed_at_s = time.monotonic()
+        # In a task of its own, because the crash ends this request too.
+        self._crash = asyncio.create_task(self.crash())
+        await asyncio.sleep(HANG_S)
+
     async def _stream(
         self,
         request: web.BaseRequest,
@@ -567,13 +584,7 @@
         response.content_type = "text/event-stream"
         await response.prepare(request)
         await asyncio.sleep(prompt_tokens / PREFILL_TOKENS_PER_S / engine_count)
-        causes = self.crashing_parts.intersection(_read_parts(request.headers))
-        if causes:
-            self.crash_causes = causes
-            self.crashed_at_s = time.monotonic()
-            # In a task of its own, because the crash ends this request too.
-            self._crash = asyncio.create_task(self.crash())
-            await asyncio.sleep(HANG_S)
+        await self._crash_on(execution)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         events = self.choose_event_count(request.headers)
         for number in range(first, events + 1):
