--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -71,8 +71,11 @@
 PART_CRASHES = 5
 """Crashes under a part of a prompt after which requests with it must stop."""
 
-LATE_PART_REQUESTS = 3
-"""Requests with the part that may reach endpoints from then on."""
+REQUEST_CRASHES = 3
+"""Crashes under copies of a request after which they must stop."""
+
+LATE_ARRIVALS = 3
+"""Arrivals of such requests at endpoints that are allowed from then on."""
 
 LIMIT_WINDOW_S = 4.0
 """Time window over which requests to an endpoint with a limit are counted."""
@@ -375,31 +378,50 @@
 
 def check_crashing_parts(record: records.Record) -> Iterator[Finding]:
     """Requests with a part that crashes endpoints stop reaching them."""
-    calls = {call.request_id: call for call in record.calls if call.part}
+    yield from _check_crashing(
+        record, "parts", PART_CRASHES, lambda call: call.part
+    )
+
+
+def check_crashing_requests(record: records.Record) -> Iterator[Finding]:
+    """Copies of a request that crashes endpoints stop reaching them."""
+    yield from _check_crashing(
+        record, "copies", REQUEST_CRASHES, lambda call: call.body.decode()
+    )
+
+
+def _check_crashing(
+    record: records.Record,
+    check: str,
+    allowed_crashes: int,
+    get_cause: Callable[[records.Call], str],
+) -> Iterator[Finding]:
+    calls = {call.request_id: call for call in record.calls if get_cause(call)}
+    causes = {get_cause(call) for call in calls.values()}
     crashes: dict[str, list[float]] = collections.defaultdict(list)
     for endpoint in record.endpoints:
-        for part in endpoint.crash_causes:
-            crashes[part].append(endpoint.crashed_at_s or 0.0)
-    for part, times in crashes.items():
-        if len(times) < PART_CRASHES:
+        for cause in causes & endpoint.crash_causes:
+            crashes[cause].append(endpoint.crashed_at_s or 0.0)
+    for cause, times in crashes.items():
+        if len(times) < allowed_crashes:
             continue
-        limit_at_s = sorted(times)[PART_CRASHES - 1] + SETTLE_S
+        limit_at_s = sorted(times)[allowed_crashes - 1] + SETTLE_S
         late = [
             (arrival.at_s, call)
             for endpoint in record.endpoints
             for arrival in endpoint.arrivals
             if (call := calls.get(arrival.request_id)) is not None
-            and call.part == part
+            and get_cause(call) == cause
             and arrival.at_s > limit_at_s
             and record.is_uninterrupted(
                 call.instance, arrival.at_s - SETTLE_S, arrival.at_s
             )
         ]
-        if len(late) > LATE_PART_REQUESTS:
+        if len(late) > LATE_ARRIVALS:
             yield _make_finding(
-                "parts",
+                check,
                 min(late, key=lambda item: item[0])[1],
-                f"{len(late)} late requests with {part}, {len(times)} crashes",
+                f"{len(late)} late requests with {cause}, {len(times)} crashes",
             )
 
 
@@ -522,6 +544,7 @@
     check_cold_start_limit,
     check_retries,
     check_crashing_parts,
+    check_crashing_requests,
     check_rate_limits,
     check_idle_reservations,
     check_planned_operations,
--- a/packages/bench/poplarwick_bench/soak/fault_injector.py
+++ b/packages/bench/poplarwick_bench/soak/fault_injector.py
@@ -71,13 +71,20 @@
 )
 """Faults that an endpoint applies to successive responses, in rotation."""
 
-CRASHING_PART_S = 8.0
-"""Time for which requests come with a part that crashes engines, in addition to
-the duration of the fault."""
+CRASHING_S = 8.0
+"""Time for which requests that crash endpoints come, in addition to the
+duration of the fault."""
 
-CRASHING_PART_PERIOD_S = 0.2
+CRASHING_PERIOD_S = 0.2
 """Time between two such requests."""
 
+CRASHING_KINDS = (
+    records.CallKind.SHORT,
+    records.CallKind.LOOKUP,
+    records.CallKind.ONCE,
+)
+"""Kinds of requests that crash endpoints, in rotation."""
+
 CRASHING_PROMPT_TOKENS = 2_000
 CRASHING_EVENTS = 4
 
@@ -144,6 +151,7 @@
             kind.CONFIGURATION_CHANGE: self._change_routes,
             kind.KEY_TAKEN_AWAY: self._change_api_keys,
             kind.CRASHING_PART: self._send_crashing_part,
+            kind.CRASHING_REQUEST: self._send_crashing_request,
             kind.ENDPOINT_LIMITED: self._limit_endpoint,
         }
 
@@ -359,33 +367,59 @@
         parts = self._system.crashing_parts
         interruption = self._record_interruption(part)
         parts.add(part)
-        until_s = time.monotonic() + CRASHING_PART_S + fault.duration_s
+        await self._send_while_crashing(
+            fault, lambda: self._call_crashing(records.CallKind.SHORT, part)
+        )
+        parts.discard(part)
+        interruption.ends_at_s = time.monotonic()
+
+    async def _send_crashing_request(self, fault: schedule.Fault) -> None:
+        """Sends copies of a request that crashes endpoints."""
+        body = f"crash {next(self._numbers)}"
+        bodies = self._system.crashing_bodies
+        kind = CRASHING_KINDS[fault.target % len(CRASHING_KINDS)]
+        interruption = self._record_interruption(body)
+        bodies.add(body.encode())
+        await self._send_while_crashing(
+            fault, lambda: self._call_crashing(kind, body=body.encode())
+        )
+        bodies.discard(body.encode())
+        interruption.ends_at_s = time.monotonic()
+
+    async def _send_while_crashing(
+        self,
+        fault: schedule.Fault,
+        make_call: Callable[[], Coroutine[Any, Any, None]],
+    ) -> None:
+        """Sends requests for a time and replaces the endpoints that crash."""
+        until_s = time.monotonic() + CRASHING_S + fault.duration_s
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < until_s:
-                group.create_task(self._call_with_part(part))
+                group.create_task(make_call())
                 for endpoint in self._system.endpoints:
                     if endpoint.is_up and not endpoint.replica.is_open:
                         endpoint.is_up = False
                         group.create_task(self._replace_crashed(endpoint))
-                await asyncio.sleep(CRASHING_PART_PERIOD_S)
-        parts.discard(part)
-        interruption.ends_at_s = time.monotonic()
+                await asyncio.sleep(CRASHING_PERIOD_S)
 
     async def _replace_crashed(self, endpoint: fleet.Endpoint) -> None:
         await asyncio.sleep(REPLICA_RESTART_S)
         await self._system.replace_replica(endpoint)
 
-    async def _call_with_part(self, part: str) -> None:
+    async def _call_crashing(
+        self, kind: records.CallKind, part: str = "", body: bytes = b""
+    ) -> None:
         number = next(self._numbers)
         instance = self._system.instances[number % len(self._system.instances)]
+        is_stream = kind is records.CallKind.SHORT
         call = records.Call(
             request_id=f"b{number}",
-            kind=records.CallKind.SHORT,
+            kind=kind,
             instance=instance.name,
             incarnation=instance.incarnation,
-            route=records.CallKind.SHORT.value,
+            route=kind.value,
             api_key=documents.API_KEY,
-            body=f"b{number} asks".encode(),
+            body=body or f"b{number} asks".encode(),
             sent_at_s=time.monotonic(),
             deadline_s=PROBE_DEADLINE_S,
             part=part,
@@ -396,8 +430,8 @@
                 session,
                 instance,
                 call,
-                CRASHING_PROMPT_TOKENS,
-                CRASHING_EVENTS,
+                CRASHING_PROMPT_TOKENS if is_stream else None,
+                CRASHING_EVENTS if is_stream else 0,
             )
 
     async def _restart_cold_start(self, fault: schedule.Fault) -> None:
--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -160,6 +160,7 @@
         self.routes = _make_routes()
         self.api_keys = [documents.API_KEY]
         self.crashing_parts: set[str] = set()
+        self.crashing_bodies: set[bytes] = set()
         self._sizes = (instances, engines, plain)
         self._replica_numbers = itertools.count(1)
         self._peers: dict[str, platform_replica.Replica] = {}
@@ -330,6 +331,7 @@
         name = f"e-{next(self._replica_numbers)}"
         replica = SoakReplica(name, service, domain, peers=self._peers)
         replica.crashing_parts = self.crashing_parts
+        replica.crashing_bodies = self.crashing_bodies
         await replica.__aenter__()
         self.record.endpoints.append(replica)
         return replica
--- a/packages/bench/poplarwick_bench/soak/schedule.py
+++ b/packages/bench/poplarwick_bench/soak/schedule.py
@@ -55,6 +55,7 @@
     ENDPOINT_LEAVES = "endpoint_leaves"
     STORE_RESTORED = "store_restored"
     CRASHING_PART = "crashing_part"
+    CRASHING_REQUEST = "crashing_request"
     ENDPOINT_LIMITED = "endpoint_limited"
 
     @property
--- a/packages/bench/tests/test_soak_checks.py
+++ b/packages/bench/tests/test_soak_checks.py
@@ -320,6 +320,25 @@
     assert run_check(checks.check_crashing_parts, record) == expected
 
 
+@pytest.mark.parametrize(
+    ("late", "at_s", "expected"),
+    [(3, 106.0, []), (4, 106.0, ["copies"]), (4, 104.9, [])],
+)
+def test_copies_of_a_crashing_request_that_go_on_are_reported(
+    late, at_s, expected
+):
+    calls = [make_call(f"b{n}", body=b"bad") for n in range(late)]
+    arrivals = [make_arrival(at_s, call.request_id) for call in calls]
+    endpoints = [
+        make_crashed_endpoint(
+            number, 100.0 + number, arrivals if number == 2 else ()
+        )
+        for number in range(checks.REQUEST_CRASHES)
+    ]
+    record = make_record(calls, endpoints, interruptions=[])
+    assert run_check(checks.check_crashing_requests, record) == expected
+
+
 @pytest.mark.parametrize(
     ("count", "at_s", "is_cut_off", "expected"),
     [
--- a/packages/catalogue/poplarwick_catalogue/log_events.py
+++ b/packages/catalogue/poplarwick_catalogue/log_events.py
@@ -126,13 +126,14 @@
     endpoint: str
 
 
-class PartsQuarantined(logs.Event, frozen=True, kw_only=True):
-    """Requests whose prompts have these parts are refused from now on.
+class QuarantineImposed(logs.Event, frozen=True, kw_only=True):
+    """Copies of a request, or prompts with parts, are refused from now on.
 
     Attributes:
         quarantine: Id of the quarantine.
         service: Service whose endpoints crashed.
         parts: Parts that a prompt must all have to be refused.
+        fingerprint: What all copies of the request have in common.
         endpoints: Endpoints that crashed; None if operators imposed it.
         imposed_by: Instance or operator that imposed it.
     """
@@ -141,24 +142,27 @@
 
     quarantine: str
     service: str
-    parts: str
+    parts: str | None = None
+    fingerprint: str | None = None
     endpoints: str | None = None
     imposed_by: str
 
 
 class QuarantineLifted(logs.Event, frozen=True, kw_only=True):
-    """Requests whose prompts have these parts are served again.
+    """Requests that a quarantine refused are served again.
 
     Attributes:
         quarantine: Id of the quarantine.
         service: Service of the quarantine.
         parts: Its parts.
+        fingerprint: What all copies of its request have in common.
         lifted_by: Instance or operator that lifted it.
     """
 
     quarantine: str
     service: str
-    parts: str
+    parts: str | None = None
+    fingerprint: str | None = None
     lifted_by: str
 
 
--- a/packages/catalogue/poplarwick_catalogue/quarantines.py
+++ b/packages/catalogue/poplarwick_catalogue/quarantines.py
@@ -1,4 +1,4 @@
-"""Parts of prompts that no endpoint of a service is sent any more.
+"""Requests and parts of prompts that no endpoint of a service is sent any more.
 
 A quarantine is never deleted, only lifted: its later generation replaces the
 earlier one in whichever order they arrive.
@@ -17,7 +17,7 @@
 from poplarwick_core import logs
 
 QuarantineId = NewType("QuarantineId", str)
-"""Identifies a quarantine by its service and parts."""
+"""Identifies a quarantine by its service and what it refuses."""
 
 MAX_QUARANTINES = 256
 """Quarantines that are kept; beyond that the oldest are forgotten."""
@@ -27,16 +27,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantine:
-    """Parts of a prompt that crash the endpoints of a service together.
+    """A request, or parts of a prompt together, that crash endpoints.
 
     Attributes:
         service: The service.
         parts: The parts; a request is refused if its prompt has all of them.
+            Empty if the quarantine is of one request.
         generation: Number that rises with each change.
         is_lifted: Whether requests with the parts are served again.
         software_version: Version of the endpoints that crashed.
         endpoints: Endpoints that crashed, or none if operators imposed it.
         imposed_by: Instance or operator that made the last change.
+        fingerprint: The request whose copies are refused; None if the
+            quarantine is of parts.
     """
 
     service: ids.ServiceId
@@ -46,20 +49,38 @@
     software_version: str = ""
     endpoints: tuple[ids.EndpointId, ...] = ()
     imposed_by: str = ""
+    fingerprint: ids.RequestFingerprint | None = None
+
+    def __post_init__(self) -> None:
+        if bool(self.parts) == bool(self.fingerprint):
+            raise ValueError(
+                f"quarantine of {self.service}: either parts or a request"
+            )
 
     @property
     def id(self) -> QuarantineId:
         """Id that all instances derive alike."""
-        text = ",".join((self.service, *sorted(self.parts)))
+        subject: list[str] = [*sorted(self.parts)]
+        if self.fingerprint is not None:
+            subject = ["request", self.fingerprint]
+        text = ",".join((self.service, *subject))
         digest = hashlib.blake2b(text.encode(), digest_size=ID_BYTES)
         return QuarantineId(digest.hexdigest())
 
-    def covers(self, shared_parts: Collection[ids.PromptPartId]) -> bool:
-        """Returns whether a prompt with these parts is refused."""
-        return not self.is_lifted and self.parts.issubset(shared_parts)
+    def covers(
+        self,
+        shared_parts: Collection[ids.PromptPartId],
+        fingerprint: ids.RequestFingerprint | None = None,
+    ) -> bool:
+        """Returns whether a request with these properties is refused."""
+        if self.is_lifted:
+            return False
+        if self.fingerprint is not None:
+            return self.fingerprint == fingerprint
+        return self.parts.issubset(shared_parts)
 
     def lift(self, lifted_by: str) -> Quarantine:
-        """Returns the generation that serves the parts again."""
+        """Returns the generation that serves the requests again."""
         return dataclasses.replace(
             self,
             generation=self.generation + 1,
@@ -98,15 +119,22 @@
         self,
         service: ids.ServiceId,
         shared_parts: Collection[ids.PromptPartId],
+        fingerprint: ids.RequestFingerprint | None = None,
     ) -> Quarantine | None:
-        """Returns a quarantine that refuses a prompt, None if there is none."""
+        """Returns a quarantine that refuses a request, None if there is none.
+
+        Args:
+            service: Service that is to run the request.
+            shared_parts: Parts of its prompt that other requests may share.
+            fingerprint: What all copies of the request have in common.
+        """
         for quarantine in self._in_force.get(service, ()):
-            if quarantine.covers(shared_parts):
+            if quarantine.covers(shared_parts, fingerprint):
                 return quarantine
         return None
 
     def impose(self, wanted: Quarantine) -> bool:
-        """Puts parts in quarantine; returns whether they were not yet."""
+        """Imposes a quarantine; returns whether it was not yet in force."""
         known = self._known.get(wanted.id)
         if known is None:
             return self.merge(wanted)
@@ -137,22 +165,24 @@
                 self._in_force[quarantine.service] = (*others, quarantine)
 
     def _log(self, quarantine: Quarantine) -> None:
-        parts = ",".join(sorted(quarantine.parts))
+        parts = ",".join(sorted(quarantine.parts)) or None
         if quarantine.is_lifted:
             logs.log(
                 log_events.QuarantineLifted(
                     quarantine=quarantine.id,
                     service=quarantine.service,
                     parts=parts,
+                    fingerprint=quarantine.fingerprint,
                     lifted_by=quarantine.imposed_by,
                 )
             )
             return
         logs.log(
-            log_events.PartsQuarantined(
+            log_events.QuarantineImposed(
                 quarantine=quarantine.id,
                 service=quarantine.service,
                 parts=parts,
+                fingerprint=quarantine.fingerprint,
                 endpoints=",".join(quarantine.endpoints) or None,
                 imposed_by=quarantine.imposed_by,
             )
--- a/packages/catalogue/tests/test_quarantines.py
+++ b/packages/catalogue/tests/test_quarantines.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -24,6 +25,34 @@
     assert not known.find("other", ("a", "b"))
 
 
+def test_copies_of_a_request_are_refused():
+    known = quarantines.Quarantines()
+    known.impose(make_quarantine(fingerprint="f0"))
+    assert known.find(POOL, (), "f0")
+    assert known.find(POOL, ("a",), "f0")
+    assert not known.find(POOL, ("a",), "f1")
+    assert not known.find(POOL, ("a",))
+    assert not known.find("other", (), "f0")
+
+
+@pytest.mark.parametrize(
+    "parts, fingerprint", [((), None), ((), ""), (("a",), "f0")]
+)
+def test_quarantine_is_of_either_parts_or_a_request(parts, fingerprint):
+    with pytest.raises(ValueError, match="either parts or a request"):
+        make_quarantine(*parts, fingerprint=fingerprint)
+
+
+def test_quarantines_of_requests_and_parts_have_different_ids():
+    wanted = [
+        make_quarantine("f0"),
+        make_quarantine("f0", "request"),
+        make_quarantine(fingerprint="f0"),
+        make_quarantine(fingerprint="f1"),
+    ]
+    assert len({quarantine.id for quarantine in wanted}) == len(wanted)
+
+
 def test_parts_are_refused_again_after_they_were_lifted():
     known = quarantines.Quarantines()
     assert known.impose(make_quarantine("a"))
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -144,6 +144,9 @@
             catalogue_, deployment_, candidates.Scope.INSTANCE, self._wake.set
         )
         self._scheduler = self._feed.scheduler
+        self._on_possible_crash: Callable[[ids.EndpointId], None] = (
+            lambda endpoint: None
+        )
         catalogue_.quarantines.add_listener(self._report_quarantine)
 
     @property
@@ -197,6 +200,36 @@
             request_number, decision, decided_by, clock.now_s() - submitted_at_s
         )
 
+    def on_possible_crash(
+        self, listener: Callable[[ids.EndpointId], None]
+    ) -> None:
+        """Calls `listener` with endpoints that cut answers off.
+
+        Only while there is no placer, which finds out itself.
+        """
+        self._on_possible_crash = listener
+
+    def record_report(
+        self, endpoint: ids.EndpointId, slowdown: float | None
+    ) -> None:
+        """Records the report of an engine; None if it did not return one."""
+        self._scheduler.record_report(endpoint, slowdown, clock.now_s())
+        self._impose_without_placer()
+
+    def record_connection(
+        self, endpoint: ids.EndpointId, is_reachable: bool
+    ) -> None:
+        """Records whether an endpoint accepted a connection."""
+        self._scheduler.record_connection(
+            endpoint, clock.now_s(), is_reachable=is_reachable
+        )
+        self._impose_without_placer()
+
+    def _impose_without_placer(self) -> None:
+        # The placer hears of all crashes and decides where there is one.
+        if self.connection is None:
+            self._feed.impose_quarantines()
+
     def record_first_event(self, request_number: int) -> None:
         """Records that a placed request has produced its first event."""
         running = self._running.get(request_number)
@@ -233,10 +266,14 @@
         """
         self._running.pop(request_number, None)
         self._local_requests.discard(request_number)
-        self._feed.record_end(request_number, result, blamed, answer)
-        if self.connection is None:
-            # The placer, which hears of all crashes, is not there to decide.
-            self._feed.impose_quarantines()
+        endpoint = self._feed.record_end(request_number, result, blamed, answer)
+        if (
+            self.connection is None
+            and endpoint is not None
+            and self._scheduler.may_have_crashed(endpoint)
+        ):
+            self._on_possible_crash(endpoint)
+        self._impose_without_placer()
         message = placement_pb2.EntryMessage()
         message.ended.CopyFrom(
             wire_codec.encode_ended(request_number, result, blamed, answer)
@@ -467,8 +504,7 @@
         if not self._local_requests:
             return
         self._feed.refresh()
-        if self.connection is None:
-            self._feed.impose_quarantines()
+        self._impose_without_placer()
         for key, decision in self._scheduler.decide(clock.now_s()):
             assert isinstance(key, int)
             pending = self._pending.get(key)
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -15,6 +15,7 @@
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
+from poplarwick_coordination import crash_probe
 from poplarwick_coordination import endpoint_notices
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
@@ -141,6 +142,13 @@
             is_paused=notices.is_paused,
             is_used=lambda endpoint: self._scheduler.is_used(endpoint),
         )
+        self._crash_probe = crash_probe.CrashProbe(
+            reader,
+            catalogue_,
+            self._record_report,
+            self._record_connection,
+            is_paused=notices.is_paused,
+        )
         self._instance = instance
         self._catalogue = catalogue_
         self._mirror = store_mirror
@@ -168,6 +176,7 @@
     def stop(self) -> None:
         """Closes all streams and removes the listeners of this placer."""
         self._feed.stop()
+        self._crash_probe.stop()
         self._mirror.remove_listener(self._forward_changes)
         self._catalogue.quarantines.remove_listener(self._broadcast_quarantine)
         for dial in self._dials.values():
@@ -343,12 +352,20 @@
 
     def _check_crash(self, endpoint: ids.EndpointId) -> None:
         if self._scheduler.may_have_crashed(endpoint):
-            self._report_poller.poll_now(endpoint)
+            self._crash_probe.probe(endpoint)
         self._feed.impose_quarantines()
 
     def _broadcast_quarantine(self, quarantine: quarantines.Quarantine) -> None:
         self._broadcast(_make_quarantine_message(quarantine))
 
+    def _record_connection(
+        self, endpoint: ids.EndpointId, is_reachable: bool
+    ) -> None:
+        self._scheduler.record_connection(
+            endpoint, clock.now_s(), is_reachable=is_reachable
+        )
+        self._feed.impose_quarantines()
+
     def _record_report(
         self, endpoint: ids.EndpointId, slowdown: float | None
     ) -> None:
--- a/packages/coordination/poplarwick_coordination/reports.py
+++ b/packages/coordination/poplarwick_coordination/reports.py
@@ -44,6 +44,28 @@
         """
         ...
 
+    async def is_reachable(self, address: str) -> bool:
+        """Returns whether an endpoint accepts a connection.
+
+        Args:
+            address: Host and port of the endpoint.
+        """
+        ...
+
+
+async def read(reader: Reader, address: str) -> float | None:
+    """Returns the slowdown of an engine; None if it returned no report.
+
+    Args:
+        reader: Reads the reports of engines.
+        address: Host and port of the engine.
+    """
+    try:
+        async with asyncio.timeout(REPORT_TIMEOUT_S):
+            return await reader.read_slowdown(address)
+    except (ReportError, TimeoutError):
+        return None
+
 
 class ReportPoller:
     """Polls every engine in a task of its own.
@@ -72,20 +94,6 @@
         self._reader = reader
         self._catalogue = catalogue_
         self._on_report = on_report
-        self._extra_polls: dict[ids.EndpointId, asyncio.Task[None]] = {}
-
-    def poll_now(self, endpoint: ids.EndpointId) -> None:
-        """Reads an engine's report at once, unless that is being done."""
-        address = self._find_engines().get(endpoint)
-        if (
-            endpoint in self._extra_polls
-            or address is None
-            or self._is_paused(address)
-        ):
-            return
-        task = asyncio.create_task(self._report(endpoint, address))
-        self._extra_polls[endpoint] = task
-        task.add_done_callback(lambda _: self._extra_polls.pop(endpoint))
 
     async def run(self) -> None:
         """Polls the engines until cancelled."""
@@ -102,7 +110,7 @@
                         )
                 await asyncio.sleep(REPORT_PERIOD_S)
         finally:
-            for poll in (*polls.values(), *self._extra_polls.values()):
+            for poll in polls.values():
                 poll.cancel()
 
     def _find_engines(self) -> dict[ids.EndpointId, str]:
@@ -130,11 +138,4 @@
             await asyncio.sleep(REPORT_PERIOD_S)
 
     async def _report(self, endpoint: ids.EndpointId, address: str) -> None:
-        self._on_report(endpoint, await self._read(address))
-
-    async def _read(self, address: str) -> float | None:
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                return await self._reader.read_slowdown(address)
-        except (ReportError, TimeoutError):
-            return None
+        self._on_report(endpoint, await read(self._reader, address))
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -50,7 +50,7 @@
             ),
             is_quarantined=lambda request: (
                 catalogue_.quarantines.find(
-                    request.service, request.shared_parts
+                    request.service, request.shared_parts, request.fingerprint
                 )
                 is not None
             ),
@@ -89,7 +89,8 @@
     ) -> ids.EndpointId | None:
         """Records the end of a request.
 
-        A complete answer shows that the parts of its prompt crash no endpoint.
+        A complete answer shows that neither its request nor the parts of its
+        prompt crash endpoints.
 
         Returns:
             The endpoint of the request; None if it is not known.
@@ -107,7 +108,7 @@
         self, request: messages.PlacementRequest, endpoint: types.Endpoint
     ) -> None:
         known = self._catalogue.quarantines.find(
-            request.service, request.shared_parts
+            request.service, request.shared_parts, request.fingerprint
         )
         if (
             known is not None
@@ -119,7 +120,7 @@
             )
 
     def impose_quarantines(self) -> None:
-        """Puts parts in quarantine that are newly blamed for crashes."""
+        """Puts in quarantine what is newly blamed for crashes."""
         for culprit in self.scheduler.find_culprits(clock.now_s()):
             self._catalogue.quarantines.impose(
                 quarantines.Quarantine(
@@ -128,12 +129,15 @@
                     software_version=culprit.software_version,
                     endpoints=culprit.endpoints,
                     imposed_by=self._deployment.instance,
+                    fingerprint=culprit.fingerprint,
                 )
             )
 
     def _forgive(self, quarantine: quarantines.Quarantine) -> None:
         if quarantine.is_lifted:
-            self.scheduler.forgive(quarantine.service, quarantine.parts)
+            self.scheduler.forgive(
+                quarantine.service, quarantine.parts, quarantine.fingerprint
+            )
 
     def _mark_stale(self) -> None:
         self._is_fresh = False
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -31,6 +31,7 @@
         regions=sorted(request.regions),
         shared_parts=request.shared_parts,
         was_cut_off=request.was_cut_off,
+        fingerprint=request.fingerprint or "",
     )
 
 
@@ -59,6 +60,7 @@
         regions=frozenset(ids.RegionId(r) for r in message.regions),
         shared_parts=tuple(ids.PromptPartId(p) for p in message.shared_parts),
         was_cut_off=message.was_cut_off,
+        fingerprint=_decode_fingerprint(message.fingerprint),
     )
 
 
@@ -123,6 +125,7 @@
         software_version=quarantine.software_version,
         endpoints=quarantine.endpoints,
         imposed_by=quarantine.imposed_by,
+        fingerprint=quarantine.fingerprint or "",
     )
 
 
@@ -132,10 +135,8 @@
     """Decodes a quarantine.
 
     Raises:
-        ValueError: It has no parts and would refuse every prompt.
+        ValueError: It names no parts and no request, or both.
     """
-    if not message.parts:
-        raise ValueError(f"quarantine of {message.service} has no parts")
     return quarantines.Quarantine(
         ids.ServiceId(message.service),
         frozenset(ids.PromptPartId(part) for part in message.parts),
@@ -144,9 +145,14 @@
         message.software_version,
         tuple(ids.EndpointId(name) for name in message.endpoints),
         message.imposed_by,
+        _decode_fingerprint(message.fingerprint),
     )
 
 
+def _decode_fingerprint(text: str) -> ids.RequestFingerprint | None:
+    return ids.RequestFingerprint(text) if text else None
+
+
 def encode_ended(
     request_number: int,
     result: messages.Result,
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -88,6 +88,7 @@
             regions=regions if regions is not None else NO_REGIONS,
             shared_parts=self.metadata.shared_parts,
             was_cut_off=was_cut_off,
+            fingerprint=self.fingerprint,
         )
 
 
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -154,7 +154,7 @@
 
 
 class RequestQuarantined(logs.Event, frozen=True, kw_only=True):
-    """A request was refused because parts of its prompt crash endpoints.
+    """A request was refused because it, or its prompt, crashes endpoints.
 
     Attributes:
         request: Id of the request.
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -63,8 +63,8 @@
 """Time by which a timer may fire before its deadline."""
 
 QUARANTINE_RETRY_AFTER_S = 600.0
-"""Time after which a caller may retry whose prompt has parts in quarantine;
-operators have to lift it."""
+"""Time after which a caller may retry a request in quarantine; operators have
+to lift it."""
 
 RETRY_AFTER_SHARE = 0.2
 """Fraction of the time left after which a refused caller may retry; callers
@@ -124,7 +124,7 @@
         wire_dialect: Protocol dialect of the platform.
         memory: Reserves engine memory for very long prompts.
         notices: What endpoints have asked of this instance.
-        known_quarantines: Parts of prompts that crash endpoints.
+        known_quarantines: Requests and parts of prompts that crash endpoints.
     """
 
     def __init__(
@@ -212,7 +212,9 @@
         self, exchange: http_exchange.Exchange
     ) -> quarantines.Quarantine | None:
         return self._quarantines.find(
-            exchange.service, exchange.metadata.shared_parts
+            exchange.service,
+            exchange.metadata.shared_parts,
+            exchange.fingerprint,
         )
 
     def _is_blocked(self, placement: messages.Placement) -> bool:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -18,6 +18,7 @@
 from poplarwick_adapter import store
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
+from poplarwick_coordination import crash_probe
 from poplarwick_coordination import endpoint_notices
 from poplarwick_coordination import log_events as coordination_events
 from poplarwick_coordination import placement_client
@@ -162,6 +163,15 @@
         report_reader = await enter(
             engine_client.ReportReader(notices.record_from_address)
         )
+        probe = crash_probe.CrashProbe(
+            report_reader,
+            self.catalogue,
+            self.placement_client.record_report,
+            self.placement_client.record_connection,
+            is_paused=notices.is_paused,
+        )
+        self.placement_client.on_possible_crash(probe.probe)
+        stack.callback(probe.stop)
         role = placer_role.PlacerRole(
             instance_deployment.instance,
             self.catalogue,
--- a/packages/node/poplarwick_node/quarantine_command.py
+++ b/packages/node/poplarwick_node/quarantine_command.py
@@ -1,4 +1,4 @@
-"""Command line for quarantines of parts of prompts on the users' platform."""
+"""Command line for quarantines on the users' platform."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from poplarwick_core import ids
 from poplarwick_platform import kv
 
-_PART_ID = re.compile(r"[0-9a-f]{1,64}")
+_HEXADECIMAL = re.compile(r"[0-9a-f]{1,64}")
 
 
 class CommandError(errors.PoplarwickError):
@@ -36,7 +36,7 @@
     """
     parser = cli.make_parser(
         "poplarwick-quarantine",
-        "Shows and changes which parts of prompts are refused.",
+        "Shows and changes which requests and parts of prompts are refused.",
     )
     parser.add_argument(
         "--store",
@@ -46,16 +46,23 @@
     )
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("list", help="list quarantines and their evidence")
-    lift = commands.add_parser("lift", help="serve the parts again")
+    lift = commands.add_parser("lift", help="serve the requests again")
     lift.add_argument("quarantine", metavar="ID", help="id, as listed")
-    impose = commands.add_parser("impose", help="refuse prompts with the parts")
+    impose = commands.add_parser(
+        "impose", help="refuse copies of a request, or prompts with the parts"
+    )
     impose.add_argument("service", metavar="SERVICE")
     impose.add_argument(
         "parts",
         metavar="PART",
-        nargs="+",
+        nargs="*",
         help="id of a part; a prompt with all of them is refused",
     )
+    impose.add_argument(
+        "--request",
+        metavar="FINGERPRINT",
+        help="in place of parts: a request, as `fingerprint` in the logs",
+    )
     parsed = parser.parse_args(arguments)
     try:
         asyncio.run(_run(parsed))
@@ -77,7 +84,9 @@
             case "lift":
                 await _lift(client, parsed.quarantine)
             case "impose":
-                await _impose(client, parsed.service, parsed.parts)
+                await _impose(
+                    client, parsed.service, parsed.parts, parsed.request
+                )
 
 
 async def _read(client: store.StoreClient) -> list[quarantines.Quarantine]:
@@ -97,9 +106,11 @@
 
 def _format(quarantine: quarantines.Quarantine) -> str:
     state = "lifted" if quarantine.is_lifted else "in force"
+    subject = f"parts {','.join(sorted(quarantine.parts))}"
+    if quarantine.fingerprint is not None:
+        subject = f"request {quarantine.fingerprint}"
     return (
-        f"{quarantine.id}  {state}  {quarantine.service}"
-        f"  parts {','.join(sorted(quarantine.parts))}"
+        f"{quarantine.id}  {state}  {quarantine.service}  {subject}"
         f"  crashed {','.join(quarantine.endpoints) or '-'}"
         f"  version {quarantine.software_version or '-'}"
         f"  by {quarantine.imposed_by or '-'}"
@@ -117,26 +128,40 @@
 
 
 async def _impose(
-    client: store.StoreClient, service: str, parts: list[str]
+    client: store.StoreClient,
+    service: str,
+    parts: list[str],
+    request: str | None,
 ) -> None:
+    if bool(parts) == (request is not None):
+        raise CommandError("PART: give either parts or --request")
     for part in parts:
-        if not _PART_ID.fullmatch(part):
-            raise CommandError(
-                f"PART: {part!r} is not a hexadecimal id in lower case"
-            )
+        _check_hexadecimal("PART", part)
+    if request is not None:
+        _check_hexadecimal("--request", request)
     wanted = quarantines.Quarantine(
         ids.ServiceId(service),
         frozenset(ids.PromptPartId(part) for part in parts),
         imposed_by=getpass.getuser(),
+        fingerprint=None
+        if request is None
+        else ids.RequestFingerprint(request),
     )
     registry = quarantines.Quarantines()
     for quarantine in await _read(client):
         registry.merge(quarantine)
     if not registry.impose(wanted):
-        raise CommandError(f"PART: quarantine {wanted.id} is in force already")
+        raise CommandError(f"quarantine {wanted.id} is in force already")
     await _write(client, registry.known[-1])
 
 
+def _check_hexadecimal(field: str, text: str) -> None:
+    if not _HEXADECIMAL.fullmatch(text):
+        raise CommandError(
+            f"{field}: {text!r} is not a hexadecimal id in lower case"
+        )
+
+
 async def _write(
     client: store.StoreClient, quarantine: quarantines.Quarantine
 ) -> None:
--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Finds the parts of prompts that crash the engines that answer them.
+"""Finds what callers send that crashes endpoints: requests, parts of prompts.
 
 Load pattern: one part of a prompt ends every engine that begins to write an
 answer on it. Requests with the part arrive at all instances, share their other
@@ -9,7 +9,7 @@
 A crash speaks against the parts of the requests whose answers had just begun.
 An answer that is complete, or has been written for a time, speaks for the parts
 of its request. An answer that is cut off by an engine that is alive or leaving
-is no crash.
+is no crash. `request_evidence` weighs what a crash says of single requests.
 """
 
 from __future__ import annotations
@@ -21,7 +21,9 @@
 
 from poplarwick_catalogue import types
 from poplarwick_core import ids
+from poplarwick_placement import crash_records
 from poplarwick_placement import messages
+from poplarwick_placement import request_evidence
 
 CULPRIT_CRASHES = 3
 """Crashes, less complete answers, after which a part is blamed."""
@@ -29,10 +31,6 @@
 SUSPECT_CRASHES = 2
 """Crashes after which requests with a part are not sent a second time."""
 
-SIMULTANEOUS_S = 0.1
-"""Crashes within this time count once: a failure domain that loses power takes
-its engines with it in an instant."""
-
 RETRACTION_S = 1.5
 """Time for which a report retracts a crash. Later another engine may have been
 given the address."""
@@ -55,33 +53,24 @@
 """Parts whose complete answers are remembered, the latest ones."""
 
 
-class _Scope(NamedTuple):
-    """Endpoints that a part affects alike.
-
-    Attributes:
-        service: Service of the endpoints.
-        software_version: Version of their software.
-    """
-
-    service: ids.ServiceId
-    software_version: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Culprit:
-    """Parts of prompts that are blamed for crashes.
+    """A request, or parts of prompts, blamed for crashes.
 
     Attributes:
         service: Service whose endpoints crashed.
         software_version: Version of their software.
-        parts: Parts that the requests had in common in as many crashes.
+        parts: Parts that the requests had in common in as many crashes; none
+            if one request is blamed.
         endpoints: Endpoints that crashed, the first crash first.
+        fingerprint: The request that is blamed; None if it is parts.
     """
 
     service: ids.ServiceId
     software_version: str
     parts: frozenset[ids.PromptPartId]
     endpoints: tuple[ids.EndpointId, ...]
+    fingerprint: ids.RequestFingerprint | None = None
 
 
 class ConfirmedCrash(NamedTuple):
@@ -99,57 +88,27 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Cut:
-    parts: tuple[ids.PromptPartId, ...]
-    written_s: float | None
+class _SoundRecord:
+    credit: int = 0
+    last_at_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Crash:
-    """An endpoint whose answers were cut off.
+class _Contrast(NamedTuple):
+    """A sound answer.
 
     Attributes:
-        scope: Endpoints that it is alike.
-        endpoint: The endpoint.
-        at_s: Monotonic time of the first cut.
-        confirmed_at_s: Monotonic time at which it was found to have ended.
-        cuts: Requests whose answers were cut off.
+        at_s: Monotonic time.
+        parts: Shared parts of the prompt.
+        fingerprint: What all copies of the request have in common.
     """
 
-    scope: _Scope
-    endpoint: ids.EndpointId
     at_s: float
-    confirmed_at_s: float | None = None
-    cuts: list[_Cut] = dataclasses.field(default_factory=list)
-
-    @property
-    def is_confirmed(self) -> bool:
-        """Whether the endpoint was found to have ended."""
-        return self.confirmed_at_s is not None
-
-    def involves(self, parts: frozenset[ids.PromptPartId]) -> bool:
-        """Returns whether a suspect has all of these parts."""
-        return any(parts.issubset(s) for s in self.find_suspects())
-
-    def find_suspects(self) -> list[tuple[ids.PromptPartId, ...]]:
-        """Returns the parts of each request that may have caused the crash."""
-        begun = [
-            cut.parts
-            for cut in self.cuts
-            if cut.written_s is not None
-            and cut.written_s <= messages.ANSWER_START_S
-        ]
-        return begun or [c.parts for c in self.cuts if c.written_s is None]
-
-
-@dataclasses.dataclass(slots=True)
-class _SoundRecord:
-    credit: int = 0
-    last_at_s: float = 0.0
+    parts: frozenset[ids.PromptPartId]
+    fingerprint: ids.RequestFingerprint | None
 
 
 class CrashEvidence:
-    """Weighs crashes of endpoints against complete answers, by part.
+    """Weighs crashes of endpoints against complete answers.
 
     Args:
         on_confirmed: Called with each crash once it is confirmed.
@@ -160,15 +119,23 @@
         on_confirmed: Callable[[ConfirmedCrash], None] = lambda crash: None,
     ) -> None:
         self._on_confirmed = on_confirmed
-        self._crashes: dict[types.EndpointStart, _Crash] = {}
+        self._crashes: dict[types.EndpointStart, crash_records.Crash] = {}
         self._sound: collections.OrderedDict[
-            tuple[_Scope, ids.PromptPartId], _SoundRecord
+            tuple[crash_records.Scope, ids.PromptPartId], _SoundRecord
         ] = collections.OrderedDict()
-        self._culprits: dict[_Scope, set[frozenset[ids.PromptPartId]]] = {}
+        self._culprits: dict[
+            crash_records.Scope, set[frozenset[ids.PromptPartId]]
+        ] = {}
         self._contrasts: dict[
-            _Scope, collections.deque[tuple[float, frozenset[ids.PromptPartId]]]
+            crash_records.Scope, collections.deque[_Contrast]
+        ] = {}
+        self._requests = request_evidence.RequestEvidence()
+        self._accused: (
+            frozenset[tuple[ids.ServiceId, ids.RequestFingerprint]] | None
+        ) = None
+        self._scores: dict[
+            crash_records.Scope, dict[ids.PromptPartId, int]
         ] = {}
-        self._scores: dict[_Scope, dict[ids.PromptPartId, int]] = {}
         self._has_new_crash = False
 
     def record_cut(
@@ -177,6 +144,7 @@
         request: messages.PlacementRequest,
         written_s: float | None,
         now_s: float,
+        sent_at_s: float = 0.0,
     ) -> None:
         """Records that an answer was cut off.
 
@@ -186,19 +154,26 @@
             written_s: Time from the head of the answer to its last event; None
                 without a head.
             now_s: Monotonic time.
+            sent_at_s: Monotonic time at which the request was placed.
         """
-        if not request.shared_parts:
+        if not request.shared_parts and request.fingerprint is None:
             return
         if written_s is not None and written_s > messages.ANSWER_START_S:
             self.record_writing(endpoint, request, now_s)
         start = endpoint.start
         crash = self._crashes.get(start)
         if crash is None:
-            crash = _Crash(_get_scope(endpoint), endpoint.id, now_s)
+            crash = crash_records.Crash(
+                crash_records.get_scope(endpoint), endpoint.id, now_s
+            )
             self._crashes[start] = crash
             while len(self._crashes) > MAX_CRASHES:
                 del self._crashes[next(iter(self._crashes))]
-        crash.cuts.append(_Cut(request.shared_parts, written_s))
+        crash.cuts.append(
+            crash_records.Cut(
+                request.shared_parts, request.fingerprint, written_s, sent_at_s
+            )
+        )
         self._invalidate(has_new_crash=crash.is_confirmed)
 
     def record_complete(
@@ -226,10 +201,17 @@
         credit: int,
         now_s: float,
     ) -> None:
-        scope = _get_scope(endpoint)
+        scope = crash_records.get_scope(endpoint)
         self._contrasts.setdefault(
             scope, collections.deque(maxlen=MAX_CONTRASTS)
-        ).append((now_s, frozenset(request.shared_parts)))
+        ).append(
+            _Contrast(
+                now_s, frozenset(request.shared_parts), request.fingerprint
+            )
+        )
+        if request.fingerprint is not None and self.is_accused(request):
+            self._requests.record_answer(scope, request.fingerprint, now_s)
+            self._accused = None
         for part in request.shared_parts:
             record = self._sound.pop((scope, part), None) or _SoundRecord()
             record.credit = min(record.credit + credit, MAX_CREDIT)
@@ -272,7 +254,7 @@
         if crash is not None:
             self._confirm(crash, float("-inf"))
 
-    def _confirm(self, crash: _Crash, now_s: float) -> None:
+    def _confirm(self, crash: crash_records.Crash, now_s: float) -> None:
         if not crash.is_confirmed:
             self._on_confirmed(
                 ConfirmedCrash(
@@ -287,6 +269,18 @@
         crash = self._crashes.get(endpoint.start)
         return crash is not None and not crash.is_confirmed
 
+    def is_accused(self, request: messages.PlacementRequest) -> bool:
+        """Returns whether any crash speaks against a request.
+
+        Unlike a suspected one, a first attempt counts too, and so do crashes
+        that are not confirmed yet.
+        """
+        if not self._crashes or request.fingerprint is None:
+            return False
+        if self._accused is None:
+            self._accused = self._requests.find_accused(self._crashes.values())
+        return (request.service, request.fingerprint) in self._accused
+
     def is_suspected(self, request: messages.PlacementRequest) -> bool:
         """Returns whether a request that was cut off crashes endpoints.
 
@@ -297,6 +291,12 @@
         for scope in self._find_scopes():
             if scope.service != request.service:
                 continue
+            copies = self._requests.score(self._list_unexplained(scope))
+            if (
+                request.fingerprint is not None
+                and copies.get(request.fingerprint, 0) >= SUSPECT_CRASHES
+            ):
+                return True
             blamed = set().union(*self._culprits.get(scope, ()))
             scores = self._score(scope)
             if any(
@@ -322,9 +322,21 @@
         ]
 
     def forgive(
-        self, service: ids.ServiceId, parts: frozenset[ids.PromptPartId]
+        self,
+        service: ids.ServiceId,
+        parts: frozenset[ids.PromptPartId],
+        fingerprint: ids.RequestFingerprint | None = None,
     ) -> None:
-        """Drops the evidence against parts that are served again."""
+        """Drops the evidence against what is served again."""
+        if fingerprint is not None:
+            self._requests.forgive(service, fingerprint)
+            for start, crash in list(self._crashes.items()):
+                if crash.scope.service == service and crash.involves_request(
+                    fingerprint
+                ):
+                    del self._crashes[start]
+            self._invalidate()
+            return
         for scope, blamed in self._culprits.items():
             if scope.service == service:
                 blamed.discard(parts)
@@ -339,17 +351,20 @@
 
     def _invalidate(self, *, has_new_crash: bool = False) -> None:
         self._scores.clear()
+        self._accused = None
         self._has_new_crash = self._has_new_crash or has_new_crash
 
-    def _find_scopes(self) -> set[_Scope]:
+    def _find_scopes(self) -> set[crash_records.Scope]:
         return {crash.scope for crash in self._crashes.values()}
 
-    def _find_culprits_in(self, scope: _Scope) -> list[Culprit]:
+    def _find_culprits_in(self, scope: crash_records.Scope) -> list[Culprit]:
+        found = self._find_request_culprits(scope)
         blamed = self._culprits.setdefault(scope, set())
-        found: list[Culprit] = []
         for crash in self._list_confirmed(scope):
+            if self._requests.find_blamed(crash):
+                continue
             for parts in crash.find_suspects():
-                if any(known.issubset(parts) for known in blamed):
+                if not parts or any(known.issubset(parts) for known in blamed):
                     continue
                 scores = self._score(scope)
                 highest = max(scores.get(part, 0) for part in parts)
@@ -379,8 +394,39 @@
                 )
         return found
 
+    def _find_request_culprits(
+        self, scope: crash_records.Scope
+    ) -> list[Culprit]:
+        crashes = self._list_unexplained(scope)
+
+        def is_distinguished(fingerprint: ids.RequestFingerprint) -> bool:
+            if self._is_request_distinguished(scope, fingerprint):
+                return True
+            self._has_new_crash = True
+            return False
+
+        culprits = self._requests.find_culprits(
+            scope, crashes, is_distinguished
+        )
+        if culprits:
+            self._invalidate()
+        return [
+            Culprit(
+                scope.service,
+                scope.software_version,
+                frozenset(),
+                tuple(
+                    crash.endpoint
+                    for crash in crashes
+                    if crash.involves_request(fingerprint)
+                ),
+                fingerprint,
+            )
+            for fingerprint in culprits
+        ]
+
     def _is_distinguished(
-        self, scope: _Scope, parts: frozenset[ids.PromptPartId]
+        self, scope: crash_records.Scope, parts: frozenset[ids.PromptPartId]
     ) -> bool:
         """Returns whether requests without these parts fare better.
 
@@ -392,8 +438,8 @@
         involved = [crash for crash in crashes if crash.involves(parts)]
         since_s = min(crash.at_s for crash in involved)
         if any(
-            at_s >= since_s and not parts.issubset(others)
-            for at_s, others in self._contrasts.get(scope, ())
+            contrast.at_s >= since_s and not parts.issubset(contrast.parts)
+            for contrast in self._contrasts.get(scope, ())
         ):
             return True
         recent = [crash for crash in crashes if crash.at_s >= since_s]
@@ -403,49 +449,107 @@
             for cut in crash.cuts
         )
 
-    def _list_confirmed(self, scope: _Scope) -> list[_Crash]:
+    def _is_request_distinguished(
+        self, scope: crash_records.Scope, fingerprint: ids.RequestFingerprint
+    ) -> bool:
+        """Returns whether other requests fare better than a request.
+
+        As for parts, but where the request is all that comes, it is enough that
+        such endpoints have answered another one before.
+        """
+        crashes = self._list_confirmed(scope)
+        involved = [c for c in crashes if c.involves_request(fingerprint)]
+        since_s = min(crash.at_s for crash in involved)
+        others = [
+            contrast
+            for contrast in self._contrasts.get(scope, ())
+            if contrast.fingerprint != fingerprint
+        ]
+        if any(contrast.at_s >= since_s for contrast in others):
+            return True
+        recent = [crash for crash in crashes if crash.at_s >= since_s]
+        return 2 * len(involved) >= len(recent) and (
+            bool(others)
+            or any(
+                cut.fingerprint != fingerprint
+                for crash in recent
+                for cut in crash.cuts
+            )
+        )
+
+    def _list_unexplained(
+        self, scope: crash_records.Scope
+    ) -> list[crash_records.Crash]:
+        """Returns the confirmed crashes that no blamed parts explain."""
+        blamed = self._culprits.get(scope, ())
+        return [
+            crash
+            for crash in self._list_confirmed(scope)
+            if not any(crash.involves(parts) for parts in blamed)
+        ]
+
+    def _list_confirmed(
+        self, scope: crash_records.Scope
+    ) -> list[crash_records.Crash]:
         return [
             crash
             for crash in self._crashes.values()
             if crash.scope == scope and crash.is_confirmed
         ]
 
-    def _score(self, scope: _Scope) -> dict[ids.PromptPartId, int]:
+    def _score(self, scope: crash_records.Scope) -> dict[ids.PromptPartId, int]:
         """Returns the crashes less the complete answers of each part."""
         scores = self._scores.get(scope)
         if scores is None:
             scores = self._scores[scope] = self._calculate_scores(scope)
         return scores
 
-    def _calculate_scores(self, scope: _Scope) -> dict[ids.PromptPartId, int]:
+    def _calculate_scores(
+        self, scope: crash_records.Scope
+    ) -> dict[ids.PromptPartId, int]:
         moments: dict[ids.PromptPartId, set[int]] = {}
         moment, began_at_s = 0, float("-inf")
         crashes = sorted(self._list_confirmed(scope), key=lambda c: c.at_s)
         for crash in crashes:
-            if crash.at_s - began_at_s > SIMULTANEOUS_S:
+            if crash.at_s - began_at_s > crash_records.SIMULTANEOUS_S:
                 moment, began_at_s = moment + 1, crash.at_s
+            is_explained = bool(self._requests.find_blamed(crash))
             for part in self._find_blamable(crash):
                 record = self._sound.get((scope, part))
                 if record is None or crash.at_s > record.last_at_s:
-                    moments.setdefault(part, set()).add(moment)
+                    # All crashes by one request count once against the parts
+                    # of its prompt.
+                    moments.setdefault(part, set()).add(
+                        0 if is_explained else moment
+                    )
         scores = {}
         for part, counted in moments.items():
             record = self._sound.get((scope, part))
             scores[part] = len(counted) - (record.credit if record else 0)
         return scores
 
-    def _find_blamable(self, crash: _Crash) -> set[ids.PromptPartId]:
+    def _find_blamable(
+        self, crash: crash_records.Crash
+    ) -> set[ids.PromptPartId]:
         """Returns the parts that a crash speaks against.
 
-        A crash that a known culprit explains speaks against no other part.
+        A crash that a known culprit explains speaks against no other part, and
+        one that a blamed request explains only against its parts.
         """
         explaining = [
             culprit
             for culprit in self._culprits.get(crash.scope, ())
             if crash.involves(culprit)
         ]
-        return set().union(*(explaining or crash.find_suspects()))
-
-
-def _get_scope(endpoint: types.Endpoint) -> _Scope:
-    return _Scope(endpoint.service, endpoint.software_version)
+        if explaining:
+            return set().union(*explaining)
+        requests = self._requests.find_blamed(crash)
+        if requests:
+            return set().union(
+                *(
+                    cut.parts
+                    for cut in crash.find_suspected_requests()
+                    if cut.fingerprint in requests
+                )
+            )
+        return set().union(*crash.find_suspects())
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -36,6 +36,7 @@
         regions: Regions that may run the request; empty means all.
         shared_parts: Parts of the prompt that other requests may share.
         was_cut_off: Whether an endpoint cut its answer off that had just begun.
+        fingerprint: What all copies of the request have in common.
     """
 
     request_id: ids.RequestId
@@ -51,6 +52,7 @@
     regions: frozenset[ids.RegionId] = frozenset()
     shared_parts: tuple[ids.PromptPartId, ...] = ()
     was_cut_off: bool = False
+    fingerprint: ids.RequestFingerprint | None = None
 
     @property
     def memory_tokens(self) -> int:
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -116,6 +116,7 @@
         self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
         self._queue: dict[Key, queue_order.QueuedRequest] = {}
         self._running: dict[Key, _Running] = {}
+        self._copies: dict[ids.RequestFingerprint, set[Key]] = {}
 
     @property
     def queued_count(self) -> int:
@@ -192,7 +193,7 @@
         state.load.allocate_primary(
             key, request, prefill_s, request.memory_tokens, now_s
         )
-        self._running[key] = _Running(request, endpoint, ())
+        self._add_running(key, _Running(request, endpoint, ()))
         self._update_index(state)
         if has_begun:
             state.load.record_first_event(key, now_s)
@@ -230,13 +231,13 @@
         if primary is not None and result is messages.Result.DONE:
             primary.load.record_response_time(key, now_s)
         if primary is not None:
-            self._weigh_answer(running.request, primary, result, answer, now_s)
+            self._weigh_answer(key, running, primary, result, answer, now_s)
         if primary is not None and result is messages.Result.SILENT:
             result = _classify_timeout(primary, key)
         for state in states:
             state.load.release(key, now_s)
             self._update_index(state)
-        del self._running[key]
+        self._remove_running(key)
         blamed_state = next(
             (s for s in states if s.candidate.endpoint.address == blamed), None
         )
@@ -250,15 +251,31 @@
             if result is messages.Result.MISDIRECTED:
                 self._index_endpoints()
 
+    def _add_running(self, key: Key, running: _Running) -> None:
+        self._running[key] = running
+        fingerprint = running.request.fingerprint
+        if fingerprint is not None:
+            self._copies.setdefault(fingerprint, set()).add(key)
+
+    def _remove_running(self, key: Key) -> None:
+        fingerprint = self._running.pop(key).request.fingerprint
+        if fingerprint is None:
+            return
+        copies = self._copies[fingerprint]
+        copies.discard(key)
+        if not copies:
+            del self._copies[fingerprint]
+
     def _weigh_answer(
         self,
-        request: messages.PlacementRequest,
+        key: Key,
+        running: _Running,
         state: service_pool.EndpointState,
         result: messages.Result,
         answer: messages.AnswerEnd | None,
         now_s: float,
     ) -> None:
-        endpoint = state.candidate.endpoint
+        endpoint, request = state.candidate.endpoint, running.request
         if result is messages.Result.UNREACHABLE:
             self._evidence.record_unanswered(endpoint, now_s)
         if answer is None:
@@ -267,29 +284,41 @@
             self._evidence.record_progress(endpoint, now_s)
             self._evidence.record_complete(endpoint, request, now_s)
         elif state.candidate.is_open:
+            allocation = state.load.primary_allocations.get(key)
             self._evidence.record_cut(
-                endpoint, request, answer.written_s, now_s
+                endpoint,
+                request,
+                answer.written_s,
+                now_s,
+                now_s if allocation is None else allocation.allocated_at_s,
             )
 
     def find_culprits(self, now_s: float) -> list[crash_evidence.Culprit]:
-        """Returns the parts of prompts that are newly blamed for crashes."""
+        """Returns what is newly blamed for crashes."""
         if not self._evidence.has_new_crash:
             return []
-        for key, running in self._running.items():
-            state = self._states.get(running.endpoint)
-            if state is not None and state.load.has_written_for(
-                key, messages.ANSWER_START_S, now_s
-            ):
-                self._evidence.record_writing(
-                    state.candidate.endpoint, running.request, now_s
-                )
+        for key in self._running:
+            self._record_writing(key, now_s)
         return self._evidence.find_culprits()
 
+    def _record_writing(self, key: Key, now_s: float) -> None:
+        running = self._running[key]
+        state = self._states.get(running.endpoint)
+        if state is not None and state.load.has_written_for(
+            key, messages.ANSWER_START_S, now_s
+        ):
+            self._evidence.record_writing(
+                state.candidate.endpoint, running.request, now_s
+            )
+
     def forgive(
-        self, service: ids.ServiceId, parts: frozenset[ids.PromptPartId]
+        self,
+        service: ids.ServiceId,
+        parts: frozenset[ids.PromptPartId],
+        fingerprint: ids.RequestFingerprint | None,
     ) -> None:
-        """Drops the evidence against parts of prompts."""
-        self._evidence.forgive(service, parts)
+        """Drops the evidence against parts of prompts, or a request."""
+        self._evidence.forgive(service, parts, fingerprint)
 
     def may_have_crashed(self, endpoint: ids.EndpointId) -> bool:
         """Returns whether an endpoint cut answers and may have crashed."""
@@ -324,6 +353,16 @@
             if now_s > running.request.deadline_at_s + EXPIRE_AFTER_S:
                 self.record_end(key, messages.Result.GIVEN_UP, now_s)
 
+    def record_connection(
+        self, endpoint: ids.EndpointId, now_s: float, *, is_reachable: bool
+    ) -> None:
+        """Records whether an endpoint that cut answers accepts connections."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            self._evidence.record_report(
+                state.candidate.endpoint, answered=is_reachable, now_s=now_s
+            )
+
     def record_report(
         self, endpoint: ids.EndpointId, slowdown: float | None, now_s: float
     ) -> bool:
@@ -468,7 +507,16 @@
         candidates = self._find_candidates(request, scheduling_round)
         if not candidates.has_allowed():
             return _wait_for_endpoint(queued, now_s)
-        choice = self._choose(request, candidates, scheduling_round)
+        is_accused = self._evidence.is_accused(request)
+        if is_accused:
+            if self._has_running_copy(request, now_s):
+                return None
+            candidates = self._find_candidates_apart(
+                request, candidates, scheduling_round
+            )
+        choice = self._choose(
+            request, candidates, scheduling_round, is_spread=is_accused
+        )
         if choice is None:
             return _refuse_too_large(request, candidates.allowed_states)
         if not queue_order.should_start(queued, choice, now_s):
@@ -480,13 +528,50 @@
             return _refuse(messages.RefusalReason.REPEAT_BUDGET)
         return self._allocate(key, request, choice, scheduling_round)
 
+    def _has_running_copy(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> bool:
+        """Returns whether the outcome of a copy of an accused request is open.
+
+        One copy at a time shows whether the request crashes endpoints.
+        """
+        assert request.fingerprint is not None
+        for key in self._copies.get(request.fingerprint, ()):
+            self._record_writing(key, now_s)
+        return request.fingerprint in self._copies and (
+            self._evidence.is_accused(request)
+        )
+
+    def _find_candidates_apart(
+        self,
+        request: messages.PlacementRequest,
+        candidates: service_pool.RequestCandidates,
+        scheduling_round: _SchedulingRound,
+    ) -> service_pool.RequestCandidates:
+        """Returns the endpoints that run no other accused request, if any.
+
+        A crash of one of them then tells which request causes it.
+        """
+        others = frozenset(
+            running.endpoint
+            for running in self._running.values()
+            if self._evidence.is_accused(running.request)
+        )
+        apart = self._find_candidates(
+            dataclasses.replace(request, avoided=request.avoided | others),
+            scheduling_round,
+        )
+        return apart if apart.has_allowed() else candidates
+
     def _choose(
         self,
         request: messages.PlacementRequest,
         candidates: service_pool.RequestCandidates,
         scheduling_round: _SchedulingRound,
+        *,
+        is_spread: bool,
     ) -> packing.Choice | None:
-        if self._is_global:
+        if self._is_global and not is_spread:
             return packing.choose(
                 request,
                 candidates,
@@ -533,10 +618,13 @@
             limiter = self._states[load.endpoint.id].send_limiter
             if limiter is not None:
                 limiter.record_send(now_s)
-        self._running[key] = _Running(
-            request,
-            primary.id,
-            tuple(load.endpoint.id for load, _ in choice.helpers),
+        self._add_running(
+            key,
+            _Running(
+                request,
+                primary.id,
+                tuple(load.endpoint.id for load, _ in choice.helpers),
+            ),
         )
         return messages.Placement(
             primary.id,
--- a/packages/placement/tests/test_scheduler.py
+++ b/packages/placement/tests/test_scheduler.py
@@ -414,3 +414,80 @@
     assert all(
         count <= engines.PROFILE.slots for count in primary_counts.values()
     )
+
+
+CUT = messages.AnswerEnd(is_complete=False, written_s=None)
+ANSWERED = messages.AnswerEnd(is_complete=True, written_s=1.0)
+
+
+def cut_off(scheduler, keys, now_s):
+    for key in keys:
+        scheduler.record_end(
+            key, messages.Result.BROKEN, now_s, None, answer=CUT
+        )
+
+
+def test_copies_of_a_request_that_was_cut_off_run_one_at_a_time():
+    scheduler = make_scheduler()
+    request = make_request(fingerprint="f0")
+    for key in ("first", "second"):
+        assert submit_and_decide(scheduler, key, request, 0.0)
+    cut_off(scheduler, ["first"], 0.1)
+    assert submit_and_decide(scheduler, "third", request, 0.1) is None
+    other = make_request(fingerprint="f1")
+    assert submit_and_decide(scheduler, "other", other, 0.1)
+    cut_off(scheduler, ["second"], 0.2)
+    decided = dict(scheduler.decide(0.2))
+    assert isinstance(decided["third"], messages.Placement)
+    assert submit_and_decide(scheduler, "fourth", request, 0.2) is None
+    scheduler.record_end(
+        "third", messages.Result.DONE, 0.3, None, answer=ANSWERED
+    )
+    for key in ("fifth", "sixth"):
+        assert submit_and_decide(scheduler, key, request, 0.3)
+
+
+def test_copies_follow_once_an_answer_has_been_written_for_a_time():
+    scheduler = make_scheduler()
+    request = make_request(fingerprint="f0")
+    submit_and_decide(scheduler, "first", request, 0.0)
+    cut_off(scheduler, ["first"], 0.1)
+    assert submit_and_decide(scheduler, "second", request, 0.2)
+    scheduler.record_first_event("second", 0.3)
+    assert submit_and_decide(scheduler, "third", request, 0.5) is None
+    after_s = 0.4 + messages.ANSWER_START_S
+    assert dict(scheduler.decide(after_s))["third"]
+
+
+def test_requests_of_one_crash_are_sent_to_different_endpoints():
+    scheduler = make_scheduler()
+    requests = {name: make_request(fingerprint=name) for name in "abc"}
+    placed = {
+        name: submit_and_decide(scheduler, name, request)
+        for name, request in requests.items()
+    }
+    assert len({placement.endpoint for placement in placed.values()}) == 1
+    cut_off(scheduler, requests, 0.1)
+    again = {
+        submit_and_decide(
+            scheduler,
+            f"{name} again",
+            dataclasses.replace(
+                request, avoided=frozenset({placed[name].endpoint})
+            ),
+            0.1,
+        ).endpoint
+        for name, request in requests.items()
+    }
+    assert len(again) == 3
+
+
+def test_requests_of_one_crash_share_the_only_endpoint_that_is_left():
+    scheduler = make_scheduler(engine_count=2)
+    requests = {name: make_request(fingerprint=name) for name in "abc"}
+    for name, request in requests.items():
+        submit_and_decide(scheduler, name, request)
+    cut_off(scheduler, requests, 0.1)
+    for name, request in requests.items():
+        avoiding = dataclasses.replace(request, avoided=frozenset({"e0"}))
+        assert submit_and_decide(scheduler, f"{name} again", avoiding, 0.1)
--- a/tests/adapter/crashing_fleet.py
+++ b/tests/adapter/crashing_fleet.py
@@ -91,7 +91,7 @@
             for arrival in engine.arrivals
         )
 
-    async def call(self, number, parts, name):
+    async def call(self, number, parts, name, body=None):
         """Sends a request with a prompt of shared parts; returns its status."""
         prefix = ",".join(f"{part}:100" for part in (*parts, f"{number:08x}"))
         return await self.send(
@@ -99,6 +99,7 @@
             f"{name}-{number}",
             tokens=5_000,
             headers={"Prompt-Prefix": prefix},
+            data=body or f"{name} {number}".encode(),
         )
 
     async def send(
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -12,12 +12,16 @@
 
 from poplarwick_adapter import dialect as platform_dialect
 from poplarwick_adapter import entry_codec
+from poplarwick_adapter import keys
 from poplarwick_adapter import settings
 from poplarwick_catalogue import catalogue
+from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
+from poplarwick_coordination import wire_codec
 from poplarwick_core import errors
 from poplarwick_forwarding import admission
 from poplarwick_forwarding import dialect
+from poplarwick_peers.wire import placement_pb2
 
 SERVER = {
     "service": "pool",
@@ -202,3 +206,31 @@
     headers = {} if text is None else {"Prompt-Prefix": text}
     parsed = platform_dialect.PlatformDialect().parse_request(headers)
     assert parsed.shared_parts == parts
+
+
+@pytest.mark.parametrize(
+    "quarantine",
+    [
+        quarantines.Quarantine("pool", frozenset({"a", "b"}), 3, True, "v1"),
+        quarantines.Quarantine(
+            "pool",
+            frozenset(),
+            endpoints=("i-1", "i-2"),
+            imposed_by="front-1",
+            fingerprint="f0",
+        ),
+    ],
+)
+def test_quarantine_survives_the_store_and_the_wire(quarantine):
+    stored = entry_codec.encode_quarantine(quarantine)
+    item = entry_codec.decode_entry(keys.QUARANTINE_PREFIX + "id", stored)
+    assert item == catalogue.QuarantineItem(quarantine)
+    sent = wire_codec.encode_quarantine(quarantine).SerializeToString()
+    received = placement_pb2.Quarantine.FromString(sent)
+    assert wire_codec.decode_quarantine(received) == quarantine
+
+
+def test_quarantine_that_would_refuse_everything_is_ignored():
+    value = b'{"service": "pool", "generation": 1, "parts": []}'
+    item = entry_codec.decode_entry(keys.QUARANTINE_PREFIX + "id", value)
+    assert isinstance(item, catalogue.InvalidItem)
--- a/tests/adapter/test_crashing_prompt_parts.py
+++ b/tests/adapter/test_crashing_prompt_parts.py
@@ -243,6 +243,16 @@
             await expect(fleet, 200, 200)
             assert (await run("lift", quarantine_id))[0] == 2
             assert (await run("lift", "unknown"))[0] == 2
+            code, printed = await run("impose", "pool")
+            assert code == 2
+            assert "PART: give either parts or --request" in printed.err
+            code, _ = await run("impose", "pool", "--request", "f0")
+            assert code == 0
+            code, printed = await run("list")
+            assert "in force  pool  request f0" in printed.out
+            code, printed = await run("impose", "pool", "--request", "no")
+            assert code == 2
+            assert "--request: 'no'" in printed.err
             code, printed = await run("impose", "pool", "no part")
             assert code == 2
             assert "PART: 'no part'" in printed.err
@@ -314,8 +324,14 @@
         break_answers_off,
     ],
 )
-def test_nothing_is_blamed_on_prompts_when_engines_end_otherwise(tmp_path, end):
-    """Five of ten engines end under requests that all have a part in common."""
+@pytest.mark.parametrize("are_alike", [False, True])
+def test_nothing_is_blamed_on_callers_when_engines_end_otherwise(
+    tmp_path, end, are_alike
+):
+    """Five of ten engines end under requests that all have a part in common.
+
+    In the second variant some of the requests are copies of a single one.
+    """
 
     async def scenario():
         async with run_fleet(tmp_path, set(), pool=10) as fleet:
@@ -327,8 +343,13 @@
             async def send_for(time_s):
                 for number in range(int(time_s / 0.03)):
                     parts = (SHARED, f"5e{number % 4:x}")
+                    body = None
+                    if are_alike and number % 3 == 0:
+                        parts, body = (SHARED, "5e0"), b"alike"
                     calls.append(
-                        asyncio.create_task(fleet.call(number, parts, "good"))
+                        asyncio.create_task(
+                            fleet.call(number, parts, "good", body)
+                        )
                     )
                     await asyncio.sleep(0.03)
 
--- a/tests/adapter/test_crashing_requests.py
+++ b/tests/adapter/test_crashing_requests.py
@@ -112,3 +112,69 @@
             assert good == [200] * 10
 
     asyncio.run(scenario())
+
+
+def test_copies_at_all_instances_at_once_do_not_end_all_endpoints(tmp_path):
+    """Nine copies arrive within 50 ms, and again as soon as they fail."""
+
+    async def scenario():
+        async with run_sender(tmp_path, "stream") as sender:
+            fleet = sender.fleet
+            assert await sender.send_good() == 200
+
+            async def send_thrice():
+                return [await sender.send_bad() for _ in range(3)]
+
+            answers = await asyncio.gather(
+                *(send_thrice() for _ in range(9)),
+            )
+            # The first copies, one retry at a time, and the next copy.
+            assert fleet.crashes <= 9 + 3
+            assert {codes[-1] for codes in answers} == {503}
+
+    asyncio.run(scenario())
+
+
+def test_sound_requests_on_endpoints_that_crash_are_answered(tmp_path):
+    """Each copy of the crashing request has company on its endpoint."""
+
+    async def scenario():
+        async with run_sender(tmp_path, "idempotent") as sender:
+            for replica in sender.fleet.engines:
+                replica.response_delay_s = 0.1
+            good = []
+            for _ in range(15):
+                bad = asyncio.create_task(sender.send_bad())
+                good.extend(
+                    asyncio.create_task(sender.send_good()) for _ in range(2)
+                )
+                await bad
+                await asyncio.sleep(0.2)
+            answers = await asyncio.gather(*good)
+            known = sender.fleet.cluster.instances[0].node.catalogue
+            (quarantine,) = known.quarantines.known
+            assert quarantine.fingerprint is not None
+            assert answers.count(200) >= len(answers) - 2
+
+    asyncio.run(scenario())
+
+
+def test_request_is_refused_without_a_placer_after_three_crashes(tmp_path):
+    async def scenario():
+        async with run_sender(tmp_path, "stream") as sender:
+            fleet, cluster = sender.fleet, sender.fleet.cluster
+            instance = cluster.instances[0]
+            cluster.store.is_down = True
+            for other in cluster.instances[1:]:
+                await other.kill()
+            del cluster.instances[1:]
+            await platform_cluster.wait_until(
+                lambda: instance.node.placement_client.connection is None
+            )
+            assert await sender.send_good() == 200
+            for _ in range(6):
+                await sender.send_bad()
+            assert fleet.count_arrivals() <= 4
+            assert await sender.send_bad() == 503
+
+    asyncio.run(scenario())
