--- /dev/null
+++ b/tests/adapter/network_cuts.py
@@ -0,0 +1,66 @@
+"""Cuts single instances of a cluster in this process off from replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import contextvars
+import enum
+
+CURRENT_INSTANCE = contextvars.ContextVar("current_instance", default=None)
+"""Name of the instance whose task runs; tasks inherit it."""
+
+HANG_S = 60.0
+
+
+class Shape(enum.Enum):
+    """What happens to new connections."""
+
+    HANG = "hang"
+    REFUSED = "refused"
+
+
+class NetworkCuts:
+    """Lets connections of instances that are cut off hang or be refused."""
+
+    def __init__(self):
+        self.shape = Shape.HANG
+        self.cut_instances = set()
+        self.cut_addresses = set()
+        self.attempts = 0
+
+    @contextlib.contextmanager
+    def install(self):
+        """Acts on the running loop while the context is open."""
+        loop = asyncio.get_running_loop()
+        connect = loop.sock_connect
+
+        async def sock_connect(sock, address):
+            if self._is_cut(address):
+                self.attempts += 1
+                if self.shape is Shape.REFUSED:
+                    raise ConnectionRefusedError(111, "cut off")
+                await asyncio.sleep(HANG_S)
+            return await connect(sock, address)
+
+        loop.sock_connect = sock_connect
+        try:
+            yield self
+        finally:
+            del loop.sock_connect
+
+    def cut(self, instances, replicas):
+        """Cuts instances off from replicas."""
+        self.cut_instances = {instance.name for instance in instances}
+        self.cut_addresses = {replica.address for replica in replicas}
+
+    def heal(self):
+        """Ends all cuts."""
+        self.cut_instances = set()
+
+    def _is_cut(self, address):
+        host, port = address[:2]
+        return (
+            CURRENT_INSTANCE.get() in self.cut_instances
+            and f"{host}:{port}" in self.cut_addresses
+        )
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import contextvars
 import itertools
 import json
 import os
 import pathlib
 
 import aiohttp
+import network_cuts
 
 from poplarwick_adapter import settings
 from poplarwick_node import platform_instance
@@ -37,6 +39,7 @@
 
     def __init__(self, name, store_address, folder, **bounds):
         ip = _choose_address()
+        self.name = name
         self.caller_address = f"{ip}:{PORTS[0]}"
         self.readiness_address = f"{ip}:{PORTS[1]}"
         path = pathlib.Path(folder) / f"{name}.json"
@@ -49,7 +52,11 @@
             settings.read_settings(path)
         )
         self.stop = asyncio.Event()
-        self.task = asyncio.create_task(self.node.run(self.stop))
+        context = contextvars.copy_context()
+        context.run(network_cuts.CURRENT_INSTANCE.set, name)
+        self.task = asyncio.create_task(
+            self.node.run(self.stop), context=context
+        )
 
     async def kill(self):
         """Stops the instance without a shutdown."""
