Connect to endpoints through other instances while cut off from all

Cause: an instance had only its own connections to endpoints. The placer placed its requests as any others, each send timed out, and the retries used up the retry budget of all. The class: what one instance sees of the fleet is taken for the fleet.

Change: the new package reach decides whether an instance is cut off (three endpoints in a row fail, two probes hasten it) and connects HTTP sessions to endpoints, directly or through another instance of the region. A relay passes bytes on and knows nothing of requests, so requests, orders, reports, retries and every promise stay where they are. Frames with an end mark keep the end of a killed relay from being taken for that of an answer without a length. Probes of crashes go the same way, so that a placer that is cut off takes no endpoint for crashed.

--- a/packages/administration/poplarwick_administration/explanation.py
+++ b/packages/administration/poplarwick_administration/explanation.py
@@ -43,6 +43,8 @@
     {
         "configuration_in_force",
         "freeze_noticed",
+        "instance_cut_off",
+        "instance_reaches_endpoints",
         "placer_followed",
         "placer_lost",
         "quarantine_imposed",
--- a/packages/bench/poplarwick_bench/examples.py
+++ b/packages/bench/poplarwick_bench/examples.py
@@ -38,6 +38,7 @@
         caller_address="127.0.0.1:1",
         readiness_address="127.0.0.1:2",
         peer_address="127.0.0.1:3",
+        relay_address="127.0.0.1:5",
         metrics_address="127.0.0.1:4",
         store_address="127.0.0.1:5",
         lease_ttl_min_s=1.0,
--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -61,6 +61,7 @@
     instance: ids.InstanceId
     address: str
     strength: float = 1.0
+    domain: ids.DomainId = ids.DomainId("")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/catalogue/poplarwick_catalogue/deployment.py
+++ b/packages/catalogue/poplarwick_catalogue/deployment.py
@@ -51,6 +51,8 @@
         caller_address: Host and port that callers connect to.
         readiness_address: Host and port of the readiness check.
         peer_address: Host and port that other instances connect to.
+        relay_address: Host and port at which connections to endpoints are
+            relayed for other instances; the port is the same on all.
         metrics_address: Host and port of the metrics.
         store_address: Host and port of the platform's store.
         lease_ttl_min_s: Shortest lease that the store grants.
@@ -66,6 +68,7 @@
     caller_address: str
     readiness_address: str
     peer_address: str
+    relay_address: str
     metrics_address: str
     store_address: str
     lease_ttl_min_s: float
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -182,6 +182,7 @@
         parts: Parts of its prompt that other requests may share.
         written_s: Time from the head of the response to its last event; None
             without a head.
+        relay: Instance through which the endpoint was connected.
     """
 
     level = "WARNING"
@@ -196,6 +197,21 @@
     fingerprint: str
     parts: str | None = None
     written_s: float | None = None
+    relay: str | None = None
+
+
+class AttemptRelayed(logs.Event, frozen=True, kw_only=True):
+    """An endpoint answers an attempt through another instance.
+
+    Attributes:
+        request: Id of the request.
+        endpoint: Id of the endpoint.
+        relay: The instance, which logs `connection_relayed`.
+    """
+
+    request: str
+    endpoint: str
+    relay: str
 
 
 class RequestEnded(logs.Event, frozen=True, kw_only=True):
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -269,6 +269,7 @@
                 fingerprint=exchange.fingerprint,
                 parts=",".join(exchange.metadata.shared_parts) or None,
                 written_s=progress.written_s,
+                relay=error.relay,
             )
         )
         if no_retry_reason is None:
@@ -401,9 +402,11 @@
             exchange.target,
             {**exchange.headers, **added_headers},
             exchange.body,
+            exchange.metadata.request_id,
         )
         progress.is_in_flight = True
         async with self._upstream.send(placement.address, request) as response:
+            _log_relay(exchange, placement, response)
             progress.answered_at_s = clock.now_s()
             progress.is_delimited = response.is_delimited
             self._notices.record(placement.endpoint, response.head.notice)
@@ -661,6 +664,21 @@
     )
 
 
+def _log_relay(
+    exchange: http_exchange.Exchange,
+    placement: messages.Placement,
+    response: upstream.Response,
+) -> None:
+    if response.relay is not None:
+        logs.log(
+            log_events.AttemptRelayed(
+                request=exchange.metadata.request_id,
+                endpoint=placement.endpoint,
+                relay=response.relay,
+            )
+        )
+
+
 def _log_refusal(
     exchange: http_exchange.Exchange,
     reply: placement_client.PlacementOutcome,
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -17,10 +17,13 @@
 import aiohttp
 import yarl
 
+from poplarwick_core import clock
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import headers
 from poplarwick_placement import messages
 from poplarwick_platform import http_session
+from poplarwick_reach import connector
+from poplarwick_reach import endpoint_reach
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout of a connection attempt; over a hundred times the latency inside a
@@ -50,12 +53,14 @@
         target: Path and query as received from the caller.
         headers: Headers to send.
         body: The complete body.
+        id: Id of the request, for logs.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    id: str = ""
 
 
 class SendError(Exception):
@@ -66,6 +71,7 @@
         may_have_run: Whether the endpoint may have run the request.
         blamed: Address of another endpoint that caused the failure, if known.
         is_cut: Whether the connection ended before the response did.
+        relay: Instance that relayed the connection; None if it was direct.
     """
 
     def __init__(
@@ -78,6 +84,7 @@
         is_cut: bool = False,
     ) -> None:
         super().__init__(message)
+        self.relay: str | None = None
         self.is_cut = is_cut
         self.blamed = blamed
         self.result = result
@@ -127,8 +134,10 @@
         response: aiohttp.ClientResponse,
         head: dialect.ResponseHead,
         buffers: _BodyBuffers,
+        relay: str | None,
     ) -> None:
         self.head = head
+        self.relay = relay
         self._buffers = buffers
         self.status = response.status
         self.headers = headers.select_headers(response.headers)
@@ -201,10 +210,16 @@
 
     Args:
         wire_dialect: Protocol dialect of the platform.
+        reach: Connects to endpoints.
     """
 
-    def __init__(self, wire_dialect: dialect.Dialect) -> None:
-        super().__init__(_make_session)
+    def __init__(
+        self,
+        wire_dialect: dialect.Dialect,
+        reach: endpoint_reach.EndpointReach,
+    ) -> None:
+        super().__init__(lambda: _make_session(reach))
+        self._reach = reach
         self._dialect = wire_dialect
         self._buffers = _BodyBuffers()
 
@@ -221,15 +236,27 @@
         Raises:
             SendError: There was no usable response.
         """
-        response = await self._open(address, request)
+        info = connector.ConnectionInfo(label=request.id)
+        connector.CONNECTION_INFO.set(info)
+        opened_at_s = clock.now_s()
         try:
-            yield Response(
-                response,
-                self._dialect.parse_response(response.status, response.headers),
-                self._buffers,
-            )
-        finally:
-            response.close()
+            response = await self._open(address, request)
+            if info.relay is None:
+                self._reach.record_reached(address, opened_at_s)
+            try:
+                yield Response(
+                    response,
+                    self._dialect.parse_response(
+                        response.status, response.headers
+                    ),
+                    self._buffers,
+                    info.relay,
+                )
+            finally:
+                response.close()
+        except SendError as error:
+            error.relay = info.relay
+            raise
 
     async def _open(
         self, address: str, request: Request
@@ -262,8 +289,11 @@
             ) from error
 
 
-def _make_session() -> aiohttp.ClientSession:
+def _make_session(
+    reach: endpoint_reach.EndpointReach,
+) -> aiohttp.ClientSession:
     return http_session.make_unshared_session(
+        make_connector=reach.make_connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
             "User-Agent",
--- a/packages/forwarding/tests/test_endless_answers.py
+++ b/packages/forwarding/tests/test_endless_answers.py
@@ -4,12 +4,20 @@
 
 import asyncio
 import resource
+import types
 
+import aiohttp
 import pytest
 
 from poplarwick_adapter import dialect
 from poplarwick_forwarding import upstream
 
+DIRECT = types.SimpleNamespace(
+    make_connector=aiohttp.TCPConnector,
+    record_reached=lambda address, opened_at_s: None,
+)
+"""Connects to endpoints directly."""
+
 ENDPOINTS = 50
 TIME_LEFT_S = 1.5
 START_TIMEOUT_S = 60
@@ -85,7 +93,9 @@
         )
         port = server.sockets[0].getsockname()[1]
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        async with upstream.Upstream(dialect.PlatformDialect()) as client:
+        async with upstream.Upstream(
+            dialect.PlatformDialect(), DIRECT
+        ) as client:
             timers = [asyncio.timeout(None) for _ in range(ENDPOINTS)]
             requests = [
                 asyncio.create_task(request(client, f"127.0.0.1:{port}", timer))
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -45,6 +45,8 @@
 from poplarwick_platform import feed
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
+from poplarwick_reach import endpoint_reach
+from poplarwick_reach import relay_server
 
 BALANCER_DELAY_S = 2.6
 """Time from turning readiness off until the load balancer has noticed: two
@@ -157,11 +159,24 @@
             self.placement_client.report_leaving,
             self.placement_client.report_limit,
         )
+        reach = self.reach = endpoint_reach.EndpointReach(
+            instance_deployment, self.catalogue
+        )
+        self.relay_server = await enter(
+            relay_server.RelayServer(
+                instance_deployment.relay_address,
+                self.catalogue,
+                lambda: reach.is_cut_off,
+                reach.record_failed,
+            )
+        )
         engines = await enter(
-            engine_client.PlatformEngineClient(notices.record_from_address)
+            engine_client.PlatformEngineClient(
+                reach, notices.record_from_address
+            )
         )
         report_reader = await enter(
-            engine_client.ReportReader(notices.record_from_address)
+            engine_client.ReportReader(reach, notices.record_from_address)
         )
         probe = crash_probe.CrashProbe(
             report_reader,
@@ -196,7 +211,9 @@
         self._reservations = reservations.Reservations(
             engines, lambda: instance_deployment.bounds
         )
-        upstream_client = await enter(upstream.Upstream(platform_dialect))
+        upstream_client = await enter(
+            upstream.Upstream(platform_dialect, reach)
+        )
         runner = request_runner.RequestRunner(
             self.placement_client,
             upstream_client,
@@ -228,12 +245,15 @@
             instance_deployment.peer_address,
             keys.MEMBER_PREFIX + instance_deployment.instance,
             entry_codec.encode_member(
-                instance_deployment.peer_address, instance_deployment.strength
+                instance_deployment.peer_address,
+                instance_deployment.strength,
+                instance_deployment.domain,
             ),
         )
         self._start_task(stack, self.feed.run)
         self._start_task(stack, self.tenure.run)
         self._start_task(stack, self.placement_client.run)
+        self._start_task(stack, reach.run)
         self._start_task(stack, role.run)
         self._start_task(stack, instance_registration.run)
         self._start_task(stack, self._make_quarantine_keeper(client).run)
@@ -331,6 +351,7 @@
         self._is_leaving = True
         self.frontend.is_leaving = True
         self.placement_client.is_leaving = True
+        self.relay_server.is_leaving = True
         await self._hand_over()
         await self.tenure.resign()
         await asyncio.sleep(BALANCER_DELAY_S)
@@ -342,6 +363,7 @@
                     in_progress=self.frontend.in_progress
                 )
             )
+        await self.relay_server.wait_until_idle(deadline_s - clock.now_s())
         await self._reservations.drain()
 
     async def _hand_over(self) -> None:
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -49,6 +49,7 @@
     *,
     connection_limit: int = 0,
     tls: ssl.SSLContext | None = None,
+    make_connector: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Returns a session that sends each request once, on its own connection.
@@ -59,10 +60,12 @@
     Args:
         connection_limit: Most connections at a time; 0 for no limit.
         tls: Verifies the server; None for plain connections.
+        make_connector: Creates the connector with options of
+            `aiohttp.TCPConnector`.
         **options: Further options of the session.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=make_connector(
             limit=connection_limit, force_close=True, ssl=tls or True
         ),
         **options,
--- /dev/null
+++ b/packages/reach/poplarwick_reach/__init__.py
@@ -0,0 +1,1 @@
+"""Connects to endpoints, directly or through another instance."""
--- /dev/null
+++ b/packages/reach/poplarwick_reach/log_events.py
@@ -0,0 +1,53 @@
+"""Events of connections to endpoints through other instances."""
+
+from __future__ import annotations
+
+from poplarwick_core import logs
+
+
+class InstanceCutOff(logs.Event, frozen=True, kw_only=True):
+    """This instance reaches no endpoint; others relay its connections.
+
+    Attributes:
+        endpoints: Addresses of the endpoints that failed.
+    """
+
+    level = "WARNING"
+
+    endpoints: str
+
+
+class InstanceReachesEndpoints(logs.Event, frozen=True, kw_only=True):
+    """This instance reaches endpoints again and connects directly.
+
+    Attributes:
+        after_s: Time for which it was cut off.
+    """
+
+    after_s: float
+
+
+class RelayDeclined(logs.Event, frozen=True, kw_only=True):
+    """An instance did not relay a connection; another one is asked.
+
+    Attributes:
+        relay: The instance.
+        reason: Why not.
+    """
+
+    relay: str
+    reason: str
+
+
+class ConnectionRelayed(logs.Event, frozen=True, kw_only=True):
+    """This instance relays a connection of another one.
+
+    Attributes:
+        origin: Host of the instance that asked for it.
+        address: Host and port of the endpoint.
+        request: Id of the request that it is for, if it is for one.
+    """
+
+    origin: str
+    address: str
+    request: str | None = None
--- /dev/null
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -0,0 +1,313 @@
+"""Relays connections of other instances to endpoints, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Self
+
+from poplarwick_catalogue import catalogue
+from poplarwick_core import logs
+from poplarwick_reach import frames
+from poplarwick_reach import handshake
+from poplarwick_reach import log_events
+from poplarwick_reach import metrics
+from poplarwick_reach import relay_choice
+
+MAX_CONNECTIONS = 400
+"""Connections that an instance relays at a time; each takes two descriptors and
+buffers of 64 KiB at most in each direction."""
+
+BUFFER_BYTES = 65_536
+"""Bytes that wait for one side until the other one is not read any more."""
+
+HELLO_TIMEOUT_S = 1.0
+"""Time limit for the first line."""
+
+IDLE_CHECK_S = 0.05
+"""Interval between checks whether the last connection has ended."""
+
+
+class RelayServer:
+    """Relays connections while its context is open.
+
+    Args:
+        address: Host and port to listen on; endpoints are connected from this
+            host.
+        catalogue_: Known instances and endpoints.
+        is_cut_off: Returns whether this instance reaches no endpoint.
+        record_failed: Called with endpoints that could not be connected.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        catalogue_: catalogue.Catalogue,
+        is_cut_off: Callable[[], bool],
+        record_failed: Callable[[str], None],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._catalogue = catalogue_
+        self._is_cut_off = is_cut_off
+        self._record_failed = record_failed
+        self._server: asyncio.Server | None = None
+        self._connections: set[_InstanceSide] = set()
+        self.is_leaving = False
+        self.opened_count = 0
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _InstanceSide(self._connections, self._connect),
+            self._host,
+            self._port,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that are relayed."""
+        return len(self._connections)
+
+    async def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until no connection is relayed and returns whether none is.
+
+        Args:
+            timeout_s: Longest wait.
+        """
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while self._connections:
+            if asyncio.get_running_loop().time() >= deadline_s:
+                return False
+            await asyncio.sleep(IDLE_CHECK_S)
+        return True
+
+    async def _connect(
+        self, origin: str, line: bytes, instance_side: _InstanceSide
+    ) -> handshake.Reply:
+        """Connects an instance to the endpoint that it asks for."""
+        try:
+            address, label = handshake.decode_hello(line)
+        except handshake.HandshakeError:
+            return self._decline(handshake.Reply.REFUSED)
+        obstacle = self._find_obstacle(origin, address)
+        if obstacle is not None:
+            return self._decline(obstacle)
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(handshake.ENDPOINT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: _EndpointSide(instance_side),
+                    host,
+                    int(port),
+                    local_addr=(self._host, 0),
+                )
+        except (OSError, TimeoutError):
+            self._record_failed(address)
+            return self._decline(
+                handshake.Reply.CUT_OFF
+                if self._is_cut_off()
+                else handshake.Reply.UNREACHABLE
+            )
+        self.opened_count += 1
+        metrics.connections_relayed.add(1, {"role": "relay"})
+        logs.log(
+            log_events.ConnectionRelayed(
+                origin=origin, address=address, request=label
+            )
+        )
+        return handshake.Reply.CONNECTED
+
+    def _find_obstacle(
+        self, origin: str, address: str
+    ) -> handshake.Reply | None:
+        members = {
+            member.address.rpartition(":")[0]
+            for member in self._catalogue.members.values()
+        }
+        endpoints = {
+            tracked.endpoint.address
+            for tracked in self._catalogue.endpoints.values()
+        }
+        if not relay_choice.may_be_relayed(origin, members, address, endpoints):
+            return handshake.Reply.REFUSED
+        if self.is_leaving:
+            return handshake.Reply.LEAVING
+        if self._is_cut_off():
+            return handshake.Reply.CUT_OFF
+        if len(self._connections) > MAX_CONNECTIONS:
+            return handshake.Reply.FULL
+        return None
+
+    def _decline(self, reply: handshake.Reply) -> handshake.Reply:
+        metrics.relays_declined.add(1, {"reason": reply.name.lower()})
+        return reply
+
+
+class _InstanceSide(asyncio.Protocol):
+    """Connection of the instance that asks for a relay."""
+
+    def __init__(
+        self,
+        connections: set[_InstanceSide],
+        connect: Callable[
+            [str, bytes, _InstanceSide], Awaitable[handshake.Reply]
+        ],
+    ) -> None:
+        self._connections = connections
+        self._connect = connect
+        self._line = b""
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.endpoint_side: _EndpointSide | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(BUFFER_BYTES)
+        self._connections.add(self)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(HELLO_TIMEOUT_S, self.abort)
+
+    def data_received(self, data: bytes) -> None:
+        if self.endpoint_side is not None:
+            self.endpoint_side.write(data)
+            return
+        self._line += data
+        if len(self._line) > handshake.MAX_LINE_BYTES or self._task is not None:
+            self.abort()
+        elif self._line.endswith(b"\n"):
+            self._task = asyncio.create_task(self._open())
+
+    async def _open(self) -> None:
+        assert self.transport is not None
+        origin = self.transport.get_extra_info("peername")[0]
+        reply = await self._connect(origin, self._line.rstrip(b"\n"), self)
+        if self._timer is not None:
+            self._timer.cancel()
+        # In front of everything that the endpoint sends.
+        self.transport.write(reply.value)
+        if reply is not handshake.Reply.CONNECTED:
+            self.transport.close()
+        elif self.endpoint_side is not None:
+            self.endpoint_side.begin()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        del exc
+        self._connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        if self.endpoint_side is not None:
+            self.endpoint_side.abort()
+
+    def pause_writing(self) -> None:
+        if self.endpoint_side is not None:
+            self.endpoint_side.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.endpoint_side is not None:
+            self.endpoint_side.resume_reading()
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes of the endpoint."""
+        if self.transport is not None:
+            self.transport.write(frames.encode(data))
+
+    def end(self, *, is_orderly: bool) -> None:
+        """Ends the connection as the endpoint has ended its own."""
+        if self.transport is None:
+            return
+        if is_orderly:
+            self.transport.write(frames.END)
+            self.transport.close()
+        else:
+            self.transport.abort()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stops reading while the endpoint does not read."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+
+class _EndpointSide(asyncio.Protocol):
+    """Connection to the endpoint."""
+
+    def __init__(self, instance_side: _InstanceSide) -> None:
+        self._instance_side = instance_side
+        self._transport: asyncio.Transport | None = None
+        self._has_eof = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(BUFFER_BYTES)
+        # Until the instance has been told that it is connected.
+        transport.pause_reading()
+        self._instance_side.endpoint_side = self
+
+    def begin(self) -> None:
+        """Begins to pass bytes on."""
+        self.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        self._instance_side.write(data)
+
+    def eof_received(self) -> None:
+        self._has_eof = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._instance_side.end(is_orderly=exc is None and self._has_eof)
+
+    def pause_writing(self) -> None:
+        self._instance_side.pause_reading()
+
+    def resume_writing(self) -> None:
+        self._instance_side.resume_reading()
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes of the instance."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stops reading while the instance does not read."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
--- a/scripts/write_log_reference.py
+++ b/scripts/write_log_reference.py
@@ -19,6 +19,7 @@
     "poplarwick_coordination.log_events",
     "poplarwick_catalogue.log_events",
     "poplarwick_platform.log_events",
+    "poplarwick_reach.log_events",
     "poplarwick_node.log_events",
 )
 HEADING = """# Log events
--- a/tests/adapter/test_endpoint_notices.py
+++ b/tests/adapter/test_endpoint_notices.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+import types
 
+import aiohttp
 import platform_cluster
 import pytest
 
@@ -67,14 +69,15 @@
 def test_orders_and_reports_carry_notices_too():
     async def run():
         received = []
+        direct = types.SimpleNamespace(make_connector=aiohttp.TCPConnector)
 
         def record(address, notice):
             received.append((address, notice))
 
         async with (
             platform_replica.Replica("i-0", "pool") as replica,
-            engine_client.PlatformEngineClient(record) as client,
-            engine_client.ReportReader(record) as reader,
+            engine_client.PlatformEngineClient(direct, record) as client,
+            engine_client.ReportReader(direct, record) as reader,
         ):
             replica.notice_headers = LEAVING
             await reader.read_slowdown(replica.address)
--- a/tests/adapter/test_unexpected_errors.py
+++ b/tests/adapter/test_unexpected_errors.py
@@ -174,7 +174,9 @@
     known = catalogue.Catalogue(store_mirror, decode)
     values = {
         "servers/poison": b"{}",
-        "poplarwick/instances/a": entry_codec.encode_member("1.2.3.4:5", 1.0),
+        "poplarwick/instances/a": entry_codec.encode_member(
+            "1.2.3.4:5", 1.0, "a"
+        ),
     }
     store_mirror.apply_changes(
         [
