Do not charge the retry budget for endpoints that were not connected

Cause: each placement after the first counted as a retry. The budget protects endpoints from arrivals beyond the first; a connection that was not made is none.

Change: a placement is a retry once an endpoint has been connected for the request. That a request is counted once for the budget is told apart from it (was_placed).

Test: test_endpoints_that_were_not_connected_use_up_no_retries failed before.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -174,7 +174,7 @@
         The caller must call `record_end` for each placed request.
         """
         request_number = next(self._request_numbers)
-        if not request.is_retry:
+        if not request.was_placed:
             self._scheduler.count_request(request.service, clock.now_s())
         submitted_at_s = clock.now_s()
         pending = _PendingRequest(
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -310,7 +310,7 @@
                 request = wire_codec.decode_request(message.ask, now_s)
                 key = Key(session.instance, message.ask.ask)
                 self._feed.refresh()
-                if not request.is_retry:
+                if not request.was_placed:
                     self._scheduler.count_request(request.service, now_s)
                 self._scheduler.submit(key, request, now_s)
                 decision = self._scheduler.decide_new(key, now_s)
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -32,6 +32,7 @@
         shared_parts=request.shared_parts,
         was_cut_off=request.was_cut_off,
         fingerprint=request.fingerprint or "",
+        was_placed=request.was_placed,
     )
 
 
@@ -61,6 +62,7 @@
         shared_parts=tuple(ids.PromptPartId(p) for p in message.shared_parts),
         was_cut_off=message.was_cut_off,
         fingerprint=_decode_fingerprint(message.fingerprint),
+        was_placed=message.was_placed,
     )
 
 
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -57,6 +57,7 @@
         *,
         broken_at_s: float | None,
         is_retry: bool,
+        was_placed: bool,
         was_cut_off: bool,
     ) -> messages.PlacementRequest:
         """Returns the request for a placement of the next attempt.
@@ -65,7 +66,8 @@
             avoided: Endpoints that the attempt must avoid.
             broken_at_s: Monotonic time at which the stream broke; None if it
                 did not.
-            is_retry: Whether there was an earlier attempt.
+            is_retry: Whether an endpoint has received the request before.
+            was_placed: Whether there was an earlier attempt.
             was_cut_off: Whether an endpoint cut an answer off that had just
                 begun.
         """
@@ -85,6 +87,7 @@
             priority=self.admission.priority,
             avoided=avoided,
             is_retry=is_retry,
+            was_placed=was_placed,
             regions=regions if regions is not None else NO_REGIONS,
             shared_parts=self.metadata.shared_parts,
             was_cut_off=was_cut_off,
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -77,6 +77,7 @@
 
     Attributes:
         attempts: Number of attempts so far.
+        receipts: Number of attempts whose endpoint was connected.
         executions: Number of attempts that may have run the request.
         is_in_flight: Whether an attempt has been sent and not ended.
         last_event_id: Id of the last event that was sent to the caller.
@@ -92,6 +93,7 @@
 
     last_event_id: int | None
     attempts: int = 0
+    receipts: int = 0
     executions: int = 0
     is_in_flight: bool = False
     broken_at_s: float | None = None
@@ -170,7 +172,8 @@
                 exchange.make_placement_request(
                     progress.avoided | self._notices.find_blocked(),
                     broken_at_s=progress.broken_at_s,
-                    is_retry=progress.attempts > 0,
+                    is_retry=progress.receipts > 0,
+                    was_placed=progress.attempts > 0,
                     was_cut_off=progress.was_cut_off,
                 )
             )
@@ -320,6 +323,7 @@
             ) from error
         except upstream.SendError as error:
             result, blamed = error.result, error.blamed
+            progress.receipts += result is not messages.Result.UNREACHABLE
             if error.is_cut:
                 answer = progress.make_answer_end(is_complete=False)
                 progress.was_cut_off |= answer.had_just_begun
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -1,4 +1,4 @@
-"""What a caller is told when its time ends during an attempt."""
+"""How requests are sent again, and what a caller is told at the end."""
 
 from __future__ import annotations
 
@@ -29,8 +29,10 @@
 
     def __init__(self):
         self.results = []
+        self.requests = []
 
     async def place(self, request):
+        self.requests.append(request)
         placement = messages.Placement(
             ids.EndpointId("e"), "127.0.0.1:1", (), 0.1, "test"
         )
@@ -49,11 +51,17 @@
 class Sender:
     """Never gets a response, or gets a refusal that says "not run"."""
 
-    def __init__(self, refuses):
+    def __init__(self, refuses, unreachable=0):
         self.refuses = refuses
+        self.unreachable = unreachable
 
     @contextlib.asynccontextmanager
     async def send(self, address, request):
+        if self.unreachable:
+            self.unreachable -= 1
+            raise upstream.SendError(
+                "no connection", messages.Result.UNREACHABLE, may_have_run=False
+            )
         if self.refuses:
             raise upstream.SendError(
                 "full", messages.Result.FULL, may_have_run=False
@@ -104,10 +112,10 @@
     )
 
 
-def run_request(*, refuses):
+def run_request(*, refuses, unreachable=0, placements=None):
     runner = request_runner.RequestRunner(
-        Placements(),
-        Sender(refuses),
+        placements or Placements(),
+        Sender(refuses, unreachable),
         platform_dialect.PlatformDialect(),
         Memory(),
         NOTICES,
@@ -143,3 +151,14 @@
 def test_request_that_every_endpoint_refused_is_called_not_run():
     outcome = run_request(refuses=True)
     assert outcome.failure is outcomes.Failure.REFUSED
+
+
+def test_endpoints_that_were_not_connected_use_up_no_retries():
+    placements = Placements()
+    run_request(refuses=True, unreachable=2, placements=placements)
+    first, second, third, fourth, *_ = placements.requests
+    assert not any(r.is_retry for r in (first, second, third))
+    assert fourth.is_retry
+    # For the budget it is one request all the while.
+    assert not first.was_placed
+    assert all(r.was_placed for r in (second, third, fourth))
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -32,11 +32,13 @@
         pause_limit_s: Longest pause between events that counts as on time.
         priority: Priority; 0 is the highest.
         avoided: Endpoints that must not run the request again.
-        is_retry: Whether the request was sent to an endpoint before.
+        is_retry: Whether an endpoint has received the request before.
         regions: Regions that may run the request; empty means all.
         shared_parts: Parts of the prompt that other requests may share.
         was_cut_off: Whether an endpoint cut its answer off that had just begun.
         fingerprint: What all copies of the request have in common.
+        was_placed: Whether the request was placed before, so that it is counted
+            already.
     """
 
     request_id: ids.RequestId
@@ -53,6 +55,7 @@
     shared_parts: tuple[ids.PromptPartId, ...] = ()
     was_cut_off: bool = False
     fingerprint: ids.RequestFingerprint | None = None
+    was_placed: bool = False
 
     @property
     def memory_tokens(self) -> int:
