Take connections that are reset before any answer for a sign of a cut

Links that are cut may accept a connection and reset it. Such resets proved nothing, so an instance whose links do that did not find that it is cut off.

Test: test_callers_of_instances_cut_off_from_all_endpoints_are_served with connections that are reset served nobody at the cut instances before (3 of 3) and passes.

--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -240,7 +240,7 @@
         connector.CONNECTION_INFO.set(info)
         opened_at_s = clock.now_s()
         try:
-            response = await self._open(address, request)
+            response = await self._open(address, request, info)
             if info.relay is None:
                 self._reach.record_reached(address, opened_at_s)
             try:
@@ -259,7 +259,7 @@
             raise
 
     async def _open(
-        self, address: str, request: Request
+        self, address: str, request: Request, info: connector.ConnectionInfo
     ) -> aiohttp.ClientResponse:
         try:
             return await self.session.request(
@@ -279,13 +279,15 @@
                 may_have_run=False,
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            is_cut = isinstance(error, aiohttp.ClientConnectionError | OSError)
+            if is_cut and info.relay is None:
+                # Links that are cut may also reset what was accepted.
+                self._reach.record_failed(address)
             raise SendError(
                 f"no usable response from {address}: {error!r}",
                 messages.Result.BROKEN,
                 may_have_run=True,
-                is_cut=isinstance(
-                    error, aiohttp.ClientConnectionError | OSError
-                ),
+                is_cut=is_cut,
             ) from error
 
 
--- a/packages/forwarding/tests/test_endless_answers.py
+++ b/packages/forwarding/tests/test_endless_answers.py
@@ -15,6 +15,7 @@
 DIRECT = types.SimpleNamespace(
     make_connector=aiohttp.TCPConnector,
     record_reached=lambda address, opened_at_s: None,
+    record_failed=lambda address: None,
 )
 """Connects to endpoints directly."""
 
--- a/tests/adapter/network_cuts.py
+++ b/tests/adapter/network_cuts.py
@@ -6,6 +6,8 @@
 import contextlib
 import contextvars
 import enum
+import socket
+import struct
 
 CURRENT_INSTANCE = contextvars.ContextVar("current_instance", default=None)
 """Name of the instance whose task runs; tasks inherit it."""
@@ -13,11 +15,21 @@
 HANG_S = 60.0
 
 
+def reset(reader, writer):
+    """Resets a connection that was accepted."""
+    del reader
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 class Shape(enum.Enum):
     """What happens to new connections."""
 
     HANG = "hang"
     REFUSED = "refused"
+    RESET = "reset"
 
 
 class NetworkCuts:
@@ -29,17 +41,21 @@
         self.cut_addresses = set()
         self.attempts = 0
 
-    @contextlib.contextmanager
-    def install(self):
+    @contextlib.asynccontextmanager
+    async def install(self):
         """Acts on the running loop while the context is open."""
         loop = asyncio.get_running_loop()
         connect = loop.sock_connect
+        resetting = await asyncio.start_server(reset, "127.0.0.1", 0)
+        resetting_address = resetting.sockets[0].getsockname()
 
         async def sock_connect(sock, address):
             if self._is_cut(address):
                 self.attempts += 1
                 if self.shape is Shape.REFUSED:
                     raise ConnectionRefusedError(111, "cut off")
+                if self.shape is Shape.RESET:
+                    return await connect(sock, resetting_address)
                 await asyncio.sleep(HANG_S)
             return await connect(sock, address)
 
@@ -48,6 +64,7 @@
             yield self
         finally:
             del loop.sock_connect
+            resetting.close()
 
     def cut(self, instances, replicas):
         """Cuts instances off from replicas."""
--- a/tests/adapter/test_instances_cut_off.py
+++ b/tests/adapter/test_instances_cut_off.py
@@ -61,12 +61,14 @@
 
 @contextlib.asynccontextmanager
 async def run_cut_cluster(tmp_path):
-    with network_cuts.NetworkCuts().install() as cuts:
-        async with platform_cluster.run_cluster(
+    async with (
+        network_cuts.NetworkCuts().install() as cuts,
+        platform_cluster.run_cluster(
             tmp_path, pool=ENGINES, orders=3, instances=INSTANCES
-        ) as cluster:
-            await crashing_fleet.wait_for_placer(cluster)
-            yield cluster, cuts
+        ) as cluster,
+    ):
+        await crashing_fleet.wait_for_placer(cluster)
+        yield cluster, cuts
 
 
 def sort_placer_first(cluster):
