Soak: cut instances off from all endpoints, and check how they serve

A proxy resets new connections of chosen hosts; in every other case the open ones live on. One to all but one of the instances are cut off for 7 s and more. The check is the platform's: from 3 s on they serve two thirds of what the others do, or fail no more than 10 and 1 in 50 first tries.

--- a/packages/bench/poplarwick_bench/proxy.py
+++ b/packages/bench/poplarwick_bench/proxy.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import types
+from collections.abc import Set as AbstractSet
 
 CHUNK_BYTES = 65_536
 LOOPBACK = "127.0.0.1"
@@ -55,9 +56,21 @@
         target: Host and port that connections are forwarded to.
         address: Host and port that the proxy listens on.
         connection_count: Number of accepted connections.
+
+    Args:
+        target: Host and port that connections are forwarded to.
+        seed: Seed of the random delays.
+        refused_hosts: Hosts whose new connections are reset, whatever the
+            rules; proxies may share one set.
     """
 
-    def __init__(self, target: str, seed: int = 0) -> None:
+    def __init__(
+        self,
+        target: str,
+        seed: int = 0,
+        refused_hosts: AbstractSet[str] = frozenset(),
+    ) -> None:
+        self._refused_hosts = refused_hosts
         self.target = target
         self.address = ""
         self.connection_count = 0
@@ -96,16 +109,22 @@
         self._rules_changed.set()
         self._rules_changed = asyncio.Event()
 
-    def reset(self) -> None:
-        """Resets all open connections."""
+    def reset(self, hosts: AbstractSet[str] | None = None) -> None:
+        """Resets open connections.
+
+        Args:
+            hosts: Hosts whose connections are reset; None for all.
+        """
         for connection in list(self._connections):
-            connection.abort()
+            if hosts is None or connection.host in hosts:
+                connection.abort()
 
     async def _handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connection_count += 1
-        if self._rules.refuses_connections:
+        host = writer.get_extra_info("peername")[0]
+        if self._rules.refuses_connections or host in self._refused_hosts:
             _reset(writer)
             return
         host, _, port = self.target.rpartition(":")
@@ -179,6 +198,12 @@
     downstream: asyncio.StreamWriter
     upstream: asyncio.StreamWriter
 
+    @property
+    def host(self) -> str:
+        """Host that made the connection."""
+        peer = self.downstream.get_extra_info("peername")
+        return "" if peer is None else str(peer[0])
+
     def abort(self) -> None:
         """Resets both halves."""
         _reset(self.downstream)
--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -77,6 +77,16 @@
 LATE_ARRIVALS = 3
 """Arrivals of such requests at endpoints that are allowed from then on."""
 
+CUT_SHARE = 2 / 3
+"""Share of what the others serve that instances must serve which are cut off
+from all endpoints."""
+
+CUT_FAILURES = 10
+"""First tries that may fail there in any case."""
+
+CUT_FAILURE_SHARE = 1 / 50
+"""Share of them that may fail in addition."""
+
 LIMIT_WINDOW_S = 4.0
 """Time window over which requests to an endpoint with a limit are counted."""
 
@@ -425,6 +435,62 @@
             )
 
 
+def check_cut_instances(record: records.Record) -> Iterator[Finding]:
+    """Instances cut off from all endpoints serve about as well as others."""
+    crash_causes = {c for e in record.endpoints for c in e.crash_causes}
+    for span in record.cut_spans:
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for call in record.calls:
+            if not (
+                span.begins_at_s + SETTLE_S <= call.sent_at_s <= span.ends_at_s
+            ):
+                continue
+            if not _counts_as_first_try(record, call, crash_causes):
+                continue
+            is_cut = _is_cut_off(record, call.instance, call.sent_at_s)
+            served[is_cut].append(
+                call.status == 200 and call.outcome is records.Outcome.WHOLE
+            )
+        cut, others = served[True], served[False]
+        failed = len(cut) - sum(cut)
+        if (
+            cut
+            and others
+            and sum(cut) / len(cut) < CUT_SHARE * sum(others) / len(others)
+            and failed > CUT_FAILURES + CUT_FAILURE_SHARE * len(cut)
+        ):
+            yield Finding(
+                "cut",
+                "",
+                span.begins_at_s,
+                f"served {sum(cut)} of {len(cut)} at instances that were cut"
+                f" off, {sum(others)} of {len(others)} at the others",
+            )
+
+
+def _is_cut_off(record: records.Record, instance: str, at_s: float) -> bool:
+    return any(
+        instance in span.instances
+        and span.begins_at_s <= at_s <= span.ends_at_s
+        for span in record.cut_spans
+    )
+
+
+def _counts_as_first_try(
+    record: records.Record, call: records.Call, crash_causes: set[str]
+) -> bool:
+    """Returns whether a call was to be served by an instance in touch."""
+    return (
+        call.outcome is not records.Outcome.LEFT
+        and call.status not in (401, 404)
+        and call.part not in crash_causes
+        and call.body.decode() not in crash_causes
+        and record.is_uninterrupted(
+            call.instance, call.sent_at_s - SETTLE_S, call.ended_at_s
+        )
+    )
+
+
 def check_rate_limits(record: records.Record) -> Iterator[Finding]:
     """An endpoint gets no more requests than the rate that it names allows."""
     by_name = {endpoint.name: endpoint for endpoint in record.endpoints}
@@ -545,6 +611,7 @@
     check_retries,
     check_crashing_parts,
     check_crashing_requests,
+    check_cut_instances,
     check_rate_limits,
     check_idle_reservations,
     check_planned_operations,
--- a/packages/bench/poplarwick_bench/soak/fault_injector.py
+++ b/packages/bench/poplarwick_bench/soak/fault_injector.py
@@ -94,6 +94,10 @@
 LIMIT_S = 9.0
 """Time for which they name it, in addition to the duration of the fault."""
 
+CUT_S = 7.0
+"""Time for which instances are cut off from endpoints, in addition to the
+duration of the fault."""
+
 REPLICA_RESTART_S = 1.0
 """Time after which a crashed engine is replaced."""
 
@@ -153,6 +157,7 @@
             kind.CRASHING_PART: self._send_crashing_part,
             kind.CRASHING_REQUEST: self._send_crashing_request,
             kind.ENDPOINT_LIMITED: self._limit_endpoint,
+            kind.INSTANCES_CUT_OFF: self._cut_instances_off,
         }
 
     async def run(self, faults: Sequence[schedule.Fault]) -> None:
@@ -361,6 +366,33 @@
             )
         )
 
+    async def _cut_instances_off(self, fault: schedule.Fault) -> None:
+        """Resets all new connections of some instances to endpoints.
+
+        In every other case their open connections live on.
+        """
+        instances = self._system.instances
+        count = 1 + fault.target % (len(instances) - 1)
+        first = fault.target % len(instances)
+        chosen = (instances + instances)[first : first + count]
+        hosts = {instance.ip for instance in chosen}
+        begins_at_s = time.monotonic()
+        interruption = self._record_interruption("links to endpoints")
+        self._system.cut_hosts |= hosts
+        if fault.target % 2:
+            for endpoint in self._system.endpoints:
+                endpoint.link_proxy.reset(hosts)
+        await asyncio.sleep(CUT_S + fault.duration_s)
+        self._system.cut_hosts -= hosts
+        interruption.ends_at_s = time.monotonic()
+        self._record.cut_spans.append(
+            records.CutSpan(
+                frozenset(instance.name for instance in chosen),
+                begins_at_s,
+                interruption.ends_at_s,
+            )
+        )
+
     async def _send_crashing_part(self, fault: schedule.Fault) -> None:
         """Sends requests with a part that crashes engines."""
         part = f"bad{next(self._numbers):05x}"
--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -161,6 +161,7 @@
         self.api_keys = [documents.API_KEY]
         self.crashing_parts: set[str] = set()
         self.crashing_bodies: set[bytes] = set()
+        self.cut_hosts: set[str] = set()
         self._sizes = (instances, engines, plain)
         self._replica_numbers = itertools.count(1)
         self._peers: dict[str, platform_replica.Replica] = {}
@@ -321,7 +322,7 @@
     async def _add_endpoint(self, service: str, domain: str) -> None:
         replica = await self._start_replica(service, domain)
         link_proxy = await self._stack.enter_async_context(
-            proxy.Proxy(replica.address)
+            proxy.Proxy(replica.address, refused_hosts=self.cut_hosts)
         )
         endpoint = Endpoint(replica, link_proxy)
         self.endpoints.append(endpoint)
--- a/packages/bench/poplarwick_bench/soak/records.py
+++ b/packages/bench/poplarwick_bench/soak/records.py
@@ -144,6 +144,21 @@
     ends_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutSpan:
+    """A time span in which instances reached no endpoint.
+
+    Attributes:
+        instances: Names of the instances.
+        begins_at_s: Monotonic start time in seconds.
+        ends_at_s: Monotonic end time in seconds.
+    """
+
+    instances: frozenset[str]
+    begins_at_s: float
+    ends_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleReservation:
     """A memory reservation that was unused for too long."""
@@ -165,6 +180,7 @@
         endpoints: All endpoints that were started.
         cold_spans: Time spans in which endpoints were cold.
         limit_spans: Time spans in which endpoints named a rate.
+        cut_spans: Time spans in which instances reached no endpoint.
         idle_reservations: Memory reservations that were unused for too long.
         unexpected_exits: Names of instances whose processes exited
             unexpectedly.
@@ -182,6 +198,7 @@
     )
     cold_spans: list[ColdSpan] = dataclasses.field(default_factory=list)
     limit_spans: list[LimitSpan] = dataclasses.field(default_factory=list)
+    cut_spans: list[CutSpan] = dataclasses.field(default_factory=list)
     idle_reservations: list[IdleReservation] = dataclasses.field(
         default_factory=list
     )
--- a/packages/bench/poplarwick_bench/soak/schedule.py
+++ b/packages/bench/poplarwick_bench/soak/schedule.py
@@ -56,6 +56,7 @@
     STORE_RESTORED = "store_restored"
     CRASHING_PART = "crashing_part"
     CRASHING_REQUEST = "crashing_request"
+    INSTANCES_CUT_OFF = "instances_cut_off"
     ENDPOINT_LIMITED = "endpoint_limited"
 
     @property
--- a/packages/bench/tests/test_soak_checks.py
+++ b/packages/bench/tests/test_soak_checks.py
@@ -320,6 +320,39 @@
     assert run_check(checks.check_crashing_parts, record) == expected
 
 
+@pytest.mark.parametrize(
+    ("failed", "others_failed", "is_interrupted", "expected"),
+    [
+        (30, 0, False, ["cut"]),
+        (30, 30, False, []),
+        (10, 0, False, []),
+        (30, 0, True, []),
+    ],
+)
+def test_instances_that_serve_nobody_while_cut_off_are_reported(
+    failed, others_failed, is_interrupted, expected
+):
+    calls = []
+    for instance, count in (("cut", failed), ("other", others_failed)):
+        for number in range(40):
+            is_served = number >= count
+            calls.append(
+                make_call(
+                    f"{instance}{number}",
+                    instance=instance,
+                    sent_at_s=104.0,
+                    status=200 if is_served else 503,
+                    outcome=records.Outcome.WHOLE,
+                )
+            )
+    interruption = make_interruption(target="cut")
+    record = make_record(
+        calls, [], interruptions=[interruption] if is_interrupted else []
+    )
+    record.cut_spans.append(records.CutSpan(frozenset({"cut"}), 100.0, 110.0))
+    assert run_check(checks.check_cut_instances, record) == expected
+
+
 @pytest.mark.parametrize(
     ("late", "at_s", "expected"),
     [(3, 106.0, []), (4, 106.0, ["copies"]), (4, 104.9, [])],
