Answer 503 when every endpoint said that a request has not run

Whether the deadline has passed was asked before whether anything ran; 504 promises nothing, so that a caller with a request that must not run twice does not send it again.

Test: test_request_that_every_endpoint_refused_is_called_not_run_if_time_is_up failed before and passes.

--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -628,14 +628,12 @@
     progress: _Progress,
     reason: str,
 ) -> outcomes.Outcome:
-    if not progress.executions and not progress.attempts:
-        return _make_refusal(sink, progress, reason, 0.0)
     if sink.has_begun:
         return outcomes.StreamTruncated(reason)
-    if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
-        return outcomes.LocalResponse(outcomes.Failure.TIMED_OUT, reason)
     if not progress.executions:
         return _make_refusal(sink, progress, reason, 0.0)
+    if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
+        return outcomes.LocalResponse(outcomes.Failure.TIMED_OUT, reason)
     return outcomes.LocalResponse(outcomes.Failure.BROKEN, reason)
 
 
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -162,3 +162,19 @@
     # For the budget it is one request all the while.
     assert not first.was_placed
     assert all(r.was_placed for r in (second, third, fourth))
+
+
+def test_request_that_every_endpoint_refused_is_called_not_run_if_time_is_up(
+    monkeypatch,
+):
+    """The refusals take until the deadline, by the clock."""
+    late_s = iter([0.0] * 8)
+    monkeypatch.setattr(
+        request_runner,
+        "clock",
+        types.SimpleNamespace(
+            now_s=lambda: clock.now_s() + next(late_s, TIME_LEFT_S)
+        ),
+    )
+    outcome = run_request(refuses=True)
+    assert outcome.failure is outcomes.Failure.REFUSED
