Try endpoints that could not be connected after all others

Cause: when no endpoint with a free slot counts as healthy, health is not regarded, and nothing remembered for the request which endpoints it had found to be gone.

Change: a request names the endpoints that could not be connected for it; they are candidates again only when there is no other. It waits for a slot of another one.

Test: test_endpoint_that_was_not_connected_is_tried_last_by_the_request failed before: the third placement was the first endpoint again.

--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -33,6 +33,7 @@
         was_cut_off=request.was_cut_off,
         fingerprint=request.fingerprint or "",
         was_placed=request.was_placed,
+        unreachable=sorted(request.unreachable),
     )
 
 
@@ -63,6 +64,7 @@
         was_cut_off=message.was_cut_off,
         fingerprint=_decode_fingerprint(message.fingerprint),
         was_placed=message.was_placed,
+        unreachable=frozenset(ids.EndpointId(e) for e in message.unreachable),
     )
 
 
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -58,6 +58,7 @@
         broken_at_s: float | None,
         is_retry: bool,
         was_placed: bool,
+        unreachable: frozenset[ids.EndpointId],
         was_cut_off: bool,
     ) -> messages.PlacementRequest:
         """Returns the request for a placement of the next attempt.
@@ -68,6 +69,7 @@
                 did not.
             is_retry: Whether an endpoint has received the request before.
             was_placed: Whether there was an earlier attempt.
+            unreachable: Endpoints that could not be connected.
             was_cut_off: Whether an endpoint cut an answer off that had just
                 begun.
         """
@@ -88,6 +90,7 @@
             avoided=avoided,
             is_retry=is_retry,
             was_placed=was_placed,
+            unreachable=unreachable,
             regions=regions if regions is not None else NO_REGIONS,
             shared_parts=self.metadata.shared_parts,
             was_cut_off=was_cut_off,
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -84,6 +84,7 @@
         broken_at_s: Monotonic time at which the stream broke; None if it did
             not.
         avoided: Endpoints that must not run the request again.
+        unreachable: Endpoints that could not be connected.
         answered_at_s: Monotonic time of the head of the last attempt's
             response; None if there was none.
         last_event_at_s: Monotonic time of the last event; None before it.
@@ -98,6 +99,7 @@
     is_in_flight: bool = False
     broken_at_s: float | None = None
     avoided: frozenset[ids.EndpointId] = frozenset()
+    unreachable: frozenset[ids.EndpointId] = frozenset()
     answered_at_s: float | None = None
     last_event_at_s: float | None = None
     is_delimited: bool = True
@@ -174,6 +176,7 @@
                     broken_at_s=progress.broken_at_s,
                     is_retry=progress.receipts > 0,
                     was_placed=progress.attempts > 0,
+                    unreachable=progress.unreachable,
                     was_cut_off=progress.was_cut_off,
                 )
             )
@@ -323,7 +326,10 @@
             ) from error
         except upstream.SendError as error:
             result, blamed = error.result, error.blamed
-            progress.receipts += result is not messages.Result.UNREACHABLE
+            if result is messages.Result.UNREACHABLE:
+                progress.unreachable |= {placement.endpoint}
+            else:
+                progress.receipts += 1
             if error.is_cut:
                 answer = progress.make_answer_end(is_complete=False)
                 progress.was_cut_off |= answer.had_just_begun
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -178,3 +178,12 @@
     )
     outcome = run_request(refuses=True)
     assert outcome.failure is outcomes.Failure.REFUSED
+
+
+def test_endpoint_that_was_not_connected_is_named_to_the_placer():
+    placements = Placements()
+    run_request(refuses=True, unreachable=1, placements=placements)
+    first, second, *_ = placements.requests
+    assert first.unreachable == frozenset()
+    assert second.unreachable == {"e"}
+    assert second.avoided == frozenset()
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -39,6 +39,8 @@
         fingerprint: What all copies of the request have in common.
         was_placed: Whether the request was placed before, so that it is counted
             already.
+        unreachable: Endpoints that could not be connected for the request;
+            they are tried again after all others.
     """
 
     request_id: ids.RequestId
@@ -56,6 +58,7 @@
     was_cut_off: bool = False
     fingerprint: ids.RequestFingerprint | None = None
     was_placed: bool = False
+    unreachable: frozenset[ids.EndpointId] = frozenset()
 
     @property
     def memory_tokens(self) -> int:
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -508,11 +508,14 @@
         if not candidates.has_allowed():
             return _wait_for_endpoint(queued, now_s)
         is_accused = self._evidence.is_accused(request)
+        apart_from = request.unreachable
         if is_accused:
             if self._has_running_copy(request, now_s):
                 return None
+            apart_from |= self._find_endpoints_of_accused()
+        if apart_from:
             candidates = self._find_candidates_apart(
-                request, candidates, scheduling_round
+                request, apart_from, candidates, scheduling_round
             )
         choice = self._choose(
             request, candidates, scheduling_round, is_spread=is_accused
@@ -542,23 +545,27 @@
             self._evidence.is_accused(request)
         )
 
-    def _find_candidates_apart(
-        self,
-        request: messages.PlacementRequest,
-        candidates: service_pool.RequestCandidates,
-        scheduling_round: _SchedulingRound,
-    ) -> service_pool.RequestCandidates:
-        """Returns the endpoints that run no other accused request, if any.
+    def _find_endpoints_of_accused(self) -> frozenset[ids.EndpointId]:
+        """Returns the endpoints that run accused requests.
 
-        A crash of one of them then tells which request causes it.
+        A crash of another one then tells which request causes it.
         """
-        others = frozenset(
+        return frozenset(
             running.endpoint
             for running in self._running.values()
             if self._evidence.is_accused(running.request)
         )
+
+    def _find_candidates_apart(
+        self,
+        request: messages.PlacementRequest,
+        apart_from: frozenset[ids.EndpointId],
+        candidates: service_pool.RequestCandidates,
+        scheduling_round: _SchedulingRound,
+    ) -> service_pool.RequestCandidates:
+        """Returns the candidates without some endpoints, if any are left."""
         apart = self._find_candidates(
-            dataclasses.replace(request, avoided=request.avoided | others),
+            dataclasses.replace(request, avoided=request.avoided | apart_from),
             scheduling_round,
         )
         return apart if apart.has_allowed() else candidates
--- a/packages/placement/tests/test_scheduler.py
+++ b/packages/placement/tests/test_scheduler.py
@@ -491,3 +491,29 @@
     for name, request in requests.items():
         avoiding = dataclasses.replace(request, avoided=frozenset({"e0"}))
         assert submit_and_decide(scheduler, f"{name} again", avoiding, 0.1)
+
+
+def test_endpoint_that_was_not_connected_is_tried_last_by_the_request():
+    """Two of three endpoints are gone, all slots of the third are taken."""
+    scheduler = make_scheduler(engine_count=3)
+    others = frozenset({"e0", "e1"})
+    for number in range(8):
+        working = make_request(avoided=others, deadline_at_s=60.0)
+        assert submit_and_decide(scheduler, number, working)
+    unreachable = frozenset()
+    for number in range(2):
+        request = make_request(now_s=1.0, unreachable=unreachable)
+        placed = submit_and_decide(scheduler, f"r{number}", request, 1.0)
+        scheduler.record_end(f"r{number}", messages.Result.UNREACHABLE, 1.0)
+        unreachable |= {placed.endpoint}
+    assert unreachable == others
+    request = make_request(now_s=1.0, unreachable=unreachable)
+    assert submit_and_decide(scheduler, "waits", request, 1.0) is None
+    scheduler.record_end(0, messages.Result.DONE, 1.1)
+    assert dict(scheduler.decide(1.1))["waits"].endpoint == "e2"
+
+
+def test_endpoint_that_was_not_connected_is_tried_again_if_it_is_the_only_one():
+    scheduler = make_scheduler(engine_count=1)
+    request = make_request(unreachable=frozenset({"e0"}))
+    assert submit_and_decide(scheduler, "r", request).endpoint == "e0"
