Do not lose a sign of a cut that comes while endpoints are probed

Found by test_cut_is_found_and_healed_without_traffic, which timed out: the prober cleared its event before it waited for it, so that a failure during a round of probes, or before the prober had started, began no further round. The cut was then found only by the failures of three requests. It clears the event after the wait.

--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -115,8 +115,8 @@
         """Probes endpoints while there is doubt, until cancelled."""
         while True:
             if not self.is_cut_off:
-                self._wake.clear()
                 await self._wake.wait()
+            self._wake.clear()
             addresses = self._choose_probed()
             await asyncio.gather(*(self._probe(a) for a in addresses))
             await asyncio.sleep(PROBE_PERIOD_S)
--- /dev/null
+++ b/packages/reach/tests/test_endpoint_reach.py
@@ -0,0 +1,168 @@
+"""Connections to endpoints on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+import types
+
+import aiohttp
+import pytest
+
+from poplarwick_reach import endpoint_reach
+
+HOST = "127.0.0.1"
+
+
+def make_reach(addresses):
+    deployment = types.SimpleNamespace(
+        instance="i0",
+        domain="a",
+        region="r",
+        regions_by_domain={"a": "r"},
+        relay_address=f"{HOST}:1",
+    )
+    known = types.SimpleNamespace(
+        members={},
+        endpoints={
+            address: types.SimpleNamespace(
+                endpoint=types.SimpleNamespace(address=address)
+            )
+            for address in addresses
+        },
+    )
+    return endpoint_reach.EndpointReach(deployment, known)
+
+
+async def stay_open(reader, writer):
+    await reader.read()
+    writer.close()
+
+
+async def reset(reader, writer):
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+async def close(reader, writer):
+    writer.close()
+
+
+async def answer(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegin")
+    await stay_open(reader, writer)
+
+
+@contextlib.asynccontextmanager
+async def serve(handle):
+    server = await asyncio.start_server(handle, HOST, 0)
+    try:
+        yield f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+
+
+# A proxy in front of an endpoint that has crashed accepts connections.
+@pytest.mark.parametrize(
+    ("handle", "expected"), [(stay_open, True), (reset, False), (close, False)]
+)
+def test_endpoint_is_reached_if_its_connection_stays_open(handle, expected):
+    async def run():
+        async with serve(handle) as address:
+            return await make_reach([address]).is_reachable(address)
+
+    assert asyncio.run(run()) is expected
+
+
+def test_endpoint_without_a_listener_is_not_reached():
+    async def run():
+        async with serve(stay_open) as address:
+            pass
+        return await make_reach([address]).is_reachable(address)
+
+    assert asyncio.run(run()) is False
+
+
+def test_cut_is_found_and_healed_without_traffic():
+    """One failed connection is all that the instance is told."""
+
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            addresses = [
+                await stack.enter_async_context(serve(stay_open))
+                for _ in range(4)
+            ]
+            reach = make_reach(addresses)
+            is_cut = True
+
+            async def connect(address):
+                return not is_cut
+
+            reach._connect_directly = connect
+            task = asyncio.create_task(reach.run())
+            reach.record_failed(addresses[0])
+            async with asyncio.timeout(1.0):
+                while not reach.is_cut_off:
+                    await asyncio.sleep(0.01)
+            is_cut = False
+            async with asyncio.timeout(1.0):
+                while reach.is_cut_off:
+                    await asyncio.sleep(0.01)
+            task.cancel()
+
+    asyncio.run(run())
+
+
+def test_crashed_endpoint_costs_one_round_of_probes():
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            addresses = [
+                await stack.enter_async_context(serve(stay_open))
+                for _ in range(5)
+            ]
+            reach = make_reach(addresses)
+            probed = []
+            connect = reach._connect_directly
+
+            async def count(address):
+                probed.append(address)
+                return await connect(address)
+
+            reach._connect_directly = count
+            task = asyncio.create_task(reach.run())
+            for _ in range(20):
+                reach.record_failed(addresses[0])
+                await asyncio.sleep(0.01)
+            assert len(probed) == endpoint_reach.PROBES
+            assert addresses[0] not in probed
+            assert not reach.is_cut_off
+            task.cancel()
+
+    asyncio.run(run())
+
+
+def test_requests_to_endpoints_have_no_user_timeout_and_no_keep_alive():
+    """A user timeout would decide when keep-alive probes give up."""
+
+    async def run():
+        async with serve(answer) as address:
+            connector = make_reach([address]).make_connector()
+            async with (
+                aiohttp.ClientSession(connector=connector) as session,
+                session.get(f"http://{address}/") as response,
+            ):
+                sock = response.connection.transport.get_extra_info("socket")
+                return [
+                    sock.getsockopt(level, option)
+                    for level, option in (
+                        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+                        (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                    )
+                ]
+
+    assert asyncio.run(run()) == [0, 0]
