Ask one instance while all decline to relay; count cuts only while one could help

In the product: each request asked all others, and each answer was logged, up to 1,070 lines a second. An instance that declined within the last second is one of at most one asked, and only the first decline in a second is logged.

--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -447,6 +447,8 @@
                 continue
             if not _counts_as_first_try(record, call, crash_causes):
                 continue
+            if not _is_any_in_reach(record, call):
+                continue
             is_cut = _is_cut_off(record, call.instance, call.sent_at_s)
             served[is_cut].append(
                 call.status == 200 and call.outcome is records.Outcome.WHOLE
@@ -468,6 +470,18 @@
             )
 
 
+def _is_any_in_reach(record: records.Record, call: records.Call) -> bool:
+    """Returns whether an instance that is not cut off runs all the while."""
+    begins_at_s, ends_at_s = call.sent_at_s, call.ended_at_s
+    names = {call.instance for call in record.calls}
+    return any(
+        not _is_cut_off(record, name, begins_at_s)
+        and not _is_cut_off(record, name, ends_at_s)
+        and record.is_uninterrupted(name, begins_at_s - SETTLE_S, ends_at_s)
+        for name in names
+    )
+
+
 def _is_cut_off(record: records.Record, instance: str, at_s: float) -> bool:
     return any(
         instance in span.instances
--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -164,12 +164,12 @@
                     raise ConnectionRefusedError(
                         f"{member.instance} cannot connect to {address}"
                     ) from error
-                self._choice.record_declined(member.instance, clock.now_s())
-                logs.log(
-                    log_events.RelayDeclined(
-                        relay=member.instance, reason=str(error)
+                if self._choice.record_declined(member.instance, clock.now_s()):
+                    logs.log(
+                        log_events.RelayDeclined(
+                            relay=member.instance, reason=str(error)
+                        )
                     )
-                )
                 continue
             self._choice.record_relayed(member.instance)
             metrics.connections_relayed.add(1, {"role": "origin"})
--- a/packages/reach/poplarwick_reach/log_events.py
+++ b/packages/reach/poplarwick_reach/log_events.py
@@ -28,7 +28,7 @@
 
 
 class RelayDeclined(logs.Event, frozen=True, kw_only=True):
-    """An instance did not relay a connection; another one is asked.
+    """An instance did not relay a connection, for the first time in a second.
 
     Attributes:
         relay: The instance.
--- a/packages/reach/poplarwick_reach/relay_choice.py
+++ b/packages/reach/poplarwick_reach/relay_choice.py
@@ -19,7 +19,8 @@
 """Instances that are asked for one connection, at most."""
 
 AVOIDED_S = 1.0
-"""Time for which an instance is asked last after it declined or was silent."""
+"""Time for which an instance is asked last after it declined or was silent, and
+at most one of these for each connection."""
 
 
 class RelayChoice:
@@ -37,9 +38,15 @@
         self._rng = rng
         self._declined_at_s: dict[ids.InstanceId, float] = {}
 
-    def record_declined(self, instance: ids.InstanceId, now_s: float) -> None:
-        """Records that an instance did not relay a connection."""
+    def record_declined(self, instance: ids.InstanceId, now_s: float) -> bool:
+        """Records that an instance did not relay a connection.
+
+        Returns:
+            Whether it had not declined for a time.
+        """
+        is_new = not self._has_declined(instance, now_s)
         self._declined_at_s[instance] = now_s
+        return is_new
 
     def record_relayed(self, instance: ids.InstanceId) -> None:
         """Records that an instance has relayed a connection."""
@@ -74,7 +81,12 @@
                 member.domain != self._deployment.domain,
             )
         )
-        return candidates[:MAX_ASKED]
+        promising = [
+            member
+            for member in candidates
+            if not self._has_declined(member.instance, now_s)
+        ]
+        return candidates[: min(len(promising) + 1, MAX_ASKED)]
 
     def _has_declined(self, instance: ids.InstanceId, now_s: float) -> bool:
         declined_at_s = self._declined_at_s.get(instance, float("-inf"))
--- a/packages/reach/tests/test_relay_choice.py
+++ b/packages/reach/tests/test_relay_choice.py
@@ -65,6 +65,19 @@
     assert firsts == {"i1", "i2"}
 
 
+def test_one_instance_is_asked_while_all_decline():
+    members = make_members(9)
+    choice = make_choice("i0", "r-a")
+    told = 0
+    for step in range(100):
+        asked = choice.choose(members, step / 100)
+        for member in asked:
+            told += choice.record_declined(member.instance, step / 100)
+        if step > 2:
+            assert len(asked) == 1
+    assert told <= 2 * len(members)
+
+
 def test_hundred_of_195_instances_find_relays_and_share_them_evenly():
     """Each sends ten requests a second for three seconds."""
     members = make_members(195)
