Share the two sides of a relayed connection; drop repeated steps

Read again as a newcomer; behaviour stays. The two sides of a relay had the same transport, abort, pause and resume twice: now in one base class. forgive removed crashes in two equal loops. A request that no crash speaks against was scored before that was asked. A failure's first-of-its-kind was worked out twice, and a list was built to count it.

Linters pass; tests of reach, placement and coordination, and the adapter's tests of cut instances, crashing requests and crashing parts: all pass.

--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -291,12 +291,10 @@
         for scope in self._find_scopes():
             if scope.service != request.service:
                 continue
-            copies = self._requests.score(self._list_unexplained(scope))
-            if (
-                request.fingerprint is not None
-                and copies.get(request.fingerprint, 0) >= SUSPECT_CRASHES
-            ):
-                return True
+            if request.fingerprint is not None and self.is_accused(request):
+                copies = self._requests.score(self._list_unexplained(scope))
+                if copies.get(request.fingerprint, 0) >= SUSPECT_CRASHES:
+                    return True
             blamed = set().union(*self._culprits.get(scope, ()))
             scores = self._score(scope)
             if any(
@@ -313,7 +311,7 @@
         return self._has_new_crash
 
     def find_culprits(self) -> list[Culprit]:
-        """Returns the parts that are blamed and were not before."""
+        """Returns what is blamed and was not before."""
         self._has_new_crash = False
         return [
             culprit
@@ -330,18 +328,15 @@
         """Drops the evidence against what is served again."""
         if fingerprint is not None:
             self._requests.forgive(service, fingerprint)
-            for start, crash in list(self._crashes.items()):
-                if crash.scope.service == service and crash.involves_request(
-                    fingerprint
-                ):
-                    del self._crashes[start]
-            self._invalidate()
-            return
         for scope, blamed in self._culprits.items():
             if scope.service == service:
                 blamed.discard(parts)
         for start, crash in list(self._crashes.items()):
-            if crash.scope.service == service and crash.involves(parts):
+            if crash.scope.service == service and (
+                crash.involves(parts)
+                if fingerprint is None
+                else crash.involves_request(fingerprint)
+            ):
                 del self._crashes[start]
         self._invalidate()
 
--- a/packages/reach/poplarwick_reach/reachability.py
+++ b/packages/reach/poplarwick_reach/reachability.py
@@ -59,9 +59,9 @@
             What this changed; None if nothing.
         """
         self._reached.clear()
-        if not self._failed:
-            self._first_failed_at_s = now_s
         is_first = not self._failed
+        if is_first:
+            self._first_failed_at_s = now_s
         self._failed.add(address)
         needed = max(min(CUT_EVIDENCE, known_endpoints), 1)
         if self.is_cut_off:
@@ -93,7 +93,7 @@
         Returns:
             What this changed; None if nothing.
         """
-        if opened_at_s < self._first_failed_at_s and self._failed:
+        if self._failed and opened_at_s < self._first_failed_at_s:
             return None
         if not self.is_cut_off:
             self._failed.clear()
--- a/packages/reach/poplarwick_reach/relay_choice.py
+++ b/packages/reach/poplarwick_reach/relay_choice.py
@@ -81,12 +81,11 @@
                 member.domain != self._deployment.domain,
             )
         )
-        promising = [
-            member
+        promising = sum(
+            not self._has_declined(member.instance, now_s)
             for member in candidates
-            if not self._has_declined(member.instance, now_s)
-        ]
-        return candidates[: min(len(promising) + 1, MAX_ASKED)]
+        )
+        return candidates[: min(promising + 1, MAX_ASKED)]
 
     def _has_declined(self, instance: ids.InstanceId, now_s: float) -> bool:
         declined_at_s = self._declined_at_s.get(instance, float("-inf"))
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -159,7 +159,34 @@
         return reply
 
 
-class _InstanceSide(asyncio.Protocol):
+class _Side(asyncio.Protocol):
+    """One of the two connections of a relayed connection."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(BUFFER_BYTES)
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stops reading while the other side does not read."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+
+class _InstanceSide(_Side):
     """Connection of the instance that asks for a relay."""
 
     def __init__(
@@ -169,18 +196,16 @@
             [str, bytes, _InstanceSide], Awaitable[handshake.Reply]
         ],
     ) -> None:
+        super().__init__()
         self._connections = connections
         self._connect = connect
         self._line = b""
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.endpoint_side: _EndpointSide | None = None
-        self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        transport.set_write_buffer_limits(BUFFER_BYTES)
+        super().connection_made(transport)
         self._connections.add(self)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HELLO_TIMEOUT_S, self.abort)
@@ -241,36 +266,19 @@
         else:
             self.transport.abort()
 
-    def abort(self) -> None:
-        """Closes the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
-
-    def pause_reading(self) -> None:
-        """Stops reading while the endpoint does not read."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Reads again."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
 
-class _EndpointSide(asyncio.Protocol):
+class _EndpointSide(_Side):
     """Connection to the endpoint."""
 
     def __init__(self, instance_side: _InstanceSide) -> None:
+        super().__init__()
         self._instance_side = instance_side
-        self._transport: asyncio.Transport | None = None
         self._has_eof = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        transport.set_write_buffer_limits(BUFFER_BYTES)
+        super().connection_made(transport)
         # Until the instance has been told that it is connected.
-        transport.pause_reading()
+        self.pause_reading()
         self._instance_side.endpoint_side = self
 
     def begin(self) -> None:
@@ -294,20 +302,5 @@
 
     def write(self, data: bytes) -> None:
         """Sends bytes of the instance."""
-        if self._transport is not None:
-            self._transport.write(data)
-
-    def abort(self) -> None:
-        """Closes the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
-
-    def pause_reading(self) -> None:
-        """Stops reading while the instance does not read."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Reads again."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self.transport is not None:
+            self.transport.write(data)
