Give optional decisions under load a place beside the scheduler

Cause: the scheduler takes each decision itself; forecasts, learned costs and shares of organisations would make it longer by branches. Change: load_management bundles the optional decisions as protocols, all off for now. Running requests and refusals leave the scheduler.

--- a/packages/catalogue/poplarwick_catalogue/deployment.py
+++ b/packages/catalogue/poplarwick_catalogue/deployment.py
@@ -58,6 +58,11 @@
         lease_ttl_min_s: Shortest lease that the store grants.
         strength: Processor time and network bandwidth relative to a typical
             instance, at most 1.
+        has_contention: Whether callers compete for engines that cannot hold
+            all requests at once.
+        memory_bytes: Memory that the process may use; 0 if unknown.
+        cores: Processor time of the process in cores of the reference speed;
+            0 if unknown.
         bounds: Bounds from the current settings.
     """
 
@@ -74,3 +79,6 @@
     lease_ttl_min_s: float
     strength: float
     bounds: Bounds
+    has_contention: bool = False
+    memory_bytes: int = 0
+    cores: float = 0.0
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -15,6 +15,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_placement import crash_evidence
+from poplarwick_placement import load_management
 from poplarwick_placement import messages
 from poplarwick_placement import scheduler
 
@@ -55,6 +56,9 @@
                 is not None
             ),
             on_crash=_log_crash,
+            management=load_management.make_load_management(
+                has_contention=deployment_.has_contention
+            ),
         )
         catalogue_.quarantines.add_listener(self._forgive)
         self._catalogue = catalogue_
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -34,6 +34,9 @@
         fingerprint=request.fingerprint or "",
         was_placed=request.was_placed,
         unreachable=sorted(request.unreachable),
+        organisation=request.organisation,
+        route=request.route,
+        output_limit_tokens=request.output_limit_tokens,
     )
 
 
@@ -65,6 +68,9 @@
         fingerprint=_decode_fingerprint(message.fingerprint),
         was_placed=message.was_placed,
         unreachable=frozenset(ids.EndpointId(e) for e in message.unreachable),
+        organisation=ids.OrganisationId(message.organisation),
+        route=message.route,
+        output_limit_tokens=message.output_limit_tokens,
     )
 
 
@@ -170,6 +176,7 @@
     if answer is not None:
         ended.answer.is_complete = answer.is_complete
         ended.answer.is_delimited = answer.is_delimited
+        ended.answer.events = answer.events
         if answer.written_s is not None:
             ended.answer.written_s = answer.written_s
     return ended
@@ -186,6 +193,7 @@
         answer.is_complete,
         answer.written_s if answer.HasField("written_s") else None,
         answer.is_delimited,
+        answer.events,
     )
 
 
--- a/packages/forwarding/poplarwick_forwarding/dialect.py
+++ b/packages/forwarding/poplarwick_forwarding/dialect.py
@@ -30,6 +30,8 @@
         api_key: Key of the caller's organisation; None if not given.
         prompt_tokens: Length of the prompt.
         output_tokens: Expected length of the output.
+        output_limit_tokens: Most output tokens that the caller allows; 0 if
+            not given.
         last_event_id: Id of the last event that the caller received of the
             stream; None for a new stream.
         shared_parts: Parts of the prompt that other requests may share, in
@@ -44,6 +46,7 @@
     output_tokens: int
     last_event_id: int | None
     shared_parts: tuple[ids.PromptPartId, ...] = ()
+    output_limit_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -78,6 +78,7 @@
             on_time_at_s = broken_at_s + RESUME_TARGET_S
         regions = self.admission.regions
         pause_limit_s = self.route.pause_limit_s
+        organisation = self.admission.organisation
         return messages.PlacementRequest(
             request_id=self.metadata.request_id,
             service=self.service,
@@ -95,6 +96,11 @@
             shared_parts=self.metadata.shared_parts,
             was_cut_off=was_cut_off,
             fingerprint=self.fingerprint,
+            organisation=organisation.id
+            if organisation is not None
+            else ids.OrganisationId(""),
+            route=self.route.name,
+            output_limit_tokens=self.metadata.output_limit_tokens,
         )
 
 
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -89,6 +89,7 @@
             response; None if there was none.
         last_event_at_s: Monotonic time of the last event; None before it.
         is_delimited: Whether that response shows itself where it ends.
+        events: Number of events that were sent to the caller.
         was_cut_off: Whether an endpoint cut a response off that had just begun.
     """
 
@@ -103,6 +104,7 @@
     answered_at_s: float | None = None
     last_event_at_s: float | None = None
     is_delimited: bool = True
+    events: int = 0
     was_cut_off: bool = False
 
     @property
@@ -115,7 +117,7 @@
     def make_answer_end(self, *, is_complete: bool) -> messages.AnswerEnd:
         """Returns how the last attempt's response ended."""
         return messages.AnswerEnd(
-            is_complete, self.written_s, self.is_delimited
+            is_complete, self.written_s, self.is_delimited, self.events
         )
 
 
@@ -506,6 +508,7 @@
         if last is not None and event.id != last + 1:
             raise events.EventError(f"event {event.id} after event {last}")
         last = event.id
+        progress.events += 1
     progress.last_event_id = last
     return b"".join(event.data for event in new_events)
 
--- /dev/null
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -0,0 +1,221 @@
+"""Optional decisions under load, which the scheduler asks in turn.
+
+Load pattern: callers that compete for engines which cannot hold all of their
+requests at once. Each decision is a module of its own; this one bundles those
+that a deployment calls for. A deployment that calls for none is scheduled
+without them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Hashable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Protocol
+
+from poplarwick_core import ids
+from poplarwick_placement import messages
+from poplarwick_placement import queue_order
+from poplarwick_placement import running_requests
+from poplarwick_placement import service_pool
+
+Waiting = Sequence[tuple[Hashable, queue_order.QueuedRequest]]
+"""Queued requests of one service with their keys, the next one first."""
+
+
+class CostEstimator(Protocol):
+    """Estimates what a request will cost the endpoint that runs it."""
+
+    def estimate(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> messages.PlacementRequest:
+        """Returns the request with expected and booked output tokens."""
+        ...
+
+    def record_end(
+        self,
+        request: messages.PlacementRequest,
+        answer: messages.AnswerEnd,
+        duration_s: float,
+        now_s: float,
+    ) -> None:
+        """Learns from an answer.
+
+        Args:
+            request: The request as it was estimated.
+            answer: How the answer ended.
+            duration_s: Time from the placement to the end.
+            now_s: Monotonic time.
+        """
+        ...
+
+
+class Shares(Protocol):
+    """Compares what organisations use with their shares."""
+
+    def record_start(
+        self, key: Hashable, request: messages.PlacementRequest, now_s: float
+    ) -> None:
+        """Counts a request that has been placed."""
+        ...
+
+    def record_end(self, key: Hashable, now_s: float) -> None:
+        """Counts the end of a request; unknown keys have no effect."""
+        ...
+
+    def calculate_excess(
+        self, organisation: ids.OrganisationId, now_s: float
+    ) -> float:
+        """Returns by how much an organisation exceeds its share; 0 if not."""
+        ...
+
+
+class Admission(Protocol):
+    """Refuses requests that cannot be served in time."""
+
+    def record_submission(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> None:
+        """Records the arrival of a request."""
+        ...
+
+    def has_promise(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> bool:
+        """Returns whether a request returns at the time that it was told."""
+        ...
+
+    def review(
+        self,
+        states: Sequence[service_pool.EndpointState],
+        waiting: Waiting,
+        now_s: float,
+    ) -> Mapping[Hashable, messages.Refusal]:
+        """Returns refusals for waiting requests that cannot begin in time.
+
+        Args:
+            states: Open endpoints of the service.
+            waiting: Requests that were not placed in this round, the next one
+                first.
+            now_s: Monotonic time.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadManagement:
+    """The decisions that are in force; None switches one off.
+
+    Attributes:
+        costs: Estimates the cost of requests.
+        shares: Compares the usage of organisations.
+        admission: Refuses requests that cannot be served in time.
+    """
+
+    costs: CostEstimator | None = None
+    shares: Shares | None = None
+    admission: Admission | None = None
+
+    def estimate(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> messages.PlacementRequest:
+        """Returns a request with what it is expected to cost."""
+        if self.costs is None:
+            return request
+        return self.costs.estimate(request, now_s)
+
+    def record_submission(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> None:
+        """Records the arrival of a request."""
+        if self.admission is not None:
+            self.admission.record_submission(request, now_s)
+
+    def record_start(
+        self, key: Hashable, request: messages.PlacementRequest, now_s: float
+    ) -> None:
+        """Records that a request has been placed."""
+        if self.shares is not None:
+            self.shares.record_start(key, request, now_s)
+
+    def record_end(
+        self,
+        key: Hashable,
+        running: running_requests.RunningRequest,
+        answer: messages.AnswerEnd | None,
+        now_s: float,
+    ) -> None:
+        """Records the end of a request that was placed."""
+        if self.shares is not None:
+            self.shares.record_end(key, now_s)
+        if self.costs is not None and answer is not None:
+            self.costs.record_end(
+                running.request, answer, now_s - running.placed_at_s, now_s
+            )
+
+    def calculate_sort_key(
+        self,
+        queued: queue_order.QueuedRequest,
+        now_s: float,
+        *,
+        is_deferred: bool,
+    ) -> queue_order.SortKey:
+        """Returns the sort key of a queued request."""
+        request = queued.request
+        has_promise = self.admission is not None and self.admission.has_promise(
+            request, now_s
+        )
+        excess = 0.0
+        if self.shares is not None:
+            excess = self.shares.calculate_excess(request.organisation, now_s)
+        return queue_order.calculate_sort_key(
+            queued,
+            now_s,
+            is_deferred=is_deferred,
+            has_promise=has_promise,
+            excess=excess,
+        )
+
+    def review(
+        self,
+        waiting: Waiting,
+        get_states: Callable[
+            [ids.ServiceId], Sequence[service_pool.EndpointState]
+        ],
+        now_s: float,
+    ) -> list[tuple[Hashable, messages.Refusal]]:
+        """Returns refusals for queued requests that cannot begin in time.
+
+        Args:
+            waiting: Requests of all services that were not placed in this
+                round, the next one first.
+            get_states: Returns the open endpoints of a service.
+            now_s: Monotonic time.
+        """
+        if self.admission is None:
+            return []
+        by_service: dict[
+            ids.ServiceId, list[tuple[Hashable, queue_order.QueuedRequest]]
+        ] = {}
+        for key, queued in waiting:
+            by_service.setdefault(queued.request.service, []).append(
+                (key, queued)
+            )
+        refusals: list[tuple[Hashable, messages.Refusal]] = []
+        for service, requests in by_service.items():
+            states = get_states(service)
+            refusals += self.admission.review(states, requests, now_s).items()
+        return refusals
+
+
+def make_load_management(*, has_contention: bool) -> LoadManagement:
+    """Returns the decisions that a deployment calls for.
+
+    Args:
+        has_contention: Whether callers compete for engines that cannot hold
+            all requests at once.
+    """
+    del has_contention
+    return LoadManagement()
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -41,6 +41,12 @@
             already.
         unreachable: Endpoints that could not be connected for the request;
             they are tried again after all others.
+        organisation: Organisation of the caller; empty if there is none.
+        route: Route of the request; empty if unknown.
+        output_limit_tokens: Most output tokens that the caller allows; 0 if
+            unknown.
+        booked_output_tokens: Output tokens for which memory is allocated; None
+            to allocate for `output_tokens`.
     """
 
     request_id: ids.RequestId
@@ -59,11 +65,17 @@
     fingerprint: ids.RequestFingerprint | None = None
     was_placed: bool = False
     unreachable: frozenset[ids.EndpointId] = frozenset()
+    organisation: ids.OrganisationId = ids.OrganisationId("")
+    route: str = ""
+    output_limit_tokens: int = 0
+    booked_output_tokens: int | None = None
 
     @property
     def memory_tokens(self) -> int:
-        """Engine memory that prompt and output need together, in tokens."""
-        return self.prompt_tokens + self.output_tokens
+        """Engine memory to allocate for prompt and output, in tokens."""
+        if self.booked_output_tokens is None:
+            return self.prompt_tokens + self.output_tokens
+        return self.prompt_tokens + self.booked_output_tokens
 
     @property
     def weight(self) -> float:
@@ -145,11 +157,13 @@
             without a head.
         is_delimited: Whether the answer itself shows where it ends. The end of
             a connection may also be that of its endpoint.
+        events: Events of the whole stream up to its end; 0 if it is no stream.
     """
 
     is_complete: bool
     written_s: float | None
     is_delimited: bool = True
+    events: int = 0
 
     @property
     def had_just_begun(self) -> bool:
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -107,31 +107,44 @@
     )
 
 
+SortKey = tuple[bool, int, bool, float, float]
+"""Sort key of a queued request."""
+
+
 def calculate_sort_key(
-    queued: QueuedRequest, now_s: float, *, is_deferred: bool
-) -> tuple[bool, int, float]:
+    queued: QueuedRequest,
+    now_s: float,
+    *,
+    is_deferred: bool,
+    has_promise: bool = False,
+    excess: float = 0.0,
+) -> SortKey:
     """Returns the sort key of a queued request; the lowest one is tried first.
 
     Requests that can be on time sort by latest start. Among long prompts this
     order overrides priorities, because those that cannot all be on time are
     deferred. Late requests sort by priority and arrival. In both cases smaller
     requests go first by the time for which a larger one would occupy the
-    engines.
+    engines. Within a priority, requests that return when they were told to go
+    before those of organisations that use more than their share.
 
     Args:
         queued: The request.
         now_s: Monotonic time.
         is_deferred: Whether the request is deferred in favour of others that
             can be on time.
+        has_promise: Whether the request returns at the time that it was told.
+        excess: By how much its organisation exceeds its share.
     """
     priority = queued.request.priority
     if is_deferred or now_s > queued.latest_start_s:
         due_s = (
             queued.arrived_at_s + queued.ideal_first_event_s * IDEAL_GROUP_SIZE
         )
-        return (True, priority, due_s)
+        return (True, priority, not has_promise, excess, due_s)
     due_s = queued.latest_start_s + queued.ideal_first_event_s
-    return (False, 0 if queued.is_long else priority, due_s)
+    rank = 0 if queued.is_long else priority
+    return (False, rank, not has_promise, excess, due_s)
 
 
 def should_start(
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -6,50 +6,31 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from collections.abc import Hashable
 from collections.abc import Iterable
 
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import crash_evidence
 from poplarwick_placement import late_jobs
+from poplarwick_placement import load_management
 from poplarwick_placement import loads
 from poplarwick_placement import messages
 from poplarwick_placement import packing
 from poplarwick_placement import queue_order
 from poplarwick_placement import rate_limiter
+from poplarwick_placement import refusals
 from poplarwick_placement import retry_budget
+from poplarwick_placement import running_requests
 from poplarwick_placement import service_pool
 from poplarwick_placement import spreading
 
-Key = Hashable
-"""Identifies a submitted request."""
-
-MIN_RETRY_AFTER_S = 0.1
-"""Shortest time after which a refused caller is told to retry."""
-
-NO_ENDPOINT_WAIT_SHARE = 0.125
-"""Share of a request's time limit for which it waits for an endpoint of a
-service that has none; after that a refusal, with which the caller can try
-elsewhere, helps more than waiting."""
-
-NO_ENDPOINT_RETRY_AFTER_S = 1.0
-"""Retry delay for a service without endpoints: they come and go within
-seconds."""
-
+Key = running_requests.Key
 
 EXPIRE_AFTER_S = 1.0
 """Time past its deadline after which a request is no longer counted; instances
 end their requests at the deadline."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Running:
-    request: messages.PlacementRequest
-    endpoint: ids.EndpointId
-    helpers: tuple[ids.EndpointId, ...]
-
-
 class _SchedulingRound:
     """Values that are shared by all decisions of one moment.
 
@@ -91,6 +72,7 @@
         make_budget: Creates the retry budget of a service.
         is_quarantined: Returns whether no endpoint may get a request.
         on_crash: Called with each endpoint that is found to have crashed.
+        management: Optional decisions under load.
     """
 
     def __init__(
@@ -105,7 +87,9 @@
         on_crash: Callable[
             [crash_evidence.ConfirmedCrash], None
         ] = lambda crash: None,
+        management: load_management.LoadManagement | None = None,
     ) -> None:
+        self._management = management or load_management.LoadManagement()
         self._is_quarantined = is_quarantined
         self._evidence = crash_evidence.CrashEvidence(on_crash)
         self._make_budget = make_budget
@@ -115,8 +99,7 @@
         self._states: dict[ids.EndpointId, service_pool.EndpointState] = {}
         self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
         self._queue: dict[Key, queue_order.QueuedRequest] = {}
-        self._running: dict[Key, _Running] = {}
-        self._copies: dict[ids.RequestFingerprint, set[Key]] = {}
+        self._running = running_requests.RunningRequests()
 
     @property
     def queued_count(self) -> int:
@@ -157,6 +140,8 @@
         self, key: Key, request: messages.PlacementRequest, now_s: float
     ) -> None:
         """Adds a request to the queue."""
+        request = self._management.estimate(request, now_s)
+        self._management.record_submission(request, now_s)
         engines = self._get_pool(request.service).states
         profile = engines[0].candidate.profile if engines else None
         is_long = profile is not None and not packing.is_short(
@@ -187,13 +172,14 @@
         state = self._states.get(endpoint)
         if state is None:
             return
+        request = self._management.estimate(request, now_s)
         prefill_s = 0.0
         if not has_begun:
             prefill_s = state.load.calculate_prefill_s(request.prompt_tokens, 1)
         state.load.allocate_primary(
             key, request, prefill_s, request.memory_tokens, now_s
         )
-        self._add_running(key, _Running(request, endpoint, ()))
+        self._add_running(key, request, endpoint, (), now_s)
         self._update_index(state)
         if has_begun:
             state.load.record_first_event(key, now_s)
@@ -237,7 +223,8 @@
         for state in states:
             state.load.release(key, now_s)
             self._update_index(state)
-        self._remove_running(key)
+        self._running.remove(key)
+        self._management.record_end(key, running, answer, now_s)
         blamed_state = next(
             (s for s in states if s.candidate.endpoint.address == blamed), None
         )
@@ -251,25 +238,24 @@
             if result is messages.Result.MISDIRECTED:
                 self._index_endpoints()
 
-    def _add_running(self, key: Key, running: _Running) -> None:
-        self._running[key] = running
-        fingerprint = running.request.fingerprint
-        if fingerprint is not None:
-            self._copies.setdefault(fingerprint, set()).add(key)
-
-    def _remove_running(self, key: Key) -> None:
-        fingerprint = self._running.pop(key).request.fingerprint
-        if fingerprint is None:
-            return
-        copies = self._copies[fingerprint]
-        copies.discard(key)
-        if not copies:
-            del self._copies[fingerprint]
+    def _add_running(
+        self,
+        key: Key,
+        request: messages.PlacementRequest,
+        endpoint: ids.EndpointId,
+        helpers: tuple[ids.EndpointId, ...],
+        now_s: float,
+    ) -> None:
+        self._running.add(
+            key,
+            running_requests.RunningRequest(request, endpoint, helpers, now_s),
+        )
+        self._management.record_start(key, request, now_s)
 
     def _weigh_answer(
         self,
         key: Key,
-        running: _Running,
+        running: running_requests.RunningRequest,
         state: service_pool.EndpointState,
         result: messages.Result,
         answer: messages.AnswerEnd | None,
@@ -302,7 +288,9 @@
         return self._evidence.find_culprits()
 
     def _record_writing(self, key: Key, now_s: float) -> None:
-        running = self._running[key]
+        running = self._running.get(key)
+        if running is None:
+            return
         state = self._states.get(running.endpoint)
         if state is not None and state.load.has_written_for(
             key, messages.ANSWER_START_S, now_s
@@ -349,8 +337,12 @@
 
     def expire(self, now_s: float) -> None:
         """Drops requests long past their deadline: their instance was lost."""
-        for key, running in list(self._running.items()):
-            if now_s > running.request.deadline_at_s + EXPIRE_AFTER_S:
+        for key in self._running:
+            running = self._running.get(key)
+            if (
+                running is not None
+                and now_s > running.request.deadline_at_s + EXPIRE_AFTER_S
+            ):
                 self.record_end(key, messages.Result.GIVEN_UP, now_s)
 
     def record_connection(
@@ -402,7 +394,7 @@
         deferred = self._choose_deferred(scheduling_round)
         ranked = sorted(
             self._queue.items(),
-            key=lambda item: queue_order.calculate_sort_key(
+            key=lambda item: self._management.calculate_sort_key(
                 item[1], now_s, is_deferred=item[0] in deferred
             ),
         )
@@ -414,6 +406,12 @@
             if decision is not None:
                 del self._queue[key]
                 decided.append((key, decision))
+        waiting = [item for item in ranked if item[0] in self._queue]
+        for key, refusal in self._management.review(
+            waiting, lambda service: self._get_pool(service).states, now_s
+        ):
+            del self._queue[key]
+            decided.append((key, refusal))
         return decided
 
     def _refuse_hopeless(
@@ -499,14 +497,14 @@
     ) -> messages.Decision | None:
         request, now_s = queued.request, scheduling_round.now_s
         if not queued.can_meet_deadline(now_s):
-            return _refuse(messages.RefusalReason.NO_TIME)
+            return refusals.refuse(messages.RefusalReason.NO_TIME)
         if self._is_quarantined(request):
-            return _refuse(messages.RefusalReason.QUARANTINED)
+            return refusals.refuse(messages.RefusalReason.QUARANTINED)
         if request.is_retry and self._evidence.is_suspected(request):
-            return _refuse(messages.RefusalReason.SUSPECTED)
+            return refusals.refuse(messages.RefusalReason.SUSPECTED)
         candidates = self._find_candidates(request, scheduling_round)
         if not candidates.has_allowed():
-            return _wait_for_endpoint(queued, now_s)
+            return refusals.wait_for_endpoint(queued, now_s)
         is_accused = self._evidence.is_accused(request)
         apart_from = request.unreachable
         if is_accused:
@@ -521,14 +519,14 @@
             request, candidates, scheduling_round, is_spread=is_accused
         )
         if choice is None:
-            return _refuse_too_large(request, candidates.allowed_states)
+            return refusals.refuse_too_large(request, candidates.allowed_states)
         if not queue_order.should_start(queued, choice, now_s):
             scheduling_round.awaited.update(choice.engines)
             return None
         if request.is_retry and not self._get_budget(request.service).take(
             now_s
         ):
-            return _refuse(messages.RefusalReason.REPEAT_BUDGET)
+            return refusals.refuse(messages.RefusalReason.REPEAT_BUDGET)
         return self._allocate(key, request, choice, scheduling_round)
 
     def _has_running_copy(
@@ -539,11 +537,10 @@
         One copy at a time shows whether the request crashes endpoints.
         """
         assert request.fingerprint is not None
-        for key in self._copies.get(request.fingerprint, ()):
+        copies = self._running.find_copies(request.fingerprint)
+        for key in copies:
             self._record_writing(key, now_s)
-        return request.fingerprint in self._copies and (
-            self._evidence.is_accused(request)
-        )
+        return bool(copies) and self._evidence.is_accused(request)
 
     def _find_endpoints_of_accused(self) -> frozenset[ids.EndpointId]:
         """Returns the endpoints that run accused requests.
@@ -552,7 +549,7 @@
         """
         return frozenset(
             running.endpoint
-            for running in self._running.values()
+            for running in self._running.iter_requests()
             if self._evidence.is_accused(running.request)
         )
 
@@ -627,11 +624,10 @@
                 limiter.record_send(now_s)
         self._add_running(
             key,
-            _Running(
-                request,
-                primary.id,
-                tuple(load.endpoint.id for load, _ in choice.helpers),
-            ),
+            request,
+            primary.id,
+            tuple(load.endpoint.id for load, _ in choice.helpers),
+            now_s,
         )
         return messages.Placement(
             primary.id,
@@ -712,39 +708,3 @@
     ):
         return messages.Result.GIVEN_UP
     return messages.Result.SILENT
-
-
-def _refuse_too_large(
-    request: messages.PlacementRequest,
-    open_states: list[service_pool.EndpointState],
-) -> messages.Refusal | None:
-    """Refuses a prompt that exceeds the memory of any group of engines."""
-    sizes = sorted(
-        (s.load.profile.memory_tokens for s in open_states if s.load.profile),
-        reverse=True,
-    )
-    max_memory_tokens = sum(sizes[: packing.GROUP_SIZES[0]])
-    if (
-        not sizes
-        or request.memory_tokens
-        <= max_memory_tokens * loads.ALLOCATABLE_MEMORY_SHARE
-    ):
-        return None
-    return messages.Refusal(
-        messages.RefusalReason.TOO_LARGE, NO_ENDPOINT_RETRY_AFTER_S
-    )
-
-
-def _wait_for_endpoint(
-    queued: queue_order.QueuedRequest, now_s: float
-) -> messages.Refusal | None:
-    time_limit_s = queued.request.on_time_at_s - queued.arrived_at_s
-    if now_s - queued.arrived_at_s < NO_ENDPOINT_WAIT_SHARE * time_limit_s:
-        return None
-    return messages.Refusal(
-        messages.RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER_S
-    )
-
-
-def _refuse(reason: messages.RefusalReason) -> messages.Refusal:
-    return messages.Refusal(reason, MIN_RETRY_AFTER_S)
