Let operators' calls to the store wait for a token after an outage

Change: calls for configuration and housekeeping wait up to 5 s; those that requests wait for give up after 1 s as before.

--- a/packages/platform/poplarwick_platform/_budget.py
+++ b/packages/platform/poplarwick_platform/_budget.py
@@ -20,7 +20,18 @@
 RATE_DECREASE_FACTOR = 0.5
 DECREASE_PERIOD_S = 1.0
 BURST_S = 1.0
-MAX_WAIT_S = 1.0
+
+MAX_WAIT_S = {
+    kv.Purpose.FENCING: 1.0,
+    kv.Purpose.CLAIM: 1.0,
+    kv.Purpose.LEASE: 1.0,
+    kv.Purpose.CONFIGURATION: 5.0,
+    kv.Purpose.HOUSEKEEPING: 5.0,
+}
+"""Longest time that a call of each purpose waits for a token. Requests wait for
+the first three. An operator waits for the others, and after an outage the rate
+is a call a second: with a shorter wait most of these calls would fail although
+the service is back."""
 
 RESERVED_SHARE = {
     kv.Purpose.FENCING: 0.0,
@@ -37,14 +48,15 @@
 
     Attributes:
         max_rate_per_s: Upper limit of the rate, in calls per second.
-        max_wait_s: Longest time that a call waits for a token.
+        max_wait_s: Longest time that any call waits for a token; None for the
+            time of its purpose.
         rate_per_s: Current rate, in calls per second.
     """
 
     def __init__(
         self,
         max_rate_per_s: float = MAX_RATE_PER_S,
-        max_wait_s: float = MAX_WAIT_S,
+        max_wait_s: float | None = None,
     ) -> None:
         self.max_rate_per_s = max_rate_per_s
         self.max_wait_s = max_wait_s
@@ -58,9 +70,12 @@
         """Takes a token; waits until one is available.
 
         Raises:
-            kv.BudgetError: The call would wait longer than `max_wait_s`.
+            kv.BudgetError: The call would wait too long.
         """
-        deadline_s = clock.now_s() + self.max_wait_s
+        max_wait_s = self.max_wait_s
+        if max_wait_s is None:
+            max_wait_s = MAX_WAIT_S[purpose]
+        deadline_s = clock.now_s() + max_wait_s
         while True:
             wait_s = self._try_take(purpose)
             if wait_s <= 0:
--- a/packages/platform/tests/test_budget.py
+++ b/packages/platform/tests/test_budget.py
@@ -67,3 +67,31 @@
             await budget.take(kv.Purpose.HOUSEKEEPING)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "purpose", [kv.Purpose.CONFIGURATION, kv.Purpose.HOUSEKEEPING]
+)
+def test_operator_calls_succeed_after_an_outage(monkeypatch, purpose):
+    # Guards against operators' calls that fail although the service is back,
+    # because a token of the lowest rate takes longer than the call may wait.
+    manual_clock = ManualClock(monkeypatch)
+
+    async def advance(delay_s):
+        manual_clock.now_s += delay_s
+
+    monkeypatch.setattr(asyncio, "sleep", advance)
+    budget = _budget.CallBudget(max_rate_per_s=50)
+    for _ in range(10):
+        manual_clock.now_s += 1
+        budget.record_failure()
+    assert budget.rate_per_s == _budget.MIN_RATE_PER_S
+
+    async def call():
+        await budget.take(purpose)
+        budget.record_success()
+
+    # A lease is renewed between the operator's calls.
+    for _ in range(5):
+        asyncio.run(budget.take(kv.Purpose.LEASE))
+        asyncio.run(call())
