Listen for callers before the modules of an instance are loaded

Change: where callers compete for engines, or the instance has less than half a core, the launcher opens the callers' socket first; the frontend takes it over. Other deployments start as before.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -25,11 +25,15 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.path[:0] = [str(path) for path in sorted(ROOT.glob("packages/*"))]
     sys.path.insert(0, str(ROOT / "platform"))
-    from poplarwick_node import main as node
-
     settings = (
         sys.argv[1] if sys.argv[1:] else os.environ.get(SETTINGS_VARIABLE)
     )
+    if settings:
+        from poplarwick_adapter import early_start
+
+        early_start.open_caller_listener(settings)
+    from poplarwick_node import main as node
+
     if not settings:
         print(
             f"launch: no settings file, and {SETTINGS_VARIABLE} is not set",
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -16,6 +16,7 @@
 
 from poplarwick_catalogue import routing
 from poplarwick_core import clock
+from poplarwick_core import early_listeners
 from poplarwick_core import logs
 from poplarwick_forwarding import admission
 from poplarwick_forwarding import dialect
@@ -81,6 +82,7 @@
         self.in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._address = address
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._read_routing = read_routing
@@ -101,9 +103,18 @@
             max_field_size=HEADER_LIMIT_BYTES,
         )
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, self._host, self._port, backlog=1024
-        )
+        opened = early_listeners.take(self._address)
+        if opened is not None:
+            self._listener = await loop.create_server(
+                self._server, sock=opened, backlog=early_listeners.BACKLOG
+            )
+        else:
+            self._listener = await loop.create_server(
+                self._server,
+                self._host,
+                self._port,
+                backlog=early_listeners.BACKLOG,
+            )
         return self
 
     async def __aexit__(
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -48,16 +48,25 @@
                 make_settings(name, PORTS, store_address, ip=ip, **bounds)
             )
         )
+        self._settings_path = path
+        self._start()
+
+    def _start(self):
         self.node = platform_instance.PlatformInstance(
-            settings.read_settings(path)
+            settings.read_settings(self._settings_path)
         )
         self.stop = asyncio.Event()
         context = contextvars.copy_context()
-        context.run(network_cuts.CURRENT_INSTANCE.set, name)
+        context.run(network_cuts.CURRENT_INSTANCE.set, self.name)
         self.task = asyncio.create_task(
             self.node.run(self.stop), context=context
         )
 
+    def restart(self):
+        """Starts an instance that was killed, at its addresses."""
+        self._start()
+        return self
+
     async def kill(self):
         """Stops the instance without a shutdown."""
         self.task.cancel()
