Load the exporter of metrics after an instance serves

Cause: OpenTelemetry and Prometheus are a quarter of the modules of a start (672), of no use to its first placement. Change: instruments count by themselves until a meter is installed, and then pass on what they counted. Histograms keep at most 2,000 values; more are counted as dropped and logged. An exporter that cannot be loaded fails the page and not the instance. Page servers import the parts of aiohttp.web that they use.

--- a/packages/core/poplarwick_core/metrics.py
+++ b/packages/core/poplarwick_core/metrics.py
@@ -1,11 +1,21 @@
-"""Factories for OpenTelemetry instruments."""
+"""Instruments of metrics, which count before their exporter is loaded.
+
+The exporter takes a fifth of the processor time of a start, so an instance
+loads it only after it serves. Until `install` is called, instruments keep what
+they count.
+"""
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+from typing import TYPE_CHECKING
 
-from opentelemetry import metrics
+if TYPE_CHECKING:
+    from opentelemetry import metrics as otel
 
 METER_NAME = "poplarwick"
 SECONDS_BOUNDARIES = (
@@ -26,17 +36,176 @@
 )
 """Upper bucket bounds, in seconds, of the duration histograms."""
 
+MAX_KEPT_VALUES = 2_000
+"""Most values that a histogram keeps for the exporter; a busy instance records
+some hundred before it is loaded. Counters keep sums, so they need no bound."""
+
+Labels = Mapping[str, str]
+
+
+class Observation(NamedTuple):
+    """A value of a gauge.
+
+    Attributes:
+        value: The value.
+        attributes: Its labels.
+    """
+
+    value: float
+    attributes: Labels | None = None
+
+
+class _Instrument:
+    """Base class of all instruments.
+
+    Args:
+        name: Name without the prefix.
+        description: Description shown with the metric.
+    """
+
+    def __init__(self, name: str, description: str) -> None:
+        self.name = f"poplarwick_{name}"
+        self._description = description
+        # Measurements come from the event loop, the installation may not.
+        self._lock = threading.Lock()
+
+    def install(self, meter: otel.Meter) -> None:
+        """Creates the instrument of the meter and passes on what was kept."""
+        raise NotImplementedError
+
+
+class Counter(_Instrument):
+    """A sum that only rises, by labels."""
+
+    def __init__(self, name: str, description: str) -> None:
+        super().__init__(name, description)
+        self._target: otel.Counter | otel.UpDownCounter | None = None
+        self._sums: dict[tuple[tuple[str, str], ...], float] = {}
+
+    def add(self, amount: float, attributes: Labels | None = None) -> None:
+        """Adds an amount to the sum of some labels."""
+        if self._target is not None:
+            self._target.add(amount, attributes)
+            return
+        key = tuple(sorted((attributes or {}).items()))
+        with self._lock:
+            self._sums[key] = self._sums.get(key, 0) + amount
+
+    def install(self, meter: otel.Meter) -> None:
+        """Creates the counter of the meter and adds the sums so far."""
+        with self._lock:
+            target = self._make_target(meter)
+            for key, amount in self._sums.items():
+                target.add(amount, dict(key))
+            self._sums.clear()
+            self._target = target
+
+    def _make_target(
+        self, meter: otel.Meter
+    ) -> otel.Counter | otel.UpDownCounter:
+        return meter.create_counter(self.name, description=self._description)
+
+
+class UpDownCounter(Counter):
+    """A sum that rises and falls."""
+
+    def _make_target(
+        self, meter: otel.Meter
+    ) -> otel.Counter | otel.UpDownCounter:
+        return meter.create_up_down_counter(
+            self.name, description=self._description
+        )
+
+
+class Histogram(_Instrument):
+    """A distribution of seconds, by labels.
 
-def make_counter(name: str, description: str) -> metrics.Counter:
+    Attributes:
+        dropped: Values that were not kept because there were too many.
+    """
+
+    def __init__(self, name: str, description: str) -> None:
+        super().__init__(name, description)
+        self.dropped = 0
+        self._target: otel.Histogram | None = None
+        self._values: list[tuple[float, dict[str, str]]] = []
+
+    def record(self, amount: float, attributes: Labels | None = None) -> None:
+        """Records a value."""
+        if self._target is not None:
+            self._target.record(amount, attributes)
+            return
+        with self._lock:
+            if len(self._values) >= MAX_KEPT_VALUES:
+                self.dropped += 1
+                return
+            self._values.append((amount, dict(attributes or {})))
+
+    def install(self, meter: otel.Meter) -> None:
+        """Creates the histogram of the meter and records the values so far."""
+        with self._lock:
+            target = meter.create_histogram(
+                self.name,
+                unit="s",
+                description=self._description,
+                explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
+            )
+            for amount, attributes in self._values:
+                target.record(amount, attributes)
+            self._values.clear()
+            self._target = target
+
+
+class _Gauge(_Instrument):
+    """A value that is read at each collection of metrics."""
+
+    def __init__(
+        self,
+        name: str,
+        description: str,
+        observe: Callable[[], Iterable[Observation]],
+    ) -> None:
+        super().__init__(name, description)
+        self._observe = observe
+
+    def install(self, meter: otel.Meter) -> None:
+        """Registers the gauge with the meter."""
+        from opentelemetry import metrics as otel
+
+        meter.create_observable_gauge(
+            self.name,
+            callbacks=[
+                lambda _: [
+                    otel.Observation(o.value, o.attributes)
+                    for o in self._observe()
+                ]
+            ],
+            description=self._description,
+        )
+
+
+_instruments: list[_Instrument] = []
+_meter: otel.Meter | None = None
+
+
+def make_counter(name: str, description: str) -> Counter:
     """Returns a counter named `poplarwick_<name>`."""
-    meter = metrics.get_meter(METER_NAME)
-    return meter.create_counter(f"poplarwick_{name}", description=description)
+    counter = Counter(name, description)
+    _register(counter)
+    return counter
+
+
+def make_up_down_counter(name: str, description: str) -> UpDownCounter:
+    """Returns a counter of what is open, named `poplarwick_<name>`."""
+    counter = UpDownCounter(name, description)
+    _register(counter)
+    return counter
 
 
 def make_gauge(
     name: str,
     description: str,
-    observe: Callable[[], Iterable[metrics.Observation]],
+    observe: Callable[[], Iterable[Observation]],
 ) -> None:
     """Registers a gauge named `poplarwick_<name>`.
 
@@ -46,20 +215,44 @@
         observe: Returns the values with their labels; called at each
             collection of metrics.
     """
-    meter = metrics.get_meter(METER_NAME)
-    meter.create_observable_gauge(
-        f"poplarwick_{name}",
-        callbacks=[lambda _: observe()],
-        description=description,
-    )
+    _register(_Gauge(name, description, observe))
 
 
-def make_histogram(name: str, description: str) -> metrics.Histogram:
+def make_histogram(name: str, description: str) -> Histogram:
     """Returns a histogram of seconds, named `poplarwick_<name>`."""
-    meter = metrics.get_meter(METER_NAME)
-    return meter.create_histogram(
-        f"poplarwick_{name}",
-        unit="s",
-        description=description,
-        explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
+    histogram = Histogram(name, description)
+    _register(histogram)
+    return histogram
+
+
+def install(meter: otel.Meter) -> int:
+    """Passes all instruments, also later ones, to a meter; the first one stays.
+
+    Args:
+        meter: Meter of an exporter.
+
+    Returns:
+        Values of histograms that had been dropped.
+    """
+    global _meter
+    if _meter is not None:
+        return 0
+    _meter = meter
+    for instrument in _instruments:
+        instrument.install(meter)
+    return sum(
+        instrument.dropped
+        for instrument in _instruments
+        if isinstance(instrument, Histogram)
     )
+
+
+def is_installed() -> bool:
+    """Returns whether an exporter receives what is counted."""
+    return _meter is not None
+
+
+def _register(instrument: _Instrument) -> None:
+    _instruments.append(instrument)
+    if _meter is not None:
+        instrument.install(_meter)
--- a/packages/node/poplarwick_node/catalogue_metrics.py
+++ b/packages/node/poplarwick_node/catalogue_metrics.py
@@ -5,8 +5,6 @@
 import collections
 from collections.abc import Iterable
 
-from opentelemetry import metrics as otel
-
 from poplarwick_catalogue import catalogue
 from poplarwick_core import metrics
 
@@ -21,20 +19,20 @@
     metrics.make_gauge(
         "instances",
         "Known instances.",
-        lambda: [otel.Observation(len(instance_catalogue.members))],
+        lambda: [metrics.Observation(len(instance_catalogue.members))],
     )
     metrics.make_gauge(
         "quarantines",
         "Quarantines of parts of prompts that are in force.",
         lambda: [
-            otel.Observation(instance_catalogue.quarantines.in_force_count)
+            metrics.Observation(instance_catalogue.quarantines.in_force_count)
         ],
     )
     metrics.make_gauge(
         "configuration_version",
         "Version of the configuration in force; 0 before the first.",
         lambda: [
-            otel.Observation(
+            metrics.Observation(
                 instance_catalogue.routing.version
                 if instance_catalogue.routing
                 else 0
@@ -45,13 +43,13 @@
 
 def _observe_endpoints(
     instance_catalogue: catalogue.Catalogue,
-) -> Iterable[otel.Observation]:
+) -> Iterable[metrics.Observation]:
     counts = collections.Counter(
         (tracked.endpoint.service, _get_state(tracked, instance_catalogue))
         for tracked in instance_catalogue.endpoints.values()
     )
     return [
-        otel.Observation(count, {"service": service, "state": state})
+        metrics.Observation(count, {"service": service, "state": state})
         for (service, state), count in counts.items()
     ]
 
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -108,16 +108,28 @@
 
 
 class MetricsNotServed(logs.Event, frozen=True, kw_only=True):
-    """The metrics server cannot listen on its address; metrics are not served.
+    """The metrics server cannot listen, or the exporter cannot be loaded.
 
     Attributes:
-        reason: Error of the operating system.
+        reason: The error.
     """
 
     level = "WARNING"
     reason: str
 
 
+class MeasurementsDropped(logs.Event, frozen=True, kw_only=True):
+    """Values of histograms were not kept until the exporter was loaded.
+
+    Attributes:
+        count: Number of values.
+    """
+
+    level = "WARNING"
+
+    count: int
+
+
 class HandoverUnanswered(logs.Event, frozen=True):
     """The next placer did not connect before the handover timed out."""
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -9,7 +9,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from aiohttp import web
+from aiohttp import web_response
 
 from poplarwick_adapter import dialect
 from poplarwick_adapter import engine_client
@@ -35,7 +35,6 @@
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import upstream
-from poplarwick_node import _telemetry
 from poplarwick_node import catalogue_metrics
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
@@ -234,7 +233,9 @@
             page_server.PageServer(
                 instance_deployment.readiness_address,
                 dialect.READY_PATH,
-                lambda: web.Response(status=200 if self._is_ready() else 503),
+                lambda: web_response.Response(
+                    status=200 if self._is_ready() else 503
+                ),
             )
         )
         instance_registration = registration.Registration(
@@ -391,7 +392,6 @@
     for stop_signal in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop_signal, stop.set)
     loop.add_signal_handler(signal.SIGHUP, instance.settings.request_reload)
-    _telemetry.collect_metrics()
     catalogue_metrics.add_gauges(instance.catalogue)
     await instance.run(stop)
 
--- a/packages/node/tests/test_pages.py
+++ b/packages/node/tests/test_pages.py
@@ -60,3 +60,15 @@
                 pass
 
     asyncio.run(run())
+
+
+def test_exporter_that_cannot_be_loaded_fails_only_the_page(monkeypatch):
+    monkeypatch.setattr(metrics_server, "EXPORTER_MODULE", "poplarwick_none")
+
+    async def run():
+        address = find_free_address()
+        async with metrics_server.serve_metrics(address):
+            status, _ = await read(address, "/metrics")
+            assert status == 500
+
+    asyncio.run(run())
--- a/packages/platform/poplarwick_platform/call_metrics.py
+++ b/packages/platform/poplarwick_platform/call_metrics.py
@@ -5,8 +5,6 @@
 import contextlib
 from collections.abc import Iterator
 
-from opentelemetry import metrics as otel
-
 from poplarwick_core import clock
 from poplarwick_core import metrics
 from poplarwick_platform import kv
@@ -17,9 +15,8 @@
 _duration = metrics.make_histogram(
     "kv_call_duration", "Time of calls to the key-value service."
 )
-_watches = otel.get_meter(metrics.METER_NAME).create_up_down_counter(
-    "poplarwick_kv_watches",
-    description="Watches that wait at the key-value service.",
+_watches = metrics.make_up_down_counter(
+    "kv_watches", "Watches that wait at the key-value service."
 )
 
 
