Compile bytecode at the build and import less at a start

Cause: the checkout is read-only where instances run and pip is told not to compile, so that each start compiled 600 modules. aiohttp reads all certificates of the system at its import (0.06 s here), the garbage collector runs during imports, and 19 folders on the path are searched for every module. Change: the build writes bytecode beside the dependencies and, for packages of the checkout, under target/bytecode with a hash of the source; a loader uses an entry only if the hash matches. One finder replaces the folders on the path. Certificates are not read and the collector rests during the imports. The command-line parser and importlib.metadata are loaded only where used.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -7,12 +7,13 @@
 import signal
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+import bytecode
+
 SETTINGS_VARIABLE = "POPLARWICK_NODE_FILE"
 
 
 def main() -> int:
-    """Adds the checkout's packages to the path and runs the daemon.
+    """Makes the checkout's packages importable and runs the daemon.
 
     The settings file is the first argument, or named by the environment.
 
@@ -20,13 +21,9 @@
         The exit code.
     """
     # SIGHUP signals changed settings. Its default action would end the process
-    # during the imports, which take half a second. The daemon handles the
-    # signal later and reads the settings file only after the imports.
+    # during the imports. The daemon handles the signal later and reads the
+    # settings file only after the imports.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    sys.path[:0] = [str(path) for path in sorted(ROOT.glob("packages/*"))]
-    sys.path.insert(0, str(ROOT / "platform"))
-    from poplarwick_node import main as node
-
     settings = (
         sys.argv[1] if sys.argv[1:] else os.environ.get(SETTINGS_VARIABLE)
     )
@@ -36,7 +33,10 @@
             file=sys.stderr,
         )
         return 2
-    return node.main(["--platform-settings", settings])
+    bytecode.install_finder()
+    from poplarwick_node import platform_main
+
+    return platform_main.run(pathlib.Path(settings))
 
 
 if __name__ == "__main__":
--- a/packages/core/poplarwick_core/cli.py
+++ b/packages/core/poplarwick_core/cli.py
@@ -4,7 +4,8 @@
 
 import argparse
 import enum
-import importlib.metadata
+from collections.abc import Sequence
+from typing import Any
 
 
 class ExitCode(enum.IntEnum):
@@ -25,15 +26,30 @@
     """Returns an argument parser with a `--version` option."""
     parser = argparse.ArgumentParser(prog=program, description=description)
     parser.add_argument(
-        "--version",
-        action="version",
-        version=f"%(prog)s {read_version()}",
+        "--version", action=_ShowVersion, nargs=0, help="show the version"
     )
     return parser
 
 
+class _ShowVersion(argparse.Action):
+    """Reads the version only when it is shown, which takes a while."""
+
+    def __call__(
+        self,
+        parser: argparse.ArgumentParser,
+        namespace: argparse.Namespace,
+        values: str | Sequence[Any] | None,
+        option_string: str | None = None,
+    ) -> None:
+        del namespace, values, option_string
+        print(f"{parser.prog} {read_version()}")
+        parser.exit()
+
+
 def read_version() -> str:
     """Returns the installed version, or "unknown" without an installation."""
+    import importlib.metadata
+
     try:
         return importlib.metadata.version("poplarwick-core")
     except importlib.metadata.PackageNotFoundError:
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -12,7 +12,10 @@
 from typing import Self
 
 import multidict
-from aiohttp import web
+from aiohttp import web_protocol
+from aiohttp import web_request
+from aiohttp import web_response
+from aiohttp import web_server
 
 from poplarwick_catalogue import routing
 from poplarwick_core import clock
@@ -87,11 +90,11 @@
         self._dialect = wire_dialect
         self._runner = runner
         self._rng = random.Random()
-        self._server: web.Server | None = None
+        self._server: web_server.Server | None = None
         self._listener: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
-        self._server = web.Server(
+        self._server = web_server.Server(
             self._handle,
             access_log=None,
             handler_cancellation=True,
@@ -118,7 +121,7 @@
             await self._server.shutdown(0.1)
 
     @property
-    def connections(self) -> list[web.RequestHandler]:
+    def connections(self) -> list[web_protocol.RequestHandler]:
         """Open connections of callers."""
         return [] if self._server is None else self._server.connections
 
@@ -144,7 +147,9 @@
                 await self._idle.wait()
         return not self.in_progress
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         received_at_s = clock.now_s()
         self.in_progress += 1
         self._idle.clear()
@@ -159,8 +164,8 @@
         return response
 
     async def _respond(
-        self, request: web.BaseRequest, received_at_s: float
-    ) -> web.StreamResponse:
+        self, request: web_request.BaseRequest, received_at_s: float
+    ) -> web_response.StreamResponse:
         if self.is_closed:
             return self._refuse(request, "stopping")
         if self.in_progress > MAX_REQUESTS_IN_PROGRESS:
@@ -229,7 +234,7 @@
 
     def _make_exchange(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         metadata: dialect.RequestMetadata,
         admitted: admission.Admission,
         body: bytes,
@@ -262,10 +267,10 @@
 
     async def _run(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         exchange: http_exchange.Exchange,
         version: int,
-    ) -> web.StreamResponse:
+    ) -> web_response.StreamResponse:
         logs.log(
             log_events.RequestReceived(
                 request=exchange.metadata.request_id,
@@ -290,7 +295,7 @@
         match outcome:
             case outcomes.CompleteResponse(status, response_headers, body):
                 _record_outcome(exchange, "answered", sink, status=status)
-                return web.Response(
+                return web_response.Response(
                     status=status, headers=response_headers, body=body
                 )
             case outcomes.Streamed():
@@ -314,10 +319,10 @@
 
     def _refuse(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         reason: str,
         failure: outcomes.Failure = outcomes.Failure.REFUSED,
-    ) -> web.StreamResponse:
+    ) -> web_response.StreamResponse:
         logs.log(
             log_events.RequestRefused(
                 request=self._dialect.get_request_id(request.headers),
@@ -336,11 +341,11 @@
         failure: outcomes.Failure,
         reason: str,
         retry_after_s: float | None,
-    ) -> web.Response:
+    ) -> web_response.Response:
         refusal_headers = {}
         if failure is outcomes.Failure.REFUSED and retry_after_s is not None:
             refusal_headers = self._dialect.make_refusal_headers(retry_after_s)
-        return web.Response(
+        return web_response.Response(
             status=failure.value, headers=refusal_headers, text=reason + "\n"
         )
 
@@ -349,10 +354,10 @@
     """Writes a streamed response to the caller's connection."""
 
     def __init__(
-        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
+        self, request: web_request.BaseRequest, is_leaving: Callable[[], bool]
     ) -> None:
         self.has_begun = False
-        self.response: web.StreamResponse | None = None
+        self.response: web_response.StreamResponse | None = None
         self.first_at_s: float | None = None
         self.longest_pause_s = 0.0
         self.bytes_written = 0
@@ -364,7 +369,7 @@
         self, status: int, response_headers: Mapping[str, str]
     ) -> None:
         """Sends the status and the headers."""
-        response = web.StreamResponse(
+        response = web_response.StreamResponse(
             status=status, headers=multidict.CIMultiDict(response_headers)
         )
         response.enable_chunked_encoding()
@@ -393,12 +398,16 @@
         await self.response.write_eof()
 
 
-def _abort(request: web.BaseRequest, sink: _ResponseSink) -> web.StreamResponse:
+def _abort(
+    request: web_request.BaseRequest, sink: _ResponseSink
+) -> web_response.StreamResponse:
     """Closes a caller's connection without completing the response."""
     if request.transport is not None:
         request.transport.abort()
     # The connection is closed: the caller does not receive this response.
-    return sink.response or web.Response(status=outcomes.Failure.BROKEN.value)
+    return sink.response or web_response.Response(
+        status=outcomes.Failure.BROKEN.value
+    )
 
 
 def _choose_body_timeout_s(metadata: dialect.RequestMetadata) -> float:
@@ -407,7 +416,7 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, limit: int
+    request: web_request.BaseRequest, limit: int
 ) -> tuple[bytes | None, fingerprints.BodyDigest]:
     """Returns the complete body, or None if it exceeds the limit."""
     digest = fingerprints.BodyDigest()
@@ -425,9 +434,9 @@
 
 
 def _reject(
-    request: web.BaseRequest, rejection: admission.Rejection
-) -> web.Response:
-    response = web.Response(
+    request: web_request.BaseRequest, rejection: admission.Rejection
+) -> web_response.Response:
+    response = web_response.Response(
         status=rejection.value, text=rejection.name.lower() + "\n"
     )
     if request.can_read_body and not request.content.is_eof():
--- a/packages/node/poplarwick_node/main.py
+++ b/packages/node/poplarwick_node/main.py
@@ -10,7 +10,6 @@
 
 from poplarwick_core import cli
 from poplarwick_core import errors
-from poplarwick_core import log_writer
 from poplarwick_core import logs
 
 
@@ -77,28 +76,11 @@
 
 
 def _run_on_platform(parsed: argparse.Namespace) -> int:
-    from poplarwick_adapter import settings
-    from poplarwick_catalogue import deployment
-    from poplarwick_node import platform_instance
+    from poplarwick_node import platform_main
 
-    def read_deployment() -> deployment.Deployment:
-        return settings.read_settings(pathlib.Path(parsed.platform_settings))
-
-    try:
-        instance_deployment = read_deployment()
-    except errors.DocumentError as error:
-        return _report_usage(error)
-    if parsed.check:
-        return cli.ExitCode.OK
-    writer = log_writer.LineWriter(sys.stdout.fileno())
-    logs.configure_logs(writer=writer, instance=instance_deployment.instance)
-    try:
-        asyncio.run(platform_instance.run(instance_deployment, read_deployment))
-    except OSError as error:
-        return _report_failure(error)
-    finally:
-        writer.close()
-    return cli.ExitCode.OK
+    return platform_main.run(
+        pathlib.Path(parsed.platform_settings), check_only=parsed.check
+    )
 
 
 def _report_usage(error: Exception) -> int:
--- a/packages/peers/poplarwick_peers/transport.py
+++ b/packages/peers/poplarwick_peers/transport.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import ssl
 import types
 from typing import Any
 from typing import Protocol
 from typing import Self
+from typing import TYPE_CHECKING
 
 from grpclib import client
 from grpclib import exceptions
@@ -14,6 +14,9 @@
 
 from poplarwick_core import errors
 
+if TYPE_CHECKING:
+    import ssl
+
 
 class PeerError(errors.PoplarwickError):
     """A call to another instance failed.
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import ssl
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 from typing import Self
+from typing import TYPE_CHECKING
 
 import aiohttp
 
+if TYPE_CHECKING:
+    import ssl
+
 
 class SessionOwner:
     """Base class that owns an HTTP session while its context is open.
--- a/scripts/measure_start.py
+++ b/scripts/measure_start.py
@@ -40,6 +40,9 @@
 POLL_PERIOD_S = 0.002
 RETRY_PERIOD_S = 0.01
 START_TIMEOUT_S = 60.0
+IMPORTS_TIMEOUT_S = 4.0
+"""Time after which all imports of a start are done."""
+
 REQUEST_DEADLINE_S = 10.0
 PLACER_KEY = "poplarwick/placer"
 MEMBER_PREFIX = "poplarwick/instances/"
@@ -171,7 +174,7 @@
         )
         # The store does not answer; the imports are done within a few seconds.
         with contextlib.suppress(subprocess.TimeoutExpired):
-            process.wait(8)
+            process.wait(IMPORTS_TIMEOUT_S)
         process.kill()
         _, errors = process.communicate()
     packages: dict[str, tuple[float, int]] = {}
