Refuse by a forecast what cannot be answered in time

Cause: under overload a queued request waited until even idle engines could not meet its deadline. In force where callers contend for capacity. The replay in bench has callers that return once, engines that are lost and schedulers that are replaced.

--- a/packages/bench/poplarwick_bench/replay/engines.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -17,6 +17,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import engine_model
+from poplarwick_placement import load_management
 from poplarwick_placement import messages
 from poplarwick_placement import retry_budget
 from poplarwick_placement import scheduler as scheduling
@@ -94,8 +95,13 @@
 class Engine:
     """Prefills and decoding requests of one engine."""
 
-    def __init__(self, endpoint: types.Endpoint) -> None:
+    def __init__(
+        self,
+        endpoint: types.Endpoint,
+        profile: types.EngineProfile = PROFILE,
+    ) -> None:
         self.endpoint = endpoint
+        self.profile = profile
         self.helper_parts: list[PrefillPart] = []
         self.primary_parts: list[PrefillPart] = []
         self.decoding: list[Job] = []
@@ -103,12 +109,12 @@
 
     def run_iteration(self) -> tuple[float, list[Job]]:
         """Returns the next iteration's time and the jobs prefilled in it."""
-        step_count = PROFILE.stride if self.decoding else 1
+        step_count = self.profile.stride if self.decoding else 1
         context_tokens = sum(j.request.prompt_tokens for j in self.decoding)
         time_s = 0.0
         if self.decoding:
             time_s = engine_model.calculate_iteration_s(
-                PROFILE, len(self.decoding), context_tokens
+                self.profile, len(self.decoding), context_tokens
             )
         finished = []
         for _ in range(step_count):
@@ -131,24 +137,66 @@
     Args:
         scheduler: The scheduler under test.
         engines: Number of engines.
+        profile: Profile of the engines.
     """
 
     def __init__(
-        self, scheduler: scheduling.Scheduler, engines: int = 16
+        self,
+        scheduler: scheduling.Scheduler,
+        engines: int = 16,
+        profile: types.EngineProfile = PROFILE,
     ) -> None:
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
         self._scheduler = scheduler
+        self._profile = profile
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.engines = {
-            e.id: Engine(e) for e in (make_endpoint(n) for n in range(engines))
+            e.id: Engine(e, profile)
+            for e in (make_endpoint(n) for n in range(engines))
         }
-        scheduler.set_candidates(
-            service_pool.Candidate(engine.endpoint, PROFILE, True, 0.0, 36.0)
+        self.offer_engines()
+
+    def offer_engines(self) -> None:
+        """Tells the scheduler which engines there are."""
+        self._scheduler.set_candidates(
+            service_pool.Candidate(
+                engine.endpoint, self._profile, True, 0.0, 36.0
+            )
             for engine in self.engines.values()
         )
 
+    def lose_engines(self, count: int) -> None:
+        """Ends engines, with the requests that run on them."""
+        lost = set(list(self.engines)[:count])
+        for endpoint in lost:
+            del self.engines[endpoint]
+        for job in self.jobs.values():
+            if job.primary in lost and job.ended_s is None:
+                self._scheduler.record_end(
+                    job.key, messages.Result.BROKEN, self.now_s
+                )
+        self.offer_engines()
+
+    def replace_scheduler(self, scheduler: scheduling.Scheduler) -> None:
+        """Replaces the scheduler by one that is told what runs and waits."""
+        self._scheduler = scheduler
+        self.offer_engines()
+        for job in self.jobs.values():
+            if job.is_refused or job.ended_s is not None:
+                continue
+            if job.primary in self.engines:
+                scheduler.adopt(
+                    job.key,
+                    job.request,
+                    job.primary,
+                    self.now_s,
+                    has_begun=job.first_event_s is not None,
+                )
+            elif job.primary is None and job.arrived_s <= self.now_s:
+                scheduler.submit(job.key, job.request, self.now_s)
+
     def call_at(self, time_s: float, action: Callable[[], None]) -> None:
         """Schedules an action at a time."""
         heapq.heappush(self._events, (time_s, next(self._sequence), action))
@@ -158,7 +206,8 @@
     ) -> Job:
         """Schedules the arrival of a request."""
         job = Job(len(self.jobs), request, time_s)
-        job.events_left = max(request.output_tokens // PROFILE.stride, 1)
+        stride = self._profile.stride
+        job.events_left = max(request.output_tokens // stride, 1)
         self.jobs[job.key] = job
 
         def submit() -> None:
@@ -187,15 +236,22 @@
                 case messages.Placement():
                     self._start_prefill(job, decision)
                 case messages.Refusal():
-                    job.is_refused = True
+                    self.refuse(job, decision)
+
+    def refuse(self, job: Job, refusal: messages.Refusal) -> None:
+        """Ends a job that was refused."""
+        del refusal
+        job.is_refused = True
 
     def _start_prefill(self, job: Job, placement: messages.Placement) -> None:
         group = [placement.endpoint, *(h.endpoint for h in placement.helpers)]
         full_prefill_s = engine_model.calculate_prefill_s(
-            PROFILE, job.request.prompt_tokens
+            self._profile, job.request.prompt_tokens
         )
         part_s = full_prefill_s / len(group)
-        chunk_count = max(job.request.prompt_tokens / PROFILE.chunk_tokens, 1)
+        chunk_count = max(
+            job.request.prompt_tokens / self._profile.chunk_tokens, 1
+        )
         job.parts_left = len(group)
         for endpoint in group:
             engine = self.engines[endpoint]
@@ -229,13 +285,17 @@
 
         def finish() -> None:
             engine.is_busy = False
+            if engine.endpoint.id not in self.engines:
+                return
             for job in decoding:
                 self._emit_event(engine, job)
             for job in finished:
                 job.parts_left -= 1
                 if job.parts_left == 0:
                     assert job.primary is not None, "a placed job has a primary"
-                    primary = self.engines[job.primary]
+                    primary = self.engines.get(job.primary)
+                    if primary is None:
+                        continue
                     primary.decoding.append(job)
                     # Steps after the last chunk of an iteration already decode.
                     if primary is engine and decoding:
@@ -286,13 +346,22 @@
 
 
 def make_scheduler(
-    *, is_global: bool = True, seed: int = 1
+    *, is_global: bool = True, seed: int = 1, has_contention: bool = False
 ) -> scheduling.Scheduler:
-    """Returns a scheduler with the retry budget of a small fleet."""
+    """Returns a scheduler with the retry budget of a small fleet.
+
+    Args:
+        is_global: Whether it knows all requests.
+        seed: Seed of its random choices.
+        has_contention: Whether the decisions under contention are in force.
+    """
     return scheduling.Scheduler(
         is_global=is_global,
         rng=random.Random(seed),
         make_budget=lambda: retry_budget.RetryBudget(
             lambda: retry_budget.RetryAllowance(0.2, 100, 10.0)
         ),
+        management=load_management.make_load_management(
+            has_contention=has_contention
+        ),
     )
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from poplarwick_core import ids
+from poplarwick_placement import admission_control
 from poplarwick_placement import messages
 from poplarwick_placement import queue_order
 from poplarwick_placement import running_requests
@@ -217,5 +218,6 @@
         has_contention: Whether callers compete for engines that cannot hold
             all requests at once.
     """
-    del has_contention
-    return LoadManagement()
+    if not has_contention:
+        return LoadManagement()
+    return LoadManagement(admission=admission_control.AdmissionControl())
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -7,6 +7,7 @@
 import itertools
 import math
 from collections.abc import Hashable
+from typing import NamedTuple
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
@@ -78,6 +79,24 @@
         return now_s < self.prefill_due_at_s + PREFILL_OVERDUE_S
 
 
+class ExpectedEnd(NamedTuple):
+    """When an allocation is expected to be released.
+
+    Attributes:
+        begins_at_s: Monotonic time of the first event.
+        decode_s: Time from the first event to the end without prefills.
+        prefill_s: Time for which one engine prefills the whole prompt.
+        slots: Slots that are released.
+        memory_tokens: Memory that is released.
+    """
+
+    begins_at_s: float
+    decode_s: float
+    prefill_s: float
+    slots: int
+    memory_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class LoadView:
     """Snapshot of an endpoint's load with the values that placement uses.
@@ -183,6 +202,7 @@
     failure_share: float = 0.0
     _summary: _Summary | None = None
     _steady_view: LoadView | None = None
+    _expected_ends: tuple[ExpectedEnd, ...] | None = None
 
     @property
     def slots(self) -> int:
@@ -384,9 +404,44 @@
         if not self.primary_allocations and not self.helper_allocations:
             self.prefill_until_s = now_s
 
+    def expect_ends(self) -> tuple[ExpectedEnd, ...]:
+        """Returns when the allocations are expected to be released."""
+        if self._expected_ends is None:
+            iteration_s = self.calculate_iteration_s()
+            self._expected_ends = tuple(
+                self._expect_end(allocation, slots, iteration_s)
+                for allocations, slots in (
+                    (self.primary_allocations, 1),
+                    (self.helper_allocations, 0),
+                )
+                for allocation in allocations.values()
+            )
+        return self._expected_ends
+
+    def _expect_end(
+        self, allocation: Allocation, slots: int, iteration_s: float
+    ) -> ExpectedEnd:
+        if self.profile is None:
+            return ExpectedEnd(
+                allocation.allocated_at_s, self.response_time_s, 0.0, slots, 0
+            )
+        begins_at_s = allocation.first_event_at_s
+        if begins_at_s is None:
+            begins_at_s = allocation.prefill_due_at_s + iteration_s
+        return ExpectedEnd(
+            begins_at_s,
+            engine_model.calculate_decode_s(
+                self.profile, allocation.request.output_tokens, iteration_s
+            ),
+            allocation.full_prefill_s if slots else 0.0,
+            slots,
+            allocation.memory_tokens,
+        )
+
     def _forget_derived_values(self) -> None:
         self._summary = None
         self._steady_view = None
+        self._expected_ends = None
 
     def _summarise(self) -> _Summary:
         if self._summary is None:
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -130,6 +130,20 @@
     SUSPECTED = "suspected"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityOutlook:
+    """What a capacity forecast said about a refused request.
+
+    Attributes:
+        served_first: Queued requests that are served before it.
+        capacity_in_s: Time until capacity is expected that is kept for the
+            caller; None if there is none before its deadline.
+    """
+
+    served_first: int
+    capacity_in_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """Decision not to send a request to any endpoint.
@@ -137,10 +151,12 @@
     Attributes:
         reason: Why the request is refused.
         retry_after_s: Time after which capacity is expected.
+        outlook: The forecast that decided; None if none did.
     """
 
     reason: RefusalReason
     retry_after_s: float
+    outlook: CapacityOutlook | None = None
 
 
 Decision = Placement | Refusal
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -126,7 +126,8 @@
     deferred. Late requests sort by priority and arrival. In both cases smaller
     requests go first by the time for which a larger one would occupy the
     engines. Within a priority, requests that return when they were told to go
-    before those of organisations that use more than their share.
+    before new ones, even if they have become late since, and then those of
+    organisations that use no more than their share.
 
     Args:
         queued: The request.
@@ -137,7 +138,8 @@
         excess: By how much its organisation exceeds its share.
     """
     priority = queued.request.priority
-    if is_deferred or now_s > queued.latest_start_s:
+    is_late = now_s > queued.latest_start_s and not has_promise
+    if is_deferred or is_late:
         due_s = (
             queued.arrived_at_s + queued.ideal_first_event_s * IDEAL_GROUP_SIZE
         )
