Tell callers and logs what the capacity forecast said

Cause: an instance capped Retry-After to a fifth of the time left, so that callers came back before the time at which the placer keeps capacity for them. Result: tests of the codec and the cap pass.

--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -206,9 +206,8 @@
     match decision:
         case messages.Placement():
             message.decision.placement.CopyFrom(_encode_placement(decision))
-        case messages.Refusal(reason, retry_after_s):
-            message.decision.refusal.reason = reason.value
-            message.decision.refusal.retry_after_s = retry_after_s
+        case messages.Refusal():
+            _encode_refusal(decision, message.decision.refusal)
     return message
 
 
@@ -222,16 +221,39 @@
         case "placement":
             return _decode_placement(message.placement)
         case "refusal":
-            return messages.Refusal(
-                messages.RefusalReason(message.refusal.reason),
-                message.refusal.retry_after_s,
-            )
+            return _decode_refusal(message.refusal)
         case _:
             raise ValueError(
                 f"no decision in the message for request {message.ask}"
             )
 
 
+def _encode_refusal(
+    refusal: messages.Refusal, message: placement_pb2.Refusal
+) -> None:
+    message.reason = refusal.reason.value
+    message.retry_after_s = refusal.retry_after_s
+    outlook = refusal.outlook
+    if outlook is not None:
+        message.served_first = outlook.served_first
+        if outlook.capacity_in_s is not None:
+            message.capacity_in_s = outlook.capacity_in_s
+
+
+def _decode_refusal(message: placement_pb2.Refusal) -> messages.Refusal:
+    outlook = None
+    if message.HasField("served_first"):
+        outlook = messages.CapacityOutlook(
+            message.served_first,
+            message.capacity_in_s
+            if message.HasField("capacity_in_s")
+            else None,
+        )
+    return messages.Refusal(
+        messages.RefusalReason(message.reason), message.retry_after_s, outlook
+    )
+
+
 def _encode_placement(placement: messages.Placement) -> placement_pb2.Placement:
     return placement_pb2.Placement(
         endpoint=placement.endpoint,
--- a/packages/coordination/tests/test_wire_codec.py
+++ b/packages/coordination/tests/test_wire_codec.py
@@ -9,6 +9,8 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
 from poplarwick_coordination import wire_codec
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
@@ -42,3 +44,18 @@
     )
     assert told.leaving == {endpoint.id}
     assert told.find_rate_limit(endpoint.id) == 1.5
+
+
+@pytest.mark.parametrize(
+    "outlook",
+    [
+        None,
+        messages.CapacityOutlook(0, None),
+        messages.CapacityOutlook(7, 1.5),
+    ],
+)
+def test_refusal_survives_the_wire(outlook):
+    refusal = messages.Refusal(messages.RefusalReason.NO_TIME, 1.5, outlook)
+    sent = wire_codec.encode_decision(1, refusal).SerializeToString()
+    message = placement_pb2.PlacerMessage.FromString(sent)
+    assert wire_codec.decode_decision(message.decision) == refusal
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -142,6 +142,11 @@
         reason: Why it was not placed.
         placer: Instance that decided; "own" if decided locally.
         waited_s: Time that the decision took.
+        retry_after_s: Time after which the caller is told to retry.
+        served_first: Queued requests that the forecast of capacity expects to
+            be served before it; absent if no forecast decided.
+        capacity_in_s: Time until capacity is expected and kept for the caller;
+            absent if there is none before its deadline.
     """
 
     level = "WARNING"
@@ -151,6 +156,9 @@
     reason: str
     placer: str
     waited_s: float
+    retry_after_s: float
+    served_first: int | None = None
+    capacity_in_s: float | None = None
 
 
 class RequestQuarantined(logs.Event, frozen=True, kw_only=True):
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -70,6 +70,11 @@
 """Fraction of the time left after which a refused caller may retry; callers
 ignore a Retry-After that is longer than a third of it."""
 
+FORECAST_RETRY_AFTER_SHARE = 0.33
+"""The same fraction where a forecast decided. It names the time at which
+capacity is kept for the caller, so an earlier one would be of no use; the
+response takes a little of the caller's third."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
@@ -183,15 +188,13 @@
                 )
             )
             match reply.decision:
-                case messages.Refusal(reason, retry_after_s):
-                    _log_refusal(exchange, reply, reason)
+                case messages.Refusal() as refusal:
+                    retry_after_s = self._choose_retry_after_s(
+                        exchange, refusal
+                    )
+                    _log_refusal(exchange, reply, refusal, retry_after_s)
                     return _make_refusal(
-                        sink,
-                        progress,
-                        reason.value,
-                        self._choose_retry_after_s(
-                            exchange, reason, retry_after_s
-                        ),
+                        sink, progress, refusal.reason.value, retry_after_s
                     )
                 case messages.Placement() as placement:
                     if (
@@ -235,10 +238,10 @@
     def _choose_retry_after_s(
         self,
         exchange: http_exchange.Exchange,
-        reason: messages.RefusalReason,
-        retry_after_s: float,
+        refusal: messages.Refusal,
     ) -> float:
         """Returns when to retry a request that was not placed."""
+        reason, retry_after_s = refusal.reason, refusal.retry_after_s
         if reason is messages.RefusalReason.QUARANTINED:
             return QUARANTINE_RETRY_AFTER_S
         if reason is messages.RefusalReason.NO_ENDPOINT:
@@ -246,7 +249,12 @@
             opening_s = self._notices.calculate_opening_s(exchange.service)
             retry_after_s = retry_after_s if opening_s is None else opening_s
         time_left_s = max(exchange.deadline_at_s - clock.now_s(), 0.0)
-        return min(retry_after_s, RETRY_AFTER_SHARE * time_left_s)
+        share = (
+            RETRY_AFTER_SHARE
+            if refusal.outlook is None
+            else FORECAST_RETRY_AFTER_SHARE
+        )
+        return min(retry_after_s, share * time_left_s)
 
     def _handle_failure(
         self,
@@ -693,15 +701,37 @@
 def _log_refusal(
     exchange: http_exchange.Exchange,
     reply: placement_client.PlacementOutcome,
-    reason: messages.RefusalReason,
+    refusal: messages.Refusal,
+    retry_after_s: float,
 ) -> None:
-    metrics.requests_refused.add(1, {"reason": reason.value})
+    outlook = refusal.outlook
+    metrics.requests_refused.add(
+        1,
+        {
+            "reason": refusal.reason.value,
+            "forecast": _describe_outlook(outlook),
+        },
+    )
     logs.log(
         log_events.RequestNotPlaced(
             request=exchange.metadata.request_id,
             service=exchange.service,
-            reason=reason.value,
+            reason=refusal.reason.value,
             placer=reply.decided_by,
             waited_s=reply.waited_s,
+            retry_after_s=retry_after_s,
+            served_first=None if outlook is None else outlook.served_first,
+            capacity_in_s=None if outlook is None else outlook.capacity_in_s,
         )
     )
+
+
+def _describe_outlook(outlook: messages.CapacityOutlook | None) -> str:
+    """Returns what a forecast said as an attribute of a metric."""
+    match outlook:
+        case None:
+            return "none"
+        case messages.CapacityOutlook(capacity_in_s=None):
+            return "no_capacity"
+        case messages.CapacityOutlook():
+            return "later"
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -180,6 +180,35 @@
     assert outcome.failure is outcomes.Failure.REFUSED
 
 
+class Refusals(Placements):
+    """Refuses each request until a time that callers do not wait for."""
+
+    def __init__(self, outlook):
+        super().__init__()
+        self.outlook = outlook
+
+    async def place(self, request):
+        refusal = messages.Refusal(
+            messages.RefusalReason.NO_TIME, TIME_LEFT_S, self.outlook
+        )
+        return placement_client.PlacementOutcome(1, refusal, "own", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("outlook", "share"),
+    [
+        (None, 0.2),
+        (messages.CapacityOutlook(3, TIME_LEFT_S), 1 / 3),
+        (messages.CapacityOutlook(3, None), 1 / 3),
+    ],
+)
+def test_forecast_may_use_all_the_time_that_callers_wait(outlook, share):
+    outcome = run_request(refuses=False, placements=Refusals(outlook))
+    assert outcome.failure is outcomes.Failure.REFUSED
+    assert outcome.retry_after_s <= share * TIME_LEFT_S
+    assert outcome.retry_after_s > 0.8 * share * TIME_LEFT_S
+
+
 def test_endpoint_that_was_not_connected_is_named_to_the_placer():
     placements = Placements()
     run_request(refuses=True, unreachable=1, placements=placements)
