Order queued requests by the shares of organisations

Cause: one organisation that sends ten times its share takes the capacity of the others at the same priority. The excess orders the queue within a priority and chooses the long prompts to defer. Off unless callers compete for engines.

--- a/packages/bench/poplarwick_bench/replay/engines.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -17,6 +17,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import engine_model
+from poplarwick_placement import load_management
 from poplarwick_placement import messages
 from poplarwick_placement import retry_budget
 from poplarwick_placement import scheduler as scheduling
@@ -94,8 +95,11 @@
 class Engine:
     """Prefills and decoding requests of one engine."""
 
-    def __init__(self, endpoint: types.Endpoint) -> None:
+    def __init__(
+        self, endpoint: types.Endpoint, profile: types.EngineProfile
+    ) -> None:
         self.endpoint = endpoint
+        self._profile = profile
         self.helper_parts: list[PrefillPart] = []
         self.primary_parts: list[PrefillPart] = []
         self.decoding: list[Job] = []
@@ -103,12 +107,12 @@
 
     def run_iteration(self) -> tuple[float, list[Job]]:
         """Returns the next iteration's time and the jobs prefilled in it."""
-        step_count = PROFILE.stride if self.decoding else 1
+        step_count = self._profile.stride if self.decoding else 1
         context_tokens = sum(j.request.prompt_tokens for j in self.decoding)
         time_s = 0.0
         if self.decoding:
             time_s = engine_model.calculate_iteration_s(
-                PROFILE, len(self.decoding), context_tokens
+                self._profile, len(self.decoding), context_tokens
             )
         finished = []
         for _ in range(step_count):
@@ -131,21 +135,27 @@
     Args:
         scheduler: The scheduler under test.
         engines: Number of engines.
+        profile: Profile of the engines.
     """
 
     def __init__(
-        self, scheduler: scheduling.Scheduler, engines: int = 16
+        self,
+        scheduler: scheduling.Scheduler,
+        engines: int = 16,
+        profile: types.EngineProfile = PROFILE,
     ) -> None:
+        self.profile = profile
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
         self._scheduler = scheduler
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.engines = {
-            e.id: Engine(e) for e in (make_endpoint(n) for n in range(engines))
+            e.id: Engine(e, profile)
+            for e in (make_endpoint(n) for n in range(engines))
         }
         scheduler.set_candidates(
-            service_pool.Candidate(engine.endpoint, PROFILE, True, 0.0, 36.0)
+            service_pool.Candidate(engine.endpoint, profile, True, 0.0, 36.0)
             for engine in self.engines.values()
         )
 
@@ -158,7 +168,7 @@
     ) -> Job:
         """Schedules the arrival of a request."""
         job = Job(len(self.jobs), request, time_s)
-        job.events_left = max(request.output_tokens // PROFILE.stride, 1)
+        job.events_left = max(request.output_tokens // self.profile.stride, 1)
         self.jobs[job.key] = job
 
         def submit() -> None:
@@ -192,10 +202,12 @@
     def _start_prefill(self, job: Job, placement: messages.Placement) -> None:
         group = [placement.endpoint, *(h.endpoint for h in placement.helpers)]
         full_prefill_s = engine_model.calculate_prefill_s(
-            PROFILE, job.request.prompt_tokens
+            self.profile, job.request.prompt_tokens
         )
         part_s = full_prefill_s / len(group)
-        chunk_count = max(job.request.prompt_tokens / PROFILE.chunk_tokens, 1)
+        chunk_count = max(
+            job.request.prompt_tokens / self.profile.chunk_tokens, 1
+        )
         job.parts_left = len(group)
         for endpoint in group:
             engine = self.engines[endpoint]
@@ -286,7 +298,10 @@
 
 
 def make_scheduler(
-    *, is_global: bool = True, seed: int = 1
+    *,
+    is_global: bool = True,
+    seed: int = 1,
+    management: load_management.LoadManagement | None = None,
 ) -> scheduling.Scheduler:
     """Returns a scheduler with the retry budget of a small fleet."""
     return scheduling.Scheduler(
@@ -295,4 +310,5 @@
         make_budget=lambda: retry_budget.RetryBudget(
             lambda: retry_budget.RetryAllowance(0.2, 100, 10.0)
         ),
+        management=management,
     )
--- a/packages/bench/poplarwick_bench/replay/traffic.py
+++ b/packages/bench/poplarwick_bench/replay/traffic.py
@@ -80,6 +80,7 @@
     rate_factor: float,
     span: tuple[float, float],
     seed: int,
+    organisation: str = "",
 ) -> list[engines.Job]:
     """Adds requests of one kind with random arrival times and lengths."""
     rng = random.Random(seed)
@@ -99,6 +100,8 @@
             min(int(tokens), kind.max_prompt_tokens),
             events,
             f"r{len(simulation.jobs)}",
+            organisation=organisation,
+            stride=simulation.profile.stride,
         )
         jobs.append(simulation.add_request(time_s, request))
 
@@ -110,17 +113,20 @@
     events: int,
     request_id: str,
     priority: int = 0,
+    organisation: str = "",
+    stride: int = engines.PROFILE.stride,
 ) -> messages.PlacementRequest:
     """Returns a placement request of one kind."""
     return messages.PlacementRequest(
         request_id=ids.RequestId(request_id),
         service=engines.POOL,
         prompt_tokens=tokens,
-        output_tokens=events * engines.PROFILE.stride,
+        output_tokens=events * stride,
         on_time_at_s=arrival_s + kind.target_s,
         deadline_at_s=arrival_s + kind.deadline_s,
         pause_limit_s=kind.pause_limit_s,
         priority=priority,
+        organisation=ids.OrganisationId(organisation),
     )
 
 
--- a/packages/placement/poplarwick_placement/late_jobs.py
+++ b/packages/placement/poplarwick_placement/late_jobs.py
@@ -1,13 +1,13 @@
 """Chooses the long prompts to defer when not all of them can be on time.
 
 Load pattern: a burst of very long prompts whose prefill takes the engines
-longer than their time limits allow, so that serving all in due-time order
-makes most of them late. As many prompts as possible are kept on time. Those of
-the lowest priority are deferred first, then those with the least weight for
-the engines' time. The rule is the Moore-Hodgson algorithm for the fewest late
-jobs on one machine (J. M. Moore, Management Science, 1968), extended by
-priorities. All engines together are the machine, because they prefill one long
-prompt after the other.
+longer than their time limits allow, so that serving all in due-time order makes
+most of them late. As many prompts as possible are kept on time. Those of the
+lowest priority are deferred first, then those of organisations that use more
+than their share, then those with the least weight for the engines' time. The
+rule is the Moore-Hodgson algorithm for the fewest late jobs on one machine (J.
+M. Moore, Management Science, 1968), extended by priorities. All engines
+together are the machine, because they prefill one long prompt after the other.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
         duration_s: Time for which all engines prefill the prompt.
         priority: Priority of the request; 0 is the highest.
         weight: Weight of the request if it is on time.
+        excess: By how much its organisation exceeds its share.
     """
 
     key: Hashable
@@ -34,6 +35,7 @@
     duration_s: float
     priority: int
     weight: float
+    excess: float = 0.0
 
 
 def choose_deferred(jobs: Sequence[Job], free_at_s: float) -> set[Hashable]:
@@ -57,5 +59,9 @@
     return deferred
 
 
-def _calculate_deferral_key(job: Job) -> tuple[int, float]:
-    return (job.priority, job.duration_s / max(job.weight, 1e-9))
+def _calculate_deferral_key(job: Job) -> tuple[int, float, float]:
+    return (
+        job.priority,
+        job.excess,
+        job.duration_s / max(job.weight, 1e-9),
+    )
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -16,7 +16,10 @@
 from typing import Protocol
 
 from poplarwick_core import ids
+from poplarwick_placement import late_jobs
 from poplarwick_placement import messages
+from poplarwick_placement import organisation_shares
+from poplarwick_placement import packing
 from poplarwick_placement import queue_order
 from poplarwick_placement import running_requests
 from poplarwick_placement import service_pool
@@ -66,9 +69,24 @@
         ...
 
     def calculate_excess(
-        self, organisation: ids.OrganisationId, now_s: float
+        self, request: messages.PlacementRequest, now_s: float
     ) -> float:
-        """Returns by how much an organisation exceeds its share; 0 if not."""
+        """Returns by how much the sender of a request exceeds its share.
+
+        0 if it does not.
+        """
+        ...
+
+    def record_wait(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> None:
+        """Records that a request waits for other requests to end."""
+        ...
+
+    def must_wait(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> bool:
+        """Returns whether a request waits for others to get their share."""
         ...
 
 
@@ -167,17 +185,54 @@
         has_promise = self.admission is not None and self.admission.has_promise(
             request, now_s
         )
-        excess = 0.0
-        if self.shares is not None:
-            excess = self.shares.calculate_excess(request.organisation, now_s)
         return queue_order.calculate_sort_key(
             queued,
             now_s,
             is_deferred=is_deferred,
             has_promise=has_promise,
-            excess=excess,
+            excess=self.calculate_excess(request, now_s),
         )
 
+    def calculate_excess(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> float:
+        """Returns by how much the sender of a request exceeds its share."""
+        if self.shares is None:
+            return 0.0
+        return self.shares.calculate_excess(request, now_s)
+
+    def make_job(
+        self,
+        key: Hashable,
+        queued: queue_order.QueuedRequest,
+        engines: int,
+        now_s: float,
+    ) -> late_jobs.Job:
+        """Returns a long prompt as a job that all engines prefill together."""
+        return queue_order.make_job(
+            key, queued, engines, self.calculate_excess(queued.request, now_s)
+        )
+
+    def should_start(
+        self,
+        queued: queue_order.QueuedRequest,
+        choice: packing.Choice,
+        now_s: float,
+    ) -> bool:
+        """Returns whether to accept a choice or to wait for a better one."""
+        excess = self.calculate_excess(queued.request, now_s)
+        if queue_order.should_start(queued, choice, now_s, excess):
+            return True
+        if self.shares is not None:
+            self.shares.record_wait(queued.request, now_s)
+        return False
+
+    def must_wait(
+        self, request: messages.PlacementRequest, now_s: float
+    ) -> bool:
+        """Returns whether a request waits for others to get their share."""
+        return self.shares is not None and self.shares.must_wait(request, now_s)
+
     def review(
         self,
         waiting: Waiting,
@@ -217,5 +272,5 @@
         has_contention: Whether callers compete for engines that cannot hold
             all requests at once.
     """
-    del has_contention
-    return LoadManagement()
+    shares = organisation_shares.OrganisationShares()
+    return LoadManagement(shares=shares if has_contention else None)
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -64,6 +64,18 @@
         """Returns whether a first event is possible before the deadline."""
         return now_s + self.ideal_first_event_s < self.request.deadline_at_s
 
+    def must_follow(self, other: QueuedRequest, excess: float) -> bool:
+        """Returns whether a new request must not pass one that is queued.
+
+        Args:
+            other: A request that was queued before.
+            excess: By how much the organisation of the new one exceeds its
+                share. If it does, also requests of another size come first.
+        """
+        return self.request.service == other.request.service and (
+            excess > 0 or self.is_long == other.is_long
+        )
+
 
 def calculate_ideal_first_event_s(
     request: messages.PlacementRequest,
@@ -86,7 +98,7 @@
 
 
 def make_job(
-    key: Hashable, queued: QueuedRequest, engines: int
+    key: Hashable, queued: QueuedRequest, engines: int, excess: float = 0.0
 ) -> late_jobs.Job:
     """Returns a long prompt as a job that all engines prefill together.
 
@@ -94,6 +106,7 @@
         key: Key of the request.
         queued: The request.
         engines: Number of engines that accept the request.
+        excess: By how much its organisation exceeds its share.
     """
     max_group_size = max(min(engines - 1, packing.GROUP_SIZES[0]), 1)
     # `ideal_first_event_s` assumes a group of the ideal size.
@@ -104,6 +117,7 @@
         queued.ideal_first_event_s * group_size / max_group_size + MARGIN_S,
         queued.request.priority,
         queued.request.weight,
+        excess,
     )
 
 
@@ -148,23 +162,32 @@
 
 
 def should_start(
-    queued: QueuedRequest, choice: packing.Choice, now_s: float
+    queued: QueuedRequest,
+    choice: packing.Choice,
+    now_s: float,
+    excess: float = 0.0,
 ) -> bool:
-    """Returns whether to accept a choice or to wait for a better one."""
+    """Returns whether to accept a choice or to wait for a better one.
+
+    Args:
+        queued: The request.
+        choice: The best choice of endpoints now.
+        now_s: Monotonic time.
+        excess: By how much its organisation exceeds its share. It may then
+            cost others less, however long it has waited.
+    """
+    weight = queued.request.weight / (1 + excess)
     can_start_together = choice.starts_in_s <= packing.MAX_START_DELAY_S
-    if (
-        choice.loss <= queued.request.weight * ACCEPTED_LOSS_SHARE
-        and can_start_together
-    ):
+    if choice.loss <= weight * ACCEPTED_LOSS_SHARE and can_start_together:
         return True
     if now_s < queued.latest_start_s or not can_start_together:
         return False
     total_s = queued.request.deadline_at_s - queued.arrived_at_s
-    if now_s - queued.arrived_at_s > MAX_WAIT_SHARE * total_s:
+    if excess <= 0 and now_s - queued.arrived_at_s > MAX_WAIT_SHARE * total_s:
         return True
     if (
         choice.first_event_s
         > ACCEPTED_DELAY_FACTOR * queued.ideal_first_event_s + MARGIN_S
     ):
         return False
-    return choice.loss < queued.request.weight
+    return choice.loss < weight
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -442,14 +442,11 @@
         return messages.Refusal(messages.RefusalReason.NO_TIME, wait_s)
 
     def decide_new(self, key: Key, now_s: float) -> messages.Decision | None:
-        """Decides on one request unless similar ones are already queued."""
+        """Decides on one request unless it must queue behind others."""
         queued = self._queue[key]
+        excess = self._management.calculate_excess(queued.request, now_s)
         for other_key, other in self._queue.items():
-            is_alike = (
-                other.is_long == queued.is_long
-                and other.request.service == queued.request.service
-            )
-            if is_alike and other_key != key:
+            if other_key != key and queued.must_follow(other, excess):
                 return None
         decision = self._decide_one(key, queued, _SchedulingRound(now_s))
         if decision is not None:
@@ -458,23 +455,21 @@
 
     def _choose_deferred(self, scheduling_round: _SchedulingRound) -> set[Key]:
         """Returns the long prompts that are deferred within their service."""
+        now_s = scheduling_round.now_s
         jobs: dict[ids.ServiceId, list[late_jobs.Job]] = {}
         for key, queued in self._queue.items():
-            if (
-                queued.is_long
-                and scheduling_round.now_s <= queued.latest_start_s
-            ):
+            if queued.is_long and now_s <= queued.latest_start_s:
                 engines = len(
                     self._find_candidates(
                         queued.request, scheduling_round
                     ).allowed_states
                 )
-                job = queue_order.make_job(key, queued, engines)
+                job = self._management.make_job(key, queued, engines, now_s)
                 jobs.setdefault(queued.request.service, []).append(job)
         deferred: set[Key] = set()
         for service, service_jobs in jobs.items():
             if len(service_jobs) > 1:
-                free_at_s = scheduling_round.now_s + self._calculate_backlog_s(
+                free_at_s = now_s + self._calculate_backlog_s(
                     service, scheduling_round
                 )
                 deferred |= late_jobs.choose_deferred(service_jobs, free_at_s)
@@ -505,6 +500,8 @@
         candidates = self._find_candidates(request, scheduling_round)
         if not candidates.has_allowed():
             return refusals.wait_for_endpoint(queued, now_s)
+        if self._management.must_wait(request, now_s):
+            return None
         is_accused = self._evidence.is_accused(request)
         apart_from = request.unreachable
         if is_accused:
@@ -520,7 +517,7 @@
         )
         if choice is None:
             return refusals.refuse_too_large(request, candidates.allowed_states)
-        if not queue_order.should_start(queued, choice, now_s):
+        if not self._management.should_start(queued, choice, now_s):
             scheduling_round.awaited.update(choice.engines)
             return None
         if request.is_retry and not self._get_budget(request.service).take(
