Tell peers the version of the messages that an instance knows

Cause: an instance of another release would get messages that it does not know. Change: openings and heartbeats carry protocol version 1, which sessions and connections keep. Messages of an unknown kind are ignored and logged once for each connection (message_unknown).

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -278,6 +278,20 @@
     pause_s: float
 
 
+class MessageUnknown(logs.Event, frozen=True, kw_only=True):
+    """Another instance sends messages that this release does not know.
+
+    They are ignored. Logged once for each connection.
+
+    Attributes:
+        peer: The instance.
+    """
+
+    level = "INFO"
+
+    peer: str
+
+
 class MessageRejected(logs.Event, frozen=True, kw_only=True):
     """A message of another instance could not be handled; it is ignored.
 
--- a/packages/coordination/poplarwick_coordination/message_streams.py
+++ b/packages/coordination/poplarwick_coordination/message_streams.py
@@ -35,6 +35,10 @@
 """Messages that may be queued for a slow peer before the stream is closed. This
 is several seconds of the requests of one instance."""
 
+PROTOCOL_VERSION = 1
+"""Version of the messages that this release knows. Kinds of messages that an
+earlier one lacks are not sent to a peer of that version."""
+
 Message = TypeVar("Message", bound=protobuf_message.Message)
 
 
@@ -101,6 +105,31 @@
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
 
+class Receiver(Generic[Message]):
+    """Handles the messages of another instance on one connection.
+
+    Args:
+        peer: The other instance.
+        handle: Handles a message.
+    """
+
+    def __init__(self, peer: str, handle: Callable[[Message], None]) -> None:
+        self._peer = peer
+        self._handle = handle
+        self._has_unknown = False
+
+    def receive(self, message: Message) -> None:
+        """Handles a message.
+
+        Kinds that only a newer peer knows are ignored and logged once.
+        """
+        if message.WhichOneof("kind") is not None:
+            handle_message(self._peer, message, self._handle)
+        elif not self._has_unknown:
+            self._has_unknown = True
+            logs.log(log_events.MessageUnknown(peer=self._peer))
+
+
 def handle_message(
     peer: str, message: Message, handle: Callable[[Message], None]
 ) -> None:
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -17,6 +17,7 @@
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
 from poplarwick_coordination import log_events
+from poplarwick_coordination import message_streams
 from poplarwick_coordination import scheduler_feed
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
@@ -73,6 +74,7 @@
         receives_store_updates: Whether the placer receives updates from the
             store and forwards them.
         position: Point in the store's history that the placer has reached.
+        protocol: Version of the messages that the placer knows.
     """
 
     placer: str
@@ -81,6 +83,7 @@
     last_received_at_s: float
     receives_store_updates: bool = False
     position: kv.Position = kv.Position(kv.FIRST_ERA, kv.Revision(0))
+    protocol: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -388,6 +391,7 @@
         message.beat.era = self._mirror.era
         message.beat.hears_store = self._receives_store_updates()
         message.beat.is_leaving = self.is_leaving
+        message.beat.protocol = message_streams.PROTOCOL_VERSION
         return message
 
     def _send_missed_changes(self, connection: PlacerConnection) -> None:
--- a/packages/coordination/poplarwick_coordination/placement_service.py
+++ b/packages/coordination/poplarwick_coordination/placement_service.py
@@ -49,20 +49,24 @@
             first_message.opening.epoch,
             outbox.put,
             clock.now_s(),
+            protocol=first_message.opening.protocol,
         )
         if not self._placement_client.attach(connection):
             return
 
+        receiver: message_streams.Receiver[placement_pb2.PlacerMessage] = (
+            message_streams.Receiver(
+                connection.placer,
+                lambda message: self._placement_client.handle(
+                    connection, message
+                ),
+            )
+        )
+
         async def receive() -> None:
             async for message in stream:
                 watchdog.record_message()
-                message_streams.handle_message(
-                    connection.placer,
-                    message,
-                    lambda received: self._placement_client.handle(
-                        connection, received
-                    ),
-                )
+                receiver.receive(message)
 
         beat_period_s = first_message.opening.beat_period_s
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -90,6 +90,10 @@
         instance: The instance.
         send: Accepts messages to the instance.
         beat_period_s: Longest interval between messages of the instance.
+
+    Attributes:
+        protocol: Version of the messages that the instance knows; 0 before its
+            first heartbeat.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.beat_period_s = beat_period_s
         self.instance = instance
         self.send = send
+        self.protocol = 0
         self.position = kv.Position(kv.FIRST_ERA, kv.Revision(0))
         self.receives_store_updates = True
         self.is_leaving = False
@@ -257,6 +262,7 @@
         opening.opening.placer = self._instance
         opening.opening.epoch = self.epoch
         opening.opening.beat_period_s = session.beat_period_s
+        opening.opening.protocol = message_streams.PROTOCOL_VERSION
         session.send(opening)
         for quarantine in self._catalogue.quarantines.known:
             session.send(_make_quarantine_message(quarantine))
@@ -438,6 +444,7 @@
         heartbeat.beat.revision = self._mirror.revision
         heartbeat.beat.era = self._mirror.era
         heartbeat.beat.hears_store = self._receives_store_updates()
+        heartbeat.beat.protocol = message_streams.PROTOCOL_VERSION
         return heartbeat
 
     def _record_heartbeat(
@@ -445,6 +452,7 @@
     ) -> None:
         session.receives_store_updates = heartbeat.hears_store
         session.is_leaving = heartbeat.is_leaving
+        session.protocol = heartbeat.protocol
         session.position = max(
             session.position,
             kv.Position(kv.Era(heartbeat.era), kv.Revision(heartbeat.revision)),
@@ -544,14 +552,16 @@
             session = self.open_session(instance, outbox.put)
             watchdog = message_streams.Watchdog(session.beat_period_s)
 
+            receiver: message_streams.Receiver[placement_pb2.EntryMessage] = (
+                message_streams.Receiver(
+                    instance, lambda message: self.handle(session, message)
+                )
+            )
+
             async def receive() -> None:
                 async for message in stream:
                     watchdog.record_message()
-                    message_streams.handle_message(
-                        instance,
-                        message,
-                        lambda received: self.handle(session, received),
-                    )
+                    receiver.receive(message)
 
             try:
                 await message_streams.run_until_first_ends(
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -217,7 +217,11 @@
 
         loop = asyncio.get_running_loop()
         connection = placement_client.PlacerConnection(
-            self._instance, epoch, send, clock.now_s()
+            self._instance,
+            epoch,
+            send,
+            clock.now_s(),
+            protocol=message_streams.PROTOCOL_VERSION,
         )
         sessions.append(local_placer.open_session(self._instance, receive))
         self._placement_client.attach(connection)
