--- a/packages/bench/poplarwick_bench/replay/engines.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -146,10 +146,10 @@
         engines: int = 16,
         profile: types.EngineProfile = PROFILE,
     ) -> None:
+        self.profile = profile
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
         self._scheduler = scheduler
-        self._profile = profile
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.engines = {
@@ -162,7 +162,7 @@
         """Tells the scheduler which engines there are."""
         self._scheduler.set_candidates(
             service_pool.Candidate(
-                engine.endpoint, self._profile, True, 0.0, 36.0
+                engine.endpoint, self.profile, True, 0.0, 36.0
             )
             for engine in self.engines.values()
         )
@@ -206,7 +206,7 @@
     ) -> Job:
         """Schedules the arrival of a request."""
         job = Job(len(self.jobs), request, time_s)
-        stride = self._profile.stride
+        stride = self.profile.stride
         job.events_left = max(request.output_tokens // stride, 1)
         self.jobs[job.key] = job
 
@@ -246,11 +246,11 @@
     def _start_prefill(self, job: Job, placement: messages.Placement) -> None:
         group = [placement.endpoint, *(h.endpoint for h in placement.helpers)]
         full_prefill_s = engine_model.calculate_prefill_s(
-            self._profile, job.request.prompt_tokens
+            self.profile, job.request.prompt_tokens
         )
         part_s = full_prefill_s / len(group)
         chunk_count = max(
-            job.request.prompt_tokens / self._profile.chunk_tokens, 1
+            job.request.prompt_tokens / self.profile.chunk_tokens, 1
         )
         job.parts_left = len(group)
         for endpoint in group:
@@ -346,7 +346,11 @@
 
 
 def make_scheduler(
-    *, is_global: bool = True, seed: int = 1, has_contention: bool = False
+    *,
+    is_global: bool = True,
+    seed: int = 1,
+    has_contention: bool = False,
+    management: load_management.LoadManagement | None = None,
 ) -> scheduling.Scheduler:
     """Returns a scheduler with the retry budget of a small fleet.
 
@@ -354,6 +358,7 @@
         is_global: Whether it knows all requests.
         seed: Seed of its random choices.
         has_contention: Whether the decisions under contention are in force.
+        management: Decisions in force in place of these; None for these.
     """
     return scheduling.Scheduler(
         is_global=is_global,
@@ -361,7 +366,6 @@
         make_budget=lambda: retry_budget.RetryBudget(
             lambda: retry_budget.RetryAllowance(0.2, 100, 10.0)
         ),
-        management=load_management.make_load_management(
-            has_contention=has_contention
-        ),
+        management=management
+        or load_management.make_load_management(has_contention=has_contention),
     )
--- a/packages/bench/poplarwick_bench/replay/returning_callers.py
+++ b/packages/bench/poplarwick_bench/replay/returning_callers.py
@@ -127,7 +127,7 @@
                     name,
                     priority,
                 ),
-                output_tokens=events * self._profile.stride,
+                output_tokens=events * self.profile.stride,
                 fingerprint=ids.RequestFingerprint(name),
             )
             call = Call(self.add_request(time_s, request))
