Simulate engines that preempt requests, and outputs unlike their hints

Cause: learned costs are to be compared on the replay, whose engines never run out of memory and whose outputs are as long as their hints. Change: a simulation with a memory size preempts the newest requests that outgrow it and prefills them again; a request's output may differ from its hint; an engine may be slower than its profile. Off by default.

--- a/packages/bench/poplarwick_bench/replay/engines.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -17,6 +17,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import engine_model
+from poplarwick_placement import load_management
 from poplarwick_placement import messages
 from poplarwick_placement import retry_budget
 from poplarwick_placement import scheduler as scheduling
@@ -58,10 +59,23 @@
     first_event_s: float | None = None
     last_event_s: float = 0.0
     max_pause_s: float = 0.0
+    events: int = 0
     events_left: int = 0
+    preemptions: int = 0
+    reservations: tuple[messages.Helper, ...] = ()
     ended_s: float | None = None
     is_refused: bool = False
 
+    @property
+    def memory_tokens(self) -> int:
+        """Memory of the prompt and the output so far on the primary."""
+        reserved_tokens = sum(h.reserved_tokens for h in self.reservations)
+        return (
+            self.request.prompt_tokens
+            + self.events * PROFILE.stride
+            - reserved_tokens
+        )
+
     @property
     def is_on_time(self) -> bool:
         """Whether the answer was on time for the caller."""
@@ -92,10 +106,19 @@
 
 
 class Engine:
-    """Prefills and decoding requests of one engine."""
+    """Prefills and decoding requests of one engine.
+
+    Args:
+        endpoint: Entry of the engine.
+        memory_tokens: Memory of the engine.
+    """
 
-    def __init__(self, endpoint: types.Endpoint) -> None:
+    def __init__(self, endpoint: types.Endpoint, memory_tokens: int) -> None:
         self.endpoint = endpoint
+        self.memory_tokens = memory_tokens
+        self.slowdown = 1.0
+        self.preempted: list[Job] = []
+        self.reserved_tokens = 0
         self.helper_parts: list[PrefillPart] = []
         self.primary_parts: list[PrefillPart] = []
         self.decoding: list[Job] = []
@@ -122,7 +145,37 @@
             if part.remaining_s <= 1e-9:
                 queue.pop(0)
                 finished.append(part.job)
-        return time_s, finished
+        return self.slowdown * time_s, finished
+
+    def preempt(self) -> None:
+        """Stops the newest requests that exceed the memory.
+
+        Each one is prefilled again, with its output so far, once it fits.
+        """
+        needed_tokens = [
+            j.memory_tokens + PROFILE.stride for j in self.decoding
+        ]
+        used_tokens = self.reserved_tokens + sum(needed_tokens)
+        used_tokens += sum(p.job.memory_tokens for p in self.primary_parts)
+        while used_tokens > self.memory_tokens and len(self.decoding) > 1:
+            used_tokens -= needed_tokens.pop()
+            job = self.decoding.pop()
+            job.preemptions += 1
+            self.preempted.append(job)
+        while self.preempted and (
+            used_tokens + self.preempted[0].memory_tokens + PROFILE.stride
+            <= self.memory_tokens
+        ):
+            job = self.preempted.pop(0)
+            used_tokens += job.memory_tokens + PROFILE.stride
+            prefill_s = engine_model.calculate_prefill_s(
+                PROFILE, job.memory_tokens
+            )
+            chunks = max(job.memory_tokens / PROFILE.chunk_tokens, 1)
+            job.parts_left = 1
+            self.primary_parts.append(
+                PrefillPart(job, prefill_s, prefill_s / chunks)
+            )
 
 
 class Simulation:
@@ -131,21 +184,32 @@
     Args:
         scheduler: The scheduler under test.
         engines: Number of engines.
+        memory_tokens: Memory of an engine that preempts its newest requests
+            when they outgrow it; None for the memory of the profile without
+            preemption. With it, the ends of answers are told to the scheduler.
     """
 
     def __init__(
-        self, scheduler: scheduling.Scheduler, engines: int = 16
+        self,
+        scheduler: scheduling.Scheduler,
+        engines: int = 16,
+        memory_tokens: int | None = None,
     ) -> None:
+        self._has_preemption = memory_tokens is not None
+        profile = PROFILE
+        if memory_tokens is not None:
+            profile = dataclasses.replace(PROFILE, memory_tokens=memory_tokens)
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
         self._scheduler = scheduler
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.engines = {
-            e.id: Engine(e) for e in (make_endpoint(n) for n in range(engines))
+            e.id: Engine(e, profile.memory_tokens)
+            for e in (make_endpoint(n) for n in range(engines))
         }
         scheduler.set_candidates(
-            service_pool.Candidate(engine.endpoint, PROFILE, True, 0.0, 36.0)
+            service_pool.Candidate(engine.endpoint, profile, True, 0.0, 36.0)
             for engine in self.engines.values()
         )
 
@@ -154,11 +218,22 @@
         heapq.heappush(self._events, (time_s, next(self._sequence), action))
 
     def add_request(
-        self, time_s: float, request: messages.PlacementRequest
+        self,
+        time_s: float,
+        request: messages.PlacementRequest,
+        output_tokens: int | None = None,
     ) -> Job:
-        """Schedules the arrival of a request."""
+        """Schedules the arrival of a request.
+
+        Args:
+            time_s: Time of the arrival.
+            request: The request, with the caller's hint of its output.
+            output_tokens: Actual length of its output; None for the hint.
+        """
         job = Job(len(self.jobs), request, time_s)
-        job.events_left = max(request.output_tokens // PROFILE.stride, 1)
+        if output_tokens is None:
+            output_tokens = request.output_tokens
+        job.events_left = max(output_tokens // PROFILE.stride, 1)
         self.jobs[job.key] = job
 
         def submit() -> None:
@@ -217,10 +292,17 @@
 
             self.call_at(self.now_s + HOP_S, add_part)
         job.primary = placement.endpoint
+        job.reservations = placement.helpers
+        for helper in placement.helpers:
+            self.engines[
+                helper.endpoint
+            ].reserved_tokens += helper.reserved_tokens
 
     def _start_iteration(self, engine: Engine) -> None:
         if engine.is_busy:
             return
+        if self._has_preemption:
+            engine.preempt()
         if not (engine.helper_parts or engine.primary_parts or engine.decoding):
             return
         engine.is_busy = True
@@ -257,19 +339,37 @@
                 job.max_pause_s, self.now_s - job.last_event_s
             )
         job.last_event_s = self.now_s
+        job.events += 1
         job.events_left -= 1
         if job.events_left <= 0:
             job.ended_s = self.now_s
             engine.decoding.remove(job)
+            for helper in job.reservations:
+                self.engines[
+                    helper.endpoint
+                ].reserved_tokens -= helper.reserved_tokens
 
             def finish_request() -> None:
                 self._scheduler.record_end(
-                    job.key, messages.Result.DONE, self.now_s
+                    job.key,
+                    messages.Result.DONE,
+                    self.now_s,
+                    answer=self._make_answer(job),
                 )
                 self._decide()
 
             self.call_at(self.now_s + HOP_S, finish_request)
 
+    def _make_answer(self, job: Job) -> messages.AnswerEnd | None:
+        if not self._has_preemption:
+            return None
+        assert job.first_event_s is not None, "the job has ended"
+        return messages.AnswerEnd(
+            is_complete=True,
+            written_s=job.last_event_s - job.first_event_s,
+            events=job.events,
+        )
+
 
 def make_endpoint(number: int) -> types.Endpoint:
     """Returns the entry of an engine."""
@@ -286,7 +386,10 @@
 
 
 def make_scheduler(
-    *, is_global: bool = True, seed: int = 1
+    *,
+    is_global: bool = True,
+    seed: int = 1,
+    management: load_management.LoadManagement | None = None,
 ) -> scheduling.Scheduler:
     """Returns a scheduler with the retry budget of a small fleet."""
     return scheduling.Scheduler(
@@ -295,4 +398,5 @@
         make_budget=lambda: retry_budget.RetryBudget(
             lambda: retry_budget.RetryAllowance(0.2, 100, 10.0)
         ),
+        management=management,
     )
