Learn the output of requests and the speed of endpoints

Cause: requests that look alike cost very different amounts of work. Memory was reserved for the caller's hint, so engines preempted streams where hints were low and stayed half empty where they were high. Change: the ratio of output to hint is recorded by service, route, organisation, prompt length and hint, the duration of plain calls by service and route, in histograms of the last 20 to 40 s. Memory is reserved at a quantile from 0.80 to 0.95 that preemptions raise; what counts is the peak that the requests of an engine reach together, not the sum of their ends. Running requests that exceed their estimate are estimated again. An endpoint that takes 1.4 times as long as its peers for the same work is used last. Placements carry the estimate, which request_placed, request_ended, explain and a histogram of the relative error show. Only where callers compete for engines; elsewhere decisions stay the same. Events of a stream are counted from its start, also after a caller's resume.

--- a/packages/administration/poplarwick_administration/_explain_command.py
+++ b/packages/administration/poplarwick_administration/_explain_command.py
@@ -62,8 +62,9 @@
     marked_lines += [(" ", line) for line in timeline.beliefs]
     marked_lines.sort(key=lambda item: item[1].time)
     lines = [f"{mark} {_format_line(line)}" for mark, line in marked_lines]
+    cost = [] if timeline.cost is None else [timeline.cost]
     return "\n".join(
-        [f"request {timeline.request}: {timeline.cause}", "", *lines]
+        [f"request {timeline.request}: {timeline.cause}", *cost, "", *lines]
     )
 
 
--- a/packages/administration/poplarwick_administration/explanation.py
+++ b/packages/administration/poplarwick_administration/explanation.py
@@ -88,6 +88,8 @@
             time, such as the suspicion of an endpoint.
         endings: Number of terminal events; more than one is a fault.
         cause: Cause of the outcome, in one sentence.
+        cost: Estimated and actual cost, in one sentence; None if it was not
+            estimated.
     """
 
     request: str
@@ -95,6 +97,7 @@
     beliefs: list[log_lines.LogLine] = msgspec.field(default_factory=list)
     endings: int = 0
     cause: str = "no line names this request"
+    cost: str | None = None
 
 
 LogOpener = Callable[[], Iterable[str]]
@@ -118,6 +121,7 @@
         return timeline
     timeline.endings = sum(s.event in TERMINAL_EVENTS for s in timeline.steps)
     timeline.cause = find_cause(timeline.steps)
+    timeline.cost = describe_cost(timeline.steps)
     timeline.beliefs = _find_state_changes(timeline.steps, logs)
     return timeline
 
@@ -152,6 +156,27 @@
             return f"{cause}; {last}" if last else cause
 
 
+def describe_cost(steps: list[log_lines.LogLine]) -> str | None:
+    """Returns what a request was expected to cost, and what it did.
+
+    Args:
+        steps: Log lines of the request, in order of time.
+    """
+    placed = [s for s in steps if "cost_samples" in s.fields]
+    if not placed:
+        return None
+    fields = placed[-1].fields
+    samples = fields["cost_samples"]
+    source = "the caller" if samples == "0" else f"{samples} earlier requests"
+    if fields.get("expected_tokens", "0") == "0":
+        expected = f"{fields.get('expected_first_s')} s"
+    else:
+        expected = f"{fields['expected_tokens']} output tokens"
+    ends = [s for s in steps if "output_tokens" in s.fields]
+    actual = f"; it had {ends[-1].fields['output_tokens']}" if ends else ""
+    return f"expected by {source}: {expected}{actual}"
+
+
 def _describe_rejection(step: log_lines.LogLine) -> str:
     fields = step.fields
     match step.event:
--- a/packages/administration/tests/test_explanation.py
+++ b/packages/administration/tests/test_explanation.py
@@ -75,6 +75,28 @@
     assert expected in explanation.explain("r1", [make_log(line)]).cause
 
 
+@pytest.mark.parametrize(
+    ("estimate", "expected"),
+    [
+        (
+            {"expected_tokens": 900, "cost_samples": 40},
+            "expected by 40 earlier requests: 900 output tokens; it had 1200",
+        ),
+        (
+            {"expected_tokens": 900, "cost_samples": 0},
+            "expected by the caller: 900 output tokens; it had 1200",
+        ),
+        ({}, None),
+    ],
+)
+def test_estimated_and_actual_cost_are_shown(estimate, expected):
+    log = make_log(
+        make_line(1, "request_placed", request="r1", **estimate),
+        make_line(2, "request_ended", request="r1", output_tokens=1200),
+    )
+    assert explanation.explain("r1", [log]).cost == expected
+
+
 def test_missing_ending_is_reported():
     line = make_line(1, "request_received", request="r1")
     cause = explanation.explain("r1", [make_log(line)]).cause
--- a/packages/catalogue/poplarwick_catalogue/routing.py
+++ b/packages/catalogue/poplarwick_catalogue/routing.py
@@ -69,6 +69,14 @@
     )
 
 
+def get_stride(routing: Routing, service: ids.ServiceId) -> int:
+    """Returns the output tokens in an event; 0 for a plain service."""
+    known = routing.services.get(service)
+    if known is None or known.engine is None:
+        return 0
+    return known.engine.stride
+
+
 def choose_service(route: types.Route, rng: random.Random) -> ids.ServiceId:
     """Selects one of a route's services at random by weight.
 
--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -47,6 +47,42 @@
     suspects: int
 
 
+class EndpointSlow(logs.Event, frozen=True, kw_only=True):
+    """An endpoint does less work than its peers and gets fewer requests.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        slowdown: Time of its requests relative to its peers'.
+    """
+
+    level = "WARNING"
+
+    endpoint: str
+    slowdown: float
+
+
+class EndpointRecovered(logs.Event, frozen=True, kw_only=True):
+    """A slow endpoint does as much as its peers, or is tried again.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+    """
+
+    endpoint: str
+
+
+class BookingRaised(logs.Event, frozen=True, kw_only=True):
+    """Preemptions raised the memory that is reserved for a service.
+
+    Attributes:
+        service: The service.
+        quantile: Quantile of the outputs for which memory is reserved.
+    """
+
+    service: str
+    quantile: float
+
+
 class PlacerFailed(logs.Event, frozen=True, kw_only=True):
     """The placer of this instance stopped because of an exception.
 
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -57,7 +57,9 @@
             ),
             on_crash=_log_crash,
             management=load_management.make_load_management(
-                has_contention=deployment_.has_contention
+                has_contention=deployment_.has_contention,
+                on_speed=_log_speed,
+                on_level=_log_level,
             ),
         )
         catalogue_.quarantines.add_listener(self._forgive)
@@ -148,6 +150,17 @@
         self._on_change()
 
 
+def _log_speed(endpoint: ids.EndpointId, slowdown: float) -> None:
+    if slowdown > 1:
+        logs.log(log_events.EndpointSlow(endpoint=endpoint, slowdown=slowdown))
+    else:
+        logs.log(log_events.EndpointRecovered(endpoint=endpoint))
+
+
+def _log_level(service: ids.ServiceId, level: float) -> None:
+    logs.log(log_events.BookingRaised(service=service, quantile=level))
+
+
 def _log_crash(crash: crash_evidence.ConfirmedCrash) -> None:
     logs.log(
         log_events.EndpointCrashed(
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -246,6 +246,8 @@
         ],
         expected_first_s=placement.expected_first_s,
         reason=placement.reason,
+        expected_tokens=placement.expected_tokens,
+        cost_samples=placement.cost_samples,
     )
 
 
@@ -263,4 +265,8 @@
         ),
         message.expected_first_s,
         message.reason,
+        message.expected_tokens
+        if message.HasField("expected_tokens")
+        else None,
+        message.cost_samples if message.HasField("cost_samples") else None,
     )
--- a/packages/coordination/tests/test_wire_codec.py
+++ b/packages/coordination/tests/test_wire_codec.py
@@ -9,6 +9,8 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
 from poplarwick_coordination import wire_codec
+from poplarwick_core import ids
+from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
@@ -42,3 +44,12 @@
     )
     assert told.leaving == {endpoint.id}
     assert told.find_rate_limit(endpoint.id) == 1.5
+
+
+@pytest.mark.parametrize("estimate", [(1_200, 40), (0, 0), (None, None)])
+def test_estimate_of_a_placement_is_told_or_absent(estimate):
+    placement = messages.Placement(
+        ids.EndpointId("i-1"), "10.0.0.1:80", (), 0.1, "packed", *estimate
+    )
+    encoded = wire_codec.encode_decision(1, placement)
+    assert wire_codec.decode_decision(encoded.decision) == placement
--- a/packages/core/poplarwick_core/metrics.py
+++ b/packages/core/poplarwick_core/metrics.py
@@ -26,6 +26,9 @@
 )
 """Upper bucket bounds, in seconds, of the duration histograms."""
 
+RATIO_BOUNDARIES = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 9.0, 30.0)
+"""Upper bucket bounds of the histograms of relative errors."""
+
 
 def make_counter(name: str, description: str) -> metrics.Counter:
     """Returns a counter named `poplarwick_<name>`."""
@@ -63,3 +66,13 @@
         description=description,
         explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
     )
+
+
+def make_ratio_histogram(name: str, description: str) -> metrics.Histogram:
+    """Returns a histogram of relative errors, named `poplarwick_<name>`."""
+    meter = metrics.get_meter(METER_NAME)
+    return meter.create_histogram(
+        f"poplarwick_{name}",
+        description=description,
+        explicit_bucket_boundaries_advisory=RATIO_BOUNDARIES,
+    )
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -204,7 +204,7 @@
             )
             return _reject(request, admitted)
         exchange = self._make_exchange(
-            request, metadata, admitted, body, digest, received_at_s
+            request, metadata, admitted, body, digest, received_at_s, rules
         )
         return await self._run(request, exchange, rules.version)
 
@@ -235,15 +235,17 @@
         body: bytes,
         digest: fingerprints.BodyDigest,
         received_at_s: float,
+        rules: routing.Routing,
     ) -> http_exchange.Exchange:
         organisation = admitted.organisation
+        service = routing.choose_service(admitted.route, self._rng)
         forwarded = headers.select_headers(
             request.headers, self._dialect.replaced_headers
         )
         return http_exchange.Exchange(
             metadata=metadata,
             admission=admitted,
-            service=routing.choose_service(admitted.route, self._rng),
+            service=service,
             method=request.method,
             target=request.raw_path,
             headers=dict(forwarded),
@@ -258,6 +260,7 @@
             deadline_at_s=http_exchange.calculate_deadline_s(
                 admitted.route, metadata, received_at_s
             ),
+            tokens_per_event=routing.get_stride(rules, service),
         )
 
     async def _run(
@@ -293,8 +296,14 @@
                 return web.Response(
                     status=status, headers=response_headers, body=body
                 )
-            case outcomes.Streamed():
-                _record_outcome(exchange, "streamed", sink)
+            case outcomes.Streamed(output_tokens, expected_tokens):
+                _record_outcome(
+                    exchange,
+                    "streamed",
+                    sink,
+                    output_tokens=output_tokens,
+                    expected_tokens=expected_tokens,
+                )
                 assert sink.response is not None
                 return sink.response
             case outcomes.StreamTruncated(reason):
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -33,6 +33,8 @@
         received_at_s: Monotonic time at which the request arrived.
         deadline_at_s: Monotonic time by which the caller must have the
             complete response.
+        tokens_per_event: Output tokens in an event of a stream; 0 for a plain
+            service.
     """
 
     metadata: dialect.RequestMetadata
@@ -45,6 +47,7 @@
     fingerprint: ids.RequestFingerprint
     received_at_s: float
     deadline_at_s: float
+    tokens_per_event: int = 0
 
     @property
     def route(self) -> types.Route:
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -113,6 +113,9 @@
         helpers: Ids of the engines that prefill parts of the prompt.
         reserved_tokens: KV-cache memory reserved at the helpers, in tokens.
         expected_first_s: Expected time to the response or the first event.
+        expected_tokens: Expected length of the output, where it is estimated.
+        cost_samples: Earlier requests that the estimate relies on; 0 if it is
+            the caller's own.
         reason: Rule that selected the endpoint.
         placer: Instance that placed the request; "own" if placed locally.
         waited_s: Time that the placement took.
@@ -126,6 +129,8 @@
     helpers: str | None = None
     reserved_tokens: int | None = None
     expected_first_s: float
+    expected_tokens: int | None = None
+    cost_samples: int | None = None
     reason: str
     placer: str
     waited_s: float
@@ -227,6 +232,8 @@
         pause_s: Longest pause between events.
         total_s: Time to the end of the request.
         bytes: Bytes of events sent to the caller.
+        output_tokens: Length of the output of a complete stream.
+        expected_tokens: Length that was expected when it was placed.
     """
 
     request: str
@@ -238,3 +245,5 @@
     pause_s: float | None = None
     total_s: float
     bytes: int | None = None
+    output_tokens: int | None = None
+    expected_tokens: int | None = None
--- a/packages/forwarding/poplarwick_forwarding/metrics.py
+++ b/packages/forwarding/poplarwick_forwarding/metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from poplarwick_core import ids
 from poplarwick_core import metrics
 
 requests_ended = metrics.make_counter(
@@ -33,6 +34,10 @@
 request_seconds = metrics.make_histogram(
     "request_seconds", "Time to the ending, by route and size class."
 )
+estimate_error_ratio = metrics.make_ratio_histogram(
+    "estimate_error_ratio",
+    "Difference of actual and expected cost by expected cost, by service.",
+)
 
 SIZE_CLASSES = ((0, "none"), (10_000, "short"), (100_000, "long"))
 """Upper bounds, in prompt tokens, and names of the size classes."""
@@ -40,6 +45,22 @@
 LARGEST_SIZE_CLASS = "giant"
 
 
+def record_estimate_error(
+    service: ids.ServiceId, expected: float, actual: float
+) -> None:
+    """Records the relative error of an estimated cost.
+
+    Args:
+        service: Service of the request, one of the configuration in force.
+        expected: Estimated cost, in tokens or seconds.
+        actual: Actual cost, in the same unit.
+    """
+    if expected > 0:
+        estimate_error_ratio.record(
+            abs(actual - expected) / expected, {"service": service}
+        )
+
+
 def get_size_class(prompt_tokens: int) -> str:
     """Returns the size class of a prompt."""
     for bound, name in SIZE_CLASSES:
--- a/packages/forwarding/poplarwick_forwarding/outcomes.py
+++ b/packages/forwarding/poplarwick_forwarding/outcomes.py
@@ -50,7 +50,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Streamed:
-    """The response was streamed to the caller and is complete."""
+    """The response was streamed to the caller and is complete.
+
+    Attributes:
+        output_tokens: Length of the output; None if unknown.
+        expected_tokens: Expected length of the output; None without an
+            estimate.
+    """
+
+    output_tokens: int | None = None
+    expected_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -85,6 +85,7 @@
             not.
         avoided: Endpoints that must not run the request again.
         unreachable: Endpoints that could not be connected.
+        sent_at_s: Monotonic time at which the last attempt was sent.
         answered_at_s: Monotonic time of the head of the last attempt's
             response; None if there was none.
         last_event_at_s: Monotonic time of the last event; None before it.
@@ -101,12 +102,18 @@
     broken_at_s: float | None = None
     avoided: frozenset[ids.EndpointId] = frozenset()
     unreachable: frozenset[ids.EndpointId] = frozenset()
+    sent_at_s: float = 0.0
     answered_at_s: float | None = None
     last_event_at_s: float | None = None
     is_delimited: bool = True
     events: int = 0
     was_cut_off: bool = False
 
+    @property
+    def stream_events(self) -> int:
+        """Events of the whole stream, also of those before a resume."""
+        return (self.last_event_id or 0) if self.events else 0
+
     @property
     def written_s(self) -> float | None:
         """Time from the head of that response to its last event."""
@@ -117,7 +124,7 @@
     def make_answer_end(self, *, is_complete: bool) -> messages.AnswerEnd:
         """Returns how the last attempt's response ended."""
         return messages.AnswerEnd(
-            is_complete, self.written_s, self.is_delimited, self.events
+            is_complete, self.written_s, self.is_delimited, self.stream_events
         )
 
 
@@ -417,6 +424,7 @@
             exchange.metadata.request_id,
         )
         progress.is_in_flight = True
+        progress.sent_at_s = clock.now_s()
         async with self._upstream.send(placement.address, request) as response:
             _log_relay(exchange, placement, response)
             progress.answered_at_s = clock.now_s()
@@ -429,8 +437,9 @@
                 await self._relay(
                     exchange, sink, progress, request_number, response, timeout
                 )
-                return outcomes.Streamed()
+                return _make_streamed(exchange, progress, placement)
             body = await response.read_body()
+            _record_duration_error(exchange, placement, progress)
             self._placement_client.record_first_event(request_number)
             if sink.has_begun:
                 raise upstream.SendError(
@@ -580,6 +589,33 @@
         )
 
 
+def _make_streamed(
+    exchange: http_exchange.Exchange,
+    progress: _Progress,
+    placement: messages.Placement,
+) -> outcomes.Streamed:
+    """Returns the outcome of a stream, and counts the error of its estimate."""
+    output_tokens = progress.stream_events * exchange.tokens_per_event
+    if placement.cost_samples and output_tokens:
+        metrics.record_estimate_error(
+            exchange.service, placement.expected_tokens or 0, output_tokens
+        )
+    return outcomes.Streamed(output_tokens or None, placement.expected_tokens)
+
+
+def _record_duration_error(
+    exchange: http_exchange.Exchange,
+    placement: messages.Placement,
+    progress: _Progress,
+) -> None:
+    if placement.cost_samples and not exchange.tokens_per_event:
+        metrics.record_estimate_error(
+            exchange.service,
+            placement.expected_first_s,
+            clock.now_s() - progress.sent_at_s,
+        )
+
+
 def _get_result(outcome: outcomes.Outcome) -> messages.Result:
     """Returns the result of an attempt, as counted for its endpoint."""
     if isinstance(outcome, outcomes.CompleteResponse) and outcome.status >= 500:
@@ -664,6 +700,8 @@
             reserved_tokens=sum(h.reserved_tokens for h in placement.helpers)
             or None,
             expected_first_s=placement.expected_first_s,
+            expected_tokens=placement.expected_tokens,
+            cost_samples=placement.cost_samples,
             reason=str(placement.reason),
             placer=reply.decided_by,
             waited_s=reply.waited_s,
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -15,6 +15,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import events
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import request_runner
@@ -187,3 +188,14 @@
     assert first.unreachable == frozenset()
     assert second.unreachable == {"e"}
     assert second.avoided == frozenset()
+
+
+@pytest.mark.parametrize("resumed_after", [None, 7])
+def test_events_before_a_resume_are_counted(resumed_after):
+    # What a caller's resumed stream costs would be learned as less.
+    progress = request_runner._Progress(resumed_after)
+    first = (resumed_after or 0) + 1
+    request_runner._join_events(
+        [events.Event(b"", first), events.Event(b"", first + 1)], progress
+    )
+    assert progress.make_answer_end(is_complete=True).events == first + 1
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -11,11 +11,14 @@
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Hashable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Protocol
 
 from poplarwick_core import ids
+from poplarwick_placement import booking_level
+from poplarwick_placement import engine_speed
 from poplarwick_placement import messages
 from poplarwick_placement import queue_order
 from poplarwick_placement import running_requests
@@ -34,10 +37,17 @@
         """Returns the request with expected and booked output tokens."""
         ...
 
+    def revise(
+        self, states: Iterable[service_pool.EndpointState], now_s: float
+    ) -> None:
+        """Corrects the estimates of running requests by their output."""
+        ...
+
     def record_end(
         self,
         request: messages.PlacementRequest,
         answer: messages.AnswerEnd,
+        output_tokens: int,
         duration_s: float,
         now_s: float,
     ) -> None:
@@ -46,6 +56,7 @@
         Args:
             request: The request as it was estimated.
             answer: How the answer ended.
+            output_tokens: Length of the whole output; 0 if it is no stream.
             duration_s: Time from the placement to the end.
             now_s: Monotonic time.
         """
@@ -110,11 +121,15 @@
 
     Attributes:
         costs: Estimates the cost of requests.
+        speeds: Compares the speed of endpoints with that of their peers.
+        levels: Chooses the quantile at which memory is reserved.
         shares: Compares the usage of organisations.
         admission: Refuses requests that cannot be served in time.
     """
 
     costs: CostEstimator | None = None
+    speeds: engine_speed.EndpointSpeeds | None = None
+    levels: booking_level.BookingLevels | None = None
     shares: Shares | None = None
     admission: Admission | None = None
 
@@ -140,20 +155,47 @@
         if self.shares is not None:
             self.shares.record_start(key, request, now_s)
 
-    def record_end(
+    def record_answer(
         self,
         key: Hashable,
         running: running_requests.RunningRequest,
+        state: service_pool.EndpointState,
+        result: messages.Result,
         answer: messages.AnswerEnd | None,
         now_s: float,
     ) -> None:
-        """Records the end of a request that was placed."""
-        if self.shares is not None:
-            self.shares.record_end(key, now_s)
+        """Learns from a request before its resources are released."""
         if self.costs is not None and answer is not None:
+            profile = state.candidate.profile
             self.costs.record_end(
-                running.request, answer, now_s - running.placed_at_s, now_s
+                running.request,
+                answer,
+                answer.events * profile.stride if profile is not None else 0,
+                now_s - running.placed_at_s,
+                now_s,
             )
+        if self.levels is not None:
+            self.levels.record_end(key, state.load, result, answer, now_s)
+        if self.speeds is not None:
+            self.speeds.record_end(key, state, answer, now_s)
+
+    def review_running(
+        self, pools: Iterable[service_pool.ServicePool], now_s: float
+    ) -> None:
+        """Revises the speeds of endpoints and the costs of what they run."""
+        if self.costs is not None:
+            self.costs.revise(
+                (state for pool in pools for state in pool.states), now_s
+            )
+        if self.speeds is not None:
+            for pool in pools:
+                for state in self.speeds.review(pool.states, now_s):
+                    pool.update(state)
+
+    def record_end(self, key: Hashable, now_s: float) -> None:
+        """Records the end of a request that was placed."""
+        if self.shares is not None:
+            self.shares.record_end(key, now_s)
 
     def calculate_sort_key(
         self,
@@ -210,12 +252,30 @@
         return refusals
 
 
-def make_load_management(*, has_contention: bool) -> LoadManagement:
+def make_load_management(
+    *,
+    has_contention: bool,
+    on_speed: Callable[[ids.EndpointId, float], None] = lambda *_: None,
+    on_level: Callable[[ids.ServiceId, float], None] = lambda *_: None,
+) -> LoadManagement:
     """Returns the decisions that a deployment calls for.
 
     Args:
         has_contention: Whether callers compete for engines that cannot hold
             all requests at once.
+        on_speed: Called with an endpoint and its slowdown when it becomes
+            slower than its peers, or recovers.
+        on_level: Called with a service and the quantile at which memory is
+            reserved when preemptions raise it.
     """
-    del has_contention
-    return LoadManagement()
+    if not has_contention:
+        return LoadManagement()
+    # Histograms take 17 ms to import, which only these deployments spend.
+    from poplarwick_placement import request_costs
+
+    levels = booking_level.BookingLevels(on_level)
+    return LoadManagement(
+        costs=request_costs.RequestCosts(levels),
+        speeds=engine_speed.EndpointSpeeds(on_speed),
+        levels=levels,
+    )
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -10,6 +10,7 @@
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
+from poplarwick_placement import memory_peak
 from poplarwick_placement import messages
 
 LONG_PREFILL_S = 0.1
@@ -39,6 +40,10 @@
 part before all other prefills, so a part that arrives too early delays the
 rest of the previous one by its whole duration."""
 
+OVERRUN_SHARE = 0.5
+"""Expected rest of a plain call that takes longer than expected, as a share of
+its time so far."""
+
 PREFILL_OVERDUE_S = 1.5
 """Time past its expected end after which a prefill is no longer counted;
 engines abort work that depends on a lost engine after this time."""
@@ -56,6 +61,7 @@
         allocated_at_s: Monotonic time of the allocation.
         prefill_due_at_s: Monotonic time of the expected end of the prefill.
         first_event_at_s: Monotonic time of the first event; None before it.
+        prefilled_before_s: Prefills that the endpoint had run by then.
         is_late: Whether a stall already makes the request late.
         late_loss: Weight lost if the request becomes late.
     """
@@ -67,6 +73,7 @@
     allocated_at_s: float
     prefill_due_at_s: float
     first_event_at_s: float | None = None
+    prefilled_before_s: float = 0.0
     is_late: bool = False
     late_loss: float = dataclasses.field(init=False)
 
@@ -87,7 +94,8 @@
         running_count: Requests that run on the endpoint.
         context_tokens: Sum of the prompt lengths of these requests.
         free_slots: Slots that no known request holds.
-        free_memory_tokens: Memory that no known request holds.
+        free_memory_tokens: Memory that no known request holds, now or later.
+        reservations: Memory of the requests whose outputs are estimated.
         has_short: Whether a request with a short prompt runs.
         backlog_s: Time until the allocated prefills end.
         residual_s: Expected time until the iteration in progress ends.
@@ -100,6 +108,7 @@
     context_tokens: int
     free_slots: int
     free_memory_tokens: int
+    reservations: tuple[memory_peak.Reservation, ...]
     has_short: bool
     backlog_s: float
     residual_s: float
@@ -121,6 +130,22 @@
             )
         return self.residual_s + self.backlog_s + prefill_s + iteration_s
 
+    def calculate_missing_tokens(
+        self, request: messages.PlacementRequest
+    ) -> int:
+        """Returns the memory that a request lacks here; 0 or less if it fits.
+
+        A request whose output is estimated also fits if others have released
+        enough by the time at which it needs the memory.
+        """
+        missing = request.memory_tokens - max(self.free_memory_tokens, 0)
+        booked = request.booked_output_tokens
+        if missing <= 0 or booked is None or not self.reservations:
+            return missing
+        own = memory_peak.make_reservation(request.memory_tokens, booked, 0)
+        growth = memory_peak.calculate_growth(self.reservations, own)
+        return missing if growth > self.free_memory_tokens else 0
+
     def calculate_stall_loss(self, prefill_s: float, now_s: float) -> float:
         """Returns the weight lost by the stall that a prefill causes."""
         if prefill_s <= self.slack_s:
@@ -165,6 +190,9 @@
         prefill_until_s: Monotonic time at which the allocated prefills are
             expected to end.
         slowdown: Slowdown factor; 1 is the speed of the profile.
+        reported_slowdown: The same as the endpoint reports it.
+        measured_slowdown: The same as measured; 1 unless it is slow.
+        prefill_total_s: Prefills allocated so far, at the profile's speed.
         response_time_s: Moving average of a plain service's response time.
         failure_share: Moving average of the share of failed answers.
     """
@@ -179,6 +207,9 @@
     )
     prefill_until_s: float = 0.0
     slowdown: float = 1.0
+    reported_slowdown: float = 1.0
+    measured_slowdown: float = 1.0
+    prefill_total_s: float = 0.0
     response_time_s: float = 0.05
     failure_share: float = 0.0
     _summary: _Summary | None = None
@@ -199,6 +230,11 @@
         """Engine memory that no known request holds."""
         return self._summarise().free_memory_tokens
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the endpoint does measurably less work than its peers."""
+        return self.measured_slowdown > 1
+
     def calculate_iteration_s(self) -> float:
         """Returns the time of an iteration without prefill."""
         return self._summarise().iteration_s
@@ -223,11 +259,107 @@
             self._forget_derived_values()
 
     def set_slowdown(self, slowdown: float) -> None:
-        """Sets the slowdown factor; 1 is the speed of the profile."""
+        """Sets the reported slowdown; 1 is the speed of the profile."""
+        self.reported_slowdown = slowdown
+        self._combine_slowdowns()
+
+    def set_measured_slowdown(self, slowdown: float) -> bool:
+        """Sets the measured slowdown; returns whether it has changed."""
+        if slowdown == self.measured_slowdown:
+            return False
+        self.measured_slowdown = slowdown
+        self._combine_slowdowns()
+        return True
+
+    def _combine_slowdowns(self) -> None:
+        slowdown = max(self.reported_slowdown, self.measured_slowdown)
         if slowdown != self.slowdown:
             self.slowdown = slowdown
             self._forget_derived_values()
 
+    def calculate_writing_s(
+        self, allocation: Allocation, events: int, now_s: float
+    ) -> float:
+        """Returns the expected time from the first to the last event by now.
+
+        At the speed of the profile, with the present number of requests and
+        the prefills of others in the meantime.
+
+        Args:
+            allocation: An allocation of a request that has begun.
+            events: Number of events so far.
+            now_s: Monotonic time.
+        """
+        prefilled_s = self._calculate_prefilled_s(now_s)
+        return (
+            (events - 1) * self.calculate_iteration_s() / self.slowdown
+            + prefilled_s
+            - allocation.prefilled_before_s
+        )
+
+    def estimate_written_tokens(
+        self, allocation: Allocation, now_s: float
+    ) -> int:
+        """Returns the expected length of the output of a request so far."""
+        if self.profile is None or allocation.first_event_at_s is None:
+            return 0
+        prefilled_s = (
+            self._calculate_prefilled_s(now_s) - allocation.prefilled_before_s
+        )
+        writing_s = now_s - allocation.first_event_at_s
+        writing_s -= self.slowdown * prefilled_s
+        iterations = max(writing_s, 0.0) / self.calculate_iteration_s()
+        return (1 + int(iterations)) * self.profile.stride
+
+    def estimate_work_s(self, duration_s: float, now_s: float) -> float:
+        """Returns the time until a plain service has done a further call.
+
+        Args:
+            duration_s: Expected duration of the call.
+            now_s: Monotonic time.
+        """
+        work_s = duration_s
+        for allocation in self.primary_allocations.values():
+            expected_s = allocation.request.expected_duration_s or duration_s
+            elapsed_s = now_s - allocation.allocated_at_s
+            work_s += max(expected_s - elapsed_s, OVERRUN_SHARE * elapsed_s)
+        return self.slowdown * work_s
+
+    def revise(self, key: Hashable, request: messages.PlacementRequest) -> None:
+        """Replaces the estimate of a request that runs here."""
+        allocation = self.primary_allocations[key]
+        allocation.memory_tokens += (
+            request.memory_tokens - allocation.request.memory_tokens
+        )
+        allocation.request = request
+        self._forget_derived_values()
+
+    def calculate_reserved_tokens(self, now_s: float) -> int:
+        """Returns the most engine memory that known requests hold from now."""
+        view = self.make_view(now_s)
+        if self.profile is None:
+            return 0
+        allocatable = self.profile.memory_tokens * ALLOCATABLE_MEMORY_SHARE
+        return int(allocatable) - view.free_memory_tokens
+
+    def _make_reservations(
+        self, now_s: float
+    ) -> tuple[memory_peak.Reservation, ...]:
+        """Returns the memory of the requests whose outputs are estimated."""
+        return tuple(
+            memory_peak.make_reservation(
+                allocation.memory_tokens,
+                allocation.request.booked_output_tokens,
+                self.estimate_written_tokens(allocation, now_s),
+            )
+            for allocation in self.primary_allocations.values()
+            if allocation.request.booked_output_tokens is not None
+        )
+
+    def _calculate_prefilled_s(self, now_s: float) -> float:
+        backlog_s = max(self.prefill_until_s - now_s, 0.0)
+        return max(self.prefill_total_s - backlog_s / self.slowdown, 0.0)
+
     def calculate_prefill_s(self, prompt_tokens: int, engines: int) -> float:
         """Returns the time to prefill one of several parts of a prompt here."""
         if self.profile is None:
@@ -275,12 +407,15 @@
         return self._steady_view
 
     def _calculate_view(self, summary: _Summary, now_s: float) -> LoadView:
+        reservations = self._make_reservations(now_s)
         return LoadView(
             load=self,
             running_count=len(self.primary_allocations),
             context_tokens=summary.context_tokens,
             free_slots=self.free_slots,
-            free_memory_tokens=summary.free_memory_tokens,
+            free_memory_tokens=summary.free_memory_tokens
+            + memory_peak.calculate_unshared_tokens(reservations),
+            reservations=reservations,
             has_short=summary.has_short,
             backlog_s=self.calculate_backlog_s(now_s),
             residual_s=summary.iteration_s / 2
@@ -367,6 +502,7 @@
         primary = self.primary_allocations.get(key)
         if primary is not None:
             primary.first_event_at_s = now_s
+            primary.prefilled_before_s = self._calculate_prefilled_s(now_s)
         helper = self.helper_allocations.get(key)
         if helper is not None and helper.memory_tokens == 0:
             del self.helper_allocations[key]
@@ -374,7 +510,7 @@
             all(a.first_event_at_s for a in self.primary_allocations.values())
             and not self.helper_allocations
         ):
-            self.prefill_until_s = now_s
+            self._end_prefills(now_s)
 
     def release(self, key: Hashable, now_s: float) -> None:
         """Releases the resources of a request that has ended."""
@@ -382,7 +518,12 @@
         self.primary_allocations.pop(key, None)
         self.helper_allocations.pop(key, None)
         if not self.primary_allocations and not self.helper_allocations:
-            self.prefill_until_s = now_s
+            self._end_prefills(now_s)
+
+    def _end_prefills(self, now_s: float) -> None:
+        backlog_s = max(self.prefill_until_s - now_s, 0.0)
+        self.prefill_total_s -= backlog_s / self.slowdown
+        self.prefill_until_s = now_s
 
     def _forget_derived_values(self) -> None:
         self._summary = None
@@ -463,6 +604,7 @@
             for allocation in self.primary_allocations.values():
                 if _is_newly_late(allocation, pause_s, prefill_s, now_s):
                     allocation.is_late = True
+        self.prefill_total_s += prefill_s / self.slowdown
         begin_s = max(self.prefill_until_s, now_s)
         self.prefill_until_s = begin_s + prefill_s + PREFILL_MARGIN_S
 
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -47,6 +47,12 @@
             unknown.
         booked_output_tokens: Output tokens for which memory is allocated; None
             to allocate for `output_tokens`.
+        hint_tokens: Length of the output that the caller expects; None if
+            `output_tokens` is not an estimate.
+        expected_duration_s: Expected duration of a plain call; None without an
+            estimate.
+        cost_samples: Earlier requests that the estimate relies on; None
+            without an estimate.
     """
 
     request_id: ids.RequestId
@@ -69,6 +75,14 @@
     route: str = ""
     output_limit_tokens: int = 0
     booked_output_tokens: int | None = None
+    hint_tokens: int | None = None
+    expected_duration_s: float | None = None
+    cost_samples: int | None = None
+
+    @property
+    def estimated_tokens(self) -> int | None:
+        """Estimated length of the output; None without an estimate."""
+        return None if self.hint_tokens is None else self.output_tokens
 
     @property
     def memory_tokens(self) -> int:
@@ -110,6 +124,10 @@
         helpers: Engines that prefill parts of the prompt.
         expected_first_s: Expected time to the answer or the first event.
         reason: Why this endpoint was chosen, for logs.
+        expected_tokens: Expected length of the output; None without an
+            estimate.
+        cost_samples: Earlier requests that the estimate relies on; None
+            without an estimate.
     """
 
     endpoint: ids.EndpointId
@@ -117,6 +135,8 @@
     helpers: tuple[Helper, ...]
     expected_first_s: float
     reason: str
+    expected_tokens: int | None = None
+    cost_samples: int | None = None
 
 
 class RefusalReason(enum.Enum):
--- a/packages/placement/poplarwick_placement/packing.py
+++ b/packages/placement/poplarwick_placement/packing.py
@@ -134,7 +134,7 @@
     if preferred is None:
         return None
     if preferred.profile is None:
-        return _choose_plain(list(iter_free(candidates)))
+        return _choose_plain(request, list(iter_free(candidates)), now_s)
     if is_short(request, preferred):
         return _choose_short(request, candidates, now_s)
     helper_views = [candidates.view(load) for load in candidates.find_helpers()]
@@ -165,9 +165,10 @@
 def get_preference(load: loads.EndpointLoad) -> tuple[bool, int]:
     """Returns the sort key of an endpoint for packing short requests.
 
-    The fullest endpoint comes first; a last free slot is used last.
+    The fullest endpoint comes first; a last free slot, and an endpoint that is
+    slower than its peers, are used last.
     """
-    return load.free_slots == 1, -load.running_count
+    return load.free_slots == 1 or load.is_slow, -load.running_count
 
 
 def is_short(
@@ -192,23 +193,33 @@
     return view is not short_engine and view.load.endpoint.id not in awaited
 
 
-def _choose_plain(free_loads: Sequence[loads.EndpointLoad]) -> Choice:
+def _choose_plain(
+    request: messages.PlacementRequest,
+    free_loads: Sequence[loads.EndpointLoad],
+    now_s: float,
+) -> Choice:
     """Returns the endpoint of a plain service with the lowest estimated time.
 
-    An endpoint that fails more often than its best peer counts as slower.
+    Where the durations of calls are known, the endpoint whose outstanding work
+    ends first is chosen; otherwise the number of calls stands for the work. An
+    endpoint that fails more often than its best peer counts as slower.
     """
     best_share = _find_best_share(free_loads)
 
     def estimate_s(load: loads.EndpointLoad) -> float:
         excess = load.failure_share - best_share
-        return (
-            load.response_time_s
-            * (load.running_count + 1)
-            * (1 + FAILURE_PENALTY * excess)
-        )
+        if expected_s is None:
+            work_s = load.response_time_s * (load.running_count + 1)
+        else:
+            work_s = load.estimate_work_s(expected_s, now_s)
+        return work_s * (1 + FAILURE_PENALTY * excess)
 
+    expected_s = request.expected_duration_s
     load = min(free_loads, key=estimate_s)
-    return Choice(load, (), 0.0, 0.0, load.response_time_s, 0.0)
+    first_event_s = load.response_time_s
+    if expected_s is not None:
+        first_event_s = load.slowdown * expected_s
+    return Choice(load, (), 0.0, 0.0, first_event_s, 0.0)
 
 
 def _choose_short(
@@ -276,7 +287,7 @@
     best_share: float,
     now_s: float,
 ) -> Choice | None:
-    if request.memory_tokens > view.free_memory_tokens:
+    if view.calculate_missing_tokens(request) > 0:
         return None
     prefill_s = view.load.calculate_prefill_s(request.prompt_tokens, 1)
     first_event_s = view.estimate_first_event_s(request, prefill_s)
@@ -469,7 +480,7 @@
     for view in fitting:
         if view not in free_views:
             continue
-        if request.memory_tokens <= view.free_memory_tokens:
+        if view.calculate_missing_tokens(request) <= 0:
             return view
         if (
             emptiest is None
@@ -548,7 +559,7 @@
     The prompt fills the reservations in order. The rest of the prompt and the
     output are stored on the primary.
     """
-    missing_tokens = request.memory_tokens - max(primary.free_memory_tokens, 0)
+    missing_tokens = primary.calculate_missing_tokens(request)
     if primary.load.profile is None or missing_tokens <= 0:
         return [0] * len(helpers)
     missing_tokens = min(
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -218,13 +218,16 @@
             primary.load.record_response_time(key, now_s)
         if primary is not None:
             self._weigh_answer(key, running, primary, result, answer, now_s)
+            self._management.record_answer(
+                key, running, primary, result, answer, now_s
+            )
         if primary is not None and result is messages.Result.SILENT:
             result = _classify_timeout(primary, key)
         for state in states:
             state.load.release(key, now_s)
             self._update_index(state)
         self._running.remove(key)
-        self._management.record_end(key, running, answer, now_s)
+        self._management.record_end(key, now_s)
         blamed_state = next(
             (s for s in states if s.candidate.endpoint.address == blamed), None
         )
@@ -390,6 +393,7 @@
 
     def decide(self, now_s: float) -> list[tuple[Key, messages.Decision]]:
         """Returns the decisions possible now; other requests stay queued."""
+        self._management.review_running(self._pools.values(), now_s)
         scheduling_round = _SchedulingRound(now_s)
         deferred = self._choose_deferred(scheduling_round)
         ranked = sorted(
@@ -640,6 +644,8 @@
             ),
             choice.first_event_s,
             reason,
+            request.estimated_tokens,
+            request.cost_samples,
         )
 
     def _format_reason(self, choice: packing.Choice, now_s: float) -> str:
--- a/packages/placement/poplarwick_placement/spreading.py
+++ b/packages/placement/poplarwick_placement/spreading.py
@@ -65,7 +65,7 @@
     load = primary.load
     if load.profile is None:
         return 1
-    if request.memory_tokens > primary.free_memory_tokens:
+    if primary.calculate_missing_tokens(request) > 0:
         engine_tokens = load.profile.memory_tokens
         return max(
             MAX_GROUP_SIZE, -(-2 * request.memory_tokens // engine_tokens)
--- a/scripts/measure_placement.py
+++ b/scripts/measure_placement.py
@@ -13,6 +13,7 @@
 
 from poplarwick_bench.replay import engines
 from poplarwick_core import ids
+from poplarwick_placement import load_management
 from poplarwick_placement import messages
 from poplarwick_placement import scheduler
 from poplarwick_placement import service_pool
@@ -21,6 +22,8 @@
 SHORT_TOKENS = 5_000
 LONG_TOKENS = 180_000
 SLOT_UTILIZATION = 0.5
+LEARNED_REQUESTS = 20
+ANSWER = messages.AnswerEnd(is_complete=True, written_s=0.1, events=30)
 
 
 def main() -> int:
@@ -31,24 +34,48 @@
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--requests", type=int, default=300)
-    requests = parser.parse_args().requests
+    parser.add_argument(
+        "--contention",
+        action="store_true",
+        help="with the decisions of a deployment whose callers compete",
+    )
+    parsed = parser.parse_args()
+    requests = parsed.requests
     print("endpoints  short_us  long_us")
     for endpoints in SIZES:
-        short_us = measure(endpoints, SHORT_TOKENS, requests)
-        long_us = measure(endpoints, LONG_TOKENS, max(requests // 10, 1))
+        short_us = measure(
+            endpoints,
+            SHORT_TOKENS,
+            requests,
+            has_contention=parsed.contention,
+        )
+        long_us = measure(
+            endpoints,
+            LONG_TOKENS,
+            max(requests // 10, 1),
+            has_contention=parsed.contention,
+        )
         print(f"{endpoints:9d}  {short_us:8.0f}  {long_us:7.0f}")
     return 0
 
 
-def measure(endpoints: int, tokens: int, requests: int) -> float:
+def measure(
+    endpoints: int, tokens: int, requests: int, *, has_contention: bool = False
+) -> float:
     """Returns the mean CPU time of a placement decision in microseconds.
 
     Args:
         endpoints: Number of endpoints.
         tokens: Number of prompt tokens of each request.
         requests: Number of requests to decide on.
+        has_contention: Whether the decisions under contention are on.
     """
-    placement_scheduler = engines.make_scheduler(seed=1)
+    placement_scheduler = engines.make_scheduler(
+        seed=1,
+        management=load_management.make_load_management(
+            has_contention=has_contention
+        ),
+    )
     placement_scheduler.set_candidates(
         service_pool.Candidate(
             engines.make_endpoint(number),
@@ -59,6 +86,7 @@
         )
         for number in range(endpoints)
     )
+    _learn(placement_scheduler, tokens)
     _fill_slots(placement_scheduler, endpoints)
     now_s, spent_s = 1_000.0, 0.0
     for number in range(requests):
@@ -71,11 +99,23 @@
         spent_s += time.process_time() - started_s
         placement_scheduler.record_first_event(("m", number), now_s + 0.5)
         placement_scheduler.record_end(
-            ("m", number), messages.Result.DONE, now_s + 0.6
+            ("m", number), messages.Result.DONE, now_s + 0.6, answer=ANSWER
         )
     return spent_s / requests * 1e6
 
 
+def _learn(placement_scheduler: scheduler.Scheduler, tokens: int) -> None:
+    """Lets some requests end, so that the others have an estimate."""
+    for number in range(LEARNED_REQUESTS):
+        key = ("l", number)
+        placement_scheduler.submit(key, _make_request(tokens, 0.0), 0.0)
+        placement_scheduler.decide_new(key, 0.0)
+        placement_scheduler.record_first_event(key, 0.0)
+        placement_scheduler.record_end(
+            key, messages.Result.DONE, 0.0, answer=ANSWER
+        )
+
+
 def _fill_slots(
     placement_scheduler: scheduler.Scheduler, endpoints: int
 ) -> None:
