--- a/packages/placement/poplarwick_placement/recent_quantiles.py
+++ b/packages/placement/poplarwick_placement/recent_quantiles.py
@@ -35,6 +35,8 @@
         now_s: Monotonic time.
     """
 
+    __slots__ = ("_began_s", "_current", "_previous", "_unit")
+
     def __init__(self, unit: float, now_s: float) -> None:
         self._unit = unit
         self._current = _make_histogram()
--- a/packages/placement/poplarwick_placement/request_costs.py
+++ b/packages/placement/poplarwick_placement/request_costs.py
@@ -25,9 +25,9 @@
 """Samples of a group from which on it is used: an upper quantile of fewer is
 their maximum."""
 
-MAX_GROUPS = 2_000
-"""Groups that are kept, the ones with the latest samples: one or two for each
-of 1,300 organisations. A group takes up to 3 KB."""
+MAX_GROUPS = 1_500
+"""Groups that are kept, the ones with the latest samples: one for each of 1,300
+organisations, and the enclosing ones. A group takes up to 3.1 KB."""
 
 EXPECTED_QUANTILE = 0.5
 """Quantile that is expected. A mean follows single outliers, of which the
