Bound estimates that rely on the hints of other callers

Cause: a request with a high hint whose own group had few samples was estimated by the common ratio, which the low hints of others had raised. Change: estimates by groups of several callers are at most the 99th percentile of the outputs of service and route, and no reservation exceeds an empty engine that the hint fits in. Speeds are compared only where all requests are known.

--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -58,6 +58,7 @@
             on_crash=_log_crash,
             management=load_management.make_load_management(
                 has_contention=deployment_.has_contention,
+                is_global=scope is candidates.Scope.FLEET,
                 on_speed=_log_speed,
                 on_level=_log_level,
             ),
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -134,12 +134,22 @@
     admission: Admission | None = None
 
     def estimate(
-        self, request: messages.PlacementRequest, now_s: float
+        self,
+        request: messages.PlacementRequest,
+        pool: service_pool.ServicePool,
+        now_s: float,
     ) -> messages.PlacementRequest:
-        """Returns a request with what it is expected to cost."""
+        """Returns a request with what it is expected to cost.
+
+        Args:
+            request: The request.
+            pool: Endpoints of its service.
+            now_s: Monotonic time.
+        """
         if self.costs is None:
             return request
-        return self.costs.estimate(request, now_s)
+        estimated = self.costs.estimate(request, now_s)
+        return estimated.limit_booking(pool.engine_tokens)
 
     def record_submission(
         self, request: messages.PlacementRequest, now_s: float
@@ -255,6 +265,7 @@
 def make_load_management(
     *,
     has_contention: bool,
+    is_global: bool = True,
     on_speed: Callable[[ids.EndpointId, float], None] = lambda *_: None,
     on_level: Callable[[ids.ServiceId, float], None] = lambda *_: None,
 ) -> LoadManagement:
@@ -263,6 +274,8 @@
     Args:
         has_contention: Whether callers compete for engines that cannot hold
             all requests at once.
+        is_global: Whether all requests in flight are known. Unknown ones would
+            make endpoints look slow, so their speed is not compared.
         on_speed: Called with an endpoint and its slowdown when it becomes
             slower than its peers, or recovers.
         on_level: Called with a service and the quantile at which memory is
@@ -276,6 +289,6 @@
     levels = booking_level.BookingLevels(on_level)
     return LoadManagement(
         costs=request_costs.RequestCosts(levels),
-        speeds=engine_speed.EndpointSpeeds(on_speed),
+        speeds=engine_speed.EndpointSpeeds(on_speed) if is_global else None,
         levels=levels,
     )
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -230,6 +230,13 @@
         """Engine memory that no known request holds."""
         return self._summarise().free_memory_tokens
 
+    @property
+    def allocatable_tokens(self) -> int:
+        """Engine memory that may be allocated; 0 for a plain service."""
+        if self.profile is None:
+            return 0
+        return int(self.profile.memory_tokens * ALLOCATABLE_MEMORY_SHARE)
+
     @property
     def is_slow(self) -> bool:
         """Whether the endpoint does measurably less work than its peers."""
@@ -336,11 +343,9 @@
 
     def calculate_reserved_tokens(self, now_s: float) -> int:
         """Returns the most engine memory that known requests hold from now."""
-        view = self.make_view(now_s)
-        if self.profile is None:
-            return 0
-        allocatable = self.profile.memory_tokens * ALLOCATABLE_MEMORY_SHARE
-        return int(allocatable) - view.free_memory_tokens
+        return (
+            self.allocatable_tokens - self.make_view(now_s).free_memory_tokens
+        )
 
     def _make_reservations(
         self, now_s: float
@@ -546,10 +551,7 @@
             used_tokens += sum(
                 a.memory_tokens for a in self.helper_allocations.values()
             )
-            free_tokens = (
-                int(self.profile.memory_tokens * ALLOCATABLE_MEMORY_SHARE)
-                - used_tokens
-            )
+            free_tokens = self.allocatable_tokens - used_tokens
         decoding_on_time = sorted(
             (a.request.pause_limit_s, a.late_loss)
             for a in primaries
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -79,6 +79,23 @@
     expected_duration_s: float | None = None
     cost_samples: int | None = None
 
+    def limit_booking(self, engine_tokens: int) -> PlacementRequest:
+        """Returns the request with a reservation that an empty engine holds.
+
+        A request that fits by its hint is not refused for an estimate.
+
+        Args:
+            engine_tokens: Memory of an engine.
+        """
+        free_tokens = engine_tokens - self.prompt_tokens
+        if (
+            self.booked_output_tokens is None
+            or self.booked_output_tokens <= free_tokens
+            or (self.hint_tokens or 0) > free_tokens
+        ):
+            return self
+        return dataclasses.replace(self, booked_output_tokens=free_tokens)
+
     @property
     def estimated_tokens(self) -> int | None:
         """Estimated length of the output; None without an estimate."""
--- a/packages/placement/poplarwick_placement/request_costs.py
+++ b/packages/placement/poplarwick_placement/request_costs.py
@@ -33,6 +33,12 @@
 """Quantile that is expected. A mean follows single outliers, of which the
 distribution has many."""
 
+LONGEST_QUANTILE = 0.99
+"""Quantile of all outputs that bounds what the ratios of other callers give."""
+
+OUTPUT_UNIT = 1
+"""Resolution of outputs in tokens; 8 to 131,071 are told apart."""
+
 RATIO_UNIT = 1 / 1024
 """Resolution of the ratio of output to hint; 1/128 to 128 are told apart."""
 
@@ -116,13 +122,15 @@
             return self._estimate_duration(request, now_s)
         hint_tokens = request.hint_tokens or request.output_tokens
         level = self._levels.get(request.service, now_s)
-        for name in _iter_groups(request, hint_tokens):
+        for name, is_own in _iter_groups(request, hint_tokens):
             group = self._groups.get(name)
             if group is None:
                 continue
             count = group.refresh(level, now_s)
             if count >= MIN_SAMPLES:
                 limit = request.output_limit_tokens
+                if not is_own:
+                    limit = self._limit_shared(request, hint_tokens, now_s)
                 expected = _apply(group.expected, hint_tokens, limit)
                 booked = _apply(group.booked, hint_tokens, limit)
                 return dataclasses.replace(
@@ -179,16 +187,42 @@
         hint_tokens = request.hint_tokens
         if hint_tokens and output_tokens:
             ratio = output_tokens / hint_tokens
-            for name in _iter_groups(request, hint_tokens):
+            for name, _ in _iter_groups(request, hint_tokens):
                 self._record(name, ratio, RATIO_UNIT, now_s)
+            for name in _iter_service_groups("output", request):
+                self._record(name, output_tokens, OUTPUT_UNIT, now_s)
         elif not hint_tokens and not output_tokens:
-            for name in _iter_plain_groups(request):
+            for name in _iter_service_groups("duration", request):
                 self._record(name, duration_s, DURATION_UNIT_S, now_s)
 
+    def _limit_shared(
+        self,
+        request: messages.PlacementRequest,
+        hint_tokens: int,
+        now_s: float,
+    ) -> int:
+        """Returns the most output to expect by the ratios of other callers.
+
+        Where the hints of some are too low, the common ratio times a hint that
+        is too high would be more than any request writes, and could be more
+        than an engine holds.
+        """
+        longest = 0.0
+        for name in _iter_service_groups("output", request):
+            group = self._groups.get(name)
+            if (
+                group is not None
+                and group.refresh(LONGEST_QUANTILE, now_s) >= MIN_SAMPLES
+            ):
+                longest = group.booked
+                break
+        limit = max(round(longest), hint_tokens)
+        return min(limit, request.output_limit_tokens or limit)
+
     def _estimate_duration(
         self, request: messages.PlacementRequest, now_s: float
     ) -> messages.PlacementRequest:
-        for name in _iter_plain_groups(request):
+        for name in _iter_service_groups("duration", request):
             group = self._groups.get(name)
             if group is None:
                 continue
@@ -218,29 +252,32 @@
 
 def _iter_groups(
     request: messages.PlacementRequest, hint_tokens: int
-) -> Iterator[Hashable]:
+) -> Iterator[tuple[Hashable, bool]]:
     """Yields the groups of a request, the closest one first.
 
     Lengths of prompts are told apart by a factor of two, hints by one of four.
     A caller that sends wrong hints is in groups of its own.
+
+    Yields:
+        The group, and whether it is that of the organisation alone.
     """
     service, route = request.service, request.route
     organisation = request.organisation
     prompt = request.prompt_tokens.bit_length()
     hint = hint_tokens.bit_length() // 2
     if organisation:
-        yield (service, route, organisation, prompt, hint)
-        yield (service, route, organisation)
-    yield (service, route, prompt, hint)
-    yield (service, route)
-    yield (service,)
+        yield (service, route, organisation, prompt, hint), True
+        yield (service, route, organisation), True
+    yield (service, route, prompt, hint), False
+    yield (service, route), False
+    yield (service,), False
 
 
-def _iter_plain_groups(
-    request: messages.PlacementRequest,
+def _iter_service_groups(
+    quantity: str, request: messages.PlacementRequest
 ) -> Iterator[Hashable]:
-    yield ("plain", request.service, request.route)
-    yield ("plain", request.service)
+    yield (quantity, request.service, request.route)
+    yield (quantity, request.service)
 
 
 def _revise(
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -140,9 +140,10 @@
         self, key: Key, request: messages.PlacementRequest, now_s: float
     ) -> None:
         """Adds a request to the queue."""
-        request = self._management.estimate(request, now_s)
+        pool = self._get_pool(request.service)
+        request = self._management.estimate(request, pool, now_s)
         self._management.record_submission(request, now_s)
-        engines = self._get_pool(request.service).states
+        engines = pool.states
         profile = engines[0].candidate.profile if engines else None
         is_long = profile is not None and not packing.is_short(
             request, engines[0].load
@@ -172,7 +173,8 @@
         state = self._states.get(endpoint)
         if state is None:
             return
-        request = self._management.estimate(request, now_s)
+        pool = self._get_pool(request.service)
+        request = self._management.estimate(request, pool, now_s)
         prefill_s = 0.0
         if not has_begun:
             prefill_s = state.load.calculate_prefill_s(request.prompt_tokens, 1)
--- a/packages/placement/poplarwick_placement/service_pool.py
+++ b/packages/placement/poplarwick_placement/service_pool.py
@@ -118,6 +118,11 @@
         self._groups: dict[tuple[bool, int], dict[int, EndpointState]] = {}
         self._group_by_number: list[tuple[bool, int] | None] = []
 
+    @property
+    def engine_tokens(self) -> int:
+        """Memory that may be allocated on an engine; 0 without engines."""
+        return self.states[0].load.allocatable_tokens if self.states else 0
+
     def add(self, state: EndpointState) -> None:
         """Adds an open endpoint behind all others."""
         number = len(self.states)
--- a/packages/placement/tests/test_request_costs.py
+++ b/packages/placement/tests/test_request_costs.py
@@ -8,10 +8,12 @@
 
 import dataclasses
 import random
+import statistics
 
 import pytest
 
 from poplarwick_bench.replay import engines
+from poplarwick_bench.replay import hinted_traffic
 from poplarwick_core import ids
 from poplarwick_placement import booking_level
 from poplarwick_placement import load_management
@@ -22,32 +24,6 @@
 HINT = 1_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """Requests of one kind; hints are a multiple of the median output."""
-
-    per_s: float
-    prompt_tokens: int
-    output_tokens: int
-    first_s: float
-    pause_s: float
-    deadline_s: float
-    hint_factors: dict
-
-
-RIGHT = {"a": 1.0, "b": 1.0, "c": 1.0}
-LONG_PROMPTS = (
-    Kind(15.0, 5_000, 1_300, 0.271, 0.25, 10.8, RIGHT),
-    Kind(1.76, 45_000, 780, 1.532, 0.6, 10.2, RIGHT),
-    Kind(0.64, 190_000, 650, 6.055, 1.0, 15.1, RIGHT),
-)
-"""Twice the load of the deployment whose long prompts fill an engine."""
-
-WRONG_HINTS = (
-    Kind(6.0, 3_000, 1_700, 0.5, 0.5, 30.0, {"a": 1.0, "b": 1 / 6, "c": 6.0}),
-)
-
-
 def make_costs():
     return request_costs.RequestCosts(booking_level.BookingLevels())
 
@@ -132,6 +108,22 @@
     assert estimate.cost_samples == 0
 
 
+def test_low_hints_of_others_do_not_fill_an_engine_for_one_request():
+    # It would wait for an empty engine until its deadline.
+    costs = make_costs()
+    learn(costs, make_request("low", hint=100), 2 * HINT)
+    estimate = costs.estimate(make_request("high", hint=3 * HINT), 1.0)
+    assert estimate.booked_output_tokens <= 3 * HINT
+
+
+def test_request_that_fits_by_its_hint_is_not_refused_for_an_estimate():
+    costs = make_costs()
+    learn(costs, make_request(), 10 * HINT)
+    estimate = costs.estimate(make_request(), 1.0).limit_booking(8_000)
+    assert estimate.memory_tokens == 8_000
+    assert estimate.limit_booking(3_500) is estimate
+
+
 def test_estimate_stays_within_the_limit_of_the_caller():
     costs = make_costs()
     learn(costs, make_request(), 10 * HINT)
@@ -154,7 +146,7 @@
     )
     scheduler.set_candidates([candidate])
     state = service_pool.make_state(candidate)
-    request = management.estimate(make_request(), 0.0)
+    request = management.costs.estimate(make_request(), 0.0)
     state.load.allocate_primary(1, request, 0.0, request.memory_tokens, 0.0)
     state.load.record_first_event(1, 0.1)
     management.costs.revise([state], 1.0)
@@ -165,89 +157,44 @@
     assert revised.memory_tokens == revised.request.memory_tokens
 
 
-def replay(kinds, seed, memory_tokens, engine_count, *, has_contention):
-    """Replays a load that the engines' memory limits.
-
-    Returns the 95th percentile of the time to the first event, the preemptions
-    and the share of the requests that were on time.
-    """
-    management = load_management.make_load_management(
-        has_contention=has_contention
-    )
-    simulation = engines.Simulation(
-        engines.make_scheduler(management=management, seed=seed),
-        engine_count,
-        memory_tokens,
-    )
-    jobs = []
-    for number, kind in enumerate(kinds):
-        rng = random.Random(seed * 10 + number)
-        time_s = 1.0
-        while time_s < 40.0:
-            time_s += rng.expovariate(kind.per_s)
-            organisation = rng.choice(list(kind.hint_factors))
-            output_tokens = kind.output_tokens * rng.lognormvariate(0, 0.8)
-            request = make_request(
-                organisation,
-                round(kind.output_tokens * kind.hint_factors[organisation]),
-                time_s,
-                prompt_tokens=round(
-                    kind.prompt_tokens * rng.lognormvariate(0, 0.3)
-                ),
-                on_time_at_s=time_s + kind.first_s,
-                deadline_at_s=time_s + kind.deadline_s,
-                pause_limit_s=kind.pause_s,
-                route=f"route-{number}",
-            )
-            jobs.append(
-                simulation.add_request(time_s, request, round(output_tokens))
-            )
-    simulation.run(60.0)
-    waits_s = sorted(
-        (job.first_event_s or simulation.now_s) - job.arrived_s for job in jobs
-    )
-    return (
-        waits_s[len(waits_s) * 95 // 100],
-        sum(job.preemptions for job in jobs),
-        sum(job.is_on_time for job in jobs) / len(jobs),
-    )
-
-
 def replay_both(kinds, memory_tokens, engine_count):
-    """Returns the sums of three replays, without and with learning."""
-    sums = [
-        [
-            sum(column)
-            for column in zip(
-                *(
-                    replay(
-                        kinds,
-                        seed,
-                        memory_tokens,
-                        engine_count,
-                        has_contention=has_contention,
-                    )
-                    for seed in (1, 2, 3)
+    """Returns means of six replays, without and with learning."""
+    compared = []
+    for has_contention in (False, True):
+        summaries = [
+            hinted_traffic.replay(
+                kinds,
+                seed,
+                load_management.make_load_management(
+                    has_contention=has_contention
                 ),
-                strict=True,
+                memory_tokens=memory_tokens,
+                engine_count=engine_count,
             )
+            for seed in range(1, 7)
         ]
-        for has_contention in (False, True)
-    ]
-    print("p95 to first event, preemptions, on time:", *sums)
-    return sums
+        compared.append(
+            [
+                statistics.mean(column)
+                for column in zip(
+                    *map(dataclasses.astuple, summaries), strict=True
+                )
+            ]
+        )
+    print("p95 to first event, preemptions, on time:", *compared)
+    return compared
 
 
 def test_learning_saves_preemptions_where_a_prompt_fills_an_engine():
-    hinted, learned = replay_both(LONG_PROMPTS, 197_200, 12)
+    hinted, learned = replay_both(hinted_traffic.LONG_PROMPTS, 197_200, 12)
     assert learned[0] <= hinted[0]
     assert learned[1] < 0.2 * hinted[1]
-    # Sums of three shares: a difference of one point each is chance.
-    assert learned[2] > hinted[2] - 0.03
+    # A difference of one point on the mean of six is chance.
+    assert learned[2] > hinted[2] - 0.01
 
 
 def test_learning_shortens_waits_where_hints_are_wrong():
-    hinted, learned = replay_both(WRONG_HINTS, 35_000, 4)
+    hinted, learned = replay_both(hinted_traffic.WRONG_HINTS, 35_000, 4)
     assert learned[0] < 0.5 * hinted[0]
-    assert learned[1] <= hinted[1]
+    assert learned[1] < 0.8 * hinted[1]
     assert learned[2] > hinted[2]
