--- a/tests/adapter/test_explaining.py
+++ b/tests/adapter/test_explaining.py
@@ -149,3 +149,27 @@
     timeline = explanation.explain(name, [lambda: lines.collected])
     assert timeline.endings == 1
     assert "had not loaded a configuration" in timeline.cause
+
+
+def test_cost_is_learned_from_complete_streams(tmp_path, lines):
+    # Answers have five events of 34 tokens, a quarter of the hint.
+    headers = {"Token-Counts": "5000,680", "Model": "m"}
+
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, contracts=["pressure"]
+        ) as cluster:
+            # The placer learns only from what it has placed.
+            async with asyncio.timeout(platform_cluster.TIMEOUT_S):
+                while not any("placer_followed" in x for x in lines.collected):
+                    await asyncio.sleep(0.02)
+            for number in range(10):
+                options = {"data": b"%d" % number, "headers": headers}
+                async with cluster.call("/label/", **options) as response:
+                    await response.read()
+            return await send(cluster, "/label/", headers=headers)
+
+    name = asyncio.run(scenario())
+    timeline = explanation.explain(name, [lambda: lines.collected])
+    assert "10 earlier requests: 175 output tokens" in timeline.cost
+    assert timeline.cost.endswith("it had 170")
