Let the test cluster name contracts, not the stand-in's settings

Cause: the keyword conflicted with bounds that are passed as numbers (mypy). Change: the test cluster adds the field itself.

--- a/packages/standins/poplarwick_standins/platform_documents.py
+++ b/packages/standins/poplarwick_standins/platform_documents.py
@@ -126,7 +126,6 @@
     *,
     ip: str = "127.0.0.1",
     zone: str = "a",
-    contracts: Sequence[str] = (),
     **bounds: Any,
 ) -> dict[str, Any]:
     """Returns a settings file as the platform writes it.
@@ -138,7 +137,6 @@
         store_address: Host and port of the store.
         ip: IP address of the machine.
         zone: Zone of the machine.
-        contracts: What the deployment has to cope with.
         **bounds: Bounds that differ from the defaults.
     """
     return {
@@ -154,7 +152,6 @@
         },
         "internal_ports": [ports[2], ports[3]],
         "limits": {"memory_mb": 300, "max_fds": 4_200},
-        "contracts": list(contracts),
         "bounds": {
             "drain_ms": 2_000,
             "grace_s": 8,
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -37,17 +37,14 @@
 class Instance:
     """One instance, run in this process."""
 
-    def __init__(self, name, store_address, folder, **bounds):
+    def __init__(self, name, store_address, folder, contracts=(), **bounds):
         ip = _choose_address()
         self.name = name
         self.caller_address = f"{ip}:{PORTS[0]}"
         self.readiness_address = f"{ip}:{PORTS[1]}"
         path = pathlib.Path(folder) / f"{name}.json"
-        path.write_text(
-            json.dumps(
-                make_settings(name, PORTS, store_address, ip=ip, **bounds)
-            )
-        )
+        document = make_settings(name, PORTS, store_address, ip=ip, **bounds)
+        path.write_text(json.dumps({**document, "contracts": [*contracts]}))
         self.node = platform_instance.PlatformInstance(
             settings.read_settings(path)
         )
