--- a/packages/bench/poplarwick_bench/replay/engines.py
+++ b/packages/bench/poplarwick_bench/replay/engines.py
@@ -59,10 +59,23 @@
     first_event_s: float | None = None
     last_event_s: float = 0.0
     max_pause_s: float = 0.0
+    events: int = 0
     events_left: int = 0
+    preemptions: int = 0
+    reservations: tuple[messages.Helper, ...] = ()
     ended_s: float | None = None
     is_refused: bool = False
 
+    @property
+    def memory_tokens(self) -> int:
+        """Memory of the prompt and the output so far on the primary."""
+        reserved_tokens = sum(h.reserved_tokens for h in self.reservations)
+        return (
+            self.request.prompt_tokens
+            + self.events * PROFILE.stride
+            - reserved_tokens
+        )
+
     @property
     def is_on_time(self) -> bool:
         """Whether the answer was on time for the caller."""
@@ -93,7 +106,12 @@
 
 
 class Engine:
-    """Prefills and decoding requests of one engine."""
+    """Prefills and decoding requests of one engine.
+
+    Args:
+        endpoint: Entry of the engine.
+        profile: Profile of the engine.
+    """
 
     def __init__(
         self,
@@ -102,6 +120,9 @@
     ) -> None:
         self.endpoint = endpoint
         self.profile = profile
+        self.slowdown = 1.0
+        self.preempted: list[Job] = []
+        self.reserved_tokens = 0
         self.helper_parts: list[PrefillPart] = []
         self.primary_parts: list[PrefillPart] = []
         self.decoding: list[Job] = []
@@ -128,7 +149,39 @@
             if part.remaining_s <= 1e-9:
                 queue.pop(0)
                 finished.append(part.job)
-        return time_s, finished
+        return self.slowdown * time_s, finished
+
+    def preempt(self) -> None:
+        """Stops the newest requests that exceed the memory.
+
+        Each one is prefilled again, with its output so far, once it fits.
+        """
+        needed_tokens = [
+            j.memory_tokens + self.profile.stride for j in self.decoding
+        ]
+        used_tokens = self.reserved_tokens + sum(needed_tokens)
+        used_tokens += sum(p.job.memory_tokens for p in self.primary_parts)
+        while (
+            used_tokens > self.profile.memory_tokens and len(self.decoding) > 1
+        ):
+            used_tokens -= needed_tokens.pop()
+            job = self.decoding.pop()
+            job.preemptions += 1
+            self.preempted.append(job)
+        while self.preempted and (
+            used_tokens + self.preempted[0].memory_tokens + self.profile.stride
+            <= self.profile.memory_tokens
+        ):
+            job = self.preempted.pop(0)
+            used_tokens += job.memory_tokens + self.profile.stride
+            prefill_s = engine_model.calculate_prefill_s(
+                self.profile, job.memory_tokens
+            )
+            chunks = max(job.memory_tokens / self.profile.chunk_tokens, 1)
+            job.parts_left = 1
+            self.primary_parts.append(
+                PrefillPart(job, prefill_s, prefill_s / chunks)
+            )
 
 
 class Simulation:
@@ -138,6 +191,9 @@
         scheduler: The scheduler under test.
         engines: Number of engines.
         profile: Profile of the engines.
+        memory_tokens: Memory of an engine that preempts its newest requests
+            when they outgrow it; None for the memory of the profile without
+            preemption. With it, the ends of answers are told to the scheduler.
     """
 
     def __init__(
@@ -145,7 +201,11 @@
         scheduler: scheduling.Scheduler,
         engines: int = 16,
         profile: types.EngineProfile = PROFILE,
+        memory_tokens: int | None = None,
     ) -> None:
+        self._has_preemption = memory_tokens is not None
+        if memory_tokens is not None:
+            profile = dataclasses.replace(profile, memory_tokens=memory_tokens)
         self.profile = profile
         self.now_s = 0.0
         self.jobs: dict[int, Job] = {}
@@ -202,12 +262,22 @@
         heapq.heappush(self._events, (time_s, next(self._sequence), action))
 
     def add_request(
-        self, time_s: float, request: messages.PlacementRequest
+        self,
+        time_s: float,
+        request: messages.PlacementRequest,
+        output_tokens: int | None = None,
     ) -> Job:
-        """Schedules the arrival of a request."""
+        """Schedules the arrival of a request.
+
+        Args:
+            time_s: Time of the arrival.
+            request: The request, with the caller's hint of its output.
+            output_tokens: Actual length of its output; None for the hint.
+        """
         job = Job(len(self.jobs), request, time_s)
-        stride = self.profile.stride
-        job.events_left = max(request.output_tokens // stride, 1)
+        if output_tokens is None:
+            output_tokens = request.output_tokens
+        job.events_left = max(output_tokens // self.profile.stride, 1)
         self.jobs[job.key] = job
 
         def submit() -> None:
@@ -273,10 +343,17 @@
 
             self.call_at(self.now_s + HOP_S, add_part)
         job.primary = placement.endpoint
+        job.reservations = placement.helpers
+        for helper in placement.helpers:
+            self.engines[
+                helper.endpoint
+            ].reserved_tokens += helper.reserved_tokens
 
     def _start_iteration(self, engine: Engine) -> None:
         if engine.is_busy:
             return
+        if self._has_preemption:
+            engine.preempt()
         if not (engine.helper_parts or engine.primary_parts or engine.decoding):
             return
         engine.is_busy = True
@@ -317,19 +394,37 @@
                 job.max_pause_s, self.now_s - job.last_event_s
             )
         job.last_event_s = self.now_s
+        job.events += 1
         job.events_left -= 1
         if job.events_left <= 0:
             job.ended_s = self.now_s
             engine.decoding.remove(job)
+            for helper in job.reservations:
+                self.engines[
+                    helper.endpoint
+                ].reserved_tokens -= helper.reserved_tokens
 
             def finish_request() -> None:
                 self._scheduler.record_end(
-                    job.key, messages.Result.DONE, self.now_s
+                    job.key,
+                    messages.Result.DONE,
+                    self.now_s,
+                    answer=self._make_answer(job),
                 )
                 self._decide()
 
             self.call_at(self.now_s + HOP_S, finish_request)
 
+    def _make_answer(self, job: Job) -> messages.AnswerEnd | None:
+        if not self._has_preemption:
+            return None
+        assert job.first_event_s is not None, "the job has ended"
+        return messages.AnswerEnd(
+            is_complete=True,
+            written_s=job.last_event_s - job.first_event_s,
+            events=job.events,
+        )
+
 
 def make_endpoint(number: int) -> types.Endpoint:
     """Returns the entry of an engine."""
--- a/packages/coordination/tests/test_wire_codec.py
+++ b/packages/coordination/tests/test_wire_codec.py
@@ -9,6 +9,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
 from poplarwick_coordination import wire_codec
+from poplarwick_core import ids
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import messages
 from poplarwick_platform import kv
@@ -59,3 +60,12 @@
     sent = wire_codec.encode_decision(1, refusal).SerializeToString()
     message = placement_pb2.PlacerMessage.FromString(sent)
     assert wire_codec.decode_decision(message.decision) == refusal
+
+
+@pytest.mark.parametrize("estimate", [(1_200, 40), (0, 0), (None, None)])
+def test_estimate_of_a_placement_is_told_or_absent(estimate):
+    placement = messages.Placement(
+        ids.EndpointId("i-1"), "10.0.0.1:80", (), 0.1, "packed", *estimate
+    )
+    encoded = wire_codec.encode_decision(1, placement)
+    assert wire_codec.decode_decision(encoded.decision) == placement
--- a/packages/core/poplarwick_core/metrics.py
+++ b/packages/core/poplarwick_core/metrics.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -40,6 +41,9 @@
 """Most values that a histogram keeps for the exporter; a busy instance records
 some hundred before it is loaded. Counters keep sums, so they need no bound."""
 
+RATIO_BOUNDARIES = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 9.0, 30.0)
+"""Upper bucket bounds of the histograms of relative errors."""
+
 Labels = Mapping[str, str]
 
 
@@ -118,14 +122,28 @@
 
 
 class Histogram(_Instrument):
-    """A distribution of seconds, by labels.
+    """A distribution of values, by labels.
+
+    Args:
+        name: Name without the prefix.
+        description: Description shown with the metric.
+        boundaries: Upper bucket bounds.
+        unit: Unit of the values.
 
     Attributes:
         dropped: Values that were not kept because there were too many.
     """
 
-    def __init__(self, name: str, description: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        description: str,
+        boundaries: Sequence[float] = SECONDS_BOUNDARIES,
+        unit: str = "s",
+    ) -> None:
         super().__init__(name, description)
+        self._boundaries = boundaries
+        self._unit = unit
         self.dropped = 0
         self._target: otel.Histogram | None = None
         self._values: list[tuple[float, dict[str, str]]] = []
@@ -146,9 +164,9 @@
         with self._lock:
             target = meter.create_histogram(
                 self.name,
-                unit="s",
+                unit=self._unit,
                 description=self._description,
-                explicit_bucket_boundaries_advisory=SECONDS_BOUNDARIES,
+                explicit_bucket_boundaries_advisory=self._boundaries,
             )
             for amount, attributes in self._values:
                 target.record(amount, attributes)
@@ -247,6 +265,13 @@
     )
 
 
+def make_ratio_histogram(name: str, description: str) -> Histogram:
+    """Returns a histogram of relative errors, named `poplarwick_<name>`."""
+    histogram = Histogram(name, description, RATIO_BOUNDARIES, unit="1")
+    _register(histogram)
+    return histogram
+
+
 def is_installed() -> bool:
     """Returns whether an exporter receives what is counted."""
     return _meter is not None
--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -47,6 +47,12 @@
             unknown.
         booked_output_tokens: Output tokens for which memory is allocated; None
             to allocate for `output_tokens`.
+        hint_tokens: Length of the output that the caller expects; None if
+            `output_tokens` is not an estimate.
+        expected_duration_s: Expected duration of a plain call; None without an
+            estimate.
+        cost_samples: Earlier requests that the estimate relies on; None
+            without an estimate.
     """
 
     request_id: ids.RequestId
@@ -69,6 +75,31 @@
     route: str = ""
     output_limit_tokens: int = 0
     booked_output_tokens: int | None = None
+    hint_tokens: int | None = None
+    expected_duration_s: float | None = None
+    cost_samples: int | None = None
+
+    def limit_booking(self, engine_tokens: int) -> PlacementRequest:
+        """Returns the request with a reservation that an empty engine holds.
+
+        A request that fits by its hint is not refused for an estimate.
+
+        Args:
+            engine_tokens: Memory of an engine.
+        """
+        free_tokens = engine_tokens - self.prompt_tokens
+        if (
+            self.booked_output_tokens is None
+            or self.booked_output_tokens <= free_tokens
+            or (self.hint_tokens or 0) > free_tokens
+        ):
+            return self
+        return dataclasses.replace(self, booked_output_tokens=free_tokens)
+
+    @property
+    def estimated_tokens(self) -> int | None:
+        """Estimated length of the output; None without an estimate."""
+        return None if self.hint_tokens is None else self.output_tokens
 
     @property
     def memory_tokens(self) -> int:
@@ -110,6 +141,10 @@
         helpers: Engines that prefill parts of the prompt.
         expected_first_s: Expected time to the answer or the first event.
         reason: Why this endpoint was chosen, for logs.
+        expected_tokens: Expected length of the output; None without an
+            estimate.
+        cost_samples: Earlier requests that the estimate relies on; None
+            without an estimate.
     """
 
     endpoint: ids.EndpointId
@@ -117,6 +152,8 @@
     helpers: tuple[Helper, ...]
     expected_first_s: float
     reason: str
+    expected_tokens: int | None = None
+    cost_samples: int | None = None
 
 
 class RefusalReason(enum.Enum):
