Shorten waits between the imports and the first placement

Cause, found by reading and shown by tests: - Requests that wait for the first configuration each polled for it every 20 ms and took capacity in the order in which they woke. - An instance drew the delay of its campaign before it had read the store, as if the fleet were unknown: the first of the fleet waited up to 1 s and the last might campaign first. It checked the key every 0.1 s. - A placer that restarts waited for the lease of its own earlier process. - A new placer steps down after 1.2 s without a majority, although the others, with a third of a core, need longer to start. - A new instance checked its entry before it knew the store, and then 0.5 s later. Change: a queue releases waiting requests by priority and arrival when the configuration arrives. Campaigns begin once the store is read, and a change of the key ends the wait. The key of an earlier process of the same instance counts as vacant. For 5 s after its start a placer counts instances that have refused every connection towards its majority. Registration waits for the configuration. Calls to the store: no more than before; the delays by rank stay.

--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -119,6 +119,8 @@
         receives_store_updates: Returns whether this instance receives updates
             from the store.
         notices: What endpoints have asked of this instance.
+        fleet_starts_until_s: Monotonic time until which other instances may
+            still be starting.
     """
 
     def __init__(
@@ -132,7 +134,11 @@
         reader: reports.Reader,
         receives_store_updates: Callable[[], bool],
         notices: endpoint_notices.EndpointNotices,
+        fleet_starts_until_s: float = 0.0,
     ) -> None:
+        self._fleet_starts_until_s = fleet_starts_until_s
+        self._not_started: set[ids.InstanceId] = set()
+        self._has_started: set[ids.InstanceId] = set()
         self._receives_store_updates = receives_store_updates
         self.epoch = epoch
         self._report_poller = reports.ReportPoller(
@@ -184,9 +190,16 @@
 
     @property
     def has_majority(self) -> bool:
-        """Whether at least half of the other instances have a session."""
+        """Whether at least half of the other instances have a session.
+
+        While a fleet starts, those that have refused all connections count as
+        well: the network reaches them, and they run no requests.
+        """
         others = [i for i in self._catalogue.members if i != self._instance]
-        served = sum(i in self._sessions for i in others)
+        known = set(self._sessions)
+        if clock.now_s() < self._fleet_starts_until_s:
+            known |= self._not_started
+        served = sum(i in known for i in others)
         return 2 * served >= len(others)
 
     def hand_over(self) -> bool:
@@ -509,6 +522,7 @@
         served = self._sessions.keys()
         for instance in self._dials.keys() - members.keys() - served:
             self._dials.pop(instance).cancel()
+            self._not_started.discard(instance)
             self._unreachable_since_s.pop(instance, None)
 
     async def _serve_with_reconnects(
@@ -533,8 +547,18 @@
     async def _serve(
         self, instance: ids.InstanceId, channel: client.Channel
     ) -> None:
-        async with asyncio.timeout(DIAL_TIMEOUT_S):
-            await channel.__connect__()
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                await channel.__connect__()
+        except ConnectionRefusedError:
+            if instance not in self._has_started:
+                self._not_started.add(instance)
+            raise
+        except (OSError, TimeoutError):
+            self._not_started.discard(instance)
+            raise
+        self._not_started.discard(instance)
+        self._has_started.add(instance)
         stub = placement_grpc.PlacementServiceStub(channel)
         outbox: message_streams.Outbox[placement_pb2.PlacerMessage] = (
             message_streams.Outbox()
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -33,6 +33,10 @@
 """Time without a majority after which a placer steps down. It is longer than
 connecting to instances that start at the same time takes."""
 
+FLEET_START_S = 5.0
+"""Time after its own start in which an instance expects others to start too.
+After a power loss the weakest ones take some seconds longer than the others."""
+
 RESTART_DELAY_S = 0.2
 """Delay before a placer that has failed is started again."""
 
@@ -83,6 +87,7 @@
         control: ClusterControl,
         notices: endpoint_notices.EndpointNotices,
     ) -> None:
+        self._fleet_starts_until_s = clock.now_s() + FLEET_START_S
         self._notices = notices
         self._control = control
         self._placer: placer.Placer | None = None
@@ -136,6 +141,7 @@
             self._reader,
             self._receives_store_updates,
             self._notices,
+            self._fleet_starts_until_s,
         )
         placer_task = asyncio.create_task(local_placer.run())
         try:
--- a/packages/coordination/poplarwick_coordination/registration.py
+++ b/packages/coordination/poplarwick_coordination/registration.py
@@ -64,6 +64,7 @@
 
     async def run(self) -> None:
         """Writes the entry whenever it is missing, until cancelled."""
+        await self._wait_for_configuration()
         while True:
             if self._is_lost_by_restore():
                 await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
@@ -72,6 +73,21 @@
                 await self._write()
             await asyncio.sleep(CHECK_PERIOD_S)
 
+    async def _wait_for_configuration(self) -> None:
+        """Waits until the store was read, which tells whether to write."""
+        known = asyncio.Event()
+
+        def check() -> None:
+            if self._catalogue.routing is not None:
+                known.set()
+
+        self._catalogue.add_listener(check)
+        try:
+            check()
+            await known.wait()
+        finally:
+            self._catalogue.remove_listener(check)
+
     def _is_lost_by_restore(self) -> bool:
         """Returns whether a restore of the store has lost the entry."""
         return self._mirror.is_carried(self._key) and not self._is_on_its_way()
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -70,7 +70,8 @@
 """Time for which an instance that has lost the majority does not campaign."""
 
 POLL_PERIOD_S = 0.1
-"""Interval between checks of the key in the mirror, which a watch updates."""
+"""Interval between checks of the key in the mirror. A change of the key ends
+the wait."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +129,10 @@
         self._lease: kv.LeaseId | None = None
         self._may_campaign = True
         self._on_change: Callable[[ids.Epoch | None], None] | None = None
+        self._value: bytes | None = None
+        self._has_read_store = bool(store_mirror.revision)
+        self._key_changed = asyncio.Event()
+        store_mirror.add_listener(self._handle_changes)
 
     def on_change(self, listener: Callable[[ids.Epoch | None], None]) -> None:
         """Calls `listener` with the new epoch when the tenure begins or ends.
@@ -142,11 +147,17 @@
             try:
                 if self._lease is not None:
                     await self._renew()
-                elif self._can_campaign() and self._is_vacant():
+                elif (
+                    # Without the store's content, neither the key nor this
+                    # instance's rank is known.
+                    self._mirror.revision
+                    and self._can_campaign()
+                    and self._is_vacant()
+                ):
                     await self._campaign()
                 else:
                     self._take_over_in_outage()
-                    await asyncio.sleep(POLL_PERIOD_S)
+                    await self._wait_for_change()
             except kv.LeaseLostError as error:
                 self._lease = None
                 logs.log(log_events.TenureLeaseLost(reason=str(error)))
@@ -198,6 +209,19 @@
         except kv.KvError as error:
             logs.log(log_events.TenureNotReturned(reason=str(error)))
 
+    def _handle_changes(self, changes: tuple[kv.Change, ...]) -> None:
+        if not self._has_read_store or any(
+            change.key == self._key for change in changes
+        ):
+            self._has_read_store = True
+            self._key_changed.set()
+
+    async def _wait_for_change(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POLL_PERIOD_S):
+                await self._key_changed.wait()
+        self._key_changed.clear()
+
     def _can_campaign(self) -> bool:
         return self._may_campaign and clock.now_s() >= self._campaign_after_s
 
@@ -235,7 +259,18 @@
             return True
         if self.epoch is not None:
             return self._mirror.is_carried(self._key) or self._is_stale(entry)
-        return self._is_stale(entry)
+        return self._is_left_behind(entry) or self._is_stale(entry)
+
+    def _is_left_behind(self, entry: kv.Entry) -> bool:
+        """Returns whether an earlier process of this instance has the key.
+
+        It has ended, so nobody renews the lease, but the key stays until the
+        lease expires.
+        """
+        return (
+            entry.value.split(b" ")[0] == self._instance.encode()
+            and entry.value != self._value
+        )
 
     def _is_stale(self, entry: kv.Entry) -> bool:
         """Returns whether the key was restored and nobody renews its lease."""
@@ -263,6 +298,7 @@
             condition = kv.KeyUnchanged(self._key, stale.mod_revision)
         lease = await self._client.grant_lease(self._ttl_s, kv.Purpose.LEASE)
         value = f"{self._instance} {secrets.token_hex(8)}".encode()
+        self._value = value
         try:
             result = await self._client.commit(
                 (condition,),
@@ -293,7 +329,10 @@
         return ids.Epoch(max(number, last_epoch // EPOCH_STEP + 1) * EPOCH_STEP)
 
     def _calculate_campaign_delay_s(self) -> float:
-        if self.epoch is not None:
+        entry = self._mirror.get(self._key)
+        if self.epoch is not None or (
+            entry is not None and self._is_left_behind(entry)
+        ):
             return 0.0
         incumbent_s = 0.0
         if (
--- /dev/null
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -0,0 +1,259 @@
+"""Waits of instances that start at once, as after a loss of power.
+
+Callers are already there, so a wait that is longer than needed costs their
+requests. The store still holds the members of the fleet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import types
+
+from poplarwick_catalogue import catalogue
+from poplarwick_catalogue import deployment
+from poplarwick_coordination import placer
+from poplarwick_coordination import placer_role
+from poplarwick_coordination import registration
+from poplarwick_coordination import tenure
+from poplarwick_core import clock
+from poplarwick_platform import kv
+from poplarwick_platform import mirror
+
+KEY = "placer"
+NAMES = ("a", "b", "c", "d", "e")
+
+DEPLOYMENT = deployment.Deployment(
+    **dict.fromkeys(
+        ("instance", "domain", "region", "caller_address", "peer_address"), "a"
+    ),
+    regions_by_domain={"a": "a"},
+    readiness_address="a",
+    relay_address="a",
+    metrics_address="a",
+    store_address="a",
+    lease_ttl_min_s=1.0,
+    strength=1.0,
+    bounds=deployment.Bounds(8.0, 0.2, 10.0, 100.0, 1.5, 5.0, 20.0, 4.0),
+)
+
+
+class RecordingStore:
+    """Client of a store that accepts everything; records the commits."""
+
+    def __init__(self):
+        self.commits = []
+
+    async def grant_lease(self, ttl_s, purpose):
+        return kv.LeaseId(1)
+
+    async def keep_alive(self, lease):
+        return 1.0
+
+    async def commit(self, conditions, operations, purpose):
+        self.commits.append((conditions, operations))
+        return kv.Committed(kv.Revision(10 + len(self.commits)), 0)
+
+
+def make_members(names=NAMES):
+    return {
+        name: catalogue.MemberItem(name, f"{name}:1", 100 - number)
+        for number, name in enumerate(names)
+    }
+
+
+def make_tenure(store, store_mirror, read_members, name="a"):
+    return tenure.Tenure(
+        store,
+        store_mirror,
+        KEY,
+        name,
+        read_members,
+        1.0,
+        lambda: tenure.TakeoverState(False, None, 0),
+    )
+
+
+def read_store(store_mirror, *entries):
+    store_mirror.apply_snapshot(
+        kv.Snapshot((kv.Entry("m", b"", 1, 1), *entries), kv.Revision(9), 0)
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(coroutine):
+    task = asyncio.create_task(coroutine)
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def wait_until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+def test_first_of_the_fleet_campaigns_as_soon_as_it_has_read_the_store(
+    monkeypatch,
+):
+    # A delay for a fleet of unknown size would outlast the test.
+    monkeypatch.setattr(tenure, "CAMPAIGN_SPREAD_S", 1_000.0)
+    monkeypatch.setattr(tenure, "POLL_PERIOD_S", 1_000.0)
+    members = {}
+
+    async def run():
+        store, store_mirror = RecordingStore(), mirror.Mirror()
+        holder = make_tenure(store, store_mirror, lambda: members)
+        async with running(holder.run()):
+            await asyncio.sleep(0.05)
+            assert not store.commits
+            members.update(make_members())
+            read_store(store_mirror)
+            await wait_until(lambda: holder.epoch is not None)
+
+    asyncio.run(run())
+
+
+def test_last_of_the_fleet_leaves_the_tenure_to_others(monkeypatch):
+    # A delay drawn before the store was read would end too early.
+    monkeypatch.setattr(tenure.random, "uniform", lambda low, high: 0.1)
+    members = {}
+
+    async def run():
+        store, store_mirror = RecordingStore(), mirror.Mirror()
+        holder = make_tenure(store, store_mirror, lambda: members, "e")
+        async with running(holder.run()):
+            await asyncio.sleep(0.05)
+            members.update(make_members())
+            read_store(store_mirror)
+            await asyncio.sleep(2 * tenure.CAMPAIGN_STEP_S)
+            assert not store.commits
+
+    asyncio.run(run())
+
+
+def test_restarted_placer_does_not_wait_for_its_own_lease_to_expire():
+    async def run():
+        store, store_mirror = RecordingStore(), mirror.Mirror()
+        holder = make_tenure(store, store_mirror, make_members)
+        read_store(store_mirror, kv.Entry(KEY, b"a 01", 5, 5, kv.LeaseId(7)))
+        async with running(holder.run()):
+            await wait_until(lambda: holder.epoch is not None)
+        conditions, _ = store.commits[0]
+        assert conditions == (kv.KeyUnchanged(KEY, kv.Revision(5)),)
+
+    asyncio.run(run())
+
+
+def test_key_of_another_placer_is_left_until_its_lease_expires():
+    async def run():
+        store, store_mirror = RecordingStore(), mirror.Mirror()
+        holder = make_tenure(store, store_mirror, make_members)
+        read_store(store_mirror, kv.Entry(KEY, b"b 01", 5, 5, kv.LeaseId(7)))
+        async with running(holder.run()):
+            await asyncio.sleep(0.3)
+            assert not store.commits
+            store_mirror.apply_changes(
+                (kv.Change(KEY, None, kv.Revision(10)),),
+                kv.Position(0, kv.Revision(10)),
+            )
+            await wait_until(lambda: holder.epoch is not None)
+
+    asyncio.run(run())
+
+
+def test_instance_registers_as_soon_as_it_has_read_the_store(monkeypatch):
+    monkeypatch.setattr(registration, "CHECK_PERIOD_S", 1_000.0)
+
+    async def run():
+        store, store_mirror = RecordingStore(), mirror.Mirror()
+        instance_catalogue = catalogue.Catalogue(store_mirror, lambda *_: None)
+        registered = registration.Registration(
+            store, store_mirror, instance_catalogue, "a", "a:1", "key", b""
+        )
+        async with running(registered.run()):
+            await asyncio.sleep(0.02)
+            assert not store.commits
+            instance_catalogue.routing = types.SimpleNamespace()
+            instance_catalogue.refresh()
+            await wait_until(lambda: store.commits)
+
+    asyncio.run(run())
+
+
+class Channel:
+    """Channel whose next connections fail, or not where the error is None.
+
+    It serves no calls, so that a stream that is opened on it fails.
+    """
+
+    def __init__(self, errors):
+        self._errors = errors
+
+    async def __connect__(self):
+        error = next(self._errors)
+        if error is not None:
+            raise error
+
+    def close(self):
+        pass
+
+
+def make_placer(errors, fleet_starts_until_s):
+    instance_catalogue = catalogue.Catalogue(mirror.Mirror(), lambda *_: None)
+    instance_catalogue.members.update(make_members())
+    # The last error repeats.
+    errors_by_address = {
+        member.address: itertools.chain(errors, itertools.repeat(errors[-1]))
+        for member in instance_catalogue.members.values()
+    }
+    return placer.Placer(
+        "a",
+        instance_catalogue,
+        mirror.Mirror(),
+        DEPLOYMENT,
+        lambda address: Channel(errors_by_address[address]),
+        1,
+        None,
+        lambda: True,
+        types.SimpleNamespace(is_paused=lambda address: False),
+        fleet_starts_until_s,
+    )
+
+
+async def has_majority_after_dials(fleet_starts_in_s, *errors):
+    local_placer = make_placer(errors, clock.now_s() + fleet_starts_in_s)
+    local_placer._dial_members()
+    await asyncio.sleep(0.1)
+    has_majority = local_placer.has_majority
+    local_placer.stop()
+    return has_majority
+
+
+def test_instances_that_have_not_started_do_not_end_the_tenure():
+    refused = ConnectionRefusedError()
+    assert asyncio.run(has_majority_after_dials(5.0, refused))
+
+
+def test_refusals_after_the_start_do_not_make_a_majority():
+    refused = ConnectionRefusedError()
+    assert not asyncio.run(has_majority_after_dials(-1.0, refused))
+
+
+def test_instances_that_are_not_reached_do_not_make_a_majority():
+    assert not asyncio.run(has_majority_after_dials(5.0, TimeoutError()))
+
+
+def test_instances_that_ended_after_their_start_do_not_make_a_majority(
+    monkeypatch,
+):
+    monkeypatch.setattr(placer, "REDIAL_DELAY_S", 0.01)
+    refused = ConnectionRefusedError()
+    assert not asyncio.run(has_majority_after_dials(5.0, None, refused))
+
+
+def test_expected_start_of_a_fleet_exceeds_the_limit_of_isolation():
+    assert placer_role.FLEET_START_S > placer_role.ISOLATION_S
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -21,6 +21,7 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import configuration_queue
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import fingerprints
 from poplarwick_forwarding import headers
@@ -50,8 +51,8 @@
 CONFIGURATION_WAIT_MAX_S = 2.5
 """Upper bound of that wait."""
 
-CONFIGURATION_POLL_S = 0.02
-"""Period of the checks for the configuration during that wait."""
+REJECTED_PRIORITY = 0
+"""Place in the queue of a request that is rejected; it takes no capacity."""
 
 BODY_TIMEOUT_S = 30.0
 """Timeout of a request body if the caller gives no deadline; twice the longest
@@ -86,7 +87,9 @@
         self._idle.set()
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
-        self._read_routing = read_routing
+        self._configuration_queue = configuration_queue.ConfigurationQueue(
+            read_routing
+        )
         self._dialect = wire_dialect
         self._runner = runner
         self._rng = random.Random()
@@ -125,6 +128,10 @@
         """Open connections of callers."""
         return [] if self._server is None else self._server.connections
 
+    def handle_configuration(self) -> None:
+        """Serves requests that waited; called when the catalogue changes."""
+        self._configuration_queue.release()
+
     def stop_listening(self) -> None:
         """Stops accepting connections and refuses further requests.
 
@@ -182,7 +189,7 @@
                 )
             )
             return _reject(request, admission.Rejection.UNREADABLE)
-        rules = await self._wait_for_routing(metadata)
+        rules = await self._wait_for_routing(request, metadata)
         if rules is None:
             return self._refuse(request, "no_configuration")
         try:
@@ -214,7 +221,9 @@
         return await self._run(request, exchange, rules.version)
 
     async def _wait_for_routing(
-        self, metadata: dialect.RequestMetadata
+        self,
+        request: web_request.BaseRequest,
+        metadata: dialect.RequestMetadata,
     ) -> routing.Routing | None:
         """Returns the configuration, waiting for it briefly after a start.
 
@@ -223,14 +232,20 @@
         refused may not retry.
         """
         time_left_s = metadata.time_left_s or CONFIGURATION_WAIT_MAX_S
-        wait_ends_at_s = clock.now_s() + min(
-            CONFIGURATION_WAIT_SHARE * time_left_s, CONFIGURATION_WAIT_MAX_S
+        host = request.headers.get("Host", "")
+
+        def read_priority(rules: routing.Routing) -> int:
+            admitted = admission.admit(rules, host, request.raw_path, metadata)
+            if isinstance(admitted, admission.Rejection):
+                return REJECTED_PRIORITY
+            return admitted.priority
+
+        return await self._configuration_queue.wait(
+            read_priority,
+            min(
+                CONFIGURATION_WAIT_SHARE * time_left_s, CONFIGURATION_WAIT_MAX_S
+            ),
         )
-        while True:
-            rules = self._read_routing()
-            if rules is not None or clock.now_s() >= wait_ends_at_s:
-                return rules
-            await asyncio.sleep(CONFIGURATION_POLL_S)
 
     def _make_exchange(
         self,
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -229,6 +229,7 @@
                 runner,
             )
         )
+        self.catalogue.add_listener(self.frontend.handle_configuration)
         await enter(
             page_server.PageServer(
                 instance_deployment.readiness_address,
--- a/scripts/measure_start.py
+++ b/scripts/measure_start.py
@@ -45,15 +45,14 @@
 
 REQUEST_DEADLINE_S = 10.0
 PLACER_KEY = "poplarwick/placer"
-MEMBER_PREFIX = "poplarwick/instances/"
 NS_PER_S = 1_000_000_000
 US_PER_S = 1_000_000
 KB_PER_MB = 1_000
 
 STEPS = ("first connection", "store", "tenure", "first placement")
 """Steps of a start: the instance accepts a connection (interpreter and imports
-are done), its first call reaches the store, it or another instance holds the
-tenure, and a caller receives the response to the first request."""
+are done), the first call of any reaches the store, one holds the tenure, and a
+caller receives the response to the first request at the instance."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +96,11 @@
     """Prints the samples by step, and the imports by package if asked."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--instances", type=int, default=1)
+    parser.add_argument(
+        "--power-loss",
+        action="store_true",
+        help="measure a second start, after all instances were killed",
+    )
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--packages", type=int, default=15)
     parser.add_argument(
@@ -114,7 +118,13 @@
         print(f"package={package} import_s={self_s:.3f} modules={modules}")
     found: dict[str, list[Sample]] = collections.defaultdict(list)
     for _ in range(arguments.rounds):
-        for instance in asyncio.run(_run(interpreter, arguments.instances)):
+        for instance in asyncio.run(
+            _run(
+                interpreter,
+                arguments.instances,
+                has_power_loss=arguments.power_loss,
+            )
+        ):
             for step, sample in instance.steps.items():
                 found[step].append(sample)
     for step in STEPS:
@@ -217,7 +227,9 @@
         yield paths
 
 
-async def _run(interpreter: list[str], count: int) -> list[Instance]:
+async def _run(
+    interpreter: list[str], count: int, *, has_power_loss: bool
+) -> list[Instance]:
     """Starts instances at once and waits until each has placed a request."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(platform_store.Store())
@@ -235,23 +247,34 @@
             )
         paths = stack.enter_context(_write_settings(count, store.address))
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        instances = [
-            Instance(
-                number,
-                [*interpreter, str(LAUNCHER), str(path)],
-                _choose_ip(number),
-            )
-            for number, path in enumerate(paths)
-        ]
-        stack.callback(_stop, instances)
+        if has_power_loss:
+            await _start(interpreter, paths, store, session)
+        return await _start(interpreter, paths, store, session)
+
+
+async def _start(
+    interpreter: list[str],
+    paths: list[pathlib.Path],
+    store: platform_store.Store,
+    session: aiohttp.ClientSession,
+) -> list[Instance]:
+    """Starts instances, and kills them once each has placed a request."""
+    instances: list[Instance] = []
+    earlier = store.items.get(PLACER_KEY)
+    try:
+        for number, path in enumerate(paths):
+            command = [*interpreter, str(LAUNCHER), str(path)]
+            instances.append(Instance(number, command, _choose_ip(number)))
         async with (
             asyncio.timeout(START_TIMEOUT_S),
             asyncio.TaskGroup() as group,
         ):
             for instance in instances:
                 group.create_task(_call(session, instance))
-                group.create_task(_watch_store(store, instance))
-        return instances
+                group.create_task(_watch_store(store, instance, earlier))
+    finally:
+        _stop(instances)
+    return instances
 
 
 def _stop(instances: list[Instance]) -> None:
@@ -261,14 +284,20 @@
         instance.process.wait()
 
 
-async def _watch_store(store: platform_store.Store, instance: Instance) -> None:
+async def _watch_store(
+    store: platform_store.Store,
+    instance: Instance,
+    earlier: platform_store.Item | None,
+) -> None:
+    calls_before = len(store.calls)
     while not {"store", "tenure"} <= instance.steps.keys():
-        # The first calls cannot be told apart by instance; its own entry can.
-        if MEMBER_PREFIX + instance.name in store.items or (
-            len(store.calls) and instance.name == "front-0"
-        ):
+        # Calls cannot be told apart by instance: this is the first of them.
+        if len(store.calls) > calls_before:
             instance.record("store")
-        if PLACER_KEY in store.items:
+        held = store.items.get(PLACER_KEY)
+        if held is not None and (
+            earlier is None or held.revision > earlier.revision
+        ):
             instance.record("tenure")
         await asyncio.sleep(POLL_PERIOD_S)
 
--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -212,3 +212,60 @@
     assert ended.endswith(" 1.0")
     assert "poplarwick_request_seconds_count{" in text
     assert "poplarwick_configuration_version" in text
+
+
+def test_callers_that_wait_for_a_start_are_served_by_priority(tmp_path):
+    # The first request released takes the only slot, whoever sent it.
+    tenants = [
+        {"name": "urgent", "api_keys": ["u"], "priority": 0},
+        {"name": "other", "api_keys": ["o"], "priority": 2},
+    ]
+    names = ["o1", "o2", "u1", "o3", "u2"]
+
+    async def run():
+        async with platform_cluster.run_cluster(
+            tmp_path, pool=0, orders=1, instances=0
+        ) as cluster:
+            (replica,) = cluster.replicas
+            replica.slots = 1
+            replica.response_delay_s = 0.05
+            await cluster.store.put(
+                f"servers/{replica.name}", replica.make_entry()
+            )
+            await cluster.store.put(
+                "op/config",
+                platform_cluster.make_configuration(2, None, tenants),
+            )
+            cluster.store.is_down = True
+            instance = platform_cluster.Instance(
+                "front-0", cluster.store.address, tmp_path
+            )
+            cluster.instances.append(instance)
+            try:
+                await platform_cluster.wait_until(
+                    lambda: "/v1/kv-range" in cluster.store.calls
+                )
+                calls = []
+                for name in names:
+                    calls.append(asyncio.create_task(order(cluster, name)))
+                    await asyncio.sleep(0.02)
+                cluster.store.is_down = False
+                assert await asyncio.gather(*calls) == [200] * len(names)
+            finally:
+                await instance.kill()
+            return [arrival.request_id for arrival in replica.arrivals]
+
+    assert asyncio.run(run()) == ["u1", "u2", "o1", "o2", "o3"]
+
+
+async def order(cluster, name):
+    """Returns the status of a request whose tenant has the name's letter."""
+    async with cluster.call(
+        "/stock/",
+        headers={
+            "X-Api-Key": name[0],
+            "Request-Id": name,
+            "Deadline-Ms": "8000",
+        },
+    ) as response:
+        return response.status
