--- a/deploy/bytecode.py
+++ b/deploy/bytecode.py
@@ -13,6 +13,7 @@
 import importlib.machinery
 import importlib.util
 import marshal
+import os
 import pathlib
 import sys
 import types
@@ -40,14 +41,16 @@
     }
 
 
-def get_bytecode_path(source: pathlib.Path) -> pathlib.Path:
+def get_bytecode_path(source: str) -> str:
     """Returns where the bytecode of a module of the checkout is stored.
 
-    Raises:
-        ValueError: The module is not in the checkout.
+    Paths are strings because this runs for a hundred modules at a start.
+
+    Args:
+        source: Path of the module under `ROOT`.
     """
-    tag = sys.implementation.cache_tag
-    return BYTECODE / source.relative_to(ROOT).with_suffix(f".{tag}.pyc")
+    relative = source.removeprefix(str(ROOT)).removesuffix(".py")
+    return f"{BYTECODE}{relative}.{sys.implementation.cache_tag}.pyc"
 
 
 class BytecodeLoader(importlib.machinery.SourceFileLoader):
@@ -57,9 +60,7 @@
         """Returns the code of a module; compiles it if there is no bytecode."""
         source_path = self.get_filename(fullname)
         try:
-            bytecode = self.get_data(
-                str(get_bytecode_path(pathlib.Path(source_path)))
-            )
+            bytecode = self.get_data(get_bytecode_path(source_path))
         except OSError:
             return super().get_code(fullname)
         source_hash = importlib.util.source_hash(self.get_data(source_path))
@@ -94,18 +95,20 @@
         package = self._packages.get(name)
         if package is None:
             return None
-        location = package.joinpath(*parts)
-        is_package = location.is_dir()
-        source = str(
-            location / "__init__.py"
+        location = os.path.join(package, *parts)
+        is_package = os.path.isdir(location)
+        source = (
+            os.path.join(location, "__init__.py")
             if is_package
-            else location.with_suffix(".py")
+            else f"{location}.py"
         )
+        if not os.path.isfile(source):
+            return None
         return importlib.util.spec_from_file_location(
             fullname,
             source,
             loader=BytecodeLoader(fullname, source),
-            submodule_search_locations=[str(location)] if is_package else None,
+            submodule_search_locations=[location] if is_package else None,
         )
 
 
@@ -134,7 +137,7 @@
         for source in package.glob("**/*.py"):
             py_compile.compile(
                 str(source),
-                cfile=str(get_bytecode_path(source)),
+                cfile=get_bytecode_path(str(source)),
                 doraise=True,
                 invalidation_mode=py_compile.PycInvalidationMode.CHECKED_HASH,
             )
