Let stand-in endpoints cut unread responses and leave bodies unread

Cause: no stand-in shows what endpoints do to a caller that reads slowly. Change: a replica cuts a stream that stays unread for unread_limit_s, by a reset or in order; events can be made large; fault BODY_UNREAD reads no request body.

--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -42,6 +42,12 @@
 SLOW_PART_INTERVAL_S = 0.2
 """An event with fault SLOW_EVENT arrives in ten parts over two seconds."""
 
+UNREAD_BUFFER_BYTES = 16_384
+"""Send buffer of streams that are cut if they stay unread."""
+
+UNREAD_CHECK_S = 0.05
+"""Interval between checks whether a stream is read."""
+
 ENDLESS_PART_BYTES = 65_536
 """Size of the parts of a body with fault ENDLESS_BODY."""
 
@@ -70,6 +76,7 @@
     UNDELIMITED_EMPTY = "undelimited_empty"
     UNDELIMITED_INSIDE_EVENT = "undelimited_inside_event"
     UNDELIMITED_OPEN = "undelimited_open"
+    BODY_UNREAD = "body_unread"
 
 
 @dataclasses.dataclass
@@ -160,6 +167,12 @@
         crashed_at_s: Monotonic time of that crash; None if there was none.
         notice_headers: Headers that are added to every response.
         event_count: Number of events per stream.
+        event_bytes: Size of an event; 0 for events of a few bytes.
+        unread_limit_s: Time after which a stream that stays unread is cut;
+            None if it never is.
+        resets_unread: Whether it resets the connection of such a stream;
+            otherwise the connection ends after the data that is under way.
+        unread_cuts: Ids of the requests whose streams were cut so.
         event_interval_s: Interval between the events of a stream.
         response_delay_s: Duration of a request to a plain service.
         slots: Maximum number of concurrent requests.
@@ -192,6 +205,10 @@
         self.crashed_at_s: float | None = None
         self.notice_headers: dict[str, str] = {}
         self.event_count = 5
+        self.event_bytes = 0
+        self.unread_limit_s: float | None = None
+        self.resets_unread = True
+        self.unread_cuts: list[str] = []
         self.event_interval_s = 0.01
         self.response_delay_s = 0.01
         self.slots = 8
@@ -286,6 +303,8 @@
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421, headers={"Replica-Id": "other"})
         self.arrivals.append(arrival)
+        if self.fault is Fault.BODY_UNREAD:
+            await asyncio.sleep(HANG_S)
         if self.fault is Fault.FULL:
             full = _refuse(self.address)
             full.headers.update(self.notice_headers)
@@ -510,10 +529,7 @@
         assert transport is not None
         transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\nhalf of it".encode())
         await asyncio.sleep(0.05)
-        transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-        transport.abort()
+        _reset(request)
         return web.Response()
 
     async def _stream_undelimited(
@@ -583,6 +599,12 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        if self.unread_limit_s is not None and request.transport is not None:
+            request.transport.set_write_buffer_limits(0)
+            # Otherwise the kernel takes megabytes that nobody reads.
+            request.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BUFFER_BYTES
+            )
         await asyncio.sleep(prompt_tokens / PREFILL_TOKENS_PER_S / engine_count)
         await self._crash_on(execution)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
@@ -590,6 +612,8 @@
         for number in range(first, events + 1):
             await asyncio.sleep(self.event_interval_s)
             event = self.make_event(execution.request_id, number)
+            if self.event_bytes:
+                event = _enlarge(event, self.event_bytes)
             is_middle = number == (first + events) // 2
             if is_middle and execution.fault is Fault.SKIP_EVENT:
                 continue
@@ -598,7 +622,7 @@
             if is_middle and execution.fault is Fault.TRICKLE:
                 await _trickle(response, event)
             if is_middle and execution.fault is Fault.SLOW_EVENT:
-                event = _enlarge(event)
+                event = _enlarge(event, SLOW_EVENT_BYTES)
                 for begin in range(0, len(event), SLOW_PART_BYTES):
                     await response.write(event[begin:][:SLOW_PART_BYTES])
                     await asyncio.sleep(SLOW_PART_INTERVAL_S)
@@ -610,10 +634,30 @@
             if is_middle and execution.fault is Fault.CUT_BEFORE_END:
                 _abort(request)
                 return response
-            await response.write(event)
+            await self._write(request, response, event)
         await response.write_eof()
         return response
 
+    async def _write(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        data: bytes,
+    ) -> None:
+        """Sends bytes of a stream; cuts it if it stays unread for too long."""
+        await response.write(data)
+        deadline_s = time.monotonic() + (self.unread_limit_s or 0.0)
+        while self.unread_limit_s is not None and (
+            request.protocol.writing_paused
+        ):
+            if time.monotonic() > deadline_s:
+                self.unread_cuts.append(request.headers["Request-Id"])
+                if self.resets_unread:
+                    _reset(request)
+                _abort(request)
+                raise ConnectionResetError("the stream stays unread")
+            await asyncio.sleep(UNREAD_CHECK_S)
+
 
 async def _trickle(response: web.StreamResponse, event: bytes) -> None:
     """Sends a byte of an event now and then, without ever completing it."""
@@ -622,9 +666,9 @@
         await asyncio.sleep(TRICKLE_INTERVAL_S)
 
 
-def _enlarge(event: bytes) -> bytes:
+def _enlarge(event: bytes, size_bytes: int) -> bytes:
     """Returns an event with a large comment before its data."""
-    comment = b": " + b"." * (SLOW_EVENT_BYTES - len(event)) + b"\n"
+    comment = b": " + b"." * (size_bytes - len(event)) + b"\n"
     return comment + event
 
 
@@ -671,3 +715,12 @@
 def _abort(request: web.BaseRequest) -> None:
     if request.transport is not None:
         request.transport.abort()
+
+
+def _reset(request: web.BaseRequest) -> None:
+    """Discards what is under way and resets the connection."""
+    if request.transport is not None:
+        request.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        request.transport.abort()
