Bound the data that is buffered for slow callers and endpoints

Cause: an answer that its caller does not read stayed in write buffers and in socket buffers that Linux lets grow to megabytes. An endpoint that cut a stream because it stayed unread counted as broken and as evidence of a crash, and one that waited for its caller until the deadline as silent. The end of a stream that was received as a whole, and complete answers, no longer hold up the endpoint or end with the deadline. Relays limit their buffers too. test_forwarding names the sink by its new module; test_endless_answers counts its bodies in a budget with the same bound, 32 MiB.

--- /dev/null
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -0,0 +1,48 @@
+"""Bounds the memory that the kernel uses for a TCP connection.
+
+Linux lets the buffers of a connection grow to several megabytes while the other
+side does not read. A size that is set stays fixed.
+"""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+
+def limit_buffers(sock: Any, size_bytes: int) -> None:
+    """Sets the sizes of the send and receive buffers.
+
+    Args:
+        sock: A socket, or the one of a transport.
+        size_bytes: Size of each; Linux doubles it for its own records.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+
+
+def make_listening_socket(
+    host: str, port: int, size_bytes: int
+) -> socket.socket:
+    """Returns a bound socket whose connections have limited buffers.
+
+    Args:
+        host: Address to bind to.
+        port: Port to bind to.
+        size_bytes: Size of each buffer of a connection.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    ((family, kind, protocol, _, address), *_) = socket.getaddrinfo(
+        host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+    )
+    sock = socket.socket(family, kind, protocol)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        limit_buffers(sock, size_bytes)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -7,17 +7,19 @@
 import random
 import types as python_types
 from collections.abc import Callable
-from collections.abc import Mapping
 from typing import Any
 from typing import Self
 
-import multidict
 from aiohttp import web
 
 from poplarwick_catalogue import routing
 from poplarwick_core import clock
 from poplarwick_core import logs
+from poplarwick_core import socket_buffers
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import buffer_budget
+from poplarwick_forwarding import caller_stream
+from poplarwick_forwarding import caller_watch
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import fingerprints
 from poplarwick_forwarding import headers
@@ -67,6 +69,7 @@
             none yet.
         wire_dialect: Protocol dialect of the platform.
         runner: Runs requests at endpoints.
+        budget: Counts the buffered data.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         read_routing: Callable[[], routing.Routing | None],
         wire_dialect: dialect.Dialect,
         runner: request_runner.RequestRunner,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self.is_leaving = False
         self.is_closed = False
@@ -86,6 +90,9 @@
         self._read_routing = read_routing
         self._dialect = wire_dialect
         self._runner = runner
+        self._budget = budget
+        self._watch = caller_watch.CallerWatch(budget, lambda: self.connections)
+        self._watching: asyncio.Task[None] | None = None
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
@@ -99,11 +106,17 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=HEADER_LIMIT_BYTES,
             max_field_size=HEADER_LIMIT_BYTES,
+            read_bufsize=self._budget.limits.buffer_bytes,
         )
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, self._host, self._port, backlog=1024
+            self._server,
+            sock=socket_buffers.make_listening_socket(
+                self._host, self._port, self._budget.limits.buffer_bytes
+            ),
+            backlog=1024,
         )
+        self._watching = asyncio.create_task(self._watch.run())
         return self
 
     async def __aexit__(
@@ -112,6 +125,8 @@
         error: BaseException | None,
         trace: python_types.TracebackType | None,
     ) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
         if self._listener is not None:
             self._listener.close()
         if self._server is not None:
@@ -180,15 +195,36 @@
         rules = await self._wait_for_routing(metadata)
         if rules is None:
             return self._refuse(request, "no_configuration")
+        with (
+            self._budget.hold() as held,
+            self._watch.track(request, metadata.request_id),
+        ):
+            return await self._admit(
+                request, metadata, rules, held, received_at_s
+            )
+
+    async def _admit(
+        self,
+        request: web.BaseRequest,
+        metadata: dialect.RequestMetadata,
+        rules: routing.Routing,
+        held: buffer_budget.HeldBytes,
+        received_at_s: float,
+    ) -> web.StreamResponse:
+        max_bytes = rules.limits.body_bytes
+        expected_bytes = min(request.content_length or 0, max_bytes)
         try:
+            if not self._budget.can_accept(expected_bytes):
+                raise buffer_budget.BudgetSpentError("before the body")
             async with asyncio.timeout(_choose_body_timeout_s(metadata)):
-                body, digest = await _read_body(
-                    request, rules.limits.body_bytes
-                )
+                body, digest = await _read_body(request, max_bytes, held)
         except TimeoutError:
             return self._refuse(
                 request, "body_not_read", outcomes.Failure.BODY_LATE
             )
+        except buffer_budget.BudgetSpentError:
+            metrics.requests_refused.add(1, {"reason": "buffers_full"})
+            return self._refuse(request, "buffers_full")
         if body is None:
             return _reject(request, admission.Rejection.BODY_TOO_LARGE)
         admitted = admission.admit(
@@ -204,7 +240,7 @@
             )
             return _reject(request, admitted)
         exchange = self._make_exchange(
-            request, metadata, admitted, body, digest, received_at_s
+            request, metadata, admitted, body, digest, received_at_s, held
         )
         return await self._run(request, exchange, rules.version)
 
@@ -235,6 +271,7 @@
         body: bytes,
         digest: fingerprints.BodyDigest,
         received_at_s: float,
+        held: buffer_budget.HeldBytes,
     ) -> http_exchange.Exchange:
         organisation = admitted.organisation
         forwarded = headers.select_headers(
@@ -258,6 +295,7 @@
             deadline_at_s=http_exchange.calculate_deadline_s(
                 admitted.route, metadata, received_at_s
             ),
+            held=held,
         )
 
     async def _run(
@@ -278,9 +316,11 @@
                 time_left_s=exchange.deadline_at_s - exchange.received_at_s,
             )
         )
-        sink = _ResponseSink(request, lambda: self.is_leaving)
+        sink = caller_stream.ResponseSink(request, lambda: self.is_leaving)
         try:
             outcome = await self._runner.run(exchange, sink)
+            if isinstance(outcome, outcomes.Streamed):
+                await sink.finish()
         except asyncio.CancelledError:
             _record_outcome(exchange, "caller_left", sink)
             raise
@@ -288,11 +328,9 @@
             _record_outcome(exchange, "caller_left", sink, reason=repr(error))
             return _abort(request, sink)
         match outcome:
-            case outcomes.CompleteResponse(status, response_headers, body):
+            case outcomes.CompleteResponse(status) as complete:
                 _record_outcome(exchange, "answered", sink, status=status)
-                return web.Response(
-                    status=status, headers=response_headers, body=body
-                )
+                return await self._deliver(request, exchange, sink, complete)
             case outcomes.Streamed():
                 _record_outcome(exchange, "streamed", sink)
                 assert sink.response is not None
@@ -312,6 +350,28 @@
                 )
                 return self._make_local_response(failure, reason, retry_after_s)
 
+    async def _deliver(
+        self,
+        request: web.BaseRequest,
+        exchange: http_exchange.Exchange,
+        sink: caller_stream.ResponseSink,
+        complete: outcomes.CompleteResponse,
+    ) -> web.StreamResponse:
+        try:
+            return await caller_stream.deliver(
+                request,
+                complete,
+                self._budget.limits.buffer_bytes,
+                closes=self.is_leaving,
+            )
+        except ConnectionError as error:
+            logs.log(
+                log_events.AnswerNotDelivered(
+                    request=exchange.metadata.request_id, reason=repr(error)
+                )
+            )
+            return _abort(request, sink)
+
     def _refuse(
         self,
         request: web.BaseRequest,
@@ -345,55 +405,9 @@
         )
 
 
-class _ResponseSink:
-    """Writes a streamed response to the caller's connection."""
-
-    def __init__(
-        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
-    ) -> None:
-        self.has_begun = False
-        self.response: web.StreamResponse | None = None
-        self.first_at_s: float | None = None
-        self.longest_pause_s = 0.0
-        self.bytes_written = 0
-        self._last_at_s: float | None = None
-        self._request = request
-        self._is_leaving = is_leaving
-
-    async def begin(
-        self, status: int, response_headers: Mapping[str, str]
-    ) -> None:
-        """Sends the status and the headers."""
-        response = web.StreamResponse(
-            status=status, headers=multidict.CIMultiDict(response_headers)
-        )
-        response.enable_chunked_encoding()
-        if self._is_leaving():
-            response.force_close()
-        self.response = response
-        self.has_begun = True
-        await response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        """Sends complete events."""
-        assert self.response is not None, "the response has not been started"
-        now_s = clock.now_s()
-        if self._last_at_s is None:
-            self.first_at_s = now_s
-        else:
-            pause_s = now_s - self._last_at_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self._last_at_s = now_s
-        self.bytes_written += len(data)
-        await self.response.write(data)
-
-    async def finish(self) -> None:
-        """Marks the response as complete."""
-        assert self.response is not None, "the response has not been started"
-        await self.response.write_eof()
-
-
-def _abort(request: web.BaseRequest, sink: _ResponseSink) -> web.StreamResponse:
+def _abort(
+    request: web.BaseRequest, sink: caller_stream.ResponseSink
+) -> web.StreamResponse:
     """Closes a caller's connection without completing the response."""
     if request.transport is not None:
         request.transport.abort()
@@ -407,9 +421,13 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, limit: int
+    request: web.BaseRequest, limit: int, held: buffer_budget.HeldBytes
 ) -> tuple[bytes | None, fingerprints.BodyDigest]:
-    """Returns the complete body, or None if it exceeds the limit."""
+    """Returns the complete body, or None if it exceeds the limit.
+
+    Raises:
+        BudgetSpentError: There is no memory for the body.
+    """
     digest = fingerprints.BodyDigest()
     if not request.can_read_body:
         return b"", digest
@@ -417,6 +435,7 @@
         return None, digest
     buffer = bytearray()
     async for chunk in request.content.iter_any():
+        held.add_request_body(len(chunk))
         buffer += chunk
         digest.add(chunk)
         if len(buffer) > limit:
@@ -438,7 +457,7 @@
 def _record_outcome(
     exchange: http_exchange.Exchange,
     outcome: str,
-    sink: _ResponseSink,
+    sink: caller_stream.ResponseSink,
     **fields: Any,
 ) -> None:
     first_s = None
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -7,6 +7,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import dialect
 from poplarwick_placement import messages
 
@@ -33,6 +34,7 @@
         received_at_s: Monotonic time at which the request arrived.
         deadline_at_s: Monotonic time by which the caller must have the
             complete response.
+        held: Counts the data that is buffered for the request.
     """
 
     metadata: dialect.RequestMetadata
@@ -45,6 +47,7 @@
     fingerprint: ids.RequestFingerprint
     received_at_s: float
     deadline_at_s: float
+    held: buffer_budget.HeldBytes
 
     @property
     def route(self) -> types.Route:
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -238,3 +238,47 @@
     pause_s: float | None = None
     total_s: float
     bytes: int | None = None
+
+
+class CallerCutOff(logs.Event, frozen=True, kw_only=True):
+    """A caller's connection was closed because it does not read.
+
+    Attributes:
+        request: Id of its request; None if there is none in progress.
+        unread_s: Time for which it has not read.
+        unsent_bytes: Bytes that waited to be sent.
+        reason: `unread`, or `memory` if requests could not be accepted.
+    """
+
+    level = "WARNING"
+
+    request: str | None = None
+    unread_s: float
+    unsent_bytes: int
+    reason: str
+
+
+class AnswerNotDelivered(logs.Event, frozen=True, kw_only=True):
+    """A caller's connection was lost before it had its complete answer.
+
+    Attributes:
+        request: Id of the request.
+        reason: Error of the connection.
+    """
+
+    request: str
+    reason: str
+
+
+class UnreadResponseCut(logs.Event, frozen=True, kw_only=True):
+    """An endpoint cut a response whose caller did not read it.
+
+    The endpoint is not blamed.
+
+    Attributes:
+        request: Id of the request.
+        unread_s: Time for which the caller had been behind.
+    """
+
+    request: str
+    unread_s: float
--- a/packages/forwarding/poplarwick_forwarding/metrics.py
+++ b/packages/forwarding/poplarwick_forwarding/metrics.py
@@ -20,6 +20,13 @@
 streams_resumed = metrics.make_counter(
     "streams_resumed", "Streams that went on at another endpoint."
 )
+callers_cut_off = metrics.make_counter(
+    "callers_cut_off", "Connections closed because callers do not read."
+)
+unread_responses_cut = metrics.make_counter(
+    "unread_responses_cut",
+    "Responses that endpoints cut because callers do not read.",
+)
 placing_seconds = metrics.make_histogram(
     "placing_seconds", "Time that requests wait for a place."
 )
@@ -34,6 +41,7 @@
     "request_seconds", "Time to the ending, by route and size class."
 )
 
+
 SIZE_CLASSES = ((0, "none"), (10_000, "short"), (100_000, "long"))
 """Upper bounds, in prompt tokens, and names of the size classes."""
 
--- a/packages/forwarding/poplarwick_forwarding/outcomes.py
+++ b/packages/forwarding/poplarwick_forwarding/outcomes.py
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Streamed:
-    """The response was streamed to the caller and is complete."""
+    """The response was streamed to the caller; only its end is to be sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,19 +67,37 @@
 Outcome = CompleteResponse | LocalResponse | Streamed | StreamTruncated
 
 
+class Lag(Protocol):
+    """How far a caller is behind its response."""
+
+    def calculate_lag_s(self, now_s: float) -> float:
+        """Returns the time for which the caller has been behind; 0 if not."""
+        ...
+
+
 class Sink(Protocol):
     """Receives a response that is streamed to the caller."""
 
     has_begun: bool
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the caller's connection takes no more data."""
+        ...
+
+    @property
+    def lag(self) -> Lag:
+        """How far the caller is behind."""
+        ...
+
     async def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Sends the status and the headers."""
         ...
 
     async def write(self, data: bytes) -> None:
-        """Sends complete events."""
+        """Sends complete events, without waiting for the caller to read."""
         ...
 
-    async def finish(self) -> None:
-        """Marks the response as complete."""
+    async def drain(self) -> None:
+        """Waits until the caller's connection takes more data."""
         ...
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -12,6 +12,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import events
 from poplarwick_forwarding import http_exchange
@@ -215,6 +216,10 @@
                 )
             if outcome is not None:
                 return outcome
+            if sink.has_begun:
+                # No endpoint works for a caller that does not read.
+                await sink.drain()
+                progress.broken_at_s = clock.now_s()
 
     def _find_quarantine(
         self, exchange: http_exchange.Exchange
@@ -262,8 +267,6 @@
             progress.executions += 1
             progress.avoided |= {placement.endpoint}
         metrics.attempts_failed.add(1, {"result": error.result.value})
-        if sink.has_begun:
-            progress.broken_at_s = clock.now_s()
         no_retry_reason = self._find_no_retry_reason(exchange, progress, error)
         logs.log(
             log_events.AttemptFailed(
@@ -327,6 +330,7 @@
                 str(error), result, may_have_run=False
             ) from error
         except upstream.SendError as error:
+            backpressure.excuse_cut(error, sink, exchange.metadata.request_id)
             result, blamed = error.result, error.blamed
             if result is messages.Result.UNREACHABLE:
                 progress.unreachable |= {placement.endpoint}
@@ -339,7 +343,12 @@
         except asyncio.CancelledError:
             # A caller that disconnects does not reflect on the endpoint; an
             # endpoint that has not responded by the deadline is unresponsive.
-            if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
+            # Neither does one whose caller does not read.
+            is_unread = sink.has_begun and sink.is_blocked
+            if (
+                clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S
+                and not is_unread
+            ):
                 result = messages.Result.SILENT
             raise
         finally:
@@ -430,7 +439,7 @@
                     exchange, sink, progress, request_number, response, timeout
                 )
                 return outcomes.Streamed()
-            body = await response.read_body()
+            body = await response.read_body(exchange.held)
             self._placement_client.record_first_event(request_number)
             if sink.has_begun:
                 raise upstream.SendError(
@@ -470,7 +479,7 @@
                 self._placement_client.record_first_event(request_number)
                 if not sink.has_begun:
                     await sink.begin(response.status, response.headers)
-                await sink.write(data)
+                await backpressure.write(sink, data, response)
             bytes_without_event += len(chunk)
             if data or bytes_without_event >= MIN_PROGRESS_BYTES:
                 bytes_without_event = 0
@@ -492,7 +501,6 @@
             )
         if not sink.has_begun:
             await sink.begin(response.status, response.headers)
-        await sink.finish()
 
 
 def _join_events(new_events: list[events.Event], progress: _Progress) -> bytes:
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -10,14 +10,16 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
+import socket
 from collections.abc import AsyncIterator
-from collections.abc import Callable
-from collections.abc import Iterator
 
 import aiohttp
 import yarl
 
 from poplarwick_core import clock
+from poplarwick_core import socket_buffers
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import headers
 from poplarwick_placement import messages
@@ -29,16 +31,18 @@
 """Timeout of a connection attempt; over a hundred times the latency inside a
 region, and short enough to retry within a latency objective of one second."""
 
-READ_BUFFER_BYTES = 1 << 16
-"""Largest read from a response."""
-
 MAX_BODY_BYTES = 8 << 20
 """Largest response that is gathered in memory; services answer with a few
 kilobytes."""
 
-MAX_BUFFERED_BYTES = 32 << 20
-"""Most memory for all responses that are being gathered; a sixth of that of
-the smallest instance. Endpoints that send without end may be many."""
+ORDINARY_BODY_BYTES = 1 << 20
+"""Size up to which a response is not the reason why memory is short."""
+
+RESET_CHECK_S = 0.25
+"""Interval between checks whether a response that is not read was reset."""
+
+TCP_CLOSE = 7
+"""State of a connection that was reset (`TCP_CLOSE` of Linux)."""
 
 CLOSE_TIMEOUT_S = 0.2
 """Longest wait for a connection to close after its last bytes."""
@@ -91,41 +95,6 @@
         self.may_have_run = may_have_run
 
 
-class _BodyBuffers:
-    """Limits the memory for bodies that are being gathered."""
-
-    def __init__(self) -> None:
-        self._total_bytes = 0
-
-    @contextlib.contextmanager
-    def open(self) -> Iterator[Callable[[int], None]]:
-        """Yields a function that counts bytes of one body.
-
-        It raises a `SendError` once the body or all of them are too large.
-        """
-        body_bytes = 0
-
-        def count(added_bytes: int) -> None:
-            nonlocal body_bytes
-            body_bytes += added_bytes
-            self._total_bytes += added_bytes
-            if (
-                body_bytes > MAX_BODY_BYTES
-                or self._total_bytes > MAX_BUFFERED_BYTES
-            ):
-                raise SendError(
-                    f"response body larger than {body_bytes - added_bytes}"
-                    f" bytes, {self._total_bytes} bytes in all responses",
-                    messages.Result.BROKEN,
-                    may_have_run=True,
-                )
-
-        try:
-            yield count
-        finally:
-            self._total_bytes -= body_bytes
-
-
 class Response:
     """An endpoint's response whose body is still being received."""
 
@@ -133,12 +102,10 @@
         self,
         response: aiohttp.ClientResponse,
         head: dialect.ResponseHead,
-        buffers: _BodyBuffers,
         relay: str | None,
     ) -> None:
         self.head = head
         self.relay = relay
-        self._buffers = buffers
         self.status = response.status
         self.headers = headers.select_headers(response.headers)
         self._response = response
@@ -149,6 +116,35 @@
         """Whether the response has a length or chunks."""
         return self._closed is None
 
+    @property
+    def is_received(self) -> bool:
+        """Whether nothing more is expected from the endpoint."""
+        return self._response.content.is_eof()
+
+    async def wait_until_cut(self) -> None:
+        """Returns once the connection was reset before the response ended.
+
+        While the caller does not read, the connection is not read either, and
+        the event loop does not notice its end. An end in order cannot be seen
+        behind data that is not read.
+        """
+        while True:
+            await asyncio.sleep(RESET_CHECK_S)
+            if self._is_reset():
+                return
+
+    def _is_reset(self) -> bool:
+        if self.is_received:
+            return False
+        connection = self._response.connection
+        transport = None if connection is None else connection.transport
+        if transport is None or transport.is_closing():
+            return True
+        state = transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, 1
+        )
+        return bool(state[0] == TCP_CLOSE)
+
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
@@ -168,17 +164,28 @@
                 is_cut=True,
             ) from error
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, held: buffer_budget.HeldBytes) -> bytes:
         """Returns the complete body.
 
+        Args:
+            held: Counts the body until it has been delivered.
+
         Raises:
             SendError: The body is truncated or too large.
         """
         body = bytearray()
-        with self._buffers.open() as count_bytes:
+        try:
             async for chunk in self.iter_chunks():
-                count_bytes(len(chunk))
+                if len(body) + len(chunk) > MAX_BODY_BYTES:
+                    raise _make_size_error(len(body), "it is not ended")
+                held.add_response(len(chunk))
                 body += chunk
+        except buffer_budget.BudgetSpentError as error:
+            held.release_response()
+            raise _make_size_error(len(body), str(error)) from error
+        except BaseException:
+            held.release_response()
+            raise
         return bytes(body)
 
     async def _check_body_end(self) -> None:
@@ -193,6 +200,15 @@
             raise ConnectionError("the connection was not closed") from error
 
 
+def _make_size_error(body_bytes: int, reason: str) -> SendError:
+    is_ordinary = body_bytes <= ORDINARY_BODY_BYTES
+    return SendError(
+        f"response body larger than {body_bytes} bytes: {reason}",
+        messages.Result.GIVEN_UP if is_ordinary else messages.Result.BROKEN,
+        may_have_run=True,
+    )
+
+
 def _watch_close(
     response: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
@@ -211,17 +227,18 @@
     Args:
         wire_dialect: Protocol dialect of the platform.
         reach: Connects to endpoints.
+        buffer_bytes: Size of each buffer of a connection.
     """
 
     def __init__(
         self,
         wire_dialect: dialect.Dialect,
         reach: endpoint_reach.EndpointReach,
+        buffer_bytes: int,
     ) -> None:
-        super().__init__(lambda: _make_session(reach))
+        super().__init__(lambda: _make_session(reach, buffer_bytes))
         self._reach = reach
         self._dialect = wire_dialect
-        self._buffers = _BodyBuffers()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -249,7 +266,6 @@
                     self._dialect.parse_response(
                         response.status, response.headers
                     ),
-                    self._buffers,
                     info.relay,
                 )
             finally:
@@ -292,10 +308,18 @@
 
 
 def _make_session(
-    reach: endpoint_reach.EndpointReach,
+    reach: endpoint_reach.EndpointReach, buffer_bytes: int
 ) -> aiohttp.ClientSession:
+    def make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+        family, kind, protocol, *_ = address
+        sock = socket.socket(family, kind, protocol)
+        socket_buffers.limit_buffers(sock, buffer_bytes)
+        return sock
+
     return http_session.make_unshared_session(
-        make_connector=reach.make_connector,
+        make_connector=functools.partial(
+            reach.make_connector, socket_factory=make_socket
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
             "User-Agent",
@@ -305,5 +329,5 @@
         ),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
-        read_bufsize=READ_BUFFER_BYTES,
+        read_bufsize=buffer_bytes,
     )
--- a/packages/forwarding/tests/test_endless_answers.py
+++ b/packages/forwarding/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from poplarwick_adapter import dialect
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import upstream
 
 DIRECT = types.SimpleNamespace(
@@ -59,13 +60,14 @@
         writer.close()
 
 
-async def request(client, address, timer):
+async def request(client, address, timer, budget):
     """Returns whether the request failed as one that may have run."""
     message = upstream.Request("GET", "/", {"Request-Id": "r"}, b"")
     try:
         async with timer:
             async with client.send(address, message) as response:
-                await response.read_body()
+                with budget.hold() as held:
+                    await response.read_body(held)
     except upstream.SendError as error:
         return error.may_have_run
     except TimeoutError:
@@ -84,6 +86,7 @@
     monkeypatch.setattr(upstream, "CONNECT_TIMEOUT_S", START_TIMEOUT_S)
 
     async def run():
+        budget = buffer_budget.BufferBudget(buffer_budget.make_limits(0))
         all_asked = asyncio.Barrier(ENDPOINTS + 1)
         server = await asyncio.start_server(
             lambda reader, writer: send_without_end(
@@ -95,11 +98,13 @@
         port = server.sockets[0].getsockname()[1]
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         async with upstream.Upstream(
-            dialect.PlatformDialect(), DIRECT
+            dialect.PlatformDialect(), DIRECT, budget.limits.buffer_bytes
         ) as client:
             timers = [asyncio.timeout(None) for _ in range(ENDPOINTS)]
             requests = [
-                asyncio.create_task(request(client, f"127.0.0.1:{port}", timer))
+                asyncio.create_task(
+                    request(client, f"127.0.0.1:{port}", timer, budget)
+                )
                 for timer in timers
             ]
             async with asyncio.timeout(START_TIMEOUT_S):
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -15,6 +15,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import request_runner
@@ -109,6 +110,9 @@
         fingerprint=ids.RequestFingerprint("f0"),
         received_at_s=now_s,
         deadline_at_s=now_s + TIME_LEFT_S,
+        held=buffer_budget.HeldBytes(
+            buffer_budget.BufferBudget(buffer_budget.make_limits(0))
+        ),
     )
 
 
--- a/packages/node/poplarwick_node/catalogue_metrics.py
+++ b/packages/node/poplarwick_node/catalogue_metrics.py
@@ -1,8 +1,9 @@
-"""Metrics of an instance's view of the system."""
+"""Gauges of an instance: its view of the system, and its buffers."""
 
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from opentelemetry import metrics as otel
@@ -43,6 +44,19 @@
     )
 
 
+def add_buffer_gauge(read_used_bytes: Callable[[], int]) -> None:
+    """Registers the gauge of the data buffered for callers and endpoints.
+
+    Args:
+        read_used_bytes: Returns its size in bytes.
+    """
+    metrics.make_gauge(
+        "buffered_bytes",
+        "Bytes buffered for callers and endpoints.",
+        lambda: [otel.Observation(read_used_bytes())],
+    )
+
+
 def _observe_endpoints(
     instance_catalogue: catalogue.Catalogue,
 ) -> Iterable[otel.Observation]:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -31,6 +31,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import frontend
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import reservations
@@ -97,6 +98,9 @@
             read_deployment or (lambda: instance_deployment),
             self.catalogue.refresh,
         )
+        self.buffers = buffer_budget.BufferBudget(
+            buffer_budget.make_limits(instance_deployment.memory_bytes)
+        )
         self._is_leaving = False
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -168,6 +172,7 @@
                 self.catalogue,
                 lambda: reach.is_cut_off,
                 reach.record_failed,
+                self.buffers.limits.buffer_bytes,
             )
         )
         engines = await enter(
@@ -212,7 +217,9 @@
             engines, lambda: instance_deployment.bounds
         )
         upstream_client = await enter(
-            upstream.Upstream(platform_dialect, reach)
+            upstream.Upstream(
+                platform_dialect, reach, self.buffers.limits.buffer_bytes
+            )
         )
         runner = request_runner.RequestRunner(
             self.placement_client,
@@ -228,6 +235,7 @@
                 lambda: self.catalogue.routing,
                 platform_dialect,
                 runner,
+                self.buffers,
             )
         )
         await enter(
@@ -393,6 +401,7 @@
     loop.add_signal_handler(signal.SIGHUP, instance.settings.request_reload)
     _telemetry.collect_metrics()
     catalogue_metrics.add_gauges(instance.catalogue)
+    catalogue_metrics.add_buffer_gauge(lambda: instance.buffers.used_bytes)
     await instance.run(stop)
 
 
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -10,6 +10,7 @@
 
 from poplarwick_catalogue import catalogue
 from poplarwick_core import logs
+from poplarwick_core import socket_buffers
 from poplarwick_reach import frames
 from poplarwick_reach import handshake
 from poplarwick_reach import log_events
@@ -18,10 +19,7 @@
 
 MAX_CONNECTIONS = 400
 """Connections that an instance relays at a time; each takes two descriptors and
-buffers of 64 KiB at most in each direction."""
-
-BUFFER_BYTES = 65_536
-"""Bytes that wait for one side until the other one is not read any more."""
+one write buffer in each direction, besides those of its sockets."""
 
 HELLO_TIMEOUT_S = 1.0
 """Time limit for the first line."""
@@ -39,6 +37,8 @@
         catalogue_: Known instances and endpoints.
         is_cut_off: Returns whether this instance reaches no endpoint.
         record_failed: Called with endpoints that could not be connected.
+        buffer_bytes: Size of each buffer of a connection; what one side does
+            not read fills them, and then the other side is not read.
     """
 
     def __init__(
@@ -47,12 +47,14 @@
         catalogue_: catalogue.Catalogue,
         is_cut_off: Callable[[], bool],
         record_failed: Callable[[str], None],
+        buffer_bytes: int,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._catalogue = catalogue_
         self._is_cut_off = is_cut_off
         self._record_failed = record_failed
+        self._buffer_bytes = buffer_bytes
         self._server: asyncio.Server | None = None
         self._connections: set[_InstanceSide] = set()
         self.is_leaving = False
@@ -61,7 +63,9 @@
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _InstanceSide(self._connections, self._connect),
+            lambda: _InstanceSide(
+                self._connections, self._connect, self._buffer_bytes
+            ),
             self._host,
             self._port,
         )
@@ -112,7 +116,7 @@
         try:
             async with asyncio.timeout(handshake.ENDPOINT_TIMEOUT_S):
                 await loop.create_connection(
-                    lambda: _EndpointSide(instance_side),
+                    lambda: _EndpointSide(instance_side, self._buffer_bytes),
                     host,
                     int(port),
                     local_addr=(self._host, 0),
@@ -162,13 +166,17 @@
 class _Side(asyncio.Protocol):
     """One of the two connections of a relayed connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, buffer_bytes: int) -> None:
         self.transport: asyncio.Transport | None = None
+        self._buffer_bytes = buffer_bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(BUFFER_BYTES)
+        transport.set_write_buffer_limits(self._buffer_bytes)
+        socket_buffers.limit_buffers(
+            transport.get_extra_info("socket"), self._buffer_bytes
+        )
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -195,8 +203,9 @@
         connect: Callable[
             [str, bytes, _InstanceSide], Awaitable[handshake.Reply]
         ],
+        buffer_bytes: int,
     ) -> None:
-        super().__init__()
+        super().__init__(buffer_bytes)
         self._connections = connections
         self._connect = connect
         self._line = b""
@@ -270,8 +279,8 @@
 class _EndpointSide(_Side):
     """Connection to the endpoint."""
 
-    def __init__(self, instance_side: _InstanceSide) -> None:
-        super().__init__()
+    def __init__(self, instance_side: _InstanceSide, buffer_bytes: int) -> None:
+        super().__init__(buffer_bytes)
         self._instance_side = instance_side
         self._has_eof = False
 
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -38,7 +38,7 @@
     """One instance, run in this process."""
 
     def __init__(self, name, store_address, folder, **bounds):
-        ip = _choose_address()
+        ip = choose_address()
         self.name = name
         self.caller_address = f"{ip}:{PORTS[0]}"
         self.readiness_address = f"{ip}:{PORTS[1]}"
@@ -144,7 +144,7 @@
             await asyncio.sleep(0.01)
 
 
-def _choose_address():
+def choose_address():
     """Returns a loopback address that no other instance or process uses.
 
     The soak's processes have addresses of their own below these.
--- a/tests/adapter/test_forwarding.py
+++ b/tests/adapter/test_forwarding.py
@@ -9,7 +9,7 @@
 import platform_cluster
 import pytest
 
-from poplarwick_forwarding import frontend
+from poplarwick_forwarding import caller_stream
 from poplarwick_standins import platform_replica
 
 Fault = platform_replica.Fault
@@ -375,7 +375,7 @@
     async def lose_connection(sink, data):
         raise ConnectionResetError("the caller disconnected")
 
-    monkeypatch.setattr(frontend._ResponseSink, "write", lose_connection)
+    monkeypatch.setattr(caller_stream.ResponseSink, "write", lose_connection)
 
     async def scenario(cluster):
         with pytest.raises(aiohttp.ClientError):
