--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -32,34 +32,11 @@
 """Attempts per request, including those that endpoints refused. When a failure
 domain recovers, many of the known endpoints no longer exist."""
 
-STALL_TIMEOUT_MIN_S = 1.2
-"""Shortest pause in a stream after which it is resumed at another endpoint;
-callers time out after two seconds."""
-
-STALL_TIMEOUT_FACTOR = 2.5
-"""The same pause as a multiple of the route's pause limit; callers time out
-after eight times the limit."""
-
-FIRST_EVENT_TIMEOUT_FACTOR = 4
-"""Multiple of the expected time to the first event after which, with the slack,
-another endpoint is tried: a second prefill of a long prompt is expensive."""
-
-FIRST_EVENT_TIMEOUT_SLACK_S = 1.0
-"""Added to that multiple; longer than an iteration of the busiest engine."""
-
-SUSPECTED_FIRST_EVENT_FACTOR = 1.2
-"""Multiple of the expected time to the first event for which a suspected
-endpoint is waited for, in addition to the shortest timeout."""
-
 MIN_PROGRESS_BYTES = 1_024
 """Bytes of an incomplete event that count as progress of a stream. A sound
 endpoint sends an event of a few hundred bytes at once; an endpoint that sends a
 byte now and then counts as stalled."""
 
-PLAIN_TIMEOUT_FACTOR = 3
-"""Timeout of responses that are not streamed, as a multiple of the route's
-target latency."""
-
 TIMER_TOLERANCE_S = 0.005
 """Time by which a timer may fire before its deadline."""
 
@@ -378,7 +355,11 @@
                 self._placement_client.on_suspicion(
                     request_number, timeout.record_suspicion
                 )
-                timeout.start(_choose_first_event_patience(exchange, placement))
+                timeout.start(
+                    response_timeout.choose_first_event_patience(
+                        exchange, placement
+                    )
+                )
                 return await self._send(
                     exchange,
                     sink,
@@ -460,7 +441,7 @@
         response: upstream.Response,
         timeout: response_timeout.ResponseTimeout,
     ) -> None:
-        patience = _choose_stall_patience(exchange)
+        patience = response_timeout.choose_stall_patience(exchange)
         splitter = events.EventSplitter()
         bytes_without_event = 0
         has_event = False
@@ -521,33 +502,6 @@
     return b"".join(event.data for event in new_events)
 
 
-def _choose_stall_patience(
-    exchange: http_exchange.Exchange,
-) -> response_timeout.Patience:
-    """Returns the pause in a stream after which it is resumed elsewhere."""
-    pause_limit_s = exchange.route.pause_limit_s or STALL_TIMEOUT_MIN_S
-    return response_timeout.Patience(
-        usual_s=max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FACTOR * pause_limit_s),
-        suspected_s=max(pause_limit_s, response_timeout.SUSPECTED_TIMEOUT_S),
-    )
-
-
-def _choose_first_event_patience(
-    exchange: http_exchange.Exchange, placement: messages.Placement
-) -> response_timeout.Patience:
-    """Returns the timeout of the response head of an attempt."""
-    if exchange.route.kind is types.RequestKind.STREAM:
-        expected_s = placement.expected_first_s
-        return response_timeout.Patience(
-            usual_s=FIRST_EVENT_TIMEOUT_FACTOR * expected_s
-            + FIRST_EVENT_TIMEOUT_SLACK_S,
-            suspected_s=SUSPECTED_FIRST_EVENT_FACTOR * expected_s
-            + response_timeout.SUSPECTED_TIMEOUT_S,
-        )
-    target_s = exchange.route.target_latency_s
-    return response_timeout.Patience(PLAIN_TIMEOUT_FACTOR * target_s, target_s)
-
-
 def _check_response(
     exchange: http_exchange.Exchange, response: upstream.Response
 ) -> None:
--- a/packages/forwarding/poplarwick_forwarding/response_timeout.py
+++ b/packages/forwarding/poplarwick_forwarding/response_timeout.py
@@ -11,13 +11,40 @@
 import asyncio
 import dataclasses
 
+from poplarwick_catalogue import types
 from poplarwick_core import clock
+from poplarwick_forwarding import http_exchange
+from poplarwick_placement import messages
 
 SUSPECTED_TIMEOUT_S = 0.25
 """Shortest timeout for an endpoint that other instances also find unresponsive;
 a healthy one sends an event every iteration, which takes about 50 ms."""
 
 
+STALL_TIMEOUT_MIN_S = 1.2
+"""Shortest pause in a stream after which it is resumed at another endpoint;
+callers time out after two seconds."""
+
+STALL_TIMEOUT_FACTOR = 2.5
+"""The same pause as a multiple of the route's pause limit; callers time out
+after eight times the limit."""
+
+FIRST_EVENT_TIMEOUT_FACTOR = 4
+"""Multiple of the expected time to the first event after which, with the slack,
+another endpoint is tried: a second prefill of a long prompt is expensive."""
+
+FIRST_EVENT_TIMEOUT_SLACK_S = 1.0
+"""Added to that multiple; longer than an iteration of the busiest engine."""
+
+SUSPECTED_FIRST_EVENT_FACTOR = 1.2
+"""Multiple of the expected time to the first event for which a suspected
+endpoint is waited for, in addition to the shortest timeout."""
+
+PLAIN_TIMEOUT_FACTOR = 3
+"""Timeout of responses that are not streamed, as a multiple of the route's
+target latency."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Patience:
     """How long to wait for the next data of an endpoint.
@@ -74,3 +101,30 @@
         if self._is_suspected:
             return min(self._patience.usual_s, self._patience.suspected_s)
         return self._patience.usual_s
+
+
+def choose_stall_patience(
+    exchange: http_exchange.Exchange,
+) -> Patience:
+    """Returns the pause in a stream after which it is resumed elsewhere."""
+    pause_limit_s = exchange.route.pause_limit_s or STALL_TIMEOUT_MIN_S
+    return Patience(
+        usual_s=max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FACTOR * pause_limit_s),
+        suspected_s=max(pause_limit_s, SUSPECTED_TIMEOUT_S),
+    )
+
+
+def choose_first_event_patience(
+    exchange: http_exchange.Exchange, placement: messages.Placement
+) -> Patience:
+    """Returns the timeout of the response head of an attempt."""
+    if exchange.route.kind is types.RequestKind.STREAM:
+        expected_s = placement.expected_first_s
+        return Patience(
+            usual_s=FIRST_EVENT_TIMEOUT_FACTOR * expected_s
+            + FIRST_EVENT_TIMEOUT_SLACK_S,
+            suspected_s=SUSPECTED_FIRST_EVENT_FACTOR * expected_s
+            + SUSPECTED_TIMEOUT_S,
+        )
+    target_s = exchange.route.target_latency_s
+    return Patience(PLAIN_TIMEOUT_FACTOR * target_s, target_s)
