Let soak callers read slowly; limit socket buffers before connecting

Cause: the soak had no callers that read slowly. Its links buffered megabytes of what was not read, and did not pass on a reset. Change: fault callers_read_slowly with check_slow_callers: others are served about as well as elsewhere, and a stream that its endpoint cuts because it stays unread is executed again only once it is read. Links of the soak have buffers of 16 KiB and pass resets on. Sockets of relays and proxies are limited before they connect or listen.

--- a/packages/bench/poplarwick_bench/proxy.py
+++ b/packages/bench/poplarwick_bench/proxy.py
@@ -12,6 +12,8 @@
 import types
 from collections.abc import Set as AbstractSet
 
+from poplarwick_core import socket_buffers
+
 CHUNK_BYTES = 65_536
 LOOPBACK = "127.0.0.1"
 
@@ -62,6 +64,8 @@
         seed: Seed of the random delays.
         refused_hosts: Hosts whose new connections are reset, whatever the
             rules; proxies may share one set.
+        buffer_bytes: Size of each buffer of a connection, so that what one
+            side does not read holds up the other; None for the usual sizes.
     """
 
     def __init__(
@@ -69,7 +73,9 @@
         target: str,
         seed: int = 0,
         refused_hosts: AbstractSet[str] = frozenset(),
+        buffer_bytes: int | None = None,
     ) -> None:
+        self._buffer_bytes = buffer_bytes
         self._refused_hosts = refused_hosts
         self.target = target
         self.address = ""
@@ -82,7 +88,15 @@
 
     async def __aenter__(self) -> Proxy:
         """Starts listening on a free port."""
-        self._server = await asyncio.start_server(self._handle, LOOPBACK, 0)
+        if self._buffer_bytes is None:
+            self._server = await asyncio.start_server(self._handle, LOOPBACK, 0)
+        else:
+            self._server = await asyncio.start_server(
+                self._handle,
+                sock=socket_buffers.make_listening_socket(
+                    LOOPBACK, 0, self._buffer_bytes
+                ),
+            )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
@@ -129,7 +143,7 @@
             return
         host, _, port = self.target.rpartition(":")
         try:
-            upstream = await asyncio.open_connection(host, int(port))
+            upstream = await self._connect(host, int(port))
         except OSError:
             _reset(writer)
             return
@@ -151,6 +165,16 @@
             self._connections.discard(connection)
             connection.close()
 
+    async def _connect(
+        self, host: str, port: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._buffer_bytes is None:
+            return await asyncio.open_connection(host, port)
+        sock = await socket_buffers.connect(
+            LOOPBACK, host, port, self._buffer_bytes
+        )
+        return await asyncio.open_connection(sock=sock)
+
     async def _pump(
         self,
         reader: asyncio.StreamReader,
@@ -181,6 +205,9 @@
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
+            return
+        # One half was reset, and so is the other.
+        connection.abort()
 
     async def _apply_delay(self) -> None:
         while self._rules.is_stalled:
--- a/packages/bench/poplarwick_bench/soak/callers.py
+++ b/packages/bench/poplarwick_bench/soak/callers.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 import re
+import socket
 import time
 from collections.abc import Mapping
 
@@ -14,6 +15,7 @@
 
 from poplarwick_bench.soak import fleet
 from poplarwick_bench.soak import records
+from poplarwick_core import socket_buffers
 from poplarwick_standins import platform_calls
 
 READINESS_CHECK_PERIOD_S = 1.0
@@ -38,6 +40,10 @@
 """Time past the deadline for which a caller still waits, to record late
 responses."""
 
+SLOW_BUFFER_BYTES = 4_096
+"""Size of the buffers of callers that read slowly."""
+
+COMMENT_PATTERN = re.compile(rb"^:.*\n", re.MULTILINE)
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\n\n")
 
 
@@ -262,6 +268,8 @@
     ) as response:
         call.status = response.status
         call.signature = response.headers.get(platform_calls.SIGNATURE_HEADER)
+        if call.reads_at_s is not None:
+            await asyncio.sleep(call.reads_at_s - time.monotonic())
         body = await response.read()
         call.outcome = records.Outcome.WHOLE
         if response.status == 200:
@@ -269,6 +277,21 @@
         return response.headers.get("Connection", "").lower() != "close"
 
 
+def make_slow_session() -> aiohttp.ClientSession:
+    """Returns a session that buffers little of what is not read."""
+
+    def make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+        family, kind, protocol, *_ = address
+        sock = socket.socket(family, kind, protocol)
+        socket_buffers.limit_buffers(sock, SLOW_BUFFER_BYTES)
+        return sock
+
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(socket_factory=make_socket),
+        read_bufsize=SLOW_BUFFER_BYTES,
+    )
+
+
 def find_problem(call: records.Call, body: bytes, events: int) -> str | None:
     """Checks the body of a complete response.
 
@@ -284,6 +307,7 @@
         if body.startswith(f"{call.request_id} by ".encode()):
             return None
         return f"unexpected body {body[:60]!r}"
+    body = COMMENT_PATTERN.sub(b"", body)
     found = EVENT_PATTERN.findall(body)
     if b"".join(b"id: %s\ndata: %s %s\n\n" % e for e in found) != body:
         return f"incomplete events: {body[-60:]!r}"
--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -9,6 +9,7 @@
 import bisect
 import collections
 import dataclasses
+import functools
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -79,7 +80,7 @@
 
 CUT_SHARE = 2 / 3
 """Share of what the others serve that instances must serve which are cut off
-from all endpoints."""
+from all endpoints, or called by slow readers."""
 
 CUT_FAILURES = 10
 """First tries that may fail there in any case."""
@@ -439,37 +440,110 @@
     """Instances cut off from all endpoints serve about as well as others."""
     crash_causes = {c for e in record.endpoints for c in e.crash_causes}
     for span in record.cut_spans:
-        served: dict[bool, list[bool]] = {True: [], False: []}
-        for call in record.calls:
-            if not (
-                span.begins_at_s + SETTLE_S <= call.sent_at_s <= span.ends_at_s
-            ):
-                continue
-            if not _counts_as_first_try(record, call, crash_causes):
-                continue
-            if not _is_any_in_reach(record, call):
-                continue
-            is_cut = _is_cut_off(record, call.instance, call.sent_at_s)
-            served[is_cut].append(
-                call.status == 200 and call.outcome is records.Outcome.WHOLE
-            )
-        cut, others = served[True], served[False]
-        failed = len(cut) - sum(cut)
-        if (
-            cut
-            and others
-            and sum(cut) / len(cut) < CUT_SHARE * sum(others) / len(others)
-            and failed > CUT_FAILURES + CUT_FAILURE_SHARE * len(cut)
+        calls = [
+            call
+            for call in _list_first_tries(record, span, SETTLE_S, crash_causes)
+            if _is_any_in_reach(record, call)
+        ]
+        yield from _compare_served(
+            "cut",
+            "cut off",
+            span,
+            calls,
+            lambda call: _is_cut_off(record, call.instance, call.sent_at_s),
+        )
+
+
+def check_slow_callers(record: records.Record) -> Iterator[Finding]:
+    """Callers that do not read cost others nothing, and no second execution.
+
+    Other callers of their instance are served about as well as elsewhere, and
+    an unread stream that its endpoint cuts is resumed only once it is read.
+    """
+    crash_causes = {c for e in record.endpoints for c in e.crash_causes}
+    for span in record.slow_spans:
+        calls = [
+            call
+            for call in _list_first_tries(record, span, 0.0, crash_causes)
+            if call.reads_at_s is None
+        ]
+        yield from _compare_served(
+            "slow",
+            "called by slow readers",
+            span,
+            calls,
+            functools.partial(_is_call_of, span.instance),
+        )
+    executions = record.group_executions()
+    for call in record.calls:
+        reads_at_s = call.reads_at_s
+        if reads_at_s is None or any(
+            i.target != "callers"
+            and i.overlaps(call.sent_at_s - SETTLE_S, reads_at_s)
+            for i in record.interruptions
         ):
-            yield Finding(
-                "cut",
-                "",
-                span.begins_at_s,
-                f"served {sum(cut)} of {len(cut)} at instances that were cut"
-                f" off, {sum(others)} of {len(others)} at the others",
+            continue
+        early = [
+            execution
+            for execution in executions.get(call.request_id, [])
+            if execution.began_at_s < reads_at_s
+        ]
+        if len(early) > 1:
+            yield _make_finding(
+                "slow", call, f"executed {len(early)} times before it is read"
             )
 
 
+def _is_call_of(instance: str, call: records.Call) -> bool:
+    return call.instance == instance
+
+
+def _list_first_tries(
+    record: records.Record,
+    span: records.CutSpan | records.SlowSpan,
+    settle_s: float,
+    crash_causes: set[str],
+) -> list[records.Call]:
+    """Returns the calls in a span that were to be served."""
+    return [
+        call
+        for call in record.calls
+        if span.begins_at_s + settle_s <= call.sent_at_s <= span.ends_at_s
+        and _counts_as_first_try(record, call, crash_causes)
+    ]
+
+
+def _compare_served(
+    check: str,
+    state: str,
+    span: records.CutSpan | records.SlowSpan,
+    calls: list[records.Call],
+    is_affected: Callable[[records.Call], bool],
+) -> Iterator[Finding]:
+    """Reports affected instances that serve much less than the others."""
+    served: dict[bool, list[bool]] = {True: [], False: []}
+    for call in calls:
+        served[is_affected(call)].append(
+            call.status == 200 and call.outcome is records.Outcome.WHOLE
+        )
+    affected, others = served[True], served[False]
+    failed = len(affected) - sum(affected)
+    if (
+        affected
+        and others
+        and sum(affected) / len(affected)
+        < CUT_SHARE * sum(others) / len(others)
+        and failed > CUT_FAILURES + CUT_FAILURE_SHARE * len(affected)
+    ):
+        yield Finding(
+            check,
+            "",
+            span.begins_at_s,
+            f"served {sum(affected)} of {len(affected)} at instances that were"
+            f" {state}, {sum(others)} of {len(others)} at the others",
+        )
+
+
 def _is_any_in_reach(record: records.Record, call: records.Call) -> bool:
     """Returns whether an instance that is not cut off runs all the while."""
     begins_at_s, ends_at_s = call.sent_at_s, call.ended_at_s
@@ -626,6 +700,7 @@
     check_crashing_parts,
     check_crashing_requests,
     check_cut_instances,
+    check_slow_callers,
     check_rate_limits,
     check_idle_reservations,
     check_planned_operations,
--- a/packages/bench/poplarwick_bench/soak/fault_injector.py
+++ b/packages/bench/poplarwick_bench/soak/fault_injector.py
@@ -98,6 +98,19 @@
 """Time for which instances are cut off from endpoints, in addition to the
 duration of the fault."""
 
+SLOW_CALLERS = 20
+"""Callers of one instance that read slowly at the same time."""
+
+SLOW_EVENTS = 60
+"""Events that each of them asks for: 1.2 MB."""
+
+UNREAD_S = 2.5
+"""Time for which they do not read, in addition to the duration of the fault;
+longer than `fleet.UNREAD_LIMIT_S`."""
+
+SLOW_DEADLINE_S = 8.0
+"""Deadline of their calls."""
+
 REPLICA_RESTART_S = 1.0
 """Time after which a crashed engine is replaced."""
 
@@ -158,6 +171,7 @@
             kind.CRASHING_REQUEST: self._send_crashing_request,
             kind.ENDPOINT_LIMITED: self._limit_endpoint,
             kind.INSTANCES_CUT_OFF: self._cut_instances_off,
+            kind.CALLERS_READ_SLOWLY: self._read_slowly,
         }
 
     async def run(self, faults: Sequence[schedule.Fault]) -> None:
@@ -393,6 +407,52 @@
             )
         )
 
+    async def _read_slowly(self, fault: schedule.Fault) -> None:
+        """Sends requests to an instance whose responses are read late."""
+        instance = self._choose_instance(fault)
+        begins_at_s = time.monotonic()
+        interruption = self._record_interruption("callers")
+        reads_at_s = begins_at_s + UNREAD_S + fault.duration_s
+        async with callers.make_slow_session() as session:
+            await asyncio.gather(
+                *(
+                    self._call_slowly(session, instance, reads_at_s)
+                    for _ in range(SLOW_CALLERS)
+                )
+            )
+        interruption.ends_at_s = time.monotonic()
+        self._record.slow_spans.append(
+            records.SlowSpan(instance.name, begins_at_s, interruption.ends_at_s)
+        )
+
+    async def _call_slowly(
+        self,
+        session: aiohttp.ClientSession,
+        instance: fleet.Instance,
+        reads_at_s: float,
+    ) -> None:
+        request_id = f"{fleet.SLOW_CALLER_PREFIX}{next(self._numbers)}"
+        call = records.Call(
+            request_id=request_id,
+            kind=records.CallKind.SHORT,
+            instance=instance.name,
+            incarnation=instance.incarnation,
+            route=records.CallKind.SHORT.value,
+            api_key=documents.API_KEY,
+            body=f"{request_id} asks".encode(),
+            sent_at_s=time.monotonic(),
+            deadline_s=SLOW_DEADLINE_S,
+            reads_at_s=reads_at_s,
+        )
+        await callers.make_call(
+            self._record,
+            session,
+            instance,
+            call,
+            CRASHING_PROMPT_TOKENS,
+            SLOW_EVENTS,
+        )
+
     async def _send_crashing_part(self, fault: schedule.Fault) -> None:
         """Sends requests with a part that crashes engines."""
         part = f"bad{next(self._numbers):05x}"
--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -97,12 +97,28 @@
         return f"http://{self.ip}:{PORTS[1]}{platform_calls.READY_PATH}"
 
 
+SLOW_CALLER_PREFIX = "slow"
+"""Begins the ids of requests whose callers read slowly."""
+
+LARGE_EVENT_BYTES = 20_000
+"""Size of the events that they receive; a few fill all buffers."""
+
+LINK_BUFFER_BYTES = 16_384
+"""Size of the buffers of links between instances and endpoints."""
+
+UNREAD_LIMIT_S = 1.5
+"""Time after which engines cut a stream that stays unread."""
+
+
 class SoakReplica(platform_replica.Replica):
     """An endpoint whose responses contain the id of their request."""
 
     def make_event(self, request: str, number: int) -> bytes:
         """Returns an event that contains the id of the request."""
-        return f"id: {number}\ndata: {request} {number}\n\n".encode()
+        event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+        if request.startswith(SLOW_CALLER_PREFIX):
+            return b": " + b"." * LARGE_EVENT_BYTES + b"\n" + event
+        return event
 
     def make_body(self, request: str) -> str:
         """Returns a body that contains the id of the request."""
@@ -322,15 +338,21 @@
     async def _add_endpoint(self, service: str, domain: str) -> None:
         replica = await self._start_replica(service, domain)
         link_proxy = await self._stack.enter_async_context(
-            proxy.Proxy(replica.address, refused_hosts=self.cut_hosts)
+            proxy.Proxy(
+                replica.address,
+                refused_hosts=self.cut_hosts,
+                buffer_bytes=LINK_BUFFER_BYTES,
+            )
         )
         endpoint = Endpoint(replica, link_proxy)
         self.endpoints.append(endpoint)
         await self._publish_entry(endpoint)
 
     async def _start_replica(self, service: str, domain: str) -> SoakReplica:
-        name = f"e-{next(self._replica_numbers)}"
-        replica = SoakReplica(name, service, domain, peers=self._peers)
+        number = next(self._replica_numbers)
+        replica = SoakReplica(f"e-{number}", service, domain, peers=self._peers)
+        replica.unread_limit_s = UNREAD_LIMIT_S
+        replica.resets_unread = bool(number % 2)
         replica.crashing_parts = self.crashing_parts
         replica.crashing_bodies = self.crashing_bodies
         await replica.__aenter__()
--- a/packages/bench/poplarwick_bench/soak/records.py
+++ b/packages/bench/poplarwick_bench/soak/records.py
@@ -52,6 +52,8 @@
         signature: Signature of the response; None without one.
         problem: Problem with the response body; None if it is correct.
         part: Part of its prompt that crashes engines; empty for none.
+        reads_at_s: Monotonic time from which its caller reads the response;
+            None if it reads all the while.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     signature: str | None = None
     problem: str | None = None
     part: str = ""
+    reads_at_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +162,21 @@
     ends_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowSpan:
+    """A time span in which callers of an instance do not read.
+
+    Attributes:
+        instance: Name of the instance.
+        begins_at_s: Monotonic start time in seconds.
+        ends_at_s: Monotonic end time in seconds.
+    """
+
+    instance: str
+    begins_at_s: float
+    ends_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleReservation:
     """A memory reservation that was unused for too long."""
@@ -181,6 +199,7 @@
         cold_spans: Time spans in which endpoints were cold.
         limit_spans: Time spans in which endpoints named a rate.
         cut_spans: Time spans in which instances reached no endpoint.
+        slow_spans: Time spans in which callers of an instance did not read.
         idle_reservations: Memory reservations that were unused for too long.
         unexpected_exits: Names of instances whose processes exited
             unexpectedly.
@@ -199,6 +218,7 @@
     cold_spans: list[ColdSpan] = dataclasses.field(default_factory=list)
     limit_spans: list[LimitSpan] = dataclasses.field(default_factory=list)
     cut_spans: list[CutSpan] = dataclasses.field(default_factory=list)
+    slow_spans: list[SlowSpan] = dataclasses.field(default_factory=list)
     idle_reservations: list[IdleReservation] = dataclasses.field(
         default_factory=list
     )
--- a/packages/bench/poplarwick_bench/soak/schedule.py
+++ b/packages/bench/poplarwick_bench/soak/schedule.py
@@ -58,6 +58,7 @@
     CRASHING_REQUEST = "crashing_request"
     INSTANCES_CUT_OFF = "instances_cut_off"
     ENDPOINT_LIMITED = "endpoint_limited"
+    CALLERS_READ_SLOWLY = "callers_read_slowly"
 
     @property
     def is_planned(self) -> bool:
--- a/packages/bench/tests/test_soak_checks.py
+++ b/packages/bench/tests/test_soak_checks.py
@@ -406,3 +406,44 @@
         interruptions=[make_interruption()] if is_cut_off else [],
     )
     assert run_check(checks.check_rate_limits, record) == expected
+
+
+@pytest.mark.parametrize(
+    ("failed", "began_at_s", "interrupted", "expected"),
+    [
+        (0, 104.0, None, 0),
+        (30, 104.0, None, 1),
+        (0, 102.0, None, 1),
+        (0, 102.0, "e-1", 0),
+    ],
+)
+def test_slow_readers_that_cost_others_anything_are_reported(
+    failed, began_at_s, interrupted, expected
+):
+    """Others fail, or an unread stream is executed again before it is read."""
+    calls = [
+        make_call(
+            f"{instance}{number}",
+            instance=instance,
+            sent_at_s=101.0,
+            ended_at_s=101.1,
+            status=503 if instance == "slow" and number < failed else 200,
+        )
+        for instance in ("slow", "other")
+        for number in range(40)
+    ]
+    calls.append(make_call("slow-1", KIND.SHORT, reads_at_s=103.5))
+    record = make_record(
+        calls,
+        [
+            make_endpoint(
+                runs=[make_run("slow-1"), make_run("slow-1", began_at_s)]
+            )
+        ],
+        interruptions=[make_interruption(target=interrupted)]
+        if interrupted
+        else [],
+    )
+    record.slow_spans.append(records.SlowSpan("slow", 100.0, 105.0))
+    findings = list(checks.check_slow_callers(record))
+    assert len(findings) == expected
--- a/packages/core/poplarwick_core/socket_buffers.py
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -6,15 +6,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
-from typing import Any
 
 
-def limit_buffers(sock: Any, size_bytes: int) -> None:
+def limit_buffers(sock: socket.socket, size_bytes: int) -> None:
     """Sets the sizes of the send and receive buffers.
 
+    It must be called before the socket connects or listens: a receive buffer
+    that becomes smaller than what the other side was offered stalls it.
+
     Args:
-        sock: A socket, or the one of a transport.
+        sock: A socket.
         size_bytes: Size of each; Linux doubles it for its own records.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
@@ -46,3 +49,29 @@
         sock.close()
         raise
     return sock
+
+
+async def connect(
+    source_host: str, host: str, port: int, size_bytes: int
+) -> socket.socket:
+    """Returns a connected socket with limited buffers.
+
+    Args:
+        source_host: Own address, which the connection is made from.
+        host: Address to connect to.
+        port: Port to connect to.
+        size_bytes: Size of each buffer.
+
+    Raises:
+        OSError: The connection could not be made.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        limit_buffers(sock, size_bytes)
+        sock.bind((source_host, 0))
+        await asyncio.get_running_loop().sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -16,7 +16,6 @@
 from poplarwick_catalogue import deployment
 from poplarwick_core import clock
 from poplarwick_core import logs
-from poplarwick_core import socket_buffers
 from poplarwick_reach import connector
 from poplarwick_reach import frames
 from poplarwick_reach import handshake
@@ -35,10 +34,6 @@
 PROBE_QUIET_S = 0.05
 """Time for which a connection must stay open to count as reached."""
 
-RELAYED_BUFFER_BYTES = 32_768
-"""Size of each socket buffer of a relayed connection; the bandwidth-delay
-product of 100 Mbit/s at 2 ms is 25 kB."""
-
 PROBES = reachability.CUT_EVIDENCE - 1
 """Endpoints that are probed in a round; with the one that failed they suffice
 to find that the instance is cut off."""
@@ -179,7 +174,6 @@
             self._choice.record_relayed(member.instance)
             metrics.connections_relayed.add(1, {"role": "origin"})
             info.relay = member.instance
-            socket_buffers.limit_buffers(sock, RELAYED_BUFFER_BYTES)
             loop = asyncio.get_running_loop()
             await loop.create_connection(
                 lambda: frames.FrameReader(protocol), sock=sock
--- a/packages/reach/poplarwick_reach/handshake.py
+++ b/packages/reach/poplarwick_reach/handshake.py
@@ -10,6 +10,8 @@
 import enum
 import socket
 
+from poplarwick_core import socket_buffers
+
 ENCODING = "ascii"
 GREETING = "poplarwick-relay/1"
 MAX_LINE_BYTES = 256
@@ -23,6 +25,11 @@
 """Time limit for the relay's connection to the endpoint."""
 
 
+BUFFER_BYTES = 32_768
+"""Size of each socket buffer of a relayed connection; the bandwidth-delay
+product of 100 Mbit/s at 2 ms is 25 kB."""
+
+
 class Reply(enum.Enum):
     """Answer of an instance that is asked to relay a connection.
 
@@ -123,6 +130,7 @@
     loop = asyncio.get_running_loop()
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    socket_buffers.limit_buffers(sock, BUFFER_BYTES)
     sock.bind((source_host, 0))
     await loop.sock_connect(sock, relay)
     await loop.sock_sendall(sock, encode_hello(address, label))
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -66,8 +66,9 @@
             lambda: _InstanceSide(
                 self._connections, self._connect, self._buffer_bytes
             ),
-            self._host,
-            self._port,
+            sock=socket_buffers.make_listening_socket(
+                self._host, self._port, self._buffer_bytes
+            ),
         )
         return self
 
@@ -115,11 +116,12 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(handshake.ENDPOINT_TIMEOUT_S):
+                sock = await socket_buffers.connect(
+                    self._host, host, int(port), self._buffer_bytes
+                )
                 await loop.create_connection(
                     lambda: _EndpointSide(instance_side, self._buffer_bytes),
-                    host,
-                    int(port),
-                    local_addr=(self._host, 0),
+                    sock=sock,
                 )
         except (OSError, TimeoutError):
             self._record_failed(address)
@@ -174,9 +176,6 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(self._buffer_bytes)
-        socket_buffers.limit_buffers(
-            transport.get_extra_info("socket"), self._buffer_bytes
-        )
 
     def abort(self) -> None:
         """Closes the connection at once."""
