Relieve weak instances that have fallen behind

Cause: an instance with a fraction of a core whose processor time runs out answers late for as long as callers keep coming to it. Change: an instance below half a core adds up the lags of its event loop (instance_delay). While it is behind, it asks the placer in its heartbeats (Beat.relief, 6), which relieves one in four instances of a failure domain at most (relief_grants). With its grant, an instance reports not ready and closes connections of callers after their next response. A placer that is behind hands over to a stronger instance. Without a placer, or with one of an older version, nothing changes.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -220,7 +220,7 @@
 
 
 class TenureHandedOver(logs.Event, frozen=True, kw_only=True):
-    """This instance stops and hands the tenure over to another one.
+    """This instance stops, or is behind, and hands the tenure over.
 
     Attributes:
         peer: Instance that takes over.
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -17,6 +17,7 @@
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
 from poplarwick_coordination import log_events
+from poplarwick_coordination import relief_grants
 from poplarwick_coordination import scheduler_feed
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
@@ -126,6 +127,8 @@
     ) -> None:
         self._accept_handover = accept_handover
         self.is_leaving = False
+        self.asks_for_relief = False
+        self._relieved_at_s: float | None = None
         self.last_epoch = 0
         self._receives_store_updates = receives_store_updates
         self.disconnected_since_s = clock.now_s()
@@ -156,6 +159,11 @@
             self.connection.position > self._mirror.position
         )
 
+    def has_relief(self, now_s: float) -> bool:
+        """Returns whether the placer lets this instance turn callers away."""
+        at_s = self._relieved_at_s
+        return at_s is not None and now_s < at_s + relief_grants.GRANT_TTL_S
+
     async def run(self) -> None:
         """Schedules local requests until cancelled."""
         while True:
@@ -340,6 +348,10 @@
                 connection.position = kv.Position(
                     kv.Era(message.beat.era), kv.Revision(message.beat.revision)
                 )
+                if message.beat.relief:
+                    self._relieved_at_s = clock.now_s()
+                else:
+                    self._relieved_at_s = None
                 self._send_missed_changes(connection)
             case "decision":
                 self._apply_decision(message.decision)
@@ -388,6 +400,7 @@
         message.beat.era = self._mirror.era
         message.beat.hears_store = self._receives_store_updates()
         message.beat.is_leaving = self.is_leaving
+        message.beat.relief = self.asks_for_relief
         return message
 
     def _send_missed_changes(self, connection: PlacerConnection) -> None:
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -19,6 +19,7 @@
 from poplarwick_coordination import endpoint_notices
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
+from poplarwick_coordination import relief_grants
 from poplarwick_coordination import reports
 from poplarwick_coordination import scheduler_feed
 from poplarwick_coordination import store_changes
@@ -101,6 +102,7 @@
         self.position = kv.Position(kv.FIRST_ERA, kv.Revision(0))
         self.receives_store_updates = True
         self.is_leaving = False
+        self.asks_for_relief = False
         self.opened_at_s = clock.now_s()
         self.behind_since_s: float | None = None
 
@@ -158,6 +160,7 @@
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._unreachable_since_s: dict[ids.InstanceId, float] = {}
+        self._relief = relief_grants.ReliefGrants(clock.now_s())
         self._wake = asyncio.Event()
         self._feed = scheduler_feed.SchedulerFeed(
             catalogue_, deployment_, candidates.Scope.FLEET, self._wake.set
@@ -189,9 +192,12 @@
         served = sum(i in self._sessions for i in others)
         return 2 * served >= len(others)
 
-    def hand_over(self) -> bool:
+    def hand_over(self, *, above_strength: float = 0.0) -> bool:
         """Asks another instance to take the tenure over.
 
+        Args:
+            above_strength: Strength that its successor must exceed.
+
         Returns:
             Whether there was an instance to ask.
         """
@@ -200,7 +206,9 @@
             for session in self._sessions.values()
             if session.instance != self._instance
             and not session.is_leaving
+            and not session.asks_for_relief
             and session.position.revision
+            and self._find_strength(session.instance) > above_strength
         ]
         if not successors:
             return False
@@ -217,6 +225,11 @@
         )
         return True
 
+    def _find_strength(self, instance: ids.InstanceId) -> float:
+        member = self._catalogue.members.get(instance)
+        # One that is served although the store has lost its entry.
+        return 1.0 if member is None else member.strength
+
     def find_unreachable(self, longer_than_s: float) -> list[ids.InstanceId]:
         """Returns the instances that were unreachable for longer than a time.
 
@@ -428,13 +441,33 @@
         while True:
             self._dial_members()
             heartbeat = self._make_heartbeat()
+            relieved = self._review_relief()
             for session in list(self._sessions.values()):
-                session.send(heartbeat)
+                session.send(
+                    self._make_heartbeat(relief=True)
+                    if session.instance in relieved
+                    else heartbeat
+                )
                 self._send_missed_changes(session)
             await asyncio.sleep(message_streams.HEARTBEAT_PERIOD_S)
 
-    def _make_heartbeat(self) -> placement_pb2.PlacerMessage:
+    def _review_relief(self) -> frozenset[ids.InstanceId]:
+        domains = {
+            instance: member.domain
+            for instance, member in self._catalogue.members.items()
+        }
+        asking = {
+            instance
+            for instance, session in self._sessions.items()
+            if session.asks_for_relief
+        }
+        return self._relief.review(asking, domains, clock.now_s())
+
+    def _make_heartbeat(
+        self, *, relief: bool = False
+    ) -> placement_pb2.PlacerMessage:
         heartbeat = placement_pb2.PlacerMessage()
+        heartbeat.beat.relief = relief
         heartbeat.beat.revision = self._mirror.revision
         heartbeat.beat.era = self._mirror.era
         heartbeat.beat.hears_store = self._receives_store_updates()
@@ -445,6 +478,7 @@
     ) -> None:
         session.receives_store_updates = heartbeat.hears_store
         session.is_leaving = heartbeat.is_leaving
+        session.asks_for_relief = heartbeat.relief
         session.position = max(
             session.position,
             kv.Position(kv.Era(heartbeat.era), kv.Revision(heartbeat.revision)),
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -117,13 +117,18 @@
                 await asyncio.sleep(RESTART_DELAY_S)
                 self._changed.set()
 
-    def hand_over(self) -> bool:
+    def hand_over(self, *, to_stronger: bool = False) -> bool:
         """Asks another instance to take the tenure over.
 
+        Args:
+            to_stronger: Whether only a more powerful instance is asked.
+
         Returns:
             Whether there was an instance to ask.
         """
-        return self._placer is not None and self._placer.hand_over()
+        return self._placer is not None and self._placer.hand_over(
+            above_strength=self._deployment.strength if to_stronger else 0.0
+        )
 
     async def _run_placer(self, epoch: ids.Epoch) -> None:
         local_placer = self._placer = placer.Placer(
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -81,6 +81,7 @@
         budget: buffer_budget.BufferBudget,
     ) -> None:
         self.is_leaving = False
+        self._is_relieved = False
         self.is_closed = False
         self.in_progress = 0
         self._idle = asyncio.Event()
@@ -137,6 +138,19 @@
         """Open connections of callers."""
         return [] if self._server is None else self._server.connections
 
+    @property
+    def _closes_connections(self) -> bool:
+        """Whether connections are closed after their next response."""
+        return self.is_leaving or self._is_relieved
+
+    def set_relieved(self, is_relieved: bool) -> None:  # noqa: FBT001
+        """Sets whether callers are asked to connect to other instances.
+
+        Their connections are closed after the next response. Idle ones are not
+        closed at once, because a request may be under way on them.
+        """
+        self._is_relieved = is_relieved
+
     def stop_listening(self) -> None:
         """Stops accepting connections and refuses further requests.
 
@@ -169,7 +183,7 @@
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
-        if self.is_leaving:
+        if self._closes_connections:
             response.force_close()
         return response
 
@@ -316,7 +330,9 @@
                 time_left_s=exchange.deadline_at_s - exchange.received_at_s,
             )
         )
-        sink = caller_stream.ResponseSink(request, lambda: self.is_leaving)
+        sink = caller_stream.ResponseSink(
+            request, lambda: self._closes_connections
+        )
         try:
             outcome = await self._runner.run(exchange, sink)
             if isinstance(outcome, outcomes.Streamed):
@@ -362,7 +378,7 @@
                 request,
                 complete,
                 self._budget.limits.buffer_bytes,
-                closes=self.is_leaving,
+                closes=self._closes_connections,
             )
         except ConnectionError as error:
             logs.log(
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -122,3 +122,32 @@
     """The next placer did not connect before the handover timed out."""
 
     level = "WARNING"
+
+
+class InstanceDelayed(logs.Event, frozen=True, kw_only=True):
+    """This instance has fallen behind its work for lack of processor time.
+
+    Attributes:
+        lost_share: Fraction of the last two seconds in which it did not run.
+    """
+
+    level = "WARNING"
+
+    lost_share: float
+
+
+class InstanceCaughtUp(logs.Event, frozen=True, kw_only=True):
+    """This instance is no longer behind."""
+
+
+class CallersTurnedAway(logs.Event, frozen=True, kw_only=True):
+    """This instance reports not ready and closes connections of callers.
+
+    The placer permits it to a quarter of the instances of a failure domain.
+    """
+
+    level = "WARNING"
+
+
+class CallersWelcome(logs.Event, frozen=True, kw_only=True):
+    """This instance is ready again and keeps connections of callers."""
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -38,6 +38,7 @@
 from poplarwick_forwarding import upstream
 from poplarwick_node import _telemetry
 from poplarwick_node import catalogue_metrics
+from poplarwick_node import delay_guard
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
 from poplarwick_node import page_server
@@ -245,6 +246,13 @@
                 lambda: web.Response(status=200 if self._is_ready() else 503),
             )
         )
+        self.delay_guard = delay_guard.DelayGuard(
+            instance_deployment,
+            self.catalogue,
+            self.placement_client,
+            self,
+            self.frontend.set_relieved,
+        )
         instance_registration = registration.Registration(
             client,
             self.mirror,
@@ -266,6 +274,7 @@
         self._start_task(stack, instance_registration.run)
         self._start_task(stack, self._make_quarantine_keeper(client).run)
         self._start_task(stack, self.settings.run)
+        self._start_task(stack, self.delay_guard.run)
         self._start_task(stack, self._monitor)
 
     def _make_quarantine_keeper(
@@ -293,6 +302,24 @@
         """Resigns as placer and does not campaign for a while."""
         await self.tenure.step_down()
 
+    @property
+    def is_placer(self) -> bool:
+        """Whether this instance holds the tenure."""
+        return self.tenure.epoch is not None
+
+    async def hand_over_to_stronger(self) -> None:
+        """Hands the tenure over to a more powerful instance, if there is one.
+
+        The tenure is kept if none takes it.
+        """
+        if not self._placer_role.hand_over(to_stronger=True):
+            return
+        if await self.tenure.wait_until_ended(HANDOVER_TIMEOUT_S):
+            # Does not campaign again at once.
+            await self.tenure.step_down()
+        else:
+            logs.log(log_events.HandoverUnanswered())
+
     async def remove_member(self, instance: ids.InstanceId) -> None:
         """Removes the store entry of an instance that no longer runs."""
         key = keys.MEMBER_PREFIX + instance
@@ -334,6 +361,7 @@
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
+            and not self.delay_guard.is_relieved
             and self.catalogue.routing is not None
             and bool(self.catalogue.endpoints)
         )
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -37,7 +37,7 @@
 class Instance:
     """One instance, run in this process."""
 
-    def __init__(self, name, store_address, folder, **bounds):
+    def __init__(self, name, store_address, folder, cores=0.0, **bounds):
         ip = choose_address()
         self.name = name
         self.caller_address = f"{ip}:{PORTS[0]}"
@@ -51,6 +51,7 @@
         self.node = platform_instance.PlatformInstance(
             settings.read_settings(path)
         )
+        self.node.deployment.cores = cores
         self.stop = asyncio.Event()
         context = contextvars.copy_context()
         context.run(network_cuts.CURRENT_INSTANCE.set, name)
