--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -7,11 +7,9 @@
 import random
 import types as python_types
 from collections.abc import Callable
-from collections.abc import Mapping
 from typing import Any
 from typing import Self
 
-import multidict
 from aiohttp import web_protocol
 from aiohttp import web_request
 from aiohttp import web_response
@@ -21,7 +19,11 @@
 from poplarwick_core import clock
 from poplarwick_core import early_listeners
 from poplarwick_core import logs
+from poplarwick_core import socket_buffers
 from poplarwick_forwarding import admission
+from poplarwick_forwarding import buffer_budget
+from poplarwick_forwarding import caller_stream
+from poplarwick_forwarding import caller_watch
 from poplarwick_forwarding import configuration_queue
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import fingerprints
@@ -72,6 +74,7 @@
             none yet.
         wire_dialect: Protocol dialect of the platform.
         runner: Runs requests at endpoints.
+        budget: Counts the buffered data.
     """
 
     def __init__(
@@ -80,8 +83,10 @@
         read_routing: Callable[[], routing.Routing | None],
         wire_dialect: dialect.Dialect,
         runner: request_runner.RequestRunner,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self.is_leaving = False
+        self._is_relieved = False
         self.is_closed = False
         self.in_progress = 0
         self._idle = asyncio.Event()
@@ -94,6 +99,9 @@
         )
         self._dialect = wire_dialect
         self._runner = runner
+        self._budget = budget
+        self._watch = caller_watch.CallerWatch(budget, lambda: self.connections)
+        self._watching: asyncio.Task[None] | None = None
         self._rng = random.Random()
         self._server: web_server.Server | None = None
         self._listener: asyncio.Server | None = None
@@ -107,20 +115,22 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=HEADER_LIMIT_BYTES,
             max_field_size=HEADER_LIMIT_BYTES,
+            read_bufsize=self._budget.limits.buffer_bytes,
         )
         loop = asyncio.get_running_loop()
-        opened = early_listeners.take(self._address)
-        if opened is not None:
-            self._listener = await loop.create_server(
-                self._server, sock=opened, backlog=early_listeners.BACKLOG
+        listening = early_listeners.take(self._address)
+        buffer_bytes = self._budget.limits.buffer_bytes
+        if listening is None:
+            listening = socket_buffers.make_listening_socket(
+                self._host, self._port, buffer_bytes
             )
         else:
-            self._listener = await loop.create_server(
-                self._server,
-                self._host,
-                self._port,
-                backlog=early_listeners.BACKLOG,
-            )
+            # Connections that it has accepted so far keep their buffers.
+            socket_buffers.limit_buffers(listening, buffer_bytes)
+        self._listener = await loop.create_server(
+            self._server, sock=listening, backlog=early_listeners.BACKLOG
+        )
+        self._watching = asyncio.create_task(self._watch.run())
         return self
 
     async def __aexit__(
@@ -129,6 +139,8 @@
         error: BaseException | None,
         trace: python_types.TracebackType | None,
     ) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
         if self._listener is not None:
             self._listener.close()
         if self._server is not None:
@@ -143,6 +155,19 @@
         """Serves requests that waited; called when the catalogue changes."""
         self._configuration_queue.release()
 
+    @property
+    def _closes_connections(self) -> bool:
+        """Whether connections are closed after their next response."""
+        return self.is_leaving or self._is_relieved
+
+    def set_relieved(self, is_relieved: bool) -> None:  # noqa: FBT001
+        """Sets whether callers are asked to connect to other instances.
+
+        Their connections are closed after the next response. Idle ones are not
+        closed at once, because a request may be under way on them.
+        """
+        self._is_relieved = is_relieved
+
     def stop_listening(self) -> None:
         """Stops accepting connections and refuses further requests.
 
@@ -177,7 +202,7 @@
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
-        if self.is_leaving:
+        if self._closes_connections:
             response.force_close()
         return response
 
@@ -203,15 +228,36 @@
         rules = await self._wait_for_routing(request, metadata)
         if rules is None:
             return self._refuse(request, "no_configuration")
+        with (
+            self._budget.hold() as held,
+            self._watch.track(request, metadata.request_id),
+        ):
+            return await self._admit(
+                request, metadata, rules, held, received_at_s
+            )
+
+    async def _admit(
+        self,
+        request: web_request.BaseRequest,
+        metadata: dialect.RequestMetadata,
+        rules: routing.Routing,
+        held: buffer_budget.HeldBytes,
+        received_at_s: float,
+    ) -> web_response.StreamResponse:
+        max_bytes = rules.limits.body_bytes
+        expected_bytes = min(request.content_length or 0, max_bytes)
         try:
+            if not self._budget.can_accept(expected_bytes):
+                raise buffer_budget.BudgetSpentError("before the body")
             async with asyncio.timeout(_choose_body_timeout_s(metadata)):
-                body, digest = await _read_body(
-                    request, rules.limits.body_bytes
-                )
+                body, digest = await _read_body(request, max_bytes, held)
         except TimeoutError:
             return self._refuse(
                 request, "body_not_read", outcomes.Failure.BODY_LATE
             )
+        except buffer_budget.BudgetSpentError:
+            metrics.requests_refused.add(1, {"reason": "buffers_full"})
+            return self._refuse(request, "buffers_full")
         if body is None:
             return _reject(request, admission.Rejection.BODY_TOO_LARGE)
         admitted = admission.admit(
@@ -227,7 +273,14 @@
             )
             return _reject(request, admitted)
         exchange = self._make_exchange(
-            request, metadata, admitted, body, digest, received_at_s, rules
+            request,
+            metadata,
+            admitted,
+            body,
+            digest,
+            received_at_s,
+            rules,
+            held,
         )
         return await self._run(request, exchange, rules.version)
 
@@ -267,6 +320,7 @@
         digest: fingerprints.BodyDigest,
         received_at_s: float,
         rules: routing.Routing,
+        held: buffer_budget.HeldBytes,
     ) -> http_exchange.Exchange:
         organisation = admitted.organisation
         service = routing.choose_service(admitted.route, self._rng)
@@ -292,6 +346,7 @@
                 admitted.route, metadata, received_at_s
             ),
             tokens_per_event=routing.get_stride(rules, service),
+            held=held,
         )
 
     async def _run(
@@ -312,9 +367,13 @@
                 time_left_s=exchange.deadline_at_s - exchange.received_at_s,
             )
         )
-        sink = _ResponseSink(request, lambda: self.is_leaving)
+        sink = caller_stream.ResponseSink(
+            request, lambda: self._closes_connections
+        )
         try:
             outcome = await self._runner.run(exchange, sink)
+            if isinstance(outcome, outcomes.Streamed):
+                await sink.finish()
         except asyncio.CancelledError:
             _record_outcome(exchange, "caller_left", sink)
             raise
@@ -322,11 +381,9 @@
             _record_outcome(exchange, "caller_left", sink, reason=repr(error))
             return _abort(request, sink)
         match outcome:
-            case outcomes.CompleteResponse(status, response_headers, body):
+            case outcomes.CompleteResponse(status) as complete:
                 _record_outcome(exchange, "answered", sink, status=status)
-                return web_response.Response(
-                    status=status, headers=response_headers, body=body
-                )
+                return await self._deliver(request, exchange, sink, complete)
             case outcomes.Streamed(output_tokens, expected_tokens):
                 _record_outcome(
                     exchange,
@@ -352,6 +409,28 @@
                 )
                 return self._make_local_response(failure, reason, retry_after_s)
 
+    async def _deliver(
+        self,
+        request: web_request.BaseRequest,
+        exchange: http_exchange.Exchange,
+        sink: caller_stream.ResponseSink,
+        complete: outcomes.CompleteResponse,
+    ) -> web_response.StreamResponse:
+        try:
+            return await caller_stream.deliver(
+                request,
+                complete,
+                self._budget.limits.buffer_bytes,
+                closes=self._closes_connections,
+            )
+        except ConnectionError as error:
+            logs.log(
+                log_events.AnswerNotDelivered(
+                    request=exchange.metadata.request_id, reason=repr(error)
+                )
+            )
+            return _abort(request, sink)
+
     def _refuse(
         self,
         request: web_request.BaseRequest,
@@ -385,56 +464,8 @@
         )
 
 
-class _ResponseSink:
-    """Writes a streamed response to the caller's connection."""
-
-    def __init__(
-        self, request: web_request.BaseRequest, is_leaving: Callable[[], bool]
-    ) -> None:
-        self.has_begun = False
-        self.response: web_response.StreamResponse | None = None
-        self.first_at_s: float | None = None
-        self.longest_pause_s = 0.0
-        self.bytes_written = 0
-        self._last_at_s: float | None = None
-        self._request = request
-        self._is_leaving = is_leaving
-
-    async def begin(
-        self, status: int, response_headers: Mapping[str, str]
-    ) -> None:
-        """Sends the status and the headers."""
-        response = web_response.StreamResponse(
-            status=status, headers=multidict.CIMultiDict(response_headers)
-        )
-        response.enable_chunked_encoding()
-        if self._is_leaving():
-            response.force_close()
-        self.response = response
-        self.has_begun = True
-        await response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        """Sends complete events."""
-        assert self.response is not None, "the response has not been started"
-        now_s = clock.now_s()
-        if self._last_at_s is None:
-            self.first_at_s = now_s
-        else:
-            pause_s = now_s - self._last_at_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self._last_at_s = now_s
-        self.bytes_written += len(data)
-        await self.response.write(data)
-
-    async def finish(self) -> None:
-        """Marks the response as complete."""
-        assert self.response is not None, "the response has not been started"
-        await self.response.write_eof()
-
-
 def _abort(
-    request: web_request.BaseRequest, sink: _ResponseSink
+    request: web_request.BaseRequest, sink: caller_stream.ResponseSink
 ) -> web_response.StreamResponse:
     """Closes a caller's connection without completing the response."""
     if request.transport is not None:
@@ -451,9 +482,13 @@
 
 
 async def _read_body(
-    request: web_request.BaseRequest, limit: int
+    request: web_request.BaseRequest, limit: int, held: buffer_budget.HeldBytes
 ) -> tuple[bytes | None, fingerprints.BodyDigest]:
-    """Returns the complete body, or None if it exceeds the limit."""
+    """Returns the complete body, or None if it exceeds the limit.
+
+    Raises:
+        BudgetSpentError: There is no memory for the body.
+    """
     digest = fingerprints.BodyDigest()
     if not request.can_read_body:
         return b"", digest
@@ -461,6 +496,7 @@
         return None, digest
     buffer = bytearray()
     async for chunk in request.content.iter_any():
+        held.add_request_body(len(chunk))
         buffer += chunk
         digest.add(chunk)
         if len(buffer) > limit:
@@ -482,7 +518,7 @@
 def _record_outcome(
     exchange: http_exchange.Exchange,
     outcome: str,
-    sink: _ResponseSink,
+    sink: caller_stream.ResponseSink,
     **fields: Any,
 ) -> None:
     first_s = None
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -12,6 +12,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import events
 from poplarwick_forwarding import http_exchange
@@ -31,34 +32,11 @@
 """Attempts per request, including those that endpoints refused. When a failure
 domain recovers, many of the known endpoints no longer exist."""
 
-STALL_TIMEOUT_MIN_S = 1.2
-"""Shortest pause in a stream after which it is resumed at another endpoint;
-callers time out after two seconds."""
-
-STALL_TIMEOUT_FACTOR = 2.5
-"""The same pause as a multiple of the route's pause limit; callers time out
-after eight times the limit."""
-
-FIRST_EVENT_TIMEOUT_FACTOR = 4
-"""Multiple of the expected time to the first event after which, with the slack,
-another endpoint is tried: a second prefill of a long prompt is expensive."""
-
-FIRST_EVENT_TIMEOUT_SLACK_S = 1.0
-"""Added to that multiple; longer than an iteration of the busiest engine."""
-
-SUSPECTED_FIRST_EVENT_FACTOR = 1.2
-"""Multiple of the expected time to the first event for which a suspected
-endpoint is waited for, in addition to the shortest timeout."""
-
 MIN_PROGRESS_BYTES = 1_024
 """Bytes of an incomplete event that count as progress of a stream. A sound
 endpoint sends an event of a few hundred bytes at once; an endpoint that sends a
 byte now and then counts as stalled."""
 
-PLAIN_TIMEOUT_FACTOR = 3
-"""Timeout of responses that are not streamed, as a multiple of the route's
-target latency."""
-
 TIMER_TOLERANCE_S = 0.005
 """Time by which a timer may fire before its deadline."""
 
@@ -225,6 +203,10 @@
                 )
             if outcome is not None:
                 return outcome
+            if sink.has_begun:
+                # No endpoint works for a caller that does not read.
+                await sink.drain()
+                progress.broken_at_s = clock.now_s()
 
     def _find_quarantine(
         self, exchange: http_exchange.Exchange
@@ -277,8 +259,6 @@
             progress.executions += 1
             progress.avoided |= {placement.endpoint}
         metrics.attempts_failed.add(1, {"result": error.result.value})
-        if sink.has_begun:
-            progress.broken_at_s = clock.now_s()
         no_retry_reason = self._find_no_retry_reason(exchange, progress, error)
         logs.log(
             log_events.AttemptFailed(
@@ -342,6 +322,7 @@
                 str(error), result, may_have_run=False
             ) from error
         except upstream.SendError as error:
+            backpressure.excuse_cut(error, sink, exchange.metadata.request_id)
             result, blamed = error.result, error.blamed
             if result is messages.Result.UNREACHABLE:
                 progress.unreachable |= {placement.endpoint}
@@ -354,7 +335,12 @@
         except asyncio.CancelledError:
             # A caller that disconnects does not reflect on the endpoint; an
             # endpoint that has not responded by the deadline is unresponsive.
-            if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
+            # Neither does one whose caller does not read.
+            is_unread = sink.has_begun and sink.is_blocked
+            if (
+                clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S
+                and not is_unread
+            ):
                 result = messages.Result.SILENT
             raise
         finally:
@@ -384,7 +370,11 @@
                 self._placement_client.on_suspicion(
                     request_number, timeout.record_suspicion
                 )
-                timeout.start(_choose_first_event_patience(exchange, placement))
+                timeout.start(
+                    response_timeout.choose_first_event_patience(
+                        exchange, placement
+                    )
+                )
                 return await self._send(
                     exchange,
                     sink,
@@ -446,7 +436,7 @@
                     exchange, sink, progress, request_number, response, timeout
                 )
                 return _make_streamed(exchange, progress, placement)
-            body = await response.read_body()
+            body = await response.read_body(exchange.held)
             _record_duration_error(exchange, placement, progress)
             self._placement_client.record_first_event(request_number)
             if sink.has_begun:
@@ -468,7 +458,7 @@
         response: upstream.Response,
         timeout: response_timeout.ResponseTimeout,
     ) -> None:
-        patience = _choose_stall_patience(exchange)
+        patience = response_timeout.choose_stall_patience(exchange)
         splitter = events.EventSplitter()
         bytes_without_event = 0
         has_event = False
@@ -487,7 +477,7 @@
                 self._placement_client.record_first_event(request_number)
                 if not sink.has_begun:
                     await sink.begin(response.status, response.headers)
-                await sink.write(data)
+                await backpressure.write(sink, data, response)
             bytes_without_event += len(chunk)
             if data or bytes_without_event >= MIN_PROGRESS_BYTES:
                 bytes_without_event = 0
@@ -509,7 +499,6 @@
             )
         if not sink.has_begun:
             await sink.begin(response.status, response.headers)
-        await sink.finish()
 
 
 def _join_events(new_events: list[events.Event], progress: _Progress) -> bytes:
@@ -530,33 +519,6 @@
     return b"".join(event.data for event in new_events)
 
 
-def _choose_stall_patience(
-    exchange: http_exchange.Exchange,
-) -> response_timeout.Patience:
-    """Returns the pause in a stream after which it is resumed elsewhere."""
-    pause_limit_s = exchange.route.pause_limit_s or STALL_TIMEOUT_MIN_S
-    return response_timeout.Patience(
-        usual_s=max(STALL_TIMEOUT_MIN_S, STALL_TIMEOUT_FACTOR * pause_limit_s),
-        suspected_s=max(pause_limit_s, response_timeout.SUSPECTED_TIMEOUT_S),
-    )
-
-
-def _choose_first_event_patience(
-    exchange: http_exchange.Exchange, placement: messages.Placement
-) -> response_timeout.Patience:
-    """Returns the timeout of the response head of an attempt."""
-    if exchange.route.kind is types.RequestKind.STREAM:
-        expected_s = placement.expected_first_s
-        return response_timeout.Patience(
-            usual_s=FIRST_EVENT_TIMEOUT_FACTOR * expected_s
-            + FIRST_EVENT_TIMEOUT_SLACK_S,
-            suspected_s=SUSPECTED_FIRST_EVENT_FACTOR * expected_s
-            + response_timeout.SUSPECTED_TIMEOUT_S,
-        )
-    target_s = exchange.route.target_latency_s
-    return response_timeout.Patience(PLAIN_TIMEOUT_FACTOR * target_s, target_s)
-
-
 def _check_response(
     exchange: http_exchange.Exchange, response: upstream.Response
 ) -> None:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -31,11 +31,13 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import frontend
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import upstream
 from poplarwick_node import catalogue_metrics
+from poplarwick_node import delay_guard
 from poplarwick_node import log_events
 from poplarwick_node import metrics_server
 from poplarwick_node import page_server
@@ -96,6 +98,9 @@
             read_deployment or (lambda: instance_deployment),
             self.catalogue.refresh,
         )
+        self.buffers = buffer_budget.BufferBudget(
+            buffer_budget.make_limits(instance_deployment.memory_bytes)
+        )
         self._is_leaving = False
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -167,6 +172,7 @@
                 self.catalogue,
                 lambda: reach.is_cut_off,
                 reach.record_failed,
+                self.buffers.limits.buffer_bytes,
             )
         )
         engines = await enter(
@@ -211,7 +217,9 @@
             engines, lambda: instance_deployment.bounds
         )
         upstream_client = await enter(
-            upstream.Upstream(platform_dialect, reach)
+            upstream.Upstream(
+                platform_dialect, reach, self.buffers.limits.buffer_bytes
+            )
         )
         runner = request_runner.RequestRunner(
             self.placement_client,
@@ -227,6 +235,7 @@
                 lambda: self.catalogue.routing,
                 platform_dialect,
                 runner,
+                self.buffers,
             )
         )
         self.catalogue.add_listener(self.frontend.handle_configuration)
@@ -239,6 +248,13 @@
                 ),
             )
         )
+        self.delay_guard = delay_guard.DelayGuard(
+            instance_deployment,
+            self.catalogue,
+            self.placement_client,
+            self,
+            self.frontend.set_relieved,
+        )
         instance_registration = registration.Registration(
             client,
             self.mirror,
@@ -260,6 +276,7 @@
         self._start_task(stack, instance_registration.run)
         self._start_task(stack, self._make_quarantine_keeper(client).run)
         self._start_task(stack, self.settings.run)
+        self._start_task(stack, self.delay_guard.run)
         self._start_task(stack, self._monitor)
 
     def _make_quarantine_keeper(
@@ -287,6 +304,24 @@
         """Resigns as placer and does not campaign for a while."""
         await self.tenure.step_down()
 
+    @property
+    def is_placer(self) -> bool:
+        """Whether this instance holds the tenure."""
+        return self.tenure.epoch is not None
+
+    async def hand_over_to_stronger(self) -> None:
+        """Hands the tenure over to a more powerful instance, if there is one.
+
+        The tenure is kept if none takes it.
+        """
+        if not self._placer_role.hand_over(to_stronger=True):
+            return
+        if await self.tenure.wait_until_ended(HANDOVER_TIMEOUT_S):
+            # Does not campaign again at once.
+            await self.tenure.step_down()
+        else:
+            logs.log(log_events.HandoverUnanswered())
+
     async def remove_member(self, instance: ids.InstanceId) -> None:
         """Removes the store entry of an instance that no longer runs."""
         key = keys.MEMBER_PREFIX + instance
@@ -328,6 +363,7 @@
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
+            and not self.delay_guard.is_relieved
             and self.catalogue.routing is not None
             and bool(self.catalogue.endpoints)
         )
@@ -394,6 +430,7 @@
         loop.add_signal_handler(stop_signal, stop.set)
     loop.add_signal_handler(signal.SIGHUP, instance.settings.request_reload)
     catalogue_metrics.add_gauges(instance.catalogue)
+    catalogue_metrics.add_buffer_gauge(lambda: instance.buffers.used_bytes)
     await instance.run(stop)
 
 
--- a/tests/adapter/platform_cluster.py
+++ b/tests/adapter/platform_cluster.py
@@ -37,8 +37,10 @@
 class Instance:
     """One instance, run in this process."""
 
-    def __init__(self, name, store_address, folder, contracts=(), **bounds):
-        ip = _choose_address()
+    def __init__(
+        self, name, store_address, folder, contracts=(), cores=0.0, **bounds
+    ):
+        ip = choose_address()
         self.name = name
         self.caller_address = f"{ip}:{PORTS[0]}"
         self.readiness_address = f"{ip}:{PORTS[1]}"
@@ -46,12 +48,14 @@
         document = make_settings(name, PORTS, store_address, ip=ip, **bounds)
         path.write_text(json.dumps({**document, "contracts": [*contracts]}))
         self._settings_path = path
+        self._cores = cores
         self._start()
 
     def _start(self):
         self.node = platform_instance.PlatformInstance(
             settings.read_settings(self._settings_path)
         )
+        self.node.deployment.cores = self._cores
         self.stop = asyncio.Event()
         context = contextvars.copy_context()
         context.run(network_cuts.CURRENT_INSTANCE.set, self.name)
@@ -150,7 +154,7 @@
             await asyncio.sleep(0.01)
 
 
-def _choose_address():
+def choose_address():
     """Returns a loopback address that no other instance or process uses.
 
     The soak's processes have addresses of their own below these.
--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -89,7 +89,7 @@
 """
 """Runs the launcher; lists the modules that it has loaded on SIGUSR1."""
 
-INSTANCE_IP = platform_cluster._choose_address()
+INSTANCE_IP = platform_cluster.choose_address()
 
 
 @contextlib.asynccontextmanager
