Forecast short requests beside long prompts

Cause: in the forecast each long prompt held up all others for its prefill, and new short requests were given the patience of the long ones in the queue. Change: short requests start with up to 0.5 s of prefills, and new requests wait as long as their own targets allow.

--- a/packages/placement/poplarwick_placement/arrival_rates.py
+++ b/packages/placement/poplarwick_placement/arrival_rates.py
@@ -36,11 +36,13 @@
         size: Size class of the requests.
         per_s: Arrivals a second.
         mean: A request with the mean lengths.
+        target_s: Mean time from their arrival in which they are on time.
     """
 
     size: int
     per_s: float
     mean: messages.PlacementRequest
+    target_s: float
 
 
 def get_size(request: messages.PlacementRequest) -> int:
@@ -56,6 +58,7 @@
     prompt_tokens: float
     output_tokens: float
     memory_tokens: float
+    target_s: float
     window: int = 0
     counts: tuple[int, ...] = (0,) * (WINDOWS + 1)
 
@@ -73,6 +76,9 @@
         self.memory_tokens += MEAN_WEIGHT * (
             request.memory_tokens - self.memory_tokens
         )
+        self.target_s += MEAN_WEIGHT * (
+            request.on_time_at_s - now_s - self.target_s
+        )
 
     def estimate(self, size: int, now_s: float) -> Arrivals:
         """Returns the rate and the mean of the arrivals."""
@@ -96,7 +102,7 @@
                 int(self.memory_tokens) - prompt_tokens, 0
             ),
         )
-        return Arrivals(size, least / WINDOW_S, mean)
+        return Arrivals(size, least / WINDOW_S, mean, self.target_s)
 
     def _advance(self, now_s: float) -> None:
         window = int(now_s / WINDOW_S)
@@ -107,12 +113,13 @@
             self.window = window
 
 
-def _make_counts(request: messages.PlacementRequest) -> _Counts:
+def _make_counts(request: messages.PlacementRequest, now_s: float) -> _Counts:
     return _Counts(
         request,
         request.prompt_tokens,
         request.output_tokens,
         request.memory_tokens,
+        request.on_time_at_s - now_s,
     )
 
 
@@ -128,7 +135,7 @@
         size = get_size(request)
         counts = by_size.get(size)
         if counts is None:
-            counts = by_size[size] = _make_counts(request)
+            counts = by_size[size] = _make_counts(request, now_s)
         counts.record(request, now_s)
 
     def estimate(self, service: ids.ServiceId, now_s: float) -> list[Arrivals]:
--- a/packages/placement/poplarwick_placement/capacity_forecast.py
+++ b/packages/placement/poplarwick_placement/capacity_forecast.py
@@ -36,6 +36,10 @@
 cannot start on time do not go ahead of late ones, and a load that is hardly
 too high may end before the late ones are out of time."""
 
+MAX_SHORT_BACKLOG_S = 0.5
+"""Mean prefill backlog of the engines with which short requests still start:
+long prompts leave engines to them."""
+
 MAX_STARTS = 20_000
 """Most starts that one forecast replays; bounds its time."""
 
@@ -47,13 +51,25 @@
     Attributes:
         memory_tokens: Engine memory.
         prefill_s: Prefill time on one engine.
+        first_event_s: Time from its start to its first event.
         duration_s: Time from its start to its end in a busy service.
     """
 
     memory_tokens: float
     prefill_s: float
+    first_event_s: float
     duration_s: float
 
+    @property
+    def max_backlog_s(self) -> float:
+        """Longest prefill backlog of the engines with which it starts.
+
+        A long prompt waits for engines that can start together.
+        """
+        if self.prefill_s > loads.LONG_PREFILL_S:
+            return 0.0
+        return MAX_SHORT_BACKLOG_S
+
 
 class Capacity:
     """Slots, memory and prefill time of the usable endpoints of a service.
@@ -90,7 +106,7 @@
         load = self._profile_load
         if load is None or load.profile is None:
             duration_s = 0.0 if load is None else load.response_time_s
-            return Work(0.0, 0.0, duration_s)
+            return Work(0.0, 0.0, duration_s, duration_s)
         prefill_s = engine_model.calculate_prefill_s(
             load.profile, request.prompt_tokens
         )
@@ -104,10 +120,12 @@
         group_size = 1
         if prefill_s > loads.LONG_PREFILL_S:
             group_size = min(queue_order.IDEAL_GROUP_SIZE, self.endpoints)
+        first_event_s = prefill_s / group_size + iteration_s
         return Work(
             request.memory_tokens,
             prefill_s,
-            prefill_s / group_size + iteration_s + decode_s * self.stretch,
+            first_event_s,
+            first_event_s + decode_s * self.stretch,
         )
 
     def calculate_share(self, work: Work) -> float:
@@ -249,7 +267,6 @@
         capacity: Capacity,
         waiting: Iterable[_Waiting],
         arrivals: Iterable[arrival_rates.Arrivals],
-        patience_s: float,
     ) -> None:
         self._capacity = capacity
         self._time_s = capacity.now_s
@@ -263,10 +280,10 @@
         by_size: dict[int, _SizeClass] = {}
         for group in arrivals:
             per_s = EXPECTED_ARRIVALS_SHARE * group.per_s
+            work = capacity.estimate_work(group.mean)
+            patience_s = max(group.target_s - work.first_event_s, 0.0)
             by_size[group.size] = _SizeClass(
-                capacity.estimate_work(group.mean),
-                per_s,
-                max(per_s * patience_s, 1.0),
+                work, per_s, max(per_s * patience_s, 1.0)
             )
         for item in waiting:
             size = int(item.work.memory_tokens).bit_length()
@@ -293,7 +310,7 @@
 
     def _start_next(self) -> bool:
         """Starts the next request that fits now; returns whether one does."""
-        if self._slots < 1 or self._prefilled_s > self._time_s:
+        if self._slots < 1:
             return False
         best: _SizeClass | None = None
         for size_class in self._classes:
@@ -322,7 +339,12 @@
         self._take(item.work)
 
     def _fits(self, work: Work) -> bool:
-        return not self._has_memory or work.memory_tokens <= self._memory
+        if not self._has_memory:
+            return True
+        return (
+            work.memory_tokens <= self._memory
+            and self._prefilled_s - self._time_s <= work.max_backlog_s + 1e-9
+        )
 
     def _take(self, work: Work) -> None:
         self._slots -= 1
@@ -339,8 +361,11 @@
     def _advance(self) -> bool:
         """Advances to the next change; returns whether there is one."""
         next_s = self._releases[0][0] if self._releases else math.inf
-        if self._slots >= 1 and self._prefilled_s > self._time_s:
-            next_s = min(next_s, self._prefilled_s)
+        if self._slots >= 1:
+            for max_backlog_s in (MAX_SHORT_BACKLOG_S, 0.0):
+                ready_s = self._prefilled_s - max_backlog_s
+                if ready_s > self._time_s:
+                    next_s = min(next_s, ready_s)
         if next_s == math.inf:
             return False
         elapsed_s = max(next_s - self._time_s, 0.0)
@@ -379,7 +404,6 @@
     """
     ahead, behind = set(ahead), set(behind)
     items = []
-    patience_s = 0.0
     for rank, (key, queued) in enumerate(waiting):
         work = capacity.estimate_work(queued.request)
         items.append(
@@ -392,8 +416,7 @@
                 key in ahead,
             )
         )
-        patience_s += max(queued.latest_start_s - queued.arrived_at_s, 0.0)
-    replay = _Replay(capacity, items, arrivals, patience_s / max(len(items), 1))
+    replay = _Replay(capacity, items, arrivals)
     replay.run()
     return replay.starts_s
 
