Keep expected writing times positive when a slowdown changes

Cause: the backlog is converted with the slowdown of the moment, so prefills since a first event could come out negative, and a ratio with them. Change: the difference is at least 0.

--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -297,11 +297,9 @@
             events: Number of events so far.
             now_s: Monotonic time.
         """
-        prefilled_s = self._calculate_prefilled_s(now_s)
-        return (
-            (events - 1) * self.calculate_iteration_s() / self.slowdown
-            + prefilled_s
-            - allocation.prefilled_before_s
+        iterations_s = (events - 1) * self.calculate_iteration_s()
+        return iterations_s / self.slowdown + self._calculate_stalls_s(
+            allocation, now_s
         )
 
     def estimate_written_tokens(
@@ -310,11 +308,8 @@
         """Returns the expected length of the output of a request so far."""
         if self.profile is None or allocation.first_event_at_s is None:
             return 0
-        prefilled_s = (
-            self._calculate_prefilled_s(now_s) - allocation.prefilled_before_s
-        )
         writing_s = now_s - allocation.first_event_at_s
-        writing_s -= self.slowdown * prefilled_s
+        writing_s -= self.slowdown * self._calculate_stalls_s(allocation, now_s)
         iterations = max(writing_s, 0.0) / self.calculate_iteration_s()
         return (1 + int(iterations)) * self.profile.stride
 
@@ -361,6 +356,17 @@
             if allocation.request.booked_output_tokens is not None
         )
 
+    def _calculate_stalls_s(
+        self, allocation: Allocation, now_s: float
+    ) -> float:
+        """Returns the prefills of others since a first event.
+
+        At the profile's speed. What is still to be prefilled is known only by
+        the slowdown of the moment, so the difference may come out below 0.
+        """
+        prefilled_s = self._calculate_prefilled_s(now_s)
+        return max(prefilled_s - allocation.prefilled_before_s, 0.0)
+
     def _calculate_prefilled_s(self, now_s: float) -> float:
         backlog_s = max(self.prefill_until_s - now_s, 0.0)
         return max(self.prefill_total_s - backlog_s / self.slowdown, 0.0)
