Compare a request with the peak of an engine in one pass

Change: reservations are kept by rest; the comparison ends where the memory is exceeded, and is not made where the prompt alone has no room now.

--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -96,6 +96,8 @@
         free_slots: Slots that no known request holds.
         free_memory_tokens: Memory that no known request holds, now or later.
         reservations: Memory of the requests whose outputs are estimated.
+        shared_tokens: Memory that these requests and further ones share.
+        free_now_tokens: The part of it that is free now.
         has_short: Whether a request with a short prompt runs.
         backlog_s: Time until the allocated prefills end.
         residual_s: Expected time until the iteration in progress ends.
@@ -109,6 +111,8 @@
     free_slots: int
     free_memory_tokens: int
     reservations: tuple[memory_peak.Reservation, ...]
+    shared_tokens: int
+    free_now_tokens: int
     has_short: bool
     backlog_s: float
     residual_s: float
@@ -142,9 +146,18 @@
         booked = request.booked_output_tokens
         if missing <= 0 or booked is None or not self.reservations:
             return missing
-        own = memory_peak.make_reservation(request.memory_tokens, booked, 0)
-        growth = memory_peak.calculate_growth(self.reservations, own)
-        return missing if growth > self.free_memory_tokens else 0
+        if request.prompt_tokens > self.free_now_tokens:
+            return missing
+        return (
+            0
+            if memory_peak.fits(
+                self.reservations,
+                request.prompt_tokens,
+                booked,
+                self.shared_tokens,
+            )
+            else missing
+        )
 
     def calculate_stall_loss(self, prefill_s: float, now_s: float) -> float:
         """Returns the weight lost by the stall that a prefill causes."""
@@ -345,8 +358,11 @@
     def _make_reservations(
         self, now_s: float
     ) -> tuple[memory_peak.Reservation, ...]:
-        """Returns the memory of the requests whose outputs are estimated."""
-        return tuple(
+        """Returns the memory of the requests whose outputs are estimated.
+
+        The longest rest comes first.
+        """
+        reservations = [
             memory_peak.make_reservation(
                 allocation.memory_tokens,
                 allocation.request.booked_output_tokens,
@@ -354,7 +370,8 @@
             )
             for allocation in self.primary_allocations.values()
             if allocation.request.booked_output_tokens is not None
-        )
+        ]
+        return tuple(sorted(reservations, reverse=True))
 
     def _calculate_stalls_s(
         self, allocation: Allocation, now_s: float
@@ -419,14 +436,21 @@
 
     def _calculate_view(self, summary: _Summary, now_s: float) -> LoadView:
         reservations = self._make_reservations(now_s)
+        present_tokens = sum(r.present_tokens for r in reservations)
+        rest_tokens = sum(r.rest_tokens for r in reservations)
+        peak_tokens = memory_peak.calculate_peak(reservations)
+        shared_tokens = (
+            summary.free_memory_tokens + present_tokens + rest_tokens
+        )
         return LoadView(
             load=self,
             running_count=len(self.primary_allocations),
             context_tokens=summary.context_tokens,
             free_slots=self.free_slots,
-            free_memory_tokens=summary.free_memory_tokens
-            + memory_peak.calculate_unshared_tokens(reservations),
+            free_memory_tokens=shared_tokens - peak_tokens,
             reservations=reservations,
+            shared_tokens=shared_tokens,
+            free_now_tokens=shared_tokens - present_tokens,
             has_short=summary.has_short,
             backlog_s=self.calculate_backlog_s(now_s),
             residual_s=summary.iteration_s / 2
--- a/packages/placement/poplarwick_placement/memory_peak.py
+++ b/packages/placement/poplarwick_placement/memory_peak.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -51,15 +52,37 @@
     return peak_tokens
 
 
-def calculate_unshared_tokens(reservations: tuple[Reservation, ...]) -> int:
-    """Returns by how much the sum of reservations exceeds their peak."""
-    if len(reservations) < 2:
-        return 0
-    return sum(map(sum, reservations)) - calculate_peak(reservations)
+def fits(
+    reservations: Sequence[Reservation],
+    prompt_tokens: int,
+    output_tokens: int,
+    memory_tokens: int,
+) -> bool:
+    """Returns whether the peak with a further request is within the memory.
 
+    Asked for each endpoint of a decision, so it ends where the memory is first
+    exceeded.
 
-def calculate_growth(
-    reservations: tuple[Reservation, ...], added: Reservation
-) -> int:
-    """Returns by how much a further request raises the peak."""
-    return calculate_peak((*reservations, added)) - calculate_peak(reservations)
+    Args:
+        reservations: Reservations by rest, the longest first.
+        prompt_tokens: Prompt of the further request.
+        output_tokens: Output for which memory is reserved.
+        memory_tokens: Memory that all of them share.
+    """
+    held_tokens = count = 0
+    is_counted = False
+    for rest_tokens, present_tokens in reservations:
+        if not is_counted and output_tokens >= rest_tokens:
+            is_counted = True
+            held_tokens += prompt_tokens
+            count += 1
+            if held_tokens + count * output_tokens > memory_tokens:
+                return False
+        held_tokens += present_tokens
+        count += 1
+        if held_tokens + count * rest_tokens > memory_tokens:
+            return False
+    if is_counted:
+        return True
+    held_tokens += prompt_tokens
+    return held_tokens + (count + 1) * output_tokens <= memory_tokens
--- a/packages/placement/tests/test_booking_level.py
+++ b/packages/placement/tests/test_booking_level.py
@@ -33,14 +33,13 @@
     assert levels.get(SERVICE, 1.0) == initial + booking_level.RAISE
 
 
-@given(
-    st.lists(
-        st.builds(
-            memory_peak.Reservation, st.integers(0, 60), st.integers(1, 60)
-        ),
-        max_size=8,
-    )
+RESERVATIONS = st.lists(
+    st.builds(memory_peak.Reservation, st.integers(0, 60), st.integers(1, 60)),
+    max_size=8,
 )
+
+
+@given(RESERVATIONS)
 def test_peak_is_the_most_that_is_held_at_any_step(reservations):
     held_tokens = [
         sum(
@@ -51,3 +50,16 @@
         for step in range(61)
     ]
     assert memory_peak.calculate_peak(reservations) == max(held_tokens)
+
+
+@given(
+    RESERVATIONS, st.integers(1, 60), st.integers(0, 60), st.integers(1, 800)
+)
+def test_request_fits_if_the_peak_with_it_does(
+    reservations, prompt, output, memory
+):
+    ordered = sorted(reservations, reverse=True)
+    added = memory_peak.Reservation(output, prompt)
+    peak = memory_peak.calculate_peak([*reservations, added])
+    fits = memory_peak.fits(ordered, prompt, output, memory)
+    assert fits == (peak <= memory)
