--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -115,6 +115,8 @@
         free_slots: Slots that no known request holds.
         free_memory_tokens: Memory that no known request holds, now or later.
         reservations: Memory of the requests whose outputs are estimated.
+        shared_tokens: Memory that these requests and further ones share.
+        free_now_tokens: The part of it that is free now.
         has_short: Whether a request with a short prompt runs.
         backlog_s: Time until the allocated prefills end.
         residual_s: Expected time until the iteration in progress ends.
@@ -128,6 +130,8 @@
     free_slots: int
     free_memory_tokens: int
     reservations: tuple[memory_peak.Reservation, ...]
+    shared_tokens: int
+    free_now_tokens: int
     has_short: bool
     backlog_s: float
     residual_s: float
@@ -161,9 +165,18 @@
         booked = request.booked_output_tokens
         if missing <= 0 or booked is None or not self.reservations:
             return missing
-        own = memory_peak.make_reservation(request.memory_tokens, booked, 0)
-        growth = memory_peak.calculate_growth(self.reservations, own)
-        return missing if growth > self.free_memory_tokens else 0
+        if request.prompt_tokens > self.free_now_tokens:
+            return missing
+        return (
+            0
+            if memory_peak.fits(
+                self.reservations,
+                request.prompt_tokens,
+                booked,
+                self.shared_tokens,
+            )
+            else missing
+        )
 
     def calculate_stall_loss(self, prefill_s: float, now_s: float) -> float:
         """Returns the weight lost by the stall that a prefill causes."""
@@ -317,11 +330,9 @@
             events: Number of events so far.
             now_s: Monotonic time.
         """
-        prefilled_s = self._calculate_prefilled_s(now_s)
-        return (
-            (events - 1) * self.calculate_iteration_s() / self.slowdown
-            + prefilled_s
-            - allocation.prefilled_before_s
+        iterations_s = (events - 1) * self.calculate_iteration_s()
+        return iterations_s / self.slowdown + self._calculate_stalls_s(
+            allocation, now_s
         )
 
     def estimate_written_tokens(
@@ -330,11 +341,8 @@
         """Returns the expected length of the output of a request so far."""
         if self.profile is None or allocation.first_event_at_s is None:
             return 0
-        prefilled_s = (
-            self._calculate_prefilled_s(now_s) - allocation.prefilled_before_s
-        )
         writing_s = now_s - allocation.first_event_at_s
-        writing_s -= self.slowdown * prefilled_s
+        writing_s -= self.slowdown * self._calculate_stalls_s(allocation, now_s)
         iterations = max(writing_s, 0.0) / self.calculate_iteration_s()
         return (1 + int(iterations)) * self.profile.stride
 
@@ -370,8 +378,11 @@
     def _make_reservations(
         self, now_s: float
     ) -> tuple[memory_peak.Reservation, ...]:
-        """Returns the memory of the requests whose outputs are estimated."""
-        return tuple(
+        """Returns the memory of the requests whose outputs are estimated.
+
+        The longest rest comes first.
+        """
+        reservations = [
             memory_peak.make_reservation(
                 allocation.memory_tokens,
                 allocation.request.booked_output_tokens,
@@ -379,7 +390,19 @@
             )
             for allocation in self.primary_allocations.values()
             if allocation.request.booked_output_tokens is not None
-        )
+        ]
+        return tuple(sorted(reservations, reverse=True))
+
+    def _calculate_stalls_s(
+        self, allocation: Allocation, now_s: float
+    ) -> float:
+        """Returns the prefills of others since a first event.
+
+        At the profile's speed. What is still to be prefilled is known only by
+        the slowdown of the moment, so the difference may come out below 0.
+        """
+        prefilled_s = self._calculate_prefilled_s(now_s)
+        return max(prefilled_s - allocation.prefilled_before_s, 0.0)
 
     def _calculate_prefilled_s(self, now_s: float) -> float:
         backlog_s = max(self.prefill_until_s - now_s, 0.0)
@@ -433,14 +456,21 @@
 
     def _calculate_view(self, summary: _Summary, now_s: float) -> LoadView:
         reservations = self._make_reservations(now_s)
+        present_tokens = sum(r.present_tokens for r in reservations)
+        rest_tokens = sum(r.rest_tokens for r in reservations)
+        peak_tokens = memory_peak.calculate_peak(reservations)
+        shared_tokens = (
+            summary.free_memory_tokens + present_tokens + rest_tokens
+        )
         return LoadView(
             load=self,
             running_count=len(self.primary_allocations),
             context_tokens=summary.context_tokens,
             free_slots=self.free_slots,
-            free_memory_tokens=summary.free_memory_tokens
-            + memory_peak.calculate_unshared_tokens(reservations),
+            free_memory_tokens=shared_tokens - peak_tokens,
             reservations=reservations,
+            shared_tokens=shared_tokens,
+            free_now_tokens=shared_tokens - present_tokens,
             has_short=summary.has_short,
             backlog_s=self.calculate_backlog_s(now_s),
             residual_s=summary.iteration_s / 2
