Run instances of two versions together in tests

Cause: a release replaces instances one at a time, so that placers of either version serve instances of both; no test did that.

--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -13,6 +13,7 @@
 import types
 from collections.abc import Coroutine
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 from typing import Self
 
@@ -139,6 +140,9 @@
         instances: Number of instances.
         engines: Number of model engines.
         plain: Number of endpoints of plain services.
+        launcher: Program that starts the instances.
+        bounds: Limits in the settings of all instances that override those of
+            `checks.make_bounds`.
     """
 
     def __init__(
@@ -149,6 +153,8 @@
         instances: int = 4,
         engines: int = 6,
         plain: int = 3,
+        launcher: pathlib.Path = LAUNCHER,
+        bounds: Mapping[str, float] | None = None,
     ) -> None:
         self.folder = folder
         self.record = record
@@ -163,6 +169,8 @@
         self.crashing_bodies: set[bytes] = set()
         self.cut_hosts: set[str] = set()
         self._sizes = (instances, engines, plain)
+        self._launcher = launcher
+        self._bounds = dict(bounds or {})
         self._replica_numbers = itertools.count(1)
         self._peers: dict[str, platform_replica.Replica] = {}
         self._stack = contextlib.AsyncExitStack()
@@ -175,8 +183,8 @@
         for number in range(engines + plain):
             service = POOL if number < engines else PLAIN
             await self._add_endpoint(service, DOMAINS[number % len(DOMAINS)])
-        for number in range(instances):
-            await self._add_instance(number)
+        for _ in range(instances):
+            await self._add_instance(self._launcher)
         self._start_task(self._send_heartbeats())
         self._start_task(self._sample())
         await self._wait_ready()
@@ -249,7 +257,7 @@
             instance.store_proxy.address,
             ip=instance.ip,
             zone=instance.domain,
-            **{**checks.make_bounds(), **bounds},
+            **{**checks.make_bounds(), **self._bounds, **bounds},
         )
         # Atomic replacement prevents reads of a partially written file.
         temporary_file = instance.settings.with_suffix(".new")
@@ -277,6 +285,34 @@
             records.ColdSpan(endpoint.replica.name, now_s, now_s + COLD_START_S)
         )
 
+    async def add_instances(self, count: int, launcher: pathlib.Path) -> None:
+        """Starts further instances and waits until all are ready.
+
+        Args:
+            count: Number of further instances.
+            launcher: Program that starts them.
+        """
+        for _ in range(count):
+            await self._add_instance(launcher)
+        await self._wait_ready()
+
+    async def replace_instance(
+        self, instance: Instance, launcher: pathlib.Path
+    ) -> None:
+        """Starts a stopped instance by a launcher and waits until it is ready.
+
+        The new process has a log of its own.
+        """
+        instance.incarnation += 1
+        instance.node = self._make_process(
+            f"{instance.name}.{instance.incarnation}",
+            launcher,
+            instance.settings,
+        )
+        await instance.node.start()
+        instance.is_expected_to_run = True
+        await self._wait_ready([instance])
+
     async def restart_instance(self, instance: Instance) -> None:
         """Restarts the process of an instance after a delay."""
         await asyncio.sleep(RESTART_DELAY_S)
@@ -343,7 +379,8 @@
         self._peers[endpoint.link_proxy.address] = endpoint.replica
         await self.write_entry(endpoint)
 
-    async def _add_instance(self, number: int) -> None:
+    async def _add_instance(self, launcher: pathlib.Path) -> None:
+        number = len(self.instances)
         name = f"front-{number}"
         store_proxy = await self._stack.enter_async_context(
             proxy.Proxy(self.store.address)
@@ -352,25 +389,28 @@
         high, low = divmod(os.getpid(), 250)
         ip = f"127.{16 + high % 200}.{low}.{number + 2}"
         settings = self.folder / f"{name}.json"
-        node = process.Process(
-            name,
-            LAUNCHER,
-            [str(settings)],
-            self.folder,
-            logs_output=True,
-        )
+        node = self._make_process(name, launcher, settings)
         domain = DOMAINS[number % len(DOMAINS)]
         instance = Instance(name, ip, domain, node, store_proxy, settings)
         self.instances.append(instance)
         self.write_settings(instance)
         await node.start()
 
-    async def _wait_ready(self) -> None:
+    def _make_process(
+        self, name: str, launcher: pathlib.Path, settings: pathlib.Path
+    ) -> process.Process:
+        return process.Process(
+            name, launcher, [str(settings)], self.folder, logs_output=True
+        )
+
+    async def _wait_ready(
+        self, instances: Sequence[Instance] | None = None
+    ) -> None:
         async with (
             aiohttp.ClientSession() as session,
             asyncio.timeout(READY_TIMEOUT_S),
         ):
-            for instance in self.instances:
+            for instance in instances or self.instances:
                 await _wait_until_ready(session, instance)
 
     async def _send_heartbeats(self) -> None:
