Tolerate reasons and results of a later version

Cause: a refusal for a reason, or an end with a result, that the receiver does not know was rejected as a whole: the request waited until its deadline, or its allocation outlived it. The next version's additions would do that to this one. Change: an unknown reason is read as no_time, an unknown result as given_up, and unknown_value_received is logged once for each value.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -278,6 +278,22 @@
     pause_s: float
 
 
+class UnknownValueReceived(logs.Event, frozen=True, kw_only=True):
+    """An instance of a later version sent a value that is unknown here.
+
+    Attributes:
+        kind: What the value says.
+        value: The value.
+        assumed: Known value that is used in its place.
+    """
+
+    level = "WARNING"
+
+    kind: str
+    value: str
+    assumed: str
+
+
 class MessageRejected(logs.Event, frozen=True, kw_only=True):
     """A message of another instance could not be handled; it is ignored.
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -330,7 +330,7 @@
                 self._scheduler.record_first_event(key, now_s)
             case "ended":
                 key = Key(session.instance, message.ended.ask)
-                result = messages.Result(message.ended.result)
+                result = wire_codec.decode_result(message.ended)
                 blamed = message.ended.blamed or None
                 answer = wire_codec.decode_answer(message.ended)
                 endpoint = self._feed.record_end(key, result, blamed, answer)
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import enum
+import functools
 import math
+from typing import TypeVar
 
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import rate_limits
 from poplarwick_catalogue import types
+from poplarwick_coordination import log_events
 from poplarwick_core import ids
+from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import messages
 
+LOGGED_VALUES = 64
+"""Most unknown values that are logged, each one once: an instance of a later
+version may send one with every request."""
+
+Value = TypeVar("Value", bound=enum.Enum)
+
 
 def encode_request(
     request_number: int, request: messages.PlacementRequest, now_s: float
@@ -182,6 +193,15 @@
     return ended
 
 
+def decode_result(message: placement_pb2.Ended) -> messages.Result:
+    """Decodes the result of a request.
+
+    A result of a later version ends the request without consequence for its
+    endpoint, so that no allocation outlives the request.
+    """
+    return _decode_value(message.result, messages.Result.GIVEN_UP)
+
+
 def decode_answer(
     message: placement_pb2.Ended,
 ) -> messages.AnswerEnd | None:
@@ -215,6 +235,9 @@
 def decode_decision(message: placement_pb2.Decision) -> messages.Decision:
     """Decodes a decision.
 
+    A refusal for a reason of a later version remains a refusal; without a
+    decision, the request would wait until its deadline.
+
     Raises:
         ValueError: The message contains no decision.
     """
@@ -223,7 +246,9 @@
             return _decode_placement(message.placement)
         case "refusal":
             return messages.Refusal(
-                messages.RefusalReason(message.refusal.reason),
+                _decode_value(
+                    message.refusal.reason, messages.RefusalReason.NO_TIME
+                ),
                 message.refusal.retry_after_s,
             )
         case _:
@@ -264,3 +289,19 @@
         message.expected_first_s,
         message.reason,
     )
+
+
+def _decode_value(text: str, fallback: Value) -> Value:
+    """Returns the member of an enumeration; `fallback` for unknown texts."""
+    try:
+        return type(fallback)(text)
+    except ValueError:
+        _log_unknown(type(fallback).__name__, text, fallback.value)
+        return fallback
+
+
+@functools.lru_cache(LOGGED_VALUES)
+def _log_unknown(kind: str, text: str, assumed: str) -> None:
+    logs.log(
+        log_events.UnknownValueReceived(kind=kind, value=text, assumed=assumed)
+    )
--- a/packages/coordination/tests/test_wire_codec.py
+++ b/packages/coordination/tests/test_wire_codec.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of endpoints."""
+"""What instances tell each other, also those of a later version."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
 from poplarwick_coordination import wire_codec
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
@@ -42,3 +44,20 @@
     )
     assert told.leaving == {endpoint.id}
     assert told.find_rate_limit(endpoint.id) == 1.5
+
+
+def test_refusal_with_a_reason_of_a_later_version_remains_a_refusal():
+    """Without a decision, the request would wait until its deadline."""
+    message = placement_pb2.Decision(
+        ask=1,
+        refusal=placement_pb2.Refusal(reason="later", retry_after_s=2.5),
+    )
+    assert wire_codec.decode_decision(message) == messages.Refusal(
+        messages.RefusalReason.NO_TIME, 2.5
+    )
+
+
+def test_result_of_a_later_version_ends_the_request():
+    """Otherwise its allocation would outlive the request."""
+    message = placement_pb2.Ended(ask=1, result="later")
+    assert wire_codec.decode_result(message) is messages.Result.GIVEN_UP
