Forward missed changes when an instance stops following the store

Cause: changes are forwarded to instances that say that they do not follow the store. One that stopped following between two heartbeats, as all do that have just started, missed the changes before that heartbeat for another 0.4 s: the members, if the placer and the store are lost then. Change: a heartbeat that shows such a lag is answered with the changes at once, encoded once for all instances at the same position; large ones are announced. Result: test_placer_sessions fails before the change and passes after it.

--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -158,6 +158,7 @@
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._unreachable_since_s: dict[ids.InstanceId, float] = {}
+        self._encoded_changes: dict[kv.Position, placement_pb2.Changes] = {}
         self._wake = asyncio.Event()
         self._feed = scheduler_feed.SchedulerFeed(
             catalogue_, deployment_, candidates.Scope.FLEET, self._wake.set
@@ -451,26 +452,35 @@
         )
         if session.position >= self._mirror.position:
             session.behind_since_s = None
-        elif session.behind_since_s is None:
+            return
+        if session.behind_since_s is None:
             session.behind_since_s = now_s
+        if session.position.era == self._mirror.era:
+            # An instance that has just stopped following the store may have
+            # missed changes that were forwarded before it said so.
+            self._forward_missed_changes(session)
 
     def _forward_changes(self, changes: tuple[kv.Change, ...]) -> None:
         del changes  # An instance may lack older changes as well.
-        encoded_by_position: dict[kv.Position, placement_pb2.Changes] = {}
+        self._encoded_changes.clear()
         for session in self._sessions.values():
-            if session.receives_store_updates or not session.position.revision:
-                continue
-            encoded = encoded_by_position.get(session.position)
-            if encoded is None:
-                encoded = encoded_by_position[session.position] = (
-                    store_changes.encode_changes(self._mirror, session.position)
-                )
-            if store_changes.is_large(encoded):
-                # The heartbeat announces the new revision, so that the
-                # instance reads the changes from the store.
-                session.send(self._make_heartbeat())
-            else:
-                self._send_changes(session, encoded)
+            self._forward_missed_changes(session)
+
+    def _forward_missed_changes(self, session: Session) -> None:
+        """Sends missed changes unless the instance reads them itself."""
+        if session.receives_store_updates or not session.position.revision:
+            return
+        encoded = self._encoded_changes.get(session.position)
+        if encoded is None:
+            encoded = self._encoded_changes[session.position] = (
+                store_changes.encode_changes(self._mirror, session.position)
+            )
+        if store_changes.is_large(encoded):
+            # The heartbeat announces the new revision, so that the instance
+            # reads the changes from the store.
+            session.send(self._make_heartbeat())
+        else:
+            self._send_changes(session, encoded)
 
     def _send_missed_changes(self, session: Session) -> None:
         behind_since_s = session.behind_since_s
--- /dev/null
+++ b/tests/adapter/test_placer_sessions.py
@@ -0,0 +1,96 @@
+"""What a placer sends to the instances that it serves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+
+import platform_cluster
+import pytest
+
+from poplarwick_adapter import entry_codec
+from poplarwick_adapter import settings
+from poplarwick_catalogue import catalogue
+from poplarwick_coordination import endpoint_notices
+from poplarwick_coordination import placer
+from poplarwick_coordination import store_changes
+from poplarwick_peers.wire import placement_pb2
+from poplarwick_platform import kv
+from poplarwick_platform import mirror
+
+
+def make_placer(tmp_path, store_mirror):
+    path = tmp_path / "front-0.json"
+    path.write_text(
+        json.dumps(
+            platform_cluster.make_settings(
+                "front-0", platform_cluster.PORTS, "127.0.0.1:1"
+            )
+        )
+    )
+    known = catalogue.Catalogue(store_mirror, entry_codec.decode_entry)
+    notices = endpoint_notices.EndpointNotices(
+        known, lambda start: None, lambda start, per_s: None
+    )
+    return placer.Placer(
+        "front-0",
+        known,
+        store_mirror,
+        settings.read_settings(path),
+        lambda address: None,
+        1_000,
+        None,
+        lambda: True,
+        notices,
+    )
+
+
+def send_heartbeat(tmp_path, value=b"{}", **beat):
+    """Returns the kinds of messages that answer it, and the changes."""
+
+    async def run():
+        store_mirror = mirror.Mirror()
+        store_mirror.apply_snapshot(kv.Snapshot((), 1, 0))
+        serving = make_placer(tmp_path, store_mirror)
+        entry = kv.Entry("op/x", value, 2, 2)
+        store_mirror.apply_changes(
+            [kv.Change(entry.key, entry, 2)], kv.Position(0, 2)
+        )
+        sent = []
+        session = serving.open_session("front-1", sent.append)
+        message = placement_pb2.EntryMessage(beat=placement_pb2.Beat(**beat))
+        serving.handle(session, message)
+        serving.handle(session, message)
+        return sent[1:]
+
+    return asyncio.run(run())
+
+
+def test_instance_that_does_not_follow_the_store_gets_missed_changes_at_once(
+    tmp_path,
+):
+    """It may be the next placer, and must know the members by then."""
+    [message] = send_heartbeat(tmp_path, revision=1, hears_store=False)
+    receiver = mirror.Mirror()
+    receiver.apply_snapshot(kv.Snapshot((), 1, 0))
+    store_changes.apply_changes(receiver, message.changes)
+    assert receiver.get("op/x").value == b"{}"
+
+
+@pytest.mark.parametrize(
+    "beat",
+    [
+        {"revision": 1, "hears_store": True},
+        {"revision": 0, "hears_store": False},
+        {"revision": 2, "hears_store": False},
+    ],
+)
+def test_instance_that_gets_changes_otherwise_is_sent_none(tmp_path, beat):
+    assert send_heartbeat(tmp_path, **beat) == []
+
+
+def test_large_changes_are_announced_only(tmp_path):
+    value = secrets.token_bytes(2 * store_changes.PUSH_LIMIT_BYTES)
+    sent = send_heartbeat(tmp_path, value, revision=1, hears_store=False)
+    assert {message.WhichOneof("kind") for message in sent} == {"beat"}
