--- a/packages/coordination/tests/test_wire_codec.py
+++ b/packages/coordination/tests/test_wire_codec.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of endpoints."""
+"""What instances tell each other, also those of a later version."""
 
 from __future__ import annotations
 
@@ -69,3 +69,20 @@
     )
     encoded = wire_codec.encode_decision(1, placement)
     assert wire_codec.decode_decision(encoded.decision) == placement
+
+
+def test_refusal_with_a_reason_of_a_later_version_remains_a_refusal():
+    """Without a decision, the request would wait until its deadline."""
+    message = placement_pb2.Decision(
+        ask=1,
+        refusal=placement_pb2.Refusal(reason="later", retry_after_s=2.5),
+    )
+    assert wire_codec.decode_decision(message) == messages.Refusal(
+        messages.RefusalReason.NO_TIME, 2.5
+    )
+
+
+def test_result_of_a_later_version_ends_the_request():
+    """Otherwise its allocation would outlive the request."""
+    message = placement_pb2.Ended(ask=1, result="later")
+    assert wire_codec.decode_result(message) is messages.Result.GIVEN_UP
