Leave takeovers in an outage to instances that know their entry

Cause: instances that had not received any member ranked first, all alike. After the loss of store and placer each became the placer of its own requests, with the same epoch; those that knew the others could not end this. Change: an instance that does not know its own entry does not take over.

--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -205,15 +205,21 @@
         """Begins a tenure without a lease if store and placer are both lost.
 
         If several instances begin, the one with the best rank has the highest
-        epoch. A placer that does not reach a majority steps down.
+        epoch. A placer that does not reach a majority steps down. An instance
+        that does not know its own entry yet has no rank and may lack those of
+        others: it would place for itself only, with an epoch that is not its
+        own.
         """
         state = self._read_takeover_state()
         if self.epoch is not None or not self._can_campaign():
             return
         if not state.is_store_unreachable or state.disconnected_s is None:
             return
+        members = self._read_members()
+        if self._instance not in members:
+            return
         rank = min(
-            store_followers.rank_instance(self._instance, self._read_members()),
+            store_followers.rank_instance(self._instance, members),
             CAMPAIGN_RANKS,
         )
         if state.disconnected_s < OUTAGE_WAIT_S + rank * OUTAGE_STEP_S:
