Check that no endpoint holds memory after runs of two versions

Cause: an allocation that outlives its request would go unnoticed. Change: the runs wait until endpoints have released all memory; a history without the previous version is tested to fail clearly.

--- a/tests/versions/checkouts.py
+++ b/tests/versions/checkouts.py
@@ -73,17 +73,17 @@
 PRESENT = Checkout(ROOT)
 
 
-def unpack(folder):
-    """Unpacks the previous version and returns its checkout."""
+def unpack(folder, commit=PREVIOUS_COMMIT):
+    """Unpacks a version of the history and returns its checkout."""
     completed = subprocess.run(
-        ["git", "archive", "--format=tar", PREVIOUS_COMMIT, *UNPACKED],
+        ["git", "archive", "--format=tar", commit, *UNPACKED],
         cwd=ROOT,
         capture_output=True,
         check=False,
     )
     if completed.returncode != 0:
         pytest.fail(
-            f"the history lacks the previous version {PREVIOUS_COMMIT}; "
+            f"the history lacks the previous version {commit}; "
             "`git fetch --unshallow` completes a shallow clone: "
             f"{completed.stderr.decode(errors='replace')}"
         )
--- a/tests/versions/mixed_fleet.py
+++ b/tests/versions/mixed_fleet.py
@@ -106,6 +106,9 @@
         self._stop.set()
         try:
             await self._load
+            async with asyncio.timeout(WAIT_S):
+                while self._system.list_unreleased_memory():
+                    await asyncio.sleep(POLL_PERIOD_S)
         finally:
             await self._stack.aclose()
 
--- a/tests/versions/test_messages.py
+++ b/tests/versions/test_messages.py
@@ -138,6 +138,12 @@
     assert meant[0] == ["10.0.0.1:80", "r1"]
 
 
+def test_history_without_the_previous_version_fails_clearly(tmp_path):
+    """A shallow clone must not skip these tests."""
+    with pytest.raises(pytest.fail.Exception, match="the history lacks"):
+        checkouts.unpack(tmp_path, "0" * 40)
+
+
 def test_versions_are_two(versions):
     assert versions["previous"].root != checkouts.ROOT
     assert versions["previous"].probe("describe") != versions["present"].probe(
