Report cuts again to the next placer, and hold suspects until then

Cause: evidence that is not yet a quarantine is lost with its placer, and without one each instance knows only its own cuts. Change: instances keep the cuts of the last ten seconds and report them to the next placer if it knows the message (protocol 1). It weighs each one once, with its own times; an endpoint that is gone and did not say that it leaves has crashed. A request whose own copy was cut off waits for the next placer for up to 3 s and half of its time. The feed names the organisations that exceed their shares most, for logs and metrics.

--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -199,6 +199,10 @@
         self._notify()
         return True
 
+    def has_left(self, start: types.EndpointStart) -> bool:
+        """Returns whether a start of an endpoint has said that it leaves."""
+        return start in self._leaving_starts
+
     def find_rate_limit(self, endpoint: ids.EndpointId) -> float | None:
         """Returns the requests a second that an endpoint takes, if limited."""
         start = self.find_start(endpoint)
--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -47,6 +47,55 @@
     suspects: int
 
 
+class ShareExceeded(logs.Event, frozen=True, kw_only=True):
+    """An organisation uses more than its share of a service.
+
+    Only the largest few are logged, every ten seconds at most. While others
+    wait for their shares, its requests wait for them.
+
+    Attributes:
+        service: Id of the service.
+        organisation: Id of the organisation.
+        factor: Its usage as a multiple of its share.
+        held_back: Times that a request of it waited for others, so far.
+    """
+
+    level = "INFO"
+
+    service: str
+    organisation: str
+    factor: float
+    held_back: int
+
+
+class EarlierCutReported(logs.Event, frozen=True, kw_only=True):
+    """An instance reports an answer that was cut off under another placer.
+
+    Attributes:
+        peer: The instance.
+        endpoint: Id of the endpoint.
+        request: Id of the request.
+    """
+
+    level = "INFO"
+
+    peer: str
+    endpoint: str
+    request: str
+
+
+class AwaitsPlacer(logs.Event, frozen=True, kw_only=True):
+    """A request that may have crashed an endpoint waits for the next placer.
+
+    Attributes:
+        request: Id of the request.
+    """
+
+    level = "INFO"
+
+    request: str
+
+
 class PlacerFailed(logs.Event, frozen=True, kw_only=True):
     """The placer of this instance stopped because of an exception.
 
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -18,6 +18,7 @@
 from poplarwick_coordination import candidates
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
+from poplarwick_coordination import recent_cuts
 from poplarwick_coordination import scheduler_feed
 from poplarwick_coordination import store_changes
 from poplarwick_coordination import wire_codec
@@ -40,6 +41,14 @@
 """A placer counts as alive for this long after its last message; about one and
 a half heartbeat periods."""
 
+PLACER_CHANGE_S = 3.0
+"""Time after the last message of a placer within which the next one usually
+connects: the lease ends, a candidate wins the tenure and dials."""
+
+PLACER_CHANGE_SHARE = 0.5
+"""Share of the time to its deadline for which a request waits for the next
+placer at most, so that it can still be served without one."""
+
 STORE_LAG_LIMIT_S = 0.2
 """Time for which a placer that watches the store may lag behind this instance.
 Its own watch should deliver the changes within a few network hops and one
@@ -58,6 +67,7 @@
 class _RunningRequest:
     request: messages.PlacementRequest
     placement: messages.Placement
+    placed_at_s: float
     has_begun: bool = False
     on_suspicion: Callable[[], None] | None = None
 
@@ -142,6 +152,7 @@
         self._pending: dict[int, _PendingRequest] = {}
         self._running: dict[int, _RunningRequest] = {}
         self._local_requests: set[int] = set()
+        self._cuts = recent_cuts.RecentCuts()
         self._wake = asyncio.Event()
         self._feed = scheduler_feed.SchedulerFeed(
             catalogue_, deployment_, candidates.Scope.INSTANCE, self._wake.set
@@ -267,8 +278,10 @@
             blamed: Address of another endpoint that caused the failure.
             answer: How its answer ended; None if it is of no consequence.
         """
-        self._running.pop(request_number, None)
+        running = self._running.pop(request_number, None)
         self._local_requests.discard(request_number)
+        if running is not None and answer is not None:
+            self._record_answer(request_number, running, answer)
         endpoint = self._feed.record_end(request_number, result, blamed, answer)
         if (
             self.connection is None
@@ -283,6 +296,35 @@
         )
         self._send(message)
 
+    def _record_answer(
+        self,
+        request_number: int,
+        running: _RunningRequest,
+        answer: messages.AnswerEnd,
+    ) -> None:
+        """Keeps a cut for the next placer, unless its endpoint leaves."""
+        if answer.is_conclusive:
+            self._cuts.record_answer(running.request)
+            return
+        tracked = self._catalogue.endpoints.get(running.placement.endpoint)
+        if (
+            tracked is None
+            or tracked.endpoint.state is not types.EndpointState.READY
+            or tracked.endpoint.id in self._catalogue.leaving
+        ):
+            return
+        self._cuts.record(
+            recent_cuts.RecentCut(
+                request_number,
+                running.request,
+                tracked.endpoint.start,
+                tracked.endpoint.software_version,
+                answer.written_s,
+                clock.now_s(),
+                running.placed_at_s,
+            )
+        )
+
     def attach(self, connection: PlacerConnection) -> bool:
         """Uses the connection unless the current placer has a later epoch.
 
@@ -307,6 +349,12 @@
             self._report_quarantine(quarantine)
         for start, per_s in self._catalogue.rate_limits.known.items():
             self.report_limit(start, per_s)
+        if connection.protocol >= recent_cuts.PROTOCOL:
+            now_s = clock.now_s()
+            for cut in self._cuts.iter_recent(now_s):
+                message = placement_pb2.EntryMessage()
+                message.cut.CopyFrom(wire_codec.encode_cut(cut, now_s))
+                self._send(message)
         for request_number, running in self._running.items():
             self._send_running(request_number, running)
         for request_number, pending in self._pending.items():
@@ -329,7 +377,7 @@
         )
         for request_number, pending in self._pending.items():
             if not pending.decision.done():
-                self._submit_local(request_number, pending.request)
+                self._submit_without_placer(request_number, pending.request)
         self._decide_local()
 
     def handle(
@@ -457,13 +505,40 @@
     ) -> str:
         self._wake.set()
         if self.connection is None:
-            self._submit_local(request_number, request)
+            self._submit_without_placer(request_number, request)
             self._decide_local()
             return "own"
         placer = self.connection.placer
         self._send_request(request_number, request)
         return placer
 
+    def _submit_without_placer(
+        self, request_number: int, request: messages.PlacementRequest
+    ) -> None:
+        if not self._must_await_placer(request):
+            self._submit_local(request_number, request)
+            return
+        logs.log(log_events.AwaitsPlacer(request=request.request_id))
+        self._wake.set()
+
+    def _must_await_placer(self, request: messages.PlacementRequest) -> bool:
+        """Returns whether a request waits for the next placer.
+
+        Each instance knows only its own cuts. Without this, each one would send
+        its copy of a request that crashes endpoints to another endpoint.
+        """
+        now_s = clock.now_s()
+        lost_at_s = self.disconnected_since_s
+        if self.connection is not None:
+            lost_at_s = self.connection.last_received_at_s
+        limit_s = min(
+            PLACER_CHANGE_S,
+            PLACER_CHANGE_SHARE * (request.deadline_at_s - lost_at_s),
+        )
+        return now_s - lost_at_s < limit_s and self._cuts.is_suspected(
+            request, now_s
+        )
+
     def _submit_local(
         self, request_number: int, request: messages.PlacementRequest
     ) -> None:
@@ -480,9 +555,10 @@
 
     def _reclaim_unanswered(self) -> None:
         connection = self.connection
+        now_s = clock.now_s()
         if connection is None:
+            self._submit_awaiting()
             return
-        now_s = clock.now_s()
         if now_s - connection.last_received_at_s < PLACER_ALIVE_S:
             return
         for request_number, pending in self._pending.items():
@@ -490,6 +566,7 @@
             if (
                 request_number in self._local_requests
                 or pending.decision.done()
+                or self._must_await_placer(pending.request)
             ):
                 continue
             if now_s - connection.last_received_at_s > ANSWER_WAIT_SHARE * max(
@@ -504,6 +581,16 @@
                 )
                 self._submit_local(request_number, pending.request)
 
+    def _submit_awaiting(self) -> None:
+        """Submits the requests that have waited for a placer in vain."""
+        for request_number, pending in self._pending.items():
+            if (
+                request_number not in self._local_requests
+                and not pending.decision.done()
+                and not self._must_await_placer(pending.request)
+            ):
+                self._submit_local(request_number, pending.request)
+
     def _decide_local(self) -> None:
         if not self._local_requests:
             return
@@ -522,7 +609,7 @@
         placement: messages.Placement,
         decided_by: str,
     ) -> None:
-        running = _RunningRequest(request, placement)
+        running = _RunningRequest(request, placement, clock.now_s())
         self._running[request_number] = running
         if decided_by == "own":
             self._send_running(request_number, running)
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 
@@ -19,6 +20,7 @@
 from poplarwick_coordination import endpoint_notices
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
+from poplarwick_coordination import recent_cuts
 from poplarwick_coordination import reports
 from poplarwick_coordination import scheduler_feed
 from poplarwick_coordination import store_changes
@@ -29,6 +31,7 @@
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import messages
+from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -163,6 +166,7 @@
         self._lost_at_s: dict[ids.InstanceId, float] = {}
         self._dials: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._unreachable_since_s: dict[ids.InstanceId, float] = {}
+        self._weighed_cuts = recent_cuts.WeighedCuts()
         self._wake = asyncio.Event()
         self._feed = scheduler_feed.SchedulerFeed(
             catalogue_, deployment_, candidates.Scope.FLEET, self._wake.set
@@ -222,6 +226,12 @@
         )
         return True
 
+    def list_largest_users(
+        self,
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most."""
+        return self._feed.list_largest_users()
+
     def find_unreachable(self, longer_than_s: float) -> list[ids.InstanceId]:
         """Returns the instances that were unreachable for longer than a time.
 
@@ -341,7 +351,12 @@
                 answer = wire_codec.decode_answer(message.ended)
                 endpoint = self._feed.record_end(key, result, blamed, answer)
                 if endpoint is not None:
+                    if answer is not None and not answer.is_conclusive:
+                        self._weighed_cuts.record(*key, endpoint, now_s)
                     self._check_crash(endpoint)
+            case "cut":
+                cut = wire_codec.decode_cut(message.cut, now_s)
+                self._record_earlier_cut(session, cut, now_s)
         if self._scheduler.queued_count:
             self._wake.set()
 
@@ -352,6 +367,27 @@
         message.endpoint_leaving.CopyFrom(wire_codec.encode_start(start))
         self._broadcast(message)
 
+    def _record_earlier_cut(
+        self, session: Session, cut: recent_cuts.RecentCut, now_s: float
+    ) -> None:
+        """Weighs a cut of an earlier stream, unless it has been weighed."""
+        if not self._weighed_cuts.record(
+            session.instance, cut.number, cut.start.endpoint, now_s
+        ):
+            return
+        logs.log(
+            log_events.EarlierCutReported(
+                peer=session.instance,
+                endpoint=cut.start.endpoint,
+                request=cut.request.request_id,
+            )
+        )
+        endpoint = self._feed.record_earlier_cut(cut)
+        if endpoint is not None:
+            self._check_crash(endpoint)
+        else:
+            self._feed.impose_quarantines()
+
     def _broadcast(self, message: placement_pb2.PlacerMessage) -> None:
         for session in list(self._sessions.values()):
             session.send(message)
@@ -433,6 +469,7 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self._dial_members()
+            self._feed.log_largest_users()
             heartbeat = self._make_heartbeat()
             for session in list(self._sessions.values()):
                 session.send(heartbeat)
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Protocol
 
 from grpclib import client
@@ -20,6 +21,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import organisation_shares
 from poplarwick_platform import mirror
 
 LOCAL_HEARTBEAT_PERIOD_S = 0.2
@@ -125,6 +127,15 @@
         """
         return self._placer is not None and self._placer.hand_over()
 
+    def list_largest_users(
+        self,
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most.
+
+        None unless this instance runs the placer.
+        """
+        return () if self._placer is None else self._placer.list_largest_users()
+
     async def _run_placer(self, epoch: ids.Epoch) -> None:
         local_placer = self._placer = placer.Placer(
             self._instance,
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
@@ -11,14 +12,22 @@
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
 from poplarwick_coordination import log_events
+from poplarwick_coordination import recent_cuts
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_placement import crash_evidence
 from poplarwick_placement import load_management
 from poplarwick_placement import messages
+from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
 
+LISTED_ORGANISATIONS = 3
+"""Organisations that logs and metrics name; there may be very many."""
+
+USAGE_LOG_PERIOD_S = 10.0
+"""Interval between log lines of usage: the time over which it is averaged."""
+
 
 class SchedulerFeed:
     """Owns a scheduler whose endpoints follow the catalogue.
@@ -40,6 +49,10 @@
         scope: candidates.Scope,
         on_change: Callable[[], None],
     ) -> None:
+        self._management = load_management.make_load_management(
+            has_contention=deployment_.has_contention
+        )
+        self._usage_logged_at_s = 0.0
         self.scheduler = scheduler.Scheduler(
             is_global=scope is candidates.Scope.FLEET,
             rng=random.Random(),
@@ -56,9 +69,7 @@
                 is not None
             ),
             on_crash=_log_crash,
-            management=load_management.make_load_management(
-                has_contention=deployment_.has_contention
-            ),
+            management=self._management,
         )
         catalogue_.quarantines.add_listener(self._forgive)
         self._catalogue = catalogue_
@@ -108,6 +119,35 @@
             self._exonerate(request, endpoint)
         return endpoint.id
 
+    def record_earlier_cut(
+        self, cut: recent_cuts.RecentCut
+    ) -> ids.EndpointId | None:
+        """Records an answer that was cut off before this scheduler began.
+
+        An endpoint that is not in the catalogue any more has crashed, unless
+        it said that it leaves.
+
+        Returns:
+            The endpoint if it may still run; None otherwise.
+        """
+        if self._catalogue.has_left(cut.start):
+            return None
+        tracked = self._catalogue.endpoints.get(cut.start.endpoint)
+        is_gone = tracked is None or tracked.endpoint.start != cut.start
+        endpoint = (
+            _make_gone_endpoint(cut)
+            if tracked is None or is_gone
+            else tracked.endpoint
+        )
+        evidence = self.scheduler.evidence
+        evidence.record_cut(
+            endpoint, cut.request, cut.written_s, cut.at_s, cut.sent_at_s
+        )
+        if is_gone:
+            evidence.record_gone(endpoint)
+            return None
+        return endpoint.id
+
     def _exonerate(
         self, request: messages.PlacementRequest, endpoint: types.Endpoint
     ) -> None:
@@ -137,6 +177,31 @@
                 )
             )
 
+    def list_largest_users(
+        self,
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most."""
+        return self._management.list_largest_users(
+            LISTED_ORGANISATIONS, clock.now_s()
+        )
+
+    def log_largest_users(self) -> None:
+        """Logs which organisations exceed their shares, now and then."""
+        now_s = clock.now_s()
+        if now_s - self._usage_logged_at_s < USAGE_LOG_PERIOD_S:
+            return
+        self._usage_logged_at_s = now_s
+        for usage in self.list_largest_users():
+            if usage.factor > organisation_shares.TOLERATED_FACTOR:
+                logs.log(
+                    log_events.ShareExceeded(
+                        service=usage.service,
+                        organisation=usage.organisation,
+                        factor=usage.factor,
+                        held_back=usage.held_back,
+                    )
+                )
+
     def _forgive(self, quarantine: quarantines.Quarantine) -> None:
         if quarantine.is_lifted:
             self.scheduler.forgive(
@@ -148,6 +213,20 @@
         self._on_change()
 
 
+def _make_gone_endpoint(cut: recent_cuts.RecentCut) -> types.Endpoint:
+    return types.Endpoint(
+        id=cut.start.endpoint,
+        service=cut.request.service,
+        address="",
+        domain=ids.DomainId(""),
+        state=types.EndpointState.DRAINING,
+        slots=0,
+        cold_left_s=0.0,
+        started_at_ms=cut.start.started_at_ms,
+        software_version=cut.software_version,
+    )
+
+
 def _log_crash(crash: crash_evidence.ConfirmedCrash) -> None:
     logs.log(
         log_events.EndpointCrashed(
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -7,6 +7,7 @@
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import rate_limits
 from poplarwick_catalogue import types
+from poplarwick_coordination import recent_cuts
 from poplarwick_core import ids
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import messages
@@ -163,6 +164,45 @@
     return ids.RequestFingerprint(text) if text else None
 
 
+def encode_cut(cut: recent_cuts.RecentCut, now_s: float) -> placement_pb2.Cut:
+    """Encodes an answer that was cut off."""
+    message = placement_pb2.Cut(
+        ask=encode_request(cut.number, cut.request, now_s),
+        endpoint=cut.start.endpoint,
+        started_at_ms=cut.start.started_at_ms,
+        software_version=cut.software_version,
+        cut_ago_s=now_s - cut.at_s,
+        sent_ago_s=now_s - cut.sent_at_s,
+    )
+    if cut.written_s is not None:
+        message.written_s = cut.written_s
+    return message
+
+
+def decode_cut(
+    message: placement_pb2.Cut, now_s: float
+) -> recent_cuts.RecentCut:
+    """Decodes an answer that was cut off.
+
+    Raises:
+        ValueError: A duration is not a finite number.
+    """
+    for name in ("written_s", "cut_ago_s", "sent_ago_s"):
+        if not math.isfinite(getattr(message, name)):
+            raise ValueError(f"{name} of a cut is not finite")
+    return recent_cuts.RecentCut(
+        message.ask.ask,
+        decode_request(message.ask, now_s),
+        types.EndpointStart(
+            ids.EndpointId(message.endpoint), message.started_at_ms
+        ),
+        message.software_version,
+        message.written_s if message.HasField("written_s") else None,
+        now_s - message.cut_ago_s,
+        now_s - message.sent_ago_s,
+    )
+
+
 def encode_ended(
     request_number: int,
     result: messages.Result,
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -89,6 +89,12 @@
         """Returns whether a request waits for others to get their share."""
         ...
 
+    def list_largest(
+        self, count: int, now_s: float
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most."""
+        ...
+
 
 class Admission(Protocol):
     """Refuses requests that cannot be served in time."""
@@ -233,6 +239,14 @@
         """Returns whether a request waits for others to get their share."""
         return self.shares is not None and self.shares.must_wait(request, now_s)
 
+    def list_largest_users(
+        self, count: int, now_s: float
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most."""
+        if self.shares is None:
+            return ()
+        return self.shares.list_largest(count, now_s)
+
     def review(
         self,
         waiting: Waiting,
--- a/packages/placement/poplarwick_placement/organisation_shares.py
+++ b/packages/placement/poplarwick_placement/organisation_shares.py
@@ -108,11 +108,13 @@
         usage: Memory that its requests hold, by size class.
         running_count: Requests that run.
         used_at_s: Monotonic time of its last start or end of a request.
+        held_back: Times that a request waited for other organisations.
     """
 
     usage: dict[int, _Average] = dataclasses.field(default_factory=dict)
     running_count: int = 0
     used_at_s: float = 0.0
+    held_back: int = 0
 
     def calculate_usage(self, largest: int, now_s: float) -> float:
         """Returns the usage by requests up to a size class, in tokens."""
@@ -154,11 +156,13 @@
         service: The service.
         organisation: The organisation.
         factor: Its usage as a multiple of its share.
+        held_back: Times that a request of it waited for others.
     """
 
     service: ids.ServiceId
     organisation: ids.OrganisationId
     factor: float
+    held_back: int
 
 
 class OrganisationShares:
@@ -257,10 +261,13 @@
         service = self._services.get(request.service)
         if service is None or not service.waits:
             return False
-        return self.calculate_excess(request, now_s) > 0 and any(
+        must_wait = self.calculate_excess(request, now_s) > 0 and any(
             priority <= request.priority and now_s - at_s <= WAIT_S
             for priority, at_s in service.waits.items()
         )
+        if must_wait:
+            service.accounts[request.organisation].held_back += 1
+        return must_wait
 
     def list_largest(self, count: int, now_s: float) -> list[OrganisationUsage]:
         """Returns the organisations that exceed their shares most.
@@ -274,6 +281,7 @@
                 service_id,
                 organisation,
                 account.calculate_usage(_MAX_SIZE, now_s) / share,
+                account.held_back,
             )
             for service_id, service in self._services.items()
             if (share := service.calculate_share(now_s)) > 0
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -73,6 +73,9 @@
         is_quarantined: Returns whether no endpoint may get a request.
         on_crash: Called with each endpoint that is found to have crashed.
         management: Optional decisions under load.
+
+    Attributes:
+        evidence: What crashes of endpoints say of requests.
     """
 
     def __init__(
@@ -91,7 +94,7 @@
     ) -> None:
         self._management = management or load_management.LoadManagement()
         self._is_quarantined = is_quarantined
-        self._evidence = crash_evidence.CrashEvidence(on_crash)
+        self.evidence = crash_evidence.CrashEvidence(on_crash)
         self._make_budget = make_budget
         self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
         self._is_global = is_global
@@ -133,7 +136,7 @@
         self._states = states
         for endpoint, state in before.items():
             if states.get(endpoint) is not state:
-                self._evidence.record_gone(state.candidate.endpoint)
+                self.evidence.record_gone(state.candidate.endpoint)
         self._index_endpoints()
 
     def submit(
@@ -189,7 +192,7 @@
         for state in self._find_states(key):
             state.load.record_first_event(key, now_s)
             state.health.record_first_event(now_s)
-            self._evidence.record_progress(state.candidate.endpoint, now_s)
+            self.evidence.record_progress(state.candidate.endpoint, now_s)
 
     def record_end(
         self,
@@ -263,15 +266,15 @@
     ) -> None:
         endpoint, request = state.candidate.endpoint, running.request
         if result is messages.Result.UNREACHABLE:
-            self._evidence.record_unanswered(endpoint, now_s)
+            self.evidence.record_unanswered(endpoint, now_s)
         if answer is None:
             return
         if answer.is_conclusive:
-            self._evidence.record_progress(endpoint, now_s)
-            self._evidence.record_complete(endpoint, request, now_s)
+            self.evidence.record_progress(endpoint, now_s)
+            self.evidence.record_complete(endpoint, request, now_s)
         elif state.candidate.is_open:
             allocation = state.load.primary_allocations.get(key)
-            self._evidence.record_cut(
+            self.evidence.record_cut(
                 endpoint,
                 request,
                 answer.written_s,
@@ -281,11 +284,11 @@
 
     def find_culprits(self, now_s: float) -> list[crash_evidence.Culprit]:
         """Returns what is newly blamed for crashes."""
-        if not self._evidence.has_new_crash:
+        if not self.evidence.has_new_crash:
             return []
         for key in self._running:
             self._record_writing(key, now_s)
-        return self._evidence.find_culprits()
+        return self.evidence.find_culprits()
 
     def _record_writing(self, key: Key, now_s: float) -> None:
         running = self._running.get(key)
@@ -295,7 +298,7 @@
         if state is not None and state.load.has_written_for(
             key, messages.ANSWER_START_S, now_s
         ):
-            self._evidence.record_writing(
+            self.evidence.record_writing(
                 state.candidate.endpoint, running.request, now_s
             )
 
@@ -306,12 +309,12 @@
         fingerprint: ids.RequestFingerprint | None,
     ) -> None:
         """Drops the evidence against parts of prompts, or a request."""
-        self._evidence.forgive(service, parts, fingerprint)
+        self.evidence.forgive(service, parts, fingerprint)
 
     def may_have_crashed(self, endpoint: ids.EndpointId) -> bool:
         """Returns whether an endpoint cut answers and may have crashed."""
         state = self._states.get(endpoint)
-        return state is not None and self._evidence.is_unconfirmed(
+        return state is not None and self.evidence.is_unconfirmed(
             state.candidate.endpoint
         )
 
@@ -351,7 +354,7 @@
         """Records whether an endpoint that cut answers accepts connections."""
         state = self._states.get(endpoint)
         if state is not None:
-            self._evidence.record_report(
+            self.evidence.record_report(
                 state.candidate.endpoint, answered=is_reachable, now_s=now_s
             )
 
@@ -374,7 +377,7 @@
             return False
         was_unresponsive = state.health.is_unresponsive
         state.health.record_report(answered=slowdown is not None)
-        self._evidence.record_report(
+        self.evidence.record_report(
             state.candidate.endpoint,
             answered=slowdown is not None,
             now_s=now_s,
@@ -495,14 +498,14 @@
             return refusals.refuse(messages.RefusalReason.NO_TIME)
         if self._is_quarantined(request):
             return refusals.refuse(messages.RefusalReason.QUARANTINED)
-        if request.is_retry and self._evidence.is_suspected(request):
+        if request.is_retry and self.evidence.is_suspected(request):
             return refusals.refuse(messages.RefusalReason.SUSPECTED)
         candidates = self._find_candidates(request, scheduling_round)
         if not candidates.has_allowed():
             return refusals.wait_for_endpoint(queued, now_s)
         if self._management.must_wait(request, now_s):
             return None
-        is_accused = self._evidence.is_accused(request)
+        is_accused = self.evidence.is_accused(request)
         apart_from = request.unreachable
         if is_accused:
             if self._has_running_copy(request, now_s):
@@ -537,7 +540,7 @@
         copies = self._running.find_copies(request.fingerprint)
         for key in copies:
             self._record_writing(key, now_s)
-        return bool(copies) and self._evidence.is_accused(request)
+        return bool(copies) and self.evidence.is_accused(request)
 
     def _find_endpoints_of_accused(self) -> frozenset[ids.EndpointId]:
         """Returns the endpoints that run accused requests.
@@ -547,7 +550,7 @@
         return frozenset(
             running.endpoint
             for running in self._running.iter_requests()
-            if self._evidence.is_accused(running.request)
+            if self.evidence.is_accused(running.request)
         )
 
     def _find_candidates_apart(
