--- a/packages/node/poplarwick_node/catalogue_metrics.py
+++ b/packages/node/poplarwick_node/catalogue_metrics.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from opentelemetry import metrics as otel
 
 from poplarwick_catalogue import catalogue
 from poplarwick_core import metrics
+from poplarwick_placement import organisation_shares
 
 
 def add_gauges(instance_catalogue: catalogue.Catalogue) -> None:
@@ -43,6 +46,29 @@
     )
 
 
+def add_usage_gauge(
+    list_largest_users: Callable[
+        [], Sequence[organisation_shares.OrganisationUsage]
+    ],
+) -> None:
+    """Registers a gauge of the organisations that exceed their shares most.
+
+    Args:
+        list_largest_users: Returns them, the few largest.
+    """
+    metrics.make_gauge(
+        "organisation_usage",
+        "Usage as a multiple of the share, of the organisations that use most.",
+        lambda: [
+            otel.Observation(
+                usage.factor,
+                {"service": usage.service, "organisation": usage.organisation},
+            )
+            for usage in list_largest_users()
+        ],
+    )
+
+
 def _observe_endpoints(
     instance_catalogue: catalogue.Catalogue,
 ) -> Iterable[otel.Observation]:
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Sequence
 from typing import Any
 
 from aiohttp import web
@@ -42,6 +43,7 @@
 from poplarwick_node import page_server
 from poplarwick_node import settings_follower
 from poplarwick_peers import transport
+from poplarwick_placement import organisation_shares
 from poplarwick_platform import feed
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -98,6 +100,17 @@
             self.catalogue.refresh,
         )
         self._is_leaving = False
+        self._placer_role: placer_role.PlacerRole | None = None
+
+    def list_largest_users(
+        self,
+    ) -> Sequence[organisation_shares.OrganisationUsage]:
+        """Returns the organisations that exceed their shares most.
+
+        None unless this instance runs the placer.
+        """
+        role = self._placer_role
+        return () if role is None else role.list_largest_users()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until `stop` is set, then shuts down gracefully."""
@@ -367,7 +380,8 @@
         await self._reservations.drain()
 
     async def _hand_over(self) -> None:
-        if self.tenure.epoch is None or not self._placer_role.hand_over():
+        role = self._placer_role
+        if self.tenure.epoch is None or role is None or not role.hand_over():
             return
         if not await self.tenure.wait_until_ended(HANDOVER_TIMEOUT_S):
             logs.log(log_events.HandoverUnanswered())
@@ -393,6 +407,7 @@
     loop.add_signal_handler(signal.SIGHUP, instance.settings.request_reload)
     _telemetry.collect_metrics()
     catalogue_metrics.add_gauges(instance.catalogue)
+    catalogue_metrics.add_usage_gauge(instance.list_largest_users)
     await instance.run(stop)
 
 
