Count one return for each refusal

Cause: the fingerprint is the same for all calls of an organisation with the same path and body, such as plain calls without a body. One refusal without a promise made all of them late until its deadline, and a second promise replaced the first.

--- a/packages/placement/poplarwick_placement/admission_control.py
+++ b/packages/placement/poplarwick_placement/admission_control.py
@@ -46,16 +46,15 @@
         """Counts a new request, or recognises one that returns as told."""
         if request.was_placed:
             return
-        if not self._returns.record_submission(
-            request, now_s
-        ) and not self._returns.was_hopeless(request, now_s):
+        if not self._returns.record_submission(request, now_s):
             self._arrivals.record(request, now_s)
 
     def has_promise(
         self, request: messages.PlacementRequest, now_s: float
     ) -> bool:
         """Returns whether a request has returned at the time it was told."""
-        return self._returns.has_returned(request, now_s)
+        returned = self._returns.find_return(request, now_s)
+        return returned is return_schedule.Return.AS_PROMISED
 
     def counts_as_late(
         self, request: messages.PlacementRequest, now_s: float
@@ -64,7 +63,8 @@
 
         It goes behind new callers, as if it had waited.
         """
-        return self._returns.was_hopeless(request, now_s)
+        returned = self._returns.find_return(request, now_s)
+        return returned is return_schedule.Return.UNPROMISED
 
     def review(
         self,
@@ -143,6 +143,9 @@
         )
         if due_s is None:
             retry_after_s = min(FORECAST_ERROR_S, honoured_s)
+            self._returns.await_unpromised(
+                request, now_s + retry_after_s, now_s
+            )
             outlook = messages.CapacityOutlook(len(starts_s), None)
         else:
             retry_after_s = due_s - now_s
