Move a request's progress and its records out of the request runner

Change: request_progress holds what is known over all attempts, placement_records the log lines and metrics of decisions. No behaviour changes.

--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
 from poplarwick_coordination import endpoint_notices
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
-from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
@@ -19,6 +17,8 @@
 from poplarwick_forwarding import log_events
 from poplarwick_forwarding import metrics
 from poplarwick_forwarding import outcomes
+from poplarwick_forwarding import placement_records
+from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import response_timeout
 from poplarwick_forwarding import upstream
@@ -54,63 +54,6 @@
 response takes a little of the caller's third."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """State of a request over all its attempts.
-
-    Attributes:
-        attempts: Number of attempts so far.
-        receipts: Number of attempts whose endpoint was connected.
-        executions: Number of attempts that may have run the request.
-        is_in_flight: Whether an attempt has been sent and not ended.
-        last_event_id: Id of the last event that was sent to the caller.
-        broken_at_s: Monotonic time at which the stream broke; None if it did
-            not.
-        avoided: Endpoints that must not run the request again.
-        unreachable: Endpoints that could not be connected.
-        sent_at_s: Monotonic time at which the last attempt was sent.
-        answered_at_s: Monotonic time of the head of the last attempt's
-            response; None if there was none.
-        last_event_at_s: Monotonic time of the last event; None before it.
-        is_delimited: Whether that response shows itself where it ends.
-        events: Number of events that were sent to the caller.
-        was_cut_off: Whether an endpoint cut a response off that had just begun.
-    """
-
-    last_event_id: int | None
-    attempts: int = 0
-    receipts: int = 0
-    executions: int = 0
-    is_in_flight: bool = False
-    broken_at_s: float | None = None
-    avoided: frozenset[ids.EndpointId] = frozenset()
-    unreachable: frozenset[ids.EndpointId] = frozenset()
-    sent_at_s: float = 0.0
-    answered_at_s: float | None = None
-    last_event_at_s: float | None = None
-    is_delimited: bool = True
-    events: int = 0
-    was_cut_off: bool = False
-
-    @property
-    def stream_events(self) -> int:
-        """Events of the whole stream, also of those before a resume."""
-        return (self.last_event_id or 0) if self.events else 0
-
-    @property
-    def written_s(self) -> float | None:
-        """Time from the head of that response to its last event."""
-        if self.answered_at_s is None:
-            return None
-        return max((self.last_event_at_s or 0.0) - self.answered_at_s, 0.0)
-
-    def make_answer_end(self, *, is_complete: bool) -> messages.AnswerEnd:
-        """Returns how the last attempt's response ended."""
-        return messages.AnswerEnd(
-            is_complete, self.written_s, self.is_delimited, self.stream_events
-        )
-
-
 class RequestRunner:
     """Places requests, sends them to endpoints and retries them.
 
@@ -143,7 +86,9 @@
         self, exchange: http_exchange.Exchange, sink: outcomes.Sink
     ) -> outcomes.Outcome:
         """Runs a request until its deadline and returns its outcome."""
-        progress = _Progress(exchange.metadata.last_event_id)
+        progress = request_progress.RequestProgress(
+            exchange.metadata.last_event_id
+        )
         try:
             async with asyncio.timeout(exchange.deadline_at_s - clock.now_s()):
                 return await self._run(exchange, sink, progress)
@@ -156,7 +101,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
     ) -> outcomes.Outcome:
         while True:
             quarantine = self._find_quarantine(exchange)
@@ -177,7 +122,9 @@
                     retry_after_s = self._choose_retry_after_s(
                         exchange, refusal
                     )
-                    _log_refusal(exchange, reply, refusal, retry_after_s)
+                    placement_records.record_refusal(
+                        exchange, reply, refusal, retry_after_s
+                    )
                     return _make_refusal(
                         sink, progress, refusal.reason.value, retry_after_s
                     )
@@ -192,7 +139,9 @@
                             reply.request_number, messages.Result.GIVEN_UP
                         )
                         continue
-                    _log_placement(exchange, reply, placement, progress)
+                    placement_records.record_placement(
+                        exchange, reply, placement, progress
+                    )
             try:
                 return await self._attempt(
                     exchange, sink, progress, reply.request_number, placement
@@ -249,7 +198,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         placement: messages.Placement,
         error: upstream.SendError,
     ) -> outcomes.Outcome | None:
@@ -282,7 +231,7 @@
     def _find_no_retry_reason(
         self,
         exchange: http_exchange.Exchange,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         error: upstream.SendError,
     ) -> str | None:
         if error.may_have_run:
@@ -298,7 +247,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         request_number: int,
         placement: messages.Placement,
     ) -> outcomes.Outcome:
@@ -352,7 +301,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         request_number: int,
         placement: messages.Placement,
         held: reservations.HelperReservations,
@@ -397,7 +346,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         request_number: int,
         placement: messages.Placement,
         held: reservations.HelperReservations,
@@ -424,7 +373,7 @@
         progress.is_in_flight = True
         progress.sent_at_s = clock.now_s()
         async with self._upstream.send(placement.address, request) as response:
-            _log_relay(exchange, placement, response)
+            placement_records.record_relay(exchange, placement, response)
             progress.answered_at_s = clock.now_s()
             progress.is_delimited = response.is_delimited
             self._notices.record(placement.endpoint, response.head.notice)
@@ -453,7 +402,7 @@
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
-        progress: _Progress,
+        progress: request_progress.RequestProgress,
         request_number: int,
         response: upstream.Response,
         timeout: response_timeout.ResponseTimeout,
@@ -501,7 +450,9 @@
             await sink.begin(response.status, response.headers)
 
 
-def _join_events(new_events: list[events.Event], progress: _Progress) -> bytes:
+def _join_events(
+    new_events: list[events.Event], progress: request_progress.RequestProgress
+) -> bytes:
     """Checks that events are consecutive and returns their bytes.
 
     Raises:
@@ -561,7 +512,7 @@
 
 def _make_streamed(
     exchange: http_exchange.Exchange,
-    progress: _Progress,
+    progress: request_progress.RequestProgress,
     placement: messages.Placement,
 ) -> outcomes.Streamed:
     """Returns the outcome of a stream, and counts the error of its estimate."""
@@ -576,7 +527,7 @@
 def _record_duration_error(
     exchange: http_exchange.Exchange,
     placement: messages.Placement,
-    progress: _Progress,
+    progress: request_progress.RequestProgress,
 ) -> None:
     if placement.cost_samples and not exchange.tokens_per_event:
         metrics.record_estimate_error(
@@ -606,7 +557,7 @@
 
 def _make_refusal(
     sink: outcomes.Sink,
-    progress: _Progress,
+    progress: request_progress.RequestProgress,
     reason: str,
     retry_after_s: float,
 ) -> outcomes.Outcome:
@@ -622,7 +573,7 @@
 def _refuse_quarantined(
     exchange: http_exchange.Exchange,
     sink: outcomes.Sink,
-    progress: _Progress,
+    progress: request_progress.RequestProgress,
     quarantine: quarantines.Quarantine,
 ) -> outcomes.Outcome:
     reason = messages.RefusalReason.QUARANTINED.value
@@ -640,7 +591,7 @@
 def _make_failure(
     exchange: http_exchange.Exchange,
     sink: outcomes.Sink,
-    progress: _Progress,
+    progress: request_progress.RequestProgress,
     reason: str,
 ) -> outcomes.Outcome:
     if sink.has_begun:
@@ -650,88 +601,3 @@
     if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
         return outcomes.LocalResponse(outcomes.Failure.TIMED_OUT, reason)
     return outcomes.LocalResponse(outcomes.Failure.BROKEN, reason)
-
-
-def _log_placement(
-    exchange: http_exchange.Exchange,
-    reply: placement_client.PlacementOutcome,
-    placement: messages.Placement,
-    progress: _Progress,
-) -> None:
-    metrics.placing_seconds.record(reply.waited_s)
-    if progress.broken_at_s is not None:
-        metrics.streams_resumed.add(1)
-    logs.log(
-        log_events.RequestPlaced(
-            request=exchange.metadata.request_id,
-            endpoint=placement.endpoint,
-            address=placement.address,
-            helpers=",".join(h.endpoint for h in placement.helpers) or None,
-            reserved_tokens=sum(h.reserved_tokens for h in placement.helpers)
-            or None,
-            expected_first_s=placement.expected_first_s,
-            expected_tokens=placement.expected_tokens,
-            cost_samples=placement.cost_samples,
-            reason=str(placement.reason),
-            placer=reply.decided_by,
-            waited_s=reply.waited_s,
-            send=progress.attempts + 1,
-            resumes_after=progress.last_event_id
-            if progress.broken_at_s
-            else None,
-        )
-    )
-
-
-def _log_relay(
-    exchange: http_exchange.Exchange,
-    placement: messages.Placement,
-    response: upstream.Response,
-) -> None:
-    if response.relay is not None:
-        logs.log(
-            log_events.AttemptRelayed(
-                request=exchange.metadata.request_id,
-                endpoint=placement.endpoint,
-                relay=response.relay,
-            )
-        )
-
-
-def _log_refusal(
-    exchange: http_exchange.Exchange,
-    reply: placement_client.PlacementOutcome,
-    refusal: messages.Refusal,
-    retry_after_s: float,
-) -> None:
-    outlook = refusal.outlook
-    metrics.requests_refused.add(
-        1,
-        {
-            "reason": refusal.reason.value,
-            "forecast": _describe_outlook(outlook),
-        },
-    )
-    logs.log(
-        log_events.RequestNotPlaced(
-            request=exchange.metadata.request_id,
-            service=exchange.service,
-            reason=refusal.reason.value,
-            placer=reply.decided_by,
-            waited_s=reply.waited_s,
-            retry_after_s=retry_after_s,
-            served_first=None if outlook is None else outlook.served_first,
-            capacity_in_s=None if outlook is None else outlook.capacity_in_s,
-        )
-    )
-
-
-def _describe_outlook(outlook: messages.CapacityOutlook | None) -> str:
-    """Returns what a forecast said as an attribute of a metric."""
-    match outlook:
-        case None:
-            return "none"
-        case messages.CapacityOutlook(capacity_in_s=None):
-            return "no_capacity"
-        case messages.CapacityOutlook():
-            return "later"
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -19,6 +19,7 @@
 from poplarwick_forwarding import events
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import outcomes
+from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
@@ -226,7 +227,7 @@
 @pytest.mark.parametrize("resumed_after", [None, 7])
 def test_events_before_a_resume_are_counted(resumed_after):
     # What a caller's resumed stream costs would be learned as less.
-    progress = request_runner._Progress(resumed_after)
+    progress = request_progress.RequestProgress(resumed_after)
     first = (resumed_after or 0) + 1
     request_runner._join_events(
         [events.Event(b"", first), events.Event(b"", first + 1)], progress
