--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -229,7 +229,7 @@
         excess = self.calculate_excess(queued.request, now_s)
         if queue_order.should_start(queued, choice, now_s, excess):
             return True
-        if self.shares is not None:
+        if self.shares is not None and queued.is_urgent(now_s):
             self.shares.record_wait(queued.request, now_s)
         return False
 
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -34,6 +34,10 @@
 waits for more engines: a long prompt on a single engine occupies it for many
 seconds."""
 
+URGENT_SHARE = 0.5
+"""Share of its time to start on time that a request has left when others hold
+back for it. Holding back from its arrival on would leave engines idle."""
+
 MARGIN_S = 0.05
 """Time reserved for the hops between instances and for the iteration in
 progress."""
@@ -64,6 +68,11 @@
         """Returns whether a first event is possible before the deadline."""
         return now_s + self.ideal_first_event_s < self.request.deadline_at_s
 
+    def is_urgent(self, now_s: float) -> bool:
+        """Returns whether a good part of its time to start has passed."""
+        spare_s = self.latest_start_s - self.arrived_at_s
+        return self.latest_start_s - now_s < URGENT_SHARE * spare_s
+
     def must_follow(self, other: QueuedRequest, excess: float) -> bool:
         """Returns whether a new request must not pass one that is queued.
 
