Let a new placer know what its instance saw answered before

Cause: a request is blamed only if other requests fare better; for one that is all that comes, it is enough that its endpoints answered another one before. The local evidence of the same instance had the answer, but decides only without a placer. Since a sole survivor stays the placer while its peers refuse connections, that lasts beyond the wait for a majority. Crashes at the same moment, times of sending and split evidence had no part.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -27,6 +27,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import crash_evidence
 from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -173,6 +174,11 @@
             self.connection.position > self._mirror.position
         )
 
+    @property
+    def evidence(self) -> crash_evidence.CrashEvidence:
+        """What the requests of this instance say of crashes of endpoints."""
+        return self._scheduler.evidence
+
     def has_relief(self, now_s: float) -> bool:
         """Returns whether the placer lets this instance turn callers away."""
         at_s = self._relieved_at_s
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -31,6 +31,7 @@
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import crash_evidence
 from poplarwick_placement import messages
 from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
@@ -272,6 +273,18 @@
             if now_s - since_s > longer_than_s
         ]
 
+    def adopt_sound_answers(
+        self, earlier: crash_evidence.CrashEvidence
+    ) -> None:
+        """Takes over what was answered before this placer began.
+
+        Instances report their earlier cuts, but not what they saw answered.
+
+        Args:
+            earlier: Evidence of this instance's own requests.
+        """
+        self._scheduler.evidence.adopt_sound_answers(earlier)
+
     def open_session(
         self, instance: ids.InstanceId, send: MessageSink
     ) -> Session:
--- a/packages/coordination/tests/test_recent_cuts.py
+++ b/packages/coordination/tests/test_recent_cuts.py
@@ -10,6 +10,7 @@
 from poplarwick_catalogue import types
 from poplarwick_coordination import placement_client
 from poplarwick_coordination import placer
+from poplarwick_coordination import placer_role
 from poplarwick_coordination import recent_cuts
 from poplarwick_coordination import wire_codec
 from poplarwick_core import clock
@@ -41,6 +42,24 @@
     )
 
 
+class Notices:
+    """What endpoints have asked of this instance: nothing."""
+
+    def is_paused(self, address):
+        return False
+
+
+def make_client(found, store_mirror):
+    return placement_client.PlacementClient(
+        found,
+        store_mirror,
+        examples.make_deployment(),
+        lambda epoch: None,
+        lambda: True,
+        lambda epoch: None,
+    )
+
+
 def make_placer(found, store_mirror):
     return placer.Placer(
         ids.InstanceId("placer"),
@@ -51,7 +70,7 @@
         ids.Epoch(1),
         None,
         lambda: True,
-        type("Notices", (), {"is_paused": lambda self, address: False})(),
+        Notices(),
     )
 
 
@@ -103,14 +122,8 @@
 def test_cuts_are_reported_to_placers_that_know_them_only():
     async def scenario():
         store_mirror = mirror.Mirror()
-        client = placement_client.PlacementClient(
-            catalogue.Catalogue(store_mirror, lambda key, value: None),
-            store_mirror,
-            examples.make_deployment(),
-            lambda epoch: None,
-            lambda: True,
-            lambda epoch: None,
-        )
+        found = catalogue.Catalogue(store_mirror, lambda key, value: None)
+        client = make_client(found, store_mirror)
         client._cuts.record(make_cut(1, clock.now_s()))
         sent = {}
         for protocol in (0, 1):
@@ -145,3 +158,71 @@
     cuts.record_answer(REQUEST)
     assert [cut.number for cut in cuts.iter_recent(6.0)] == [2]
     assert not list(cuts.iter_recent(5.1 + recent_cuts.RETENTION_S))
+
+
+async def find_quarantines(*, answers_another):
+    """Returns what an instance refuses that becomes the placer.
+
+    It has seen three crashes by one request and nothing else since.
+
+    Args:
+        answers_another: Whether it saw another request answered before.
+    """
+    store_mirror = mirror.Mirror()
+    found = catalogue.Catalogue(store_mirror, lambda key, value: None)
+    client = make_client(found, store_mirror)
+    now_s = clock.now_s()
+    if answers_another:
+        sound = dataclasses.replace(
+            REQUEST, fingerprint=ids.RequestFingerprint("sound")
+        )
+        client.evidence.record_complete(
+            types.Endpoint(
+                ids.EndpointId("e0"),
+                REQUEST.service,
+                "10.0.0.1:80",
+                ids.DomainId("a"),
+                types.EndpointState.READY,
+                8,
+                0.0,
+                7,
+                "v1",
+            ),
+            sound,
+            now_s - 6,
+        )
+    for number in range(1, 4):
+        client._cuts.record(make_cut(number, now_s - 5 + number))
+    role = placer_role.PlacerRole(
+        ids.InstanceId("placer"),
+        found,
+        store_mirror,
+        examples.make_deployment(),
+        lambda address: None,
+        client,
+        None,
+        lambda: True,
+        None,
+        Notices(),
+    )
+    role.set_epoch(ids.Epoch(1))
+    running = asyncio.create_task(role.run())
+    await asyncio.sleep(5 * placer_role.MAJORITY_POLL_PERIOD_S)
+    assert client.connection is not None
+    running.cancel()
+    await asyncio.wait((running,))
+    return [q.fingerprint for q in found.quarantines.known]
+
+
+def test_placer_knows_what_its_instance_saw_answered_before_the_crashes():
+    """A request that comes alone is blamed only if others were answered.
+
+    A placer that knew only the crashes let it end one endpoint after another.
+    """
+    found = asyncio.run(find_quarantines(answers_another=True))
+    assert found == [REQUEST.fingerprint]
+
+
+def test_next_placer_blames_no_request_if_nothing_was_ever_answered():
+    """The endpoints themselves are then the likelier cause."""
+    assert not asyncio.run(find_quarantines(answers_another=False))
--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -221,6 +221,23 @@
             self._sound.popitem(last=False)
         self._scores.pop(scope, None)
 
+    def adopt_sound_answers(self, earlier: CrashEvidence) -> None:
+        """Takes over which requests others have seen answered.
+
+        Blame needs other requests that fare better. Evidence that knows only
+        crashes could not blame a request that is all that comes.
+
+        Args:
+            earlier: Evidence on the same endpoints. Its crashes and the credit
+                of parts of prompts are not taken over.
+        """
+        for scope, contrasts in earlier._contrasts.items():
+            known = self._contrasts.get(scope, ())
+            self._contrasts[scope] = collections.deque(
+                sorted((*known, *contrasts), key=lambda c: c.at_s),
+                maxlen=MAX_CONTRASTS,
+            )
+
     def record_progress(self, endpoint: types.Endpoint, now_s: float) -> None:
         """Records that an endpoint has made progress on a request."""
         crash = self._crashes.get(endpoint.start)
--- a/packages/placement/tests/test_request_evidence.py
+++ b/packages/placement/tests/test_request_evidence.py
@@ -249,6 +249,29 @@
     assert fleet.find_blamed() == ["bad"]
 
 
+def test_evidence_that_begins_after_all_sound_answers_blames_a_request():
+    """Without them, it blamed nothing for any number of crashes."""
+    earlier, later = Fleet(), Fleet(has_answers=False)
+    earlier.answer("sound", 0.0)
+    for number in range(CRASHES):
+        later.crash(1.0 + 0.3 * number, "bad")
+    assert not later.find_blamed()
+    later.evidence.adopt_sound_answers(earlier.evidence)
+    assert later.find_blamed() == ["bad"]
+
+
+def test_adopted_answers_do_not_displace_later_ones():
+    """A part that all crashes involve needs an answer since the first one."""
+    earlier, later = Fleet(), Fleet(has_answers=False)
+    for number in range(crash_evidence.MAX_CONTRASTS):
+        earlier.answer(make_request("old", parts=("other",)), 0.01 * number)
+    for number in range(CRASHES):
+        later.crash(1.0 + 0.3 * number, make_request(f"{number}"))
+    later.answer(make_request("new", parts=("other",)), 2.0)
+    later.evidence.adopt_sound_answers(earlier.evidence)
+    assert later.find_blamed() == [{COMMON}]
+
+
 def test_request_that_was_forgiven_is_blamed_after_as_many_new_crashes():
     fleet = Fleet()
     for turn in range(2):
