--- a/packages/bench/poplarwick_bench/soak/checks.py
+++ b/packages/bench/poplarwick_bench/soak/checks.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -256,11 +257,24 @@
 
 
 def check_recovery(record: records.Record) -> Iterator[Finding]:
-    """The system recovers after all instances were killed."""
+    """The system recovers after all instances were killed.
+
+    Probes of a route that was removed are not counted: they get status 404.
+    """
     if record.killed_all_at_s is None:
         return
     begins_at_s = record.killed_all_at_s + RECOVERY_S
-    later = [call for call in record.calls if call.sent_at_s > begins_at_s]
+    removed_at_s = {
+        change.subject: change.at_s
+        for change in record.changes
+        if change.kind is records.ChangeKind.ROUTE_REMOVED
+    }
+    later = [
+        call
+        for call in record.calls
+        if call.sent_at_s > begins_at_s
+        and call.sent_at_s < removed_at_s.get(call.route, math.inf)
+    ]
     succeeded = sum(call.status == 200 for call in later)
     if succeeded < RECOVERED_SHARE * len(later):
         yield Finding(
--- a/packages/bench/tests/test_soak_checks.py
+++ b/packages/bench/tests/test_soak_checks.py
@@ -165,6 +165,19 @@
     assert run_check(checks.check_recovery, record) == []
 
 
+def test_probe_of_removed_route_does_not_count_as_missing_recovery():
+    # Guards against a short soak whose last calls all ask for a removed route.
+    probe = make_call(sent_at_s=200.0, status=404, route="added-1")
+    other = make_call(sent_at_s=200.0, status=503)
+    removed = records.Change(CHANGE.ROUTE_REMOVED, "added-1", 199.0)
+    record = make_record([probe], killed_all_at_s=180.0, changes=[removed])
+    assert run_check(checks.check_recovery, record) == []
+    record = make_record([probe], killed_all_at_s=180.0)
+    assert run_check(checks.check_recovery, record) == ["recovery"]
+    record = make_record([probe, other], killed_all_at_s=180.0)
+    assert run_check(checks.check_recovery, record) == ["recovery"]
+
+
 def test_late_request_to_draining_endpoint_is_reported_without_faults():
     endpoint = make_endpoint(arrivals=[make_arrival(103.0)])
     changes = [records.Change(CHANGE.ENDPOINT_LEAVES, "e-1", 100.0)]
