--- a/packages/forwarding/poplarwick_forwarding/buffer_budget.py
+++ b/packages/forwarding/poplarwick_forwarding/buffer_budget.py
@@ -16,12 +16,11 @@
 from collections.abc import Iterator
 
 TYPICAL_MEMORY_BYTES = 200_000_000
-"""Memory that is assumed if that of the instance is unknown; the smallest
-machine of deployments without a stated limit."""
+"""Memory that is assumed if that of the instance is unknown."""
 
 TOTAL_SHARE = 0.25
 """Fraction of the memory for all buffered data. The process takes 55 MB without
-any, a third of the smallest machine."""
+any, a third of the smallest instance."""
 
 ADMISSION_SHARE = 0.8
 """Fraction of that total up to which requests are accepted; the rest is for the
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -160,7 +160,7 @@
         """Whether connections are closed after their next response."""
         return self.is_leaving or self._is_relieved
 
-    def set_relieved(self, is_relieved: bool) -> None:  # noqa: FBT001
+    def set_relieved(self, is_relieved: bool) -> None:
         """Sets whether callers are asked to connect to other instances.
 
         Their connections are closed after the next response. Idle ones are not
