Bundle the decisions under load by their classes, without protocols

Cause: read-through. load_management declared three protocols with one implementation each and repeated their interfaces; speeds and levels beside them had none. The iterable that review_running reads twice is declared a collection.

--- a/packages/forwarding/poplarwick_forwarding/instance_delay.py
+++ b/packages/forwarding/poplarwick_forwarding/instance_delay.py
@@ -13,7 +13,8 @@
 import collections
 
 WEAK_CORES = 0.5
-"""Processor time below which an instance monitors its delay."""
+"""Processor time, in cores of the reference speed, below which an instance
+monitors its delay, and takes longer to start than callers may wait."""
 
 LAG_SHARE = 0.25
 """Fraction of the shortest target latency from which a lag of the event loop
--- a/packages/node/poplarwick_node/delay_guard.py
+++ b/packages/node/poplarwick_node/delay_guard.py
@@ -75,8 +75,6 @@
 
     async def run(self) -> None:
         """Measures and acts until cancelled."""
-        if not self.is_needed:
-            await asyncio.Event().wait()
         async with asyncio.TaskGroup() as group:
             group.create_task(self._measure())
             group.create_task(self._leave_tenure())
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -289,7 +289,8 @@
         self._start_task(stack, instance_registration.run)
         self._start_task(stack, self._make_quarantine_keeper(client).run)
         self._start_task(stack, self.settings.run)
-        self._start_task(stack, self.delay_guard.run)
+        if self.delay_guard.is_needed:
+            self._start_task(stack, self.delay_guard.run)
         self._start_task(stack, self._monitor)
 
     def _make_quarantine_keeper(
--- a/packages/placement/poplarwick_placement/admission_control.py
+++ b/packages/placement/poplarwick_placement/admission_control.py
@@ -69,7 +69,7 @@
     def review(
         self,
         states: Sequence[service_pool.EndpointState],
-        waiting: Sequence[tuple[Hashable, queue_order.QueuedRequest]],
+        waiting: queue_order.Waiting,
         now_s: float,
     ) -> Mapping[Hashable, messages.Refusal]:
         """Returns refusals for requests that cannot be answered in time.
--- a/packages/placement/poplarwick_placement/capacity_forecast.py
+++ b/packages/placement/poplarwick_placement/capacity_forecast.py
@@ -384,7 +384,7 @@
 
 def forecast(
     capacity: Capacity,
-    waiting: Sequence[tuple[Hashable, queue_order.QueuedRequest]],
+    waiting: queue_order.Waiting,
     arrivals: Iterable[arrival_rates.Arrivals],
     ahead: Iterable[Hashable],
     behind: Iterable[Hashable],
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -10,11 +10,10 @@
 
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Hashable
-from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from poplarwick_core import ids
 from poplarwick_placement import admission_control
@@ -28,122 +27,8 @@
 from poplarwick_placement import running_requests
 from poplarwick_placement import service_pool
 
-Waiting = Sequence[tuple[Hashable, queue_order.QueuedRequest]]
-"""Queued requests of one service with their keys, the next one first."""
-
-
-class CostEstimator(Protocol):
-    """Estimates what a request will cost the endpoint that runs it."""
-
-    def estimate(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> messages.PlacementRequest:
-        """Returns the request with expected and booked output tokens."""
-        ...
-
-    def revise(
-        self, states: Iterable[service_pool.EndpointState], now_s: float
-    ) -> None:
-        """Corrects the estimates of running requests by their output."""
-        ...
-
-    def record_end(
-        self,
-        request: messages.PlacementRequest,
-        answer: messages.AnswerEnd,
-        output_tokens: int,
-        duration_s: float,
-        now_s: float,
-    ) -> None:
-        """Learns from an answer.
-
-        Args:
-            request: The request as it was estimated.
-            answer: How the answer ended.
-            output_tokens: Length of the whole output; 0 if it is no stream.
-            duration_s: Time from the placement to the end.
-            now_s: Monotonic time.
-        """
-        ...
-
-
-class Shares(Protocol):
-    """Compares what organisations use with their shares."""
-
-    def record_start(
-        self, key: Hashable, request: messages.PlacementRequest, now_s: float
-    ) -> None:
-        """Counts a request that has been placed."""
-        ...
-
-    def record_end(self, key: Hashable, now_s: float) -> None:
-        """Counts the end of a request; unknown keys have no effect."""
-        ...
-
-    def calculate_excess(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> float:
-        """Returns by how much the sender of a request exceeds its share.
-
-        0 if it does not.
-        """
-        ...
-
-    def record_wait(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> None:
-        """Records that a request waits for other requests to end."""
-        ...
-
-    def must_wait(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> bool:
-        """Returns whether a request waits for others to get their share."""
-        ...
-
-    def list_largest(
-        self, count: int, now_s: float
-    ) -> Sequence[organisation_shares.OrganisationUsage]:
-        """Returns the organisations that exceed their shares most."""
-        ...
-
-
-class Admission(Protocol):
-    """Refuses requests that cannot be served in time."""
-
-    def record_submission(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> None:
-        """Records the arrival of a request."""
-        ...
-
-    def has_promise(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> bool:
-        """Returns whether a request returns at the time that it was told."""
-        ...
-
-    def counts_as_late(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> bool:
-        """Returns whether a request goes behind those that can be on time."""
-        ...
-
-    def review(
-        self,
-        states: Sequence[service_pool.EndpointState],
-        waiting: Waiting,
-        now_s: float,
-    ) -> Mapping[Hashable, messages.Refusal]:
-        """Returns refusals for waiting requests that cannot begin in time.
-
-        Args:
-            states: Open endpoints of the service.
-            waiting: Requests that were not placed in this round, the next one
-                first.
-            now_s: Monotonic time.
-        """
-        ...
+if TYPE_CHECKING:
+    from poplarwick_placement import request_costs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,11 +43,11 @@
         admission: Refuses requests that cannot be served in time.
     """
 
-    costs: CostEstimator | None = None
+    costs: request_costs.RequestCosts | None = None
     speeds: engine_speed.EndpointSpeeds | None = None
     levels: booking_level.BookingLevels | None = None
-    shares: Shares | None = None
-    admission: Admission | None = None
+    shares: organisation_shares.OrganisationShares | None = None
+    admission: admission_control.AdmissionControl | None = None
 
     def estimate(
         self,
@@ -221,7 +106,7 @@
             self.speeds.record_end(key, state, answer, now_s)
 
     def review_running(
-        self, pools: Iterable[service_pool.ServicePool], now_s: float
+        self, pools: Collection[service_pool.ServicePool], now_s: float
     ) -> None:
         """Revises the speeds of endpoints and the costs of what they run."""
         if self.costs is not None:
@@ -309,7 +194,7 @@
 
     def review(
         self,
-        waiting: Waiting,
+        waiting: queue_order.Waiting,
         get_states: Callable[
             [ids.ServiceId], Sequence[service_pool.EndpointState]
         ],
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 from collections.abc import Hashable
+from collections.abc import Sequence
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
@@ -86,6 +87,10 @@
         )
 
 
+Waiting = Sequence[tuple[Hashable, QueuedRequest]]
+"""Queued requests with their keys, the next one first."""
+
+
 def calculate_ideal_first_event_s(
     request: messages.PlacementRequest,
     profile: types.EngineProfile | None,
--- a/packages/placement/poplarwick_placement/request_costs.py
+++ b/packages/placement/poplarwick_placement/request_costs.py
@@ -96,7 +96,7 @@
 
 
 class RequestCosts:
-    """Implements `load_management.CostEstimator`.
+    """Learns what the answers to earlier requests have cost.
 
     Args:
         levels: Quantiles at which memory is reserved.
--- a/packages/placement/tests/test_crash_evidence.py
+++ b/packages/placement/tests/test_crash_evidence.py
@@ -5,10 +5,9 @@
 import itertools
 import random
 
+import crash_fixtures
 import pytest
 
-from poplarwick_catalogue import types
-from poplarwick_core import ids
 from poplarwick_placement import crash_evidence
 from poplarwick_placement import messages
 
@@ -18,33 +17,8 @@
 JUST_BEGUN_S = 0.09
 LONG_BEGUN_S = 1.2
 
-
-def make_endpoint(number, *, service="pool", version="v1"):
-    return types.Endpoint(
-        ids.EndpointId(f"i-{number}"),
-        ids.ServiceId(service),
-        f"10.0.0.{number}:80",
-        ids.DomainId("a"),
-        types.EndpointState.READY,
-        8,
-        0.0,
-        1,
-        version,
-    )
-
-
-def make_request(*parts, service="pool", was_cut_off=False):
-    return messages.PlacementRequest(
-        ids.RequestId("r"),
-        ids.ServiceId(service),
-        5_000,
-        170,
-        1.0,
-        10.0,
-        1.0,
-        shared_parts=tuple(ids.PromptPartId(p) for p in parts),
-        was_cut_off=was_cut_off,
-    )
+make_endpoint = crash_fixtures.make_endpoint
+make_request = crash_fixtures.make_request
 
 
 def crash(evidence, endpoint, cuts, now_s, *, is_confirmed=True):
--- a/packages/placement/tests/test_request_evidence.py
+++ b/packages/placement/tests/test_request_evidence.py
@@ -4,13 +4,12 @@
 
 import random
 
+import crash_fixtures
 import pytest
 
-from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import crash_evidence
 from poplarwick_placement import crash_records
-from poplarwick_placement import messages
 from poplarwick_placement import request_evidence
 
 COMMON = "c0"
@@ -20,33 +19,12 @@
 LONG_BEGUN_S = 1.2
 CRASHES = request_evidence.CULPRIT_CRASHES
 
-
-def make_endpoint(name, *, service="pool", version="v1"):
-    return types.Endpoint(
-        ids.EndpointId(f"i-{name}"),
-        ids.ServiceId(service),
-        "10.0.0.1:80",
-        ids.DomainId("a"),
-        types.EndpointState.READY,
-        8,
-        0.0,
-        1,
-        version,
-    )
+make_endpoint = crash_fixtures.make_endpoint
 
 
-def make_request(name, *, parts=(COMMON,), service="pool", was_cut_off=False):
-    return messages.PlacementRequest(
-        ids.RequestId("r"),
-        ids.ServiceId(service),
-        5_000,
-        170,
-        1.0,
-        10.0,
-        1.0,
-        shared_parts=tuple(ids.PromptPartId(p) for p in parts),
-        was_cut_off=was_cut_off,
-        fingerprint=ids.RequestFingerprint(name),
+def make_request(name, *, parts=(COMMON,), **changes):
+    return crash_fixtures.make_request(
+        *parts, fingerprint=ids.RequestFingerprint(name), **changes
     )
 
 
