--- a/review/harness.py
+++ b/review/harness.py
@@ -34,6 +34,8 @@
 PAIR_S = 0.162e-9
 """Time for a pair of a token and an earlier one (`pairs_per_m`)."""
 READY_TIMEOUT_S = 30.0
+LIMIT_S = 110.0
+"""Time limit of a case, after which it ends its processes."""
 
 
 class Engine(platform_replica.Replica):
@@ -342,7 +344,7 @@
     """Runs a case and exits with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        code = asyncio.run(case(trouble))
+        code = asyncio.run(asyncio.wait_for(case(trouble), LIMIT_S))
     except Exception as error:
         print(f"could not run: {error!r}")
         code = NOT_RUN
