Refuse waiting requests that a stopping instance can no longer serve

Cause: the stop waited for all requests in progress alike, those that an engine ran and those that waited for one, and cancelled the rest at the end of the grace period. Placement went on as if nothing had happened, and nothing refused what waited.

Ruled out: the hand-over of the tenure. Requests that wait at a stopping placer for other instances are asked again at the next one (test added, it passed before as well).

Change: forwarding/graceful_stop limits the wait of a request to the latest start at which it still ends before the process, by its duration on idle engines, and to the time at which the instance stops listening. It is then refused ("has not run", Retry-After 0.1 s), or answered 502 if an attempt may have run. A stream that has begun is resumed as long as the process runs.

The test failed before: ServerDisconnected for all four requests in place of 503.

--- a/packages/catalogue/poplarwick_catalogue/routing.py
+++ b/packages/catalogue/poplarwick_catalogue/routing.py
@@ -69,12 +69,12 @@
     )
 
 
-def get_stride(routing: Routing, service: ids.ServiceId) -> int:
-    """Returns the output tokens in an event; 0 for a plain service."""
+def get_engine(
+    routing: Routing, service: ids.ServiceId
+) -> types.EngineProfile | None:
+    """Returns the profile of a service's engines; None for a plain service."""
     known = routing.services.get(service)
-    if known is None or known.engine is None:
-        return 0
-    return known.engine.stride
+    return None if known is None else known.engine
 
 
 def choose_service(route: types.Route, rng: random.Random) -> ids.ServiceId:
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -345,7 +345,7 @@
             deadline_at_s=http_exchange.calculate_deadline_s(
                 admitted.route, metadata, received_at_s
             ),
-            tokens_per_event=routing.get_stride(rules, service),
+            engine=routing.get_engine(rules, service),
             held=held,
         )
 
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -35,8 +35,7 @@
         deadline_at_s: Monotonic time by which the caller must have the
             complete response.
         held: Counts the data that is buffered for the request.
-        tokens_per_event: Output tokens in an event of a stream; 0 for a plain
-            service.
+        engine: Profile of the service's engines; None for a plain service.
     """
 
     metadata: dialect.RequestMetadata
@@ -50,13 +49,18 @@
     received_at_s: float
     deadline_at_s: float
     held: buffer_budget.HeldBytes
-    tokens_per_event: int = 0
+    engine: types.EngineProfile | None = None
 
     @property
     def route(self) -> types.Route:
         """Route of the request."""
         return self.admission.route
 
+    @property
+    def tokens_per_event(self) -> int:
+        """Output tokens in an event of a stream; 0 for a plain service."""
+        return 0 if self.engine is None else self.engine.stride
+
     def make_placement_request(
         self,
         avoided: frozenset[ids.EndpointId],
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -13,6 +13,7 @@
 from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import events
+from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import log_events
 from poplarwick_forwarding import metrics
@@ -64,6 +65,7 @@
         memory: Reserves engine memory for very long prompts.
         notices: What endpoints have asked of this instance.
         known_quarantines: Requests and parts of prompts that crash endpoints.
+        stop: Ends the waits of requests once this instance stops.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         memory: reservations.Reservations,
         notices: endpoint_notices.EndpointNotices,
         known_quarantines: quarantines.Quarantines,
+        stop: graceful_stop.GracefulStop,
     ) -> None:
+        self._stop = stop
         self._notices = notices
         self._quarantines = known_quarantines
         self._placement_client = placements
@@ -107,16 +111,13 @@
             quarantine = self._find_quarantine(exchange)
             if quarantine is not None:
                 return _refuse_quarantined(exchange, sink, progress, quarantine)
-            reply = await self._placement_client.place(
-                exchange.make_placement_request(
-                    progress.avoided | self._notices.find_blocked(),
-                    broken_at_s=progress.broken_at_s,
-                    is_retry=progress.receipts > 0,
-                    was_placed=progress.attempts > 0,
-                    unreachable=progress.unreachable,
-                    was_cut_off=progress.was_cut_off,
+            try:
+                reply = await self._place(exchange, sink, progress)
+            except graceful_stop.StoppingError:
+                metrics.requests_refused.add(1, {"reason": "stopping"})
+                return _make_refusal(
+                    sink, progress, "stopping", graceful_stop.RETRY_AFTER_S
                 )
-            )
             match reply.decision:
                 case messages.Refusal() as refusal:
                     retry_after_s = self._choose_retry_after_s(
@@ -157,6 +158,34 @@
                 await sink.drain()
                 progress.broken_at_s = clock.now_s()
 
+    async def _place(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+    ) -> placement_client.PlacementOutcome:
+        """Waits for a placement of the next attempt.
+
+        Raises:
+            graceful_stop.StoppingError: This instance stops too soon.
+        """
+        request = exchange.make_placement_request(
+            progress.avoided | self._notices.find_blocked(),
+            broken_at_s=progress.broken_at_s,
+            is_retry=progress.receipts > 0,
+            was_placed=progress.attempts > 0,
+            unreachable=progress.unreachable,
+            was_cut_off=progress.was_cut_off,
+        )
+        if sink.has_begun:
+            # It can only be cut off, so it is resumed as long as possible.
+            return await self._placement_client.place(request)
+        duration_s = graceful_stop.calculate_shortest_duration_s(
+            request, exchange.engine
+        )
+        async with self._stop.limit_wait(duration_s):
+            return await self._placement_client.place(request)
+
     def _find_quarantine(
         self, exchange: http_exchange.Exchange
     ) -> quarantines.Quarantine | None:
--- /dev/null
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -0,0 +1,159 @@
+"""Which requests a stopping instance still starts."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+
+import exchanges
+import pytest
+
+from poplarwick_adapter import dialect as platform_dialect
+from poplarwick_catalogue import quarantines
+from poplarwick_catalogue import types as catalogue_types
+from poplarwick_core import clock
+from poplarwick_core import ids
+from poplarwick_forwarding import graceful_stop
+from poplarwick_forwarding import outcomes
+from poplarwick_forwarding import request_progress
+from poplarwick_forwarding import request_runner
+from poplarwick_placement import messages
+
+LISTENS_S = 2.6
+GRACE_S = 7.4
+FOREVER_S = 60.0
+
+ENGINE = catalogue_types.EngineProfile(
+    slots=8,
+    memory_tokens=405_000,
+    step_s=0.0014,
+    step_per_sequence_s=0.0,
+    step_per_context_token_s=0.0,
+    prefill_tokens_per_s=154_000.0,
+    prefill_pair_s=0.162e-9,
+    chunk_tokens=2_048,
+    stride=34,
+    hop_s=0.0,
+    report_lag_s=0.0,
+)
+
+
+def make_request(prompt_tokens, output_tokens):
+    return messages.PlacementRequest(
+        ids.RequestId("r"),
+        ids.ServiceId("pool"),
+        prompt_tokens,
+        output_tokens,
+        on_time_at_s=1.0,
+        deadline_at_s=15.0,
+        pause_limit_s=1.0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("prompt_tokens", "output_tokens", "starts"),
+    [
+        (5_000, 170, True),  # 0.3 s
+        (120_000, 650, True),  # 1.1 s
+        (120_000, 3_000, False),  # 4.4 s, and twice that beside others
+    ],
+)
+def test_request_starts_only_if_it_ends_before_the_process(
+    prompt_tokens, output_tokens, starts
+):
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        now_s = clock.now_s()
+        stop.begin(now_s + LISTENS_S, now_s + GRACE_S)
+        duration_s = graceful_stop.calculate_shortest_duration_s(
+            make_request(prompt_tokens, output_tokens), ENGINE
+        )
+        try:
+            async with stop.limit_wait(duration_s):
+                await asyncio.sleep(0.01)
+        except graceful_stop.StoppingError:
+            return False
+        return True
+
+    assert asyncio.run(scenario()) is starts
+
+
+def test_nothing_ends_the_waits_of_an_instance_that_does_not_stop():
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        async with stop.limit_wait(FOREVER_S):
+            await asyncio.sleep(0.01)
+        # Nor is a wait that is over remembered.
+        stop.begin(clock.now_s(), clock.now_s())
+
+    asyncio.run(scenario())
+
+
+def test_deadline_inside_the_wait_is_not_taken_for_the_stop():
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        with pytest.raises(TimeoutError):
+            async with stop.limit_wait(0.0), asyncio.timeout(0.01):
+                await asyncio.sleep(FOREVER_S)
+
+    asyncio.run(scenario())
+
+
+class BusyFleet:
+    """Never places a request."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+
+    async def place(self, request):
+        self.asked.set()
+        await asyncio.sleep(FOREVER_S)
+
+
+def run_until_stop(exchange, *, executions, has_begun):
+    """Returns the outcome of a request that waits as its instance stops."""
+    fleet = BusyFleet()
+    stop = graceful_stop.GracefulStop()
+    runner = request_runner.RequestRunner(
+        fleet,
+        None,
+        platform_dialect.PlatformDialect(),
+        None,
+        types.SimpleNamespace(find_blocked=frozenset),
+        quarantines.Quarantines(),
+        stop,
+    )
+    progress = request_progress.RequestProgress(None, executions=executions)
+    sink = types.SimpleNamespace(has_begun=has_begun)
+
+    async def scenario():
+        running = asyncio.create_task(runner._run(exchange, sink, progress))
+        await fleet.asked.wait()
+        stop.begin(clock.now_s(), clock.now_s() + GRACE_S)
+        await asyncio.wait((running,), timeout=0.2)
+        if not running.done():
+            running.cancel()
+            return None
+        return running.result()
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("executions", "failure"),
+    [(0, outcomes.Failure.REFUSED), (1, outcomes.Failure.BROKEN)],
+)
+# Guards against a retry that waits until its instance has ended.
+def test_waiting_request_is_told_the_truth_at_the_stop(executions, failure):
+    outcome = run_until_stop(
+        exchanges.make_exchange(), executions=executions, has_begun=False
+    )
+    assert outcome.failure is failure
+    assert outcome.reason == "stopping"
+
+
+def test_stream_that_has_begun_is_resumed_during_the_stop():
+    assert (
+        run_until_stop(exchanges.make_exchange(), executions=1, has_begun=True)
+        is None
+    )
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -6,25 +6,23 @@
 import contextlib
 import types
 
+import exchanges
 import pytest
 
 from poplarwick_adapter import dialect as platform_dialect
 from poplarwick_catalogue import quarantines
-from poplarwick_catalogue import types as catalogue_types
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
 from poplarwick_core import ids
-from poplarwick_forwarding import admission
-from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import events
-from poplarwick_forwarding import http_exchange
+from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
-TIME_LEFT_S = 0.05
+TIME_LEFT_S = exchanges.TIME_LEFT_S
 
 
 class Placements:
@@ -84,40 +82,6 @@
 NOTICES = types.SimpleNamespace(find_blocked=frozenset)
 
 
-def make_exchange():
-    route = catalogue_types.Route(
-        name=catalogue_types.RouteName("order"),
-        host="h",
-        path_prefix="/order/",
-        kind=catalogue_types.RequestKind.NON_IDEMPOTENT,
-        timeout_s=TIME_LEFT_S,
-        target_latency_s=TIME_LEFT_S,
-        priority=1,
-        destinations=(),
-        max_attempts=2,
-        is_public=True,
-        may_resume=False,
-        pause_limit_s=None,
-    )
-    dialect = platform_dialect.PlatformDialect()
-    now_s = clock.now_s()
-    return http_exchange.Exchange(
-        metadata=dialect.parse_request({"Request-Id": "r"}),
-        admission=admission.Admission(route, None),
-        service=ids.ServiceId("orders"),
-        method="POST",
-        target="/order/",
-        headers={},
-        body=b"",
-        fingerprint=ids.RequestFingerprint("f0"),
-        received_at_s=now_s,
-        deadline_at_s=now_s + TIME_LEFT_S,
-        held=buffer_budget.HeldBytes(
-            buffer_budget.BufferBudget(buffer_budget.make_limits(0))
-        ),
-    )
-
-
 def run_request(*, refuses, unreachable=0, placements=None):
     runner = request_runner.RequestRunner(
         placements or Placements(),
@@ -126,11 +90,12 @@
         Memory(),
         NOTICES,
         quarantines.Quarantines(),
+        graceful_stop.GracefulStop(),
     )
     sink = types.SimpleNamespace(has_begun=False)
 
     async def run():
-        return await runner.run(make_exchange(), sink)
+        return await runner.run(exchanges.make_exchange(), sink)
 
     return asyncio.run(run())
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -34,6 +34,7 @@
 from poplarwick_core import logs
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import frontend
+from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import upstream
@@ -104,6 +105,7 @@
             buffer_budget.make_limits(instance_deployment.memory_bytes)
         )
         self._is_leaving = False
+        self._graceful_stop = graceful_stop.GracefulStop()
         self._placer_role: placer_role.PlacerRole | None = None
 
     def list_largest_users(
@@ -241,6 +243,7 @@
             self._reservations,
             notices,
             self.catalogue.quarantines,
+            self._graceful_stop,
         )
         self.frontend = await enter(
             frontend.Frontend(
@@ -399,24 +402,26 @@
             self.catalogue.remove_lapsed_endpoints()
 
     async def _leave(self) -> None:
-        started_s = clock.now_s()
+        listens_until_s = clock.now_s() + BALANCER_DELAY_S
+        killed_at_s = clock.now_s() + self.deployment.bounds.grace_s
+        ends_at_s = killed_at_s - EXIT_MARGIN_S
         logs.log(log_events.Stopping(in_progress=self.frontend.in_progress))
         self._is_leaving = True
         self.frontend.is_leaving = True
         self.placement_client.is_leaving = True
         self.relay_server.is_leaving = True
+        self._graceful_stop.begin(listens_until_s, ends_at_s)
         await self._hand_over()
         await self.tenure.resign()
-        await asyncio.sleep(BALANCER_DELAY_S)
+        await asyncio.sleep(listens_until_s - clock.now_s())
         self.frontend.stop_listening()
-        deadline_s = started_s + self.deployment.bounds.grace_s - EXIT_MARGIN_S
-        if not await self.frontend.wait_until_idle(deadline_s - clock.now_s()):
+        if not await self.frontend.wait_until_idle(ends_at_s - clock.now_s()):
             logs.log(
                 log_events.StopCutsRequests(
                     in_progress=self.frontend.in_progress
                 )
             )
-        await self.relay_server.wait_until_idle(deadline_s - clock.now_s())
+        await self.relay_server.wait_until_idle(ends_at_s - clock.now_s())
         await self._reservations.drain()
 
     async def _hand_over(self) -> None:
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import aiohttp
 import platform_cluster
 
 CLIENTS = 12
@@ -125,3 +126,104 @@
                     assert b" 503 " in await reader.readline()
 
     asyncio.run(scenario())
+
+
+GRACE_S = 4.0
+DEADLINE_S = 15.0
+WHOLE_ENGINE_TOKENS = 200_000
+"""A prompt beside which no second one fits into an engine's memory."""
+
+
+async def _allow_long_requests(cluster):
+    """Sets a route whose requests may outlast the grace period."""
+    await cluster.store.put(
+        "op/config",
+        platform_cluster.make_configuration(
+            2,
+            [
+                platform_cluster.make_route(
+                    "label",
+                    "streaming",
+                    "pool",
+                    timeout_ms=1_000 * DEADLINE_S,
+                    target_latency_ms=5_000,
+                )
+            ],
+        ),
+    )
+    for instance in cluster.instances:
+        await platform_cluster.wait_until(
+            lambda node=instance.node: node.catalogue.routing.version == 2
+        )
+
+
+async def _send(cluster, instance=0, tokens=WHOLE_ENGINE_TOKENS):
+    """Returns how a request ends: its status, or how it was cut off."""
+    deadline = {"Deadline-Ms": f"{1_000 * DEADLINE_S:.0f}"}
+    try:
+        async with cluster.call(
+            "/label/", instance, tokens=tokens, headers=deadline
+        ) as response:
+            await response.read()
+            return response.status, response.headers.get("Retry-After")
+    except aiohttp.ClientError as error:
+        return repr(error), None
+
+
+async def _wait_in_queue(cluster, count):
+    """Starts requests that wait for the only engine, and returns them."""
+    (engine, *_) = cluster.replicas
+    engine.event_count, engine.event_interval_s = 400, 0.05
+    calls = [asyncio.create_task(_send(cluster))]
+    await platform_cluster.wait_until(lambda: engine.executions)
+    calls += [asyncio.create_task(_send(cluster)) for _ in range(count)]
+    frontend = cluster.instances[0].node.frontend
+    await platform_cluster.wait_until(
+        lambda: frontend.in_progress == len(calls)
+    )
+    return calls[1:]
+
+
+# Guards against waiting requests that a stopping instance drops (LOST).
+def test_stop_refuses_requests_that_wait_for_an_engine(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, pool=1, grace_s=GRACE_S
+        ) as cluster:
+            await _allow_long_requests(cluster)
+            waiting = await _wait_in_queue(cluster, 3)
+            cluster.instances[0].stop.set()
+            await asyncio.sleep(0.5)
+            waiting.append(asyncio.create_task(_send(cluster)))
+            await cluster.instances[0].task
+            ends = await asyncio.gather(*waiting)
+            assert [status for status, _ in ends] == [503] * 4
+            assert all(float(after_s) < 1 for _, after_s in ends)
+            assert len(cluster.replicas[0].arrivals) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against requests of others that are lost in a hand-over of the placer.
+def test_requests_that_wait_at_a_stopping_placer_are_served(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, pool=1, instances=2, grace_s=GRACE_S
+        ) as cluster:
+            await _allow_long_requests(cluster)
+            placer, other = (0, 1)
+            if cluster.instances[1].node.is_placer:
+                placer, other = (1, 0)
+            (engine, *_) = cluster.replicas
+            engine.event_count, engine.event_interval_s = 60, 0.05
+            calls = [asyncio.create_task(_send(cluster, other))]
+            await platform_cluster.wait_until(lambda: engine.executions)
+            calls.append(asyncio.create_task(_send(cluster, other)))
+            frontend = cluster.instances[other].node.frontend
+            await platform_cluster.wait_until(lambda: frontend.in_progress == 2)
+            cluster.instances[placer].stop.set()
+            await cluster.instances[placer].task
+            ends = await asyncio.gather(*calls)
+            assert [status for status, _ in ends] == [200, 200]
+
+    asyncio.run(scenario())
