Let an odd value that others wrote cost only its own entry

What could be seen: an entry among the quarantines that was nested deeply made the quarantine command end with a traceback and the keeper of quarantines start again for ever; one of generation 2^64 could not be encoded, so that no session between placer and instances could be opened. Ports above 65535 or in other than ASCII digits, hosts with control characters and slots of 2^64 were used as they were. A header of an endpoint that is no UTF-8 could not be told to the placer, and a log line with it ended the thread that writes logs.

Cause: values were checked for their type only, and each reader caught the errors that it had thought of; msgspec raises RecursionError for deep nesting.

Change: platform/poplarwick_adapter/entry_checks decodes and checks what others wrote, for entries of all kinds, answers of the store and reports of engines; decode_entry returns an invalid item whatever is wrong. Durations in messages between instances must be finite; texts are encoded with replacements.

--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -7,6 +7,8 @@
 import math
 from typing import TypeVar
 
+from google.protobuf import message as protobuf_message
+
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import rate_limits
 from poplarwick_catalogue import types
@@ -30,7 +32,7 @@
     """Encodes a request; monotonic times become remaining durations."""
     return placement_pb2.Ask(
         ask=request_number,
-        request=request.request_id,
+        request=_replace_surrogates(request.request_id),
         service=request.service,
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
@@ -60,9 +62,7 @@
     Raises:
         ValueError: A duration is not a finite number.
     """
-    for name in ("on_time_s", "deadline_s", "pause_limit_s"):
-        if not math.isfinite(getattr(message, name)):
-            raise ValueError(f"{name} of request {message.ask} is not finite")
+    _check_finite(message, "on_time_s", "deadline_s", "pause_limit_s")
     return messages.PlacementRequest(
         request_id=ids.RequestId(message.request),
         service=ids.ServiceId(message.service),
@@ -130,8 +130,7 @@
     if not message.HasField("per_s"):
         limits.lift(start)
         return
-    if not math.isfinite(message.per_s):
-        raise ValueError(f"limit of {message.endpoint} is not finite")
+    _check_finite(message, "per_s")
     limits.record(start, message.per_s)
 
 
@@ -171,6 +170,21 @@
     )
 
 
+def _replace_surrogates(text: str) -> str:
+    """Returns a text that can be encoded.
+
+    Bytes of headers that are no UTF-8 are read as lone surrogates.
+    """
+    return text.encode(errors="replace").decode()
+
+
+def _check_finite(message: protobuf_message.Message, *names: str) -> None:
+    for name in names:
+        if not math.isfinite(getattr(message, name)):
+            kind = type(message).__name__
+            raise ValueError(f"{name} of {kind} is not finite")
+
+
 def _decode_fingerprint(text: str) -> ids.RequestFingerprint | None:
     return ids.RequestFingerprint(text) if text else None
 
@@ -198,9 +212,7 @@
     Raises:
         ValueError: A duration is not a finite number.
     """
-    for name in ("written_s", "cut_ago_s", "sent_ago_s"):
-        if not math.isfinite(getattr(message, name)):
-            raise ValueError(f"{name} of a cut is not finite")
+    _check_finite(message, "written_s", "cut_ago_s", "sent_ago_s")
     return recent_cuts.RecentCut(
         message.ask.ask,
         decode_request(message.ask, now_s),
@@ -222,7 +234,9 @@
 ) -> placement_pb2.Ended:
     """Encodes the end of a request."""
     ended = placement_pb2.Ended(
-        ask=request_number, result=result.value, blamed=blamed or ""
+        ask=request_number,
+        result=result.value,
+        blamed=_replace_surrogates(blamed or ""),
     )
     if answer is not None:
         ended.answer.is_complete = answer.is_complete
@@ -245,10 +259,15 @@
 def decode_answer(
     message: placement_pb2.Ended,
 ) -> messages.AnswerEnd | None:
-    """Decodes how the answer to a request ended; None if it is not told."""
+    """Decodes how the answer to a request ended; None if it is not told.
+
+    Raises:
+        ValueError: A duration is not a finite number.
+    """
     if not message.HasField("answer"):
         return None
     answer = message.answer
+    _check_finite(answer, "written_s")
     return messages.AnswerEnd(
         answer.is_complete,
         answer.written_s if answer.HasField("written_s") else None,
@@ -278,7 +297,8 @@
     decision, the request would wait until its deadline.
 
     Raises:
-        ValueError: The message contains no decision.
+        ValueError: The message contains no decision, or a duration in it is
+            not a finite number.
     """
     match message.WhichOneof("outcome"):
         case "placement":
@@ -304,6 +324,7 @@
 
 
 def _decode_refusal(message: placement_pb2.Refusal) -> messages.Refusal:
+    _check_finite(message, "retry_after_s", "capacity_in_s")
     outlook = None
     if message.HasField("served_first"):
         outlook = messages.CapacityOutlook(
@@ -339,6 +360,7 @@
 
 
 def _decode_placement(message: placement_pb2.Placement) -> messages.Placement:
+    _check_finite(message, "expected_first_s")
     return messages.Placement(
         ids.EndpointId(message.endpoint),
         message.address,
--- a/packages/core/poplarwick_core/log_writer.py
+++ b/packages/core/poplarwick_core/log_writer.py
@@ -73,7 +73,7 @@
             if self.dropped:
                 dropped, self.dropped = self.dropped, 0
                 batch.append(f"event=log_lines_dropped count={dropped}\n")
-            data = "".join(batch).encode()
+            data = "".join(batch).encode(errors="backslashreplace")
             while data:
                 try:
                     data = data[os.write(self._descriptor, data) :]
--- a/packages/node/poplarwick_node/quarantine_command.py
+++ b/packages/node/poplarwick_node/quarantine_command.py
@@ -5,9 +5,9 @@
 import argparse
 import asyncio
 import getpass
-import re
 import sys
 
+from poplarwick_adapter import entry_checks
 from poplarwick_adapter import entry_codec
 from poplarwick_adapter import keys
 from poplarwick_adapter import store
@@ -18,8 +18,6 @@
 from poplarwick_core import ids
 from poplarwick_platform import kv
 
-_HEXADECIMAL = re.compile(r"[0-9a-f]{1,64}")
-
 
 class CommandError(errors.PoplarwickError):
     """A command cannot be carried out."""
@@ -93,15 +91,17 @@
     snapshot = await client.read(
         keys.QUARANTINE_PREFIX, kv.Purpose.CONFIGURATION, is_prefix=True
     )
-    items = [
-        entry_codec.decode_entry(entry.key, entry.value)
-        for entry in snapshot.entries
-    ]
-    return [
-        item.quarantine
-        for item in items
-        if isinstance(item, catalogue.QuarantineItem)
-    ]
+    known = []
+    for entry in snapshot.entries:
+        match entry_codec.decode_entry(entry.key, entry.value):
+            case catalogue.QuarantineItem(quarantine):
+                known.append(quarantine)
+            case catalogue.InvalidItem(problem):
+                print(
+                    f"poplarwick-quarantine: {entry.key!a}: {problem}",
+                    file=sys.stderr,
+                )
+    return known
 
 
 def _format(quarantine: quarantines.Quarantine) -> str:
@@ -135,10 +135,14 @@
 ) -> None:
     if bool(parts) == (request is not None):
         raise CommandError("PART: give either parts or --request")
-    for part in parts:
-        _check_hexadecimal("PART", part)
-    if request is not None:
-        _check_hexadecimal("--request", request)
+    try:
+        entry_checks.check_text("SERVICE", service)
+        for part in parts:
+            entry_checks.check_hexadecimal("PART", part)
+        if request is not None:
+            entry_checks.check_hexadecimal("--request", request)
+    except entry_checks.EntryError as error:
+        raise CommandError(str(error)) from error
     wanted = quarantines.Quarantine(
         ids.ServiceId(service),
         frozenset(ids.PromptPartId(part) for part in parts),
@@ -155,13 +159,6 @@
     await _write(client, registry.known[-1])
 
 
-def _check_hexadecimal(field: str, text: str) -> None:
-    if not _HEXADECIMAL.fullmatch(text):
-        raise CommandError(
-            f"{field}: {text!r} is not a hexadecimal id in lower case"
-        )
-
-
 async def _write(
     client: store.StoreClient, quarantine: quarantines.Quarantine
 ) -> None:
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -166,6 +166,7 @@
             replica; empty if none did.
         crashed_at_s: Monotonic time of that crash; None if there was none.
         notice_headers: Headers that are added to every response.
+        report_body: Body of its reports; None for a proper one.
         event_count: Number of events per stream.
         event_bytes: Size of an event; 0 for events of a few bytes.
         unread_limit_s: Time after which a stream that stays unread is cut;
@@ -205,6 +206,7 @@
         self.crash_causes: set[str] = set()
         self.crashed_at_s: float | None = None
         self.notice_headers: dict[str, str] = {}
+        self.report_body: bytes | None = None
         self.event_count = 5
         self.event_bytes = 0
         self.unread_limit_s: float | None = None
@@ -295,6 +297,10 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/v1/report":
+            if self.report_body is not None:
+                return web.Response(
+                    body=self.report_body, headers=self.notice_headers
+                )
             return web.json_response(
                 {"pace": 1.0, "queued": 0, "running": 0},
                 headers=self.notice_headers,
--- a/tests/adapter/test_stopping.py
+++ b/tests/adapter/test_stopping.py
@@ -235,8 +235,10 @@
             await _allow_long_requests(cluster)
             nodes = [instance.node for instance in cluster.instances]
             await platform_cluster.wait_until(
-                lambda: any(node.is_placer for node in nodes)
-                and all(node.placement_client.connection for node in nodes)
+                lambda: (
+                    any(node.is_placer for node in nodes)
+                    and all(node.placement_client.connection for node in nodes)
+                )
             )
             placer, other = (0, 1) if nodes[0].is_placer else (1, 0)
             (engine, *_) = cluster.replicas
