Believe "not run" only of the request that an answer names

What callers saw: a faulty endpoint answered a non-idempotent request with an earlier refusal, which named another request, while it ran this one. It was sent to a second endpoint and ran twice (TWICE), or "not run, try again" was passed on (REFUSED).

Cause: the checks of a response looked for "not run" and "misdirected" before they compared the id of the request. Ruled out: late answers on kept connections; each request has a connection of its own.

Change: the id comes first; such an answer means that the request may have run. The checks move to forwarding/response_checks.

The test failed before: status 200 after two runs in place of 502 after one.

--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -21,14 +21,11 @@
 from poplarwick_forwarding import placement_records
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import reservations
+from poplarwick_forwarding import response_checks
 from poplarwick_forwarding import response_timeout
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses from which callers conclude that their request was not executed; not
-forwarded from an endpoint that may have executed it."""
-
 MAX_TOTAL_ATTEMPTS = 8
 """Attempts per request, including those that endpoints refused. When a failure
 domain recovers, many of the known endpoints no longer exist."""
@@ -406,7 +403,9 @@
             progress.answered_at_s = clock.now_s()
             progress.is_delimited = response.is_delimited
             self._notices.record(placement.endpoint, response.head.notice)
-            _check_response(exchange, response)
+            response_checks.check_response(
+                exchange, response, is_resumed=sink.has_begun
+            )
             if exchange.route.kind is types.RequestKind.STREAM and (
                 response.status == 200
             ):
@@ -417,12 +416,6 @@
             body = await response.read_body(exchange.held)
             _record_duration_error(exchange, placement, progress)
             self._placement_client.record_first_event(request_number)
-            if sink.has_begun:
-                raise upstream.SendError(
-                    f"status {response.status} instead of a resumed stream",
-                    messages.Result.FAILED,
-                    may_have_run=True,
-                )
             return outcomes.CompleteResponse(
                 response.status, response.headers, body
             )
@@ -485,7 +478,7 @@
     """Checks that events are consecutive and returns their bytes.
 
     Raises:
-        EventError: An event is missing or duplicated.
+        EventError: An event is missing, duplicated or without an id.
     """
     last = progress.last_event_id
     for event in new_events:
@@ -499,46 +492,6 @@
     return b"".join(event.data for event in new_events)
 
 
-def _check_response(
-    exchange: http_exchange.Exchange, response: upstream.Response
-) -> None:
-    """Checks that a response may be forwarded to the caller.
-
-    Raises:
-        SendError: It may not be forwarded.
-    """
-    head = response.head
-    if head.is_misdirected:
-        raise upstream.SendError(
-            "the address belongs to another endpoint",
-            messages.Result.MISDIRECTED,
-            may_have_run=False,
-        )
-    if head.has_not_run:
-        raise upstream.SendError(
-            f"refused with status {response.status}, blamed on {head.blamed}",
-            messages.Result.FULL,
-            may_have_run=False,
-            blamed=head.blamed,
-        )
-    problem = None
-    if (
-        head.request_id is not None
-        and head.request_id != exchange.metadata.request_id
-    ):
-        problem = f"response to request {head.request_id}"
-    elif response.status in NOT_EXECUTED_STATUSES:
-        problem = f"status {response.status} although the request may have run"
-    elif response.status < 300 and not head.is_signed:
-        problem = "successful response without a signature"
-    elif "Content-Encoding" in response.headers:
-        problem = "response body has a content encoding"
-    if problem is not None:
-        raise upstream.SendError(
-            problem, messages.Result.BROKEN, may_have_run=True
-        )
-
-
 def _make_streamed(
     exchange: http_exchange.Exchange,
     progress: request_progress.RequestProgress,
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -34,6 +34,11 @@
 """Time for which a replica with fault SILENT or STALL hangs."""
 
 
+ERROR_TEXT = (
+    "HTTP/1.1 500 Internal Server Error\n\ndata: the engine is overloaded\n\n"
+)
+"""An error that is sent as if it were the answer."""
+
 TRICKLE_INTERVAL_S = 0.2
 """Interval between the bytes of a stream with fault TRICKLE."""
 
@@ -62,6 +67,10 @@
     CUT_BEFORE_END = "cut_before_end"
     SKIP_EVENT = "skip_event"
     OTHER_REQUEST = "other_request"
+    EARLIER_REFUSAL = "earlier_refusal"
+    TEXT = "text"
+    EVENTS_WITHOUT_IDS = "events_without_ids"
+    NOTHING = "nothing"
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
     BARE_503 = "bare_503"
@@ -499,6 +508,20 @@
                 del headers["Response-Stamp"]
             case Fault.ENCODED:
                 headers["Content-Encoding"] = "br"
+            case Fault.EARLIER_REFUSAL:
+                headers["Request-Id"] = "earlier"
+                headers["Not-Executed"] = "1"
+                return web.Response(status=503, headers=headers)
+            case Fault.TEXT:
+                return web.Response(text=ERROR_TEXT, headers=headers)
+            case Fault.EVENTS_WITHOUT_IDS:
+                return web.Response(
+                    text=ERROR_TEXT,
+                    content_type="text/event-stream",
+                    headers=headers,
+                )
+            case Fault.NOTHING:
+                return web.Response(headers=headers)
             case Fault.BARE_503:
                 return web.Response(status=503, headers=headers)
             case Fault.ERROR:
