Continue a stream only with events of an event stream

What callers saw: a stream broke off and the next endpoint answered 200 with a text, or with events without ids: the text stood in the middle of the stream, or in place of it. After an empty answer of any type the stream seemed complete.

Cause: only events with ids were checked for their order, and an answer without events was taken for the end of the stream. Error statuses were recognised.

Change: every event needs an id (comments do not), and what continues a stream has to be an event stream.

The tests failed before: eight of the 20 streams of test_faulty_answers.

--- a/packages/forwarding/poplarwick_forwarding/events.py
+++ b/packages/forwarding/poplarwick_forwarding/events.py
@@ -6,6 +6,10 @@
 
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
+
+ID_LIMIT_DIGITS = 18
+"""Most digits of the number of an event."""
 
 EVENT_LIMIT_BYTES = 1 << 20
 """Largest incomplete event that is buffered; engines send events of a few
@@ -28,6 +32,14 @@
     data: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no fields, so that it is no event of the stream."""
+        return all(
+            line.startswith(COMMENT) or not line.strip()
+            for line in self.data.split(b"\n")
+        )
+
 
 class EventSplitter:
     """Buffers bytes and returns the events that are complete."""
@@ -60,7 +72,7 @@
     for line in part.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            if not text.isdigit():
+            if not text.isdigit() or len(text) > ID_LIMIT_DIGITS:
                 raise EventError(f"event id {text[:40]!r} is not a number")
             return int(text)
     return None
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -482,8 +482,10 @@
     """
     last = progress.last_event_id
     for event in new_events:
-        if event.id is None:
+        if event.id is None and event.is_comment:
             continue
+        if event.id is None:
+            raise events.EventError("event without an id")
         if last is not None and event.id != last + 1:
             raise events.EventError(f"event {event.id} after event {last}")
         last = event.id
--- a/packages/forwarding/poplarwick_forwarding/response_checks.py
+++ b/packages/forwarding/poplarwick_forwarding/response_checks.py
@@ -11,6 +11,8 @@
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
+EVENT_STREAM = "text/event-stream"
+
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which callers conclude that their request was not executed; not
 forwarded from an endpoint that may have executed it."""
@@ -77,6 +79,9 @@
             messages.Result.FAILED,
             may_have_run=True,
         )
+    content_type = response.headers.get("Content-Type", "")
+    if content_type.partition(";")[0].strip().lower() != EVENT_STREAM:
+        raise _make_error(f"{content_type[:40]!r} instead of a resumed stream")
 
 
 def _make_error(problem: str) -> upstream.SendError:
--- a/tests/adapter/test_faulty_answers.py
+++ b/tests/adapter/test_faulty_answers.py
@@ -46,3 +46,50 @@
                 assert (status, len(runs)) == (200, 2)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        Fault.ERROR,
+        Fault.BARE_503,
+        Fault.UNSIGNED,
+        Fault.TEXT,
+        Fault.EVENTS_WITHOUT_IDS,
+        Fault.NOTHING,
+        Fault.EARLIER_REFUSAL,
+        Fault.OTHER_REQUEST,
+        Fault.UNDELIMITED_EMPTY,
+    ],
+)
+@pytest.mark.parametrize(
+    "begins", [Fault.CUT_INSIDE_EVENT, Fault.CUT_BEFORE_END]
+)
+# Guards against errors inside a stream, and streams that only look complete.
+def test_error_in_place_of_the_rest_of_a_stream_does_not_reach_the_caller(
+    tmp_path, begins, answer
+):
+    async def scenario():
+        async with platform_cluster.run_cluster(tmp_path) as cluster:
+            plan = [begins, answer, answer, answer]
+            for replica in cluster.replicas:
+                replica.fault_plan = plan
+            status, body, is_complete = await call(cluster, "/label/", 5_000)
+            assert status == 200
+            assert COMPLETE_STREAM.startswith(body)
+            assert is_complete == (body == COMPLETE_STREAM)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("answer", [Fault.TEXT, Fault.EVENTS_WITHOUT_IDS])
+def test_text_in_place_of_a_stream_is_not_passed_on(tmp_path, answer):
+    async def scenario():
+        async with platform_cluster.run_cluster(tmp_path) as cluster:
+            plan = [answer]
+            for replica in cluster.replicas:
+                replica.fault_plan = plan
+            status, body, is_complete = await call(cluster, "/label/", 5_000)
+            assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+
+    asyncio.run(scenario())
