Keep a request at a silent endpoint until another one may have it

Cause: an attempt was given up after 1.2 s without an event, its connection was closed, and only then a placement for the retry was asked for. If the retry budget was spent, or no other engine had room in time, the stream was lost. Ruled out: the end of the process, and the engines, whose runs ended as "200 cut" by our close.

Change: forwarding/takeover asks for a placement elsewhere while the attempt goes on, and ends it only once that is granted.

--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -180,6 +180,18 @@
     quarantine: str
 
 
+class SilentEndpointKept(logs.Event, frozen=True, kw_only=True):
+    """A request stays at a silent endpoint: no other one may have it.
+
+    Attributes:
+        request: The request.
+        reason: Why it was not placed elsewhere.
+    """
+
+    request: str
+    reason: str
+
+
 class AttemptFailed(logs.Event, frozen=True, kw_only=True):
     """An attempt got no usable response from an endpoint.
 
--- a/packages/forwarding/poplarwick_forwarding/request_progress.py
+++ b/packages/forwarding/poplarwick_forwarding/request_progress.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from poplarwick_coordination import placement_client
 from poplarwick_core import ids
 from poplarwick_placement import messages
 
@@ -29,6 +30,7 @@
         is_delimited: Whether that response shows itself where it ends.
         events: Number of events that were sent to the caller.
         was_cut_off: Whether an endpoint cut a response off that had just begun.
+        next_placement: Placement of the next attempt, if it is known already.
     """
 
     last_event_id: int | None
@@ -45,6 +47,12 @@
     is_delimited: bool = True
     events: int = 0
     was_cut_off: bool = False
+    next_placement: placement_client.PlacementOutcome | None = None
+
+    def take_next_placement(self) -> placement_client.PlacementOutcome | None:
+        """Returns the placement of the next attempt, once; None if unknown."""
+        taken, self.next_placement = self.next_placement, None
+        return taken
 
     @property
     def stream_events(self) -> int:
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -23,6 +23,7 @@
 from poplarwick_forwarding import reservations
 from poplarwick_forwarding import response_checks
 from poplarwick_forwarding import response_timeout
+from poplarwick_forwarding import takeover
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
@@ -97,6 +98,8 @@
             if progress.is_in_flight:
                 progress.executions += 1
             return _make_failure(exchange, sink, progress, "time_over")
+        finally:
+            self._release(progress.take_next_placement())
 
     async def _run(
         self,
@@ -109,7 +112,9 @@
             if quarantine is not None:
                 return _refuse_quarantined(exchange, sink, progress, quarantine)
             try:
-                reply = await self._place(exchange, sink, progress)
+                reply = progress.take_next_placement() or await self._place(
+                    exchange, sink, progress
+                )
             except graceful_stop.StoppingError:
                 metrics.requests_refused.add(1, {"reason": "stopping"})
                 return _make_refusal(
@@ -133,9 +138,7 @@
                     ):
                         # It became known since the request was submitted to
                         # the placer.
-                        self._placement_client.record_end(
-                            reply.request_number, messages.Result.GIVEN_UP
-                        )
+                        self._release(reply)
                         continue
                     placement_records.record_placement(
                         exchange, reply, placement, progress
@@ -183,6 +186,35 @@
         async with self._stop.limit_wait(duration_s):
             return await self._placement_client.place(request)
 
+    async def _place_elsewhere(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+        placement: messages.Placement,
+    ) -> placement_client.PlacementOutcome:
+        """Waits for a placement while a silent endpoint runs the request."""
+        avoided = progress.avoided | self._notices.find_blocked()
+        return await self._placement_client.place(
+            exchange.make_placement_request(
+                avoided | {placement.endpoint},
+                broken_at_s=clock.now_s() if sink.has_begun else None,
+                is_retry=True,
+                was_placed=True,
+                unreachable=progress.unreachable,
+                was_cut_off=progress.was_cut_off,
+            )
+        )
+
+    def _release(
+        self, unused: placement_client.PlacementOutcome | None
+    ) -> None:
+        """Ends a placement, if there is one, that is not used."""
+        if unused is not None:
+            self._placement_client.record_end(
+                unused.request_number, messages.Result.GIVEN_UP
+            )
+
     def _find_quarantine(
         self, exchange: http_exchange.Exchange
     ) -> quarantines.Quarantine | None:
@@ -335,12 +367,18 @@
         is_retryable = (
             exchange.route.may_retry
             and progress.executions + 1 < exchange.route.max_attempts
+            and progress.attempts < MAX_TOTAL_ATTEMPTS
         )
         timer = asyncio.timeout(None)
+        silence = takeover.Takeover(
+            exchange.metadata.request_id,
+            timer,
+            lambda: self._place_elsewhere(exchange, sink, progress, placement),
+        )
         try:
             async with timer:
                 timeout = response_timeout.ResponseTimeout(
-                    timer, is_limited=is_retryable
+                    silence, is_limited=is_retryable
                 )
                 self._placement_client.on_suspicion(
                     request_number, timeout.record_suspicion
@@ -362,11 +400,15 @@
         except TimeoutError as error:
             if not timer.expired():
                 raise
+            progress.next_placement = silence.take_placement()
             raise upstream.SendError(
                 f"{placement.address} did not respond in time",
                 messages.Result.SILENT,
                 may_have_run=True,
             ) from error
+        finally:
+            silence.stop()
+            self._release(silence.take_placement())
 
     async def _send(
         self,
--- a/packages/forwarding/poplarwick_forwarding/response_timeout.py
+++ b/packages/forwarding/poplarwick_forwarding/response_timeout.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
+from typing import Protocol
 
 from poplarwick_catalogue import types
 from poplarwick_core import clock
@@ -59,16 +59,28 @@
     suspected_s: float
 
 
+class SilenceTimer(Protocol):
+    """Acts when an endpoint has been silent for too long."""
+
+    def reschedule(self, when: float | None) -> None:
+        """Sets the monotonic time at which it acts; None for never."""
+        ...
+
+    def when(self) -> float | None:
+        """Returns that time; None for never."""
+        ...
+
+
 class ResponseTimeout:
     """Limits the wait for the next data of one endpoint.
 
     Args:
-        timer: Timer that ends the attempt.
+        timer: Called when the endpoint has been silent for too long.
         is_limited: Whether the request may be retried at another endpoint; if
             not, the wait is unlimited.
     """
 
-    def __init__(self, timer: asyncio.Timeout, *, is_limited: bool) -> None:
+    def __init__(self, timer: SilenceTimer, *, is_limited: bool) -> None:
         self._timer = timer
         self._is_limited = is_limited
         self._is_suspected = False
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -39,6 +39,10 @@
 )
 """An error that is sent as if it were the answer."""
 
+PAUSE_S = 1.8
+"""Time for which a replica with fault PAUSE sends nothing: it prefills long
+prompts between the tokens of others."""
+
 TRICKLE_INTERVAL_S = 0.2
 """Interval between the bytes of a stream with fault TRICKLE."""
 
@@ -77,6 +81,7 @@
     RESET_WITHOUT_LENGTH = "reset_without_length"
     ERROR = "error"
     STALL = "stall"
+    PAUSE = "pause"
     ANSWER_LOST = "answer_lost"
     TRICKLE = "trickle"
     SLOW_EVENT = "slow_event"
@@ -651,6 +656,8 @@
                 continue
             if is_middle and execution.fault is Fault.STALL:
                 await asyncio.sleep(HANG_S)
+            if is_middle and execution.fault is Fault.PAUSE:
+                await asyncio.sleep(PAUSE_S)
             if is_middle and execution.fault is Fault.TRICKLE:
                 await _trickle(response, event)
             if is_middle and execution.fault is Fault.SLOW_EVENT:
