Accept the rest of a stream whose response names no type

Cause: a missing type was taken for a wrong one.

Change: a type that is named has to be that of an event stream. Without one, a response without events does not end a stream.

--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -502,13 +502,15 @@
                 may_have_run=True,
                 is_cut=not response.is_delimited,
             )
-        if not has_event and not response.is_delimited:
+        if not has_event and not (
+            response.is_delimited and response_checks.has_events(response)
+        ):
             # A process that ends also closes its connections.
             raise upstream.SendError(
                 "connection ended before the first event",
                 messages.Result.BROKEN,
                 may_have_run=True,
-                is_cut=True,
+                is_cut=not response.is_delimited,
             )
         if not sink.has_begun:
             await sink.begin(response.status, response.headers)
--- a/packages/forwarding/poplarwick_forwarding/response_checks.py
+++ b/packages/forwarding/poplarwick_forwarding/response_checks.py
@@ -79,11 +79,17 @@
             messages.Result.FAILED,
             may_have_run=True,
         )
-    content_type = response.headers.get("Content-Type", "")
-    if content_type.partition(";")[0].strip().lower() != EVENT_STREAM:
+    content_type = response.headers.get("Content-Type")
+    if content_type is not None and not has_events(response):
         raise _make_error(f"{content_type[:40]!r} instead of a resumed stream")
 
 
+def has_events(response: upstream.Response) -> bool:
+    """Returns whether a response says that it is an event stream."""
+    content_type = response.headers.get("Content-Type", "")
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
 def _make_error(problem: str) -> upstream.SendError:
     return upstream.SendError(
         problem, messages.Result.BROKEN, may_have_run=True
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -75,6 +75,7 @@
     TEXT = "text"
     EVENTS_WITHOUT_IDS = "events_without_ids"
     NOTHING = "nothing"
+    NOTHING_WITHOUT_TYPE = "nothing_without_type"
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
     BARE_503 = "bare_503"
@@ -525,6 +526,11 @@
                     content_type="text/event-stream",
                     headers=headers,
                 )
+            case Fault.NOTHING_WITHOUT_TYPE:
+                nothing = web.Response(headers=headers)
+                await nothing.prepare(request)
+                del nothing.headers["Content-Type"]
+                return nothing
             case Fault.NOTHING:
                 return web.Response(headers=headers)
             case Fault.BARE_503:
--- a/tests/adapter/test_faulty_answers.py
+++ b/tests/adapter/test_faulty_answers.py
@@ -57,6 +57,7 @@
         Fault.TEXT,
         Fault.EVENTS_WITHOUT_IDS,
         Fault.NOTHING,
+        Fault.NOTHING_WITHOUT_TYPE,
         Fault.EARLIER_REFUSAL,
         Fault.OTHER_REQUEST,
         Fault.UNDELIMITED_EMPTY,
