Count requests that engines report and no instance knows

Cause: engines go on with the requests of the lost instances, and the next placer allocates as if they were empty; it read only the slowdown of a report.

Change: placement/inherited_load compares the requests and the memory that an engine reports with what is known. The difference takes slots and memory until a later report names less. An engine with such load is asked every 0.3 s.

--- a/packages/coordination/poplarwick_coordination/crash_probe.py
+++ b/packages/coordination/poplarwick_coordination/crash_probe.py
@@ -21,7 +21,7 @@
     Args:
         reader: Calls the endpoints.
         catalogue_: Routing configuration, endpoints and members.
-        on_report: Called with an engine and its slowdown factor, or None if
+        on_report: Called with an engine and its report, or None if
             the engine did not return a report.
         on_connection: Called with another endpoint and whether it accepted a
             connection.
@@ -33,7 +33,7 @@
         self,
         reader: reports.Reader,
         catalogue_: catalogue.Catalogue,
-        on_report: Callable[[ids.EndpointId, float | None], None],
+        on_report: reports.OnReport,
         on_connection: Callable[[ids.EndpointId, bool], None],
         *,
         is_paused: Callable[[str], bool],
--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -168,6 +168,20 @@
     reason: str
 
 
+class LoadInherited(logs.Event, frozen=True, kw_only=True):
+    """An engine runs requests that no instance knows, or does so no longer.
+
+    Attributes:
+        endpoint: The engine.
+        requests: Number of these requests; 0 when they have ended.
+        memory_tokens: Engine memory that they hold.
+    """
+
+    endpoint: str
+    requests: int
+    memory_tokens: int
+
+
 class EndpointDoubted(logs.Event, frozen=True, kw_only=True):
     """An engine did not return two reports in a row and is suspected.
 
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -28,6 +28,7 @@
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import crash_evidence
+from poplarwick_placement import inherited_load
 from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -238,10 +239,16 @@
         self._on_possible_crash = listener
 
     def record_report(
-        self, endpoint: ids.EndpointId, slowdown: float | None
+        self,
+        endpoint: ids.EndpointId,
+        report: inherited_load.EngineReport | None,
     ) -> None:
         """Records the report of an engine; None if it did not return one."""
-        self._scheduler.record_report(endpoint, slowdown, clock.now_s())
+        self._scheduler.record_report(
+            endpoint,
+            None if report is None else report.slowdown,
+            clock.now_s(),
+        )
         self._impose_without_placer()
 
     def record_connection(
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -32,6 +32,7 @@
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import crash_evidence
+from poplarwick_placement import inherited_load
 from poplarwick_placement import messages
 from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
@@ -157,7 +158,13 @@
             catalogue_,
             self._record_report,
             is_paused=notices.is_paused,
-            is_used=lambda endpoint: self._scheduler.is_used(endpoint),
+            is_used=lambda endpoint: (
+                self._scheduler.is_used(endpoint)
+                or self._scheduler.may_inherit(clock.now_s())
+            ),
+            has_inherited_load=lambda endpoint: (
+                self._scheduler.has_inherited_load(endpoint)
+            ),
         )
         self._crash_probe = crash_probe.CrashProbe(
             reader,
@@ -449,11 +456,19 @@
         self._feed.impose_quarantines()
 
     def _record_report(
-        self, endpoint: ids.EndpointId, slowdown: float | None
+        self,
+        endpoint: ids.EndpointId,
+        report: inherited_load.EngineReport | None,
     ) -> None:
+        had_inherited = self._scheduler.has_inherited_load(endpoint)
         is_newly_unresponsive = self._scheduler.record_report(
-            endpoint, slowdown, clock.now_s()
+            endpoint,
+            None if report is None else report.slowdown,
+            clock.now_s(),
+            None if report is None else report.work,
         )
+        if had_inherited != self._scheduler.has_inherited_load(endpoint):
+            self._log_inherited_load(endpoint)
         self._feed.impose_quarantines()
         if not is_newly_unresponsive:
             return
@@ -462,6 +477,18 @@
         message.doubt.endpoint = endpoint
         self._broadcast(message)
 
+    def _log_inherited_load(self, endpoint: ids.EndpointId) -> None:
+        inherited = self._scheduler.get_inherited_load(endpoint)
+        if inherited is not None:
+            logs.log(
+                log_events.LoadInherited(
+                    endpoint=endpoint,
+                    requests=inherited.requests,
+                    memory_tokens=inherited.memory_tokens,
+                )
+            )
+        self._wake.set()
+
     async def _decide(self) -> None:
         while True:
             self._wake.clear()
--- a/packages/coordination/poplarwick_coordination/reports.py
+++ b/packages/coordination/poplarwick_coordination/reports.py
@@ -13,6 +13,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_core import clock
 from poplarwick_core import ids
+from poplarwick_placement import inherited_load
 
 REPORT_PERIOD_S = 1.0
 """Interval between reports from an engine in use. Each report is charged
@@ -22,6 +23,10 @@
 """Interval between reports from an engine that works on nothing. A fault of it
 delays nobody, and its first request finds it."""
 
+INHERITED_REPORT_PERIOD_S = 0.3
+"""Interval between reports from an engine that runs requests which are not
+known: only reports show when they have ended."""
+
 REPORT_TIMEOUT_S = 0.4
 """Time limit for a report. A report needs no batch slot at the engine."""
 
@@ -30,11 +35,15 @@
     """An engine did not return a report."""
 
 
+OnReport = Callable[[ids.EndpointId, inherited_load.EngineReport | None], None]
+"""Called with an engine and its report, or None if it returned none."""
+
+
 class Reader(Protocol):
     """Reads the reports of engines."""
 
-    async def read_slowdown(self, address: str) -> float:
-        """Returns the slowdown factor of an engine; 1 is its profile's speed.
+    async def read_report(self, address: str) -> inherited_load.EngineReport:
+        """Returns the report of an engine.
 
         Args:
             address: Host and port of the engine.
@@ -53,8 +62,10 @@
         ...
 
 
-async def read(reader: Reader, address: str) -> float | None:
-    """Returns the slowdown of an engine; None if it returned no report.
+async def read(
+    reader: Reader, address: str
+) -> inherited_load.EngineReport | None:
+    """Returns the report of an engine; None if it returned none.
 
     Args:
         reader: Reads the reports of engines.
@@ -62,7 +73,7 @@
     """
     try:
         async with asyncio.timeout(REPORT_TIMEOUT_S):
-            return await reader.read_slowdown(address)
+            return await reader.read_report(address)
     except (ReportError, TimeoutError):
         return None
 
@@ -73,22 +84,27 @@
     Args:
         reader: Reads the reports of engines.
         catalogue_: Routing configuration, endpoints and members.
-        on_report: Called with an engine and its slowdown factor, or None if
-            the engine did not return a report.
+        on_report: Called with an engine and its report.
         is_paused: Returns whether the engine at an address wants nothing from
             this instance now.
         is_used: Returns whether an engine works on any request.
+        has_inherited_load: Returns whether an engine runs requests that are
+            not known.
     """
 
     def __init__(
         self,
         reader: Reader,
         catalogue_: catalogue.Catalogue,
-        on_report: Callable[[ids.EndpointId, float | None], None],
+        on_report: OnReport,
         *,
         is_paused: Callable[[str], bool],
         is_used: Callable[[ids.EndpointId], bool],
+        has_inherited_load: Callable[[ids.EndpointId], bool] = (
+            lambda endpoint: False
+        ),
     ) -> None:
+        self._has_inherited_load = has_inherited_load
         self._is_paused = is_paused
         self._is_used = is_used
         self._reader = reader
@@ -135,7 +151,11 @@
             if is_due and not self._is_paused(address):
                 polled_at_s = now_s
                 await self._report(endpoint, address)
-            await asyncio.sleep(REPORT_PERIOD_S)
+            await asyncio.sleep(
+                INHERITED_REPORT_PERIOD_S
+                if self._has_inherited_load(endpoint)
+                else REPORT_PERIOD_S
+            )
 
     async def _report(self, endpoint: ids.EndpointId, address: str) -> None:
         self._on_report(endpoint, await read(self._reader, address))
--- a/packages/coordination/tests/test_crash_probe.py
+++ b/packages/coordination/tests/test_crash_probe.py
@@ -16,7 +16,7 @@
     def __init__(self):
         self.calls = []
 
-    async def read_slowdown(self, address):
+    async def read_report(self, address):
         self.calls.append(address)
         if address in LIVING:
             return 1.5
--- a/packages/coordination/tests/test_reports.py
+++ b/packages/coordination/tests/test_reports.py
@@ -8,6 +8,7 @@
 from poplarwick_catalogue import types as catalogue_types
 from poplarwick_coordination import message_streams
 from poplarwick_coordination import reports
+from poplarwick_placement import inherited_load
 
 
 def run_poller(monkeypatch, *, used, paused=(), seconds=0.45):
@@ -17,9 +18,9 @@
     polled = []
 
     class Reader:
-        async def read_slowdown(self, address):
+        async def read_report(self, address):
             polled.append(address)
-            return 1.0
+            return inherited_load.EngineReport(1.0)
 
     def make_endpoint(name):
         endpoint = types.SimpleNamespace(id=name, address=name, service="pool")
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -11,6 +11,7 @@
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
+from poplarwick_placement import inherited_load
 from poplarwick_placement import memory_peak
 from poplarwick_placement import messages
 
@@ -219,6 +220,7 @@
         profile: Profile of the engine; None for a plain service.
         primary_allocations: Requests that run on this endpoint.
         helper_allocations: Requests for which this endpoint prefills a part.
+        inherited: Load that belongs to no known request.
         prefill_until_s: Monotonic time at which the allocated prefills are
             expected to end.
         slowdown: Slowdown factor; 1 is the speed of the profile.
@@ -237,6 +239,9 @@
     helper_allocations: dict[Hashable, Allocation] = dataclasses.field(
         default_factory=dict
     )
+    inherited: inherited_load.InheritedLoad = dataclasses.field(
+        default_factory=inherited_load.InheritedLoad
+    )
     prefill_until_s: float = 0.0
     slowdown: float = 1.0
     reported_slowdown: float = 1.0
@@ -256,7 +261,8 @@
     @property
     def free_slots(self) -> int:
         """Slots that no known request holds."""
-        return self.slots - len(self.primary_allocations)
+        known = len(self.primary_allocations)
+        return self.slots - known - self.inherited.requests
 
     @property
     def free_memory_tokens(self) -> int:
@@ -282,7 +288,11 @@
     @property
     def is_used(self) -> bool:
         """Whether the endpoint runs a request or prefills a part of one."""
-        return bool(self.primary_allocations or self.helper_allocations)
+        return bool(
+            self.primary_allocations
+            or self.helper_allocations
+            or not self.inherited.is_empty
+        )
 
     @property
     def running_count(self) -> int:
@@ -570,11 +580,52 @@
     def release(self, key: Hashable, now_s: float) -> None:
         """Releases the resources of a request that has ended."""
         self._forget_derived_values()
-        self.primary_allocations.pop(key, None)
-        self.helper_allocations.pop(key, None)
+        for allocations, requests in (
+            (self.primary_allocations, 1),
+            (self.helper_allocations, 0),
+        ):
+            released = allocations.pop(key, None)
+            if released is not None:
+                self.inherited.record_release(
+                    requests, released.memory_tokens, now_s
+                )
         if not self.primary_allocations and not self.helper_allocations:
             self._end_prefills(now_s)
 
+    def record_work(
+        self,
+        work: inherited_load.EngineWork,
+        now_s: float,
+        *,
+        may_grow: bool,
+    ) -> bool:
+        """Records what the engine reports; returns if that changes the load.
+
+        Args:
+            work: What the engine reports.
+            now_s: Monotonic time.
+            may_grow: Whether it may run requests that are not known.
+        """
+        allocations = (
+            *self.primary_allocations.values(),
+            *self.helper_allocations.values(),
+        )
+        known = inherited_load.EngineWork(
+            len(self.primary_allocations),
+            sum(allocation.memory_tokens for allocation in allocations),
+        )
+        if not self.inherited.record_work(
+            work, known, now_s, may_grow=may_grow
+        ):
+            return False
+        self._forget_derived_values()
+        return True
+
+    def record_adoption(self, memory_tokens: int) -> None:
+        """Records that an instance reports a request that it runs here."""
+        if self.inherited.record_adoption(memory_tokens):
+            self._forget_derived_values()
+
     def _end_prefills(self, now_s: float) -> None:
         backlog_s = max(self.prefill_until_s - now_s, 0.0)
         self.prefill_total_s -= backlog_s / self.slowdown
@@ -584,16 +635,32 @@
         """Returns when the allocations are expected to be released."""
         if self._expected_ends is None:
             iteration_s = self.calculate_iteration_s()
-            self._expected_ends = tuple(
-                self._expect_end(allocation, slots, iteration_s)
-                for allocations, slots in (
-                    (self.primary_allocations, 1),
-                    (self.helper_allocations, 0),
+            self._expected_ends = (
+                tuple(
+                    self._expect_end(allocation, slots, iteration_s)
+                    for allocations, slots in (
+                        (self.primary_allocations, 1),
+                        (self.helper_allocations, 0),
+                    )
+                    for allocation in allocations.values()
                 )
-                for allocation in allocations.values()
+                + self._expect_inherited_ends()
             )
         return self._expected_ends
 
+    def _expect_inherited_ends(self) -> tuple[ExpectedEnd, ...]:
+        if self.inherited.is_empty:
+            return ()
+        return (
+            ExpectedEnd(
+                self.inherited.reported_at_s,
+                inherited_load.EXPECTED_REST_S,
+                0.0,
+                self.inherited.requests,
+                self.inherited.memory_tokens,
+            ),
+        )
+
     def _expect_end(
         self, allocation: Allocation, slots: int, iteration_s: float
     ) -> ExpectedEnd:
@@ -636,6 +703,7 @@
             used_tokens += sum(
                 a.memory_tokens for a in self.helper_allocations.values()
             )
+            used_tokens += self.inherited.memory_tokens
             free_tokens = self.allocatable_tokens - used_tokens
         decoding_on_time = sorted(
             (a.request.pause_limit_s, a.late_loss)
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -11,6 +11,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import crash_evidence
+from poplarwick_placement import inherited_load
 from poplarwick_placement import late_jobs
 from poplarwick_placement import load_management
 from poplarwick_placement import loads
@@ -103,6 +104,7 @@
         self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
         self._queue: dict[Key, queue_order.QueuedRequest] = {}
         self._running = running_requests.RunningRequests()
+        self._inherits_until_s: float | None = None
 
     @property
     def queued_count(self) -> int:
@@ -181,6 +183,7 @@
         prefill_s = 0.0
         if not has_begun:
             prefill_s = state.load.calculate_prefill_s(request.prompt_tokens, 1)
+        state.load.record_adoption(request.memory_tokens)
         state.load.allocate_primary(
             key, request, prefill_s, request.memory_tokens, now_s
         )
@@ -338,10 +341,14 @@
     def drop_requests(
         self, should_drop: Callable[[Key], bool], now_s: float
     ) -> None:
-        """Drops all requests whose keys match a predicate."""
+        """Drops all requests whose keys match a predicate.
+
+        Engines may still run them.
+        """
         for key in [*self._queue, *self._running]:
             if should_drop(key):
                 self.record_end(key, messages.Result.GIVEN_UP, now_s)
+                self._inherits_until_s = now_s + inherited_load.LEARNING_S
 
     def expire(self, now_s: float) -> None:
         """Drops requests long past their deadline: their instance was lost."""
@@ -364,7 +371,11 @@
             )
 
     def record_report(
-        self, endpoint: ids.EndpointId, slowdown: float | None, now_s: float
+        self,
+        endpoint: ids.EndpointId,
+        slowdown: float | None,
+        now_s: float,
+        work: inherited_load.EngineWork | None = None,
     ) -> bool:
         """Records an engine's report.
 
@@ -373,6 +384,7 @@
             slowdown: Slowdown factor that the engine reports, 1 being its
                 profile; None if it did not answer.
             now_s: Monotonic time.
+            work: Work that the engine reports; None if it does not say.
 
         Returns:
             Whether the engine has just become unresponsive.
@@ -389,8 +401,43 @@
         )
         if slowdown is not None:
             state.load.set_slowdown(max(slowdown, 1.0))
+        if work is not None:
+            self._record_work(state, work, now_s)
         return state.health.is_unresponsive and not was_unresponsive
 
+    def _record_work(
+        self,
+        state: service_pool.EndpointState,
+        work: inherited_load.EngineWork,
+        now_s: float,
+    ) -> None:
+        """Compares reported work with the known requests of all instances."""
+        if not self._is_global:
+            return
+        if self._inherits_until_s is None:
+            self._inherits_until_s = now_s + inherited_load.LEARNING_S
+        if state.load.record_work(
+            work, now_s, may_grow=self.may_inherit(now_s)
+        ):
+            self._update_index(state)
+
+    def get_inherited_load(
+        self, endpoint: ids.EndpointId
+    ) -> inherited_load.InheritedLoad | None:
+        """Returns the load of an engine that belongs to no known request."""
+        state = self._states.get(endpoint)
+        return None if state is None else state.load.inherited
+
+    def has_inherited_load(self, endpoint: ids.EndpointId) -> bool:
+        """Returns whether an engine runs requests that are not known."""
+        inherited = self.get_inherited_load(endpoint)
+        return inherited is not None and not inherited.is_empty
+
+    def may_inherit(self, now_s: float) -> bool:
+        """Returns whether engines may run requests that are not known yet."""
+        until_s = self._inherits_until_s
+        return self._is_global and (until_s is None or now_s < until_s)
+
     def is_used(self, endpoint: ids.EndpointId) -> bool:
         """Returns whether any request is known to use an endpoint."""
         state = self._states.get(endpoint)
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -317,7 +317,12 @@
                     body=self.report_body, headers=self.notice_headers
                 )
             return web.json_response(
-                {"pace": 1.0, "queued": 0, "running": 0},
+                {
+                    "pace": 1.0,
+                    "queued": self._queued,
+                    "running": self._running,
+                    "kv_used": self.allocated_tokens,
+                },
                 headers=self.notice_headers,
             )
         if request.path == "/v1/order":
--- a/tests/adapter/test_endpoint_notices.py
+++ b/tests/adapter/test_endpoint_notices.py
@@ -80,7 +80,7 @@
             engine_client.ReportReader(direct, record) as reader,
         ):
             replica.notice_headers = LEAVING
-            await reader.read_slowdown(replica.address)
+            await reader.read_report(replica.address)
             with pytest.raises(forwarding_dialect.ReservationError):
                 await client.reserve(replica.address, "r", 10**9, 1.0)
             await client.release(replica.address, "r")
--- a/tests/adapter/test_foreign_values.py
+++ b/tests/adapter/test_foreign_values.py
@@ -242,7 +242,7 @@
                 node.reach, node.notices.record_from_address
             ) as reader:
                 with pytest.raises(reports.ReportError):
-                    await reader.read_slowdown(engine.address)
+                    await reader.read_report(engine.address)
 
     asyncio.run(scenario())
 
