Tell a new placer which requests were answered before

Cause: blame needs another request that fares better; instances reported the answers that were cut off to the next placer, but not those that were sound. It took over what its own instance knew only.

The new test needs the new messages, so it could not fail before; those of adopted answers call the new methods in place of the removed one, with the same assertions.

--- a/packages/coordination/poplarwick_coordination/message_streams.py
+++ b/packages/coordination/poplarwick_coordination/message_streams.py
@@ -35,10 +35,13 @@
 """Messages that may be queued for a slow peer before the stream is closed. This
 is several seconds of the requests of one instance."""
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 """Version of the messages that this release knows. Kinds of messages that an
 earlier one lacks are not sent to a peer of that version."""
 
+ANSWERS_PROTOCOL = 2
+"""Version of the messages from which on a placer knows earlier answers."""
+
 Message = TypeVar("Message", bound=protobuf_message.Message)
 
 
--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -370,12 +370,7 @@
             self._report_quarantine(quarantine)
         for start, per_s in self._catalogue.rate_limits.known.items():
             self.report_limit(start, per_s)
-        if connection.protocol >= recent_cuts.PROTOCOL:
-            now_s = clock.now_s()
-            for cut in self._cuts.iter_recent(now_s):
-                message = placement_pb2.EntryMessage()
-                message.cut.CopyFrom(wire_codec.encode_cut(cut, now_s))
-                self._send(message)
+        self._report_evidence(connection)
         for request_number, running in self._running.items():
             self._send_running(request_number, running)
         for request_number, pending in self._pending.items():
@@ -384,6 +379,22 @@
                 self._send_request(request_number, pending.request)
         return True
 
+    def _report_evidence(self, connection: PlacerConnection) -> None:
+        """Tells a new placer what answers were cut off, and what were sound."""
+        now_s = clock.now_s()
+        if connection.protocol >= message_streams.ANSWERS_PROTOCOL:
+            for scope, answer in self.evidence.list_sound_answers():
+                message = placement_pb2.EntryMessage()
+                message.earlier_answer.CopyFrom(
+                    wire_codec.encode_earlier_answer(scope, answer, now_s)
+                )
+                self._send(message)
+        if connection.protocol >= recent_cuts.PROTOCOL:
+            for cut in self._cuts.iter_recent(now_s):
+                message = placement_pb2.EntryMessage()
+                message.cut.CopyFrom(wire_codec.encode_cut(cut, now_s))
+                self._send(message)
+
     def detach(self, connection: PlacerConnection, reason: object) -> None:
         """Drops the connection and schedules its undecided requests locally.
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -31,7 +31,6 @@
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
-from poplarwick_placement import crash_evidence
 from poplarwick_placement import inherited_load
 from poplarwick_placement import messages
 from poplarwick_placement import organisation_shares
@@ -280,18 +279,6 @@
             if now_s - since_s > longer_than_s
         ]
 
-    def adopt_sound_answers(
-        self, earlier: crash_evidence.CrashEvidence
-    ) -> None:
-        """Takes over what was answered before this placer began.
-
-        Instances report their earlier cuts, but not what they saw answered.
-
-        Args:
-            earlier: Evidence of this instance's own requests.
-        """
-        self._scheduler.evidence.adopt_sound_answers(earlier)
-
     def open_session(
         self, instance: ids.InstanceId, send: MessageSink
     ) -> Session:
@@ -401,6 +388,12 @@
                     if answer is not None and not answer.is_conclusive:
                         self._weighed_cuts.record(*key, endpoint, now_s)
                     self._check_crash(endpoint)
+            case "earlier_answer":
+                self._scheduler.evidence.adopt_sound_answer(
+                    *wire_codec.decode_earlier_answer(
+                        message.earlier_answer, now_s
+                    )
+                )
             case "cut":
                 cut = wire_codec.decode_cut(message.cut, now_s)
                 self._record_earlier_cut(session, cut, now_s)
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -245,7 +245,6 @@
             clock.now_s(),
             protocol=message_streams.PROTOCOL_VERSION,
         )
-        local_placer.adopt_sound_answers(self._placement_client.evidence)
         sessions.append(local_placer.open_session(self._instance, receive))
         self._placement_client.attach(connection)
         return connection, sessions[0]
--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -17,6 +17,8 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
+from poplarwick_placement import crash_evidence
+from poplarwick_placement import crash_records
 from poplarwick_placement import messages
 
 LOGGED_VALUES = 64
@@ -226,6 +228,42 @@
     )
 
 
+def encode_earlier_answer(
+    scope: crash_records.Scope,
+    answer: crash_evidence.SoundAnswer,
+    now_s: float,
+) -> placement_pb2.EarlierAnswer:
+    """Encodes a request that was answered."""
+    return placement_pb2.EarlierAnswer(
+        service=scope.service,
+        software_version=scope.software_version,
+        shared_parts=sorted(answer.parts),
+        fingerprint=answer.fingerprint or "",
+        ago_s=now_s - answer.at_s,
+    )
+
+
+def decode_earlier_answer(
+    message: placement_pb2.EarlierAnswer, now_s: float
+) -> tuple[crash_records.Scope, crash_evidence.SoundAnswer]:
+    """Decodes a request that was answered.
+
+    Raises:
+        ValueError: The time since then is not a finite number.
+    """
+    _check_finite(message, "ago_s")
+    return (
+        crash_records.Scope(
+            ids.ServiceId(message.service), message.software_version
+        ),
+        crash_evidence.SoundAnswer(
+            now_s - message.ago_s,
+            frozenset(ids.PromptPartId(p) for p in message.shared_parts),
+            _decode_fingerprint(message.fingerprint),
+        ),
+    )
+
+
 def encode_ended(
     request_number: int,
     result: messages.Result,
--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -17,6 +17,7 @@
 import collections
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from poplarwick_catalogue import types
@@ -49,6 +50,10 @@
 """Latest sound answers of a service that are remembered with all their parts,
 to tell a part that crashes engines from a service of which all engines do."""
 
+MAX_LISTED_ANSWERS = 2
+"""Sound answers of a service that one instance tells a new placer: one of them
+is to another request than any that is accused."""
+
 MAX_RECORDED_PARTS = 4_096
 """Parts whose complete answers are remembered, the latest ones."""
 
@@ -93,8 +98,8 @@
     last_at_s: float = 0.0
 
 
-class _Contrast(NamedTuple):
-    """A sound answer.
+class SoundAnswer(NamedTuple):
+    """An answer that shows which request does not crash endpoints.
 
     Attributes:
         at_s: Monotonic time.
@@ -127,7 +132,7 @@
             crash_records.Scope, set[frozenset[ids.PromptPartId]]
         ] = {}
         self._contrasts: dict[
-            crash_records.Scope, collections.deque[_Contrast]
+            crash_records.Scope, collections.deque[SoundAnswer]
         ] = {}
         self._requests = request_evidence.RequestEvidence()
         self._accused: (
@@ -205,7 +210,7 @@
         self._contrasts.setdefault(
             scope, collections.deque(maxlen=MAX_CONTRASTS)
         ).append(
-            _Contrast(
+            SoundAnswer(
                 now_s, frozenset(request.shared_parts), request.fingerprint
             )
         )
@@ -221,22 +226,35 @@
             self._sound.popitem(last=False)
         self._scores.pop(scope, None)
 
-    def adopt_sound_answers(self, earlier: CrashEvidence) -> None:
-        """Takes over which requests others have seen answered.
+    def list_sound_answers(
+        self,
+    ) -> list[tuple[crash_records.Scope, SoundAnswer]]:
+        """Returns the latest sound answers to different requests.
 
-        Blame needs other requests that fare better. Evidence that knows only
-        crashes could not blame a request that is all that comes.
+        Few of each service suffice to tell one request from the others.
+        """
+        return [
+            (scope, answer)
+            for scope, contrasts in self._contrasts.items()
+            for answer in _choose_different(contrasts)
+        ]
 
-        Args:
-            earlier: Evidence on the same endpoints. Its crashes and the credit
-                of parts of prompts are not taken over.
+    def adopt_sound_answer(
+        self, scope: crash_records.Scope, answer: SoundAnswer
+    ) -> None:
+        """Takes over that an instance has seen a request answered before.
+
+        Blame needs other requests that fare better. Evidence that knows only
+        crashes could not blame a request that is all that comes. The credit of
+        parts of prompts is not taken over.
         """
-        for scope, contrasts in earlier._contrasts.items():
-            known = self._contrasts.get(scope, ())
-            self._contrasts[scope] = collections.deque(
-                sorted((*known, *contrasts), key=lambda c: c.at_s),
-                maxlen=MAX_CONTRASTS,
-            )
+        known = self._contrasts.get(scope, ())
+        if answer in known:
+            return
+        self._contrasts[scope] = collections.deque(
+            sorted((*known, answer), key=lambda c: c.at_s),
+            maxlen=MAX_CONTRASTS,
+        )
 
     def record_progress(self, endpoint: types.Endpoint, now_s: float) -> None:
         """Records that an endpoint has made progress on a request."""
@@ -565,3 +583,9 @@
                 )
             )
         return set().union(*crash.find_suspects())
+
+
+def _choose_different(answers: Iterable[SoundAnswer]) -> list[SoundAnswer]:
+    """Returns the latest answers to requests that are not copies."""
+    latest = {answer.fingerprint or answer.parts: answer for answer in answers}
+    return list(latest.values())[-MAX_LISTED_ANSWERS:]
--- a/packages/placement/tests/test_request_evidence.py
+++ b/packages/placement/tests/test_request_evidence.py
@@ -69,6 +69,12 @@
         ]
 
 
+def tell_sound_answers(earlier, later):
+    """Tells a placer what an instance has seen answered."""
+    for scope, answer in earlier.evidence.list_sound_answers():
+        later.evidence.adopt_sound_answer(scope, answer)
+
+
 @pytest.mark.parametrize("written_s", [None, 0.0, JUST_BEGUN_S])
 def test_request_of_three_crashes_is_blamed(written_s):
     fleet = Fleet()
@@ -234,7 +240,7 @@
     for number in range(CRASHES):
         later.crash(1.0 + 0.3 * number, "bad")
     assert not later.find_blamed()
-    later.evidence.adopt_sound_answers(earlier.evidence)
+    tell_sound_answers(earlier, later)
     assert later.find_blamed() == ["bad"]
 
 
@@ -246,10 +252,21 @@
     for number in range(CRASHES):
         later.crash(1.0 + 0.3 * number, make_request(f"{number}"))
     later.answer(make_request("new", parts=("other",)), 2.0)
-    later.evidence.adopt_sound_answers(earlier.evidence)
+    tell_sound_answers(earlier, later)
     assert later.find_blamed() == [{COMMON}]
 
 
+def test_few_sound_answers_of_each_service_are_told():
+    fleet = Fleet()
+    for number in range(20):
+        fleet.answer(f"{number}", float(number))
+        fleet.answer("repeated", number + 0.5)
+    told = fleet.evidence.list_sound_answers()
+    assert len(told) == crash_evidence.MAX_LISTED_ANSWERS
+    # Whichever request is accused, one of them is another one.
+    assert len({answer.fingerprint for _, answer in told}) == len(told)
+
+
 def test_request_that_was_forgiven_is_blamed_after_as_many_new_crashes():
     fleet = Fleet()
     for turn in range(2):
--- a/tests/adapter/test_placer_sessions.py
+++ b/tests/adapter/test_placer_sessions.py
@@ -13,6 +13,7 @@
 from poplarwick_adapter import settings
 from poplarwick_catalogue import catalogue
 from poplarwick_coordination import endpoint_notices
+from poplarwick_coordination import placement_client
 from poplarwick_coordination import placer
 from poplarwick_coordination import store_changes
 from poplarwick_peers.wire import placement_pb2
@@ -94,3 +95,31 @@
     value = secrets.token_bytes(2 * store_changes.PUSH_LIMIT_BYTES)
     sent = send_heartbeat(tmp_path, value, revision=1, hears_store=False)
     assert {message.WhichOneof("kind") for message in sent} == {"beat"}
+
+
+# Guards against a successor that cannot blame a request that is all that comes.
+@pytest.mark.parametrize(("protocol", "is_told"), [(1, False), (2, True)])
+def test_new_placer_is_told_what_an_instance_saw_answered(
+    tmp_path, protocol, is_told
+):
+    async def run():
+        async with platform_cluster.run_cluster(tmp_path) as cluster:
+            client = cluster.instances[0].node.placement_client
+            async with cluster.call("/stock/") as response:
+                assert response.status == 200
+            sent = []
+            client.attach(
+                placement_client.PlacerConnection(
+                    "next", 10**6, sent.append, 0.0, protocol=protocol
+                )
+            )
+            successor = make_placer(tmp_path, mirror.Mirror())
+            session = successor.open_session("front-0", lambda message: None)
+            for message in sent:
+                successor.handle(session, message)
+            told = [m for m in sent if m.WhichOneof("kind") == "earlier_answer"]
+            known = successor._scheduler.evidence.list_sound_answers()
+            assert [scope.service for scope, _ in known] == ["orders"] * is_told
+            assert len(told) == is_told
+
+    asyncio.run(run())
