Keep a decision whose durations are not finite

Since a decision, or the end of a request, with a duration that is no finite number was rejected as a whole: the request would have waited until its deadline, or its allocation would have stayed. The duration now counts as 0, or as not told.

--- a/packages/coordination/poplarwick_coordination/wire_codec.py
+++ b/packages/coordination/poplarwick_coordination/wire_codec.py
@@ -187,6 +187,10 @@
             raise ValueError(f"{name} of {kind} is not finite")
 
 
+def _make_finite(duration_s: float) -> float:
+    return duration_s if math.isfinite(duration_s) else 0.0
+
+
 def _decode_fingerprint(text: str) -> ids.RequestFingerprint | None:
     return ids.RequestFingerprint(text) if text else None
 
@@ -299,13 +303,11 @@
 ) -> messages.AnswerEnd | None:
     """Decodes how the answer to a request ended; None if it is not told.
 
-    Raises:
-        ValueError: A duration is not a finite number.
+    The request has ended, whatever else the message says.
     """
-    if not message.HasField("answer"):
-        return None
     answer = message.answer
-    _check_finite(answer, "written_s")
+    if not message.HasField("answer") or not math.isfinite(answer.written_s):
+        return None
     return messages.AnswerEnd(
         answer.is_complete,
         answer.written_s if answer.HasField("written_s") else None,
@@ -331,12 +333,12 @@
 def decode_decision(message: placement_pb2.Decision) -> messages.Decision:
     """Decodes a decision.
 
-    A refusal for a reason of a later version remains a refusal; without a
-    decision, the request would wait until its deadline.
+    A refusal for a reason of a later version remains a refusal, and a duration
+    that is no finite number counts as 0; without a decision, the request would
+    wait until its deadline.
 
     Raises:
-        ValueError: The message contains no decision, or a duration in it is
-            not a finite number.
+        ValueError: The message contains no decision.
     """
     match message.WhichOneof("outcome"):
         case "placement":
@@ -362,18 +364,17 @@
 
 
 def _decode_refusal(message: placement_pb2.Refusal) -> messages.Refusal:
-    _check_finite(message, "retry_after_s", "capacity_in_s")
     outlook = None
     if message.HasField("served_first"):
         outlook = messages.CapacityOutlook(
             message.served_first,
-            message.capacity_in_s
+            _make_finite(message.capacity_in_s)
             if message.HasField("capacity_in_s")
             else None,
         )
     return messages.Refusal(
         _decode_value(message.reason, messages.RefusalReason.NO_TIME),
-        message.retry_after_s,
+        _make_finite(message.retry_after_s),
         outlook,
     )
 
@@ -398,7 +399,6 @@
 
 
 def _decode_placement(message: placement_pb2.Placement) -> messages.Placement:
-    _check_finite(message, "expected_first_s")
     return messages.Placement(
         ids.EndpointId(message.endpoint),
         message.address,
@@ -410,7 +410,7 @@
             )
             for helper in message.helpers
         ),
-        message.expected_first_s,
+        _make_finite(message.expected_first_s),
         message.reason,
         message.expected_tokens
         if message.HasField("expected_tokens")
