Move engine reports to a module and share the time to retry elsewhere

No change of behaviour: EngineReport and EngineWork had stood beside what is inherited from them, and two constants said when a caller that an instance refuses may retry.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -28,7 +28,7 @@
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_placement import crash_evidence
-from poplarwick_placement import inherited_load
+from poplarwick_placement import engine_report
 from poplarwick_placement import messages
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -241,7 +241,7 @@
     def record_report(
         self,
         endpoint: ids.EndpointId,
-        report: inherited_load.EngineReport | None,
+        report: engine_report.EngineReport | None,
     ) -> None:
         """Records the report of an engine; None if it did not return one."""
         self._scheduler.record_report(
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -31,7 +31,7 @@
 from poplarwick_core import logs
 from poplarwick_peers.wire import placement_grpc
 from poplarwick_peers.wire import placement_pb2
-from poplarwick_placement import inherited_load
+from poplarwick_placement import engine_report
 from poplarwick_placement import messages
 from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
@@ -451,7 +451,7 @@
     def _record_report(
         self,
         endpoint: ids.EndpointId,
-        report: inherited_load.EngineReport | None,
+        report: engine_report.EngineReport | None,
     ) -> None:
         had_inherited = self._scheduler.has_inherited_load(endpoint)
         is_newly_unresponsive = self._scheduler.record_report(
--- a/packages/coordination/poplarwick_coordination/reports.py
+++ b/packages/coordination/poplarwick_coordination/reports.py
@@ -13,7 +13,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_core import clock
 from poplarwick_core import ids
-from poplarwick_placement import inherited_load
+from poplarwick_placement import engine_report
 
 REPORT_PERIOD_S = 1.0
 """Interval between reports from an engine in use. Each report is charged
@@ -35,14 +35,14 @@
     """An engine did not return a report."""
 
 
-OnReport = Callable[[ids.EndpointId, inherited_load.EngineReport | None], None]
+OnReport = Callable[[ids.EndpointId, engine_report.EngineReport | None], None]
 """Called with an engine and its report, or None if it returned none."""
 
 
 class Reader(Protocol):
     """Reads the reports of engines."""
 
-    async def read_report(self, address: str) -> inherited_load.EngineReport:
+    async def read_report(self, address: str) -> engine_report.EngineReport:
         """Returns the report of an engine.
 
         Args:
@@ -64,7 +64,7 @@
 
 async def read(
     reader: Reader, address: str
-) -> inherited_load.EngineReport | None:
+) -> engine_report.EngineReport | None:
     """Returns the report of an engine; None if it returned none.
 
     Args:
--- a/packages/coordination/tests/test_reports.py
+++ b/packages/coordination/tests/test_reports.py
@@ -8,7 +8,7 @@
 from poplarwick_catalogue import types as catalogue_types
 from poplarwick_coordination import message_streams
 from poplarwick_coordination import reports
-from poplarwick_placement import inherited_load
+from poplarwick_placement import engine_report
 
 
 def run_poller(monkeypatch, *, used, paused=(), seconds=0.45):
@@ -20,7 +20,7 @@
     class Reader:
         async def read_report(self, address):
             polled.append(address)
-            return inherited_load.EngineReport(1.0)
+            return engine_report.EngineReport(1.0)
 
     def make_endpoint(name):
         endpoint = types.SimpleNamespace(id=name, address=name, service="pool")
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -43,10 +43,6 @@
 the configuration, so that no connection is closed just as a caller reuses
 it."""
 
-REFUSAL_RETRY_AFTER_S = 0.1
-"""Time after which a caller that this instance refuses may retry; the load
-balancer sends it to another instance at once."""
-
 CONFIGURATION_WAIT_SHARE = 0.25
 """Fraction of its time left for which a request waits while a newly started
 instance fetches the configuration; the rest suffices to serve it."""
@@ -452,7 +448,7 @@
             )
         )
         response = self._make_local_response(
-            failure, reason, REFUSAL_RETRY_AFTER_S
+            failure, reason, outcomes.INSTANCE_RETRY_AFTER_S
         )
         if request.can_read_body:
             response.force_close()
--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -22,10 +22,6 @@
 """Duration of a request beside others on its engine, relative to its duration
 on an idle one."""
 
-RETRY_AFTER_S = 0.1
-"""Time after which a refused caller may retry; the load balancer sends it to
-another instance at once."""
-
 
 class StoppingError(Exception):
     """The instance stops before the request could be served."""
--- a/packages/forwarding/poplarwick_forwarding/outcomes.py
+++ b/packages/forwarding/poplarwick_forwarding/outcomes.py
@@ -7,6 +7,10 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+INSTANCE_RETRY_AFTER_S = 0.1
+"""Time after which a caller that this instance refuses may retry; the load
+balancer sends it to another instance at once."""
+
 
 class Failure(enum.Enum):
     """Why a response is generated locally; the value is its status."""
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -118,7 +118,7 @@
             except graceful_stop.StoppingError:
                 metrics.requests_refused.add(1, {"reason": "stopping"})
                 return _make_refusal(
-                    sink, progress, "stopping", graceful_stop.RETRY_AFTER_S
+                    sink, progress, "stopping", outcomes.INSTANCE_RETRY_AFTER_S
                 )
             match reply.decision:
                 case messages.Refusal() as refusal:
--- a/packages/placement/poplarwick_placement/inherited_load.py
+++ b/packages/placement/poplarwick_placement/inherited_load.py
@@ -13,9 +13,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 from typing import NamedTuple
 
+from poplarwick_placement import engine_report
+
 LEARNING_S = 2.5
 """Time after the start of a placer, or the loss of an instance, within which
 inherited load may grow: the first reports of all engines and a second one."""
@@ -29,32 +30,6 @@
 request of a few seconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineWork:
-    """What an engine reports about its work.
-
-    Attributes:
-        requests: Requests that run or are queued.
-        memory_tokens: Memory that these and reservations hold.
-    """
-
-    requests: int
-    memory_tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineReport:
-    """Report of an engine.
-
-    Attributes:
-        slowdown: Slowdown factor; 1 is the speed of its profile.
-        work: Its work; None if it does not say.
-    """
-
-    slowdown: float
-    work: EngineWork | None = None
-
-
 class _Release(NamedTuple):
     at_s: float
     requests: int
@@ -109,8 +84,8 @@
 
     def record_work(
         self,
-        work: EngineWork,
-        known: EngineWork,
+        work: engine_report.EngineWork,
+        known: engine_report.EngineWork,
         now_s: float,
         *,
         may_grow: bool,
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -11,6 +11,7 @@
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
+from poplarwick_placement import engine_report
 from poplarwick_placement import inherited_load
 from poplarwick_placement import memory_peak
 from poplarwick_placement import messages
@@ -594,7 +595,7 @@
 
     def record_work(
         self,
-        work: inherited_load.EngineWork,
+        work: engine_report.EngineWork,
         now_s: float,
         *,
         may_grow: bool,
@@ -610,7 +611,7 @@
             *self.primary_allocations.values(),
             *self.helper_allocations.values(),
         )
-        known = inherited_load.EngineWork(
+        known = engine_report.EngineWork(
             len(self.primary_allocations),
             sum(allocation.memory_tokens for allocation in allocations),
         )
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -11,6 +11,7 @@
 from poplarwick_catalogue import types
 from poplarwick_core import ids
 from poplarwick_placement import crash_evidence
+from poplarwick_placement import engine_report
 from poplarwick_placement import inherited_load
 from poplarwick_placement import late_jobs
 from poplarwick_placement import load_management
@@ -375,7 +376,7 @@
         endpoint: ids.EndpointId,
         slowdown: float | None,
         now_s: float,
-        work: inherited_load.EngineWork | None = None,
+        work: engine_report.EngineWork | None = None,
     ) -> bool:
         """Records an engine's report.
 
@@ -408,7 +409,7 @@
     def _record_work(
         self,
         state: service_pool.EndpointState,
-        work: inherited_load.EngineWork,
+        work: engine_report.EngineWork,
         now_s: float,
     ) -> None:
         """Compares reported work with the known requests of all instances."""
--- a/packages/placement/tests/test_inherited_load.py
+++ b/packages/placement/tests/test_inherited_load.py
@@ -9,6 +9,7 @@
 from test_scheduler import submit_and_decide
 
 from poplarwick_core import ids
+from poplarwick_placement import engine_report
 from poplarwick_placement import inherited_load
 from poplarwick_placement import messages
 
@@ -21,7 +22,7 @@
         endpoint,
         1.0,
         now_s,
-        inherited_load.EngineWork(requests, memory_tokens),
+        engine_report.EngineWork(requests, memory_tokens),
     )
 
 
