Let the soak's endpoints answer with earlier refusals

Endpoints that answer wrongly now also send the refusal of another request; the soak's check of refusals covers it.

--- a/packages/bench/poplarwick_bench/soak/fault_injector.py
+++ b/packages/bench/poplarwick_bench/soak/fault_injector.py
@@ -63,6 +63,7 @@
     platform_replica.Fault.CUT_BEFORE_END,
     platform_replica.Fault.SKIP_EVENT,
     platform_replica.Fault.OTHER_REQUEST,
+    platform_replica.Fault.EARLIER_REFUSAL,
     platform_replica.Fault.UNSIGNED,
     platform_replica.Fault.ENCODED,
     platform_replica.Fault.BARE_503,
