--- a/packages/bench/poplarwick_bench/soak/fleet.py
+++ b/packages/bench/poplarwick_bench/soak/fleet.py
@@ -384,9 +384,13 @@
         self.endpoints.append(endpoint)
         await self._publish_entry(endpoint)
 
+    def make_replica(self, name: str, service: str, domain: str) -> SoakReplica:
+        """Returns a stand-in for an endpoint; it has not been started."""
+        return SoakReplica(name, service, domain, peers=self._peers)
+
     async def _start_replica(self, service: str, domain: str) -> SoakReplica:
         number = next(self._replica_numbers)
-        replica = SoakReplica(f"e-{number}", service, domain, peers=self._peers)
+        replica = self.make_replica(f"e-{number}", service, domain)
         replica.unread_limit_s = UNREAD_LIMIT_S
         replica.resets_unread = bool(number % 2)
         replica.crashing_parts = self.crashing_parts
--- /dev/null
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -0,0 +1,246 @@
+"""One attempt: a request at one endpoint, from its placement to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import types
+from typing import Self
+
+from poplarwick_coordination import endpoint_notices
+from poplarwick_coordination import placement_client
+from poplarwick_core import clock
+from poplarwick_forwarding import backpressure
+from poplarwick_forwarding import dialect
+from poplarwick_forwarding import http_exchange
+from poplarwick_forwarding import outcomes
+from poplarwick_forwarding import placement_records
+from poplarwick_forwarding import request_progress
+from poplarwick_forwarding import reservations
+from poplarwick_forwarding import response_checks
+from poplarwick_forwarding import upstream
+from poplarwick_placement import messages
+
+TIMER_TOLERANCE_S = 0.005
+"""Time by which a timer may fire before its deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointAccess:
+    """What attempts need to reach endpoints.
+
+    Attributes:
+        placements: Is told how attempts end.
+        sender: Sends requests to endpoints.
+        wire_dialect: Protocol dialect of the platform.
+        memory: Reserves engine memory for very long prompts.
+        notices: What endpoints have asked of this instance.
+    """
+
+    placements: placement_client.PlacementClient
+    sender: upstream.Upstream
+    wire_dialect: dialect.Dialect
+    memory: reservations.Reservations
+    notices: endpoint_notices.EndpointNotices
+
+
+class Attempt:
+    """An attempt, which is ended when its context is exited.
+
+    The endpoint's connection is closed then, memory that was reserved for the
+    attempt is released, and the placer is told how it ended. An attempt may be
+    opened by one task and continued by another.
+
+    Args:
+        access: Reaches endpoints.
+        exchange: The request.
+        sink: Response to the caller.
+        progress: What is known of the request.
+        request_number: Number of the placement.
+        placement: Where the request is sent.
+
+    Attributes:
+        placement: Where the request is sent.
+        request_number: Number of the placement.
+        outcome: How the attempt has served the request; None if it has not.
+        sent_at_s: Monotonic time at which it was sent; None before that.
+        answered_at_s: Monotonic time of the head of its response; None before
+            that.
+        last_event_at_s: Monotonic time of its last event; None before that.
+    """
+
+    def __init__(
+        self,
+        access: EndpointAccess,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+        request_number: int,
+        placement: messages.Placement,
+    ) -> None:
+        self.placement = placement
+        self.request_number = request_number
+        self.outcome: outcomes.Outcome | None = None
+        self.sent_at_s: float | None = None
+        self.answered_at_s: float | None = None
+        self.last_event_at_s: float | None = None
+        self._access = access
+        self._exchange = exchange
+        self._sink = sink
+        self._progress = progress
+        self._response: upstream.Response | None = None
+        self._stack = contextlib.AsyncExitStack()
+
+    @property
+    def response(self) -> upstream.Response | None:
+        """The endpoint's response; None before its head has arrived."""
+        return self._response
+
+    @property
+    def written_s(self) -> float | None:
+        """Time from the head of the response to its last event."""
+        if self.answered_at_s is None:
+            return None
+        return max((self.last_event_at_s or 0.0) - self.answered_at_s, 0.0)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        try:
+            await self._stack.aclose()
+        finally:
+            self._record_end(error)
+
+    async def open(self) -> upstream.Response:
+        """Sends the request and returns the response once its head has come.
+
+        Returns the same response if it has been called before.
+
+        Raises:
+            SendError: There was no usable response.
+        """
+        if self._response is not None:
+            return self._response
+        self._progress.attempts += 1
+        enter = self._stack.enter_async_context
+        try:
+            held = await enter(self._access.memory.hold(self.placement.helpers))
+            request = self._make_request(held)
+            self._progress.is_in_flight = True
+            self.sent_at_s = clock.now_s()
+            response = await enter(
+                self._access.sender.send(self.placement.address, request)
+            )
+        except dialect.ReservationError as error:
+            raise upstream.SendError(
+                str(error), messages.Result.FULL, may_have_run=False
+            ) from error
+        placement_records.record_relay(self._exchange, self.placement, response)
+        self.answered_at_s = clock.now_s()
+        self._response = response
+        self._access.notices.record(
+            self.placement.endpoint, response.head.notice
+        )
+        try:
+            response_checks.check_response(
+                self._exchange, response, is_resumed=self._sink.has_begun
+            )
+        except upstream.SendError as error:
+            error.relay = response.relay
+            raise
+        return response
+
+    def _make_request(
+        self, held: reservations.HelperReservations
+    ) -> upstream.Request:
+        exchange = self._exchange
+        organisation = exchange.admission.organisation
+        added_headers = self._access.wire_dialect.make_attempt_headers(
+            dialect.AttemptMetadata(
+                self.placement.endpoint,
+                organisation.id if organisation else None,
+                exchange.deadline_at_s - clock.now_s(),
+                self._progress.last_event_id,
+                held,
+            )
+        )
+        return upstream.Request(
+            exchange.method,
+            exchange.target,
+            {**exchange.headers, **added_headers},
+            exchange.body,
+            exchange.metadata.request_id,
+        )
+
+    def _make_answer_end(self, *, is_complete: bool) -> messages.AnswerEnd:
+        response = self._response
+        return messages.AnswerEnd(
+            is_complete,
+            self.written_s,
+            response is None or response.is_delimited,
+            self._progress.stream_events,
+        )
+
+    def _record_end(self, error: BaseException | None) -> None:
+        """Tells the placer how the attempt has ended."""
+        result = messages.Result.GIVEN_UP
+        blamed = None
+        answer = None
+        match error:
+            case upstream.SendError():
+                backpressure.excuse_cut(
+                    error, self._sink, self._exchange.metadata.request_id
+                )
+                result, blamed = error.result, error.blamed
+                if result is messages.Result.UNREACHABLE:
+                    self._progress.unreachable |= {self.placement.endpoint}
+                else:
+                    self._progress.receipts += 1
+                if error.is_cut:
+                    answer = self._make_answer_end(is_complete=False)
+                    self._progress.was_cut_off |= answer.had_just_begun
+            case asyncio.CancelledError():
+                if self._was_silent():
+                    result = messages.Result.SILENT
+            case None if self.outcome is not None:
+                result = _get_result(self.outcome)
+                if _is_success(self.outcome):
+                    answer = self._make_answer_end(is_complete=True)
+        self._access.placements.record_end(
+            self.request_number, result, blamed, answer
+        )
+
+    def _was_silent(self) -> bool:
+        """Returns whether the endpoint has let the deadline pass.
+
+        A caller that disconnects does not reflect on the endpoint, nor does one
+        that does not read.
+        """
+        is_unread = self._sink.has_begun and self._sink.is_blocked
+        deadline_s = self._exchange.deadline_at_s - TIMER_TOLERANCE_S
+        return clock.now_s() >= deadline_s and not is_unread
+
+
+def _get_result(outcome: outcomes.Outcome) -> messages.Result:
+    """Returns the result of an attempt, as counted for its endpoint."""
+    if isinstance(outcome, outcomes.CompleteResponse) and outcome.status >= 500:
+        return messages.Result.FAILED
+    return messages.Result.DONE
+
+
+def _is_success(outcome: outcomes.Outcome) -> bool:
+    """Returns whether an endpoint has served the request."""
+    match outcome:
+        case outcomes.Streamed():
+            return True
+        case outcomes.CompleteResponse(status):
+            return status < 300
+        case _:
+            return False
--- a/packages/forwarding/poplarwick_forwarding/placement_records.py
+++ b/packages/forwarding/poplarwick_forwarding/placement_records.py
@@ -17,10 +17,12 @@
     reply: placement_client.PlacementOutcome,
     placement: messages.Placement,
     progress: request_progress.RequestProgress,
+    *,
+    is_resumed: bool,
 ) -> None:
     """Records that a request may be sent to an endpoint."""
     metrics.placing_seconds.record(reply.waited_s)
-    if progress.broken_at_s is not None:
+    if is_resumed:
         metrics.streams_resumed.add(1)
     logs.log(
         log_events.RequestPlaced(
@@ -37,9 +39,7 @@
             placer=reply.decided_by,
             waited_s=reply.waited_s,
             send=progress.attempts + 1,
-            resumes_after=progress.last_event_id
-            if progress.broken_at_s
-            else None,
+            resumes_after=progress.last_event_id if is_resumed else None,
         )
     )
 
--- a/packages/forwarding/poplarwick_forwarding/request_progress.py
+++ b/packages/forwarding/poplarwick_forwarding/request_progress.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
-from poplarwick_coordination import placement_client
 from poplarwick_core import ids
-from poplarwick_placement import messages
+
+if TYPE_CHECKING:
+    from poplarwick_forwarding import endpoint_attempt
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,14 +25,10 @@
             not.
         avoided: Endpoints that must not run the request again.
         unreachable: Endpoints that could not be connected.
-        sent_at_s: Monotonic time at which the last attempt was sent.
-        answered_at_s: Monotonic time of the head of the last attempt's
-            response; None if there was none.
-        last_event_at_s: Monotonic time of the last event; None before it.
-        is_delimited: Whether that response shows itself where it ends.
         events: Number of events that were sent to the caller.
         was_cut_off: Whether an endpoint cut a response off that had just begun.
-        next_placement: Placement of the next attempt, if it is known already.
+        next_attempt: Attempt that goes on with the request, if it has been
+            answered already.
     """
 
     last_event_id: int | None
@@ -41,33 +39,16 @@
     broken_at_s: float | None = None
     avoided: frozenset[ids.EndpointId] = frozenset()
     unreachable: frozenset[ids.EndpointId] = frozenset()
-    sent_at_s: float = 0.0
-    answered_at_s: float | None = None
-    last_event_at_s: float | None = None
-    is_delimited: bool = True
     events: int = 0
     was_cut_off: bool = False
-    next_placement: placement_client.PlacementOutcome | None = None
+    next_attempt: endpoint_attempt.Attempt | None = None
 
-    def take_next_placement(self) -> placement_client.PlacementOutcome | None:
-        """Returns the placement of the next attempt, once; None if unknown."""
-        taken, self.next_placement = self.next_placement, None
+    def take_next_attempt(self) -> endpoint_attempt.Attempt | None:
+        """Returns the attempt that goes on, once; None if there is none."""
+        taken, self.next_attempt = self.next_attempt, None
         return taken
 
     @property
     def stream_events(self) -> int:
         """Events of the whole stream, also of those before a resume."""
         return (self.last_event_id or 0) if self.events else 0
-
-    @property
-    def written_s(self) -> float | None:
-        """Time from the head of that response to its last event."""
-        if self.answered_at_s is None:
-            return None
-        return max((self.last_event_at_s or 0.0) - self.answered_at_s, 0.0)
-
-    def make_answer_end(self, *, is_complete: bool) -> messages.AnswerEnd:
-        """Returns how the last attempt's response ended."""
-        return messages.AnswerEnd(
-            is_complete, self.written_s, self.is_delimited, self.stream_events
-        )
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
@@ -10,9 +12,8 @@
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
 from poplarwick_core import logs
-from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
-from poplarwick_forwarding import events
+from poplarwick_forwarding import endpoint_attempt
 from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import log_events
@@ -21,8 +22,8 @@
 from poplarwick_forwarding import placement_records
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import reservations
-from poplarwick_forwarding import response_checks
 from poplarwick_forwarding import response_timeout
+from poplarwick_forwarding import stream_relay
 from poplarwick_forwarding import takeover
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
@@ -31,14 +32,6 @@
 """Attempts per request, including those that endpoints refused. When a failure
 domain recovers, many of the known endpoints no longer exist."""
 
-MIN_PROGRESS_BYTES = 1_024
-"""Bytes of an incomplete event that count as progress of a stream. A sound
-endpoint sends an event of a few hundred bytes at once; an endpoint that sends a
-byte now and then counts as stalled."""
-
-TIMER_TOLERANCE_S = 0.005
-"""Time by which a timer may fire before its deadline."""
-
 QUARANTINE_RETRY_AFTER_S = 600.0
 """Time after which a caller may retry a request in quarantine; operators have
 to lift it."""
@@ -80,9 +73,9 @@
         self._notices = notices
         self._quarantines = known_quarantines
         self._placement_client = placements
-        self._upstream = sender
-        self._dialect = wire_dialect
-        self._reservations = memory
+        self._access = endpoint_attempt.EndpointAccess(
+            placements, sender, wire_dialect, memory, notices
+        )
 
     async def run(
         self, exchange: http_exchange.Exchange, sink: outcomes.Sink
@@ -99,7 +92,7 @@
                 progress.executions += 1
             return _make_failure(exchange, sink, progress, "time_over")
         finally:
-            self._release(progress.take_next_placement())
+            await _withdraw(progress.take_next_attempt())
 
     async def _run(
         self,
@@ -107,14 +100,42 @@
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
     ) -> outcomes.Outcome:
+        while True:
+            prepared = progress.take_next_attempt() or await self._prepare(
+                exchange, sink, progress
+            )
+            if not isinstance(prepared, endpoint_attempt.Attempt):
+                return prepared
+            try:
+                async with prepared as attempt:
+                    attempt.outcome = await self._attempt(
+                        exchange, sink, progress, attempt
+                    )
+                return attempt.outcome
+            except upstream.SendError as error:
+                outcome = self._handle_failure(
+                    exchange, sink, progress, prepared, error
+                )
+            if outcome is not None:
+                return outcome
+            if sink.has_begun:
+                # No endpoint works for a caller that does not read.
+                await sink.drain()
+                progress.broken_at_s = clock.now_s()
+
+    async def _prepare(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+    ) -> endpoint_attempt.Attempt | outcomes.Outcome:
+        """Returns the next attempt, or the outcome if there is none."""
         while True:
             quarantine = self._find_quarantine(exchange)
             if quarantine is not None:
                 return _refuse_quarantined(exchange, sink, progress, quarantine)
             try:
-                reply = progress.take_next_placement() or await self._place(
-                    exchange, sink, progress
-                )
+                reply = await self._place(exchange, sink, progress)
             except graceful_stop.StoppingError:
                 metrics.requests_refused.add(1, {"reason": "stopping"})
                 return _make_refusal(
@@ -132,31 +153,44 @@
                         sink, progress, refusal.reason.value, retry_after_s
                     )
                 case messages.Placement() as placement:
-                    if (
-                        self._is_blocked(placement)
-                        or self._find_quarantine(exchange) is not None
-                    ):
-                        # It became known since the request was submitted to
-                        # the placer.
-                        self._release(reply)
-                        continue
-                    placement_records.record_placement(
-                        exchange, reply, placement, progress
-                    )
-            try:
-                return await self._attempt(
-                    exchange, sink, progress, reply.request_number, placement
-                )
-            except upstream.SendError as error:
-                outcome = self._handle_failure(
-                    exchange, sink, progress, placement, error
-                )
-            if outcome is not None:
-                return outcome
-            if sink.has_begun:
-                # No endpoint works for a caller that does not read.
-                await sink.drain()
-                progress.broken_at_s = clock.now_s()
+                    if self._may_use(exchange, placement):
+                        return self._make_attempt(
+                            exchange, sink, progress, reply, placement
+                        )
+                    self._release(reply)
+
+    def _may_use(
+        self, exchange: http_exchange.Exchange, placement: messages.Placement
+    ) -> bool:
+        """Returns whether nothing speaks against a placement.
+
+        What does may have become known since the request was submitted to the
+        placer.
+        """
+        return (
+            not self._is_blocked(placement)
+            and self._find_quarantine(exchange) is None
+        )
+
+    def _make_attempt(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+        reply: placement_client.PlacementOutcome,
+        placement: messages.Placement,
+    ) -> endpoint_attempt.Attempt:
+        placement_records.record_placement(
+            exchange, reply, placement, progress, is_resumed=sink.has_begun
+        )
+        return endpoint_attempt.Attempt(
+            self._access,
+            exchange,
+            sink,
+            progress,
+            reply.request_number,
+            placement,
+        )
 
     async def _place(
         self,
@@ -206,14 +240,48 @@
             )
         )
 
-    def _release(
-        self, unused: placement_client.PlacementOutcome | None
-    ) -> None:
-        """Ends a placement, if there is one, that is not used."""
-        if unused is not None:
-            self._placement_client.record_end(
-                unused.request_number, messages.Result.GIVEN_UP
+    async def _open_elsewhere(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        progress: request_progress.RequestProgress,
+        reply: placement_client.PlacementOutcome,
+    ) -> endpoint_attempt.Attempt | None:
+        """Tries another endpoint while a silent one runs the request.
+
+        Returns:
+            The attempt, once the endpoint has begun to answer; None if it does
+            not, or may not be used.
+        """
+        placement = reply.decision
+        assert isinstance(placement, messages.Placement)
+        if not self._may_use(exchange, placement):
+            self._release(reply)
+            return None
+        attempt = self._make_attempt(exchange, sink, progress, reply, placement)
+        try:
+            async with contextlib.AsyncExitStack() as stack:
+                await stack.enter_async_context(attempt)
+                response = await attempt.open()
+                if exchange.route.kind is types.RequestKind.STREAM:
+                    await response.prefetch()
+                stack.pop_all()
+        except upstream.SendError as error:
+            self._record_failure(
+                exchange, progress, attempt, error, "kept_elsewhere"
             )
+            return None
+        except asyncio.CancelledError:
+            if attempt.sent_at_s is not None:
+                progress.executions += 1
+            raise
+        return attempt
+
+    def _release(self, unused: placement_client.PlacementOutcome) -> None:
+        """Ends a placement that is not used."""
+        self._placement_client.record_end(
+            unused.request_number, messages.Result.GIVEN_UP
+        )
 
     def _find_quarantine(
         self, exchange: http_exchange.Exchange
@@ -257,34 +325,60 @@
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
-        placement: messages.Placement,
+        attempt: endpoint_attempt.Attempt,
         error: upstream.SendError,
     ) -> outcomes.Outcome | None:
         """Returns the outcome, or None if the request is to be retried."""
-        progress.is_in_flight = False
+        progress.is_in_flight = progress.next_attempt is not None
+        no_retry_reason = None
+        if progress.next_attempt is None:
+            no_retry_reason = self._find_no_retry_reason(
+                exchange, progress, error
+            )
+        self._record_failure(
+            exchange, progress, attempt, error, no_retry_reason
+        )
+        if no_retry_reason is None:
+            return None
+        return _make_failure(exchange, sink, progress, no_retry_reason)
+
+    def _record_failure(
+        self,
+        exchange: http_exchange.Exchange,
+        progress: request_progress.RequestProgress,
+        attempt: endpoint_attempt.Attempt,
+        error: upstream.SendError,
+        obstacle: str | None,
+    ) -> None:
+        """Records a failed attempt.
+
+        Args:
+            exchange: The request.
+            progress: What is known of it.
+            attempt: The attempt.
+            error: Why it has failed.
+            obstacle: Why the request is not retried; None if it is.
+        """
+        endpoint = attempt.placement.endpoint
         if error.may_have_run:
             progress.executions += 1
-            progress.avoided |= {placement.endpoint}
+            progress.avoided |= {endpoint}
         metrics.attempts_failed.add(1, {"result": error.result.value})
-        no_retry_reason = self._find_no_retry_reason(exchange, progress, error)
         logs.log(
             log_events.AttemptFailed(
                 request=exchange.metadata.request_id,
-                endpoint=placement.endpoint,
+                endpoint=endpoint,
                 result=error.result.value,
                 may_have_run=error.may_have_run,
                 reason=str(error),
-                repeated=no_retry_reason is None,
-                obstacle=no_retry_reason,
+                repeated=obstacle is None,
+                obstacle=obstacle,
                 fingerprint=exchange.fingerprint,
                 parts=",".join(exchange.metadata.shared_parts) or None,
-                written_s=progress.written_s,
+                written_s=attempt.written_s,
                 relay=error.relay,
             )
         )
-        if no_retry_reason is None:
-            return None
-        return _make_failure(exchange, sink, progress, no_retry_reason)
 
     def _find_no_retry_reason(
         self,
@@ -295,7 +389,7 @@
         if error.may_have_run:
             if not exchange.route.may_retry:
                 return "may_have_run"
-            if progress.executions >= exchange.route.max_attempts:
+            if progress.executions + 1 >= exchange.route.max_attempts:
                 return "attempts_spent"
         if progress.attempts >= MAX_TOTAL_ATTEMPTS:
             return "sends_spent"
@@ -306,236 +400,102 @@
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
-        request_number: int,
-        placement: messages.Placement,
+        attempt: endpoint_attempt.Attempt,
     ) -> outcomes.Outcome:
-        result = messages.Result.GIVEN_UP
-        blamed = None
-        answer = None
-        progress.answered_at_s = None
-        try:
-            async with self._reservations.hold(placement.helpers) as held:
-                progress.attempts += 1
-                outcome = await self._send_with_timeout(
-                    exchange, sink, progress, request_number, placement, held
-                )
-            result = _get_result(outcome)
-            if _is_success(outcome):
-                answer = progress.make_answer_end(is_complete=True)
-            return outcome
-        except dialect.ReservationError as error:
-            result = messages.Result.FULL
-            raise upstream.SendError(
-                str(error), result, may_have_run=False
-            ) from error
-        except upstream.SendError as error:
-            backpressure.excuse_cut(error, sink, exchange.metadata.request_id)
-            result, blamed = error.result, error.blamed
-            if result is messages.Result.UNREACHABLE:
-                progress.unreachable |= {placement.endpoint}
-            else:
-                progress.receipts += 1
-            if error.is_cut:
-                answer = progress.make_answer_end(is_complete=False)
-                progress.was_cut_off |= answer.had_just_begun
-            raise
-        except asyncio.CancelledError:
-            # A caller that disconnects does not reflect on the endpoint; an
-            # endpoint that has not responded by the deadline is unresponsive.
-            # Neither does one whose caller does not read.
-            is_unread = sink.has_begun and sink.is_blocked
-            if (
-                clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S
-                and not is_unread
-            ):
-                result = messages.Result.SILENT
-            raise
-        finally:
-            self._placement_client.record_end(
-                request_number, result, blamed, answer
-            )
+        """Runs an attempt until it has served the request.
 
-    async def _send_with_timeout(
-        self,
-        exchange: http_exchange.Exchange,
-        sink: outcomes.Sink,
-        progress: request_progress.RequestProgress,
-        request_number: int,
-        placement: messages.Placement,
-        held: reservations.HelperReservations,
-    ) -> outcomes.Outcome:
-        is_retryable = (
-            exchange.route.may_retry
-            and progress.executions + 1 < exchange.route.max_attempts
-            and progress.attempts < MAX_TOTAL_ATTEMPTS
-        )
+        Raises:
+            SendError: It has failed; the next attempt may have begun.
+        """
+        placement = attempt.placement
+        may_retry = functools.partial(_may_retry, exchange, progress)
         timer = asyncio.timeout(None)
         silence = takeover.Takeover(
             exchange.metadata.request_id,
             timer,
+            may_retry,
             lambda: self._place_elsewhere(exchange, sink, progress, placement),
+            lambda reply: self._open_elsewhere(exchange, sink, progress, reply),
         )
         try:
             async with timer:
                 timeout = response_timeout.ResponseTimeout(
-                    silence, is_limited=is_retryable
+                    silence, is_limited=may_retry()
                 )
                 self._placement_client.on_suspicion(
-                    request_number, timeout.record_suspicion
+                    attempt.request_number, timeout.record_suspicion
                 )
                 timeout.start(
                     response_timeout.choose_first_event_patience(
                         exchange, placement
                     )
                 )
-                return await self._send(
-                    exchange,
-                    sink,
-                    progress,
-                    request_number,
-                    placement,
-                    held,
-                    timeout,
+                return await self._answer(
+                    exchange, sink, progress, attempt, timeout
                 )
         except TimeoutError as error:
             if not timer.expired():
                 raise
-            progress.next_placement = silence.take_placement()
+            progress.next_attempt = silence.take_attempt()
             raise upstream.SendError(
                 f"{placement.address} did not respond in time",
                 messages.Result.SILENT,
                 may_have_run=True,
             ) from error
+        except upstream.SendError:
+            progress.next_attempt = await silence.wait_for_attempt()
+            raise
         finally:
             silence.stop()
-            self._release(silence.take_placement())
+            await _withdraw(silence.take_attempt())
 
-    async def _send(
+    async def _answer(
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
-        request_number: int,
-        placement: messages.Placement,
-        held: reservations.HelperReservations,
+        attempt: endpoint_attempt.Attempt,
         timeout: response_timeout.ResponseTimeout,
     ) -> outcomes.Outcome:
-        time_left_s = exchange.deadline_at_s - clock.now_s()
-        organisation = exchange.admission.organisation
-        added_headers = self._dialect.make_attempt_headers(
-            dialect.AttemptMetadata(
-                placement.endpoint,
-                organisation.id if organisation else None,
-                time_left_s,
-                progress.last_event_id,
-                held,
+        response = await attempt.open()
+        if exchange.route.kind is types.RequestKind.STREAM and (
+            response.status == 200
+        ):
+            await stream_relay.relay(
+                exchange,
+                sink,
+                progress,
+                attempt,
+                response,
+                timeout,
+                self._placement_client,
             )
+            return _make_streamed(exchange, progress, attempt.placement)
+        body = await response.read_body(exchange.held)
+        _record_duration_error(exchange, attempt)
+        self._placement_client.record_first_event(attempt.request_number)
+        return outcomes.CompleteResponse(
+            response.status, response.headers, body
         )
-        request = upstream.Request(
-            exchange.method,
-            exchange.target,
-            {**exchange.headers, **added_headers},
-            exchange.body,
-            exchange.metadata.request_id,
-        )
-        progress.is_in_flight = True
-        progress.sent_at_s = clock.now_s()
-        async with self._upstream.send(placement.address, request) as response:
-            placement_records.record_relay(exchange, placement, response)
-            progress.answered_at_s = clock.now_s()
-            progress.is_delimited = response.is_delimited
-            self._notices.record(placement.endpoint, response.head.notice)
-            response_checks.check_response(
-                exchange, response, is_resumed=sink.has_begun
-            )
-            if exchange.route.kind is types.RequestKind.STREAM and (
-                response.status == 200
-            ):
-                await self._relay(
-                    exchange, sink, progress, request_number, response, timeout
-                )
-                return _make_streamed(exchange, progress, placement)
-            body = await response.read_body(exchange.held)
-            _record_duration_error(exchange, placement, progress)
-            self._placement_client.record_first_event(request_number)
-            return outcomes.CompleteResponse(
-                response.status, response.headers, body
-            )
 
-    async def _relay(
-        self,
-        exchange: http_exchange.Exchange,
-        sink: outcomes.Sink,
-        progress: request_progress.RequestProgress,
-        request_number: int,
-        response: upstream.Response,
-        timeout: response_timeout.ResponseTimeout,
-    ) -> None:
-        patience = response_timeout.choose_stall_patience(exchange)
-        splitter = events.EventSplitter()
-        bytes_without_event = 0
-        has_event = False
-        async for chunk in response.iter_chunks():
-            try:
-                new_events = splitter.feed(chunk)
-                data = _join_events(new_events, progress)
-            except events.EventError as error:
-                raise upstream.SendError(
-                    str(error), messages.Result.BROKEN, may_have_run=True
-                ) from error
-            if data:
-                has_event = True
-                progress.last_event_at_s = clock.now_s()
-                timeout.suspend()
-                self._placement_client.record_first_event(request_number)
-                if not sink.has_begun:
-                    await sink.begin(response.status, response.headers)
-                await backpressure.write(sink, data, response)
-            bytes_without_event += len(chunk)
-            if data or bytes_without_event >= MIN_PROGRESS_BYTES:
-                bytes_without_event = 0
-                timeout.start(patience)
-        if splitter.has_incomplete_event:
-            raise upstream.SendError(
-                "stream ended inside an event",
-                messages.Result.BROKEN,
-                may_have_run=True,
-                is_cut=not response.is_delimited,
-            )
-        if not has_event and not (
-            response.is_delimited and response_checks.has_events(response)
-        ):
-            # A process that ends also closes its connections.
-            raise upstream.SendError(
-                "connection ended before the first event",
-                messages.Result.BROKEN,
-                may_have_run=True,
-                is_cut=not response.is_delimited,
-            )
-        if not sink.has_begun:
-            await sink.begin(response.status, response.headers)
 
+def _may_retry(
+    exchange: http_exchange.Exchange,
+    progress: request_progress.RequestProgress,
+) -> bool:
+    """Returns whether a request may be sent once more while it runs."""
+    return (
+        exchange.route.may_retry
+        and progress.executions + 1 < exchange.route.max_attempts
+        and progress.attempts < MAX_TOTAL_ATTEMPTS
+    )
 
-def _join_events(
-    new_events: list[events.Event], progress: request_progress.RequestProgress
-) -> bytes:
-    """Checks that events are consecutive and returns their bytes.
 
-    Raises:
-        EventError: An event is missing, duplicated or without an id.
-    """
-    last = progress.last_event_id
-    for event in new_events:
-        if event.id is None and event.is_comment:
-            continue
-        if event.id is None:
-            raise events.EventError("event without an id")
-        if last is not None and event.id != last + 1:
-            raise events.EventError(f"event {event.id} after event {last}")
-        last = event.id
-        progress.events += 1
-    progress.last_event_id = last
-    return b"".join(event.data for event in new_events)
+async def _withdraw(unused: endpoint_attempt.Attempt | None) -> None:
+    """Ends an attempt, if there is one, whose answer is not used."""
+    if unused is not None:
+        async with unused:
+            pass
 
 
 def _make_streamed(
@@ -553,36 +513,18 @@
 
 
 def _record_duration_error(
-    exchange: http_exchange.Exchange,
-    placement: messages.Placement,
-    progress: request_progress.RequestProgress,
+    exchange: http_exchange.Exchange, attempt: endpoint_attempt.Attempt
 ) -> None:
+    placement = attempt.placement
     if placement.cost_samples and not exchange.tokens_per_event:
+        assert attempt.sent_at_s is not None, "the attempt was not opened"
         metrics.record_estimate_error(
             exchange.service,
             placement.expected_first_s,
-            clock.now_s() - progress.sent_at_s,
+            clock.now_s() - attempt.sent_at_s,
         )
 
 
-def _get_result(outcome: outcomes.Outcome) -> messages.Result:
-    """Returns the result of an attempt, as counted for its endpoint."""
-    if isinstance(outcome, outcomes.CompleteResponse) and outcome.status >= 500:
-        return messages.Result.FAILED
-    return messages.Result.DONE
-
-
-def _is_success(outcome: outcomes.Outcome) -> bool:
-    """Returns whether an endpoint has served the request."""
-    match outcome:
-        case outcomes.Streamed():
-            return True
-        case outcomes.CompleteResponse(status):
-            return status < 300
-        case _:
-            return False
-
-
 def _make_refusal(
     sink: outcomes.Sink,
     progress: request_progress.RequestProgress,
@@ -626,6 +568,9 @@
         return outcomes.StreamTruncated(reason)
     if not progress.executions:
         return _make_refusal(sink, progress, reason, 0.0)
-    if clock.now_s() >= exchange.deadline_at_s - TIMER_TOLERANCE_S:
+    if (
+        clock.now_s()
+        >= exchange.deadline_at_s - endpoint_attempt.TIMER_TOLERANCE_S
+    ):
         return outcomes.LocalResponse(outcomes.Failure.TIMED_OUT, reason)
     return outcomes.LocalResponse(outcomes.Failure.BROKEN, reason)
--- a/packages/forwarding/poplarwick_forwarding/takeover.py
+++ b/packages/forwarding/poplarwick_forwarding/takeover.py
@@ -2,8 +2,9 @@
 
 Load pattern: engines that prefill long prompts between the tokens of others
 pause for a second and more, while other engines are full or the retry budget is
-spent. A request that is taken from its endpoint first is then lost. It stays
-there until it has been placed at another one, or until its endpoint goes on.
+spent. A request that is taken from its endpoint first is then lost, also if the
+other one refuses it, or is as busy. It stays with its endpoint until another
+one answers; whichever goes on first serves the caller.
 """
 
 from __future__ import annotations
@@ -16,11 +17,12 @@
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
 from poplarwick_core import logs
+from poplarwick_forwarding import endpoint_attempt
 from poplarwick_forwarding import log_events
 from poplarwick_placement import messages
 
 ASK_AGAIN_S = 1.0
-"""Interval between requests for a placement while the endpoint is silent."""
+"""Interval between attempts elsewhere while the endpoint is silent."""
 
 
 class AttemptTimer(Protocol):
@@ -32,32 +34,45 @@
 
 
 class Takeover:
-    """Asks for a placement elsewhere if an endpoint is silent for too long.
+    """Tries another endpoint if an endpoint is silent for too long.
 
     It is used as the timer of a `response_timeout.ResponseTimeout`. Once the
-    request is placed elsewhere, the attempt is ended.
+    other endpoint answers, the attempt at the silent one is ended. If the
+    silent one goes on before that, the other attempt is withdrawn.
 
     Args:
         request: Id of the request, for logs.
         attempt: Ends the attempt at the silent endpoint.
+        may_ask: Returns whether the request may be sent once more.
         place_elsewhere: Waits for a placement at another endpoint.
+        open_elsewhere: Sends the request to the endpoint of a placement and
+            waits for its answer; returns None if there is none.
     """
 
     def __init__(
         self,
         request: str,
         attempt: AttemptTimer,
+        may_ask: Callable[[], bool],
         place_elsewhere: Callable[
             [], Awaitable[placement_client.PlacementOutcome]
         ],
+        open_elsewhere: Callable[
+            [placement_client.PlacementOutcome],
+            Awaitable[endpoint_attempt.Attempt | None],
+        ],
     ) -> None:
         self._request = request
         self._attempt = attempt
+        self._may_ask = may_ask
         self._place_elsewhere = place_elsewhere
+        self._open_elsewhere = open_elsewhere
         self._when_s: float | None = None
         self._alarm: asyncio.TimerHandle | None = None
         self._asking: asyncio.Task[None] | None = None
-        self._granted: placement_client.PlacementOutcome | None = None
+        self._opening: asyncio.Future[None] | None = None
+        self._has_failed = False
+        self._answered: endpoint_attempt.Attempt | None = None
 
     def when(self) -> float | None:
         """Returns when the endpoint counts as silent; None for never."""
@@ -66,10 +81,10 @@
     def reschedule(self, when: float | None) -> None:
         """Sets when the endpoint counts as silent; None for never.
 
-        A request that is being placed elsewhere stays, as its endpoint has
-        sent something.
+        An attempt elsewhere is withdrawn, as the endpoint has sent something;
+        if it has been answered already, it goes on instead.
         """
-        if self._granted is not None:
+        if self._answered is not None:
             return
         self.stop()
         self._when_s = when
@@ -78,7 +93,7 @@
             self._alarm = loop.call_at(when, self._start_asking)
 
     def stop(self) -> None:
-        """Stops waiting and asking."""
+        """Stops waiting and withdraws an attempt that is not answered."""
         if self._alarm is not None:
             self._alarm.cancel()
             self._alarm = None
@@ -86,23 +101,39 @@
             self._asking.cancel()
             self._asking = None
 
-    def take_placement(self) -> placement_client.PlacementOutcome | None:
-        """Returns the placement that was granted, once; None if none was."""
-        granted, self._granted = self._granted, None
-        return granted
+    def take_attempt(self) -> endpoint_attempt.Attempt | None:
+        """Returns the attempt that was answered, once; None if none was.
+
+        The caller owns it from then on.
+        """
+        answered, self._answered = self._answered, None
+        return answered
+
+    async def wait_for_attempt(self) -> endpoint_attempt.Attempt | None:
+        """Returns the attempt elsewhere once it is answered.
+
+        For an endpoint that has failed meanwhile. Returns None if there is no
+        such attempt, or if it fails as well.
+        """
+        self._has_failed = True
+        if self._opening is not None:
+            await self._opening
+        self.stop()
+        return self.take_attempt()
 
     def _start_asking(self) -> None:
         self._asking = asyncio.get_running_loop().create_task(self._ask())
 
     async def _ask(self) -> None:
-        while True:
+        while self._may_ask():
             began_s = clock.now_s()
             outcome = await self._place_elsewhere()
             match outcome.decision:
                 case messages.Placement():
-                    self._granted = outcome
-                    self._attempt.reschedule(clock.now_s())
-                    return
+                    if await self._open(outcome):
+                        if not self._has_failed:
+                            self._attempt.reschedule(clock.now_s())
+                        return
                 case messages.Refusal(reason=reason):
                     logs.log(
                         log_events.SilentEndpointKept(
@@ -110,3 +141,15 @@
                         )
                     )
             await asyncio.sleep(began_s + ASK_AGAIN_S - clock.now_s())
+
+    async def _open(self, outcome: placement_client.PlacementOutcome) -> bool:
+        """Tries an endpoint and returns whether it answers."""
+        opening = asyncio.get_running_loop().create_future()
+        self._opening = opening
+        try:
+            self._answered = await self._open_elsewhere(outcome)
+        finally:
+            self._opening = None
+            if not opening.done():
+                opening.set_result(None)
+        return self._answered is not None
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -110,6 +110,7 @@
         self.headers = headers.select_headers(response.headers)
         self._response = response
         self._closed = _watch_close(response)
+        self._prefetched = b""
 
     @property
     def is_delimited(self) -> bool:
@@ -145,17 +146,33 @@
         )
         return bool(state[0] == TCP_CLOSE)
 
+    async def prefetch(self) -> None:
+        """Waits for the first part of the body, which is yielded later.
+
+        Raises:
+            SendError: The body is truncated.
+        """
+        self._prefetched = await self._read_part()
+
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
         Raises:
             SendError: The body is truncated.
         """
-        content = self._response.content
+        while chunk := await self._read_part():
+            yield chunk
+
+    async def _read_part(self) -> bytes:
+        """Returns a part of the body; empty at its end."""
+        prefetched, self._prefetched = self._prefetched, b""
+        if prefetched:
+            return prefetched
         try:
-            while chunk := await content.readany():
-                yield chunk
-            await self._check_body_end()
+            chunk = await self._response.content.readany()
+            if not chunk:
+                await self._check_body_end()
+            return chunk
         except (aiohttp.ClientError, OSError) as error:
             raise SendError(
                 f"response truncated: {error!r}",
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -19,6 +19,7 @@
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import request_runner
+from poplarwick_forwarding import stream_relay
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
@@ -194,7 +195,7 @@
     # What a caller's resumed stream costs would be learned as less.
     progress = request_progress.RequestProgress(resumed_after)
     first = (resumed_after or 0) + 1
-    request_runner._join_events(
+    stream_relay._join_events(
         [events.Event(b"", first), events.Event(b"", first + 1)], progress
     )
-    assert progress.make_answer_end(is_complete=True).events == first + 1
+    assert progress.stream_events == first + 1
--- a/packages/forwarding/tests/test_takeover.py
+++ b/packages/forwarding/tests/test_takeover.py
@@ -13,6 +13,7 @@
 from poplarwick_placement import messages
 
 PLACEMENT = messages.Placement(ids.EndpointId("e"), "h:1", (), 0.1, "test")
+ANSWERED = object()
 REFUSAL = messages.Refusal(messages.RefusalReason.REPEAT_BUDGET, 0.1)
 
 
@@ -27,14 +28,27 @@
 
 
 class Fleet:
-    """Decides on placements after a time."""
+    """Decides on placements, and answers at other endpoints, after a time."""
 
-    def __init__(self, decisions, delay_s=0.0):
+    def __init__(self, decisions, delay_s=0.0, answers=(), answer_s=0.0):
         self.decisions = iter(decisions)
         self.delay_s = delay_s
+        self.answers = iter(answers)
+        self.answer_s = answer_s
         self.asked = 0
+        self.opened = 0
         self.withdrawn = 0
 
+    async def open(self, outcome):
+        assert outcome.decision is PLACEMENT
+        self.opened += 1
+        try:
+            await asyncio.sleep(self.answer_s)
+        except asyncio.CancelledError:
+            self.withdrawn += 1
+            raise
+        return next(self.answers, ANSWERED)
+
     async def place(self):
         self.asked += 1
         try:
@@ -50,7 +64,9 @@
 def run(fleet, scenario):
     async def main():
         attempt = Attempt()
-        silence = takeover.Takeover("r", attempt, fleet.place)
+        silence = takeover.Takeover(
+            "r", attempt, lambda: fleet.opened < 2, fleet.place, fleet.open
+        )
         silence.reschedule(clock.now_s() + 0.01)
         await scenario(silence)
         silence.stop()
@@ -67,8 +83,8 @@
 def test_attempt_ends_once_another_endpoint_has_the_request():
     attempt, silence = run(Fleet([PLACEMENT]), wait)
     assert attempt.is_ended
-    assert silence.take_placement().decision is PLACEMENT
-    assert silence.take_placement() is None
+    assert silence.take_attempt() is ANSWERED
+    assert silence.take_attempt() is None
 
 
 def test_attempt_goes_on_while_no_other_endpoint_takes_the_request():
@@ -76,7 +92,7 @@
     for fleet in (Fleet([REFUSAL]), waiting):
         attempt, silence = run(fleet, wait)
         assert not attempt.is_ended
-        assert silence.take_placement() is None
+        assert silence.take_attempt() is None
     assert waiting.withdrawn == 1
 
 
@@ -100,4 +116,27 @@
     attempt, silence = run(fleet, speak)
     assert not attempt.is_ended
     assert fleet.withdrawn == 1
-    assert silence.take_placement() is None
+    assert silence.take_attempt() is None
+
+
+# Guards against requests taken from an endpoint that another one refuses.
+def test_attempt_goes_on_while_the_other_endpoint_does_not_answer(monkeypatch):
+    monkeypatch.setattr(takeover, "ASK_AGAIN_S", 0.02)
+    refusing = Fleet([PLACEMENT] * 9, answers=[None] * 9)
+    slow = Fleet([PLACEMENT], answer_s=60.0)
+    for fleet in (refusing, slow):
+        attempt, silence = run(fleet, wait)
+        assert not attempt.is_ended
+        assert silence.take_attempt() is None
+    assert slow.withdrawn == 1
+    # As often as the request may be sent.
+    assert refusing.asked == refusing.opened == 2
+
+
+def test_endpoint_that_fails_leaves_its_request_to_the_other_one():
+    async def fail(silence):
+        await asyncio.sleep(0.03)
+        assert await silence.wait_for_attempt() is ANSWERED
+
+    attempt, _ = run(Fleet([PLACEMENT], answer_s=0.08), fail)
+    assert not attempt.is_ended
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -380,7 +380,7 @@
         await stack.enter_async_context(self._take_slot())
         request_id = request.headers["Request-Id"]
         reservations: list[Reservation] = []
-        for address, reservation_id in _read_helpers(request.headers):
+        for address, reservation_id in read_helpers(request.headers):
             peer = self._peers.get(address)
             if reservation_id is None:
                 continue
@@ -636,13 +636,23 @@
         self._crash = asyncio.create_task(self.crash())
         await asyncio.sleep(HANG_S)
 
+    async def prepare_events(
+        self, prompt_tokens: int, headers: Mapping[str, str]
+    ) -> None:
+        """Reads a prompt, with the helpers that the headers name."""
+        engine_count = 1 + len(read_helpers(headers))
+        await asyncio.sleep(prompt_tokens / PREFILL_TOKENS_PER_S / engine_count)
+
+    async def wait_for_event(self) -> None:
+        """Waits until the next event of a stream is made."""
+        await asyncio.sleep(self.event_interval_s)
+
     async def _stream(
         self,
         request: web.BaseRequest,
         execution: Execution,
         headers: Mapping[str, str],
     ) -> web.StreamResponse:
-        engine_count = 1 + len(_read_helpers(request.headers))
         prompt_tokens, _ = _read_counts(request.headers)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
@@ -653,12 +663,12 @@
             request.transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BUFFER_BYTES
             )
-        await asyncio.sleep(prompt_tokens / PREFILL_TOKENS_PER_S / engine_count)
+        await self.prepare_events(prompt_tokens, request.headers)
         await self._crash_on(execution)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         events = self.choose_event_count(request.headers)
         for number in range(first, events + 1):
-            await asyncio.sleep(self.event_interval_s)
+            await self.wait_for_event()
             event = self.make_event(execution.request_id, number)
             if self.event_bytes:
                 event = _enlarge(event, self.event_bytes)
@@ -739,9 +749,10 @@
     return [entry.partition(":")[0].strip() for entry in entries]
 
 
-def _read_helpers(
+def read_helpers(
     headers: Mapping[str, str],
 ) -> list[tuple[str, str | None]]:
+    """Returns the addresses of the helpers, and their reservations' ids."""
     found: list[tuple[str, str | None]] = []
     for word in headers.get("Helpers", "").split(","):
         address, _, reservation_id = word.strip().partition("/")
--- a/tests/adapter/test_silent_engines.py
+++ b/tests/adapter/test_silent_engines.py
@@ -47,3 +47,95 @@
             assert len(runs) == 2
 
     asyncio.run(scenario())
+
+
+def _list_runs(cluster):
+    return [e for r in cluster.replicas for e in r.executions]
+
+
+# Guards against streams that a sound engine runs and that move to another one
+# which then refuses them, or fails, or is as silent (LOST).
+@pytest.mark.parametrize(
+    "elsewhere",
+    [
+        platform_replica.Fault.FULL,
+        platform_replica.Fault.BARE_503,
+        platform_replica.Fault.TEXT,
+        platform_replica.Fault.CUT_BEFORE_END,
+        platform_replica.Fault.SILENT,
+    ],
+)
+def test_stream_survives_an_attempt_elsewhere_that_fails(tmp_path, elsewhere):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, retry_budget_ratio=0, budget_extra_retries=8
+        ) as cluster:
+            pausing, other = cluster.replicas[:2]
+            for replica in (pausing, other):
+                # The pause begins at the engine that gets the request.
+                replica.fault_plan = [platform_replica.Fault.PAUSE]
+            call = asyncio.create_task(read_stream(cluster))
+            await platform_cluster.wait_until(lambda: _list_runs(cluster))
+            if not pausing.executions:
+                pausing, other = other, pausing
+            other.fault_plan = []
+            other.fault = elsewhere
+            if elsewhere is platform_replica.Fault.CUT_BEFORE_END:
+                other.event_count = 3
+            assert await call == (200, 5)
+            assert pausing.executions[0].outcome == "done"
+            assert len(other.arrivals) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against a sound engine that loses its stream to doubts of the placer.
+def test_stream_stays_at_a_suspected_engine_that_goes_on(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(tmp_path) as cluster:
+            for replica in cluster.replicas:
+                replica.fault_plan = [platform_replica.Fault.PAUSE]
+            call = asyncio.create_task(read_stream(cluster))
+            await platform_cluster.wait_until(lambda: _list_runs(cluster))
+            pausing, other = cluster.replicas[:2]
+            if not pausing.executions:
+                pausing, other = other, pausing
+            other.fault_plan, other.fault = [], platform_replica.Fault.SILENT
+            client = cluster.instances[0].node.placement_client
+            client._notify_suspicion(pausing.name)
+            assert await call == (200, 5)
+            assert pausing.executions[0].outcome == "done"
+
+    asyncio.run(scenario())
+
+
+# Guards against streams that end with the tenure of the placer.
+def test_stream_at_a_silent_engine_outlasts_a_change_of_the_placer(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, pool=1, instances=2, grace_s=4, **NO_RETRIES
+        ) as cluster:
+            nodes = [instance.node for instance in cluster.instances]
+            await platform_cluster.wait_until(
+                lambda: (
+                    any(node.is_placer for node in nodes)
+                    and all(node.placement_client.connection for node in nodes)
+                )
+            )
+            placer = 0 if nodes[0].is_placer else 1
+            (engine, *_) = cluster.replicas
+            engine.fault_plan = [platform_replica.Fault.PAUSE]
+
+            async def call():
+                async with cluster.call(
+                    "/label/", 1 - placer, tokens=5_000
+                ) as response:
+                    return (await response.read()).count(b"id: ")
+
+            calling = asyncio.create_task(call())
+            await platform_cluster.wait_until(lambda: engine.executions)
+            await cluster.instances[placer].kill()
+            assert await calling == 5
+            assert [e.outcome for e in engine.executions] == ["done"]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/processes/planned_stops.py
@@ -0,0 +1,525 @@
+"""Stops of real instances, one after the other, under load on open connections.
+
+Run as a program, it plays seeds and prints the requests that were lost.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import tempfile
+import time
+
+from poplarwick_bench import proxy
+from poplarwick_bench.soak import callers
+from poplarwick_bench.soak import fleet
+from poplarwick_bench.soak import records
+from poplarwick_standins import pass_engine
+from poplarwick_standins import platform_calls
+
+GRACE_S = 8.0
+"""Time from SIGTERM to SIGKILL (`grace_s`)."""
+
+LOSS_SLACK_S = 0.2
+"""Time in which a request may cross the close of its connection."""
+
+EARLY_SHARE = 5 / 6
+"""Part of the grace period in which endpoints have to end (RULES.md, LOST)."""
+
+EARLY_REQUEST_S = 3.0
+"""Time after SIGTERM up to which requests are excused for slow endpoints."""
+
+RESTART_GAP_S = 1.3
+"""Time from the exit of an instance to its next start (`gap_s`)."""
+
+STOP_SETTLE_S = 3.0
+"""Time for which all instances serve between two stops."""
+
+
+TIMEOUT_SLACK_S = 0.05
+"""Time by which a request may end before its route's time is over."""
+
+ROUTE_TIMEOUTS_S = {
+    "short": 8.0,
+    "long": 10.0,
+    "giant": 12.0,
+    "once": 2.5,
+    "lookup": 2.5,
+}
+"""Timeouts of the routes of `fleet`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What one kind of request asks for.
+
+    Attributes:
+        route: Name of the route.
+        weight: Relative frequency.
+        prompt_tokens: Shortest and longest prompt; None for plain services.
+        events: Fewest and most events.
+        deadline_s: Time that the client waits.
+    """
+
+    route: str
+    weight: float
+    prompt_tokens: tuple[int, int] | None
+    events: tuple[int, int]
+    deadline_s: float
+
+
+LOADS = (
+    Load("short", 23, (1_000, 12_000), (5, 60), 10.0),
+    Load("long", 1.3, (20_000, 100_000), (5, 50), 10.0),
+    Load("giant", 0.6, (80_000, 400_000), (5, 40), 15.0),
+    Load("once", 2.1, None, (0, 0), 2.5),
+    Load("lookup", 1.5, None, (0, 0), 2.5),
+)
+"""Kinds of requests and their rates, as on the sheets of the users."""
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """What a client saw of a request.
+
+    Times are monotonic, in seconds.
+
+    Attributes:
+        request_id: Id of the request.
+        route: Route of the request.
+        instance: Instance that took it.
+        incarnation: Start of the instance's process.
+        in_chunks: Whether its body came in chunks.
+        deadline_s: Time that the client waited at most.
+        began_at_s: Time of its first byte.
+        sent_at_s: Time of its last byte; None if it was not sent whole.
+        ended_at_s: Time of the end.
+        status: Status of the answer; None without one.
+        is_complete: Whether the answer is complete.
+        end: Why it is not.
+    """
+
+    request_id: str
+    route: str
+    instance: str
+    incarnation: int
+    in_chunks: bool
+    deadline_s: float
+    began_at_s: float
+    sent_at_s: float | None = None
+    ended_at_s: float = 0.0
+    status: int | None = None
+    is_complete: bool = False
+    end: str = ""
+
+    @property
+    def reached_timeout(self):
+        """Whether its route's time was over at the end."""
+        timeout_s = ROUTE_TIMEOUTS_S[self.route]
+        return self.ended_at_s - self.began_at_s > timeout_s - TIMEOUT_SLACK_S
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """A planned stop of an instance.
+
+    Attributes:
+        instance: Name of the instance.
+        incarnation: Start of its process that was stopped.
+        at_s: Monotonic time of SIGTERM.
+        exited_at_s: Monotonic time of the exit.
+        was_killed: Whether it outlasted the grace period.
+    """
+
+    instance: str
+    incarnation: int
+    at_s: float
+    exited_at_s: float = 0.0
+    was_killed: bool = False
+
+
+class StopFleet(fleet.Fleet):
+    """A fleet whose engines work in passes."""
+
+    link_delay_s = 0.0
+    """Delay of the links between clients and instances, one way."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.links = {}
+
+    def make_replica(self, name, service, domain):
+        """Returns a stand-in for an endpoint."""
+        if service != fleet.POOL:
+            return super().make_replica(name, service, domain)
+        return SoakEngine(name, service, domain, peers=self._peers)
+
+    async def link_clients(self):
+        """Puts a link with a delay before each instance."""
+        for instance in self.instances:
+            link = proxy.Proxy(instance.address)
+            await self._stack.enter_async_context(link)
+            link.apply(proxy.Rules(delay_s=self.link_delay_s))
+            self.links[instance.name] = link
+
+    def get_client_address(self, instance):
+        """Returns where clients connect to an instance."""
+        link = self.links.get(instance.name)
+        return instance.address if link is None else link.address
+
+
+class SoakEngine(fleet.SoakReplica, pass_engine.PassEngine):
+    """An engine in passes whose answers contain the id of their request."""
+
+
+class Client:
+    """Sends requests on connections that it keeps open."""
+
+    def __init__(self, system, balancer, number, seed, period_s, attempts):
+        self._system = system
+        self._balancer = balancer
+        self._number = number
+        self._rng = random.Random(seed * 10_007 + number)
+        self._period_s = period_s
+        self._attempts = attempts
+        self._count = 0
+
+    async def run(self, until_s):
+        """Sends requests until a monotonic time."""
+        while time.monotonic() < until_s:
+            instance = self._balancer.choose(self._rng)
+            address = self._system.get_client_address(instance)
+            host, _, port = address.rpartition(":")
+            try:
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(host, port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                await self._use(instance, reader, writer, until_s)
+            finally:
+                writer.close()
+
+    async def _use(self, instance, reader, writer, until_s):
+        for _ in range(self._rng.randint(1, 30)):
+            await asyncio.sleep(self._rng.expovariate(1 / self._period_s))
+            if time.monotonic() > until_s or reader.at_eof():
+                return
+            if not await self._call(instance, reader, writer):
+                return
+
+    async def _call(self, instance, reader, writer):
+        load = self._rng.choices(LOADS, [x.weight for x in LOADS])[0]
+        self._count += 1
+        attempt = Attempt(
+            f"c{self._number}-{self._count}",
+            load.route,
+            instance.name,
+            instance.incarnation,
+            self._rng.random() < 0.4,
+            load.deadline_s,
+            time.monotonic(),
+        )
+        self._attempts.append(attempt)
+        stays_open = False
+        try:
+            async with asyncio.timeout(load.deadline_s):
+                await self._send(writer, load, attempt)
+                stays_open = await _receive(reader, attempt)
+            attempt.is_complete = True
+        except TimeoutError:
+            attempt.end = "deadline"
+        except (OSError, ValueError, asyncio.IncompleteReadError) as error:
+            attempt.end = repr(error)
+        attempt.ended_at_s = time.monotonic()
+        return stays_open
+
+    async def _send(self, writer, load, attempt):
+        rng = self._rng
+        prompt = load.prompt_tokens and rng.randint(*load.prompt_tokens)
+        headers = platform_calls.make_headers(
+            attempt.request_id,
+            self._system.api_keys[0],
+            load.deadline_s,
+            prompt,
+            rng.randint(*load.events),
+        )
+        body = b"x" * rng.randint(100, 20_000)
+        if attempt.in_chunks:
+            headers["Transfer-Encoding"] = "chunked"
+        else:
+            headers["Content-Length"] = str(len(body))
+        lines = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+        head = f"POST /{load.route}/1 HTTP/1.1\r\n{lines}\r\n".encode()
+        if not attempt.in_chunks:
+            writer.write(head + body)
+            await writer.drain()
+            attempt.sent_at_s = time.monotonic()
+            return
+        writer.write(head)
+        pause_s = rng.choice((0.0, 0.002, 0.05, 0.3))
+        while body:
+            part, body = body[:4_000], body[4_000:]
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+            await writer.drain()
+            await asyncio.sleep(pause_s * rng.random())
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        attempt.sent_at_s = time.monotonic()
+
+
+async def _receive(reader, attempt):
+    """Reads an answer and returns whether the connection stays open."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    attempt.status = int(head.split(" ")[1])
+    if "transfer-encoding: chunked" in head:
+        while size := int(await reader.readline(), 16):
+            await reader.readexactly(size + 2)
+        await reader.readexactly(2)
+    else:
+        _, _, rest = head.partition("content-length:")
+        await reader.readexactly(int(rest.split("\r\n")[0]))
+    return "connection: close" not in head
+
+
+async def stop_in_turn(system, stops, order, rng, until_s):
+    """Stops instances one after the other and starts them again."""
+    while True:
+        for number in order:
+            if time.monotonic() > until_s:
+                return
+            instance = system.instances[number]
+            stop = Stop(instance.name, instance.incarnation, time.monotonic())
+            stops.append(stop)
+            instance.is_expected_to_run = False
+            instance.node.terminate()
+            if await instance.node.wait(GRACE_S) is None:
+                stop.was_killed = True
+                await instance.node.kill()
+            stop.exited_at_s = time.monotonic()
+            await asyncio.sleep(RESTART_GAP_S)
+            await system.restart_instance(instance)
+            await asyncio.sleep(rng.uniform(0.0, STOP_SETTLE_S))
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a play has shown.
+
+    Attributes:
+        attempts: All attempts.
+        stops: All stops.
+        lost: Attempts that a stop has lost (RULES.md, LOST).
+        logs: Folder of the instances' logs.
+    """
+
+    attempts: list
+    stops: list
+    lost: list
+    logs: pathlib.Path
+
+
+def find_lost(system, attempts, stops):
+    """Returns the attempts that planned stops have lost, with their runs."""
+    runs = collections.defaultdict(list)
+    for replica in system.record.endpoints:
+        for execution in replica.executions:
+            runs[execution.request_id].append(execution)
+    lost = []
+    for attempt in attempts:
+        if attempt.is_complete or attempt.sent_at_s is None:
+            continue
+        if attempt.end == "deadline" or attempt.reached_timeout:
+            continue
+        for stop in stops:
+            if stop.instance != attempt.instance:
+                continue
+            if not stop.at_s <= attempt.ended_at_s <= stop.at_s + GRACE_S + 1:
+                continue
+            executions = runs[attempt.request_id]
+            late = attempt.ended_at_s - attempt.sent_at_s > LOSS_SLACK_S
+            if not executions and not late:
+                continue
+            if _was_at_work(executions, attempt, stop):
+                continue
+            lost.append((attempt, stop, executions))
+    return lost
+
+
+def _was_at_work(executions, attempt, stop):
+    """Whether a slow endpoint excuses the loss."""
+    if attempt.began_at_s > stop.at_s + EARLY_REQUEST_S:
+        return False
+    late_s = stop.at_s + GRACE_S * EARLY_SHARE
+    return any((e.ended_at_s or 1e12) > late_s for e in executions)
+
+
+async def play(
+    seed,
+    folder,
+    *,
+    launcher=fleet.LAUNCHER,
+    duration_s=60.0,
+    clients=40,
+    instances=5,
+    engines=8,
+    rate_per_s=28.0,
+    link_delay_s=0.0,
+    series=1,
+    **bounds,
+):
+    """Plays stops in turn under load.
+
+    Args:
+        seed: Seed of the load.
+        folder: Folder of settings and logs.
+        launcher: Program that starts the instances.
+        duration_s: Length of the load.
+        clients: Number of clients.
+        instances: Number of instances.
+        engines: Number of engines.
+        rate_per_s: Requests a second, of all clients.
+        link_delay_s: Delay between clients and instances, one way.
+        series: Number of series of stops beside each other.
+        **bounds: Limits in the settings.
+    """
+    rng = random.Random(seed)
+    attempts, stops = [], []
+    bounds = {"grace_s": GRACE_S, **bounds}
+    async with StopFleet(
+        folder,
+        records.Record(),
+        instances=instances,
+        engines=engines,
+        launcher=launcher,
+        bounds=bounds,
+    ) as system:
+        if link_delay_s:
+            system.link_delay_s = link_delay_s
+            await system.link_clients()
+        balancer = callers.LoadBalancer(system)
+        balancing = asyncio.create_task(balancer.run())
+        until_s = time.monotonic() + duration_s
+        async with asyncio.TaskGroup() as group:
+            for number in range(clients):
+                client = Client(
+                    system,
+                    balancer,
+                    number,
+                    seed,
+                    clients / rate_per_s,
+                    attempts,
+                )
+                group.create_task(client.run(until_s))
+            await asyncio.sleep(3.0)
+            order = list(range(instances))
+            rng.shuffle(order)
+            for number in range(series):
+                group.create_task(
+                    stop_in_turn(
+                        system,
+                        stops,
+                        order[number::series],
+                        rng,
+                        until_s - GRACE_S - 1.0,
+                    )
+                )
+        balancing.cancel()
+        lost = find_lost(system, attempts, stops)
+    return Result(attempts, stops, lost, folder)
+
+
+def describe(result):
+    """Returns the lines of a report."""
+    statuses = collections.Counter(
+        a.status if a.is_complete else a.end[:28] for a in result.attempts
+    )
+    lines = [
+        f"{len(result.attempts)} attempts, {len(result.stops)} stops"
+        f" ({sum(s.was_killed for s in result.stops)} killed),"
+        f" {len(result.lost)} lost; {dict(statuses)}"
+    ]
+    for attempt in result.attempts:
+        if (
+            not attempt.is_complete
+            and attempt.end != "deadline"
+            and not attempt.reached_timeout
+        ):
+            lines.append(
+                f"incomplete: {attempt.request_id} {attempt.route}"
+                f" at {attempt.instance} chunks={attempt.in_chunks}"
+                f" status={attempt.status} end={attempt.end}"
+                + "".join(
+                    f" after SIGTERM: {attempt.began_at_s - s.at_s:.3f} to"
+                    f" {attempt.ended_at_s - s.at_s:.3f}"
+                    f" (exit {s.exited_at_s - s.at_s:.3f})"
+                    for s in result.stops
+                    if s.instance == attempt.instance
+                    and 0 < attempt.ended_at_s - s.at_s < 12
+                )
+            )
+    for attempt, stop, executions in result.lost:
+        lines.append(
+            f"LOST {attempt.request_id} {attempt.route} at {attempt.instance}"
+            f" chunks={attempt.in_chunks}"
+            f" began={attempt.began_at_s - stop.at_s:+.3f}"
+            f" sent={attempt.sent_at_s - stop.at_s:+.3f}"
+            f" ended={attempt.ended_at_s - stop.at_s:+.3f}"
+            f" exit={stop.exited_at_s - stop.at_s:+.3f}"
+            f" status={attempt.status} end={attempt.end} runs="
+            + json.dumps(
+                [
+                    (
+                        e.outcome,
+                        round(e.began_at_s - stop.at_s, 3),
+                        e.ended_at_s and round(e.ended_at_s - stop.at_s, 3),
+                    )
+                    for e in executions
+                ]
+            )
+        )
+    return lines
+
+
+def main():
+    """Plays seeds one after the other and prints what was lost."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--launcher", type=pathlib.Path, default=fleet.LAUNCHER)
+    parser.add_argument("--logs", type=pathlib.Path)
+    parser.add_argument("--duration-s", type=float, default=60.0)
+    parser.add_argument("--clients", type=int, default=40)
+    parser.add_argument("--instances", type=int, default=5)
+    parser.add_argument("--engines", type=int, default=8)
+    parser.add_argument("--rate-per-s", type=float, default=28.0)
+    parser.add_argument("--link-delay-s", type=float, default=0.0)
+    parser.add_argument("--series", type=int, default=1)
+    parser.add_argument(
+        "--bounds", type=json.loads, default={}, help="JSON, in the settings"
+    )
+    options = vars(parser.parse_args())
+    options.update(options.pop("bounds"))
+    logs = options.pop("logs")
+    first, count = options.pop("seed"), options.pop("seeds")
+    for seed in range(first, first + count):
+        with contextlib.ExitStack() as stack:
+            folder = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory())
+            )
+            if logs is not None:
+                folder = logs / f"seed-{seed}"
+                folder.mkdir(parents=True, exist_ok=True)
+            result = asyncio.run(play(seed, folder, **options))
+            print(f"seed {seed}:", "\n  ".join(describe(result)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
