--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -57,6 +57,9 @@
 UNREAD_CHECK_S = 0.05
 """Interval between checks whether a stream is read."""
 
+HEAD_RESET_DELAY_S = 0.02
+"""Time from the beginning of a head to the reset of its connection."""
+
 ENDLESS_PART_BYTES = 65_536
 """Size of the parts of a body with fault ENDLESS_BODY."""
 
@@ -180,6 +183,9 @@
         crash_causes: Parts of the prompt, or the body, that crashed the
             replica; empty if none did.
         crashed_at_s: Monotonic time of that crash; None if there was none.
+        head_part: Beginning of a head after which the connection ends, in place
+            of every response to a request or a command; None for whole heads.
+        resets_head: Whether the connection is reset then.
         notice_headers: Headers that are added to every response.
         report_body: Body of its reports; None for a proper one.
         event_count: Number of events per stream.
@@ -220,6 +226,8 @@
         self.crashing_bodies: set[bytes] = set()
         self.crash_causes: set[str] = set()
         self.crashed_at_s: float | None = None
+        self.head_part: bytes | None = None
+        self.resets_head = False
         self.notice_headers: dict[str, str] = {}
         self.report_body: bytes | None = None
         self.event_count = 5
@@ -326,7 +334,10 @@
                 headers=self.notice_headers,
             )
         if request.path == "/v1/order":
-            return await self._execute_command(request)
+            carried_out = await self._execute_command(request)
+            if self.head_part is not None:
+                return await self._send_head_part(request)
+            return carried_out
         arrival = Arrival(request.headers["Request-Id"], time.monotonic())
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421, headers={"Replica-Id": "other"})
@@ -502,9 +513,23 @@
         del headers
         return self.event_count
 
+    async def _send_head_part(self, request: web.BaseRequest) -> web.Response:
+        """Sends the beginning of a head and ends the connection."""
+        transport = request.transport
+        assert transport is not None and self.head_part is not None
+        transport.write(self.head_part)
+        if self.resets_head:
+            await asyncio.sleep(HEAD_RESET_DELAY_S)
+            _reset(request)
+        else:
+            transport.close()
+        return web.Response()
+
     async def _run(
         self, request: web.BaseRequest, execution: Execution
     ) -> web.StreamResponse:
+        if self.head_part is not None:
+            return await self._send_head_part(request)
         if execution.fault is Fault.SILENT:
             await asyncio.sleep(HANG_S)
         headers = {
