Write log lines also to a full pipe and after the last flush

A pipe that its reader has made non-blocking fails while it is full. Lines that were queued between the last flush and the end of the thread were lost as well.

Whether the users' record lost its lines so is not known.

Change: the writer waits until the pipe takes data, and flushes once more at its end.

--- a/packages/core/poplarwick_core/log_writer.py
+++ b/packages/core/poplarwick_core/log_writer.py
@@ -4,6 +4,7 @@
 
 import collections
 import os
+import select
 import threading
 
 MAX_QUEUED_LINES = 8_192
@@ -60,11 +61,11 @@
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
-        while True:
+        while not self._is_closing:
             self._wake.wait(FLUSH_PERIOD_S)
             self._flush()
-            if self._is_closing:
-                return
+        # Lines that were queued during the last flush.
+        self._flush()
 
     def _flush(self) -> None:
         while self._lines:
@@ -77,6 +78,10 @@
             while data:
                 try:
                     data = data[os.write(self._descriptor, data) :]
+                except BlockingIOError:
+                    # Another process has made the pipe non-blocking, and its
+                    # reader is slow.
+                    select.select((), (self._descriptor,), ())
                 except OSError:
                     # The reader closed the pipe, so the error cannot be logged.
                     return
