Close callers' connections only once their callers have everything

Found with real processes (tests/processes/planned_stops.py;, the base and links with 3 ms delay): requests without any line are those on open connections that arrive in the last 0.05 to 0.2 s before the exit. Server.shutdown marks all connections at once and discards their input for 0.1 to 0.2 s before it closes them: the process has read the request, and it ends later, without an answer and without a line. Also possible, each with a test that failed before: a refusal that is lost to a reset, as the process ends while its caller sends; a handler that is cancelled while it reads, or that fails; bytes that a process had not sent when it ended (idle counted from the end of the handler, not from what the caller had).

Change: forwarding/caller_connections.py. The sending side is closed first, then the connection once its caller has closed it too, within 1 s; idle connections are closed so as soon as the last request has ended. A request that crosses this is ended at once. Each end is logged (request_abandoned, request_ended outcome=error, connection_cut, request_refused reason=connection_closed). Responses are sent before their requests count as ended.

--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -22,6 +22,7 @@
 from poplarwick_core import socket_buffers
 from poplarwick_forwarding import admission
 from poplarwick_forwarding import buffer_budget
+from poplarwick_forwarding import caller_connections
 from poplarwick_forwarding import caller_stream
 from poplarwick_forwarding import caller_watch
 from poplarwick_forwarding import configuration_queue
@@ -101,6 +102,9 @@
         self._runner = runner
         self._budget = budget
         self._watch = caller_watch.CallerWatch(budget, lambda: self.connections)
+        self._connections = caller_connections.CallerConnections(
+            lambda: self.connections
+        )
         self._watching: asyncio.Task[None] | None = None
         self._rng = random.Random()
         self._server: web_server.Server | None = None
@@ -178,10 +182,18 @@
         if self._listener is not None:
             self._listener.close()
 
-    async def close_connections(self) -> None:
-        """Closes all connections, and cuts off requests in progress."""
-        if self._server is not None:
-            await self._server.shutdown(CLOSE_TIMEOUT_S)
+    async def close_connections(self, until_s: float = 0.0) -> None:
+        """Closes all connections, and cuts off requests in progress.
+
+        Args:
+            until_s: Monotonic time until which callers that wait for no answer
+                may close their sides.
+        """
+        if self._server is None:
+            return
+        await self._connections.close_idle(until_s)
+        self._connections.log_open()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Waits until no request is in progress and returns whether none is.
@@ -197,22 +209,51 @@
     async def _handle(
         self, request: web_request.BaseRequest
     ) -> web_response.StreamResponse:
-        received_at_s = clock.now_s()
+        request_id = self._dialect.get_request_id(request.headers)
         self.in_progress += 1
         self._idle.clear()
         try:
-            response = await self._respond(request, received_at_s)
+            with self._connections.track(request, request_id) as tracked:
+                response = await self._respond(request, tracked)
+                tracked.stage = caller_connections.Stage.ANSWERING
+                await self._complete(request, response)
         finally:
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
+        if not response.keep_alive:
+            await self._connections.finish(request)
+        return response
+
+    async def _complete(
+        self,
+        request: web_request.BaseRequest,
+        response: web_response.StreamResponse,
+    ) -> None:
+        """Sends what has not been sent of a response."""
         if self._closes_connections:
             response.force_close()
-        return response
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError as error:
+            logs.log(
+                log_events.AnswerNotDelivered(
+                    request=self._dialect.get_request_id(request.headers),
+                    reason=repr(error),
+                )
+            )
 
     async def _respond(
-        self, request: web_request.BaseRequest, received_at_s: float
+        self,
+        request: web_request.BaseRequest,
+        tracked: caller_connections.OpenRequest,
     ) -> web_response.StreamResponse:
+        if self._connections.is_half_closed(request):
+            return self._drop(request)
         if self.is_closed:
             return self._refuse(request, "stopping")
         if self.in_progress > MAX_REQUESTS_IN_PROGRESS:
@@ -236,9 +277,7 @@
             self._budget.hold() as held,
             self._watch.track(request, metadata.request_id),
         ):
-            return await self._admit(
-                request, metadata, rules, held, received_at_s
-            )
+            return await self._admit(request, metadata, rules, held, tracked)
 
     async def _admit(
         self,
@@ -246,7 +285,7 @@
         metadata: dialect.RequestMetadata,
         rules: routing.Routing,
         held: buffer_budget.HeldBytes,
-        received_at_s: float,
+        tracked: caller_connections.OpenRequest,
     ) -> web_response.StreamResponse:
         max_bytes = rules.limits.body_bytes
         expected_bytes = min(request.content_length or 0, max_bytes)
@@ -282,10 +321,11 @@
             admitted,
             body,
             digest,
-            received_at_s,
+            tracked.received_at_s,
             rules,
             held,
         )
+        tracked.stage = caller_connections.Stage.RUNNING
         return await self._run(request, exchange, rules.version)
 
     async def _wait_for_routing(
@@ -384,6 +424,9 @@
         except ConnectionError as error:
             _record_outcome(exchange, "caller_left", sink, reason=repr(error))
             return _abort(request, sink)
+        except Exception as error:
+            _record_outcome(exchange, "error", sink, reason=repr(error))
+            raise
         match outcome:
             case outcomes.CompleteResponse(status) as complete:
                 _record_outcome(exchange, "answered", sink, status=status)
@@ -435,6 +478,23 @@
             )
             return _abort(request, sink)
 
+    def _drop(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
+        """Closes a connection on which a request crossed its close.
+
+        The caller sees that the request was not read.
+        """
+        logs.log(
+            log_events.RequestRefused(
+                request=self._dialect.get_request_id(request.headers),
+                reason="connection_closed",
+            )
+        )
+        if request.transport is not None:
+            request.transport.close()
+        return web_response.Response(status=outcomes.Failure.REFUSED.value)
+
     def _refuse(
         self,
         request: web_request.BaseRequest,
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -244,7 +244,7 @@
 
     Attributes:
         request: Id of the request.
-        outcome: answered, streamed, cut, failed or caller_left.
+        outcome: answered, streamed, cut, failed, caller_left or error.
         route: Name of its route.
         status: Status of the response.
         reason: Why it failed.
@@ -269,6 +269,40 @@
     expected_tokens: int | None = None
 
 
+class RequestAbandoned(logs.Event, frozen=True, kw_only=True):
+    """A request ended with its connection before or after it was run.
+
+    Attributes:
+        request: Id of the request.
+        stage: `reading` if its body or the configuration was missing,
+            `answering` if its answer was being sent.
+        total_s: Time since its head was read.
+    """
+
+    level = "WARNING"
+
+    request: str | None = None
+    stage: str
+    total_s: float
+
+
+class ConnectionCut(logs.Event, frozen=True, kw_only=True):
+    """A stopping instance closes a connection that is still in use.
+
+    Attributes:
+        request: Id of its request; None if it carries none.
+        stage: How far the request has come: `reading`, `running` or
+            `answering`.
+        unsent_bytes: Bytes that have not been sent to the caller.
+    """
+
+    level = "WARNING"
+
+    request: str | None = None
+    stage: str | None = None
+    unsent_bytes: int
+
+
 class CallerCutOff(logs.Event, frozen=True, kw_only=True):
     """A caller's connection was closed because it does not read.
 
@@ -291,11 +325,11 @@
     """A caller's connection was lost before it had its complete answer.
 
     Attributes:
-        request: Id of the request.
+        request: Id of the request; None if it has none.
         reason: Error of the connection.
     """
 
-    request: str
+    request: str | None
     reason: str
 
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -59,6 +59,9 @@
 EXIT_MARGIN_S = 0.6
 """Part of the grace period reserved for closing connections and tasks."""
 
+CLOSE_TIME_S = 0.24
+"""Part of it in which callers close their connections."""
+
 RELEASE_MARGIN_S = 0.1
 """Part of the grace period after the last wait for releases of memory."""
 
@@ -426,7 +429,7 @@
             )
         await self.relay_server.wait_until_idle(ends_at_s - clock.now_s())
         # Requests that are cut off release memory of engines.
-        await self.frontend.close_connections()
+        await self.frontend.close_connections(ends_at_s + CLOSE_TIME_S)
         await self._drain_reservations(killed_at_s)
 
     async def _drain_reservations(self, killed_at_s: float) -> None:
