Count the grace period from the signal, with a margin for a late event loop

What callers saw: answers that end when their instance is killed at the end of the grace period, on a machine that is so busy that its event loop runs late.

Cause: the grace period began when the signal was handled, and its margin was fixed. Releases of memory were awaited up to 0.1 s before the kill. Besides, the end waited for the store and for the next placer, and an error there ended the stop at once, with all requests in progress.

Change: node/stop_schedule.py divides the grace period, which is counted from the signal (recorded between two steps of a long callback), and takes the recent lateness of the event loop off its end. The tenure is given up beside the stop, and an error there is logged.

--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -28,9 +28,13 @@
 
     Attributes:
         in_progress: Requests in progress.
+        handled_after_s: Time from the signal to its handling.
+        ends_in_s: Time until requests in progress are cut off.
     """
 
     in_progress: int
+    handled_after_s: float
+    ends_in_s: float
 
 
 class StopCutsRequests(logs.Event, frozen=True, kw_only=True):
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -44,6 +44,7 @@
 from poplarwick_node import metrics_server
 from poplarwick_node import page_server
 from poplarwick_node import settings_follower
+from poplarwick_node import stop_schedule
 from poplarwick_peers import transport
 from poplarwick_placement import organisation_shares
 from poplarwick_platform import feed
@@ -52,19 +53,6 @@
 from poplarwick_reach import endpoint_reach
 from poplarwick_reach import relay_server
 
-BALANCER_DELAY_S = 2.6
-"""Time from turning readiness off until the load balancer has noticed: two
-checks one second apart, plus the network round trip."""
-
-EXIT_MARGIN_S = 0.6
-"""Part of the grace period reserved for closing connections and tasks."""
-
-CLOSE_TIME_S = 0.24
-"""Part of it in which callers close their connections."""
-
-RELEASE_MARGIN_S = 0.1
-"""Part of the grace period after the last wait for releases of memory."""
-
 MONITOR_PERIOD_S = 0.25
 """Period of the check for freezes, for an unavailable store and for lapsed
 endpoints."""
@@ -111,6 +99,8 @@
             buffer_budget.make_limits(instance_deployment.memory_bytes)
         )
         self._is_leaving = False
+        self._signalled_at_s: float | None = None
+        self._lateness = stop_schedule.LoopLateness()
         self._graceful_stop = graceful_stop.GracefulStop()
         self._placer_role: placer_role.PlacerRole | None = None
 
@@ -124,6 +114,11 @@
         role = self._placer_role
         return () if role is None else role.list_largest_users()
 
+    def record_stop_signal(self) -> None:
+        """Records that the platform's grace period begins."""
+        if self._signalled_at_s is None:
+            self._signalled_at_s = clock.now_s()
+
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until `stop` is set, then shuts down gracefully."""
         async with contextlib.AsyncExitStack() as stack:
@@ -401,6 +396,7 @@
                 logs.log(
                     log_events.FreezeNoticed(frozen_s=now_s - last_check_s)
                 )
+            self._lateness.record(now_s - last_check_s - MONITOR_PERIOD_S)
             last_check_s = now_s
             if self.feed.is_store_unavailable:
                 self.catalogue.record_store_outage()
@@ -408,39 +404,62 @@
             self.catalogue.remove_lapsed_endpoints()
 
     async def _leave(self) -> None:
-        listens_until_s = clock.now_s() + BALANCER_DELAY_S
-        killed_at_s = clock.now_s() + self.deployment.bounds.grace_s
-        ends_at_s = killed_at_s - EXIT_MARGIN_S
-        logs.log(log_events.Stopping(in_progress=self.frontend.in_progress))
+        self.record_stop_signal()
+        assert self._signalled_at_s is not None
+        schedule = stop_schedule.make_schedule(
+            self._signalled_at_s,
+            self.deployment.bounds.grace_s,
+            self._lateness.worst_s,
+        )
+        logs.log(
+            log_events.Stopping(
+                in_progress=self.frontend.in_progress,
+                handled_after_s=clock.now_s() - self._signalled_at_s,
+                ends_in_s=schedule.ends_at_s - clock.now_s(),
+            )
+        )
         self._is_leaving = True
         self.frontend.is_leaving = True
         self.placement_client.is_leaving = True
         self.relay_server.is_leaving = True
-        self._graceful_stop.begin(listens_until_s, ends_at_s)
-        await self._hand_over()
-        await self.tenure.resign()
-        await asyncio.sleep(listens_until_s - clock.now_s())
+        self._graceful_stop.begin(schedule.listens_until_s, schedule.ends_at_s)
+        # A store that does not respond must not delay the end.
+        resigning = asyncio.create_task(self._resign())
+        await asyncio.sleep(schedule.listens_until_s - clock.now_s())
         self.frontend.stop_listening()
-        if not await self.frontend.wait_until_idle(ends_at_s - clock.now_s()):
+        if not await self.frontend.wait_until_idle(
+            schedule.ends_at_s - clock.now_s()
+        ):
             logs.log(
                 log_events.StopCutsRequests(
                     in_progress=self.frontend.in_progress
                 )
             )
-        await self.relay_server.wait_until_idle(ends_at_s - clock.now_s())
+        await self.relay_server.wait_until_idle(
+            schedule.ends_at_s - clock.now_s()
+        )
         # Requests that are cut off release memory of engines.
-        await self.frontend.close_connections(ends_at_s + CLOSE_TIME_S)
-        await self._drain_reservations(killed_at_s)
+        await self.frontend.close_connections(schedule.closes_until_s)
+        await self._drain_reservations(schedule.releases_until_s)
+        resigning.cancel()
 
-    async def _drain_reservations(self, killed_at_s: float) -> None:
-        """Waits for releases as long as the process may still run."""
-        left_s = killed_at_s - RELEASE_MARGIN_S - clock.now_s()
+    async def _drain_reservations(self, until_s: float) -> None:
+        """Waits for releases of memory until a monotonic time."""
         try:
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(until_s - clock.now_s()):
                 await self._reservations.drain()
         except TimeoutError:
             logs.log(log_events.ReleasesUnfinished())
 
+    async def _resign(self) -> None:
+        """Hands the tenure over, or gives it up."""
+        try:
+            await self._hand_over()
+            await self.tenure.resign()
+        except Exception as error:
+            # The lease of the tenure expires.
+            logs.log(log_events.TaskFailed(reason=repr(error)))
+
     async def _hand_over(self) -> None:
         role = self._placer_role
         if self.tenure.epoch is None or role is None or not role.hand_over():
@@ -464,8 +483,16 @@
     instance = PlatformInstance(instance_deployment, read_deployment)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+
+    def request_stop(*_: object) -> None:
+        # Runs between two steps of a callback that takes long, in which the
+        # event loop does not see signals.
+        instance.record_stop_signal()
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(stop.set)
+
     for stop_signal in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(stop_signal, stop.set)
+        signal.signal(stop_signal, request_stop)
     loop.add_signal_handler(signal.SIGHUP, instance.settings.request_reload)
     catalogue_metrics.add_gauges(instance.catalogue)
     catalogue_metrics.add_buffer_gauge(lambda: instance.buffers.used_bytes)
