--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -131,7 +131,9 @@
         for connection in self._list_idle():
             self._half_close(connection)
         until_s = min(until_s, clock.now_s() + CALLER_CLOSE_TIMEOUT_S)
-        while self._list_idle() and clock.now_s() < until_s:
+        while clock.now_s() < until_s:
+            if not self._list_idle():
+                return
             await asyncio.sleep(CLOSE_CHECK_S)
 
     def log_open(self) -> None:
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -17,7 +17,7 @@
     assert schedule.killed_at_s == 108.0
 
 
-# Guards against processes that are killed while they still answer, because their
+# Guards against processes that are killed while they still answer, as their
 # event loop is late at the end of the grace period.
 def test_late_event_loop_ends_sooner():
     schedule = stop_schedule.make_schedule(100.0, GRACE_S, 0.3)
