--- a/tests/processes/planned_stops.py
+++ b/tests/processes/planned_stops.py
@@ -96,6 +96,7 @@
         instance: Instance that took it.
         incarnation: Start of the instance's process.
         in_chunks: Whether its body came in chunks.
+        is_first: Whether it is the first one on its connection.
         deadline_s: Time that the client waited at most.
         began_at_s: Time of its first byte.
         sent_at_s: Time of its last byte; None if it was not sent whole.
@@ -110,6 +111,7 @@
     instance: str
     incarnation: int
     in_chunks: bool
+    is_first: bool
     deadline_s: float
     began_at_s: float
     sent_at_s: float | None = None
@@ -208,14 +210,15 @@
                 writer.close()
 
     async def _use(self, instance, reader, writer, until_s):
-        for _ in range(self._rng.randint(1, 30)):
+        for number in range(self._rng.randint(1, 30)):
             await asyncio.sleep(self._rng.expovariate(1 / self._period_s))
             if time.monotonic() > until_s or reader.at_eof():
                 return
-            if not await self._call(instance, reader, writer):
+            is_first = number == 0
+            if not await self._call(instance, reader, writer, is_first):
                 return
 
-    async def _call(self, instance, reader, writer):
+    async def _call(self, instance, reader, writer, is_first):
         load = self._rng.choices(LOADS, [x.weight for x in LOADS])[0]
         self._count += 1
         attempt = Attempt(
@@ -224,6 +227,7 @@
             instance.name,
             instance.incarnation,
             self._rng.random() < 0.4,
+            is_first,
             load.deadline_s,
             time.monotonic(),
         )
@@ -317,22 +321,68 @@
         attempts: All attempts.
         stops: All stops.
         lost: Attempts that a stop has lost (RULES.md, LOST).
-        logs: Folder of the instances' logs.
+        cut: Attempts that were cut although an endpoint ran them, and no end of
+            a grace period nor of a route's time is the reason.
+        unnamed: Ids of attempts without an answer that no log names.
     """
 
     attempts: list
     stops: list
     lost: list
-    logs: pathlib.Path
+    cut: list
+    unnamed: list
 
 
-def find_lost(system, attempts, stops):
-    """Returns the attempts that planned stops have lost, with their runs."""
+def _list_runs(system):
     runs = collections.defaultdict(list)
     for replica in system.record.endpoints:
         for execution in replica.executions:
             runs[execution.request_id].append(execution)
+    return runs
+
+
+def find_cut(system, attempts, stops):
+    """Returns the attempts that were cut while a sound endpoint ran them."""
+    runs = _list_runs(system)
+    return [
+        attempt
+        for attempt in attempts
+        if runs[attempt.request_id]
+        and not attempt.is_complete
+        and attempt.end != "deadline"
+        and not attempt.reached_timeout
+        and not any(
+            stop.instance == attempt.instance
+            and attempt.ended_at_s - stop.at_s > GRACE_S * EARLY_SHARE
+            and attempt.ended_at_s - stop.at_s < GRACE_S + 1
+            for stop in stops
+        )
+    ]
+
+
+def find_unnamed(folder, attempts):
+    """Returns attempts that were sent whole, got nothing and have no line.
+
+    The first request of a connection is left out: the connection may have been
+    waiting to be accepted as its instance stopped listening.
+    """
+    logs = "".join(
+        path.read_text(errors="replace") for path in folder.glob("*.log")
+    )
+    return [
+        attempt
+        for attempt in attempts
+        if not attempt.is_complete
+        and attempt.sent_at_s is not None
+        and not attempt.is_first
+        and f"request={attempt.request_id} " not in logs
+    ]
+
+
+def find_lost(system, attempts, stops):
+    """Returns the attempts that planned stops have lost, with their runs."""
     lost = []
+    runs = _list_runs(system)
     for attempt in attempts:
         if attempt.is_complete or attempt.sent_at_s is None:
             continue
@@ -433,7 +483,8 @@
                 )
         balancing.cancel()
         lost = find_lost(system, attempts, stops)
-    return Result(attempts, stops, lost, folder)
+        cut = find_cut(system, attempts, stops)
+    return Result(attempts, stops, lost, cut, find_unnamed(folder, attempts))
 
 
 def describe(result):
@@ -444,7 +495,8 @@
     lines = [
         f"{len(result.attempts)} attempts, {len(result.stops)} stops"
         f" ({sum(s.was_killed for s in result.stops)} killed),"
-        f" {len(result.lost)} lost; {dict(statuses)}"
+        f" {len(result.lost)} lost, {len(result.cut)} cut,"
+        f" {len(result.unnamed)} unnamed; {dict(statuses)}"
     ]
     for attempt in result.attempts:
         if (
@@ -458,6 +510,7 @@
                 f" status={attempt.status} end={attempt.end}"
                 + "".join(
                     f" after SIGTERM: {attempt.began_at_s - s.at_s:.3f} to"
+                    f" (sent {(attempt.sent_at_s or s.at_s) - s.at_s:.3f})"
                     f" {attempt.ended_at_s - s.at_s:.3f}"
                     f" (exit {s.exited_at_s - s.at_s:.3f})"
                     for s in result.stops
