--- a/packages/placement/poplarwick_placement/admission_control.py
+++ b/packages/placement/poplarwick_placement/admission_control.py
@@ -15,7 +15,6 @@
 from poplarwick_placement import arrival_rates
 from poplarwick_placement import capacity_forecast
 from poplarwick_placement import loads
-from poplarwick_placement import long_prompt_pace
 from poplarwick_placement import measured_stretch
 from poplarwick_placement import messages
 from poplarwick_placement import queue_order
@@ -43,7 +42,6 @@
         self._returns = return_schedule.ReturnSchedule()
         self._arrivals = arrival_rates.ArrivalRates()
         self._stretch = measured_stretch.MeasuredStretch()
-        self._paces = long_prompt_pace.LongPromptPace()
 
     def record_submission(
         self, request: messages.PlacementRequest, now_s: float
@@ -53,13 +51,6 @@
             return
         if not self._returns.record_submission(request, now_s):
             self._arrivals.record(request, now_s)
-            self._paces.record_submission(request, now_s)
-
-    def record_start(
-        self, request: messages.PlacementRequest, now_s: float
-    ) -> None:
-        """Counts a request that has been placed."""
-        self._paces.record_start(request, now_s)
 
     def record_end(
         self,
@@ -104,20 +95,8 @@
         if not states or not waiting:
             return {}
         service = waiting[0][1].request.service
-        self._paces.record_waiting(
-            service,
-            {
-                arrival_rates.get_size(queued.request)
-                for _, queued in waiting
-                if queued.is_long
-            },
-            now_s,
-        )
         capacity = capacity_forecast.Capacity(
-            states,
-            now_s,
-            self._stretch.get(service, now_s),
-            self._paces.measure(service, now_s),
+            states, now_s, self._stretch.get(service, now_s)
         )
         if not capacity.endpoints:
             return {}
--- a/packages/placement/poplarwick_placement/capacity_forecast.py
+++ b/packages/placement/poplarwick_placement/capacity_forecast.py
@@ -17,14 +17,12 @@
 import math
 from collections.abc import Hashable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 
 from poplarwick_placement import arrival_rates
 from poplarwick_placement import cold_start_limiter
 from poplarwick_placement import engine_model
 from poplarwick_placement import loads
-from poplarwick_placement import long_prompt_pace
 from poplarwick_placement import messages
 from poplarwick_placement import queue_order
 from poplarwick_placement import service_pool
@@ -81,7 +79,6 @@
         now_s: Monotonic time.
         stretch: Measured decoding times relative to the estimates; None if
             unknown.
-        paces: How fast long prompts start, by size, where it was measured.
     """
 
     def __init__(
@@ -89,10 +86,8 @@
         states: Sequence[service_pool.EndpointState],
         now_s: float,
         stretch: float | None = None,
-        paces: Mapping[int, long_prompt_pace.Pace] | None = None,
     ) -> None:
         self.now_s = now_s
-        self.paces = {} if paces is None else paces
         self._usable = _find_usable(states, now_s)
         self.endpoints = len(self._usable)
         self.slots = sum(s.load.slots for s, _ in self._usable)
@@ -243,15 +238,11 @@
         newcomers: New requests that have not started.
         on_time: Queued requests that go ahead of new ones.
         late: Queued requests that new ones go ahead of.
-        start_interval_s: Measured time from one start to the next.
-        starts_from_s: Time from which the next one can start.
     """
 
     newcomer: Work
     per_s: float
     max_newcomers: float
-    start_interval_s: float = 0.0
-    starts_from_s: float = -math.inf
     newcomers: float = 0.0
     on_time: collections.deque[_Waiting] = dataclasses.field(
         default_factory=collections.deque
@@ -260,10 +251,6 @@
         default_factory=collections.deque
     )
 
-    def record_start(self, time_s: float) -> None:
-        """Delays the next start by the measured time."""
-        self.starts_from_s = time_s + self.start_interval_s
-
     def update(self, time_s: float) -> None:
         """Moves requests that became late and drops those out of time."""
         while self.on_time and self.on_time[0].is_late(time_s):
@@ -299,11 +286,6 @@
         by_size: dict[int, _SizeClass] = {}
         for group in arrivals:
             per_s = EXPECTED_ARRIVALS_SHARE * group.per_s
-            pace = capacity.paces.get(group.size)
-            if pace is not None:
-                per_s = max(
-                    per_s, EXPECTED_ARRIVALS_SHARE * pace.arrivals_per_s
-                )
             work = capacity.estimate_work(group.mean)
             patience_s = max(group.target_s - work.first_event_s, 0.0)
             by_size[group.size] = _SizeClass(
@@ -317,9 +299,6 @@
                 by_size[size] = size_class
             is_late = item.is_late(self._time_s)
             (size_class.late if is_late else size_class.on_time).append(item)
-        for size, pace in capacity.paces.items():
-            if size in by_size:
-                by_size[size].start_interval_s = pace.start_s
         self._classes = [by_size[size] for size in sorted(by_size)]
 
     def run(self) -> None:
@@ -344,25 +323,19 @@
             queue = size_class.on_time
             if (
                 queue
-                and size_class.starts_from_s <= self._time_s
                 and self._fits(queue[0].work)
                 and (best is None or queue[0].rank < best.on_time[0].rank)
             ):
                 best = size_class
         if best is not None:
-            best.record_start(self._time_s)
             self._start(best.on_time.popleft())
             return True
         for size_class in self._classes:
-            if size_class.starts_from_s > self._time_s:
-                continue
             if size_class.newcomers >= 1.0 and self._fits(size_class.newcomer):
                 size_class.newcomers -= 1.0
-                size_class.record_start(self._time_s)
                 self._take(size_class.newcomer)
                 return True
             if size_class.late and self._fits(size_class.late[0].work):
-                size_class.record_start(self._time_s)
                 self._start(size_class.late.popleft())
                 return True
         return False
@@ -399,9 +372,6 @@
                 ready_s = self._prefilled_s - max_backlog_s
                 if ready_s > self._time_s:
                     next_s = min(next_s, ready_s)
-            for size_class in self._classes:
-                if size_class.starts_from_s > self._time_s:
-                    next_s = min(next_s, size_class.starts_from_s)
         if next_s == math.inf:
             return False
         elapsed_s = max(next_s - self._time_s, 0.0)
--- a/packages/placement/poplarwick_placement/load_management.py
+++ b/packages/placement/poplarwick_placement/load_management.py
@@ -78,8 +78,6 @@
         self, key: Hashable, request: messages.PlacementRequest, now_s: float
     ) -> None:
         """Records that a request has been placed."""
-        if self.admission is not None:
-            self.admission.record_start(request, now_s)
         if self.shares is not None:
             self.shares.record_start(key, request, now_s)
 
