Name the relay of attempts that fail while their answer is read

What operators saw: attempt_failed without the relay, for answers that broke off.

Cause: closed the connection of an attempt without telling it the error.

--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -114,7 +114,7 @@
         trace: types.TracebackType | None,
     ) -> None:
         try:
-            await self._stack.aclose()
+            await self._stack.__aexit__(kind, error, trace)
         finally:
             self._record_end(error)
 
@@ -148,13 +148,9 @@
         self._access.notices.record(
             self.placement.endpoint, response.head.notice
         )
-        try:
-            response_checks.check_response(
-                self._exchange, response, is_resumed=self._sink.has_begun
-            )
-        except upstream.SendError as error:
-            error.relay = response.relay
-            raise
+        response_checks.check_response(
+            self._exchange, response, is_resumed=self._sink.has_begun
+        )
         return response
 
     def _make_request(
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -268,7 +268,7 @@
                 stack.pop_all()
         except upstream.SendError as error:
             self._record_failure(
-                exchange, progress, attempt, error, "kept_elsewhere"
+                exchange, progress, attempt, error, "silent_endpoint_kept"
             )
             return None
         except asyncio.CancelledError:
