--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -118,6 +118,7 @@
             async with asyncio.timeout(CALLER_CLOSE_TIMEOUT_S):
                 await _discard_input(request)
         except TimeoutError:
+            # It keeps its side open; the server closes the connection.
             return
         finally:
             self._half_closed.discard(request.protocol)
