Keep one record of the requests of connections and one rule for retries

Cause, found on reading the change: CallerWatch and CallerConnections each kept which request a connection carries; the rule for a retry stood twice, once negated; so did the comparison with the deadline; Attempt.response was not used, and AttemptTimer said what asyncio.Timeout says.

Change: CallerWatch asks CallerConnections; _find_no_retry_reason answers both callers; Exchange.is_over; the two others are gone. No change of behaviour is meant.

--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -22,7 +22,6 @@
 from aiohttp import web_request
 
 from poplarwick_core import clock
-from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import log_events
 
@@ -57,7 +56,7 @@
         stage: How far it has come.
     """
 
-    id: ids.RequestId | str | None
+    id: str | None
     received_at_s: float
     stage: Stage = Stage.READING
 
@@ -103,6 +102,11 @@
         finally:
             del self._requests[request.protocol]
 
+    def find_request_id(self, connection: object) -> str | None:
+        """Returns the id of a connection's request; None if it has none."""
+        tracked = self._requests.get(connection)
+        return None if tracked is None else tracked.id
+
     def is_half_closed(self, request: web_request.BaseRequest) -> bool:
         """Returns whether nothing more can be sent to a request's caller."""
         return request.protocol in self._half_closed
--- a/packages/forwarding/poplarwick_forwarding/caller_watch.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_watch.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 
 from aiohttp import web_protocol
 from aiohttp import web_request
 
 from poplarwick_core import clock
-from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import log_events
@@ -29,31 +26,25 @@
     Args:
         budget: Counts the buffered data.
         read_connections: Returns the open connections.
+        find_request_id: Returns the id of a connection's request, for logs.
     """
 
     def __init__(
         self,
         budget: buffer_budget.BufferBudget,
         read_connections: Callable[[], Iterable[web_protocol.RequestHandler]],
+        find_request_id: Callable[[object], str | None],
     ) -> None:
         self._budget = budget
         self._read_connections = read_connections
         self._callers = unread_callers.UnreadCallers(budget)
-        self._requests: dict[object, ids.RequestId] = {}
+        self._find_request_id = find_request_id
 
-    @contextlib.contextmanager
-    def track(
-        self, request: web_request.BaseRequest, request_id: ids.RequestId
-    ) -> Iterator[None]:
-        """Names the request of a connection until the context is exited."""
+    def limit_buffer(self, request: web_request.BaseRequest) -> None:
+        """Limits what a connection buffers before it holds its writer up."""
         transport = request.transport
         if transport is not None:
             transport.set_write_buffer_limits(self._budget.limits.buffer_bytes)
-        self._requests[request.protocol] = request_id
-        try:
-            yield
-        finally:
-            self._requests.pop(request.protocol, None)
 
     async def run(self) -> None:
         """Reviews the connections until cancelled."""
@@ -87,7 +78,7 @@
             metrics.callers_cut_off.add(1, {"reason": reason})
             logs.log(
                 log_events.CallerCutOff(
-                    request=self._requests.get(closing.connection),
+                    request=self._find_request_id(closing.connection),
                     unread_s=closing.unread_s,
                     unsent_bytes=closing.unsent_bytes,
                     reason=reason,
--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -22,9 +22,6 @@
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
-TIMER_TOLERANCE_S = 0.005
-"""Time by which a timer may fire before its deadline."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointAccess:
@@ -92,11 +89,6 @@
         self._response: upstream.Response | None = None
         self._stack = contextlib.AsyncExitStack()
 
-    @property
-    def response(self) -> upstream.Response | None:
-        """The endpoint's response; None before its head has arrived."""
-        return self._response
-
     @property
     def written_s(self) -> float | None:
         """Time from the head of the response to its last event."""
@@ -220,8 +212,7 @@
         that does not read.
         """
         is_unread = self._sink.has_begun and self._sink.is_blocked
-        deadline_s = self._exchange.deadline_at_s - TIMER_TOLERANCE_S
-        return clock.now_s() >= deadline_s and not is_unread
+        return self._exchange.is_over(clock.now_s()) and not is_unread
 
 
 def _get_result(outcome: outcomes.Outcome) -> messages.Result:
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -101,10 +101,12 @@
         self._dialect = wire_dialect
         self._runner = runner
         self._budget = budget
-        self._watch = caller_watch.CallerWatch(budget, lambda: self.connections)
         self._connections = caller_connections.CallerConnections(
             lambda: self.connections
         )
+        self._watch = caller_watch.CallerWatch(
+            budget, lambda: self.connections, self._connections.find_request_id
+        )
         self._watching: asyncio.Task[None] | None = None
         self._rng = random.Random()
         self._server: web_server.Server | None = None
@@ -216,7 +218,7 @@
             with self._connections.track(request, request_id) as tracked:
                 response = await self._respond(request, tracked)
                 tracked.stage = caller_connections.Stage.ANSWERING
-                await self._complete(request, response)
+                await self._complete(request, response, tracked)
         finally:
             self.in_progress -= 1
             if not self.in_progress:
@@ -229,6 +231,7 @@
         self,
         request: web_request.BaseRequest,
         response: web_response.StreamResponse,
+        tracked: caller_connections.OpenRequest,
     ) -> None:
         """Sends what has not been sent of a response."""
         if self._closes_connections:
@@ -242,8 +245,7 @@
         except ConnectionError as error:
             logs.log(
                 log_events.AnswerNotDelivered(
-                    request=self._dialect.get_request_id(request.headers),
-                    reason=repr(error),
+                    request=tracked.id, reason=repr(error)
                 )
             )
 
@@ -273,10 +275,8 @@
         rules = await self._wait_for_routing(request, metadata)
         if rules is None:
             return self._refuse(request, "no_configuration")
-        with (
-            self._budget.hold() as held,
-            self._watch.track(request, metadata.request_id),
-        ):
+        self._watch.limit_buffer(request)
+        with self._budget.hold() as held:
             return await self._admit(request, metadata, rules, held, tracked)
 
     async def _admit(
--- a/packages/forwarding/poplarwick_forwarding/http_exchange.py
+++ b/packages/forwarding/poplarwick_forwarding/http_exchange.py
@@ -14,6 +14,9 @@
 NO_REGIONS = frozenset({ids.RegionId("")})
 """Excludes all regions: no endpoint is in the region with the empty id."""
 
+TIMER_TOLERANCE_S = 0.005
+"""Time by which a timer may fire before its deadline."""
+
 RESUME_TARGET_S = 0.5
 """Time in which a broken stream should be resumed; callers see a pause."""
 
@@ -61,6 +64,10 @@
         """Output tokens in an event of a stream; 0 for a plain service."""
         return 0 if self.engine is None else self.engine.stride
 
+    def is_over(self, now_s: float) -> bool:
+        """Returns whether the deadline has passed, by a timer."""
+        return now_s >= self.deadline_at_s - TIMER_TOLERANCE_S
+
     def make_placement_request(
         self,
         avoided: frozenset[ids.EndpointId],
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import functools
 
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types
@@ -332,8 +331,8 @@
         progress.is_in_flight = progress.next_attempt is not None
         no_retry_reason = None
         if progress.next_attempt is None:
-            no_retry_reason = self._find_no_retry_reason(
-                exchange, progress, error
+            no_retry_reason = _find_no_retry_reason(
+                exchange, progress, may_have_run=error.may_have_run
             )
         self._record_failure(
             exchange, progress, attempt, error, no_retry_reason
@@ -380,21 +379,6 @@
             )
         )
 
-    def _find_no_retry_reason(
-        self,
-        exchange: http_exchange.Exchange,
-        progress: request_progress.RequestProgress,
-        error: upstream.SendError,
-    ) -> str | None:
-        if error.may_have_run:
-            if not exchange.route.may_retry:
-                return "may_have_run"
-            if progress.executions + 1 >= exchange.route.max_attempts:
-                return "attempts_spent"
-        if progress.attempts >= MAX_TOTAL_ATTEMPTS:
-            return "sends_spent"
-        return None
-
     async def _attempt(
         self,
         exchange: http_exchange.Exchange,
@@ -408,19 +392,25 @@
             SendError: It has failed; the next attempt may have begun.
         """
         placement = attempt.placement
-        may_retry = functools.partial(_may_retry, exchange, progress)
+
+        def may_try_elsewhere() -> bool:
+            reason = _find_no_retry_reason(
+                exchange, progress, may_have_run=True
+            )
+            return reason is None
+
         timer = asyncio.timeout(None)
         silence = takeover.Takeover(
             exchange.metadata.request_id,
             timer,
-            may_retry,
+            may_try_elsewhere,
             lambda: self._place_elsewhere(exchange, sink, progress, placement),
             lambda reply: self._open_elsewhere(exchange, sink, progress, reply),
         )
         try:
             async with timer:
                 timeout = response_timeout.ResponseTimeout(
-                    silence, is_limited=may_retry()
+                    silence, is_limited=may_try_elsewhere()
                 )
                 self._placement_client.on_suspicion(
                     attempt.request_number, timeout.record_suspicion
@@ -479,16 +469,27 @@
         )
 
 
-def _may_retry(
+def _find_no_retry_reason(
     exchange: http_exchange.Exchange,
     progress: request_progress.RequestProgress,
-) -> bool:
-    """Returns whether a request may be sent once more while it runs."""
-    return (
-        exchange.route.may_retry
-        and progress.executions + 1 < exchange.route.max_attempts
-        and progress.attempts < MAX_TOTAL_ATTEMPTS
-    )
+    *,
+    may_have_run: bool,
+) -> str | None:
+    """Returns why a request may not be sent once more; None if it may.
+
+    Args:
+        exchange: The request.
+        progress: What is known of it, without its last attempt.
+        may_have_run: Whether the last attempt has run it, or still does.
+    """
+    if may_have_run:
+        if not exchange.route.may_retry:
+            return "may_have_run"
+        if progress.executions + 1 >= exchange.route.max_attempts:
+            return "attempts_spent"
+    if progress.attempts >= MAX_TOTAL_ATTEMPTS:
+        return "sends_spent"
+    return None
 
 
 async def _withdraw(unused: endpoint_attempt.Attempt | None) -> None:
@@ -568,9 +569,6 @@
         return outcomes.StreamTruncated(reason)
     if not progress.executions:
         return _make_refusal(sink, progress, reason, 0.0)
-    if (
-        clock.now_s()
-        >= exchange.deadline_at_s - endpoint_attempt.TIMER_TOLERANCE_S
-    ):
+    if exchange.is_over(clock.now_s()):
         return outcomes.LocalResponse(outcomes.Failure.TIMED_OUT, reason)
     return outcomes.LocalResponse(outcomes.Failure.BROKEN, reason)
--- a/packages/forwarding/poplarwick_forwarding/takeover.py
+++ b/packages/forwarding/poplarwick_forwarding/takeover.py
@@ -12,7 +12,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from typing import Protocol
 
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
@@ -25,14 +24,6 @@
 """Interval between attempts elsewhere while the endpoint is silent."""
 
 
-class AttemptTimer(Protocol):
-    """Ends an attempt at a time."""
-
-    def reschedule(self, when: float | None) -> None:
-        """Sets the monotonic time of the end; None for none."""
-        ...
-
-
 class Takeover:
     """Tries another endpoint if an endpoint is silent for too long.
 
@@ -52,7 +43,7 @@
     def __init__(
         self,
         request: str,
-        attempt: AttemptTimer,
+        attempt: asyncio.Timeout,
         may_ask: Callable[[], bool],
         place_elsewhere: Callable[
             [], Awaitable[placement_client.PlacementOutcome]
