Pass engine reports whole, and state once how long a request holds its slot

Cause, found on reading the change: both callers of Scheduler.record_report took a report apart into slowdown and work; "at least one iteration" stood beside three calls of calculate_decode_s.

Change: record_report takes an EngineReport; engine_model.calculate_slot_s. Tests call the new interface, their assertions are as they were.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -244,11 +244,7 @@
         report: engine_report.EngineReport | None,
     ) -> None:
         """Records the report of an engine; None if it did not return one."""
-        self._scheduler.record_report(
-            endpoint,
-            None if report is None else report.slowdown,
-            clock.now_s(),
-        )
+        self._scheduler.record_report(endpoint, report, clock.now_s())
         self._impose_without_placer()
 
     def record_connection(
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -455,10 +455,7 @@
     ) -> None:
         had_inherited = self._scheduler.has_inherited_load(endpoint)
         is_newly_unresponsive = self._scheduler.record_report(
-            endpoint,
-            None if report is None else report.slowdown,
-            clock.now_s(),
-            None if report is None else report.work,
+            endpoint, report, clock.now_s()
         )
         if had_inherited != self._scheduler.has_inherited_load(endpoint):
             self._log_inherited_load(endpoint)
--- a/packages/placement/poplarwick_placement/capacity_forecast.py
+++ b/packages/placement/poplarwick_placement/capacity_forecast.py
@@ -118,7 +118,7 @@
         iteration_s = engine_model.calculate_iteration_s(
             load.profile, load.profile.slots, request.prompt_tokens
         )
-        decode_s = engine_model.calculate_decode_s(
+        slot_s = engine_model.calculate_slot_s(
             load.profile, request.output_tokens, iteration_s
         )
         # A long prompt is prefilled by a group.
@@ -130,7 +130,7 @@
             request.memory_tokens,
             prefill_s,
             first_event_s,
-            first_event_s + max(decode_s, iteration_s) * self.stretch,
+            first_event_s + slot_s * self.stretch,
         )
 
     def calculate_share(self, work: Work) -> float:
--- a/packages/placement/poplarwick_placement/engine_model.py
+++ b/packages/placement/poplarwick_placement/engine_model.py
@@ -50,3 +50,14 @@
     """Returns the time from the first event to the last one."""
     iterations = max(output_tokens / profile.stride - 1, 0)
     return iterations * iteration_s
+
+
+def calculate_slot_s(
+    profile: types.EngineProfile, output_tokens: int, iteration_s: float
+) -> float:
+    """Returns how long a request holds its slot from its first event on.
+
+    An output of a single event holds it to the end of an iteration.
+    """
+    decode_s = calculate_decode_s(profile, output_tokens, iteration_s)
+    return max(decode_s, iteration_s)
--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -674,11 +674,8 @@
             begins_at_s = allocation.prefill_due_at_s + iteration_s
         return ExpectedEnd(
             begins_at_s,
-            max(
-                engine_model.calculate_decode_s(
-                    self.profile, allocation.request.output_tokens, iteration_s
-                ),
-                iteration_s,
+            engine_model.calculate_slot_s(
+                self.profile, allocation.request.output_tokens, iteration_s
             ),
             allocation.full_prefill_s if slots else 0.0,
             slots,
--- a/packages/placement/poplarwick_placement/measured_stretch.py
+++ b/packages/placement/poplarwick_placement/measured_stretch.py
@@ -53,15 +53,13 @@
         if begun_at_s is None or now_s - begun_at_s < iteration_s:
             # The answer has come as a whole, after it was decoded.
             begun_at_s = min(allocation.prefill_due_at_s, now_s)
-        estimated_s = engine_model.calculate_decode_s(
+        estimated_s = engine_model.calculate_slot_s(
             profile, allocation.request.output_tokens, iteration_s
         )
         samples = self._samples.setdefault(
             load.endpoint.service, collections.deque(maxlen=MAX_SAMPLES)
         )
-        samples.append(
-            _Sample(now_s, max(estimated_s, iteration_s), now_s - begun_at_s)
-        )
+        samples.append(_Sample(now_s, estimated_s, now_s - begun_at_s))
 
     def get(self, service: ids.ServiceId, now_s: float) -> float | None:
         """Returns the ratio; None without enough requests.
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -374,18 +374,15 @@
     def record_report(
         self,
         endpoint: ids.EndpointId,
-        slowdown: float | None,
+        report: engine_report.EngineReport | None,
         now_s: float,
-        work: engine_report.EngineWork | None = None,
     ) -> bool:
         """Records an engine's report.
 
         Args:
             endpoint: The engine.
-            slowdown: Slowdown factor that the engine reports, 1 being its
-                profile; None if it did not answer.
+            report: What it reports; None if it did not answer.
             now_s: Monotonic time.
-            work: Work that the engine reports; None if it does not say.
 
         Returns:
             Whether the engine has just become unresponsive.
@@ -394,16 +391,15 @@
         if state is None:
             return False
         was_unresponsive = state.health.is_unresponsive
-        state.health.record_report(answered=slowdown is not None)
+        answered = report is not None
+        state.health.record_report(answered=answered)
         self.evidence.record_report(
-            state.candidate.endpoint,
-            answered=slowdown is not None,
-            now_s=now_s,
+            state.candidate.endpoint, answered=answered, now_s=now_s
         )
-        if slowdown is not None:
-            state.load.set_slowdown(max(slowdown, 1.0))
-        if work is not None:
-            self._record_work(state, work, now_s)
+        if report is not None:
+            state.load.set_slowdown(max(report.slowdown, 1.0))
+            if report.work is not None:
+                self._record_work(state, report.work, now_s)
         return state.health.is_unresponsive and not was_unresponsive
 
     def _record_work(
--- a/packages/placement/tests/test_inherited_load.py
+++ b/packages/placement/tests/test_inherited_load.py
@@ -18,11 +18,9 @@
 
 
 def report(scheduler, endpoint, requests, now_s, memory_tokens=0):
+    work = engine_report.EngineWork(requests, memory_tokens)
     scheduler.record_report(
-        endpoint,
-        1.0,
-        now_s,
-        engine_report.EngineWork(requests, memory_tokens),
+        endpoint, engine_report.EngineReport(1.0, work), now_s
     )
 
 
--- a/packages/placement/tests/test_scheduler.py
+++ b/packages/placement/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 
 from poplarwick_bench.replay import engines
 from poplarwick_core import ids
+from poplarwick_placement import engine_report
 from poplarwick_placement import messages
 from poplarwick_placement import service_pool
 
@@ -90,7 +91,8 @@
 
 def test_slow_engine_does_not_make_short_prompts_long():
     scheduler = make_scheduler()
-    scheduler.record_report(ids.EndpointId("e0"), 4.0, 0.0)
+    report = engine_report.EngineReport(slowdown=4.0)
+    scheduler.record_report(ids.EndpointId("e0"), report, 0.0)
     decision = submit_and_decide(scheduler, "short", make_request())
     assert not decision.helpers
     assert decision.endpoint != "e0"
