Share the way in which a test's instance finds out that it is cut off

Cause, found on reading the change: two new test files wrote again what test_instances_cut_off has: cut an instance off and call it until it knows.

Change: network_cuts.cut_off serves all three. Assertions are as they were.

--- a/tests/adapter/network_cuts.py
+++ b/tests/adapter/network_cuts.py
@@ -9,11 +9,16 @@
 import socket
 import struct
 
+import aiohttp
+
 CURRENT_INSTANCE = contextvars.ContextVar("current_instance", default=None)
 """Name of the instance whose task runs; tasks inherit it."""
 
 HANG_S = 60.0
 
+FIND_OUT_TIMEOUT_S = 15.0
+"""Longest time in which an instance finds out that it is cut off."""
+
 
 def reset(reader, writer):
     """Resets a connection that was accepted."""
@@ -81,3 +86,17 @@
             CURRENT_INSTANCE.get() in self.cut_instances
             and f"{host}:{port}" in self.cut_addresses
         )
+
+
+async def cut_off(cluster, cuts, instance):
+    """Cuts an instance off from all replicas, and waits until it knows.
+
+    An instance finds out by its requests.
+    """
+    cuts.cut([instance], cluster.replicas)
+    number = cluster.instances.index(instance)
+    async with asyncio.timeout(FIND_OUT_TIMEOUT_S):
+        while not instance.node.reach.is_cut_off:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with cluster.call("/stock/", number) as response:
+                    await response.read()
--- a/tests/adapter/test_instances_cut_off.py
+++ b/tests/adapter/test_instances_cut_off.py
@@ -107,12 +107,8 @@
 async def cut_first(cluster, cuts):
     """Cuts an instance other than the placer off, and waits until it knows."""
     cut = sort_placer_first(cluster)[-1]
-    cuts.cut([cut], cluster.replicas)
-    callers = Callers(cluster)
-    async with asyncio.timeout(platform_cluster.TIMEOUT_S):
-        while not cut.node.reach.is_cut_off:
-            await callers.call(cut, "/stock/x")
-    return cut, callers
+    await network_cuts.cut_off(cluster, cuts, cut)
+    return cut, Callers(cluster)
 
 
 def set_replicas(cluster, **changes):
--- a/tests/adapter/test_late_bodies.py
+++ b/tests/adapter/test_late_bodies.py
@@ -89,17 +89,7 @@
                 stopped = placer
             case "relayed":
                 stopped = others[0]
-                cuts.cut([stopped], cluster.replicas)
-                number = cluster.instances.index(stopped)
-
-                async def ask():
-                    async with cluster.call("/stock/", number) as response:
-                        await response.read()
-
-                await asyncio.gather(*(ask() for _ in range(20)))
-                await platform_cluster.wait_until(
-                    lambda: stopped.node.reach.is_cut_off
-                )
+                await network_cuts.cut_off(cluster, cuts, stopped)
         yield cluster, stopped, placer
 
 
--- a/tests/adapter/test_partial_heads.py
+++ b/tests/adapter/test_partial_heads.py
@@ -30,10 +30,7 @@
 
 async def _cut_off(cluster, cuts):
     """Cuts the instance that is called off, so that others relay for it."""
-    cuts.cut(cluster.instances[:1], cluster.replicas)
-    await platform_cluster.wait_until(
-        lambda: cluster.instances[0].node.reach.is_cut_off
-    )
+    await network_cuts.cut_off(cluster, cuts, cluster.instances[0])
 
 
 async def _lose_store(cluster, cuts):
@@ -70,16 +67,7 @@
     ):
         cuts.shape = network_cuts.Shape.REFUSED
         await crashing_fleet.wait_for_placer(cluster)
-        calls = []
-        if situation is _cut_off:
-            # An instance finds out by its requests.
-            cuts.cut(cluster.instances[:1], cluster.replicas)
-            calls = [
-                asyncio.create_task(_call(cluster, "/stock/"))
-                for _ in range(20)
-            ]
         await situation(cluster, cuts)
-        await asyncio.gather(*calls)
         yield cluster
 
 
