List the runs of a play once for both of its verdicts

Cause, found on reading the change: find_lost and find_cut each collected the executions of all replicas.

Change: the play collects them and hands them to both. The verdicts are as they were.

--- a/tests/processes/planned_stops.py
+++ b/tests/processes/planned_stops.py
@@ -341,9 +341,8 @@
     return runs
 
 
-def find_cut(system, attempts, stops):
+def find_cut(runs, attempts, stops):
     """Returns the attempts that were cut while a sound endpoint ran them."""
-    runs = _list_runs(system)
     return [
         attempt
         for attempt in attempts
@@ -379,10 +378,9 @@
     ]
 
 
-def find_lost(system, attempts, stops):
+def find_lost(runs, attempts, stops):
     """Returns the attempts that planned stops have lost, with their runs."""
     lost = []
-    runs = _list_runs(system)
     for attempt in attempts:
         if attempt.is_complete or attempt.sent_at_s is None:
             continue
@@ -482,8 +480,9 @@
                     )
                 )
         balancing.cancel()
-        lost = find_lost(system, attempts, stops)
-        cut = find_cut(system, attempts, stops)
+        runs = _list_runs(system)
+        lost = find_lost(runs, attempts, stops)
+        cut = find_cut(runs, attempts, stops)
     return Result(attempts, stops, lost, cut, find_unnamed(folder, attempts))
 
 
