Show streams that a stop cuts before the last sixth of its grace period

The other tests show what the same end does to requests that no endpoint has answered yet: their connections are closed without an answer, where a 502 would be true.

--- /dev/null
+++ b/tests/adapter/test_late_stops.py
@@ -0,0 +1,110 @@
+"""Stops of instances that are late, or that still serve when they end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import platform_cluster
+import pytest
+
+GRACE_S = 8.0
+SHORT_GRACE_S = 4.0
+STANDSTILL_S = 0.9
+EVENT_PERIOD_S = 0.05
+
+LATE_END_S = 6.35
+"""End of an answer, after the signal: before the last sixth of the grace
+period, in which endpoints have to end."""
+
+
+def make_call(cluster, path="/label/", *, instance=0, **options):
+    return cluster.call(
+        path, instance, headers={"Deadline-Ms": "15000"}, **options
+    )
+
+
+async def allow_long_requests(cluster):
+    routes = [
+        platform_cluster.make_route(
+            name, kind, service, timeout_ms=15_000, target_latency_ms=5_000
+        )
+        for name, kind, service in (
+            ("label", "streaming", "pool"),
+            ("order", "non_idempotent", "orders"),
+            ("stock", "idempotent", "orders"),
+        )
+    ]
+    await cluster.store.put(
+        "op/config", platform_cluster.make_configuration(2, routes)
+    )
+    for instance in cluster.instances:
+        await platform_cluster.wait_until(
+            lambda node=instance.node: node.catalogue.routing.version == 2
+        )
+
+
+def set_events(cluster, count):
+    for replica in cluster.replicas:
+        replica.event_count = count
+        replica.event_interval_s = EVENT_PERIOD_S
+
+
+# Guards against streams that a stop cuts before the last sixth of its grace
+# period, as the event loop was late in the seconds before (LOST).
+def test_standstill_before_a_stop_does_not_cut_streams_sooner(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            await allow_long_requests(cluster)
+            events = int(LATE_END_S / EVENT_PERIOD_S)
+            set_events(cluster, events)
+            time.sleep(STANDSTILL_S)
+            await asyncio.sleep(0.5)
+            cluster.instances[0].stop.set()
+            async with make_call(cluster, tokens=5_000) as response:
+                body = await response.read()
+            assert body.count(b"id: ") == events
+            await cluster.instances[0].task
+
+    asyncio.run(scenario())
+
+
+# Guards against requests that end without an answer as their instance does,
+# though nothing of one has been sent (LOST).
+@pytest.mark.parametrize("path", ["/order/", "/stock/", "/label/"])
+def test_requests_at_silent_endpoints_are_answered_before_the_end(
+    tmp_path, path
+):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=SHORT_GRACE_S
+        ) as cluster:
+            await allow_long_requests(cluster)
+            for replica in cluster.replicas:
+                replica.response_delay_s = 60.0
+            tokens = 5_000 if path == "/label/" else None
+            method = "GET" if path == "/stock/" else "POST"
+
+            async def call():
+                async with make_call(
+                    cluster, path, tokens=tokens, method=method
+                ) as response:
+                    return response.status
+
+            calling = asyncio.create_task(call())
+            await platform_cluster.wait_until(
+                lambda: any(r.arrivals for r in cluster.replicas)
+            )
+            cluster.instances[0].stop.set()
+            await cluster.instances[0].task
+            try:
+                status = await calling
+            except aiohttp.ClientError as error:
+                status = repr(error)
+            # It may have run.
+            assert status == 502
+
+    asyncio.run(scenario())
