End nothing before the last part of a stop, and answer what is left

Cause: one time stood for three different needs. The margin of the end grew with the lateness of the event loop, up to a quarter of the grace period, to have answers and log lines out before the kill; at the same time it cut the streams, which lose nothing by a kill. 0.37 s of lateness in the ten seconds before were enough.

Change: stop_schedule has a time for each need. Requests are refused from a time on, whatever timer runs late (Frontend.refuse_from, GracefulStop checks the time before it waits). Requests whose callers have received nothing are answered, and all others named in the log, at ends_at_s: early if the loop is late, never before 5/6. Streams are cut 0.4 s before the kill, however late the loop is. A process that stood still counts the kill and the refusals from when the signal may have come, and the last part from when it was handled.

test_requests_that_a_stop_cuts_are_named asked for connection_cut for a request that now gets a 502. Two tests replace it: a stream that is cut is named before the end and ends with reason=stopping; a request without an answer gets 502 and its line. Tests of make_schedule and LoopLateness follow the new arguments; test_late_event_loop_ends_sooner keeps its bound.

--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -141,6 +141,21 @@
                 return
             await asyncio.sleep(CLOSE_CHECK_S)
 
+    def log_requests(self) -> None:
+        """Logs each request that a kill of the process would end."""
+        for connection, tracked in self._requests.items():
+            assert isinstance(connection, web_protocol.RequestHandler)
+            transport = connection.transport
+            logs.log(
+                log_events.RequestLeftAtStop(
+                    request=tracked.id,
+                    stage=tracked.stage.value,
+                    unsent_bytes=0
+                    if transport is None
+                    else transport.get_write_buffer_size(),
+                )
+            )
+
     def log_open(self) -> None:
         """Logs each connection that is cut at the end of a stop."""
         for connection in self._read_connections():
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import types as python_types
 from collections.abc import Callable
@@ -88,7 +89,7 @@
     ) -> None:
         self.is_leaving = False
         self._is_relieved = False
-        self.is_closed = False
+        self._refuses_from_s = math.inf
         self.in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -173,6 +174,19 @@
         """
         self._is_relieved = is_relieved
 
+    def refuse_from(self, refuses_from_s: float) -> None:
+        """Refuses requests that arrive from a monotonic time on.
+
+        The time counts for each request, not the call of a timer, which may be
+        late.
+        """
+        self._refuses_from_s = refuses_from_s
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether requests are refused."""
+        return clock.now_s() >= self._refuses_from_s
+
     def stop_listening(self) -> None:
         """Stops accepting connections and refuses further requests.
 
@@ -180,10 +194,14 @@
         connection after being told to close it, so a caller's request would get
         no response.
         """
-        self.is_closed = True
+        self.refuse_from(min(self._refuses_from_s, clock.now_s()))
         if self._listener is not None:
             self._listener.close()
 
+    def log_open_requests(self) -> None:
+        """Names the requests that a kill would end from now on."""
+        self._connections.log_requests()
+
     async def close_connections(self, until_s: float = 0.0) -> None:
         """Closes all connections, and cuts off requests in progress.
 
--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -1,9 +1,11 @@
-"""Decides which requests a stopping instance still starts.
-
-Load pattern: an instance is stopped while requests wait for busy engines, and
-more arrive until the load balancer notices. A request that cannot start early
-enough to end before the process does is refused while another instance can
-still serve its caller, instead of being cut off.
+"""Decides which requests a stopping instance starts, and when it ends them.
+
+Load pattern: an instance is stopped while requests wait for busy engines or run
+on them, and more arrive until the load balancer notices. A request that cannot
+start early enough to end before the process does is refused while another
+instance can still serve its caller. A request whose caller has received nothing
+is answered before the end, and a stream goes on for as long as the process can
+run.
 """
 
 from __future__ import annotations
@@ -12,12 +14,17 @@
 import contextlib
 from collections.abc import AsyncIterator
 from typing import NamedTuple
+from typing import TypeVar
 
 from poplarwick_catalogue import types
+from poplarwick_core import clock
+from poplarwick_forwarding import outcomes
 from poplarwick_placement import engine_model
 from poplarwick_placement import messages
 from poplarwick_placement import queue_order
 
+_T = TypeVar("_T")
+
 SHARED_ENGINE_FACTOR = 2
 """Duration of a request beside others on its engine, relative to its duration
 on an idle one."""
@@ -32,11 +39,14 @@
 
     Attributes:
         starts_until_s: Monotonic time from which no request is started.
-        ends_at_s: Monotonic time at which running requests are cut off.
+        ends_at_s: Monotonic time at which requests whose callers have received
+            nothing are ended.
+        cuts_at_s: Monotonic time at which streams are cut off.
     """
 
     starts_until_s: float
     ends_at_s: float
+    cuts_at_s: float
 
     def calculate_latest_start_s(self, duration_s: float) -> float:
         """Returns the latest monotonic start of a request of some duration."""
@@ -47,22 +57,30 @@
 
 
 class GracefulStop:
-    """Limits how long requests wait once the instance is told to stop."""
+    """Limits how long requests wait and run once the instance is to stop."""
 
     def __init__(self) -> None:
         self._window: _Window | None = None
         self._waits: dict[asyncio.Timeout, float] = {}
+        self._runs: dict[asyncio.Timeout, outcomes.Sink] = {}
 
-    def begin(self, starts_until_s: float, ends_at_s: float) -> None:
-        """Ends the waits of requests that can no longer be served in time.
+    def begin(
+        self, starts_until_s: float, ends_at_s: float, cuts_at_s: float
+    ) -> None:
+        """Ends requests that can no longer be served in time.
 
         Args:
             starts_until_s: Monotonic time from which no request is started.
-            ends_at_s: Monotonic time at which running requests are cut off.
+            ends_at_s: Monotonic time at which requests whose callers have
+                received nothing are ended.
+            cuts_at_s: Monotonic time at which streams are cut off.
         """
-        self._window = _Window(starts_until_s, ends_at_s)
+        self._window = _Window(starts_until_s, ends_at_s, cuts_at_s)
         for timer, duration_s in self._waits.items():
             timer.reschedule(self._window.calculate_latest_start_s(duration_s))
+        for timer in self._runs:
+            timer.reschedule(cuts_at_s)
+        asyncio.get_running_loop().call_at(ends_at_s, self._end_unanswered)
 
     @contextlib.asynccontextmanager
     async def limit_wait(self, duration_s: float) -> AsyncIterator[None]:
@@ -74,22 +92,61 @@
         Raises:
             StoppingError: The wait took too long for this instance.
         """
-        timer = asyncio.timeout_at(
-            None
-            if self._window is None
-            else self._window.calculate_latest_start_s(duration_s)
-        )
-        try:
-            async with timer:
-                self._waits[timer] = duration_s
-                try:
-                    yield
-                finally:
-                    del self._waits[timer]
-        except TimeoutError as error:
-            if not timer.expired():
-                raise
-            raise StoppingError from error
+        until_s = None
+        if self._window is not None:
+            until_s = self._window.calculate_latest_start_s(duration_s)
+            if clock.now_s() >= until_s:
+                raise StoppingError
+        async with _limit(self._waits, duration_s, until_s):
+            yield
+
+    @contextlib.asynccontextmanager
+    async def limit_run(self, sink: outcomes.Sink) -> AsyncIterator[None]:
+        """Limits the run of a request to the time that the process has left.
+
+        Args:
+            sink: Response to the caller.
+
+        Raises:
+            StoppingError: This instance ends before the request.
+        """
+        until_s = None if self._window is None else self._window.cuts_at_s
+        async with _limit(self._runs, sink, until_s):
+            yield
+
+    def _end_unanswered(self) -> None:
+        """Ends the requests whose callers have received nothing."""
+        for timer, sink in self._runs.items():
+            if not sink.has_begun:
+                timer.reschedule(clock.now_s())
+
+
+@contextlib.asynccontextmanager
+async def _limit(
+    timers: dict[asyncio.Timeout, _T], value: _T, until_s: float | None
+) -> AsyncIterator[None]:
+    """Adds a timer that the stop may reschedule while the context is open.
+
+    Args:
+        timers: Timers of all open contexts.
+        value: What the stop has to know of this one.
+        until_s: Monotonic time of its end; None before a stop.
+
+    Raises:
+        StoppingError: The time is over.
+    """
+    timer = asyncio.timeout_at(until_s)
+    try:
+        async with timer:
+            timers[timer] = value
+            try:
+                yield
+            finally:
+                del timers[timer]
+    except TimeoutError as error:
+        if not timer.expired():
+            raise
+        raise StoppingError from error
 
 
 def calculate_shortest_duration_s(
--- a/packages/forwarding/poplarwick_forwarding/log_events.py
+++ b/packages/forwarding/poplarwick_forwarding/log_events.py
@@ -286,6 +286,25 @@
     total_s: float
 
 
+class RequestLeftAtStop(logs.Event, frozen=True, kw_only=True):
+    """A request is still in progress shortly before its instance ends.
+
+    The process may be killed from now on. A request that ends before that has
+    its usual lines as well.
+
+    Attributes:
+        request: Id of the request; None if it has none.
+        stage: How far it has come: `reading`, `running` or `answering`.
+        unsent_bytes: Bytes that have not been sent to the caller.
+    """
+
+    level = "WARNING"
+
+    request: str | None = None
+    stage: str
+    unsent_bytes: int
+
+
 class ConnectionCut(logs.Event, frozen=True, kw_only=True):
     """A stopping instance closes a connection that is still in use.
 
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -55,7 +55,7 @@
         memory: Reserves engine memory for very long prompts.
         notices: What endpoints have asked of this instance.
         known_quarantines: Requests and parts of prompts that crash endpoints.
-        stop: Ends the waits of requests once this instance stops.
+        stop: Ends the waits and the runs of requests once this instance stops.
     """
 
     def __init__(
@@ -84,12 +84,15 @@
             exchange.metadata.last_event_id
         )
         try:
-            async with asyncio.timeout(exchange.deadline_at_s - clock.now_s()):
+            async with (
+                asyncio.timeout(exchange.deadline_at_s - clock.now_s()),
+                self._stop.limit_run(sink),
+            ):
                 return await self._run(exchange, sink, progress)
         except TimeoutError:
-            if progress.is_in_flight:
-                progress.executions += 1
-            return _make_failure(exchange, sink, progress, "time_over")
+            return _make_interrupted(exchange, sink, progress, "time_over")
+        except graceful_stop.StoppingError:
+            return _make_interrupted(exchange, sink, progress, "stopping")
         finally:
             await _withdraw(progress.take_next_attempt())
 
@@ -559,6 +562,18 @@
     return _make_refusal(sink, progress, reason, QUARANTINE_RETRY_AFTER_S)
 
 
+def _make_interrupted(
+    exchange: http_exchange.Exchange,
+    sink: outcomes.Sink,
+    progress: request_progress.RequestProgress,
+    reason: str,
+) -> outcomes.Outcome:
+    """Returns the outcome of a request that was ended while it ran."""
+    if progress.is_in_flight:
+        progress.executions += 1
+    return _make_failure(exchange, sink, progress, reason)
+
+
 def _make_failure(
     exchange: http_exchange.Exchange,
     sink: outcomes.Sink,
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -38,6 +38,12 @@
 )
 
 
+def begin(stop, ends_s, cuts_s=FOREVER_S):
+    """Begins a stop that starts no more requests."""
+    now_s = clock.now_s()
+    stop.begin(now_s, now_s + ends_s, now_s + cuts_s)
+
+
 def make_request(prompt_tokens, output_tokens):
     return messages.PlacementRequest(
         ids.RequestId("r"),
@@ -64,7 +70,7 @@
     async def scenario():
         stop = graceful_stop.GracefulStop()
         now_s = clock.now_s()
-        stop.begin(now_s + LISTENS_S, now_s + GRACE_S)
+        stop.begin(now_s + LISTENS_S, now_s + GRACE_S, now_s + GRACE_S)
         duration_s = graceful_stop.calculate_shortest_duration_s(
             make_request(prompt_tokens, output_tokens), ENGINE
         )
@@ -84,7 +90,7 @@
         async with stop.limit_wait(FOREVER_S):
             await asyncio.sleep(0.01)
         # Nor is a wait that is over remembered.
-        stop.begin(clock.now_s(), clock.now_s())
+        begin(stop, 0.0)
 
     asyncio.run(scenario())
 
@@ -129,7 +135,7 @@
     async def scenario():
         running = asyncio.create_task(runner._run(exchange, sink, progress))
         await fleet.asked.wait()
-        stop.begin(clock.now_s(), clock.now_s() + GRACE_S)
+        begin(stop, GRACE_S)
         await asyncio.wait((running,), timeout=0.2)
         if not running.done():
             running.cancel()
@@ -157,3 +163,47 @@
         run_until_stop(exchanges.make_exchange(), executions=1, has_begun=True)
         is None
     )
+
+
+def run_while_stopping(*, has_begun, ends_s, cuts_s):
+    """Returns how long a request runs in a stop; None if it is not ended."""
+
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        sink = types.SimpleNamespace(has_begun=has_begun)
+        began_s = clock.now_s()
+        asyncio.get_running_loop().call_soon(begin, stop, ends_s, cuts_s)
+        try:
+            async with asyncio.timeout(1.0), stop.limit_run(sink):
+                await asyncio.sleep(FOREVER_S)
+        except graceful_stop.StoppingError:
+            return clock.now_s() - began_s
+        except TimeoutError:
+            return None
+
+    return asyncio.run(scenario())
+
+
+def test_request_whose_caller_has_nothing_ends_first():
+    ended_s = run_while_stopping(has_begun=False, ends_s=0.1, cuts_s=FOREVER_S)
+    assert ended_s >= 0.1
+
+
+def test_stream_runs_until_it_is_cut():
+    assert run_while_stopping(has_begun=True, ends_s=0.1, cuts_s=0.3) >= 0.3
+    assert (
+        run_while_stopping(has_begun=True, ends_s=0.1, cuts_s=FOREVER_S) is None
+    )
+
+
+# Guards against requests that are passed on after the last start, as the timer
+# that ends their wait is late (LOST).
+def test_request_is_not_started_after_the_last_start_without_a_wait():
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        begin(stop, GRACE_S)
+        with pytest.raises(graceful_stop.StoppingError):
+            async with stop.limit_wait(0.0):
+                pytest.fail("the request was started")
+
+    asyncio.run(scenario())
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -28,13 +28,16 @@
 
     Attributes:
         in_progress: Requests in progress.
-        handled_after_s: Time from the signal to its handling.
-        ends_in_s: Time until requests in progress are cut off.
+        handled_after_s: Longest time from the signal to its handling.
+        ends_in_s: Time until requests whose callers have received nothing are
+            answered.
+        cuts_in_s: Time until streams are cut off.
     """
 
     in_progress: int
     handled_after_s: float
     ends_in_s: float
+    cuts_in_s: float
 
 
 class StopCutsRequests(logs.Event, frozen=True, kw_only=True):
@@ -42,11 +45,13 @@
 
     Attributes:
         in_progress: Requests that are aborted.
+        after_s: Longest time since the signal.
     """
 
     level = "WARNING"
 
     in_progress: int
+    after_s: float
 
 
 class ReleasesUnfinished(logs.Event, frozen=True, kw_only=True):
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -65,6 +65,10 @@
 """Time limit for the next placer to connect, which takes a few network round
 trips."""
 
+CUT_TIMEOUT_S = 0.05
+"""Longest wait for requests to end that are cut off, which takes a few steps of
+the event loop."""
+
 FREEZE_THRESHOLD_S = 0.5
 """Lateness of the periodic check that counts as a freeze; far above the delay
 caused by a busy event loop."""
@@ -100,7 +104,7 @@
         )
         self._is_leaving = False
         self._signalled_at_s: float | None = None
-        self._lateness = stop_schedule.LoopLateness()
+        self._lateness = stop_schedule.LoopLateness(MONITOR_PERIOD_S)
         self._graceful_stop = graceful_stop.GracefulStop()
         self._placer_role: placer_role.PlacerRole | None = None
 
@@ -115,9 +119,14 @@
         return () if role is None else role.list_largest_users()
 
     def record_stop_signal(self) -> None:
-        """Records that the platform's grace period begins."""
+        """Records that the platform's grace period begins.
+
+        The signal may have arrived while the process did not run.
+        """
         if self._signalled_at_s is None:
-            self._signalled_at_s = clock.now_s()
+            now_s = clock.now_s()
+            overdue_s = self._lateness.calculate_overdue_s(now_s)
+            self._signalled_at_s = now_s - overdue_s
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until `stop` is set, then shuts down gracefully."""
@@ -388,61 +397,75 @@
         )
 
     async def _monitor(self) -> None:
-        last_check_s = clock.now_s()
         while True:
-            await asyncio.sleep(MONITOR_PERIOD_S)
-            now_s = clock.now_s()
-            if now_s - last_check_s > MONITOR_PERIOD_S + FREEZE_THRESHOLD_S:
-                logs.log(
-                    log_events.FreezeNoticed(frozen_s=now_s - last_check_s)
-                )
-            self._lateness.record(now_s - last_check_s - MONITOR_PERIOD_S)
-            last_check_s = now_s
+            lateness_s = self._lateness.record_check(clock.now_s())
+            if lateness_s > FREEZE_THRESHOLD_S:
+                logs.log(log_events.FreezeNoticed(frozen_s=lateness_s))
             if self.feed.is_store_unavailable:
                 self.catalogue.record_store_outage()
             self.mirror.settle()
             self.catalogue.remove_lapsed_endpoints()
+            await asyncio.sleep(MONITOR_PERIOD_S)
 
     async def _leave(self) -> None:
         self.record_stop_signal()
-        assert self._signalled_at_s is not None
+        signalled_at_s = self._signalled_at_s
+        assert signalled_at_s is not None
+        now_s = clock.now_s()
         schedule = stop_schedule.make_schedule(
-            self._signalled_at_s,
+            signalled_at_s,
+            now_s,
             self.deployment.bounds.grace_s,
             self._lateness.worst_s,
         )
         logs.log(
             log_events.Stopping(
                 in_progress=self.frontend.in_progress,
-                handled_after_s=clock.now_s() - self._signalled_at_s,
-                ends_in_s=schedule.ends_at_s - clock.now_s(),
+                handled_after_s=now_s - signalled_at_s,
+                ends_in_s=schedule.ends_at_s - now_s,
+                cuts_in_s=schedule.cuts_at_s - now_s,
             )
         )
         self._is_leaving = True
         self.frontend.is_leaving = True
         self.placement_client.is_leaving = True
         self.relay_server.is_leaving = True
-        self._graceful_stop.begin(schedule.listens_until_s, schedule.ends_at_s)
+        self.frontend.refuse_from(schedule.refuses_from_s)
+        self._graceful_stop.begin(
+            schedule.refuses_from_s, schedule.ends_at_s, schedule.cuts_at_s
+        )
         # A store that does not respond must not delay the end.
         resigning = asyncio.create_task(self._resign())
         await asyncio.sleep(schedule.listens_until_s - clock.now_s())
         self.frontend.stop_listening()
-        if not await self.frontend.wait_until_idle(
-            schedule.ends_at_s - clock.now_s()
-        ):
-            logs.log(
-                log_events.StopCutsRequests(
-                    in_progress=self.frontend.in_progress
-                )
-            )
+        await self._finish_requests(schedule)
         await self.relay_server.wait_until_idle(
-            schedule.ends_at_s - clock.now_s()
+            schedule.cuts_at_s - clock.now_s()
         )
         # Requests that are cut off release memory of engines.
         await self.frontend.close_connections(schedule.closes_until_s)
         await self._drain_reservations(schedule.releases_until_s)
         resigning.cancel()
 
+    async def _finish_requests(
+        self, schedule: stop_schedule.StopSchedule
+    ) -> None:
+        """Waits for the requests in progress until they are cut off."""
+        wait_until_idle = self.frontend.wait_until_idle
+        if await wait_until_idle(schedule.ends_at_s - clock.now_s()):
+            return
+        self.frontend.log_open_requests()
+        if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
+            return
+        assert self._signalled_at_s is not None
+        logs.log(
+            log_events.StopCutsRequests(
+                in_progress=self.frontend.in_progress,
+                after_s=clock.now_s() - self._signalled_at_s,
+            )
+        )
+        await wait_until_idle(CUT_TIMEOUT_S)
+
     async def _drain_reservations(self, until_s: float) -> None:
         """Waits for releases of memory until a monotonic time."""
         try:
--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -1,10 +1,11 @@
 """Divides the grace period of a stop into its parts.
 
-Load pattern: the machine is so busy that the event loop runs late. The signal
-is handled late then, and so is the end: a process that counts its grace period
-from the time at which it handles the signal, with a fixed margin for its end,
-is killed while it still answers, and takes along what it has not sent or
-logged.
+Load pattern: the machine is so busy that the event loop runs late, or the
+process has stood still. The signal is handled late then, and so is each step of
+the end. What callers need before the process is killed, the answers and the log
+lines, is done early by that lateness. Streams that endpoints still write lose
+nothing by a kill, so they go on until shortly before it, however late the
+event loop is.
 """
 
 from __future__ import annotations
@@ -16,22 +17,27 @@
 """Time from turning readiness off until the load balancer has noticed: two
 checks one second apart, plus the network round trip."""
 
-EXIT_MARGIN_S = 0.6
-"""Part of the grace period reserved for the end on a machine that has time."""
+ANSWER_MARGIN_S = 0.6
+"""Part of the grace period reserved for the last answers and log lines on a
+machine that has time."""
+
+EXIT_MARGIN_S = 0.4
+"""Part of the grace period reserved for the end of the process."""
+
+LAST_SHARE = 1 / 6
+"""Last part of the grace period, in which endpoints have to end. Nothing is
+ended before it begins."""
 
 CLOSE_SHARE = 0.4
-"""Part of that margin in which callers close their connections."""
+"""Part of the exit margin in which callers close their connections."""
 
 RELEASE_SHARE = 0.3
-"""Part of that margin that is left once releases of memory are not awaited any
-longer; connections and tasks end in it."""
+"""Part of the exit margin that is left once releases of memory are not awaited
+any longer; connections and tasks end in it."""
 
 LATENESS_FACTOR = 2.0
-"""Multiple of the event loop's lateness that is added to the margin: the steps
-of the end run late one after the other."""
-
-MAX_MARGIN_SHARE = 0.25
-"""Largest margin, as a part of the grace period."""
+"""Multiple of the event loop's lateness that is added to the margin of answers:
+they are sent in several steps, each of which runs late."""
 
 LATENESS_WINDOW = 40
 """Number of samples of the lateness that are kept."""
@@ -41,58 +47,89 @@
     """Times of a stop, on the monotonic clock.
 
     Attributes:
+        refuses_from_s: Time from which requests are refused.
         listens_until_s: Time until which callers may connect.
-        ends_at_s: Time at which requests in progress are cut off.
+        ends_at_s: Time at which requests whose callers have received nothing
+            are answered, and the log names those that are left.
+        cuts_at_s: Time at which streams are cut off.
         closes_until_s: Time until which callers may close connections.
         releases_until_s: Time until which releases of memory are awaited.
-        killed_at_s: Time at which the platform kills the process.
+        killed_at_s: Earliest time at which the platform kills the process.
     """
 
+    refuses_from_s: float
     listens_until_s: float
     ends_at_s: float
+    cuts_at_s: float
     closes_until_s: float
     releases_until_s: float
     killed_at_s: float
 
 
 class LoopLateness:
-    """How late the event loop has run recently."""
+    """How late the event loop runs, from a check that it repeats.
 
-    def __init__(self) -> None:
+    Args:
+        period_s: Period of the check.
+    """
+
+    def __init__(self, period_s: float) -> None:
+        self._period_s = period_s
+        self._last_check_s: float | None = None
         self._samples_s: collections.deque[float] = collections.deque(
             maxlen=LATENESS_WINDOW
         )
 
-    def record(self, lateness_s: float) -> None:
-        """Records by how much a timer has fired late."""
-        self._samples_s.append(max(lateness_s, 0.0))
+    def record_check(self, now_s: float) -> float:
+        """Records a check, and returns by how much it is late."""
+        lateness_s = self.calculate_overdue_s(now_s)
+        self._samples_s.append(lateness_s)
+        self._last_check_s = now_s
+        return lateness_s
+
+    def calculate_overdue_s(self, now_s: float) -> float:
+        """Returns for how long the next check has been due; 0 if it is not."""
+        if self._last_check_s is None:
+            return 0.0
+        return max(now_s - self._last_check_s - self._period_s, 0.0)
 
     @property
     def worst_s(self) -> float:
-        """Largest lateness of the recent timers."""
+        """Largest lateness of the recent checks."""
         return max(self._samples_s, default=0.0)
 
 
 def make_schedule(
-    signalled_at_s: float, grace_s: float, lateness_s: float
+    signalled_at_s: float,
+    handled_at_s: float,
+    grace_s: float,
+    lateness_s: float,
 ) -> StopSchedule:
     """Returns the times of a stop.
 
+    A process that stood still doesn't know when its signal arrived. The kill
+    and the time from which requests are refused are counted from the earliest
+    time, the last part of the grace period from the latest one.
+
     Args:
-        signalled_at_s: Monotonic time at which the signal arrived.
+        signalled_at_s: Earliest monotonic time at which the signal may have
+            arrived.
+        handled_at_s: Monotonic time at which the signal was handled.
         grace_s: Time from the signal to the kill.
         lateness_s: Time by which the event loop runs late.
     """
     killed_at_s = signalled_at_s + grace_s
-    margin_s = min(
-        EXIT_MARGIN_S + LATENESS_FACTOR * lateness_s,
-        max(MAX_MARGIN_SHARE * grace_s, EXIT_MARGIN_S),
-    )
-    ends_at_s = killed_at_s - margin_s
+    last_part_at_s = handled_at_s + (1 - LAST_SHARE) * grace_s
+    answer_margin_s = ANSWER_MARGIN_S + LATENESS_FACTOR * lateness_s
+    ends_at_s = max(killed_at_s - answer_margin_s, last_part_at_s)
+    cuts_at_s = max(killed_at_s - EXIT_MARGIN_S, ends_at_s)
+    margin_s = max(killed_at_s - cuts_at_s, 0.0)
     return StopSchedule(
-        listens_until_s=min(signalled_at_s + BALANCER_DELAY_S, ends_at_s),
+        refuses_from_s=min(signalled_at_s + BALANCER_DELAY_S, ends_at_s),
+        listens_until_s=min(handled_at_s + BALANCER_DELAY_S, ends_at_s),
         ends_at_s=ends_at_s,
-        closes_until_s=ends_at_s + CLOSE_SHARE * margin_s,
-        releases_until_s=killed_at_s - RELEASE_SHARE * margin_s,
+        cuts_at_s=cuts_at_s,
+        closes_until_s=cuts_at_s + CLOSE_SHARE * margin_s,
+        releases_until_s=cuts_at_s + (1 - RELEASE_SHARE) * margin_s,
         killed_at_s=killed_at_s,
     )
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 
 from poplarwick_node import stop_schedule
@@ -10,37 +11,88 @@
 GRACE_S = 8.0
 
 
+LAST_PART_S = GRACE_S * 5 / 6
+"""Time after the signal from which endpoints have to end (RULES.md, LOST)."""
+
+PERIOD_S = 0.25
+
+
+def make_schedule(lateness_s=0.0, *, handled_at_s=100.0, grace_s=GRACE_S):
+    return stop_schedule.make_schedule(100.0, handled_at_s, grace_s, lateness_s)
+
+
 def test_machine_that_has_time_uses_its_grace_period():
-    schedule = stop_schedule.make_schedule(100.0, GRACE_S, 0.0)
+    schedule = make_schedule()
+    assert schedule.refuses_from_s == 102.6
     assert schedule.listens_until_s == 102.6
     assert schedule.ends_at_s == 107.4
+    assert schedule.cuts_at_s == 107.6
     assert schedule.killed_at_s == 108.0
 
 
 # Guards against processes that are killed while they still answer, as their
 # event loop is late at the end of the grace period.
-def test_late_event_loop_ends_sooner():
-    schedule = stop_schedule.make_schedule(100.0, GRACE_S, 0.3)
-    assert schedule.ends_at_s <= 108.0 - 0.3 - stop_schedule.EXIT_MARGIN_S
+def test_late_event_loop_answers_sooner():
+    schedule = make_schedule(0.3)
+    assert schedule.ends_at_s <= 108.0 - 0.3 - stop_schedule.ANSWER_MARGIN_S
 
 
-def test_lateness_is_that_of_recent_timers():
-    lateness = stop_schedule.LoopLateness()
-    assert lateness.worst_s == 0.0
-    lateness.record(0.4)
-    lateness.record(-0.1)
-    assert lateness.worst_s == 0.4
-    for _ in range(stop_schedule.LATENESS_WINDOW):
-        lateness.record(0.0)
+# Guards against requests that are cut before the last sixth of the grace
+# period, as the event loop was late in the seconds before (LOST).
+@hypothesis.given(
+    st.floats(0.0, 1e3), st.floats(0.0, 60.0), st.floats(0.0, 1e3)
+)
+def test_nothing_is_ended_before_the_last_part(
+    handled_after_s, grace_s, lateness_s
+):
+    handled_at_s = 100.0 + handled_after_s
+    schedule = make_schedule(
+        lateness_s, handled_at_s=handled_at_s, grace_s=grace_s
+    )
+    last_part_at_s = handled_at_s + grace_s * LAST_PART_S / GRACE_S
+    assert schedule.ends_at_s >= last_part_at_s - 1e-9
+    assert schedule.cuts_at_s >= schedule.ends_at_s
+
+
+def test_streams_go_on_while_the_event_loop_is_late():
+    assert make_schedule(0.5).cuts_at_s == make_schedule().cuts_at_s
+
+
+def test_signal_that_was_handled_late_counts_from_when_it_may_have_come():
+    schedule = make_schedule(handled_at_s=100.9)
+    assert schedule.refuses_from_s == 102.6
+    assert schedule.listens_until_s == 103.5
+    assert schedule.killed_at_s == 108.0
+
+
+def test_lateness_is_that_of_recent_checks():
+    lateness = stop_schedule.LoopLateness(PERIOD_S)
     assert lateness.worst_s == 0.0
+    assert lateness.record_check(10.0) == 0.0
+    assert lateness.record_check(10.65) == pytest.approx(0.4)
+    assert lateness.record_check(10.8) == 0.0
+    assert lateness.worst_s == pytest.approx(0.4)
+    for number in range(stop_schedule.LATENESS_WINDOW):
+        lateness.record_check(10.8 + PERIOD_S * number)
+    assert lateness.worst_s == pytest.approx(0.0)
+
+
+def test_check_that_is_overdue_tells_how_long_the_process_did_not_run():
+    lateness = stop_schedule.LoopLateness(PERIOD_S)
+    assert lateness.calculate_overdue_s(10.0) == 0.0
+    lateness.record_check(10.0)
+    assert lateness.calculate_overdue_s(10.2) == 0.0
+    assert lateness.calculate_overdue_s(11.25) == pytest.approx(1.0)
 
 
 @hypothesis.given(
     st.floats(0.0, 60.0), st.floats(0.0, 1e3), st.floats(0.0, 1e6)
 )
 def test_parts_follow_each_other(grace_s, lateness_s, now_s):
-    schedule = stop_schedule.make_schedule(now_s, grace_s, lateness_s)
+    schedule = stop_schedule.make_schedule(now_s, now_s, grace_s, lateness_s)
+    assert schedule.refuses_from_s <= schedule.listens_until_s
     assert schedule.listens_until_s <= schedule.ends_at_s
-    assert schedule.ends_at_s <= schedule.closes_until_s
+    assert schedule.ends_at_s <= schedule.cuts_at_s
+    assert schedule.cuts_at_s <= schedule.closes_until_s
     assert schedule.closes_until_s <= schedule.releases_until_s
     assert schedule.releases_until_s <= schedule.killed_at_s
--- a/tests/adapter/test_closed_connections.py
+++ b/tests/adapter/test_closed_connections.py
@@ -177,22 +177,69 @@
     assert "unexpected" in line
 
 
-def test_requests_that_a_stop_cuts_are_named(tmp_path, lines):
+def run_into_stop(tmp_path, prepare, head):
+    """Stops an instance whose request outlasts the grace period.
+
+    Args:
+        tmp_path: Folder of the cluster.
+        prepare: Makes an endpoint take longer.
+        head: Head of the request.
+
+    Returns:
+        What the caller has received.
+    """
+
     async def scenario():
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=GRACE_S
         ) as cluster:
             for replica in cluster.replicas:
-                replica.response_delay_s = 60.0
-            _, writer = await connect(cluster)
-            writer.write(make_head("long") + b"x")
-            frontend = cluster.instances[0].node.frontend
-            await platform_cluster.wait_until(lambda: frontend.in_progress)
+                prepare(replica)
+            reader, writer = await connect(cluster)
+            writer.write(head + b"x")
+            await platform_cluster.wait_until(
+                lambda: any(r.executions for r in cluster.replicas)
+            )
             cluster.instances[0].stop.set()
             await cluster.instances[0].task
-            writer.close()
+            try:
+                return await reader.read()
+            finally:
+                writer.close()
 
-    asyncio.run(scenario())
+    return asyncio.run(scenario())
+
+
+def test_streams_that_a_stop_cuts_are_named(tmp_path, lines):
+    def write_for_long(replica):
+        replica.event_count, replica.event_interval_s = 400, 0.05
+
+    received = run_into_stop(
+        tmp_path,
+        write_for_long,
+        make_head(
+            "long",
+            "/label/",
+            "Content-Length: 1\r\nModel: m\r\nToken-Counts: 5000,170\r\n",
+        ),
+    )
+    assert received.count(b"id: ") > 10
+    named = [line for line in lines if "request=long " in line]
+    assert any("event=request_left_at_stop" in line for line in named)
+    (ended,) = [line for line in named if "event=request_ended" in line]
+    assert "outcome=cut" in ended
+    assert "reason=stopping" in ended
+
+
+def test_requests_that_a_stop_ends_without_their_answer_are_told_so(
+    tmp_path, lines
+):
+    def wait_for_long(replica):
+        replica.response_delay_s = 60.0
+
+    received = run_into_stop(tmp_path, wait_for_long, make_head("long"))
+    assert received.startswith(b"HTTP/1.1 502 ")
     named = [line for line in lines if "request=long " in line]
-    assert any("event=connection_cut" in line for line in named)
-    assert any("event=request_ended" in line for line in named)
+    (ended,) = [line for line in named if "event=request_ended" in line]
+    assert "status=502" in ended
+    assert "reason=stopping" in ended
--- a/tests/adapter/test_late_stops.py
+++ b/tests/adapter/test_late_stops.py
@@ -9,6 +9,8 @@
 import platform_cluster
 import pytest
 
+from poplarwick_standins import platform_replica
+
 GRACE_S = 8.0
 SHORT_GRACE_S = 4.0
 STANDSTILL_S = 0.9
@@ -45,6 +47,11 @@
         )
 
 
+def stand_still():
+    """Keeps the event loop, and with it all instances, from running."""
+    time.sleep(STANDSTILL_S)
+
+
 def set_events(cluster, count):
     for replica in cluster.replicas:
         replica.event_count = count
@@ -61,7 +68,7 @@
             await allow_long_requests(cluster)
             events = int(LATE_END_S / EVENT_PERIOD_S)
             set_events(cluster, events)
-            time.sleep(STANDSTILL_S)
+            stand_still()
             await asyncio.sleep(0.5)
             cluster.instances[0].stop.set()
             async with make_call(cluster, tokens=5_000) as response:
@@ -85,6 +92,7 @@
             await allow_long_requests(cluster)
             for replica in cluster.replicas:
                 replica.response_delay_s = 60.0
+                replica.fault_plan = [platform_replica.Fault.SILENT] * 8
             tokens = 5_000 if path == "/label/" else None
             method = "GET" if path == "/stock/" else "POST"
 
