Hand what slow callers have not read to the kernel before a stop ends

Callers that read slowly lost answers that their endpoint had ended long before.

Cause: the send buffer of each connection is kept small to bound memory, so that most of an unread answer is in the process and goes with it.

Change: when a stop nears its end, the send buffers of the connections with unsent data are extended, within the memory for buffered data; the handler then hands everything over, and the kernel sends it on after the process has ended, be it by itself or by a kill.

Evidence: test_caller_that_reads_slowly_has_its_answer_after_the_end (300 kB, a caller that reads nothing until the instance is gone) fails before with a truncated body and passes now. What a system with a smaller net.core.wmem_max (4 MB here) takes was not tried.

--- a/packages/core/poplarwick_core/socket_buffers.py
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -24,6 +24,26 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
 
 
+def extend_send_buffer(
+    transport: asyncio.BaseTransport, size_bytes: int
+) -> None:
+    """Sets the size of a connection's send buffer.
+
+    What it holds is sent on after the process has ended.
+
+    Args:
+        transport: A connection.
+        size_bytes: Size of the buffer; Linux doubles it for its own records and
+            limits it to that of the system (`net.core.wmem_max`).
+
+    Raises:
+        OSError: The connection is closed.
+    """
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes
+    )
+
+
 def make_listening_socket(
     host: str, port: int, size_bytes: int
 ) -> socket.socket:
--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -23,6 +23,7 @@
 
 from poplarwick_core import clock
 from poplarwick_core import logs
+from poplarwick_core import socket_buffers
 from poplarwick_forwarding import log_events
 
 CALLER_CLOSE_TIMEOUT_S = 1.0
@@ -33,6 +34,11 @@
 """Interval between checks whether callers have closed their connections."""
 
 
+MAX_HANDOVER_BYTES = 8 << 20
+"""Most that the kernel takes of one connection at the end: the largest answer
+that is gathered in memory."""
+
+
 class Stage(enum.Enum):
     """How far the request of a connection has come."""
 
@@ -156,6 +162,28 @@
                 )
             )
 
+    def hand_over_unsent(self, total_bytes: int) -> None:
+        """Lets the kernel take what callers have not read yet.
+
+        It goes on sending after the process has ended.
+
+        Args:
+            total_bytes: Memory for all connections.
+        """
+        unsent = [
+            transport
+            for connection in self._read_connections()
+            if (transport := connection.transport) is not None
+            and transport.get_write_buffer_size()
+        ]
+        if not unsent:
+            return
+        size_bytes = min(total_bytes // len(unsent), MAX_HANDOVER_BYTES)
+        for transport in unsent:
+            # The caller may have reset it; the event loop will notice.
+            with contextlib.suppress(OSError):
+                socket_buffers.extend_send_buffer(transport, size_bytes)
+
     def log_open(self) -> None:
         """Logs each connection that is cut at the end of a stop."""
         for connection in self._read_connections():
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -198,9 +198,10 @@
         if self._listener is not None:
             self._listener.close()
 
-    def log_open_requests(self) -> None:
-        """Names the requests that a kill would end from now on."""
+    def prepare_for_end(self) -> None:
+        """Reduces what callers and the log lose if the process is killed."""
         self._connections.log_requests()
+        self._connections.hand_over_unsent(self._budget.limits.total_bytes)
 
     async def close_connections(self, until_s: float = 0.0) -> None:
         """Closes all connections, and cuts off requests in progress.
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -454,7 +454,7 @@
         wait_until_idle = self.frontend.wait_until_idle
         if await wait_until_idle(schedule.ends_at_s - clock.now_s()):
             return
-        self.frontend.log_open_requests()
+        self.frontend.prepare_for_end()
         if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
         assert self._signalled_at_s is not None
--- a/tests/adapter/test_late_stops.py
+++ b/tests/adapter/test_late_stops.py
@@ -8,6 +8,7 @@
 import aiohttp
 import platform_cluster
 import pytest
+import slow_callers
 
 from poplarwick_standins import platform_replica
 
@@ -116,3 +117,34 @@
             assert status == 502
 
     asyncio.run(scenario())
+
+
+# Guards against answers that an endpoint has ended and that a stop cuts while
+# their callers read them slowly (LOST).
+def test_caller_that_reads_slowly_has_its_answer_after_the_end(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=SHORT_GRACE_S
+        ) as cluster:
+            await allow_long_requests(cluster)
+            body = "x" * 300_000
+            for replica in cluster.replicas:
+                replica.make_body = lambda request_id: body
+            caller = slow_callers.SlowCaller(
+                cluster.instances[0].caller_address
+            )
+            await caller.send("/order/", "slow")
+            await platform_cluster.wait_until(
+                lambda: any(
+                    e.outcome == "done"
+                    for r in cluster.replicas
+                    for e in r.executions
+                )
+            )
+            cluster.instances[0].stop.set()
+            await cluster.instances[0].task
+            received = await caller.read()
+            caller.close()
+            assert received.endswith(body.encode())
+
+    asyncio.run(scenario())
