Let the runner's takeover own the attempt that goes on with a request

Cause: RequestProgress held the next attempt, so request_progress imported endpoint_attempt, which imports it, also by way of placement_records. The import circle was hidden under TYPE_CHECKING. The next attempt is no state that attempts and log lines read: only the runner sets, takes and withdraws it.

Change: takeover.Successor holds the attempt that goes on with a request and withdraws it if nobody takes it. The runner opens one for each request. RequestProgress holds plain values. Nothing else changes; the one test that calls RequestRunner._run passes a Successor, its assertions are as they were.

--- a/packages/forwarding/poplarwick_forwarding/request_progress.py
+++ b/packages/forwarding/poplarwick_forwarding/request_progress.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 from poplarwick_core import ids
 
-if TYPE_CHECKING:
-    from poplarwick_forwarding import endpoint_attempt
-
 
 @dataclasses.dataclass(slots=True)
 class RequestProgress:
@@ -27,8 +23,6 @@
         unreachable: Endpoints that could not be connected.
         events: Number of events that were sent to the caller.
         was_cut_off: Whether an endpoint cut a response off that had just begun.
-        next_attempt: Attempt that goes on with the request, if it has been
-            answered already.
     """
 
     last_event_id: int | None
@@ -41,12 +35,6 @@
     unreachable: frozenset[ids.EndpointId] = frozenset()
     events: int = 0
     was_cut_off: bool = False
-    next_attempt: endpoint_attempt.Attempt | None = None
-
-    def take_next_attempt(self) -> endpoint_attempt.Attempt | None:
-        """Returns the attempt that goes on, once; None if there is none."""
-        taken, self.next_attempt = self.next_attempt, None
-        return taken
 
     @property
     def stream_events(self) -> int:
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -83,27 +83,28 @@
         progress = request_progress.RequestProgress(
             exchange.metadata.last_event_id
         )
-        try:
-            async with (
-                asyncio.timeout(exchange.deadline_at_s - clock.now_s()),
-                self._stop.limit_run(sink),
-            ):
-                return await self._run(exchange, sink, progress)
-        except TimeoutError:
-            return _make_interrupted(exchange, sink, progress, "time_over")
-        except graceful_stop.StoppingError:
-            return _make_interrupted(exchange, sink, progress, "stopping")
-        finally:
-            await _withdraw(progress.take_next_attempt())
+        time_left_s = exchange.deadline_at_s - clock.now_s()
+        async with takeover.Successor() as successor:
+            try:
+                async with (
+                    asyncio.timeout(time_left_s),
+                    self._stop.limit_run(sink),
+                ):
+                    return await self._run(exchange, sink, progress, successor)
+            except TimeoutError:
+                return _make_interrupted(exchange, sink, progress, "time_over")
+            except graceful_stop.StoppingError:
+                return _make_interrupted(exchange, sink, progress, "stopping")
 
     async def _run(
         self,
         exchange: http_exchange.Exchange,
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
+        successor: takeover.Successor,
     ) -> outcomes.Outcome:
         while True:
-            prepared = progress.take_next_attempt() or await self._prepare(
+            prepared = successor.take() or await self._prepare(
                 exchange, sink, progress
             )
             if not isinstance(prepared, endpoint_attempt.Attempt):
@@ -111,12 +112,17 @@
             try:
                 async with prepared as attempt:
                     attempt.outcome = await self._attempt(
-                        exchange, sink, progress, attempt
+                        exchange, sink, progress, attempt, successor
                     )
                 return attempt.outcome
             except upstream.SendError as error:
                 outcome = self._handle_failure(
-                    exchange, sink, progress, prepared, error
+                    exchange,
+                    sink,
+                    progress,
+                    prepared,
+                    error,
+                    is_continued=successor.is_ready,
                 )
             if outcome is not None:
                 return outcome
@@ -329,11 +335,22 @@
         progress: request_progress.RequestProgress,
         attempt: endpoint_attempt.Attempt,
         error: upstream.SendError,
+        *,
+        is_continued: bool,
     ) -> outcomes.Outcome | None:
-        """Returns the outcome, or None if the request is to be retried."""
-        progress.is_in_flight = progress.next_attempt is not None
+        """Returns the outcome, or None if the request goes on.
+
+        Args:
+            exchange: The request.
+            sink: Response to the caller.
+            progress: What is known of the request.
+            attempt: The attempt that has failed.
+            error: Why it has failed.
+            is_continued: Whether another attempt has been answered already.
+        """
+        progress.is_in_flight = is_continued
         no_retry_reason = None
-        if progress.next_attempt is None:
+        if not is_continued:
             no_retry_reason = _find_no_retry_reason(
                 exchange, progress, may_have_run=error.may_have_run
             )
@@ -388,11 +405,12 @@
         sink: outcomes.Sink,
         progress: request_progress.RequestProgress,
         attempt: endpoint_attempt.Attempt,
+        successor: takeover.Successor,
     ) -> outcomes.Outcome:
         """Runs an attempt until it has served the request.
 
         Raises:
-            SendError: It has failed; the next attempt may have begun.
+            SendError: It has failed; its successor may have begun.
         """
         placement = attempt.placement
 
@@ -429,18 +447,18 @@
         except TimeoutError as error:
             if not timer.expired():
                 raise
-            progress.next_attempt = silence.take_attempt()
+            successor.set(silence.take_attempt())
             raise upstream.SendError(
                 f"{placement.address} did not respond in time",
                 messages.Result.SILENT,
                 may_have_run=True,
             ) from error
         except upstream.SendError:
-            progress.next_attempt = await silence.wait_for_attempt()
+            successor.set(await silence.wait_for_attempt())
             raise
         finally:
             silence.stop()
-            await _withdraw(silence.take_attempt())
+            await takeover.withdraw(silence.take_attempt())
 
     async def _answer(
         self,
@@ -495,13 +513,6 @@
     return None
 
 
-async def _withdraw(unused: endpoint_attempt.Attempt | None) -> None:
-    """Ends an attempt, if there is one, whose answer is not used."""
-    if unused is not None:
-        async with unused:
-            pass
-
-
 def _make_streamed(
     exchange: http_exchange.Exchange,
     progress: request_progress.RequestProgress,
--- a/packages/forwarding/poplarwick_forwarding/takeover.py
+++ b/packages/forwarding/poplarwick_forwarding/takeover.py
@@ -10,8 +10,10 @@
 from __future__ import annotations
 
 import asyncio
+import types
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Self
 
 from poplarwick_coordination import placement_client
 from poplarwick_core import clock
@@ -24,6 +26,51 @@
 """Interval between attempts elsewhere while the endpoint is silent."""
 
 
+class Successor:
+    """The attempt that goes on with a request, once it has been answered.
+
+    An attempt that is not taken is withdrawn when the context is exited.
+    """
+
+    def __init__(self) -> None:
+        self._attempt: endpoint_attempt.Attempt | None = None
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        await withdraw(self.take())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is such an attempt."""
+        return self._attempt is not None
+
+    def set(self, attempt: endpoint_attempt.Attempt | None) -> None:
+        """Sets the attempt that goes on; None if there is none."""
+        self._attempt = attempt
+
+    def take(self) -> endpoint_attempt.Attempt | None:
+        """Returns the attempt, once; None if there is none.
+
+        The caller owns it from then on.
+        """
+        taken, self._attempt = self._attempt, None
+        return taken
+
+
+async def withdraw(unused: endpoint_attempt.Attempt | None) -> None:
+    """Ends an attempt, if there is one, whose answer is not used."""
+    if unused is not None:
+        async with unused:
+            pass
+
+
 class Takeover:
     """Tries another endpoint if an endpoint is silent for too long.
 
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -17,6 +17,7 @@
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import request_runner
+from poplarwick_forwarding import takeover
 from poplarwick_placement import messages
 
 LISTENS_S = 2.6
@@ -133,7 +134,9 @@
     sink = types.SimpleNamespace(has_begun=has_begun)
 
     async def scenario():
-        running = asyncio.create_task(runner._run(exchange, sink, progress))
+        running = asyncio.create_task(
+            runner._run(exchange, sink, progress, takeover.Successor())
+        )
         await fleet.asked.wait()
         begin(stop, GRACE_S)
         await asyncio.wait((running,), timeout=0.2)
