Leave half a second for the end of a stopping process

Nothing was lost, as all lines had been written; but idle callers that keep their side open, the shutdown of connections and the exit follow each other after the cut, and 0.4 s is little for them. Streams are cut 0.5 s before the kill, and callers get a smaller part of that time to close idle connections. packages/node/tests/test_stop_schedule.py passes.

--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -21,17 +21,17 @@
 """Part of the grace period reserved for the last answers and log lines on a
 machine that has time."""
 
-EXIT_MARGIN_S = 0.4
+EXIT_MARGIN_S = 0.5
 """Part of the grace period reserved for the end of the process."""
 
 LAST_SHARE = 1 / 6
 """Last part of the grace period, in which endpoints have to end. Nothing is
 ended before it begins."""
 
-CLOSE_SHARE = 0.4
+CLOSE_SHARE = 0.3
 """Part of the exit margin in which callers close their connections."""
 
-RELEASE_SHARE = 0.3
+RELEASE_SHARE = 0.4
 """Part of the exit margin that is left once releases of memory are not awaited
 any longer; connections and tasks end in it."""
 
