Hand complete but unsent answers to the kernel when a stop finds no request

A request ends once its answer is in the write buffer of its connection, up to 20 kB of it unsent. With no request in progress the stop skipped prepare_for_end, closed the connections a second later and ended, 4 s and more before the kill, and took the rest of the answer along.

Cause: the hand-over hung on requests in progress at one time, not on unsent data at the close. Change: close_connections hands over first; the wait for callers to close follows, so that the event loop passes the data on.

--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -212,6 +212,7 @@
         """
         if self._server is None:
             return
+        self._connections.hand_over_unsent(self._budget.limits.total_bytes)
         await self._connections.close_idle(until_s)
         self._connections.log_open()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
