Count the last part of a stop from the signal, not from its handling

A signal that arrives in a long step of the event loop (a large configuration, a pause of the interpreter) is noticed at once, by the handler between two instructions, but handled after the step. The last part of the grace period was counted from the handling: after 0.73 s of 8 s and more, less the margin, requests were ended later than planned, and from 1.33 s on behind the kill, with neither an answer nor request_left_at_stop.

Cause: handled_at_s stood for two needs, the latest time at which the signal may have come, and the time at which readiness was turned off.

Change: StopSignal has the earliest and the latest time of the signal, and make_schedule has the handling apart; only the balancer's delay counts from it. Tests of make_schedule follow the arguments and keep their bounds.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -103,7 +103,7 @@
             buffer_budget.make_limits(instance_deployment.memory_bytes)
         )
         self._is_leaving = False
-        self._signalled_at_s: float | None = None
+        self._stop_signal: stop_schedule.StopSignal | None = None
         self._lateness = stop_schedule.LoopLateness(MONITOR_PERIOD_S)
         self._graceful_stop = graceful_stop.GracefulStop()
         self._placer_role: placer_role.PlacerRole | None = None
@@ -123,10 +123,12 @@
 
         The signal may have arrived while the process did not run.
         """
-        if self._signalled_at_s is None:
+        if self._stop_signal is None:
             now_s = clock.now_s()
             overdue_s = self._lateness.calculate_overdue_s(now_s)
-            self._signalled_at_s = now_s - overdue_s
+            self._stop_signal = stop_schedule.StopSignal(
+                now_s - overdue_s, now_s
+            )
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until `stop` is set, then shuts down gracefully."""
@@ -409,11 +411,11 @@
 
     async def _leave(self) -> None:
         self.record_stop_signal()
-        signalled_at_s = self._signalled_at_s
-        assert signalled_at_s is not None
+        stop_signal = self._stop_signal
+        assert stop_signal is not None
         now_s = clock.now_s()
         schedule = stop_schedule.make_schedule(
-            signalled_at_s,
+            stop_signal,
             now_s,
             self.deployment.bounds.grace_s,
             self._lateness.worst_s,
@@ -421,7 +423,7 @@
         logs.log(
             log_events.Stopping(
                 in_progress=self.frontend.in_progress,
-                handled_after_s=now_s - signalled_at_s,
+                handled_after_s=now_s - stop_signal.earliest_at_s,
                 ends_in_s=schedule.ends_at_s - now_s,
                 cuts_in_s=schedule.cuts_at_s - now_s,
             )
@@ -457,11 +459,11 @@
         self.frontend.prepare_for_end()
         if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
-        assert self._signalled_at_s is not None
+        assert self._stop_signal is not None
         logs.log(
             log_events.StopCutsRequests(
                 in_progress=self.frontend.in_progress,
-                after_s=clock.now_s() - self._signalled_at_s,
+                after_s=clock.now_s() - self._stop_signal.earliest_at_s,
             )
         )
         await wait_until_idle(CUT_TIMEOUT_S)
--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -43,6 +43,20 @@
 """Number of samples of the lateness that are kept."""
 
 
+class StopSignal(NamedTuple):
+    """When the signal to stop arrived.
+
+    A process that stood still doesn't know it exactly.
+
+    Attributes:
+        earliest_at_s: Earliest monotonic time at which it may have arrived.
+        latest_at_s: Monotonic time at which it was noticed.
+    """
+
+    earliest_at_s: float
+    latest_at_s: float
+
+
 class StopSchedule(NamedTuple):
     """Times of a stop, on the monotonic clock.
 
@@ -100,32 +114,32 @@
 
 
 def make_schedule(
-    signalled_at_s: float,
+    signal: StopSignal,
     handled_at_s: float,
     grace_s: float,
     lateness_s: float,
 ) -> StopSchedule:
     """Returns the times of a stop.
 
-    A process that stood still doesn't know when its signal arrived. The kill
-    and the time from which requests are refused are counted from the earliest
-    time, the last part of the grace period from the latest one.
+    The kill and the time from which requests are refused are counted from the
+    earliest time of the signal, the last part of the grace period from the
+    latest one, and the load balancer's delay from the handling, which may
+    follow a long step of the event loop.
 
     Args:
-        signalled_at_s: Earliest monotonic time at which the signal may have
-            arrived.
-        handled_at_s: Monotonic time at which the signal was handled.
+        signal: When the signal arrived.
+        handled_at_s: Monotonic time at which readiness was turned off.
         grace_s: Time from the signal to the kill.
         lateness_s: Time by which the event loop runs late.
     """
-    killed_at_s = signalled_at_s + grace_s
-    last_part_at_s = handled_at_s + (1 - LAST_SHARE) * grace_s
+    killed_at_s = signal.earliest_at_s + grace_s
+    last_part_at_s = signal.latest_at_s + (1 - LAST_SHARE) * grace_s
     answer_margin_s = ANSWER_MARGIN_S + LATENESS_FACTOR * lateness_s
     ends_at_s = max(killed_at_s - answer_margin_s, last_part_at_s)
     cuts_at_s = max(killed_at_s - EXIT_MARGIN_S, ends_at_s)
     margin_s = max(killed_at_s - cuts_at_s, 0.0)
     return StopSchedule(
-        refuses_from_s=min(signalled_at_s + BALANCER_DELAY_S, ends_at_s),
+        refuses_from_s=min(signal.earliest_at_s + BALANCER_DELAY_S, ends_at_s),
         listens_until_s=min(handled_at_s + BALANCER_DELAY_S, ends_at_s),
         ends_at_s=ends_at_s,
         cuts_at_s=cuts_at_s,
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -17,8 +17,15 @@
 PERIOD_S = 0.25
 
 
-def make_schedule(lateness_s=0.0, *, handled_at_s=100.0, grace_s=GRACE_S):
-    return stop_schedule.make_schedule(100.0, handled_at_s, grace_s, lateness_s)
+def make_schedule(
+    lateness_s=0.0, *, noticed_at_s=100.0, handled_at_s=None, grace_s=GRACE_S
+):
+    return stop_schedule.make_schedule(
+        stop_schedule.StopSignal(100.0, noticed_at_s),
+        noticed_at_s if handled_at_s is None else handled_at_s,
+        grace_s,
+        lateness_s,
+    )
 
 
 def test_machine_that_has_time_uses_its_grace_period():
@@ -43,13 +50,13 @@
     st.floats(0.0, 1e3), st.floats(0.0, 60.0), st.floats(0.0, 1e3)
 )
 def test_nothing_is_ended_before_the_last_part(
-    handled_after_s, grace_s, lateness_s
+    noticed_after_s, grace_s, lateness_s
 ):
-    handled_at_s = 100.0 + handled_after_s
+    noticed_at_s = 100.0 + noticed_after_s
     schedule = make_schedule(
-        lateness_s, handled_at_s=handled_at_s, grace_s=grace_s
+        lateness_s, noticed_at_s=noticed_at_s, grace_s=grace_s
     )
-    last_part_at_s = handled_at_s + grace_s * LAST_PART_S / GRACE_S
+    last_part_at_s = noticed_at_s + grace_s * LAST_PART_S / GRACE_S
     assert schedule.ends_at_s >= last_part_at_s - 1e-9
     assert schedule.cuts_at_s >= schedule.ends_at_s
 
@@ -58,13 +65,22 @@
     assert make_schedule(0.5).cuts_at_s == make_schedule().cuts_at_s
 
 
-def test_signal_that_was_handled_late_counts_from_when_it_may_have_come():
-    schedule = make_schedule(handled_at_s=100.9)
+def test_signal_that_was_noticed_late_counts_from_when_it_may_have_come():
+    schedule = make_schedule(noticed_at_s=100.9)
     assert schedule.refuses_from_s == 102.6
     assert schedule.listens_until_s == 103.5
     assert schedule.killed_at_s == 108.0
 
 
+# Guards against requests without an answer at the kill, as a long step of the
+# event loop lay between the signal and its handling (LOST).
+@hypothesis.given(st.floats(0.0, 2.0), st.floats(0.0, 1e3))
+def test_late_handling_does_not_move_the_end(handled_after_s, lateness_s):
+    late = make_schedule(lateness_s, handled_at_s=100.0 + handled_after_s)
+    assert late.ends_at_s == make_schedule(lateness_s).ends_at_s
+    assert late.listens_until_s == 102.6 + handled_after_s
+
+
 def test_lateness_is_that_of_recent_checks():
     lateness = stop_schedule.LoopLateness(PERIOD_S)
     assert lateness.worst_s == 0.0
@@ -89,7 +105,9 @@
     st.floats(0.0, 60.0), st.floats(0.0, 1e3), st.floats(0.0, 1e6)
 )
 def test_parts_follow_each_other(grace_s, lateness_s, now_s):
-    schedule = stop_schedule.make_schedule(now_s, now_s, grace_s, lateness_s)
+    schedule = stop_schedule.make_schedule(
+        stop_schedule.StopSignal(now_s, now_s), now_s, grace_s, lateness_s
+    )
     assert schedule.refuses_from_s <= schedule.listens_until_s
     assert schedule.listens_until_s <= schedule.ends_at_s
     assert schedule.ends_at_s <= schedule.cuts_at_s
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -4,16 +4,32 @@
 
 import asyncio
 import contextlib
+import time
 
 import platform_cluster
 import slow_callers
 
+from poplarwick_core import clock
+
 GRACE_S = 4.0
 UNSENT_BODY_BYTES = 70_000
 """Size of an answer whose last part is neither in a socket buffer nor waited
 for by its request: it is in the connection's write buffer."""
 
 
+def stand_still(duration_s):
+    """Keeps the event loop, and with it all instances, from running."""
+    time.sleep(duration_s)
+
+
+async def call_with_time(cluster, path, **options):
+    """Returns the status of a request that outlasts a stop."""
+    async with cluster.call(
+        path, headers={"Deadline-Ms": "15000"}, **options
+    ) as response:
+        return response.status
+
+
 # Guards against answers that end with the process, as they were complete but
 # unsent when the stop found no request in progress (LOST).
 def test_unsent_end_of_a_complete_answer_is_sent_after_the_end(tmp_path):
@@ -52,3 +68,33 @@
             assert received.endswith(body.encode())
 
     asyncio.run(scenario())
+
+
+# Guards against requests without an answer at the kill, as the time between a
+# signal and its handling moved the end of the stop behind the kill (LOST).
+def test_long_step_after_the_signal_does_not_move_the_end_behind_the_kill(
+    tmp_path,
+):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            for replica in cluster.replicas:
+                replica.response_delay_s = 60.0
+            call = asyncio.create_task(
+                call_with_time(cluster, "/order/", method="POST")
+            )
+            await platform_cluster.wait_until(
+                lambda: any(r.executions for r in cluster.replicas)
+            )
+            instance = cluster.instances[0]
+            signalled_at_s = clock.now_s()
+            instance.node.record_stop_signal()
+            stand_still(1.0)
+            instance.stop.set()
+            status = await call
+            assert status == 502
+            assert clock.now_s() - signalled_at_s < GRACE_S
+            await instance.task
+
+    asyncio.run(scenario())
