--- a/packages/bench/poplarwick_bench/proxy.py
+++ b/packages/bench/poplarwick_bench/proxy.py
@@ -9,6 +9,7 @@
 import random
 import socket
 import struct
+import time
 import types
 from collections.abc import Set as AbstractSet
 
@@ -32,6 +33,8 @@
     Attributes:
         delay_s: Delay added to each chunk.
         jitter_s: Upper bound of a uniform random delay added to each chunk.
+        bytes_per_s: Rate in each direction, which all connections share; None
+            for no limit.
         dropped_directions: Directions whose bytes are dropped.
         is_stalled: Whether forwarding is suspended while connections stay
             open.
@@ -44,6 +47,7 @@
 
     delay_s: float = 0.0
     jitter_s: float = 0.0
+    bytes_per_s: float | None = None
     dropped_directions: frozenset[Direction] = frozenset()
     is_stalled: bool = False
     refuses_connections: bool = False
@@ -83,6 +87,7 @@
         self._rules = Rules()
         self._rules_changed = asyncio.Event()
         self._rng = random.Random(seed)
+        self._busy_until_s = dict.fromkeys(Direction, 0.0)
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
 
@@ -186,6 +191,7 @@
         with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._apply_delay()
+                await self._apply_rate(direction, len(chunk))
                 rules = self._rules
                 if direction in rules.dropped_directions:
                     continue
@@ -217,6 +223,16 @@
         if delay_s > 0:
             await asyncio.sleep(delay_s)
 
+    async def _apply_rate(self, direction: Direction, count: int) -> None:
+        """Waits until the link has carried a number of bytes."""
+        bytes_per_s = self._rules.bytes_per_s
+        if bytes_per_s is None:
+            return
+        now_s = time.monotonic()
+        begins_at_s = max(self._busy_until_s[direction], now_s)
+        self._busy_until_s[direction] = begins_at_s + count / bytes_per_s
+        await asyncio.sleep(self._busy_until_s[direction] - now_s)
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Connection:
--- a/packages/bench/tests/test_proxy.py
+++ b/packages/bench/tests/test_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -48,6 +49,23 @@
     asyncio.run(run())
 
 
+def test_rate_holds_up_what_all_connections_send():
+    async def run():
+        async with open_echo() as (proxy_, _):
+            proxy_.apply(proxy.Rules(bytes_per_s=20_000.0))
+            first, second = await connect(proxy_), await connect(proxy_)
+            line = b"x" * 999 + b"\n"
+            began_at_s = time.monotonic()
+            await send(first[1], line)
+            await send(second[1], line)
+            assert await first[0].readline() == line
+            assert await second[0].readline() == line
+            return time.monotonic() - began_at_s
+
+    # Two lines of 0.05 s each follow each other, in one direction at least.
+    assert asyncio.run(run()) >= 0.099
+
+
 def test_delay_preserves_order():
     async def run():
         async with open_echo() as (proxy_, _):
--- /dev/null
+++ b/tests/processes/test_play_conditions.py
@@ -0,0 +1,93 @@
+"""Tests for the conditions of a play: shares, standstills, timed answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import cpu_shares
+import pytest
+import standstills
+import stop_orders
+import timed_engines
+
+
+class Node:
+    """A process that counts its signals."""
+
+    def __init__(self):
+        self.signals = []
+
+    def pause(self):
+        self.signals.append("stop")
+
+    def resume(self):
+        self.signals.append("continue")
+
+
+def test_process_runs_again_once_nothing_holds_it():
+    node = Node()
+    pauses = cpu_shares.Pauses(node)
+    with pauses.hold():
+        with pauses.hold():
+            assert node.signals == ["stop"]
+        assert node.signals == ["stop"]
+    assert node.signals == ["stop", "continue"]
+
+
+def test_share_ends_with_a_process_that_runs():
+    async def run():
+        node = Node()
+        share = asyncio.create_task(
+            cpu_shares.limit_share(cpu_shares.Pauses(node), 0.5, 0.001)
+        )
+        while len(node.signals) < 3:
+            await asyncio.sleep(0.001)
+        share.cancel()
+        await asyncio.gather(share, return_exceptions=True)
+        return node.signals
+
+    signals = asyncio.run(run())
+    assert signals[-1] == "continue"
+    assert signals[::2] == ["stop"] * (len(signals) // 2)
+
+
+@pytest.mark.parametrize(
+    ("sent_at_s", "ended_at_s", "is_excused"),
+    [(1.0, 9.9, False), (1.0, 10.1, True), (13.9, 20, True), (14.1, 20, False)],
+)
+def test_standstill_excuses_requests_of_its_settle_window(
+    sent_at_s, ended_at_s, is_excused
+):
+    standstill = standstills.Standstill("front-0", 10.0, 11.0)
+    assert standstill.excuses(sent_at_s, ended_at_s) is is_excused
+
+
+def test_standstill_lasts_as_long_as_drawn():
+    async def run():
+        node = Node()
+        pauses = cpu_shares.Pauses(node)
+        standstill = await standstills.stand_still(pauses, "front-0", 0.01)
+        return node.signals, standstill.ended_at_s - standstill.began_at_s
+
+    signals, duration_s = asyncio.run(run())
+    assert signals == ["stop", "continue"]
+    assert duration_s >= 0.01
+
+
+def test_paced_answer_ends_at_its_time_whatever_was_late():
+    pace = timed_engines.Pace(ends_at_s=10.0, left=4)
+    assert pace.choose_gap_s(2.0) == pytest.approx(2.0)
+    assert pace.choose_gap_s(7.0) == pytest.approx(1.0)
+    assert pace.choose_gap_s(9.0) == pytest.approx(0.5)
+    assert pace.choose_gap_s(11.0) == 0.0
+
+
+def test_group_of_stops_contains_the_placer():
+    names = ["front-0", "front-1", "front-2", "front-3"]
+    for seed in range(20):
+        rng = random.Random(seed)
+        group = stop_orders.choose_group("front-2", names, 3, rng)
+        assert "front-2" in group
+        assert len(group) == 3
+    assert len(stop_orders.choose_group(None, names, 2, rng)) == 2
