Test that an engine that goes on as another one answers keeps its stream

Cause (read, and shown by the test): Takeover sets the attempt that answered and ends the silent one by a timer that fires a step of the event loop later. Data of the silent engine that was received in the same step is still passed on, as reschedule ignores it once the other one has answered. The other one was opened after an earlier event, so its first event is a repetition: "event 1 after event 2", result=broken, attempts_spent, outcome=cut. A process that is late reads both in one step.

No product code changes here.

--- a/tests/adapter/test_silent_engines.py
+++ b/tests/adapter/test_silent_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import platform_cluster
 import pytest
@@ -139,3 +140,33 @@
             assert [e.outcome for e in engine.executions] == ["done"]
 
     asyncio.run(scenario())
+
+
+def _delay_event_loop(duration_s):
+    time.sleep(duration_s)
+
+
+# Guards against streams that are continued twice: a process that is late, as on
+# a share of a core, reads both engines' data in one step of its event loop.
+def test_engine_that_goes_on_as_the_other_answers_does_not_cut_its_stream(
+    tmp_path,
+):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, retry_budget_ratio=0, budget_extra_retries=8
+        ) as cluster:
+            pausing, other = cluster.replicas[:2]
+            for replica in (pausing, other):
+                replica.fault_plan = [platform_replica.Fault.PAUSE]
+            call = asyncio.create_task(read_stream(cluster))
+            await platform_cluster.wait_until(lambda: _list_runs(cluster))
+            if not pausing.executions:
+                pausing, other = other, pausing
+            other.fault_plan, other.event_interval_s = [], 0.25
+            await platform_cluster.wait_until(lambda: other.executions)
+            await asyncio.sleep(0.1)
+            # Both engines' next events are due while the process is late.
+            _delay_event_loop(0.7)
+            assert await call == (200, 5)
+
+    asyncio.run(scenario())
