Play stops with early kills, store faults, silent answers and late loops

Change: conditions for the period of the shares of a core, answers that are silent until their end, a store that is down, silent or loses answers during a stop, and a kill before the end of the grace period; none by default.

--- a/tests/processes/planned_stops.py
+++ b/tests/processes/planned_stops.py
@@ -140,6 +140,7 @@
         self.standstills = []
         self.stop_at_s = {}
         self.ends_at_s = {}
+        self.silent = set()
 
     def make_replica(self, name, service, domain):
         """Returns a stand-in for an endpoint."""
@@ -149,6 +150,7 @@
             name, service, domain, peers=self._peers
         )
         engine.ends_at_s = self.ends_at_s
+        engine.silent = self.silent
         engine.event_bytes = self.conditions.event_bytes
         return engine
 
@@ -164,7 +166,11 @@
                 await self._link(instance, rng)
             if conditions.cpu_share:
                 share = rng.uniform(*conditions.cpu_share)
-                self._start_task(cpu_shares.limit_share(pauses, share))
+                self._start_task(
+                    cpu_shares.limit_share(
+                        pauses, share, conditions.cpu_period_s
+                    )
+                )
 
     async def _link(self, instance, rng):
         """Puts a link between clients and an instance."""
@@ -192,6 +198,26 @@
             )
         )
 
+    @contextlib.contextmanager
+    def disturb_store(self, instance):
+        """Lets the store fail until the context is exited."""
+        fault = self.conditions.store_fault
+        match fault:
+            case None:
+                yield
+                return
+            case play_conditions.StoreFault.DOWN:
+                self.store.is_down = True
+            case play_conditions.StoreFault.UNRESPONSIVE:
+                self.store.is_unresponsive = True
+            case play_conditions.StoreFault.LOSES_ANSWERS:
+                instance.store_proxy.apply(proxy.Rules(drops_responses=True))
+        try:
+            yield
+        finally:
+            self.store.is_down = self.store.is_unresponsive = False
+            instance.store_proxy.apply(proxy.Rules())
+
     def get_client_address(self, instance):
         """Returns where clients connect to an instance."""
         link = self.links.get(instance.name)
@@ -217,7 +243,10 @@
         if not ends:
             return None
         # The same request has the same end in each play of a seed.
-        ends_at_s = random.Random(attempt.request_id).choice(ends)
+        rng = random.Random(attempt.request_id)
+        ends_at_s = rng.choice(ends)
+        if rng.random() < self.conditions.silent_share:
+            self.silent.add(attempt.request_id)
         self.ends_at_s[attempt.request_id] = ends_at_s
         return timed_engines.choose_event_count(ends_at_s - begins_at_s)
 
--- a/tests/processes/stop_orders.py
+++ b/tests/processes/stop_orders.py
@@ -53,14 +53,16 @@
             system.stand_still(instance, at_s - lead_s, standstill_s)
         )
     await asyncio.sleep(at_s - time.monotonic())
-    stop = Stop(instance.name, instance.incarnation, time.monotonic())
-    stops.append(stop)
-    instance.is_expected_to_run = False
-    instance.node.terminate()
-    if await instance.node.wait(GRACE_S) is None:
-        stop.was_killed = True
-        await instance.node.kill()
-    stop.exited_at_s = time.monotonic()
+    kill_after_s = GRACE_S - system.conditions.kill_early_s
+    with system.disturb_store(instance):
+        stop = Stop(instance.name, instance.incarnation, time.monotonic())
+        stops.append(stop)
+        instance.is_expected_to_run = False
+        instance.node.terminate()
+        if await instance.node.wait(kill_after_s) is None:
+            stop.was_killed = True
+            await instance.node.kill()
+        stop.exited_at_s = time.monotonic()
     del system.stop_at_s[instance.name]
     if standing is not None:
         await standing
--- a/tests/processes/timed_engines.py
+++ b/tests/processes/timed_engines.py
@@ -27,14 +27,17 @@
     Attributes:
         ends_at_s: Monotonic time of its last event.
         left: Number of events that are left.
+        is_silent: Whether all events are sent at the end.
     """
 
     ends_at_s: float
     left: int
+    is_silent: bool = False
 
     def choose_gap_s(self, now_s: float) -> float:
         """Returns the time to the next event and counts it."""
-        gap_s = max(self.ends_at_s - now_s, 0.0) / max(self.left, 1)
+        gaps = 1 if self.is_silent else max(self.left, 1)
+        gap_s = max(self.ends_at_s - now_s, 0.0) / gaps
         self.left -= 1
         return gap_s
 
@@ -49,11 +52,13 @@
 
     Attributes:
         ends_at_s: Monotonic times of the ends by request; engines share it.
+        silent: Requests whose engines are silent until the end; shared too.
     """
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.ends_at_s: dict[str, float] = {}
+        self.silent: set[str] = set()
 
     def choose_event_count(self, headers: Mapping[str, str]) -> int:
         """Returns the number of events, and notes the pace of the answer."""
@@ -61,7 +66,8 @@
         ends_at_s = self.ends_at_s.get(headers["Request-Id"])
         if ends_at_s is not None:
             first = int(headers.get("Last-Event-Id", 0))
-            _pace.set(Pace(ends_at_s, count - first))
+            is_silent = headers["Request-Id"] in self.silent
+            _pace.set(Pace(ends_at_s, count - first, is_silent))
         return count
 
     async def wait_for_event(self) -> None:
