Pass nothing on from a silent endpoint once another one has answered

Callers saw a stream cut although two sound engines ran it: "event 1 after event 2", then attempts_spent.

Cause: once the other endpoint has answered, the attempt at the silent one is ended by a timer, a step of the event loop later. What the silent one had sent in the same step was still passed on, so that the other one's first event, asked for with the older id, was a repetition. A process that is late reads both in one step.

Change: from the answer on the stream has one owner. The relay asks before it passes anything on, and ends as if the endpoint had stayed silent.

--- a/packages/forwarding/poplarwick_forwarding/response_timeout.py
+++ b/packages/forwarding/poplarwick_forwarding/response_timeout.py
@@ -70,6 +70,11 @@
         """Returns that time; None for never."""
         ...
 
+    @property
+    def is_over(self) -> bool:
+        """Whether another endpoint goes on with the request."""
+        ...
+
 
 class ResponseTimeout:
     """Limits the wait for the next data of one endpoint.
@@ -100,6 +105,14 @@
         if self._is_limited:
             self._timer.reschedule(None)
 
+    @property
+    def is_over(self) -> bool:
+        """Whether another endpoint goes on with the request.
+
+        Nothing that the endpoint still sends may reach the caller then.
+        """
+        return self._timer.is_over
+
     def record_suspicion(self) -> None:
         """Shortens the timeout because other instances suspect the endpoint."""
         self._is_suspected = True
--- a/packages/forwarding/poplarwick_forwarding/stream_relay.py
+++ b/packages/forwarding/poplarwick_forwarding/stream_relay.py
@@ -49,6 +49,12 @@
     bytes_without_event = 0
     has_event = False
     async for chunk in response.iter_chunks():
+        if timeout.is_over:
+            raise upstream.SendError(
+                "the endpoint went on after another one had answered",
+                messages.Result.SILENT,
+                may_have_run=True,
+            )
         try:
             new_events = splitter.feed(chunk)
             data = _join_events(new_events, progress)
--- a/packages/forwarding/poplarwick_forwarding/takeover.py
+++ b/packages/forwarding/poplarwick_forwarding/takeover.py
@@ -116,6 +116,11 @@
         """Returns when the endpoint counts as silent; None for never."""
         return self._when_s
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the other endpoint has answered."""
+        return self._answered is not None
+
     def reschedule(self, when: float | None) -> None:
         """Sets when the endpoint counts as silent; None for never.
 
