Don't end requests at a stop whose end has already fired

If the process stood still for 0.93 s of 8 s and more before its signal, the answers and the cut of a stop are at one time. The timers of the requests then fired first, and _end_unanswered raised RuntimeError ("Cannot change state of expiring Timeout") in the event loop, and skipped the rest. The same happens to a request that is ended and still releases what it holds.

--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -117,7 +117,7 @@
     def _end_unanswered(self) -> None:
         """Ends the requests whose callers have received nothing."""
         for timer, sink in self._runs.items():
-            if not sink.has_begun:
+            if not sink.has_begun and not timer.expired():
                 timer.reschedule(clock.now_s())
 
 
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -210,3 +210,10 @@
                 pytest.fail("the request was started")
 
     asyncio.run(scenario())
+
+
+# Guards against an error in the event loop, and requests that are not ended, if
+# the last part of a stop begins as streams are cut.
+def test_requests_end_without_an_error_if_both_ends_are_at_one_time(caplog):
+    assert run_while_stopping(has_begun=False, ends_s=0.1, cuts_s=0.1) >= 0.1
+    assert caplog.text == ""
