Read what arrived during a standstill before a stop ends requests

A process that stands still over the end of its stop finds the rest of an answer in its sockets and the timer of the end in the same step of the event loop. The data is handed to the request in that step and read in the next, but the timer cancels it first: a stream that its endpoint had ended before the last sixth of the grace period was cut (LOST, without an excuse), and a complete answer was replaced by 502.

Change: GracefulStop ends requests 0.05 s after the loop has noticed the time. One timer a stop does that in place of one a request, also for requests that start after the signal.

--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -29,6 +29,10 @@
 """Duration of a request beside others on its engine, relative to its duration
 on an idle one."""
 
+CATCH_UP_S = 0.05
+"""Time for reading what arrived while the process stood still, before requests
+are ended."""
+
 
 class StoppingError(Exception):
     """The instance stops before the request could be served."""
@@ -41,12 +45,10 @@
         starts_until_s: Monotonic time from which no request is started.
         ends_at_s: Monotonic time at which requests whose callers have received
             nothing are ended.
-        cuts_at_s: Monotonic time at which streams are cut off.
     """
 
     starts_until_s: float
     ends_at_s: float
-    cuts_at_s: float
 
     def calculate_latest_start_s(self, duration_s: float) -> float:
         """Returns the latest monotonic start of a request of some duration."""
@@ -75,12 +77,16 @@
                 received nothing are ended.
             cuts_at_s: Monotonic time at which streams are cut off.
         """
-        self._window = _Window(starts_until_s, ends_at_s, cuts_at_s)
+        self._window = _Window(starts_until_s, ends_at_s)
         for timer, duration_s in self._waits.items():
             timer.reschedule(self._window.calculate_latest_start_s(duration_s))
-        for timer in self._runs:
-            timer.reschedule(cuts_at_s)
-        asyncio.get_running_loop().call_at(ends_at_s, self._end_unanswered)
+        loop = asyncio.get_running_loop()
+        for at_s, end in (
+            (ends_at_s, self._end_unanswered),
+            (cuts_at_s, self._end_all),
+        ):
+            # Counted from when the loop runs again.
+            loop.call_at(at_s, loop.call_later, CATCH_UP_S, end)
 
     @contextlib.asynccontextmanager
     async def limit_wait(self, duration_s: float) -> AsyncIterator[None]:
@@ -110,8 +116,7 @@
         Raises:
             StoppingError: This instance ends before the request.
         """
-        until_s = None if self._window is None else self._window.cuts_at_s
-        async with _limit(self._runs, sink, until_s):
+        async with _limit(self._runs, sink, None):
             yield
 
     def _end_unanswered(self) -> None:
@@ -120,6 +125,13 @@
             if not sink.has_begun and not timer.expired():
                 timer.reschedule(clock.now_s())
 
+    def _end_all(self) -> None:
+        """Ends all requests."""
+        for timer in self._runs:
+            # One that is ended may still release what it holds.
+            if not timer.expired():
+                timer.reschedule(clock.now_s())
+
 
 @contextlib.asynccontextmanager
 async def _limit(
@@ -130,7 +142,7 @@
     Args:
         timers: Timers of all open contexts.
         value: What the stop has to know of this one.
-        until_s: Monotonic time of its end; None before a stop.
+        until_s: Monotonic time of its end; None if it is not known yet.
 
     Raises:
         StoppingError: The time is over.
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import time
 import types
 
 import exchanges
@@ -217,3 +220,44 @@
 def test_requests_end_without_an_error_if_both_ends_are_at_one_time(caplog):
     assert run_while_stopping(has_begun=False, ends_s=0.1, cuts_s=0.1) >= 0.1
     assert caplog.text == ""
+
+
+def run_with_standstill(*, has_begun, ends_s, cuts_s, standstill_s):
+    """Returns what a request has read after its process stood still.
+
+    The other side has sent everything before.
+    """
+
+    async def scenario():
+        stop = graceful_stop.GracefulStop()
+        sink = types.SimpleNamespace(has_begun=has_begun)
+        near, far = socket.socketpair()
+        with contextlib.closing(far):
+            reader, writer = await asyncio.open_connection(sock=near)
+
+            def stand_still():
+                far.sendall(b"end")
+                far.shutdown(socket.SHUT_WR)
+                time.sleep(standstill_s)
+
+            begin(stop, ends_s, cuts_s)
+            asyncio.get_running_loop().call_soon(stand_still)
+            try:
+                async with stop.limit_run(sink):
+                    return await reader.read()
+            except graceful_stop.StoppingError:
+                return None
+            finally:
+                writer.close()
+
+    return asyncio.run(scenario())
+
+
+# Guards against answers that their endpoint has ended and that a stop ends in
+# place of reading them, as the process stood still meanwhile (LOST).
+@pytest.mark.parametrize("has_begun", [True, False])
+def test_answer_that_came_during_a_standstill_is_read(has_begun):
+    received = run_with_standstill(
+        has_begun=has_begun, ends_s=0.1, cuts_s=0.2, standstill_s=0.4
+    )
+    assert received == b"end"
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -65,7 +65,7 @@
 """Time limit for the next placer to connect, which takes a few network round
 trips."""
 
-CUT_TIMEOUT_S = 0.05
+CUT_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
 """Longest wait for requests to end that are cut off, which takes a few steps of
 the event loop."""
 
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -10,6 +10,8 @@
 import slow_callers
 
 from poplarwick_core import clock
+from poplarwick_node import stop_schedule
+from poplarwick_standins import platform_replica
 
 GRACE_S = 4.0
 UNSENT_BODY_BYTES = 70_000
@@ -22,6 +24,12 @@
     time.sleep(duration_s)
 
 
+async def wait_for_execution(cluster):
+    await platform_cluster.wait_until(
+        lambda: any(r.executions for r in cluster.replicas)
+    )
+
+
 async def call_with_time(cluster, path, **options):
     """Returns the status of a request that outlasts a stop."""
     async with cluster.call(
@@ -84,9 +92,7 @@
             call = asyncio.create_task(
                 call_with_time(cluster, "/order/", method="POST")
             )
-            await platform_cluster.wait_until(
-                lambda: any(r.executions for r in cluster.replicas)
-            )
+            await wait_for_execution(cluster)
             instance = cluster.instances[0]
             signalled_at_s = clock.now_s()
             instance.node.record_stop_signal()
@@ -98,3 +104,37 @@
             await instance.task
 
     asyncio.run(scenario())
+
+
+# Guards against streams that a stop cuts though their end had arrived while the
+# process stood still (LOST).
+def test_stream_whose_end_came_during_a_standstill_is_complete(
+    tmp_path, monkeypatch
+):
+    stream = platform_replica.Replica._stream
+    cut_at_s = []
+
+    async def stream_and_stand_still(*arguments):
+        response = await stream(*arguments)
+        stand_still(cut_at_s[0] + 0.1 - clock.now_s())
+        return response
+
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            monkeypatch.setattr(
+                platform_replica.Replica, "_stream", stream_and_stand_still
+            )
+            for replica in cluster.replicas:
+                replica.event_count, replica.event_interval_s = 30, 0.1
+            cut_at_s.append(
+                clock.now_s() + GRACE_S - stop_schedule.EXIT_MARGIN_S
+            )
+            cluster.instances[0].stop.set()
+            async with cluster.call("/label/", tokens=5_000) as response:
+                body = await response.read()
+            assert body.count(b"id: ") == 30
+            await cluster.instances[0].task
+
+    asyncio.run(scenario())
