Check a document before it is pushed: poplarwick check

Findings are ordered by their place in the file. Lists in which an id occurs twice are compared as a whole, so that the comparison hides no item.

--- a/packages/administration/poplarwick_administration/_session.py
+++ b/packages/administration/poplarwick_administration/_session.py
@@ -38,9 +38,17 @@
     """Adds a command that calls an instance and returns its parser."""
     parser = parsers.add_parser(name, help=summary, description=summary)
     parser.set_defaults(command=command)
+    add_connection_options(parser, is_required=True)
+    return parser
+
+
+def add_connection_options(
+    parser: argparse.ArgumentParser, *, is_required: bool
+) -> None:
+    """Adds the options for the connection to an instance."""
     parser.add_argument(
         "--server",
-        required=True,
+        required=is_required,
         metavar="HOST:PORT",
         help="administration address of any instance",
     )
@@ -70,7 +78,6 @@
         help="CA certificates in PEM format that verify the certificate of "
         "the instance; without this option plain HTTP is used",
     )
-    return parser
 
 
 def add_environment_option(parser: argparse.ArgumentParser) -> None:
--- a/packages/administration/poplarwick_administration/main.py
+++ b/packages/administration/poplarwick_administration/main.py
@@ -1,7 +1,8 @@
 """Command line for operators.
 
 All commands except `document check`, `document schema` and `explain` call the
-administration API of one instance. Any instance will do.
+administration API of one instance. Any instance will do. `check` calls one only
+to compare a file with the version in force.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 import sys
 
+from poplarwick_administration import _check_command
 from poplarwick_administration import _document_commands
 from poplarwick_administration import _explain_command
 from poplarwick_administration import _output
@@ -50,6 +52,7 @@
 def _make_parser() -> argparse.ArgumentParser:
     parser = cli.make_parser("poplarwick", __doc__ or "")
     groups = parser.add_subparsers(metavar="COMMAND", required=True)
+    _check_command.add_commands(groups)
     _document_commands.add_commands(groups)
     _service_commands.add_commands(groups)
     _record_commands.add_commands(groups)
--- a/packages/configuration/poplarwick_configuration/check.py
+++ b/packages/configuration/poplarwick_configuration/check.py
@@ -9,6 +9,7 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import errors
+from poplarwick_core import findings
 from poplarwick_core import jsonc
 
 MAX_PORT = 65_535
@@ -37,12 +38,6 @@
         return f"{location}: {self.path}: {self.message}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Finding:
-    path: str
-    message: str
-
-
 def check_document(text: str, source: str) -> tuple[Problem, ...]:
     """Validates a document.
 
@@ -57,17 +52,18 @@
         parsed = jsonc.decode(text, document.Document, source)
     except errors.DocumentError as error:
         return (Problem(source, error.line, error.path, error.problem),)
-    findings = tuple(_find_problems(parsed))
-    if not findings:
+    problems = tuple(find_problems(parsed))
+    if not problems:
         return ()
     lines = jsonc.find_positions(text)
     return tuple(
-        Problem(source, lines.find_line(f.path), f.path, f.message)
-        for f in findings
+        Problem(source, lines.find_line(p.path), p.path, p.message)
+        for p in problems
     )
 
 
-def _find_problems(parsed: document.Document) -> Iterator[_Finding]:
+def find_problems(parsed: document.Document) -> Iterator[findings.Finding]:
+    """Yields what makes a document invalid, in the order of the checks."""
     yield from _check_unique_ids(parsed)
     yield from _check_keys(parsed)
     yield from _check_models(parsed)
@@ -76,7 +72,7 @@
     yield from _check_coverage(parsed)
 
 
-def _check_unique_ids(parsed: document.Document) -> Iterator[_Finding]:
+def _check_unique_ids(parsed: document.Document) -> Iterator[findings.Finding]:
     groups: dict[str, Iterable[str]] = {
         "organisations": (o.id for o in parsed.organisations),
         "models": (m.id for m in parsed.models),
@@ -99,7 +95,7 @@
     yield from _find_duplicates(instances, "instance")
 
 
-def _check_keys(parsed: document.Document) -> Iterator[_Finding]:
+def _check_keys(parsed: document.Document) -> Iterator[findings.Finding]:
     digests: list[tuple[str, str]] = []
     for index, organisation in enumerate(parsed.organisations):
         groups = {
@@ -117,17 +113,17 @@
     yield from _find_duplicates(digests, "key digest")
 
 
-def _check_models(parsed: document.Document) -> Iterator[_Finding]:
+def _check_models(parsed: document.Document) -> Iterator[findings.Finding]:
     for index, model in enumerate(parsed.models):
         base = f"$.models[{index}]"
         if model.timeout_s > model.max_timeout_s:
-            yield _Finding(
+            yield _make_problem(
                 f"{base}.timeout_s",
                 f"found {model.timeout_s:g}; at most max_timeout_s, which is "
                 f"{model.max_timeout_s:g}",
             )
         if model.cold_start.concurrent > model.max_batch:
-            yield _Finding(
+            yield _make_problem(
                 f"{base}.cold_start.concurrent",
                 f"found {model.cold_start.concurrent}; at most max_batch, "
                 f"which is {model.max_batch}",
@@ -136,18 +132,20 @@
             model.context_tokens > model.memory_tokens
             and not model.spreads_prompts
         ):
-            yield _Finding(
+            yield _make_problem(
                 f"{base}.context_tokens",
                 f"found {model.context_tokens}; at most memory_tokens, which "
                 f"is {model.memory_tokens}, unless spreads_prompts is true",
             )
 
 
-def _check_services(parsed: document.Document) -> Iterator[_Finding]:
+def _check_services(parsed: document.Document) -> Iterator[findings.Finding]:
     for index, service in enumerate(parsed.services):
         base = f"$.services[{index}]"
         if not service.routes:
-            yield _Finding(f"{base}.routes", "found none; at least one route")
+            yield _make_problem(
+                f"{base}.routes", "found none; at least one route"
+            )
         paths = (
             (f"{method} {route.path}", f"{base}.routes[{i}].path")
             for i, route in enumerate(service.routes)
@@ -156,13 +154,13 @@
         yield from _find_duplicates(paths, "route")
         for number, route in enumerate(service.routes):
             if not route.methods:
-                yield _Finding(
+                yield _make_problem(
                     f"{base}.routes[{number}].methods",
                     "found none; at least one HTTP method",
                 )
 
 
-def _check_endpoints(parsed: document.Document) -> Iterator[_Finding]:
+def _check_endpoints(parsed: document.Document) -> Iterator[findings.Finding]:
     models = {m.id for m in parsed.models}
     services = {s.id for s in parsed.services}
     domains = {d.id for d in parsed.domains}
@@ -175,30 +173,30 @@
         )
         if (endpoint.model is None) == (endpoint.service is None):
             found = "neither" if endpoint.model is None else "both"
-            yield _Finding(
+            yield _make_problem(
                 base, f"found {found} of model and service; exactly one"
             )
         port = int(endpoint.address.rpartition(":")[2])
         if not 0 < port <= MAX_PORT:
-            yield _Finding(
+            yield _make_problem(
                 f"{base}.address", f"found port {port}; 1 to {MAX_PORT}"
             )
 
 
 def _check_reference(
     path: str, name: str | None, known: set[str]
-) -> Iterator[_Finding]:
+) -> Iterator[findings.Finding]:
     if name is None or name in known:
         return
     allowed = ", ".join(sorted(known)) or "none is defined"
-    yield _Finding(path, f'found "{name}"; one of: {allowed}')
+    yield _make_problem(path, f'found "{name}"; one of: {allowed}')
 
 
-def _check_coverage(parsed: document.Document) -> Iterator[_Finding]:
+def _check_coverage(parsed: document.Document) -> Iterator[findings.Finding]:
     served = collections.Counter(e.model for e in parsed.endpoints)
     for index, model in enumerate(parsed.models):
         if not served[model.id]:
-            yield _Finding(
+            yield _make_problem(
                 f"$.models[{index}].id",
                 f'model "{model.id}" has no endpoint; at least one endpoint, '
                 "or remove the model",
@@ -206,7 +204,7 @@
     served = collections.Counter(e.service for e in parsed.endpoints)
     for index, service in enumerate(parsed.services):
         if not served[service.id]:
-            yield _Finding(
+            yield _make_problem(
                 f"$.services[{index}].id",
                 f'service "{service.id}" has no endpoint; at least one '
                 "endpoint, or remove the service",
@@ -215,12 +213,16 @@
 
 def _find_duplicates(
     values: Iterable[tuple[str, str]], kind: str
-) -> Iterator[_Finding]:
+) -> Iterator[findings.Finding]:
     first: dict[str, str] = {}
     for value, path in values:
         if value in first:
-            yield _Finding(
+            yield _make_problem(
                 path, f'{kind} "{value}" is already used at {first[value]}'
             )
         else:
             first[value] = path
+
+
+def _make_problem(path: str, message: str) -> findings.Finding:
+    return findings.make_error(findings.Rule.INVALID, path, message)
--- a/packages/configuration/poplarwick_configuration/difference.py
+++ b/packages/configuration/poplarwick_configuration/difference.py
@@ -44,7 +44,16 @@
         after: Text of the new document.
     """
     old = _decode(before) if before is not None else {}
-    return tuple(_compare("", old, _decode(after)))
+    return compare_values(old, _decode(after))
+
+
+def compare_values(before: Any, after: Any) -> tuple[Difference, ...]:
+    """Returns the differences between two trees of dicts, lists and scalars.
+
+    Items of a list are told apart by their `id` or `name` if all have one and
+    none occurs twice; other lists are compared as a whole.
+    """
+    return tuple(_compare("", before, after))
 
 
 def _decode(text: str) -> Any:
@@ -81,9 +90,11 @@
 def _index_by_id(value: Any) -> dict[str, Any] | None:
     if not isinstance(value, list | tuple):
         return None
-    if not all(isinstance(item, dict) and "id" in item for item in value):
-        return None
-    return {item["id"]: item for item in value}
+    for field in ("id", "name"):
+        if all(isinstance(item, dict) and field in item for item in value):
+            items = {item[field]: item for item in value}
+            return items if len(items) == len(value) else None
+    return None
 
 
 def _encode(value: Any) -> str:
--- a/packages/core/poplarwick_core/_positions.py
+++ b/packages/core/poplarwick_core/_positions.py
@@ -62,11 +62,17 @@
 
     def find_line(self, path: str) -> int | None:
         """Returns the line of a path or of its nearest known parent."""
-        while path:
-            if path in self.lines:
-                return self.lines[path]
+        return self.lines.get(self._find_known(path))
+
+    def find_offset(self, path: str) -> int:
+        """Returns the offset of a path or its nearest known parent, else 0."""
+        span = self.spans.get(self._find_known(path))
+        return 0 if span is None else span.start
+
+    def _find_known(self, path: str) -> str:
+        while path and path not in self.lines:
             path = path[: max(path.rfind("."), path.rfind("["), 0)]
-        return None
+        return path
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -34,11 +34,43 @@
     Raises:
         errors.DocumentError: The file cannot be read or is not valid.
     """
+    return decode(read_text(path), kind, str(path))
+
+
+def read_text(path: pathlib.Path) -> str:
+    """Reads a text file.
+
+    Raises:
+        errors.DocumentError: The file cannot be read or is not UTF-8.
+    """
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        content = path.read_bytes()
+    except (OSError, ValueError) as error:
         raise errors.DocumentError(str(path), "$", str(error)) from error
-    return decode(text, kind, str(path))
+    return decode_utf8(content, str(path))
+
+
+def decode_utf8(content: bytes, source: str) -> str:
+    """Decodes the bytes of a text.
+
+    Args:
+        content: Bytes of the text.
+        source: Origin of the bytes, shown in errors.
+
+    Raises:
+        errors.DocumentError: They are not UTF-8.
+    """
+    try:
+        return content.decode()
+    except UnicodeDecodeError as error:
+        raise errors.DocumentError(
+            source, "$", str(error), find_line(content, error.start)
+        ) from error
+
+
+def find_line(content: bytes, offset: int) -> int:
+    """Returns the line number, counted from 1, of a byte offset."""
+    return content.count(b"\n", 0, offset) + 1
 
 
 def decode(text: str, kind: type[T], source: str) -> T:
