Check a configuration of the users' platform before it is written

The codec lists entries first (routing.Entries) and indexes them then, so that the check sees those that the index drops. What an unsafe path segment is stands in core/paths.py, which the front end and the check of documents share.

--- a/packages/administration/poplarwick_administration/_check_command.py
+++ b/packages/administration/poplarwick_administration/_check_command.py
@@ -4,9 +4,9 @@
 
 import argparse
 import pathlib
-import sys
 
 from poplarwick_administration import _session
+from poplarwick_administration import check_options
 from poplarwick_administration import client
 from poplarwick_configuration import check_report
 from poplarwick_configuration import document_check
@@ -14,9 +14,6 @@
 from poplarwick_core import errors
 from poplarwick_core import jsonc
 
-IN_FORCE = "in-force"
-"""Value of `--against` in place of a file."""
-
 
 def add_commands(
     groups: _session.Parsers[argparse.ArgumentParser],
@@ -28,37 +25,10 @@
     )
     parser = groups.add_parser("check", help=summary, description=summary)
     parser.set_defaults(command=_check)
-    add_report_options(parser)
+    check_options.add_options(parser)
     _session.add_connection_options(parser, is_required=False)
 
 
-def add_report_options(parser: argparse.ArgumentParser) -> None:
-    """Adds the file to check, what to compare it with, and the format."""
-    parser.add_argument("file", metavar="FILE", type=pathlib.Path)
-    parser.add_argument(
-        "--against",
-        metavar="FILE|in-force",
-        help="also show the differences from another file or from the "
-        "version in force",
-    )
-    parser.add_argument(
-        "--format", choices=("text", "json"), default="text", dest="format"
-    )
-
-
-def print_report(
-    report: check_report.Report, parsed: argparse.Namespace
-) -> cli.ExitCode:
-    """Prints a report in the chosen format and returns its exit code."""
-    if parsed.format == "json":
-        print(check_report.encode_json(report))
-    elif report.status is check_report.Status.UNREADABLE:
-        print(check_report.format_text(report), file=sys.stderr)
-    else:
-        print(check_report.format_text(report))
-    return report.exit_code
-
-
 async def _check(parsed: argparse.Namespace) -> cli.ExitCode:
     source = str(parsed.file)
     try:
@@ -67,7 +37,7 @@
         report = document_check.check_text(text, source, reference)
     except errors.DocumentError as error:
         report = check_report.make_unreadable_report(source, error)
-    return print_report(report, parsed)
+    return check_options.print_report(report, parsed)
 
 
 async def _read_reference(
@@ -76,7 +46,7 @@
     match parsed.against:
         case None:
             return None
-        case "in-force":
+        case check_options.IN_FORCE:
             return await _read_in_force(parsed, text)
         case path:
             return document_check.Reference(
@@ -96,14 +66,16 @@
     environment = document_check.read_environment(text, str(parsed.file))
     if parsed.server is None:
         raise errors.DocumentError(
-            IN_FORCE, "$", "--server is missing: the address of an instance"
+            check_options.IN_FORCE,
+            "$",
+            "--server is missing: the address of an instance",
         )
     try:
         async with _session.open_client(parsed) as administration:
             status = await administration.read_status()
             if status.environment != environment:
                 raise errors.DocumentError(
-                    IN_FORCE,
+                    check_options.IN_FORCE,
                     "$.environment",
                     f"{status.instance} follows environment "
                     f"{status.environment}; call an instance of {environment}",
@@ -114,7 +86,9 @@
                 environment, status.version
             )
     except (client.ClientError, OSError, UnicodeDecodeError) as error:
-        raise errors.DocumentError(IN_FORCE, "$", str(error)) from error
+        raise errors.DocumentError(
+            check_options.IN_FORCE, "$", str(error)
+        ) from error
     return document_check.Reference(
         f"version {status.version} in force", stored.text
     )
--- /dev/null
+++ b/packages/catalogue/poplarwick_catalogue/reachability.py
@@ -0,0 +1,189 @@
+"""Finds entries of a routing configuration that no request can ever reach."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from poplarwick_catalogue import routing
+from poplarwick_catalogue import types
+from poplarwick_core import findings
+from poplarwick_core import ids
+
+MAX_NAMES = 3
+"""Organisations that a finding names; further ones are counted."""
+
+
+def find_unreachable(entries: routing.Entries) -> Iterator[findings.Finding]:
+    """Yields routes, services and keys without effect.
+
+    Paths are those of `routing.Entries`.
+    """
+    yield from _check_names(entries)
+    yield from _check_routes(entries.routes)
+    yield from _check_destinations(entries)
+    if entries.memberships is not None:
+        yield from _check_keys(entries.memberships)
+        yield from _check_regions(entries.routes, entries.memberships)
+
+
+def _check_names(entries: routing.Entries) -> Iterator[findings.Finding]:
+    groups: dict[str, Iterable[str]] = {
+        "routes": (route.name for route in entries.routes),
+        "services": (service.id for service in entries.services),
+        "memberships": (
+            membership.organisation.id
+            for membership in entries.memberships or ()
+        ),
+    }
+    for group, names in groups.items():
+        first: dict[str, int] = {}
+        for index, name in enumerate(names):
+            if first.setdefault(name, index) != index:
+                yield findings.make_error(
+                    findings.Rule.NAME_REUSED,
+                    f"$.{group}[{index}].name",
+                    f"found {findings.quote(name)}, which is the name of "
+                    f"number {first[name]} in the list, too; only one of "
+                    "them counts, or they cannot be told apart",
+                )
+
+
+def _check_routes(
+    routes: Iterable[types.Route],
+) -> Iterator[findings.Finding]:
+    first: dict[tuple[str, str], types.Route] = {}
+    for index, route in enumerate(routes):
+        base = f"$.routes[{index}]"
+        prefix = route.path_prefix
+        if ":" in route.host:
+            yield _make_unmatched(
+                f"{base}.host",
+                f"found {findings.quote(route.host)}; hosts are compared "
+                "without their port, so it never matches",
+            )
+        if not prefix.startswith("/") or "?" in prefix:
+            yield _make_unmatched(
+                f"{base}.path_prefix",
+                f"found {findings.quote(prefix)}; paths begin with a slash "
+                "and have no question mark, so it never matches",
+            )
+        elif not prefix.endswith("/"):
+            yield findings.make_warning(
+                findings.Rule.OUT_OF_RANGE,
+                f"{base}.path_prefix",
+                f"found {findings.quote(prefix)}; without a slash at its end "
+                "it also matches longer names",
+            )
+        earlier = first.setdefault((route.host.lower(), prefix), route)
+        if earlier is not route:
+            yield _make_unmatched(
+                f"{base}.path_prefix",
+                f"found {findings.quote(prefix)}; all of its requests match "
+                f"the earlier route {findings.quote(earlier.name)}",
+            )
+
+
+def _make_unmatched(path: str, message: str) -> findings.Finding:
+    return findings.make_error(findings.Rule.ROUTE_NEVER_MATCHES, path, message)
+
+
+def _check_destinations(
+    entries: routing.Entries,
+) -> Iterator[findings.Finding]:
+    known = {service.id for service in entries.services}
+    used: set[ids.ServiceId] = set()
+    for index, route in enumerate(entries.routes):
+        has_weight = any(d.weight > 0 for d in route.destinations)
+        for number, destination in enumerate(route.destinations):
+            base = f"$.routes[{index}].destinations[{number}]"
+            used.add(destination.service)
+            if destination.service not in known:
+                yield findings.make_error(
+                    findings.Rule.SERVICE_UNKNOWN,
+                    f"{base}.service",
+                    f"found {findings.quote(destination.service)}, which is "
+                    "not defined; its share of the callers gets 503",
+                )
+            if destination.weight == 0 and (has_weight or number > 0):
+                yield findings.make_warning(
+                    findings.Rule.DESTINATION_NEVER_SELECTED,
+                    f"{base}.weight",
+                    f"found 0; {findings.quote(destination.service)} gets no "
+                    "request of this route",
+                )
+    for index, service in enumerate(entries.services):
+        if service.id not in used:
+            yield findings.make_warning(
+                findings.Rule.SERVICE_UNUSED,
+                f"$.services[{index}].name",
+                f"no route leads to {findings.quote(service.id)}",
+            )
+
+
+def _check_keys(
+    memberships: Iterable[routing.Membership],
+) -> Iterator[findings.Finding]:
+    # A key is a secret: messages give its place only.
+    last: dict[types.ApiKey, str] = {}
+    places = [
+        (key, f"$.memberships[{index}].keys[{number}]")
+        for index, membership in enumerate(memberships)
+        for number, key in enumerate(membership.keys)
+    ]
+    last.update(places)
+    for key, place in places:
+        if last[key] != place:
+            yield findings.make_error(
+                findings.Rule.KEY_NEVER_ACCEPTED,
+                place,
+                "the same key is listed again later, and only the last one "
+                "counts: its callers may get the rights of another "
+                "organisation",
+            )
+    for index, membership in enumerate(memberships):
+        if not membership.keys:
+            name = findings.quote(membership.organisation.id)
+            yield findings.make_warning(
+                findings.Rule.NO_KEY,
+                f"$.memberships[{index}].keys",
+                f"{name} has no key; its callers get 401",
+            )
+
+
+def _check_regions(
+    routes: Iterable[types.Route], memberships: Iterable[routing.Membership]
+) -> Iterator[findings.Finding]:
+    # Few sets of regions are shared by many organisations.
+    names_by_regions: dict[frozenset[ids.RegionId], list[str]] = (
+        collections.defaultdict(list)
+    )
+    for membership in memberships:
+        organisation = membership.organisation
+        if organisation.regions:
+            names_by_regions[frozenset(organisation.regions)].append(
+                organisation.id
+            )
+    for index, route in enumerate(routes):
+        if not route.regions:
+            continue
+        excluded = [
+            name
+            for regions, names in names_by_regions.items()
+            if regions.isdisjoint(route.regions)
+            for name in names
+        ]
+        if excluded:
+            yield findings.make_warning(
+                findings.Rule.NO_COMMON_REGION,
+                f"$.routes[{index}].regions",
+                f"no region in common with {_format_names(excluded)}; their "
+                "requests to this route get 503",
+            )
+
+
+def _format_names(names: list[str]) -> str:
+    shown = ", ".join(findings.quote(name) for name in names[:MAX_NAMES])
+    rest = len(names) - MAX_NAMES
+    return f"{shown} and {rest} more" if rest > 0 else shown
--- a/packages/catalogue/poplarwick_catalogue/routing.py
+++ b/packages/catalogue/poplarwick_catalogue/routing.py
@@ -44,28 +44,61 @@
         return None
 
 
-def make_routing(
-    version: int,
-    routes: Sequence[types.Route],
-    services: Sequence[types.Service],
-    limits: types.CallerLimits,
-    organisations_by_key: Mapping[types.ApiKey, types.Organisation] | None,
-) -> Routing:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """An organisation and its API keys.
+
+    Attributes:
+        organisation: The organisation.
+        keys: Its API keys.
+    """
+
+    organisation: types.Organisation
+    keys: tuple[types.ApiKey, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entries:
+    """One version of the routing configuration as the operator lists it.
+
+    Attributes:
+        version: Version number; later versions have higher numbers.
+        routes: Routes.
+        services: Services.
+        limits: Limits on the requests of callers.
+        memberships: Organisations and their keys; None if requests carry no
+            key.
+    """
+
+    version: int
+    routes: Sequence[types.Route]
+    services: Sequence[types.Service]
+    limits: types.CallerLimits
+    memberships: Sequence[Membership] | None
+
+
+def make_routing(entries: Entries) -> Routing:
     """Builds the look-up tables of a routing configuration."""
     routes_by_host: dict[str, list[types.Route]] = {}
-    for route in routes:
+    for route in entries.routes:
         routes_by_host.setdefault(route.host.lower(), []).append(route)
     for host_routes in routes_by_host.values():
         host_routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
     return Routing(
-        version,
+        entries.version,
         {
             host: tuple(host_routes)
             for host, host_routes in routes_by_host.items()
         },
-        {service.id: service for service in services},
-        limits,
-        organisations_by_key,
+        {service.id: service for service in entries.services},
+        entries.limits,
+        None
+        if entries.memberships is None
+        else {
+            key: membership.organisation
+            for membership in entries.memberships
+            for key in membership.keys
+        },
     )
 
 
--- a/packages/configuration/poplarwick_configuration/check_report.py
+++ b/packages/configuration/poplarwick_configuration/check_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from collections.abc import Iterable
 
 import msgspec
@@ -13,6 +14,8 @@
 from poplarwick_core import findings
 from poplarwick_core import jsonc
 
+_UNPRINTABLE = re.compile(r"[\x00-\x1f\x7f-\x9f]")
+
 
 class Status(enum.Enum):
     """Result of a check.
@@ -169,7 +172,7 @@
             str(difference.Difference(c.path, c.before, c.after))
             for c in report.differences
         ] or ["no differences in content"]
-    return "\n".join(lines)
+    return "\n".join(_UNPRINTABLE.sub(_escape, line) for line in lines)
 
 
 def encode_json(report: Report) -> str:
@@ -183,6 +186,10 @@
     return msgspec.json.format(schema).decode()
 
 
+def _escape(match: re.Match[str]) -> str:
+    return ascii(match.group())[1:-1]
+
+
 def _format_entry(entry: Entry) -> str:
     place = entry.source
     if entry.line is not None:
--- a/packages/configuration/poplarwick_configuration/difference.py
+++ b/packages/configuration/poplarwick_configuration/difference.py
@@ -91,7 +91,10 @@
     if not isinstance(value, list | tuple):
         return None
     for field in ("id", "name"):
-        if all(isinstance(item, dict) and field in item for item in value):
+        if all(
+            isinstance(item, dict) and isinstance(item.get(field), str)
+            for item in value
+        ):
             items = {item[field]: item for item in value}
             return items if len(items) == len(value) else None
     return None
--- a/packages/configuration/poplarwick_configuration/reachability.py
+++ b/packages/configuration/poplarwick_configuration/reachability.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import re
-import urllib.parse
 from collections.abc import Iterator
 
 from poplarwick_configuration import document
 from poplarwick_core import findings
+from poplarwick_core import paths
 
 _METHOD = re.compile(r"[A-Z][A-Z-]*")
 
@@ -37,8 +37,7 @@
                 findings.Rule.ROUTE_NEVER_MATCHES,
                 f"{place}.path",
                 f"found {findings.quote(route.path)}; requests with an empty "
-                "segment, a dot segment or an encoded slash are rejected, so "
-                "it never matches",
+                "or unsafe segment are rejected, so it never matches",
             )
         elif len(longest[stem]) > len(route.path):
             yield findings.make_error(
@@ -59,13 +58,7 @@
 
 def _is_rejected(stem: str) -> bool:
     """Returns whether all requests with a path prefix are rejected."""
-    if "//" in stem:
-        return True
-    for segment in stem.split("/")[1:]:
-        decoded = urllib.parse.unquote(segment)
-        if "/" in decoded or urllib.parse.unquote(decoded) in (".", ".."):
-            return True
-    return False
+    return "//" in stem or any(map(paths.is_unsafe, stem.split("/")[1:]))
 
 
 def _check_keys(
@@ -119,5 +112,5 @@
                     findings.Rule.NOTHING_IN_SERVICE,
                     f"$.{group}[{index}].id",
                     f"all endpoints of {findings.quote(name)}, or their "
-                    "domains, are out of service; its callers get 503",
+                    "domains, are out of service; its callers are refused",
                 )
--- a/packages/coordination/tests/test_candidates.py
+++ b/packages/coordination/tests/test_candidates.py
@@ -81,7 +81,9 @@
     limits = types.CallerLimits(
         header_bytes=1, body_bytes=1, header_timeout_s=1.0, idle_timeout_s=1.0
     )
-    catalogue_.routing = routing.make_routing(1, [], [service], limits, None)
+    catalogue_.routing = routing.make_routing(
+        routing.Entries(1, [], [service], limits, None)
+    )
     for number in range(instances):
         name = ids.InstanceId(f"front-{number}")
         catalogue_.members[name] = catalogue.MemberItem(name, "127.0.0.1:3")
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import re
-import urllib.parse
 
 import aiohttp
 import msgspec
@@ -18,6 +16,7 @@
 from poplarwick_core import http_headers
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_core import paths
 from poplarwick_endpoints import generation
 from poplarwick_entry import admission
 from poplarwick_entry import authentication
@@ -51,7 +50,6 @@
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 _REFUSAL_STATUSES = frozenset((409, 429, 503))
 _REFUSAL_TYPES = frozenset(("stale_epoch", "overloaded", "cold_overload"))
-_UNSAFE_SEGMENT = re.compile(r"[\x00-\x1f\x7f\\]")
 
 
 class _ResponseTooLargeError(errors.PoplarwickError):
@@ -185,15 +183,7 @@
             segments, encoded separators or control characters.
     """
     for segment in raw_path.split("/")[1:]:
-        decoded = urllib.parse.unquote(segment)
-        decoded_twice = urllib.parse.unquote(decoded)
-        is_unsafe = (
-            decoded in (".", "..")
-            or decoded_twice in (".", "..")
-            or "/" in decoded
-            or _UNSAFE_SEGMENT.search(decoded) is not None
-        )
-        if is_unsafe:
+        if paths.is_unsafe(segment):
             raise request_errors.make_refusal(
                 verdicts.Reason.INVALID,
                 "the path contains a segment that is not allowed",
