--- a/packages/catalogue/poplarwick_catalogue/reachability.py
+++ b/packages/catalogue/poplarwick_catalogue/reachability.py
@@ -5,6 +5,8 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
+from collections.abc import Set
 
 from poplarwick_catalogue import routing
 from poplarwick_catalogue import types
@@ -15,17 +17,34 @@
 """Organisations that a finding names; further ones are counted."""
 
 
-def find_unreachable(entries: routing.Entries) -> Iterator[findings.Finding]:
+def find_unreachable(
+    entries: routing.Entries, regions: Set[ids.RegionId] | None = None
+) -> Iterator[findings.Finding]:
     """Yields routes, services and keys without effect.
 
     Paths are those of `routing.Entries`.
+
+    Args:
+        entries: The configuration.
+        regions: Regions of the deployment; None if they are unknown.
     """
     yield from _check_names(entries)
     yield from _check_routes(entries.routes)
     yield from _check_destinations(entries)
     if entries.memberships is not None:
         yield from _check_keys(entries.memberships)
-        yield from _check_regions(entries.routes, entries.memberships)
+        yield from _check_common_regions(entries.routes, entries.memberships)
+    if regions is not None:
+        for index, route in enumerate(entries.routes):
+            yield from _check_regions(
+                f"$.routes[{index}]", route.regions, regions
+            )
+        for index, membership in enumerate(entries.memberships or ()):
+            yield from _check_regions(
+                f"$.memberships[{index}]",
+                membership.organisation.regions,
+                regions,
+            )
 
 
 def _check_names(entries: routing.Entries) -> Iterator[findings.Finding]:
@@ -123,25 +142,31 @@
 
 
 def _check_keys(
-    memberships: Iterable[routing.Membership],
+    memberships: Sequence[routing.Membership],
 ) -> Iterator[findings.Finding]:
     # A key is a secret: messages give its place only.
-    last: dict[types.ApiKey, str] = {}
-    places = [
-        (key, f"$.memberships[{index}].keys[{number}]")
+    last = {
+        key: index
         for index, membership in enumerate(memberships)
-        for number, key in enumerate(membership.keys)
-    ]
-    last.update(places)
-    for key, place in places:
-        if last[key] != place:
-            yield findings.make_error(
-                findings.Rule.KEY_NEVER_ACCEPTED,
-                place,
-                "the same key is listed again later, and only the last one "
-                "counts: its callers may get the rights of another "
-                "organisation",
-            )
+        for key in membership.keys
+    }
+    for index, membership in enumerate(memberships):
+        for number, key in enumerate(membership.keys):
+            place = f"$.memberships[{index}].keys[{number}]"
+            if last[key] != index:
+                owner = memberships[last[key]].organisation.id
+                yield findings.make_error(
+                    findings.Rule.KEY_NEVER_ACCEPTED,
+                    place,
+                    f"the same key belongs to {findings.quote(owner)}, too; "
+                    "its callers are taken for that organisation",
+                )
+            elif key in membership.keys[:number]:
+                yield findings.make_warning(
+                    findings.Rule.KEY_NEVER_ACCEPTED,
+                    place,
+                    "the organisation has the same key twice",
+                )
     for index, membership in enumerate(memberships):
         if not membership.keys:
             name = findings.quote(membership.organisation.id)
@@ -152,7 +177,7 @@
             )
 
 
-def _check_regions(
+def _check_common_regions(
     routes: Iterable[types.Route], memberships: Iterable[routing.Membership]
 ) -> Iterator[findings.Finding]:
     # Few sets of regions are shared by many organisations.
@@ -183,6 +208,26 @@
             )
 
 
+def _check_regions(
+    base: str, allowed: Sequence[ids.RegionId], known: Set[ids.RegionId]
+) -> Iterator[findings.Finding]:
+    is_any_known = any(region in known for region in allowed)
+    for number, region in enumerate(allowed):
+        if region not in known:
+            severity = findings.Severity.ERROR
+            effect = "no region is left, so all requests get 503"
+            if is_any_known:
+                severity = findings.Severity.WARNING
+                effect = "it has no effect"
+            yield findings.Finding(
+                f"{base}.regions[{number}]",
+                severity,
+                findings.Rule.REGION_UNKNOWN,
+                f"found {findings.quote(region)}, which the deployment does "
+                f"not have; {effect}",
+            )
+
+
 def _format_names(names: list[str]) -> str:
     shown = ", ".join(findings.quote(name) for name in names[:MAX_NAMES])
     rest = len(names) - MAX_NAMES
--- a/packages/configuration/poplarwick_configuration/check_report.py
+++ b/packages/configuration/poplarwick_configuration/check_report.py
@@ -111,6 +111,23 @@
         against: File or version that it was compared with.
         differences: Differences from it.
     """
+    entries = _order(source, text, tuple(found))
+    return Report(
+        source=source,
+        status=Status.FINDINGS if entries else Status.CLEAN,
+        findings=entries,
+        against=against,
+        differences=tuple(
+            Change(d.path, d.before, d.after) for d in differences
+        ),
+    )
+
+
+def _order(
+    source: str, text: str, found: tuple[findings.Finding, ...]
+) -> tuple[Entry, ...]:
+    if not found:
+        return ()
     positions = jsonc.find_positions(text)
     ordered = sorted(
         found,
@@ -121,7 +138,7 @@
             f.message,
         ),
     )
-    entries = tuple(
+    return tuple(
         Entry(
             source,
             positions.find_line(f.path),
@@ -132,15 +149,6 @@
         )
         for f in ordered
     )
-    return Report(
-        source=source,
-        status=Status.FINDINGS if entries else Status.CLEAN,
-        findings=entries,
-        against=against,
-        differences=tuple(
-            Change(d.path, d.before, d.after) for d in differences
-        ),
-    )
 
 
 def make_unreadable_report(source: str, error: errors.DocumentError) -> Report:
--- a/packages/configuration/poplarwick_configuration/contradictions.py
+++ b/packages/configuration/poplarwick_configuration/contradictions.py
@@ -42,5 +42,5 @@
             f"{base}.max_timeout_s",
             f"found {model.max_timeout_s:g}; a prompt of context_tokens of "
             f"which nothing is cached takes {prefill_s:.1f} s at "
-            "prefill_tokens_per_s, so it always ends with a time-out",
+            "prefill_tokens_per_s, so no time-out of a caller is long enough",
         )
--- a/packages/configuration/tests/test_document_check.py
+++ b/packages/configuration/tests/test_document_check.py
@@ -14,6 +14,8 @@
 SOAP = {"id": "soap", "keys": [KEY]}
 MODEL = {"id": "lm", "context_tokens": 10_000, "memory_tokens": 20_000}
 SERVICE = {"id": "orders", "routes": [{"path": "/"}]}
+ENGINE = {"id": "e1", "address": "h:1", "domain": "d1", "model": "lm"}
+ORDERS = {"id": "e2", "address": "h:2", "domain": "d1", "service": "orders"}
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 
@@ -26,7 +28,13 @@
 
 
 def list_found(report):
-    return [(f.rule.value, f.severity.value, f.path) for f in report.findings]
+    return [
+        f"{f.rule.value} {f.severity.value} {f.path}" for f in report.findings
+    ]
+
+
+def with_keys(*keys):
+    return {"organisations": [{"id": "a", "keys": keys}]}
 
 
 def with_routes(*routes):
@@ -43,115 +51,63 @@
 
 
 @pytest.mark.parametrize(
-    ("changes", "rule", "severity", "path", "message"),
+    ("expected", "message", "changes"),
     [
         (
-            with_routes({"path": "/a"}, {"path": "/a/"}),
-            "route_never_matches",
-            "error",
-            "$.services[0].routes[0].path",
+            "route_never_matches error $.services[0].routes[0].path",
             'found "/a"; all of its requests match the longer "/a/"',
+            with_routes({"path": "/a"}, {"path": "/a/"}),
         ),
         (
+            "route_never_matches error $.services[0].routes[0].path",
+            "empty or unsafe segment",
             with_routes({"path": "/a/%2e%2E/b"}),
-            "route_never_matches",
-            "error",
-            "$.services[0].routes[0].path",
-            "never matches",
         ),
         (
-            with_routes({"path": "/a", "methods": ["GET", "put"]}),
-            "method_never_matches",
-            "error",
-            "$.services[0].routes[0].methods[1]",
+            "method_never_matches error $.services[0].routes[0].methods[1]",
             'found "put"',
+            with_routes({"path": "/a", "methods": ["GET", "put"]}),
         ),
         (
-            {"organisations": [{"id": "a", "keys": [KEY, {**KEY, "id": "l"}]}]},
-            "invalid",
-            "error",
-            "$.organisations[0].keys[1].sha256",
+            "invalid error $.organisations[0].keys[1].sha256",
             "is already used",
+            with_keys(KEY, {**KEY, "id": "l"}),
         ),
         (
-            {
-                "organisations": [
-                    {
-                        "id": "a",
-                        "keys": [
-                            {**KEY, "expires_s": 1},
-                            {"id": "l", "sha256": "1" * 64},
-                        ],
-                    }
-                ]
-            },
-            "key_never_accepted",
-            "warning",
-            "$.organisations[0].keys[0].expires_s",
+            "key_never_accepted warning $.organisations[0].keys[0].expires_s",
             'key "k" has expired',
+            with_keys({**KEY, "expires_s": 1}, {"id": "l", "sha256": "1" * 64}),
         ),
         (
-            {
-                "organisations": [
-                    {"id": "a", "keys": [{**KEY, "revoked": True}]}
-                ]
-            },
-            "no_key",
-            "warning",
-            "$.organisations[0].keys",
+            "no_key warning $.organisations[0].keys",
             "has no valid key",
+            with_keys({**KEY, "revoked": True}),
         ),
         (
-            {
-                "endpoints": [
-                    {
-                        "id": "e1",
-                        "address": "h:1",
-                        "domain": "d1",
-                        "model": "lm",
-                        "in_service": False,
-                    },
-                    {
-                        "id": "e2",
-                        "address": "h:2",
-                        "domain": "d1",
-                        "service": "orders",
-                    },
-                ]
-            },
-            "nothing_in_service",
-            "error",
-            "$.models[0].id",
+            "nothing_in_service error $.models[0].id",
             "out of service",
+            {"endpoints": [{**ENGINE, "in_service": False}, ORDERS]},
         ),
         (
-            {"services": [{**SERVICE, "max_concurrent": 1}]},
-            "cold_above_warm",
-            "warning",
-            "$.services[0].cold_start.concurrent",
+            "cold_above_warm warning $.services[0].cold_start.concurrent",
             "found 2; above max_concurrent, which is 1",
+            {"services": [{**SERVICE, "max_concurrent": 1}]},
         ),
         (
-            {"models": [{**MODEL, "cold_start": {"tokens": 20_001}}]},
-            "cold_above_warm",
-            "warning",
-            "$.models[0].cold_start.tokens",
+            "cold_above_warm warning $.models[0].cold_start.tokens",
             "found 20001; above memory_tokens, which is 20000",
+            {"models": [{**MODEL, "cold_start": {"tokens": 20_001}}]},
         ),
         (
-            {"models": [{**MODEL, "prefill_tokens_per_s": 2}]},
-            "timeout_too_short",
-            "error",
-            "$.models[0].max_timeout_s",
+            "timeout_too_short error $.models[0].max_timeout_s",
             "takes 5000.0 s",
+            {"models": [{**MODEL, "prefill_tokens_per_s": 2}]},
         ),
     ],
 )
-def test_each_finding_names_rule_and_place(
-    changes, rule, severity, path, message
-):
+def test_each_finding_names_rule_and_place(expected, message, changes):
     report = check(**changes)
-    assert list_found(report) == [(rule, severity, path)]
+    assert list_found(report) == [expected]
     assert message in report.findings[0].message
     assert report.findings[0].line > 1
     assert report.exit_code == 1
@@ -159,9 +115,9 @@
 
 def test_a_domain_out_of_service_is_found_for_all_that_it_serves():
     domain = {"id": "d1", "region": "r1", "in_service": False}
-    assert [f[2] for f in list_found(check(domains=[domain]))] == [
-        "$.models[0].id",
-        "$.services[0].id",
+    assert list_found(check(domains=[domain])) == [
+        "nothing_in_service error $.models[0].id",
+        "nothing_in_service error $.services[0].id",
     ]
 
 
--- a/packages/core/poplarwick_core/findings.py
+++ b/packages/core/poplarwick_core/findings.py
@@ -38,6 +38,7 @@
     NOTHING_IN_SERVICE = "nothing_in_service"
     OUT_OF_RANGE = "out_of_range"
     PAUSE_ABOVE_TIMEOUT = "pause_above_timeout"
+    REGION_UNKNOWN = "region_unknown"
     RESUME_NOT_STREAM = "resume_not_stream"
     ROUTE_NEVER_MATCHES = "route_never_matches"
     SERVICE_UNKNOWN = "service_unknown"
--- a/packages/node/poplarwick_node/check_command.py
+++ b/packages/node/poplarwick_node/check_command.py
@@ -9,11 +9,13 @@
 
 from poplarwick_adapter import configuration_check
 from poplarwick_adapter import keys
+from poplarwick_adapter import settings
 from poplarwick_adapter import store
 from poplarwick_administration import check_options
 from poplarwick_configuration import check_report
 from poplarwick_core import cli
 from poplarwick_core import errors
+from poplarwick_core import ids
 from poplarwick_platform import kv
 
 
@@ -37,13 +39,20 @@
         metavar="HOST:PORT",
         help="address of the platform's store, for --against in-force",
     )
+    parser.add_argument(
+        "--settings",
+        metavar="FILE",
+        type=pathlib.Path,
+        help="settings file of an instance; with it, regions that the "
+        "deployment does not have are found",
+    )
     parsed = parser.parse_args(arguments)
     source = str(parsed.file)
     try:
         value = _read_file(parsed.file)
         reference = _read_reference(parsed)
         report = configuration_check.check_configuration(
-            value, source, reference
+            value, source, reference, _read_regions(parsed.settings)
         )
     except errors.DocumentError as error:
         report = check_report.make_unreadable_report(source, error)
@@ -62,6 +71,13 @@
             return path, _read_file(pathlib.Path(path))
 
 
+def _read_regions(path: pathlib.Path | None) -> frozenset[ids.RegionId] | None:
+    if path is None:
+        return None
+    deployment = settings.read_settings(path)
+    return frozenset(deployment.regions_by_domain.values())
+
+
 def _read_file(path: pathlib.Path) -> bytes:
     try:
         return path.read_bytes()
--- a/tests/adapter/test_check_command.py
+++ b/tests/adapter/test_check_command.py
@@ -16,6 +16,7 @@
 from poplarwick_node import check_command
 from poplarwick_standins import platform_store
 
+KEY = platform_cluster.KEY
 CLEAN = platform_cluster.make_configuration()
 SECOND = {"name": "two", "api_keys": ["key-of-two"], "priority": 2}
 
@@ -46,7 +47,9 @@
 
 
 def list_found(report):
-    return [(f.rule.value, f.severity.value, f.path) for f in report.findings]
+    return [
+        f"{f.rule.value} {f.severity.value} {f.path}" for f in report.findings
+    ]
 
 
 def split(*pairs):
@@ -66,164 +69,112 @@
 
 R = ("routes", 0)
 S = ("services", 0)
+ENGINE = (*S, "engine")
+NORTH = {**SECOND, "allowed_regions": ["n", "w"]}
+
+
+def set_split(*pairs):
+    return ((*R, "service"), None), ((*R, "traffic_split"), split(*pairs))
 
 
 @pytest.mark.parametrize(
-    ("changes", "rule", "severity", "path"),
+    ("expected", "changes"),
     [
         (
+            "route_never_matches error $.routes[3].path_prefix",
             [(("routes", 3), route("new", path_prefix="/stock/"))],
-            "route_never_matches",
-            "error",
-            "$.routes[3].path_prefix",
         ),
         (
+            "route_never_matches error $.routes[0].host",
             [((*R, "host"), "front.example:80")],
-            "route_never_matches",
-            "error",
-            "$.routes[0].host",
         ),
         (
+            "route_never_matches error $.routes[0].path_prefix",
             [((*R, "path_prefix"), "label/")],
-            "route_never_matches",
-            "error",
-            "$.routes[0].path_prefix",
         ),
         (
+            "out_of_range warning $.routes[0].path_prefix",
             [((*R, "path_prefix"), "/label")],
-            "out_of_range",
-            "warning",
-            "$.routes[0].path_prefix",
         ),
         (
+            "name_reused error $.routes[3].name",
             [(("routes", 3), route("label", path_prefix="/x/"))],
-            "name_reused",
-            "error",
-            "$.routes[3].name",
         ),
         (
-            [((*R, "service"), "none"), (("services", 0, "name"), "orders")],
-            None,
-            None,
-            ["$.routes[0].service", "$.services[1].name"],
+            "service_unknown error $.routes[3].service",
+            [(("routes", 3), {**route("x"), "service": "none"})],
         ),
         (
+            "service_unused warning $.services[2].name",
             [(("services", 2), {"name": "spare"})],
-            "service_unused",
-            "warning",
-            "$.services[2].name",
         ),
         (
-            [
-                ((*R, "service"), None),
-                ((*R, "traffic_split"), split(("pool", 1), ("orders", 0))),
-            ],
-            "destination_never_selected",
-            "warning",
+            "destination_never_selected warning "
             "$.routes[0].traffic_split[1].weight",
+            set_split(("pool", 1), ("orders", 0)),
         ),
         (
+            "destination_never_selected warning $.routes[0].traffic_split",
             [((*R, "traffic_split"), split(("orders", 1)))],
-            "destination_never_selected",
-            "warning",
-            "$.routes[0].traffic_split",
         ),
         (
-            [
-                ((*R, "service"), None),
-                ((*R, "traffic_split"), split(("pool", 1), ("orders", -1))),
-            ],
-            "out_of_range",
-            "error",
-            "$.routes[0].traffic_split[1].weight",
+            "out_of_range error $.routes[0].traffic_split[1].weight",
+            set_split(("pool", 1), ("orders", -1)),
+        ),
+        (
+            "key_never_accepted error $.tenants[0].api_keys[0]",
+            [(("tenants", 1), {**SECOND, "api_keys": [KEY]})],
         ),
         (
-            [(("tenants", 1), {**SECOND, "api_keys": [platform_cluster.KEY]})],
-            "key_never_accepted",
-            "error",
-            "$.tenants[0].api_keys[0]",
+            "key_never_accepted warning $.tenants[0].api_keys[1]",
+            [(("tenants", 0, "api_keys"), [KEY, KEY])],
         ),
         (
+            "no_key warning $.tenants[1].api_keys",
             [(("tenants", 1), {**SECOND, "api_keys": []})],
-            "no_key",
-            "warning",
-            "$.tenants[1].api_keys",
         ),
         (
+            "no_common_region warning $.routes[0].allowed_regions",
             [
-                (("tenants", 1), {**SECOND, "allowed_regions": ["n", "w"]}),
+                (("tenants", 1), NORTH),
                 ((*R, "allowed_regions"), ["s"]),
                 (("routes", 1, "allowed_regions"), ["w", "s"]),
             ],
-            "no_common_region",
-            "warning",
-            "$.routes[0].allowed_regions",
         ),
         (
+            "timeout_below_target error $.routes[1].timeout_ms",
             [(("routes", 1, "timeout_ms"), 299)],
-            "timeout_below_target",
-            "error",
-            "$.routes[1].timeout_ms",
         ),
         (
+            "pause_above_timeout warning $.routes[0].gap_target_ms",
             [((*R, "gap_target_ms"), 6_001)],
-            "pause_above_timeout",
-            "warning",
-            "$.routes[0].gap_target_ms",
         ),
         (
+            "resume_not_stream error $.routes[1].stream_resume",
             [(("routes", 1, "stream_resume"), True)],
-            "resume_not_stream",
-            "error",
-            "$.routes[1].stream_resume",
-        ),
-        (
-            [((*R, "max_attempts"), 0)],
-            "out_of_range",
-            "error",
-            "$.routes[0].max_attempts",
-        ),
-        (
-            [(("tenants", 0, "priority"), -1)],
-            "out_of_range",
-            "error",
-            "$.tenants[0].priority",
-        ),
-        (
-            [((*S, "engine", "read_per_s"), 0)],
-            "out_of_range",
-            "error",
-            "$.services[0].engine.read_per_s",
-        ),
-        (
-            [((*S, "engine", "hop_ms"), -1)],
-            "out_of_range",
-            "error",
-            "$.services[0].engine.hop_ms",
         ),
         (
+            "slots_above_connections warning $.services[0].engine.slots",
             [((*S, "max_conns"), 7)],
-            "slots_above_connections",
-            "warning",
-            "$.services[0].engine.slots",
         ),
-        (
-            [(("limits", "idle_timeout_ms"), 0)],
-            "out_of_range",
-            "error",
-            "$.limits.idle_timeout_ms",
+        *(
+            (f"out_of_range error $.{path}", [(place, value)])
+            for path, place, value in [
+                ("routes[0].max_attempts", (*R, "max_attempts"), 0),
+                ("tenants[0].priority", ("tenants", 0, "priority"), -1),
+                ("services[0].engine.read_per_s", (*ENGINE, "read_per_s"), 0),
+                ("services[0].engine.hop_ms", (*ENGINE, "hop_ms"), -1),
+                ("limits.idle_timeout_ms", ("limits", "idle_timeout_ms"), 0),
+            ]
         ),
     ],
 )
-def test_each_finding_names_rule_and_place(changes, rule, severity, path):
+def test_each_finding_names_rule_and_place(expected, changes):
     report = check(*changes)
-    assert report.exit_code == 1
-    if rule is None:
-        assert [f[2] for f in list_found(report)] == path
-        return
-    assert list_found(report) == [(rule, severity, path)]
+    assert list_found(report) == [expected]
     assert report.findings[0].line > 1
-    assert platform_cluster.KEY not in str(report)
+    assert report.exit_code == 1
+    assert KEY not in str(report)
 
 
 def run(capsys, *arguments):
@@ -367,6 +318,32 @@
         assert report.exit_code in (0, 1)
 
 
+def test_regions_that_the_deployment_lacks_are_found(tmp_path, capsys):
+    settings = tmp_path / "settings.json"
+    settings.write_text(
+        json.dumps(
+            platform_cluster.make_settings("i", [1, 2, 3, 4], "127.0.0.1:9")
+        )
+    )
+    file = write(
+        tmp_path,
+        "c.json",
+        ((*R, "allowed_regions"), ["q"]),
+        (("tenants", 0, "allowed_regions"), ["q", "r"]),
+    )
+    assert run(capsys, file)[0] == 0
+    code, printed = run(capsys, file, "--settings", settings)
+    lines = printed.out.splitlines()
+    assert (code, len(lines)) == (1, 2)
+    assert "$.routes[0].allowed_regions[0]: error: " in lines[0]
+    assert "no region is left" in lines[0]
+    assert "$.tenants[0].allowed_regions[0]: warning: " in lines[1]
+    for text in ("{", '{"a":' * 100_000):
+        settings.write_text(text)
+        code, printed = run(capsys, file, "--settings", settings)
+        assert (code, str(settings) in printed.err) == (2, True)
+
+
 def test_differences_from_a_file_show_the_operators_fields(tmp_path, capsys):
     old = write(tmp_path, "old.json")
     new = write(
