Prepare for the kill at a time of its own

What costs callers nothing, handing unsent data to the kernel and naming the requests that are left, hung on the time at which requests are ended. That one waits for the last sixth after the latest time of the signal: if the process stood still for 1.33 s of 8 s at its signal, which may have come at the beginning, it lies behind the kill; without a standstill it is 0.6 s before it, too late for a kill 0.6 s early or a pause in the last seconds.

Cause: the class of the incident, one time for different needs. Change: prepares_at_s, 5/6 of the grace period from the earliest time of the signal. Requests go on as before.

Evidence: test_unsent_answer_is_handed_over_before_the_earliest_kill (1.0 s of a grace period of 4 s) and test_kill_is_prepared_for_however_late_the_signal_was _noticed fail without the change, pass with it. With grace periods under 3.12 s the preparations wait for the listener to close, as everything did before.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -454,7 +454,7 @@
     ) -> None:
         """Waits for the requests in progress until they are cut off."""
         wait_until_idle = self.frontend.wait_until_idle
-        if await wait_until_idle(schedule.ends_at_s - clock.now_s()):
+        if await wait_until_idle(schedule.prepares_at_s - clock.now_s()):
             return
         self.frontend.prepare_for_end()
         if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -63,8 +63,10 @@
     Attributes:
         refuses_from_s: Time from which requests are refused.
         listens_until_s: Time until which callers may connect.
+        prepares_at_s: Time at which the kernel takes what is unsent and the log
+            names the requests that are left, which costs callers nothing.
         ends_at_s: Time at which requests whose callers have received nothing
-            are answered, and the log names those that are left.
+            are answered.
         cuts_at_s: Time at which streams are cut off.
         closes_until_s: Time until which callers may close connections.
         releases_until_s: Time until which releases of memory are awaited.
@@ -73,6 +75,7 @@
 
     refuses_from_s: float
     listens_until_s: float
+    prepares_at_s: float
     ends_at_s: float
     cuts_at_s: float
     closes_until_s: float
@@ -121,10 +124,10 @@
 ) -> StopSchedule:
     """Returns the times of a stop.
 
-    The kill and the time from which requests are refused are counted from the
-    earliest time of the signal, the last part of the grace period from the
-    latest one, and the load balancer's delay from the handling, which may
-    follow a long step of the event loop.
+    The kill, the preparations for it and the time from which requests are
+    refused are counted from the earliest time of the signal, and the last part
+    of the grace period from the latest one. The load balancer's delay is
+    counted from the handling, which may follow a long step of the event loop.
 
     Args:
         signal: When the signal arrived.
@@ -141,6 +144,7 @@
     return StopSchedule(
         refuses_from_s=min(signal.earliest_at_s + BALANCER_DELAY_S, ends_at_s),
         listens_until_s=min(handled_at_s + BALANCER_DELAY_S, ends_at_s),
+        prepares_at_s=killed_at_s - LAST_SHARE * grace_s,
         ends_at_s=ends_at_s,
         cuts_at_s=cuts_at_s,
         closes_until_s=cuts_at_s + CLOSE_SHARE * margin_s,
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -32,6 +32,7 @@
     schedule = make_schedule()
     assert schedule.refuses_from_s == 102.6
     assert schedule.listens_until_s == 102.6
+    assert schedule.prepares_at_s == pytest.approx(100.0 + LAST_PART_S)
     assert schedule.ends_at_s == 107.4
     assert schedule.cuts_at_s == 107.5
     assert schedule.killed_at_s == 108.0
@@ -72,6 +73,19 @@
     assert schedule.killed_at_s == 108.0
 
 
+# Guards against answers and log lines that a kill takes along, as the signal
+# came at the beginning of a standstill (LOST).
+@hypothesis.given(st.floats(0.0, 1e3), st.floats(0.0, 60.0))
+def test_kill_is_prepared_for_however_late_the_signal_was_noticed(
+    noticed_after_s, grace_s
+):
+    schedule = make_schedule(
+        noticed_at_s=100.0 + noticed_after_s, grace_s=grace_s
+    )
+    assert schedule.prepares_at_s <= schedule.killed_at_s - grace_s / 6 + 1e-9
+    assert schedule.prepares_at_s <= schedule.ends_at_s + 1e-9
+
+
 # Guards against requests without an answer at the kill, as a long step of the
 # event loop lay between the signal and its handling (LOST).
 @hypothesis.given(st.floats(0.0, 2.0), st.floats(0.0, 1e3))
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -8,12 +8,14 @@
 
 import platform_cluster
 import slow_callers
+import test_late_stops
 
 from poplarwick_core import clock
 from poplarwick_node import stop_schedule
 from poplarwick_standins import platform_replica
 
 GRACE_S = 4.0
+STANDSTILL_S = 1.0
 UNSENT_BODY_BYTES = 70_000
 """Size of an answer whose last part is neither in a socket buffer nor waited
 for by its request: it is in the connection's write buffer."""
@@ -138,3 +140,40 @@
             await cluster.instances[0].task
 
     asyncio.run(scenario())
+
+
+# Guards against answers that a kill takes along, as the stop hands them over
+# only at the time at which it ends requests (LOST).
+def test_unsent_answer_is_handed_over_before_the_earliest_kill(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            await test_late_stops.allow_long_requests(cluster)
+            body = "x" * 300_000
+            for replica in cluster.replicas:
+                replica.make_body = lambda request_id: body
+            instance = cluster.instances[0]
+            with contextlib.closing(
+                slow_callers.SlowCaller(instance.caller_address)
+            ) as caller:
+                await caller.send("/order/", "slow")
+                await wait_for_execution(cluster)
+                await asyncio.sleep(0.3)
+                (connection,) = instance.node.frontend.connections
+                transport = connection.transport
+                assert transport.get_write_buffer_size()
+                # The signal may have come at the beginning of the standstill.
+                stand_still(STANDSTILL_S)
+                signalled_at_s = clock.now_s() - STANDSTILL_S
+                instance.node.record_stop_signal()
+                instance.stop.set()
+                killed_at_s = signalled_at_s + GRACE_S
+                await asyncio.sleep(killed_at_s - clock.now_s() - 0.05)
+                if transport.get_write_buffer_size():
+                    transport.abort()
+                received = await caller.read()
+            assert received.endswith(body.encode())
+            await instance.task
+
+    asyncio.run(scenario())
