Refuse requests that are still read when a stop ends

A request whose body is not complete at the end of a stop got a closed connection: limit_run begins with the run, so nothing ended the reading but the close of the server.

Change: GracefulStop.limit_read around the reading of a body. The frontend grows by the clause that answers it, which needs the request.

Evidence: test_request_that_is_still_read_at_the_end_is_refused fails without the change (no answer), passes with it.

--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -29,6 +29,7 @@
 from poplarwick_forwarding import configuration_queue
 from poplarwick_forwarding import dialect
 from poplarwick_forwarding import fingerprints
+from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import headers
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import log_events
@@ -77,6 +78,7 @@
         wire_dialect: Protocol dialect of the platform.
         runner: Runs requests at endpoints.
         budget: Counts the buffered data.
+        stop: Ends the reading of requests once this instance stops.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         wire_dialect: dialect.Dialect,
         runner: request_runner.RequestRunner,
         budget: buffer_budget.BufferBudget,
+        stop: graceful_stop.GracefulStop,
     ) -> None:
         self.is_leaving = False
         self._is_relieved = False
@@ -102,6 +105,7 @@
         self._dialect = wire_dialect
         self._runner = runner
         self._budget = budget
+        self._stop = stop
         self._connections = caller_connections.CallerConnections(
             lambda: self.connections
         )
@@ -312,8 +316,13 @@
         try:
             if not self._budget.can_accept(expected_bytes):
                 raise buffer_budget.BudgetSpentError("before the body")
-            async with asyncio.timeout(_choose_body_timeout_s(metadata)):
+            async with (
+                asyncio.timeout(_choose_body_timeout_s(metadata)),
+                self._stop.limit_read(),
+            ):
                 body, digest = await _read_body(request, max_bytes, held)
+        except graceful_stop.StoppingError:
+            return self._refuse(request, "stopping")
         except TimeoutError:
             return self._refuse(
                 request, "body_not_read", outcomes.Failure.BODY_LATE
--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -65,6 +65,7 @@
         self._window: _Window | None = None
         self._waits: dict[asyncio.Timeout, float] = {}
         self._runs: dict[asyncio.Timeout, outcomes.Sink] = {}
+        self._reads: dict[asyncio.Timeout, None] = {}
 
     def begin(
         self, starts_until_s: float, ends_at_s: float, cuts_at_s: float
@@ -119,8 +120,21 @@
         async with _limit(self._runs, sink, None):
             yield
 
+    @contextlib.asynccontextmanager
+    async def limit_read(self) -> AsyncIterator[None]:
+        """Limits the wait for what is missing of a request.
+
+        Raises:
+            StoppingError: This instance ends before the request is read.
+        """
+        async with _limit(self._reads, None, None):
+            yield
+
     def _end_unanswered(self) -> None:
         """Ends the requests whose callers have received nothing."""
+        for timer in self._reads:
+            if not timer.expired():
+                timer.reschedule(clock.now_s())
         for timer, sink in self._runs.items():
             if not sink.has_begun and not timer.expired():
                 timer.reschedule(clock.now_s())
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -264,6 +264,7 @@
                 platform_dialect,
                 runner,
                 self.buffers,
+                self._graceful_stop,
             )
         )
         self.catalogue.add_listener(self.frontend.handle_configuration)
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -8,6 +8,7 @@
 
 import platform_cluster
 import slow_callers
+import test_late_bodies
 import test_late_stops
 
 from poplarwick_core import clock
@@ -142,6 +143,25 @@
     asyncio.run(scenario())
 
 
+# Guards against connections that a stop closes without an answer, as their
+# requests are not read completely: no endpoint has run them.
+def test_request_that_is_still_read_at_the_end_is_refused(tmp_path):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            request = test_late_bodies.LateRequest("/order/", None)
+            await request.open(cluster.instances[0])
+            frontend = cluster.instances[0].node.frontend
+            await platform_cluster.wait_until(lambda: frontend.in_progress)
+            cluster.instances[0].stop.set()
+            await cluster.instances[0].task
+            status, is_whole = await request.end(0.0)
+            assert (status, is_whole) == (503, True)
+
+    asyncio.run(scenario())
+
+
 # Guards against answers that a kill takes along, as the stop hands them over
 # only at the time at which it ends requests (LOST).
 def test_unsent_answer_is_handed_over_before_the_earliest_kill(tmp_path):
