--- a/packages/bench/poplarwick_bench/caller.py
+++ b/packages/bench/poplarwick_bench/caller.py
@@ -63,6 +63,7 @@
     Attributes:
         name: Name of the call.
         organisation: Organisation that called.
+        address: Host and port that it was sent to.
         due_s: Monotonic time at which the call was due.
         sent_at_s: Wall time at which it was sent.
         waited_s: Seconds from due to sent, including earlier attempts.
@@ -90,6 +91,7 @@
     organisation: str
     due_s: float
     sent_at_s: float
+    address: str = ""
     waited_s: float = 0.0
     first_token_s: float | None = None
     ended_s: float = 0.0
@@ -142,6 +144,7 @@
             on_text: Called with each piece of text as it arrives.
         """
         record = _make_record(call, due_s)
+        record.address = self.address
         wait_limit_s = None
         if call.timeout_s is not None:
             wait_limit_s = call.timeout_s + RESPONSE_MARGIN_S
