--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import contextlib
-import time
 
+import late_requests
 import platform_cluster
 import slow_callers
-import test_late_bodies
-import test_late_stops
+import stop_calls
 
 from poplarwick_core import clock
 from poplarwick_node import stop_schedule
@@ -22,22 +21,15 @@
 for by its request: it is in the connection's write buffer."""
 
 
-def stand_still(duration_s):
-    """Keeps the event loop, and with it all instances, from running."""
-    time.sleep(duration_s)
-
-
 async def wait_for_execution(cluster):
     await platform_cluster.wait_until(
         lambda: any(r.executions for r in cluster.replicas)
     )
 
 
-async def call_with_time(cluster, path, **options):
-    """Returns the status of a request that outlasts a stop."""
-    async with cluster.call(
-        path, headers={"Deadline-Ms": "15000"}, **options
-    ) as response:
+async def call(cluster, path, **options):
+    """Returns the status of a request."""
+    async with stop_calls.make_call(cluster, path, **options) as response:
         return response.status
 
 
@@ -92,16 +84,16 @@
         ) as cluster:
             for replica in cluster.replicas:
                 replica.response_delay_s = 60.0
-            call = asyncio.create_task(
-                call_with_time(cluster, "/order/", method="POST")
+            calling = asyncio.create_task(
+                call(cluster, "/order/", method="POST")
             )
             await wait_for_execution(cluster)
             instance = cluster.instances[0]
             signalled_at_s = clock.now_s()
             instance.node.record_stop_signal()
-            stand_still(1.0)
+            stop_calls.stand_still(1.0)
             instance.stop.set()
-            status = await call
+            status = await calling
             assert status == 502
             assert clock.now_s() - signalled_at_s < GRACE_S
             await instance.task
@@ -119,7 +111,7 @@
 
     async def stream_and_stand_still(*arguments):
         response = await stream(*arguments)
-        stand_still(cut_at_s[0] + 0.1 - clock.now_s())
+        stop_calls.stand_still(cut_at_s[0] + 0.1 - clock.now_s())
         return response
 
     async def scenario():
@@ -150,7 +142,7 @@
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=GRACE_S
         ) as cluster:
-            request = test_late_bodies.LateRequest("/order/", None)
+            request = late_requests.LateRequest("/order/", None)
             await request.open(cluster.instances[0])
             frontend = cluster.instances[0].node.frontend
             await platform_cluster.wait_until(lambda: frontend.in_progress)
@@ -169,7 +161,7 @@
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=GRACE_S
         ) as cluster:
-            await test_late_stops.allow_long_requests(cluster)
+            await stop_calls.allow_long_requests(cluster)
             body = "x" * 300_000
             for replica in cluster.replicas:
                 replica.make_body = lambda request_id: body
@@ -184,7 +176,7 @@
                 transport = connection.transport
                 assert transport.get_write_buffer_size()
                 # The signal may have come at the beginning of the standstill.
-                stand_still(STANDSTILL_S)
+                stop_calls.stand_still(STANDSTILL_S)
                 signalled_at_s = clock.now_s() - STANDSTILL_S
                 instance.node.record_stop_signal()
                 instance.stop.set()
--- a/tests/adapter/test_late_stops.py
+++ b/tests/adapter/test_late_stops.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import aiohttp
 import platform_cluster
 import pytest
 import slow_callers
+import stop_calls
 
 from poplarwick_standins import platform_replica
 
@@ -22,37 +22,6 @@
 period, in which endpoints have to end."""
 
 
-def make_call(cluster, path="/label/", *, instance=0, **options):
-    return cluster.call(
-        path, instance, headers={"Deadline-Ms": "15000"}, **options
-    )
-
-
-async def allow_long_requests(cluster):
-    routes = [
-        platform_cluster.make_route(
-            name, kind, service, timeout_ms=15_000, target_latency_ms=5_000
-        )
-        for name, kind, service in (
-            ("label", "streaming", "pool"),
-            ("order", "non_idempotent", "orders"),
-            ("stock", "idempotent", "orders"),
-        )
-    ]
-    await cluster.store.put(
-        "op/config", platform_cluster.make_configuration(2, routes)
-    )
-    for instance in cluster.instances:
-        await platform_cluster.wait_until(
-            lambda node=instance.node: node.catalogue.routing.version == 2
-        )
-
-
-def stand_still():
-    """Keeps the event loop, and with it all instances, from running."""
-    time.sleep(STANDSTILL_S)
-
-
 def set_events(cluster, count):
     for replica in cluster.replicas:
         replica.event_count = count
@@ -66,13 +35,13 @@
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=GRACE_S
         ) as cluster:
-            await allow_long_requests(cluster)
+            await stop_calls.allow_long_requests(cluster)
             events = int(LATE_END_S / EVENT_PERIOD_S)
             set_events(cluster, events)
-            stand_still()
+            stop_calls.stand_still(STANDSTILL_S)
             await asyncio.sleep(0.5)
             cluster.instances[0].stop.set()
-            async with make_call(cluster, tokens=5_000) as response:
+            async with stop_calls.make_call(cluster, tokens=5_000) as response:
                 body = await response.read()
             assert body.count(b"id: ") == events
             await cluster.instances[0].task
@@ -90,7 +59,7 @@
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=SHORT_GRACE_S
         ) as cluster:
-            await allow_long_requests(cluster)
+            await stop_calls.allow_long_requests(cluster)
             for replica in cluster.replicas:
                 replica.response_delay_s = 60.0
                 replica.fault_plan = [platform_replica.Fault.SILENT] * 8
@@ -98,7 +67,7 @@
             method = "GET" if path == "/stock/" else "POST"
 
             async def call():
-                async with make_call(
+                async with stop_calls.make_call(
                     cluster, path, tokens=tokens, method=method
                 ) as response:
                     return response.status
@@ -126,7 +95,7 @@
         async with platform_cluster.run_cluster(
             tmp_path, grace_s=SHORT_GRACE_S
         ) as cluster:
-            await allow_long_requests(cluster)
+            await stop_calls.allow_long_requests(cluster)
             body = "x" * 300_000
             for replica in cluster.replicas:
                 replica.make_body = lambda request_id: body
