Count a stop from the last check if the process may have stood still since

A standstill was taken to have begun when the next check was due, up to 0.25 s after it may have begun, so that the kill and the refusals of late requests were up to 0.25 s late. The signal counts from the last check now. An error in the preparations for the end is logged and cuts nothing; before, all requests would have been cut at once (by reading, no trigger is known).

test_signal_in_a_standstill_may_have_come_after_the_last_check fails before; the tests of node, late stops, ends of stops and closed connections pass.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -124,11 +124,7 @@
         The signal may have arrived while the process did not run.
         """
         if self._stop_signal is None:
-            now_s = clock.now_s()
-            overdue_s = self._lateness.calculate_overdue_s(now_s)
-            self._stop_signal = stop_schedule.StopSignal(
-                now_s - overdue_s, now_s
-            )
+            self._stop_signal = self._lateness.locate_signal(clock.now_s())
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until `stop` is set, then shuts down gracefully."""
@@ -457,7 +453,11 @@
         wait_until_idle = self.frontend.wait_until_idle
         if await wait_until_idle(schedule.prepares_at_s - clock.now_s()):
             return
-        self.frontend.prepare_for_end()
+        try:
+            self.frontend.prepare_for_end()
+        except Exception as error:
+            # Requests still have their time.
+            logs.log(log_events.TaskFailed(reason=repr(error)))
         if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
         assert self._stop_signal is not None
--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -110,6 +110,16 @@
             return 0.0
         return max(now_s - self._last_check_s - self._period_s, 0.0)
 
+    def locate_signal(self, now_s: float) -> StopSignal:
+        """Returns when a signal arrived that is noticed now.
+
+        If the next check is overdue, the process may have stood still since the
+        last one.
+        """
+        if self._last_check_s is None or not self.calculate_overdue_s(now_s):
+            return StopSignal(now_s, now_s)
+        return StopSignal(self._last_check_s, now_s)
+
     @property
     def worst_s(self) -> float:
         """Largest lateness of the recent checks."""
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -115,6 +115,16 @@
     assert lateness.calculate_overdue_s(11.25) == pytest.approx(1.0)
 
 
+# Guards against requests that are passed on over 3 s after the signal, as a
+# standstill is taken to have begun only when the next check was due (LOST).
+def test_signal_in_a_standstill_may_have_come_after_the_last_check():
+    lateness = stop_schedule.LoopLateness(PERIOD_S)
+    assert lateness.locate_signal(9.0) == (9.0, 9.0)
+    lateness.record_check(10.0)
+    assert lateness.locate_signal(10.2) == (10.2, 10.2)
+    assert lateness.locate_signal(11.25) == (10.0, 11.25)
+
+
 @hypothesis.given(
     st.floats(0.0, 60.0), st.floats(0.0, 1e3), st.floats(0.0, 1e6)
 )
