Play stops of a whole failure domain and with callers that read slowly

Cause: two of the cases in the list of stops could not be played: all instances of one failure domain at once, and callers that read slowly through small buffers.

Change: conditions for both, none by default. A caller that reads slowly sees an end once it has read the rest, so the line of its end may be earlier than what it saw, by any time; it is judged by the line's time. All other callers are judged as before.

Tests: 55 in test_explained_ends and test_play_conditions pass.

--- a/tests/processes/conditions.py
+++ b/tests/processes/conditions.py
@@ -39,8 +39,12 @@
         link_mbit: Slowest and fastest link between clients and an instance.
         link_buffer_bytes: Size of each buffer of these links.
         event_bytes: Size of an engine's event; 0 for events of a few bytes.
+        slow_share: Share of connections whose callers read slowly.
+        slow_bytes_per_s: Rate at which these read.
         together: Number of instances, the placer among them, that are stopped
             at once; 0 for stops in turn.
+        same_domain: Whether all instances of the placer's failure domain are
+            stopped at once instead.
         stagger_s: Longest time between the signals of such stops.
         kill_early_s: Time before the end of the grace period at which
             instances are killed.
@@ -56,7 +60,10 @@
     link_mbit: tuple[float, float] | None = None
     link_buffer_bytes: int | None = None
     event_bytes: int = 0
+    slow_share: float = 0.0
+    slow_bytes_per_s: float = 50_000
     together: int = 0
+    same_domain: bool = False
     stagger_s: float = 2.0
     kill_early_s: float = 0.0
     store_fault: StoreFault | None = None
@@ -87,7 +94,10 @@
     parser.add_argument("--link-mbit", type=float, nargs=2)
     parser.add_argument("--link-buffer-bytes", type=int)
     parser.add_argument("--event-bytes", type=int, default=0)
+    parser.add_argument("--slow-share", type=float, default=0.0)
+    parser.add_argument("--slow-bytes-per-s", type=float, default=50_000)
     parser.add_argument("--together", type=int, default=0)
+    parser.add_argument("--same-domain", action="store_true")
     parser.add_argument("--stagger-s", type=float, default=2.0)
     parser.add_argument("--kill-early-s", type=float, default=0.0)
     parser.add_argument(
--- a/tests/processes/test_explained_ends.py
+++ b/tests/processes/test_explained_ends.py
@@ -262,6 +262,22 @@
     assert explained.finding == "its caller has a whole answer"
 
 
+def test_caller_that_reads_slowly_sees_the_end_later():
+    line = make_stopping("cut")
+    late = make_attempt(ended_at_s=112.0, reads_slowly=True)
+    (explained,) = explain(late, line)
+    assert explained.finding == ""
+    (explained,) = explain(late, make_stopping("cut", 106.6))
+    assert explained.finding == "cut before the last sixth"
+    (explained,) = explain(make_attempt(ended_at_s=108.5), line)
+    assert explained.finding == "the line is of another time"
+    (explained,) = explain(
+        make_attempt(ended_at_s=106.8, reads_slowly=True), line
+    )
+    assert explained.finding == "the line is of another time"
+    assert not explain(make_attempt(ended_at_s=112.0), line)
+
+
 def test_ends_away_from_a_stop_and_callers_that_gave_up_are_left_out():
     assert not explain(make_attempt(ended_at_s=99.0))
     assert not explain(make_attempt(end="deadline"))
--- a/tests/processes/test_play_conditions.py
+++ b/tests/processes/test_play_conditions.py
@@ -7,6 +7,7 @@
 
 import cpu_shares
 import pytest
+import slow_callers
 import standstills
 import stop_orders
 import timed_engines
@@ -91,3 +92,26 @@
         assert "front-2" in group
         assert len(group) == 3
     assert len(stop_orders.choose_group(None, names, 2, rng)) == 2
+
+
+def test_domain_of_the_placer_is_chosen_whole():
+    domains = {"front-0": "a", "front-1": "b", "front-2": "a"}
+    chosen = stop_orders.choose_domain
+    assert chosen("front-2", domains) == {"front-0", "front-2"}
+    assert chosen("front-1", domains) == {"front-1"}
+    assert chosen(None, domains) == {"front-0", "front-2"}
+
+
+def test_paced_reader_takes_the_time_of_what_it_reads():
+    async def run():
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"head\nbody")
+        reader.feed_eof()
+        paced = slow_callers.PacedReader(reader, 400)
+        assert await paced.readline() == b"head\n"
+        began_at_s = asyncio.get_running_loop().time()
+        assert await paced.readexactly(4) == b"body"
+        assert paced.at_eof()
+        return asyncio.get_running_loop().time() - began_at_s
+
+    assert asyncio.run(run()) >= 0.01
