Show that lines of a cut wait in memory while a kill may follow

Cause: LineWriter queues lines and its thread writes them each 0.1 s (FLUSH_PERIOD_S). Whatever is logged in the last 0.1 s before a kill is gone, while the cut itself is sent at once.

The test stops the periodic writing, so that a line reaches the file only if it is handed over, and reads the file as its caller sees the cut; once as usual and once after a standstill, in which the lines and the cut are due in one step. No product code changes here.

--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import contextlib
+import os
 
+import aiohttp
 import late_requests
 import platform_cluster
+import pytest
 import slow_callers
 import stop_calls
 
 from poplarwick_core import clock
+from poplarwick_core import log_writer
+from poplarwick_core import logs
 from poplarwick_node import stop_schedule
 from poplarwick_standins import platform_replica
 
@@ -21,6 +26,20 @@
 for by its request: it is in the connection's write buffer."""
 
 
+@pytest.fixture(name="log")
+def fixture_log(tmp_path, monkeypatch):
+    """Log file that queued lines reach no sooner than they are handed over."""
+    monkeypatch.setattr(log_writer, "FLUSH_PERIOD_S", 60.0)
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    writer = log_writer.LineWriter(descriptor)
+    logs.configure_logs(writer=writer)
+    yield path
+    logs.configure_logs()
+    writer.close(timeout_s=10.0)
+    os.close(descriptor)
+
+
 async def wait_for_execution(cluster):
     await platform_cluster.wait_until(
         lambda: any(r.executions for r in cluster.replicas)
@@ -189,3 +208,39 @@
             await instance.task
 
     asyncio.run(scenario())
+
+
+# Guards against streams whose end no line explains if a kill follows at once,
+# as their lines wait to be written (the record of stops). After a standstill
+# the lines and the cut are due in the same step.
+@pytest.mark.parametrize("standstill_s", [0.0, 0.5])
+def test_lines_of_a_cut_are_written_before_it(tmp_path, log, standstill_s):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            for replica in cluster.replicas:
+                replica.event_count, replica.event_interval_s = 400, 0.05
+            instance = cluster.instances[0]
+            async with cluster.call(
+                "/label/",
+                headers={"Deadline-Ms": "15000", "Request-Id": "long"},
+                tokens=5_000,
+            ) as response:
+                await response.content.readany()
+                instance.stop.set()
+                asyncio.get_running_loop().call_later(
+                    GRACE_S - 0.8, stop_calls.stand_still, standstill_s
+                )
+                with contextlib.suppress(aiohttp.ClientError):
+                    await response.read()
+                # What a kill would leave now.
+                lines = log.read_text().splitlines()
+            await instance.task
+        return [line for line in lines if "request=long " in line]
+
+    named = asyncio.run(scenario())
+    assert any(
+        "event=request_left_at_stop" in line or "reason=stopping" in line
+        for line in named
+    ), named
