Write log lines at once from the signal to stop on

Cause: the log's thread writes each 0.1 s; what is logged in between ends with the process.

Change: LineWriter.write_through, from the start of a stop on. The event loop writes what the pipe takes without blocking (PIPE_BUF at a time, if it is writable); the rest waits for the thread as before.

New tests of the writer: a line is written at once, and a full pipe neither blocks nor loses lines. packages/core and test_ends_of_stops pass.

--- a/packages/core/poplarwick_core/log_writer.py
+++ b/packages/core/poplarwick_core/log_writer.py
@@ -36,6 +36,9 @@
         self.dropped = 0
         self._descriptor = descriptor
         self._lines: collections.deque[str] = collections.deque()
+        self._unwritten = b""
+        self._is_writing = threading.Lock()
+        self._writes_through = False
         self._wake = threading.Event()
         self._is_closing = False
         self._thread = threading.Thread(
@@ -49,6 +52,16 @@
             self.dropped += 1
             return
         self._lines.append(line)
+        if self._writes_through:
+            self._write_what_fits()
+
+    def write_through(self) -> None:
+        """Writes further lines at once, as the process may soon be killed.
+
+        They wait in the queue only while the reader is slow.
+        """
+        self._writes_through = True
+        self._write_what_fits()
 
     def close(self, timeout_s: float = 0.5) -> None:
         """Writes the queued lines and stops the thread.
@@ -68,20 +81,58 @@
         self._flush()
 
     def _flush(self) -> None:
-        while self._lines:
-            count = min(len(self._lines), MAX_BATCH_LINES)
-            batch = [self._lines.popleft() for _ in range(count)]
-            if self.dropped:
-                dropped, self.dropped = self.dropped, 0
-                batch.append(f"event=log_lines_dropped count={dropped}\n")
-            data = "".join(batch).encode(errors="backslashreplace")
-            while data:
+        """Writes the queued lines, and waits for a slow reader."""
+        with self._is_writing:
+            while self._take_batch():
                 try:
-                    data = data[os.write(self._descriptor, data) :]
+                    self._write(len(self._unwritten))
                 except BlockingIOError:
                     # Another process has made the pipe non-blocking, and its
                     # reader is slow.
                     select.select((), (self._descriptor,), ())
-                except OSError:
-                    # The reader closed the pipe, so the error cannot be logged.
+
+    def _write_what_fits(self) -> None:
+        """Writes queued lines as long as that does not block."""
+        if not self._is_writing.acquire(blocking=False):
+            # The thread takes the lines that were queued meanwhile, too.
+            return
+        try:
+            while self._take_batch():
+                _, writable, _ = select.select((), (self._descriptor,), (), 0)
+                if not writable:
                     return
+                self._write(select.PIPE_BUF)
+        except BlockingIOError:
+            # As above; the thread waits for it.
+            return
+        finally:
+            self._is_writing.release()
+
+    def _take_batch(self) -> bool:
+        """Encodes the next lines; returns whether there is data to write."""
+        if self._unwritten:
+            return True
+        count = min(len(self._lines), MAX_BATCH_LINES)
+        batch = [self._lines.popleft() for _ in range(count)]
+        if not batch:
+            return False
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            batch.append(f"event=log_lines_dropped count={dropped}\n")
+        self._unwritten = "".join(batch).encode(errors="backslashreplace")
+        return True
+
+    def _write(self, max_bytes: int) -> None:
+        """Writes a part of the encoded lines.
+
+        Raises:
+            BlockingIOError: The descriptor takes no data.
+        """
+        try:
+            written = os.write(self._descriptor, self._unwritten[:max_bytes])
+        except BlockingIOError:
+            raise
+        except OSError:
+            # The reader closed the pipe, so the error cannot be logged.
+            written = len(self._unwritten)
+        self._unwritten = self._unwritten[written:]
--- a/packages/core/poplarwick_core/logs.py
+++ b/packages/core/poplarwick_core/logs.py
@@ -15,6 +15,8 @@
 from poplarwick_core import clock
 from poplarwick_core import log_writer
 
+_writer: log_writer.LineWriter | None = None
+
 _NEEDS_QUOTES = frozenset(" =\"'\n\r\t\\")
 
 
@@ -30,12 +32,20 @@
         writer: Receives the lines; None means standard error.
         **bound: Fields added to every line, such as the instance id.
     """
+    global _writer
+    _writer = writer
     logger.remove()
     logger.configure(extra={"bound": bound})
     sink = sys.stderr if writer is None else writer.write
     logger.add(sink, level=level, format=_format_record)
 
 
+def write_through() -> None:
+    """Writes further events at once, as the process may soon be killed."""
+    if _writer is not None:
+        _writer.write_through()
+
+
 class Event(msgspec.Struct, frozen=True, kw_only=True):
     """Base class of all typed events.
 
--- a/packages/core/tests/test_log_writer.py
+++ b/packages/core/tests/test_log_writer.py
@@ -61,3 +61,44 @@
     os.close(writing)
     assert read_all(reading, 0.0) == ["last"]
     os.close(reading)
+
+
+def read_available(descriptor):
+    os.set_blocking(descriptor, False)
+    try:
+        return os.read(descriptor, 1 << 20).decode()
+    except BlockingIOError:
+        return ""
+
+
+# Guards against lines that a kill takes along, as they wait for the thread.
+def test_line_is_written_at_once_when_the_process_may_be_killed(monkeypatch):
+    monkeypatch.setattr(log_writer, "FLUSH_PERIOD_S", 60.0)
+    reading, writing = os.pipe()
+    writer = log_writer.LineWriter(writing)
+    writer.write("before\n")
+    assert read_available(reading) == ""
+    writer.write_through()
+    assert read_available(reading) == "before\n"
+    writer.write("after\n")
+    assert read_available(reading) == "after\n"
+    writer.close()
+
+
+def test_full_pipe_does_not_block_lines_that_are_written_at_once(monkeypatch):
+    monkeypatch.setattr(log_writer, "FLUSH_PERIOD_S", 60.0)
+    reading, writing = os.pipe()
+    writer = log_writer.LineWriter(writing)
+    writer.write_through()
+    for number in range(LINES):
+        writer.write(f"line {number} of some length so that the pipe is full\n")
+    received = []
+    reader = threading.Thread(
+        target=lambda: received.extend(read_all(reading, 0.0))
+    )
+    reader.start()
+    writer.close(timeout_s=20.0)
+    os.close(writing)
+    reader.join()
+    os.close(reading)
+    assert len(received) == LINES
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -410,6 +410,7 @@
         self.record_stop_signal()
         stop_signal = self._stop_signal
         assert stop_signal is not None
+        logs.write_through()
         now_s = clock.now_s()
         schedule = stop_schedule.make_schedule(
             stop_signal,
