Let a test of takeovers fail its endpoint only once another one is tried

The test waits 0.03 s for an alarm of 0.01 s; on a loop that is late by more, both are due in one step and the endpoint fails before another one is asked, which is a retry as usual. Shown: with the loop late by 0.05 s the test's scenario has no attempt (None). It now waits until the other endpoint has been asked; its assertions are as they were.

--- a/packages/forwarding/tests/test_takeover.py
+++ b/packages/forwarding/tests/test_takeover.py
@@ -134,9 +134,12 @@
 
 
 def test_endpoint_that_fails_leaves_its_request_to_the_other_one():
+    fleet = Fleet([PLACEMENT], answer_s=0.08)
+
     async def fail(silence):
-        await asyncio.sleep(0.03)
+        while not fleet.opened:
+            await asyncio.sleep(0.001)
         assert await silence.wait_for_attempt() is ANSWERED
 
-    attempt, _ = run(Fleet([PLACEMENT], answer_s=0.08), fail)
+    attempt, _ = run(fleet, fail)
     assert not attempt.is_ended
