Give the tests' collectors of log lines the writer's new method

Since lines are written at once during a stop, the two fakes of LineWriter need write_through; without it three tests of closed connections fail with an AttributeError. No assertion changes. packages/forwarding, packages/core and the tests of stopping, closed connections and explaining pass.

--- a/tests/adapter/test_closed_connections.py
+++ b/tests/adapter/test_closed_connections.py
@@ -21,6 +21,9 @@
         def write(self, line):
             self.append(line)
 
+        def write_through(self):
+            """Lines are kept at once anyway."""
+
     lines = Writer()
     logs.configure_logs(writer=lines)
     yield lines
--- a/tests/adapter/test_explaining.py
+++ b/tests/adapter/test_explaining.py
@@ -24,6 +24,9 @@
         """Collects a line."""
         self.collected.append(line)
 
+    def write_through(self):
+        """Lines are kept at once anyway."""
+
 
 @pytest.fixture
 def lines():
