Count what a new placer's own instance runs from its first moment

test_stop_refuses_requests_that_wait_for_an_engine failed once here, beside other tests: a second prompt of 200,000 tokens was placed beside the first at the only engine, and cut off by the stop, instead of being refused with 503.

Cause: the product. A new placer is sent the running requests of its own instance in the same turn of the event loop, before its first round of decisions gives its scheduler the endpoints. The scheduler drops a running request at an endpoint that it does not know. So at each change of the placer the successor forgot what its own instance ran, until engines' reports showed it, and could place too much there. Requests of other instances arrive after the first round. A test met it if the tenure, taken after a random part of a second, began between its first and its second request.

Change: the placer updates its endpoints before it counts a running request, as it does for requests to be placed. placer.py grows by two lines, at the place where the message is handled.

--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -368,6 +368,8 @@
                     self._send_decision(key, decision)
             case "running":
                 running_request = message.running.ask
+                # The own instance reports before the first round of decisions.
+                self._feed.refresh()
                 self._scheduler.adopt(
                     Key(session.instance, running_request.ask),
                     wire_codec.decode_request(running_request, now_s),
--- a/tests/adapter/test_placer_sessions.py
+++ b/tests/adapter/test_placer_sessions.py
@@ -19,6 +19,7 @@
 from poplarwick_peers.wire import placement_pb2
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
+from poplarwick_standins import platform_replica
 
 
 def make_placer(tmp_path, store_mirror):
@@ -47,6 +48,19 @@
     )
 
 
+def make_ask(number):
+    """Returns a prompt beside which no second one fits into an engine."""
+    return placement_pb2.Ask(
+        ask=number,
+        service="pool",
+        prompt_tokens=200_000,
+        output_tokens=170,
+        on_time_s=60.0,
+        deadline_s=60.0,
+        pause_limit_s=1.0,
+    )
+
+
 def send_heartbeat(tmp_path, value=b"{}", **beat):
     """Returns the kinds of messages that answer it, and the changes."""
 
@@ -123,3 +137,33 @@
             assert len(told) == is_told
 
     asyncio.run(run())
+
+
+# Guards against a second prompt at an engine that is full.
+@pytest.mark.parametrize("is_running", [False, True])
+def test_new_placer_counts_what_runs_before_its_first_round(
+    tmp_path, is_running
+):
+    async def run():
+        store_mirror = mirror.Mirror()
+        engine = platform_replica.Replica("i-0", "pool").make_entry()
+        documents = {
+            "op/config": platform_cluster.make_configuration(),
+            "servers/i-0": {**engine, "address": "127.0.0.1:1"},
+        }
+        entries = tuple(
+            kv.Entry(key, json.dumps(document).encode(), 1, 1)
+            for key, document in documents.items()
+        )
+        serving = make_placer(tmp_path, store_mirror)
+        store_mirror.apply_snapshot(kv.Snapshot(entries, 1, 0))
+        sent = []
+        session = serving.open_session("front-0", sent.append)
+        if is_running:
+            running = placement_pb2.Running(ask=make_ask(1), endpoint="i-0")
+            serving.handle(session, placement_pb2.EntryMessage(running=running))
+        serving.handle(session, placement_pb2.EntryMessage(ask=make_ask(2)))
+        kinds = [message.WhichOneof("kind") for message in sent]
+        assert ("decision" in kinds) is not is_running
+
+    asyncio.run(run())
