Keep a key that a late read of the store does not know yet

test_mirrors_end_equal_to_a_store_that_was_restored failed once here with an example that hypothesis drew: the mirror lacked a key that the store held.

Cause: after a restore, the mirror withholds for a while the keys that were removed before and have come back. A read that is missing such a key ended that, also a read older than the key, which arrives late. The key was then unknown, and its tombstone kept later reads from bringing it back, so that the instance lacked the entry until it was written again.

Change: only a read at least as new as the key ends it, as for other keys.

The new test fails before the change (set() for {'a'}) and passes with it.

--- a/packages/platform/poplarwick_platform/mirror.py
+++ b/packages/platform/poplarwick_platform/mirror.py
@@ -152,8 +152,11 @@
             and key not in self._carried
             and entry.mod_revision <= snapshot.revision
         )
-        for key in [k for k in self._withheld if k not in present]:
-            del self._withheld[key]
+        self._withheld = {
+            key: entry
+            for key, entry in self._withheld.items()
+            if key in present or entry.mod_revision > snapshot.revision
+        }
         self.apply_changes(changes, snapshot.position)
 
     def apply_changes(
--- a/packages/platform/tests/test_mirror.py
+++ b/packages/platform/tests/test_mirror.py
@@ -179,6 +179,18 @@
     assert read_keys(store_mirror) == {"a", "b"}
 
 
+def test_late_read_of_a_new_era_hides_no_key_that_was_written_after_it(wait):
+    store_mirror = mirror.Mirror()
+    store_mirror.apply_changes([put("a", 900)], at(1_000))
+    store_mirror.apply_changes([remove("a", 950)], at(1_000))
+    store_mirror.apply_snapshot(snapshot(605, ("a", 604), era=1))
+    store_mirror.apply_snapshot(snapshot(603, era=1))
+    store_mirror.apply_snapshot(snapshot(605, ("a", 604), era=1))
+    wait(mirror.WITHHOLD_S)
+    store_mirror.settle()
+    assert read_keys(store_mirror) == {"a"}
+
+
 def test_whole_state_of_a_mirror_brings_another_one_to_its_era(wait):
     source, target = mirror.Mirror(), mirror.Mirror()
     for store_mirror in (source, target):
