Leave the tenure to the placer that it was handed to

test_placers_of_both_versions_serve_all_and_hand_over failed once: no hand-over from the previous to the present version was logged. After every hand-over, callers could get a second change of the placer 1.5 s later: another scheduler that has to learn what runs, requests submitted anew, and suspected requests that wait for it.

Cause: the product. The successor began without a lease and did not touch the key; the former placer stops renewing its lease when it is superseded. Once that lease ended, the successor and the first instance by rank campaigned at the same moment, and the latter, if it won, took the tenure from a placer that served. The test then saw previous -> previous handed over and previous -> present taken through the store. Seen in the logs of a run that passed, too: front-2 handed over to front-0, and front-3 took the tenure 1.35 s later.

Change: the successor replaces its predecessor's key at once, under the condition that it is unchanged, and keeps its epoch. Instances that are connected to a placer leave a vacant key to it for a second, as they did after a restore only; a placer that is lost is disconnected before its lease ends, so its replacement is not later. A campaign that another instance beats waits for the change of the key instead of trying again at once. Both halves are needed while two versions serve together.

Fixtures of test_start_of_fleet and probe.py said that a placer was connected where there is none; they say so now, with the same assertions.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -128,7 +128,7 @@
         receives_store_updates: Returns whether this instance receives updates
             from the store.
         accept_handover: Called with the epoch that a stopping placer hands
-            over to this instance.
+            over to this instance, and with that placer.
     """
 
     def __init__(
@@ -138,7 +138,7 @@
         deployment_: deployment.Deployment,
         observe_epoch: Callable[[ids.Epoch], None],
         receives_store_updates: Callable[[], bool],
-        accept_handover: Callable[[ids.Epoch], None],
+        accept_handover: Callable[[ids.Epoch, ids.InstanceId], None],
     ) -> None:
         self._accept_handover = accept_handover
         self.is_leaving = False
@@ -429,7 +429,10 @@
             case "changes":
                 store_changes.apply_changes(self._mirror, message.changes)
             case "handover":
-                self._accept_handover(ids.Epoch(message.handover.epoch))
+                self._accept_handover(
+                    ids.Epoch(message.handover.epoch),
+                    ids.InstanceId(connection.placer),
+                )
             case "endpoint_leaving":
                 self._catalogue.record_leaving(
                     wire_codec.decode_start(message.endpoint_leaving)
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -55,8 +55,9 @@
 reaches so many revisions."""
 
 INCUMBENT_WAIT_S = 1.0
-"""Time after a restore of the store for which instances that have a placer
-leave the tenure to it."""
+"""Time for which instances that have a placer leave a vacant key to it. Its
+lease has ended, or it took the tenure over without one; a placer that is lost
+is disconnected sooner than its lease ends."""
 
 OUTAGE_WAIT_S = 1.0
 """Time without a placer and without the store after which an instance takes
@@ -130,6 +131,7 @@
         self._may_campaign = True
         self._on_change: Callable[[ids.Epoch | None], None] | None = None
         self._value: bytes | None = None
+        self._predecessor: ids.InstanceId | None = None
         self._has_read_store = bool(store_mirror.revision)
         self._key_changed = asyncio.Event()
         store_mirror.add_listener(self._handle_changes)
@@ -173,10 +175,19 @@
             self._lease = None
             self._set_epoch(None)
 
-    def accept_handover(self, epoch: ids.Epoch) -> None:
-        """Takes over from a stopping placer with the given epoch."""
+    def accept_handover(
+        self, epoch: ids.Epoch, predecessor: ids.InstanceId
+    ) -> None:
+        """Takes over from a stopping placer.
+
+        Args:
+            epoch: Epoch of the new tenure.
+            predecessor: The stopping placer, whose key is replaced.
+        """
         if self._may_campaign and epoch > (self.epoch or 0):
+            self._predecessor = predecessor
             self._set_epoch(epoch)
+            self._key_changed.set()
 
     async def wait_until_ended(self, timeout_s: float) -> bool:
         """Waits until this instance does not hold the tenure.
@@ -264,9 +275,25 @@
         if entry is None:
             return True
         if self.epoch is not None:
-            return self._mirror.is_carried(self._key) or self._is_stale(entry)
+            return (
+                self._mirror.is_carried(self._key)
+                or self._is_stale(entry)
+                or self._is_handed_over(entry)
+            )
         return self._is_left_behind(entry) or self._is_stale(entry)
 
+    def _is_handed_over(self, entry: kv.Entry) -> bool:
+        """Returns whether the key is still that of the placer's predecessor.
+
+        It does not renew its lease any longer. Without a lease of its own, the
+        placer would lose the tenure to whoever campaigns first after that.
+        """
+        owner = entry.value.split(b" ")[0]
+        return (
+            self._predecessor is not None
+            and owner == self._predecessor.encode()
+        )
+
     def _is_left_behind(self, entry: kv.Entry) -> bool:
         """Returns whether an earlier process of this instance has the key.
 
@@ -290,6 +317,7 @@
         return disconnected_s is not None and disconnected_s > 2 * self._ttl_s
 
     async def _campaign(self) -> None:
+        await self._wait_for_incumbent()
         await asyncio.sleep(self._calculate_campaign_delay_s())
         if (
             not self._is_vacant()
@@ -319,12 +347,27 @@
             result = kv.Committed(
                 snapshot.entries[0].mod_revision, snapshot.era
             )
-        if isinstance(result, kv.Committed) and self._may_campaign:
+        if not isinstance(result, kv.Committed):
+            # Another instance has changed the key; the mirror shows it soon.
+            await self._wait_for_change()
+        elif self._may_campaign:
             self._lease = lease
+            self._predecessor = None
             # A placer that lost only its lease keeps its epoch and sessions.
             if self.epoch is None:
                 self._set_epoch(self._calculate_epoch(result.position))
 
+    async def _wait_for_incumbent(self) -> None:
+        """Leaves a vacant key to the placer for a while, if there is one."""
+        until_s = clock.now_s() + INCUMBENT_WAIT_S
+        while (
+            self.epoch is None
+            and self._read_takeover_state().disconnected_s is None
+            and self._is_vacant()
+            and clock.now_s() < until_s
+        ):
+            await self._wait_for_change()
+
     def _calculate_epoch(self, taken_at: kv.Position) -> ids.Epoch:
         """Returns an epoch above those of all tenures that began before.
 
@@ -340,23 +383,15 @@
             entry is not None and self._is_left_behind(entry)
         ):
             return 0.0
-        incumbent_s = 0.0
-        if (
-            self._mirror.is_settling
-            and self._read_takeover_state().disconnected_s is None
-        ):
-            incumbent_s = INCUMBENT_WAIT_S
         members = self._read_members()
         if self._instance not in members:
             # The size of a fleet that starts for the first time is unknown.
-            return incumbent_s + random.uniform(0, CAMPAIGN_SPREAD_S)
+            return random.uniform(0, CAMPAIGN_SPREAD_S)
         rank = store_followers.rank_instance(self._instance, members)
         if rank < CAMPAIGN_RANKS:
-            return incumbent_s + rank * CAMPAIGN_STEP_S
-        return (
-            incumbent_s
-            + CAMPAIGN_RANKS * CAMPAIGN_STEP_S
-            + random.uniform(0, CAMPAIGN_SPREAD_S)
+            return rank * CAMPAIGN_STEP_S
+        return CAMPAIGN_RANKS * CAMPAIGN_STEP_S + random.uniform(
+            0, CAMPAIGN_SPREAD_S
         )
 
     async def _renew(self) -> None:
--- a/packages/coordination/tests/test_start_of_fleet.py
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -73,7 +73,7 @@
         name,
         read_members,
         1.0,
-        lambda: tenure.TakeoverState(False, None, 0),
+        lambda: tenure.TakeoverState(False, 0.0, 0),
     )
 
 
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -399,6 +399,31 @@
     run_scenario(tmp_path, scenario, instances=3)
 
 
+def test_tenure_that_was_handed_over_stays_with_its_successor(tmp_path):
+    async def scenario(cluster):
+        await wait_until_connected(cluster, cluster.instances)
+        placer = find_placer(cluster)
+        others = [i for i in cluster.instances if i is not placer]
+        await asyncio.sleep(3 * message_streams.HEARTBEAT_PERIOD_S)
+        placer.stop.set()
+        await platform_cluster.wait_until(
+            lambda: any(i.node.tenure.epoch for i in others)
+        )
+        (successor,) = [i for i in others if i.node.tenure.epoch]
+        epoch = successor.node.tenure.epoch
+        created = cluster.store.items[keys.PLACER].created
+        # The lease of the former placer ends in the meantime.
+        await asyncio.sleep(2 * tenure.LEASE_TTL_S)
+        assert successor.node.tenure.epoch == epoch
+        item = cluster.store.items[keys.PLACER]
+        owner = item.value.split(b" ")[0].decode()
+        assert owner == successor.node.deployment.instance
+        # Replaced, and free for no one in between.
+        assert item.created == created
+
+    run_scenario(tmp_path, scenario, instances=3)
+
+
 def test_placer_is_replaced_during_store_outage(tmp_path):
     async def scenario(cluster):
         await wait_until_connected(cluster, cluster.instances)
--- a/tests/versions/probe.py
+++ b/tests/versions/probe.py
@@ -243,7 +243,7 @@
             deployment,
             lambda epoch: None,
             lambda: True,
-            lambda epoch: None,
+            lambda *handover: None,
         )
         connection = placement_client.PlacerConnection(
             "front-1", 1_000, lambda sent: None, clock.now_s()
@@ -437,7 +437,7 @@
         INSTANCE,
         lambda: {INSTANCE: catalogue.MemberItem(INSTANCE, "h:1")},
         1.0,
-        lambda: tenure.TakeoverState(False, None, 0),
+        lambda: tenure.TakeoverState(False, 0.0, 0),
     )
 
     async def run():
