Refuse requests that queue too long for a stop in the product's own mode

Another instance could have served them.

Cause: the own mode's stop drains its own dispatcher's queue, but requests then wait at the next dispatcher until their deadline, whatever is left of the grace period.

Change: the wait for a grant is limited by the platform mode's GracefulStop. The duration of a request comes from the rates of its model. Without `grace_s` nothing changes.

--- a/packages/entry/poplarwick_entry/grants.py
+++ b/packages/entry/poplarwick_entry/grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import types
 from collections.abc import Callable
@@ -153,6 +154,18 @@
 """Returns the instances that own endpoints of a model or a service."""
 
 
+LimitWait = Callable[
+    [GrantRequest], contextlib.AbstractAsyncContextManager[None]
+]
+"""Limits the wait for a grant; ends it with `RequestEndedError`."""
+
+
+def _wait_without_limit(
+    grant_request: GrantRequest,
+) -> contextlib.AbstractAsyncContextManager[None]:
+    return contextlib.nullcontext()
+
+
 class GrantClient:
     """Acquires grants from the dispatchers of the fleet.
 
@@ -163,6 +176,7 @@
         channels: Connections to other instances.
         reporter: Sends reports about granted requests.
         find_owners: Returns the instances that own suitable endpoints.
+        limit_wait: Limits how long a request waits.
     """
 
     def __init__(
@@ -173,7 +187,9 @@
         channels: transport.ChannelPool,
         reporter: reports.Reporter,
         find_owners: FindOwners,
+        limit_wait: LimitWait = _wait_without_limit,
     ) -> None:
+        self._limit_wait = limit_wait
         self._find_owners = find_owners
         self._members = members
         self._router = router
@@ -203,6 +219,15 @@
         Raises:
             request_errors.RequestEndedError: No dispatcher grants the request.
         """
+        async with self._limit_wait(grant_request):
+            return await self._acquire(grant_request, excluded, version)
+
+    async def _acquire(
+        self,
+        grant_request: GrantRequest,
+        excluded: frozenset[ids.EndpointId],
+        version: int,
+    ) -> HeldGrant:
         acquire_request = self._make_acquire_request(
             grant_request, excluded, version
         )
--- a/packages/node/poplarwick_node/builder.py
+++ b/packages/node/poplarwick_node/builder.py
@@ -24,11 +24,13 @@
 from poplarwick_entry import context
 from poplarwick_entry import grants
 from poplarwick_entry import reports
+from poplarwick_forwarding import graceful_stop
 from poplarwick_node import _fleet
 from poplarwick_node import _limits
 from poplarwick_node import _owners
 from poplarwick_node import _resources
 from poplarwick_node import _shards
+from poplarwick_node import _stopping
 from poplarwick_node import _telemetry
 from poplarwick_node import _web
 from poplarwick_node import instance as instances
@@ -73,6 +75,7 @@
     callers = _web.WebServer(
         instance_settings.listen.callers, connections.caller_tls
     )
+    stop = graceful_stop.GracefulStop()
     built = instances.Instance(
         instance_settings,
         connections.documents,
@@ -81,6 +84,7 @@
         ownership.owner,
         callers,
         connections.fleet,
+        stop,
     )
     connections.documents.add_listener(
         lambda view: _resources.apply_view(
@@ -93,6 +97,7 @@
         limit_components,
         built,
         callers,
+        _stopping.WaitLimit(stop, connections.read_view),
         stack,
     )
     await callers.start(_make_caller_application(entry), stack)
@@ -326,6 +331,7 @@
     limit_components: _Limits,
     built: instances.Instance,
     callers: _web.WebServer,
+    wait_limit: _stopping.WaitLimit,
     stack: contextlib.AsyncExitStack,
 ) -> context.EntryContext:
     claims = await stack.enter_async_context(
@@ -341,7 +347,9 @@
     )
     return context.EntryContext(
         instance=connections.instance,
-        grant_client=await _make_grant_client(connections, ownership, stack),
+        grant_client=await _make_grant_client(
+            connections, ownership, wait_limit, stack
+        ),
         session=connections.endpoint_session,
         limiter=limit_components.limiter,
         claimed_calls=await stack.enter_async_context(
@@ -358,6 +366,7 @@
 async def _make_grant_client(
     connections: _Connections,
     ownership: _Ownership,
+    wait_limit: _stopping.WaitLimit,
     stack: contextlib.AsyncExitStack,
 ) -> grants.GrantClient:
     routes = router.Router()
@@ -384,6 +393,7 @@
         connections.channels,
         reporter,
         _owners.OwnerIndex(connections.read_view, ownership.owner).find,
+        wait_limit.limit,
     )
 
 
--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -11,6 +11,7 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_dispatch import dispatcher
+from poplarwick_forwarding import graceful_stop
 from poplarwick_node import _fleet
 from poplarwick_node import _resources
 from poplarwick_node import _web
@@ -51,6 +52,7 @@
         owner: leases.LeaseOwnership,
         callers: _web.WebServer,
         fleet: _fleet.FleetView,
+        stop: graceful_stop.GracefulStop,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -62,6 +64,7 @@
         self._local = local
         self._owner = owner
         self._callers = callers
+        self._graceful_stop = stop
         self._lateness = stop_schedule.LoopLateness()
 
     def read_view(self) -> document.View | None:
@@ -139,6 +142,10 @@
         self.is_leaving = True
         self._callers.is_leaving = True
         self._members.announce_leaving()
+        if schedule.ends_at_s < math.inf:
+            self._graceful_stop.begin(
+                schedule.listens_until_s, schedule.ends_at_s
+            )
         await asyncio.sleep(schedule.listens_until_s - clock.now_s())
         await self._callers.stop_listening()
         self._local.drain()
--- a/tests/processes/test_own_mode_stops.py
+++ b/tests/processes/test_own_mode_stops.py
@@ -37,6 +37,11 @@
     assert own_mode_stops.find_lost(result, slack_s=None) == [], report
 
 
+# Guards against requests that wait until the end of the grace period cuts them.
+def test_request_that_begins_during_the_stop_is_answered(result, report):
+    assert own_mode_stops.find_begun_in_vain(result) == [], report
+
+
 def test_requests_refused_as_not_run_were_not_run(result, report):
     assert own_mode_stops.find_untrue(result) == [], report
 
