Log each end of a request in the product's own mode

What callers saw: nothing; but a stream that broke after its first event, and a request whose connection ended while it ran (its caller left, or a stop cut it), left no line, and no line of a refusal named its request. A stop could not be explained by the logs of the instance alone.

Cause: request_ended was logged only where an error response was made, without the id, and a cancelled handler passed it by.

Change: relay and the application log request_ended with the request's id for these ends as well. The lifecycle of a cancelled request is left alone: a claimed call goes on without its caller.

Evidence: test_stream_that_breaks_is_logged and test_stream_whose_caller_disconnects_is_logged failed before.

--- a/packages/entry/poplarwick_entry/application.py
+++ b/packages/entry/poplarwick_entry/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -10,7 +11,6 @@
 from loguru import logger
 
 from poplarwick_core import ids
-from poplarwick_core import logs
 from poplarwick_entry import authentication
 from poplarwick_entry import completions
 from poplarwick_entry import context
@@ -73,6 +73,18 @@
         response = _respond_to_ending(request, ended.ending)
     except web.HTTPException as error:
         response = _respond_to_ending(request, _convert_http_error(error))
+    except asyncio.CancelledError:
+        # Its connection has ended. The lifecycle goes on, as a claimed call
+        # continues without its caller.
+        if context.LIFECYCLE_KEY in request:
+            lifecycle = context.find_lifecycle(request)
+            verdict = verdicts.decide_outcome(
+                verdicts.CallerLeft(),
+                may_have_run=lifecycle.may_have_run,
+                is_idempotent=lifecycle.is_idempotent,
+            )
+            request_errors.log_end(verdict, request[context.REQUEST_ID_KEY])
+        raise
     except Exception as error:
         logger.opt(exception=error).error("request_crashed")
         ending = verdicts.Refused(
@@ -90,12 +102,7 @@
 ) -> web.Response:
     verdict = context.find_lifecycle(request).end(ending)
     metrics.count_end(verdict)
-    logs.log_event(
-        "request_ended",
-        code=verdict.code,
-        status=verdict.status,
-        outcome=verdict.outcome.value,
-    )
+    request_errors.log_end(verdict, request.get(context.REQUEST_ID_KEY))
     return request_errors.make_response(verdict)
 
 
--- a/packages/entry/poplarwick_entry/relay.py
+++ b/packages/entry/poplarwick_entry/relay.py
@@ -68,6 +68,7 @@
         if answer.has_begun or isinstance(ending, verdicts.CallerLeft):
             verdict = lifecycle.end(ending)
             metrics.count_end(verdict)
+            request_errors.log_end(verdict, completion.request_id)
             await answer.fail(verdict)
             return
         is_final = isinstance(ending, verdicts.Refused)
--- a/packages/entry/poplarwick_entry/request_errors.py
+++ b/packages/entry/poplarwick_entry/request_errors.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from poplarwick_core import errors
+from poplarwick_core import logs
 from poplarwick_outcomes import replies
 from poplarwick_outcomes import verdicts
 
@@ -40,6 +41,22 @@
     )
 
 
+def log_end(verdict: verdicts.Verdict, request_id: str | None) -> None:
+    """Logs the end of a request without a complete answer.
+
+    Args:
+        verdict: How it has ended.
+        request_id: Id of the request; None if it was not validated.
+    """
+    logs.log_event(
+        "request_ended",
+        request=request_id,
+        code=verdict.code,
+        status=verdict.status,
+        outcome=verdict.outcome.value,
+    )
+
+
 def make_response(verdict: verdicts.Verdict) -> web.Response:
     """Returns the HTTP error response for a verdict."""
     return web.Response(
--- a/packages/entry/tests/test_relayed_streams.py
+++ b/packages/entry/tests/test_relayed_streams.py
@@ -11,6 +11,7 @@
 
 from poplarwick_core import clock
 from poplarwick_core import ids
+from poplarwick_core import logs
 from poplarwick_entry import grants
 from poplarwick_peers.wire import grant_pb2
 
@@ -18,6 +19,20 @@
 EVENT_COUNT = 8
 
 
+@pytest.fixture(name="lines")
+def fixture_lines():
+    """Lines of the log."""
+
+    class Writer(list):
+        def write(self, line):
+            self.append(line)
+
+    lines = Writer()
+    logs.configure_logs(writer=lines)
+    yield lines
+    logs.configure_logs()
+
+
 def make_event(stream, seq, text, *, is_last=False):
     fields = {
         "choices": [
@@ -46,6 +61,7 @@
         knows_streams: Whether streams can be resumed.
         extra_bytes: Bytes sent after each event.
         payload: Text added to each event.
+        is_stuck: Whether connections stay open after the events.
     """
 
     def __init__(self, *script):
@@ -55,6 +71,7 @@
         self.knows_streams = True
         self.extra_bytes = b""
         self.payload = ""
+        self.is_stuck = False
 
     async def handle(self, request):
         if request.method == "GET":
@@ -78,6 +95,8 @@
                 stream, seq, text, is_last=seq == EVENT_COUNT - 1
             )
             await response.write(event + self.extra_bytes)
+        if self.is_stuck:
+            await asyncio.Event().wait()
         if count is not None:
             request.transport.close()
             return response
@@ -159,6 +178,47 @@
     entry_fakes.run(main)
 
 
+# Guards against streams that end without a line in the log.
+def test_stream_that_breaks_is_logged(lines):
+    async def main():
+        engine = Engine(3, None)
+        engine.knows_streams = False
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            _, headers, _ = await entry.call(PATH, data=make_body())
+            return headers["Poplarwick-Request"]
+
+    request = entry_fakes.run(main)
+    (line,) = [line for line in lines if "event=request_ended" in line]
+    assert f"request={request} " in line
+    assert "outcome=failed" in line
+
+
+def test_stream_whose_caller_disconnects_is_logged(lines):
+    async def main():
+        engine = Engine(EVENT_COUNT - 1)
+        engine.is_stuck = True
+        async with entry_fakes.open_entry(engine.handle) as entry:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f"http://{entry.address}{PATH}",
+                    data=make_body(),
+                    headers={"Authorization": "Bearer secret-soaps"},
+                ) as response,
+            ):
+                request = response.headers["Poplarwick-Request"]
+                await response.content.readany()
+                response.close()
+            async with asyncio.timeout(20):
+                await entry.grant_client.reporter.has_cancelled.wait()
+        return request
+
+    request = entry_fakes.run(main)
+    (line,) = [line for line in lines if "event=request_ended" in line]
+    assert f"request={request} " in line
+    assert "code=caller_left" in line
+
+
 def test_buffered_answer_contains_only_one_run():
     async def main():
         engine = Engine(3, None)
