Accept the connections that wait when an own-mode server stops listening

What callers saw: 3 to 11 requests a stop ended with a reset and no answer, up to 0.14 s after they were sent. They were the first ones on their connections.

Cause: closing a listening socket resets the connections that its process has not accepted. On a machine whose event loop is late, they wait there for a while.

Change: before it stops listening, the server lets the event loop accept and read what waits (core.waiting_connections), for at most 0.25 s, and closes the socket in the step in which none waits. What was sent on them gets its answer or 503. The server of the own mode is made by create_server, which gives its sockets.

Evidence: test_request_on_a_connection_that_waits_to_be_accepted_is_answered failed before (ConnectionResetError).

--- a/packages/node/poplarwick_node/_web.py
+++ b/packages/node/poplarwick_node/_web.py
@@ -13,6 +13,7 @@
 
 from poplarwick_core import ids
 from poplarwick_core import logs
+from poplarwick_core import waiting_connections
 from poplarwick_forwarding import caller_connections
 from poplarwick_forwarding import log_events
 from poplarwick_peers import transport
@@ -46,7 +47,7 @@
         self._host, self._port = transport.split_address(address)
         self._tls = tls
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
         self._connections = caller_connections.CallerConnections(
             self._list_connections
         )
@@ -71,21 +72,24 @@
         )
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
-        self._site = web.TCPSite(
-            runner, self._host, self._port, ssl_context=self._tls
+        assert runner.server is not None
+        self._listener = await asyncio.get_running_loop().create_server(
+            runner.server, self._host, self._port, ssl=self._tls
         )
-        await self._site.start()
+        stack.callback(self._listener.close)
 
     async def stop_listening(self) -> None:
         """Stops accepting new connections; open connections stay open.
 
-        aiohttp discards what arrives on a connection once it is told to close
-        it, so `close_connections` follows when no request is in progress.
+        Connections that wait to be accepted are accepted before. aiohttp
+        discards what arrives on a connection once it is told to close it, so
+        `close_connections` follows when no request is in progress.
         """
         self.is_closed = True
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        if self._listener is not None:
+            await waiting_connections.accept_all(self._listener)
+            self._listener.close()
+            self._listener = None
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Waits until no request is in progress and returns whether none is.
--- a/packages/node/tests/test_web.py
+++ b/packages/node/tests/test_web.py
@@ -112,6 +112,28 @@
     assert len(closed) == CALLERS
 
 
+# Guards against requests that are reset with the socket at which their
+# connections wait to be accepted.
+def test_request_on_a_connection_that_waits_to_be_accepted_is_answered():
+    async def scenario(site):
+        # The event loop does not run until all have connected and sent.
+        sockets = [
+            socket.create_connection(site.address) for _ in range(CALLERS)
+        ]
+        for connected in sockets:
+            connected.sendall(b"GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+        await site.server.stop_listening()
+        for connected in sockets:
+            connected.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=connected)
+            assert (await answer(reader)).startswith(b"HTTP/1.1 200")
+            writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            await site.connect()
+
+    run(scenario)
+
+
 def test_connection_is_closed_after_its_answer_once_the_instance_leaves():
     async def scenario(site):
         reader, writer = await site.connect()
