Close components within the grace period in the product's own mode

What callers saw: nothing, all requests had ended.

Cause: closing the components has limits of its own; outcomes of claimed calls are stored for up to 10 s.

Change: once the instance has left, closing them is cancelled shortly before the kill (`cleanup_unfinished`), if `grace_s` is set. An outcome that is not stored then counts as unknown, as after the kill.

--- a/packages/node/poplarwick_node/daemon.py
+++ b/packages/node/poplarwick_node/daemon.py
@@ -9,6 +9,8 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_node import builder
+from poplarwick_node import instance as instances
+from poplarwick_node import log_events
 from poplarwick_node import settings
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -24,25 +26,39 @@
         instance_settings: Settings of the instance.
     """
     stop_signals = _install_signal_handlers()
-    async with contextlib.AsyncExitStack() as stack:
-        instance = await builder.build_instance(instance_settings, stack)
-        logs.log_event("started", callers=instance_settings.listen.callers)
-        watching = asyncio.create_task(instance.watch_event_loop())
-        stack.callback(watching.cancel)
-        await stop_signals.first.wait()
-        assert stop_signals.first_at_s is not None
-        leaving = asyncio.create_task(instance.leave(stop_signals.first_at_s))
-        forced = asyncio.create_task(stop_signals.second.wait())
-        await asyncio.wait(
-            (leaving, forced), return_when=asyncio.FIRST_COMPLETED
-        )
-        forced.cancel()
-        if not leaving.done():
-            logs.log_event("stop_forced", "WARNING")
-            leaving.cancel()
+    limit = asyncio.timeout(None)
+    try:
+        async with limit, contextlib.AsyncExitStack() as stack:
+            instance = await builder.build_instance(instance_settings, stack)
+            logs.log_event("started", callers=instance_settings.listen.callers)
+            watching = asyncio.create_task(instance.watch_event_loop())
+            stack.callback(watching.cancel)
+            await _leave_once_stopped(instance, stop_signals)
+            # Components that wait for a key-value service that does not respond
+            # must not keep the process until it is killed.
+            limit.reschedule(instance.exits_by_s)
+    except TimeoutError:
+        if not limit.expired():
+            raise
+        logs.log(log_events.CleanupUnfinished())
     logs.log_event("stopped")
 
 
+async def _leave_once_stopped(
+    instance: instances.Instance, stop_signals: _StopSignals
+) -> None:
+    """Shuts an instance down after the first signal, at once after another."""
+    await stop_signals.first.wait()
+    assert stop_signals.first_at_s is not None
+    leaving = asyncio.create_task(instance.leave(stop_signals.first_at_s))
+    forced = asyncio.create_task(stop_signals.second.wait())
+    await asyncio.wait((leaving, forced), return_when=asyncio.FIRST_COMPLETED)
+    forced.cancel()
+    if not leaving.done():
+        logs.log_event("stop_forced", "WARNING")
+        leaving.cancel()
+
+
 class _StopSignals:
     def __init__(self) -> None:
         self.first = asyncio.Event()
--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -41,6 +41,8 @@
 
     Attributes:
         is_leaving: Whether a graceful shutdown has begun.
+        exits_by_s: Monotonic time by which the components have to be closed;
+            None for any.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         stop: graceful_stop.GracefulStop,
     ) -> None:
         self.is_leaving = False
+        self.exits_by_s: float | None = None
         self._fleet = fleet
         self._started_s = clock.now_s()
         self._were_owners_found = False
@@ -143,6 +146,7 @@
         self._callers.is_leaving = True
         self._members.announce_leaving()
         if schedule.ends_at_s < math.inf:
+            self.exits_by_s = schedule.killed_at_s
             self._graceful_stop.begin(
                 schedule.listens_until_s, schedule.ends_at_s
             )
--- a/packages/node/poplarwick_node/log_events.py
+++ b/packages/node/poplarwick_node/log_events.py
@@ -63,6 +63,15 @@
     level = "WARNING"
 
 
+class CleanupUnfinished(logs.Event, frozen=True, kw_only=True):
+    """The grace period ended before all components were closed.
+
+    Outcomes of claimed calls that are not stored yet count as unknown.
+    """
+
+    level = "WARNING"
+
+
 class FreezeNoticed(logs.Event, frozen=True, kw_only=True):
     """The process did not run for a while.
 
--- a/tests/processes/own_mode_stops.py
+++ b/tests/processes/own_mode_stops.py
@@ -299,7 +299,9 @@
     log: str
 
 
-async def play(seed, folder, *, callers=32, kill_after_s=GRACE_S):
+async def play(
+    seed, folder, *, callers=32, kill_after_s=GRACE_S, store_stands_still=False
+):
     """Plays one stop.
 
     Args:
@@ -307,6 +309,8 @@
         folder: Folder of settings and logs.
         callers: Number of callers.
         kill_after_s: Time from SIGTERM to SIGKILL.
+        store_stands_still: Whether the key-value service stands still from
+            SIGTERM on.
     """
     attempts = []
     async with testbed.Testbed(folder) as testbed_:
@@ -328,6 +332,8 @@
                 )
                 tasks.append(group.create_task(caller.run()))
             await asyncio.sleep(LOAD_S)
+            if store_stands_still:
+                system.kv.pause()
             stopped_at_s = time.time()
             leaving.terminate()
             exit_code = await leaving.wait(kill_after_s)
@@ -520,12 +526,20 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--callers", type=int, default=32)
+    parser.add_argument("--store-stands-still", action="store_true")
     parser.add_argument("--logs", type=pathlib.Path)
     options = parser.parse_args()
     for seed in range(options.seed, options.seed + options.seeds):
         with tempfile.TemporaryDirectory() as temporary:
             folder = (options.logs or pathlib.Path(temporary)) / f"seed-{seed}"
-            result = asyncio.run(play(seed, folder, callers=options.callers))
+            result = asyncio.run(
+                play(
+                    seed,
+                    folder,
+                    callers=options.callers,
+                    store_stands_still=options.store_stands_still,
+                )
+            )
         print(f"seed {seed}:", "\n  ".join(describe(result)), flush=True)
 
 
