--- a/tests/processes/own_mode_stops.py
+++ b/tests/processes/own_mode_stops.py
@@ -482,6 +482,9 @@
         for a in result.attempts
         if a.sent_at_s is not None and a.status is None
     ]
+    cut = [
+        a for a in result.attempts if result.runs[a.name] and not a.is_complete
+    ]
     lines = [
         f"{len(result.attempts)} requests, {after} of them after SIGTERM; exit"
         f" {result.exit_code} after"
@@ -490,6 +493,7 @@
     ]
     for name, found in (
         ("without an answer", crossed),
+        ("cut", cut),
         ("lost", find_lost(result)),
         ("begun in vain", find_begun_in_vain(result)),
         ("untrue", find_untrue(result)),
