Stop the product's own mode by the schedule of both modes

Requests whose callers have received nothing are not answered at ends_at_s in the own mode yet; they are cut with the rest.

Tests follow the arguments; test_stop_without_a_grace_period_has_no_end is new. packages/node, entry, coordination, forwarding, core, platform and test_own_mode_stops.py pass.

--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -32,9 +32,6 @@
 """Part of the grace period in which the interpreter ends; in the product's own
 mode it has more modules to clean up."""
 
-LATENESS_PERIOD_S = 0.25
-"""Period of the check how late the event loop runs."""
-
 
 class Instance:
     """The running components of one instance.
@@ -68,7 +65,6 @@
         self._owner = owner
         self._callers = callers
         self._graceful_stop = stop
-        self._lateness = stop_schedule.LoopLateness()
 
     def read_view(self) -> document.View | None:
         """Returns the configuration in force, or None before the first one."""
@@ -117,14 +113,9 @@
         """Returns the known state of all instances."""
         return self._fleet.describe(self._members, self._owner)
 
-    async def watch_event_loop(self) -> None:
-        """Records how late the event loop runs, until cancelled."""
-        while True:
-            began_s = clock.now_s()
-            await asyncio.sleep(LATENESS_PERIOD_S)
-            self._lateness.record(clock.now_s() - began_s - LATENESS_PERIOD_S)
-
-    async def leave(self, signalled_at_s: float) -> None:
+    async def leave(
+        self, stop_signal: stop_schedule.StopSignal, lateness_s: float
+    ) -> None:
         """Shuts the instance down gracefully, without aborting requests.
 
         Readiness is turned off first. Once the load balancer has noticed, the
@@ -132,14 +123,17 @@
         Connections are closed after their next response.
 
         Args:
-            signalled_at_s: Monotonic time at which the signal arrived.
+            stop_signal: When the signal arrived.
+            lateness_s: Time by which the event loop runs late.
         """
-        schedule = self._make_schedule(signalled_at_s)
+        now_s = clock.now_s()
+        schedule = self._make_schedule(stop_signal, now_s, lateness_s)
         logs.log(
             log_events.Stopping(
                 in_progress=self._callers.in_progress,
-                handled_after_s=clock.now_s() - signalled_at_s,
-                ends_in_s=schedule.ends_at_s - clock.now_s(),
+                handled_after_s=now_s - stop_signal.earliest_at_s,
+                ends_in_s=schedule.ends_at_s - now_s,
+                cuts_in_s=schedule.cuts_at_s - now_s,
             )
         )
         self.is_leaving = True
@@ -148,7 +142,7 @@
         if schedule.ends_at_s < math.inf:
             self.exits_by_s = schedule.killed_at_s
             self._graceful_stop.begin(
-                schedule.listens_until_s, schedule.ends_at_s
+                schedule.refuses_from_s, schedule.ends_at_s, schedule.cuts_at_s
             )
         await asyncio.sleep(schedule.listens_until_s - clock.now_s())
         await self._callers.stop_listening()
@@ -156,11 +150,12 @@
         # A key-value service that does not respond must not delay the end.
         releasing = asyncio.create_task(self._release_resources())
         if not await self._callers.wait_until_idle(
-            schedule.ends_at_s - clock.now_s()
+            schedule.cuts_at_s - clock.now_s()
         ):
             logs.log(
                 log_events.StopCutsRequests(
-                    in_progress=self._callers.in_progress
+                    in_progress=self._callers.in_progress,
+                    after_s=clock.now_s() - stop_signal.earliest_at_s,
                 )
             )
         await self._callers.close_connections(schedule.closes_until_s)
@@ -171,17 +166,22 @@
         releasing.cancel()
 
     def _make_schedule(
-        self, signalled_at_s: float
+        self,
+        stop_signal: stop_schedule.StopSignal,
+        now_s: float,
+        lateness_s: float,
     ) -> stop_schedule.StopSchedule:
         timing = self._settings.timing
         grace_s = math.inf if timing.grace_s is None else timing.grace_s
         schedule = stop_schedule.make_schedule(
-            signalled_at_s, grace_s - EXIT_TIME_S, self._lateness.worst_s
+            stop_signal, now_s, grace_s - EXIT_TIME_S, lateness_s
         )
+        delay_s = timing.balancer_delay_s
         return schedule._replace(
-            listens_until_s=min(
-                signalled_at_s + timing.balancer_delay_s, schedule.ends_at_s
-            )
+            refuses_from_s=min(
+                stop_signal.earliest_at_s + delay_s, schedule.ends_at_s
+            ),
+            listens_until_s=min(now_s + delay_s, schedule.ends_at_s),
         )
 
     async def _release_resources(self) -> None:
--- a/packages/node/poplarwick_node/stop_schedule.py
+++ b/packages/node/poplarwick_node/stop_schedule.py
@@ -142,7 +142,7 @@
     Args:
         signal: When the signal arrived.
         handled_at_s: Monotonic time at which readiness was turned off.
-        grace_s: Time from the signal to the kill.
+        grace_s: Time from the signal to the kill; may be infinite.
         lateness_s: Time by which the event loop runs late.
     """
     killed_at_s = signal.earliest_at_s + grace_s
@@ -150,11 +150,13 @@
     answer_margin_s = ANSWER_MARGIN_S + LATENESS_FACTOR * lateness_s
     ends_at_s = max(killed_at_s - answer_margin_s, last_part_at_s)
     cuts_at_s = max(killed_at_s - EXIT_MARGIN_S, ends_at_s)
-    margin_s = max(killed_at_s - cuts_at_s, 0.0)
+    margin_s = 0.0
+    if cuts_at_s < killed_at_s:
+        margin_s = killed_at_s - cuts_at_s
     return StopSchedule(
         refuses_from_s=min(signal.earliest_at_s + BALANCER_DELAY_S, ends_at_s),
         listens_until_s=min(handled_at_s + BALANCER_DELAY_S, ends_at_s),
-        prepares_at_s=killed_at_s - LAST_SHARE * grace_s,
+        prepares_at_s=signal.earliest_at_s + (1 - LAST_SHARE) * grace_s,
         ends_at_s=ends_at_s,
         cuts_at_s=cuts_at_s,
         closes_until_s=cuts_at_s + CLOSE_SHARE * margin_s,
--- a/packages/node/tests/test_daemon.py
+++ b/packages/node/tests/test_daemon.py
@@ -21,11 +21,8 @@
     def __init__(self, exits_by_s):
         self.exits_by_s = exits_by_s
 
-    async def watch_event_loop(self):
-        await asyncio.Event().wait()
-
-    async def leave(self, signalled_at_s):
-        del signalled_at_s
+    async def leave(self, stop_signal, lateness_s):
+        del stop_signal, lateness_s
 
 
 @pytest.fixture(name="lines")
@@ -53,9 +50,9 @@
         stack.callback(closed.append, "last")
         return FakeInstance(exits_by_s)
 
-    def install():
+    def install(lateness):
         stop_signals = daemon._StopSignals()
-        stop_signals.first_at_s = clock.now_s()
+        stop_signals.arrival = lateness.locate_signal(clock.now_s())
         stop_signals.record()
         return stop_signals
 
--- a/packages/node/tests/test_instance_stop.py
+++ b/packages/node/tests/test_instance_stop.py
@@ -11,6 +11,7 @@
 from poplarwick_forwarding import graceful_stop
 from poplarwick_node import instance as instances
 from poplarwick_node import settings
+from poplarwick_node import stop_schedule
 
 WAIT_S = 20.0
 
@@ -58,6 +59,11 @@
     )
 
 
+def leave(leaving_instance):
+    now_s = clock.now_s()
+    return leaving_instance.leave(stop_schedule.StopSignal(now_s, now_s), 0.0)
+
+
 async def fail():
     raise RuntimeError("the key-value service is away")
 
@@ -72,7 +78,7 @@
     async def run():
         callers = FakeCallers()
         leaving_instance = make_instance(callers, release_all, grace_s=3.0)
-        leaving = asyncio.create_task(leaving_instance.leave(clock.now_s()))
+        leaving = asyncio.create_task(leave(leaving_instance))
         while not callers.is_closed:
             await asyncio.sleep(0)
         for _ in range(10):
@@ -94,7 +100,7 @@
             pass
 
         leaving_instance = make_instance(callers, release)
-        leaving = asyncio.create_task(leaving_instance.leave(clock.now_s()))
+        leaving = asyncio.create_task(leave(leaving_instance))
         while not callers.is_closed:
             await asyncio.sleep(0)
         await asyncio.wait((leaving,), timeout=0.1)
--- a/packages/node/tests/test_stop_schedule.py
+++ b/packages/node/tests/test_stop_schedule.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -115,6 +117,13 @@
     assert lateness.calculate_overdue_s(11.25) == pytest.approx(1.0)
 
 
+def test_stop_without_a_grace_period_has_no_end():
+    schedule = make_schedule(0.3, grace_s=math.inf)
+    assert schedule.refuses_from_s == 102.6
+    assert schedule.listens_until_s == 102.6
+    assert set(schedule[2:]) == {math.inf}
+
+
 # Guards against requests that are passed on over 3 s after the signal, as a
 # standstill is taken to have begun only when the next check was due (LOST).
 def test_signal_in_a_standstill_may_have_come_after_the_last_check():
--- a/packages/node/tests/test_wait_limit.py
+++ b/packages/node/tests/test_wait_limit.py
@@ -65,7 +65,7 @@
     waiting = asyncio.create_task(wait())
     await entered.wait()
     ends_at_s = clock.now_s() + GRACE_S
-    stop.begin(ends_at_s, ends_at_s)
+    stop.begin(ends_at_s, ends_at_s, ends_at_s)
     done, _ = await asyncio.wait((waiting,), timeout=0.2)
     if done:
         await waiting
