Accept the connections that wait when a platform instance stops listening

Change: Frontend.accept_waiting, by the core's waiting_connections, before the listener is closed.

Evidence: test_requests_on_connections_that_wait_to_be_accepted_are_answered fails without it (ConnectionResetError), passes with it, as do test_ends_of_stops, test_stopping and test_early_start.

--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -21,6 +21,7 @@
 from poplarwick_core import early_listeners
 from poplarwick_core import logs
 from poplarwick_core import socket_buffers
+from poplarwick_core import waiting_connections
 from poplarwick_forwarding import admission
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import caller_connections
@@ -191,6 +192,14 @@
         """Whether requests are refused."""
         return clock.now_s() >= self._refuses_from_s
 
+    async def accept_waiting(self) -> None:
+        """Accepts the connections that closing the listener would reset.
+
+        Follow it with `stop_listening` at once.
+        """
+        if self._listener is not None:
+            await waiting_connections.accept_all(self._listener)
+
     def stop_listening(self) -> None:
         """Stops accepting connections and refuses further requests.
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -437,6 +437,7 @@
         # A store that does not respond must not delay the end.
         resigning = asyncio.create_task(self._resign())
         await asyncio.sleep(schedule.listens_until_s - clock.now_s())
+        await self.frontend.accept_waiting()
         self.frontend.stop_listening()
         await self._finish_requests(schedule)
         await self.relay_server.wait_until_idle(
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 
 import aiohttp
 import late_requests
@@ -21,6 +22,7 @@
 
 GRACE_S = 4.0
 STANDSTILL_S = 1.0
+WAITING_CALLERS = 20
 UNSENT_BODY_BYTES = 70_000
 """Size of an answer whose last part is neither in a socket buffer nor waited
 for by its request: it is in the connection's write buffer."""
@@ -244,3 +246,42 @@
         "event=request_left_at_stop" in line or "reason=stopping" in line
         for line in named
     ), named
+
+
+# Guards against requests that a stopping instance resets, as their connections
+# wait to be accepted when it stops listening.
+def test_requests_on_connections_that_wait_to_be_accepted_are_answered(
+    tmp_path,
+):
+    async def scenario():
+        async with platform_cluster.run_cluster(
+            tmp_path, grace_s=GRACE_S
+        ) as cluster:
+            instance = cluster.instances[0]
+            host, port = instance.caller_address.split(":")
+            instance.stop.set()
+            frontend = instance.node.frontend
+            accept_waiting = frontend.accept_waiting
+            request = (
+                f"GET /stock/ HTTP/1.1\r\nHost: {platform_cluster.HOST}\r\n"
+                f"X-Api-Key: {platform_cluster.KEY}\r\n\r\n"
+            )
+            sockets = []
+
+            async def connect_and_accept():
+                # In the step in which the instance stops listening.
+                for _ in range(WAITING_CALLERS):
+                    sockets.append(socket.create_connection((host, port)))
+                    sockets[-1].sendall(request.encode())
+                await accept_waiting()
+
+            frontend.accept_waiting = connect_and_accept
+            await platform_cluster.wait_until(lambda: sockets)
+            for connected in sockets:
+                connected.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=connected)
+                assert b" 503 " in await reader.readline()
+                writer.close()
+            await instance.task
+
+    asyncio.run(scenario())
