--- a/packages/node/tests/test_instance_stop.py
+++ b/packages/node/tests/test_instance_stop.py
@@ -111,3 +111,27 @@
             await leaving
 
     asyncio.run(run())
+
+
+# Guards against streams that are cut, although their engines would have ended
+# them in time, because the event loop was late for a moment before the stop.
+@pytest.mark.parametrize("lateness_s", [0.0, 0.3, 0.9, 5.0])
+@pytest.mark.parametrize("grace_s", [1.0, 3.0, 8.0, 30.0])
+def test_requests_have_most_of_the_grace_period(lateness_s, grace_s):
+    async def run():
+        stopping = make_instance(FakeCallers(), fail, grace_s=grace_s)
+        schedule = stopping._make_schedule(
+            stop_schedule.StopSignal(0.0, 0.0), 0.0, lateness_s
+        )
+        end_s = instances.EXIT_TIME_S + stop_schedule.EXIT_MARGIN_S
+        assert (
+            schedule.cuts_at_s >= min(grace_s * 5 / 6, grace_s - end_s) - 1e-9
+        )
+        assert schedule.listens_until_s <= schedule.ends_at_s
+        assert schedule.ends_at_s <= schedule.cuts_at_s
+        assert schedule.cuts_at_s <= schedule.closes_until_s
+        assert schedule.closes_until_s <= schedule.releases_until_s
+        assert schedule.releases_until_s <= schedule.killed_at_s
+        assert schedule.killed_at_s <= grace_s - instances.EXIT_TIME_S
+
+    asyncio.run(run())
--- a/tests/processes/own_mode_stops.py
+++ b/tests/processes/own_mode_stops.py
@@ -42,6 +42,8 @@
 LOSS_SLACK_S = 0.2
 """Time in which a request may cross the close of its connection."""
 
+STANDSTILL_LEAD_S = 1.0
+
 LOAD_S = 1.5
 """Time of the load before SIGTERM."""
 
@@ -300,7 +302,13 @@
 
 
 async def play(
-    seed, folder, *, callers=32, kill_after_s=GRACE_S, store_stands_still=False
+    seed,
+    folder,
+    *,
+    callers=32,
+    kill_after_s=GRACE_S,
+    store_stands_still=False,
+    standstill_s=0.0,
 ):
     """Plays one stop.
 
@@ -311,6 +319,8 @@
         kill_after_s: Time from SIGTERM to SIGKILL.
         store_stands_still: Whether the key-value service stands still from
             SIGTERM on.
+        standstill_s: Time for which the instance stands still, which ends
+            `STANDSTILL_LEAD_S` before SIGTERM.
     """
     attempts = []
     async with testbed.Testbed(folder) as testbed_:
@@ -332,6 +342,11 @@
                 )
                 tasks.append(group.create_task(caller.run()))
             await asyncio.sleep(LOAD_S)
+            if standstill_s:
+                leaving.pause()
+                await asyncio.sleep(standstill_s)
+                leaving.resume()
+                await asyncio.sleep(STANDSTILL_LEAD_S)
             if store_stands_still:
                 system.kv.pause()
             stopped_at_s = time.time()
@@ -531,6 +546,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--callers", type=int, default=32)
     parser.add_argument("--store-stands-still", action="store_true")
+    parser.add_argument("--standstill-s", type=float, default=0.0)
     parser.add_argument("--logs", type=pathlib.Path)
     options = parser.parse_args()
     for seed in range(options.seed, options.seed + options.seeds):
@@ -542,6 +558,7 @@
                     folder,
                     callers=options.callers,
                     store_stands_still=options.store_stands_still,
+                    standstill_s=options.standstill_s,
                 )
             )
         print(f"seed {seed}:", "\n  ".join(describe(result)), flush=True)
