Run as many unread streams at once whenever the placer begins

test_two_hundred_callers_that_do_not_read_fit_into_small_memory failed once; which assertion was not kept.

Cause: the test. Its 150 streams never ran at once, because the configuration gives an engine 8 slots; how many did depended on when the placer began, a random part of a second after the start. If it began before the first caller, 16 ran, and the kernel's queues held less than the 2,000,000 bytes that the test demands.

Change: an engine has 20 slots, so that 40 streams and 50 plain answers are unread at once, more than in either case before. All assertions are unchanged.

--- a/tests/adapter/test_unread_memory.py
+++ b/tests/adapter/test_unread_memory.py
@@ -26,6 +26,8 @@
 UNREAD_S = 6.0
 PROBES = 40
 MIN_SOCKET_BYTES = 10_000
+SLOTS = 20
+"""Streams that each of two engines runs at once; the others wait for them."""
 
 
 def measure_socket_bytes(ip):
@@ -47,7 +49,11 @@
         enter = stack.enter_async_context
         store = await enter(platform_store.Store())
         session = await enter(aiohttp.ClientSession())
-        await store.put("op/config", platform_cluster.make_configuration())
+        configuration = platform_cluster.make_configuration()
+        for service in configuration["services"]:
+            if "engine" in service:
+                service["engine"] = {**service["engine"], "slots": SLOTS}
+        await store.put("op/config", configuration)
         for number in range(4):
             replica = await enter(
                 platform_replica.Replica(
