Learn no speed from an answer that took no time

Cause: a stream whose first event and end are recorded at the same reading of the clock gave a ratio of 0. With a median of 0 the comparison of endpoints divided by it, and the round of decisions ended with a ZeroDivisionError.

Change: such an answer is no sample. Streams and plain calls alike.

A ratio just above 0 is still a sample.

--- a/packages/placement/poplarwick_placement/engine_speed.py
+++ b/packages/placement/poplarwick_placement/engine_speed.py
@@ -82,7 +82,8 @@
         if answer is None or not answer.is_complete:
             return
         ratio = _calculate_ratio(key, state, answer, now_s)
-        if ratio is not None:
+        # What was reported at one moment was not written at one.
+        if ratio is not None and ratio > 0:
             self._samples.setdefault(
                 state.candidate.endpoint.id, collections.deque(maxlen=SAMPLES)
             ).append((now_s, ratio))
--- a/packages/placement/tests/test_engine_speed.py
+++ b/packages/placement/tests/test_engine_speed.py
@@ -117,3 +117,33 @@
     )
     usual = (counts["e1"] + counts["e2"]) / 2
     assert counts["e0"] < 0.2 * usual
+
+
+def test_answers_that_are_reported_at_once_say_nothing_of_the_speed():
+    """Load pattern: first events and ends that are read at one moment."""
+    management = load_management.make_load_management(has_contention=True)
+    scheduler = engines.make_scheduler(management=management)
+    scheduler.set_candidates(
+        [
+            service_pool.Candidate(
+                engines.make_endpoint(0), engines.PROFILE, True, 0.0, 36.0
+            )
+        ]
+    )
+    answer = messages.AnswerEnd(is_complete=True, written_s=0.0, events=30)
+    for number in range(10):
+        now_s = 1.0 + number
+        request = messages.PlacementRequest(
+            request_id=ids.RequestId("r"),
+            service=engines.POOL,
+            prompt_tokens=2_000,
+            output_tokens=1_000,
+            on_time_at_s=now_s + 3.0,
+            deadline_at_s=now_s + 20.0,
+            pause_limit_s=0.25,
+        )
+        scheduler.submit(number, request, now_s)
+        [(_, decision)] = scheduler.decide(now_s)
+        assert isinstance(decision, messages.Placement)
+        scheduler.record_first_event(number, now_s)
+        scheduler.record_end(number, messages.Result.DONE, now_s, answer=answer)
