Examine engines once for all group sizes of a long prompt

Cause: at 200 engines that all run requests, a long prompt took 2.1 ms of processor time.

Where a part is longer on all engines, one order serves all group sizes. - The least group that stalls nothing is found by bisection, once for each engine, and not at all if even the largest group stalls all. GROUP_SIZES, MAX_RELATIVE_SLOWDOWN and FAILURE_TOLERANCE move to engine_order.

--- a/packages/placement/poplarwick_placement/loads.py
+++ b/packages/placement/poplarwick_placement/loads.py
@@ -47,6 +47,9 @@
 """Expected rest of a plain call that takes longer than expected, as a share of
 its time so far."""
 
+ROUNDING_S = 1e-6
+"""Margin above the rounding of sums of times; far below an iteration."""
+
 PREFILL_OVERDUE_S = 1.5
 """Time past its expected end after which a prefill is no longer counted;
 engines abort work that depends on a lost engine after this time."""
@@ -124,6 +127,11 @@
         residual_s: Expected time until the iteration in progress ends.
         slack_s: Longest prefill that stalls no running request beyond its
             limit.
+        speed: What decides the time of a prefill; the same for engines with
+            the same profile and slowdown.
+        full_stall_s: Prefill above which the weight lost by its stall is the
+            same.
+        full_stall_loss: That weight.
     """
 
     load: EndpointLoad
@@ -138,6 +146,9 @@
     backlog_s: float
     residual_s: float
     slack_s: float
+    speed: tuple[int, float]
+    full_stall_s: float
+    full_stall_loss: float
 
     def estimate_first_event_s(
         self, request: messages.PlacementRequest, prefill_s: float
@@ -184,6 +195,8 @@
         """Returns the weight lost by the stall that a prefill causes."""
         if prefill_s <= self.slack_s:
             return 0.0
+        if prefill_s > self.full_stall_s:
+            return self.full_stall_loss
         return self.load.calculate_stall_loss(prefill_s, now_s)
 
 
@@ -230,6 +243,8 @@
         prefill_total_s: Prefills allocated so far, at the profile's speed.
         response_time_s: Moving average of a plain service's response time.
         failure_share: Moving average of the share of failed answers.
+        steady_view: Snapshot that holds until the load changes; None while
+            prefills run, or before it is needed.
     """
 
     endpoint: types.Endpoint
@@ -251,7 +266,7 @@
     response_time_s: float = 0.05
     failure_share: float = 0.0
     _summary: _Summary | None = None
-    _steady_view: LoadView | None = None
+    steady_view: LoadView | None = None
     _expected_ends: tuple[ExpectedEnd, ...] | None = None
 
     @property
@@ -458,18 +473,22 @@
         Without prefills the load does not depend on the time, so its snapshot
         is reused until the load changes.
         """
+        if self.steady_view is not None:
+            return self.steady_view
         summary = self._summarise()
-        if summary.awaiting_prefill or self.prefill_until_s > now_s:
-            return self._calculate_view(summary, now_s)
-        if self._steady_view is None:
-            self._steady_view = self._calculate_view(summary, now_s)
-        return self._steady_view
+        view = self._calculate_view(summary, now_s)
+        if not summary.awaiting_prefill and self.prefill_until_s <= now_s:
+            self.steady_view = view
+        return view
 
     def _calculate_view(self, summary: _Summary, now_s: float) -> LoadView:
         reservations = self._make_reservations(now_s)
         present_tokens = sum(r.present_tokens for r in reservations)
         rest_tokens = sum(r.rest_tokens for r in reservations)
         peak_tokens = memory_peak.calculate_peak(reservations)
+        full_stall_s, full_stall_loss = self._calculate_full_stall(
+            summary, now_s
+        )
         shared_tokens = (
             summary.free_memory_tokens + present_tokens + rest_tokens
         )
@@ -488,8 +507,33 @@
             if self.primary_allocations
             else 0.0,
             slack_s=self.calculate_slack_s(now_s),
+            speed=(id(self.profile), self.slowdown),
+            full_stall_s=full_stall_s,
+            full_stall_loss=full_stall_loss,
         )
 
+    def _calculate_full_stall(
+        self, summary: _Summary, now_s: float
+    ) -> tuple[float, float]:
+        """Returns the prefill that stalls all requests past their limits.
+
+        With the weight that is lost by any longer one.
+        """
+        limits_s = [*summary.pause_limits_s[-1:]]
+        loss = summary.stall_losses[-1]
+        on_time = [
+            allocation
+            for allocation in summary.awaiting_prefill
+            if not allocation.is_late
+            and allocation.request.on_time_at_s > now_s
+        ]
+        if on_time:
+            limits_s += [a.request.on_time_at_s - now_s for a in on_time]
+            loss += sum(allocation.late_loss for allocation in on_time)
+        if not limits_s:
+            return 0.0, loss
+        return max(limits_s) - summary.iteration_s + ROUNDING_S, loss
+
     def calculate_stall_loss(self, prefill_s: float, now_s: float) -> float:
         """Returns the weight lost by the stall that a prefill causes."""
         if not self.primary_allocations:
@@ -684,7 +728,7 @@
 
     def _forget_derived_values(self) -> None:
         self._summary = None
-        self._steady_view = None
+        self.steady_view = None
         self._expected_ends = None
 
     def _summarise(self) -> _Summary:
--- a/packages/placement/poplarwick_placement/packing.py
+++ b/packages/placement/poplarwick_placement/packing.py
@@ -23,6 +23,7 @@
 
 from poplarwick_core import ids
 from poplarwick_placement import engine_model
+from poplarwick_placement import engine_order
 from poplarwick_placement import loads
 from poplarwick_placement import messages
 
@@ -30,18 +31,10 @@
 """Difference in the time to the first event below which two endpoints count as
 equal; a tenth of an iteration."""
 
-GROUP_SIZES = (17, 14, 12, 10, 8, 6, 5, 4, 3, 2, 1)
-"""Group sizes that are considered for one prompt; engines accept at most
-sixteen helpers."""
-
 STALLING_GROUP_SIZES = (12, 6, 3, 1)
 """Group sizes that are considered where every group stalls running requests or
 is late."""
 
-MAX_RELATIVE_SLOWDOWN = 1.5
-"""Slowdown relative to the fastest engine above which an engine joins no group:
-a group waits for its slowest member."""
-
 MAX_START_DELAY_S = 0.03
 """Prefill backlog that an engine may still have when a group starts on it; less
 than an iteration, which the group waits for in any case."""
@@ -55,10 +48,6 @@
 response time; an endpoint that fails two in five more often than its peers is
 chosen last."""
 
-FAILURE_TOLERANCE = 0.15
-"""Tolerated excess of an endpoint's share of failures over that of its best
-peer; one failure in ten answers moves the share by about this much."""
-
 RESERVATION_STEP_TOKENS = 1_024
 """Step to which reservations are rounded up; well above an engine's memory
 block."""
@@ -111,10 +100,14 @@
         """
         ...
 
-    def find_helpers(self) -> Sequence[loads.EndpointLoad]:
+    def view_helpers(self) -> Sequence[loads.LoadView]:
         """Returns the endpoints that may prefill a part of the prompt."""
         ...
 
+    def may_run(self, load: loads.EndpointLoad) -> bool:
+        """Returns whether one of these may also run the request."""
+        ...
+
 
 def choose(
     request: messages.PlacementRequest,
@@ -137,24 +130,15 @@
         return _choose_plain(request, list(iter_free(candidates)), now_s)
     if is_short(request, preferred):
         return _choose_short(request, candidates, now_s)
-    helper_views = [candidates.view(load) for load in candidates.find_helpers()]
-    short_engine = _find_engine_for_short(helper_views)
-    return _choose_long(
-        request,
-        {
-            view
-            for load in iter_free(candidates)
-            if _is_available(
-                view := candidates.view(load), short_engine, awaited
-            )
-        },
-        [
+    views = candidates.view_helpers()
+    short_engine = _find_engine_for_short(views)
+    if short_engine is not None or awaited:
+        views = [
             view
-            for view in helper_views
-            if _is_available(view, short_engine, awaited)
-        ],
-        now_s,
-    )
+            for view in views
+            if view is not short_engine and view.load.endpoint.id not in awaited
+        ]
+    return _choose_long(request, views, candidates.may_run, now_s)
 
 
 def iter_free(candidates: Candidates) -> Iterator[loads.EndpointLoad]:
@@ -185,14 +169,6 @@
     )
 
 
-def _is_available(
-    view: loads.LoadView,
-    short_engine: loads.LoadView | None,
-    awaited: Set[ids.EndpointId],
-) -> bool:
-    return view is not short_engine and view.load.endpoint.id not in awaited
-
-
 def _choose_plain(
     request: messages.PlacementRequest,
     free_loads: Sequence[loads.EndpointLoad],
@@ -309,25 +285,18 @@
 
 def _choose_long(
     request: messages.PlacementRequest,
-    free_views: Set[loads.LoadView],
     helper_views: Sequence[loads.LoadView],
+    may_run: Callable[[loads.EndpointLoad], bool],
     now_s: float,
 ) -> Choice | None:
-    if not free_views or not helper_views:
+    if not any(may_run(view.load) for view in helper_views):
         return None
-    ordered_views = _order_engines(helper_views)
-    parts = _PromptParts(request)
-    least_sizes = [
-        _find_least_unstalled_size(parts, view) for view in ordered_views
-    ]
+    parts = engine_order.PromptParts(request)
+    order = engine_order.EngineOrder(parts, helper_views, now_s)
     best: Choice | None = None
-    for size in GROUP_SIZES:
-        fitting = [
-            view
-            for view, least_size in zip(ordered_views, least_sizes, strict=True)
-            if least_size <= size
-        ]
-        choice = _form_group(request, parts, fitting, free_views, size, now_s)
+    for size in engine_order.GROUP_SIZES:
+        members = order.find_unstalled(size)
+        choice = _form_group(request, parts, members, may_run, size, now_s)
         if choice is not None and (
             best is None
             or (choice.loss, choice.first_event_s)
@@ -337,129 +306,28 @@
     if best is not None and best.loss == 0:
         return best
     for size in STALLING_GROUP_SIZES:
-        by_stall_loss = _sort_by_stall_loss(parts, ordered_views, size, now_s)
-        choice = _form_group(
-            request, parts, by_stall_loss, free_views, size, now_s
-        )
+        members = order.sort_by_stall_loss(size)
+        choice = _form_group(request, parts, members, may_run, size, now_s)
         if choice is not None and (best is None or choice.loss < best.loss):
             best = choice
     return best
 
 
-def _sort_by_stall_loss(
-    parts: _PromptParts,
-    views: Sequence[loads.LoadView],
-    size: int,
-    now_s: float,
-) -> list[loads.LoadView]:
-    """Returns the engines by the weight that a part for a group costs there."""
-    losses = [
-        0.0
-        if (part_s := parts.calculate_prefill_s(view, size)) <= view.slack_s
-        else view.load.calculate_stall_loss(part_s, now_s)
-        for view in views
-    ]
-    order = sorted(range(len(views)), key=losses.__getitem__)
-    return [views[index] for index in order]
-
-
-def _find_least_unstalled_size(
-    parts: _PromptParts, view: loads.LoadView
-) -> float:
-    """Returns the least group whose part stalls no request past its limit.
-
-    Infinity if there is none.
-    """
-    if parts.calculate_prefill_s(view, 1) <= view.slack_s:
-        return 1
-    least_size = math.inf
-    for size in GROUP_SIZES:
-        if parts.calculate_prefill_s(view, size) > view.slack_s:
-            break
-        least_size = size
-    return least_size
-
-
-def _order_engines(
-    helper_views: Sequence[loads.LoadView],
-) -> list[loads.LoadView]:
-    """Returns the engines that do not slow a group down, idle ones first."""
-    max_slowdown = MAX_RELATIVE_SLOWDOWN * min(
-        view.load.slowdown for view in helper_views
-    )
-    fast_enough = [
-        view for view in helper_views if view.load.slowdown <= max_slowdown
-    ]
-    healthy = _exclude_failing(fast_enough)
-    return sorted(
-        healthy,
-        key=lambda view: (
-            view.backlog_s > 0,
-            view.backlog_s,
-            view.running_count,
-        ),
-    )
-
-
-def _exclude_failing(
-    views: Sequence[loads.LoadView],
-) -> Sequence[loads.LoadView]:
-    """Returns the engines whose share of failures is near the lowest one."""
-    best_share = min(view.load.failure_share for view in views)
-    return [
-        view
-        for view in views
-        if view.load.failure_share <= best_share + FAILURE_TOLERANCE
-    ]
-
-
-class _PromptParts:
-    """Prefill times of the parts of one prompt.
-
-    The engines of a service mostly share a profile, so the time of the whole
-    prompt is calculated once for each.
-
-    Args:
-        request: The request with the prompt.
-    """
-
-    def __init__(self, request: messages.PlacementRequest) -> None:
-        self._tokens = request.prompt_tokens
-        self._full_s: dict[int, float] = {}
-
-    def calculate_prefill_s(self, view: loads.LoadView, size: int) -> float:
-        """Returns the time of a part on an engine in a group of a size."""
-        profile = view.load.profile
-        if profile is None:
-            return 0.0
-        full_s = self._full_s.get(id(profile))
-        if full_s is None:
-            full_s = engine_model.calculate_prefill_s(profile, self._tokens)
-            self._full_s[id(profile)] = full_s
-        return view.load.slowdown * (full_s / size)
-
-
 def _form_group(
     request: messages.PlacementRequest,
-    parts: _PromptParts,
-    fitting: Sequence[loads.LoadView],
-    free_views: Set[loads.LoadView],
+    parts: engine_order.PromptParts,
+    members: engine_order.Members,
+    may_run: Callable[[loads.EndpointLoad], bool],
     size: int,
     now_s: float,
 ) -> Choice | None:
     """Returns a group of the first engines, None if there are too few."""
-    if len(fitting) < size:
+    if len(members.views) < size:
         return None
-    primary = _choose_primary(request, fitting, free_views)
+    primary = members.find_primary(request, may_run)
     if primary is None:
         return None
-    accepting = (
-        view
-        for view in fitting
-        if view is not primary
-        and len(view.load.helper_allocations) < view.load.slots
-    )
-    helpers = list(itertools.islice(accepting, size - 1))
+    helpers = members.find_helpers(primary, size - 1)
     if len(helpers) < size - 1:
         return None
     reservations = split_memory(request, primary, helpers)
@@ -470,29 +338,9 @@
     )
 
 
-def _choose_primary(
-    request: messages.PlacementRequest,
-    fitting: Sequence[loads.LoadView],
-    free_views: Set[loads.LoadView],
-) -> loads.LoadView | None:
-    """Returns the first engine that holds the prompt, or the emptiest one."""
-    emptiest: loads.LoadView | None = None
-    for view in fitting:
-        if view not in free_views:
-            continue
-        if view.calculate_missing_tokens(request) <= 0:
-            return view
-        if (
-            emptiest is None
-            or view.free_memory_tokens > emptiest.free_memory_tokens
-        ):
-            emptiest = view
-    return emptiest
-
-
 def _evaluate_group(
     request: messages.PlacementRequest,
-    parts: _PromptParts,
+    parts: engine_order.PromptParts,
     primary: loads.LoadView,
     helpers: Sequence[loads.LoadView],
     reservations: Sequence[int],
@@ -500,7 +348,7 @@
 ) -> Choice:
     engines = [primary, *helpers]
     prefill_s = max(
-        parts.calculate_prefill_s(view, len(engines)) for view in engines
+        parts.calculate_prefill_s(view.load, len(engines)) for view in engines
     )
     first_event_s = max(
         view.estimate_first_event_s(request, prefill_s) for view in engines
@@ -521,11 +369,14 @@
     helper_views: Sequence[loads.LoadView],
 ) -> loads.LoadView | None:
     """Returns the engine that long prompts leave to short requests."""
-    free_slots = sum(
-        max(v.free_slots - 1, 0) for v in helper_views if v.has_short
-    )
-    if free_slots >= MIN_SHORT_SLOTS or len(helper_views) < 2:
+    if len(helper_views) < 2:
         return None
+    free_slots = 0
+    for view in helper_views:
+        if view.has_short and view.free_slots > 1:
+            free_slots += view.free_slots - 1
+            if free_slots >= MIN_SHORT_SLOTS:
+                return None
     return min(
         helper_views, key=lambda view: (view.running_count, view.backlog_s)
     )
@@ -536,7 +387,11 @@
 ) -> float:
     """Returns the weight lost by failures in excess of the best peer's."""
     excess = view.load.failure_share - best_share
-    return request.weight * excess if excess > FAILURE_TOLERANCE else 0.0
+    return (
+        request.weight * excess
+        if excess > engine_order.FAILURE_TOLERANCE
+        else 0.0
+    )
 
 
 def _calculate_late_loss(
--- a/packages/placement/poplarwick_placement/queue_order.py
+++ b/packages/placement/poplarwick_placement/queue_order.py
@@ -14,6 +14,7 @@
 
 from poplarwick_catalogue import types
 from poplarwick_placement import engine_model
+from poplarwick_placement import engine_order
 from poplarwick_placement import late_jobs
 from poplarwick_placement import loads
 from poplarwick_placement import messages
@@ -122,7 +123,7 @@
         engines: Number of engines that accept the request.
         excess: By how much its organisation exceeds its share.
     """
-    max_group_size = max(min(engines - 1, packing.GROUP_SIZES[0]), 1)
+    max_group_size = max(min(engines - 1, engine_order.GROUP_SIZES[0]), 1)
     # `ideal_first_event_s` assumes a group of the ideal size.
     group_size = max(min(IDEAL_GROUP_SIZE, engines), 1)
     return late_jobs.Job(
--- a/packages/placement/poplarwick_placement/refusals.py
+++ b/packages/placement/poplarwick_placement/refusals.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from poplarwick_placement import engine_order
 from poplarwick_placement import loads
 from poplarwick_placement import messages
-from poplarwick_placement import packing
 from poplarwick_placement import queue_order
 from poplarwick_placement import service_pool
 
@@ -23,14 +25,14 @@
 
 def refuse_too_large(
     request: messages.PlacementRequest,
-    open_states: list[service_pool.EndpointState],
+    open_states: Sequence[service_pool.EndpointState],
 ) -> messages.Refusal | None:
     """Refuses a prompt that exceeds the memory of any group of engines."""
     sizes = sorted(
         (s.load.profile.memory_tokens for s in open_states if s.load.profile),
         reverse=True,
     )
-    max_memory_tokens = sum(sizes[: packing.GROUP_SIZES[0]])
+    max_memory_tokens = sum(sizes[: engine_order.GROUP_SIZES[0]])
     if (
         not sizes
         or request.memory_tokens
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -635,7 +635,7 @@
         return spreading.choose(
             request,
             [candidates.view(load) for load in packing.iter_free(candidates)],
-            [candidates.view(load) for load in candidates.find_helpers()],
+            candidates.view_helpers(),
             self._rng,
         )
 
--- a/packages/placement/poplarwick_placement/service_pool.py
+++ b/packages/placement/poplarwick_placement/service_pool.py
@@ -10,6 +10,7 @@
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from poplarwick_catalogue import types
 from poplarwick_core import ids
@@ -137,6 +138,13 @@
         if number is not None:
             self._move(number, state)
 
+    def find_free(self, endpoint: ids.EndpointId) -> EndpointState | None:
+        """Returns an endpoint if it has a free slot."""
+        number = self._numbers[endpoint]
+        if self._group_by_number[number] is None:
+            return None
+        return self.states[number]
+
     def iter_groups(
         self, is_usable: Callable[[EndpointState], bool]
     ) -> Iterator[Iterator[loads.EndpointLoad]]:
@@ -193,6 +201,7 @@
         self._pool = pool
         self._request = request
         self._now_s = now_s
+        self._is_restricted = bool(request.avoided or request.regions)
         # If no endpoint is healthy, the network is the likelier cause.
         self._ignores_health = not any(
             self._is_allowed(state) and state.is_healthy(now_s)
@@ -200,8 +209,10 @@
         )
 
     @property
-    def allowed_states(self) -> list[EndpointState]:
+    def allowed_states(self) -> Sequence[EndpointState]:
         """Open endpoints that the request itself does not exclude."""
+        if not self._is_restricted:
+            return self._pool.states
         return [s for s in self._pool.states if self._is_allowed(s)]
 
     def has_allowed(self) -> bool:
@@ -218,12 +229,35 @@
             )
         )
 
-    def find_helpers(self) -> list[loads.EndpointLoad]:
+    def view_helpers(self) -> list[loads.LoadView]:
         """Returns the endpoints that may prefill a part of the prompt."""
+        view, now_s = self.view, self._now_s
+        return [
+            state.load.steady_view or view(state.load)
+            for state in self._find_usable()
+            if state.send_limiter is None or state.allows_rate(now_s)
+        ]
+
+    def may_run(self, load: loads.EndpointLoad) -> bool:
+        """Returns whether one of these may also run the request."""
+        state = self._pool.find_free(load.endpoint.id)
+        return state is not None and state.allows_cold_start(self._now_s)
+
+    def _find_usable(self) -> Sequence[EndpointState]:
+        if self._ignores_health:
+            return self.allowed_states
+        now_s = self._now_s
         return [
-            state.load
-            for state in self._pool.states
-            if self._is_usable(state) and state.allows_rate(self._now_s)
+            state
+            for state in self.allowed_states
+            # Nearly all are known to be well without a call for each.
+            if (
+                (health := state.health).backoff_until_s <= now_s
+                and not health.missed_report_count
+                and not health.is_half_open
+                and not health.is_replaced
+            )
+            or state.is_healthy(now_s)
         ]
 
     def _is_usable(self, state: EndpointState) -> bool:
@@ -232,6 +266,8 @@
         )
 
     def _is_allowed(self, state: EndpointState) -> bool:
+        if not self._is_restricted:
+            return True
         request = self._request
         return state.candidate.endpoint.id not in request.avoided and (
             not request.regions or state.candidate.region in request.regions
--- a/packages/placement/tests/reference_packing.py
+++ b/packages/placement/tests/reference_packing.py
@@ -10,6 +10,7 @@
 from collections.abc import Set
 
 from poplarwick_core import ids
+from poplarwick_placement import engine_order
 from poplarwick_placement import loads
 from poplarwick_placement import messages
 from poplarwick_placement import packing
@@ -119,7 +120,7 @@
     ordered_views = _order_engines(helper_views)
     primary_ids = set(map(id, free_views))
     best: packing.Choice | None = None
-    for size in packing.GROUP_SIZES:
+    for size in engine_order.GROUP_SIZES:
         choice = _form_group(request, ordered_views, primary_ids, size, now_s)
         if choice is not None and (
             best is None
@@ -153,7 +154,7 @@
     helper_views: Sequence[loads.LoadView],
 ) -> list[loads.LoadView]:
     """Returns the engines that do not slow a group down, idle ones first."""
-    max_slowdown = packing.MAX_RELATIVE_SLOWDOWN * min(
+    max_slowdown = engine_order.MAX_RELATIVE_SLOWDOWN * min(
         view.load.slowdown for view in helper_views
     )
     fast_enough = [
@@ -178,7 +179,8 @@
     return [
         view
         for view in views
-        if view.load.failure_share <= best_share + packing.FAILURE_TOLERANCE
+        if view.load.failure_share
+        <= best_share + engine_order.FAILURE_TOLERANCE
     ]
 
 
@@ -208,7 +210,7 @@
     if not eligible or len(fitting) < size:
         return None
     primary = next(
-        (v for v in eligible if request.memory_tokens <= v.free_memory_tokens),
+        (v for v in eligible if v.calculate_missing_tokens(request) <= 0),
         max(eligible, key=lambda view: view.free_memory_tokens),
     )
     helpers = [
@@ -272,7 +274,9 @@
     """Returns the weight lost by failures in excess of the best peer's."""
     excess = view.load.failure_share - best_share
     return (
-        request.weight * excess if excess > packing.FAILURE_TOLERANCE else 0.0
+        request.weight * excess
+        if excess > engine_order.FAILURE_TOLERANCE
+        else 0.0
     )
 
 
--- a/packages/placement/tests/test_packing.py
+++ b/packages/placement/tests/test_packing.py
@@ -92,7 +92,7 @@
         pool, request, NOW_S, lambda load: views[id(load)]
     )
     awaited = {engines.make_endpoint(number).id for number in awaited_numbers}
-    helper_views = [views[id(load)] for load in candidates.find_helpers()]
+    helper_views = candidates.view_helpers()
     expected = reference_packing.choose(
         request, helper_views, helper_views, awaited, NOW_S
     )
