Calculate the quantiles of a group in one pass

Cause: an estimate merged both windows of a group and walked over the counters once for each quantile, four times for a request without samples of its own.

Change: the histogram is merged once, and all quantiles are found in one pass.

--- a/packages/placement/poplarwick_placement/recent_quantiles.py
+++ b/packages/placement/poplarwick_placement/recent_quantiles.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from hdrh import histogram
 
 WINDOW_S = 20.0
@@ -60,11 +62,15 @@
             count += int(self._previous.total_count)
         return count
 
-    def calculate(self, quantile: float, now_s: float) -> float:
-        """Returns a quantile of the recent values; 0 without any.
+    def calculate(
+        self, quantiles: Collection[float], now_s: float
+    ) -> list[float]:
+        """Returns quantiles of the recent values; 0 without any.
+
+        All of them take a single pass over the counters.
 
         Args:
-            quantile: The quantile, from 0 to 1.
+            quantiles: The quantiles, from 0 to 1.
             now_s: Monotonic time.
         """
         self._forget(now_s)
@@ -73,9 +79,18 @@
             merged = _make_histogram()
             merged.add(self._previous)
             merged.add(self._current)
-        # The highest value of a bucket is returned; its middle is unbiased.
-        highest = merged.get_value_at_percentile(100 * quantile)
-        lowest = merged.get_lowest_equivalent_value(highest)
+        percentiles = [100 * quantile for quantile in quantiles]
+        highest = merged.get_percentile_to_value_dict(percentiles)
+        return [
+            self._find_middle(merged, highest.get(percentile, 0))
+            for percentile in percentiles
+        ]
+
+    def _find_middle(
+        self, counted: histogram.HdrHistogram, highest: int
+    ) -> float:
+        """Returns the unbiased middle of the bucket with a highest value."""
+        lowest = counted.get_lowest_equivalent_value(highest)
         return float(highest + lowest) / 2 * self._unit
 
     def _forget(self, now_s: float) -> None:
--- a/packages/placement/poplarwick_placement/request_costs.py
+++ b/packages/placement/poplarwick_placement/request_costs.py
@@ -90,8 +90,9 @@
         ):
             self.computed_at_s, self.computed_count = now_s, count
             self.level = level
-            self.expected = self.values.calculate(EXPECTED_QUANTILE, now_s)
-            self.booked = self.values.calculate(level, now_s)
+            self.expected, self.booked = self.values.calculate(
+                (EXPECTED_QUANTILE, level), now_s
+            )
         return count
 
 
