--- a/packages/administration/poplarwick_administration/_check_command.py
+++ b/packages/administration/poplarwick_administration/_check_command.py
@@ -85,7 +85,7 @@
             stored = await administration.read_document(
                 environment, status.version
             )
-    except (client.ClientError, OSError, UnicodeDecodeError) as error:
+    except (client.ClientError, OSError, ValueError) as error:
         raise errors.DocumentError(
             check_options.IN_FORCE, "$", str(error)
         ) from error
--- a/packages/administration/tests/test_check_command.py
+++ b/packages/administration/tests/test_check_command.py
@@ -155,9 +155,9 @@
         async with server:
             return "{}:{}".format(*server.sockets[0].getsockname())
 
-    address = asyncio.run(find_free_address())
-    code, printed = run(
-        capsys, file, "--against", "in-force", "--server", address
-    )
-    assert code == 2
-    assert printed.err.startswith("in-force: $: error")
+    for address in (asyncio.run(find_free_address()), "::", "h:99999"):
+        code, printed = run(
+            capsys, file, "--against", "in-force", "--server", address
+        )
+        assert code == 2
+        assert printed.err.startswith("in-force: $: error")
--- a/packages/catalogue/poplarwick_catalogue/reachability.py
+++ b/packages/catalogue/poplarwick_catalogue/reachability.py
@@ -48,25 +48,34 @@
 
 
 def _check_names(entries: routing.Entries) -> Iterator[findings.Finding]:
-    groups: dict[str, Iterable[str]] = {
-        "routes": (route.name for route in entries.routes),
-        "services": (service.id for service in entries.services),
-        "memberships": (
-            membership.organisation.id
-            for membership in entries.memberships or ()
+    groups = (
+        (
+            "routes",
+            [route.name for route in entries.routes],
+            "logs and metrics do not tell them apart",
         ),
-    }
-    for group, names in groups.items():
-        first: dict[str, int] = {}
+        (
+            "services",
+            [service.id for service in entries.services],
+            "only the last one counts",
+        ),
+        (
+            "memberships",
+            [m.organisation.id for m in entries.memberships or ()],
+            "they share what one organisation may use",
+        ),
+    )
+    for group, names, effect in groups:
+        seen: set[str] = set()
         for index, name in enumerate(names):
-            if first.setdefault(name, index) != index:
+            if name in seen:
                 yield findings.make_error(
                     findings.Rule.NAME_REUSED,
                     f"$.{group}[{index}].name",
-                    f"found {findings.quote(name)}, which is the name of "
-                    f"number {first[name]} in the list, too; only one of "
-                    "them counts, or they cannot be told apart",
+                    f"found {findings.quote(name)}, the name of an earlier "
+                    f"one in the list; {effect}",
                 )
+            seen.add(name)
 
 
 def _check_routes(
@@ -151,6 +160,7 @@
         for key in membership.keys
     }
     for index, membership in enumerate(memberships):
+        seen: set[types.ApiKey] = set()
         for number, key in enumerate(membership.keys):
             place = f"$.memberships[{index}].keys[{number}]"
             if last[key] != index:
@@ -161,12 +171,13 @@
                     f"the same key belongs to {findings.quote(owner)}, too; "
                     "its callers are taken for that organisation",
                 )
-            elif key in membership.keys[:number]:
+            elif key in seen:
                 yield findings.make_warning(
                     findings.Rule.KEY_NEVER_ACCEPTED,
                     place,
                     "the organisation has the same key twice",
                 )
+            seen.add(key)
     for index, membership in enumerate(memberships):
         if not membership.keys:
             name = findings.quote(membership.organisation.id)
