Share how both modes complete responses and drop requests that cross a close

No change of behaviour: packages/node, packages/forwarding and the adapter's tests of closed connections, ends of stops and late stops pass.

--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -20,11 +20,13 @@
 
 from aiohttp import web_protocol
 from aiohttp import web_request
+from aiohttp import web_response
 
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_core import socket_buffers
 from poplarwick_forwarding import log_events
+from poplarwick_forwarding import outcomes
 
 CALLER_CLOSE_TIMEOUT_S = 1.0
 """Longest wait for a caller to close its side; callers that have an answer do
@@ -225,6 +227,54 @@
             transport.write_eof()
 
 
+async def complete(
+    request: web_request.BaseRequest,
+    response: web_response.StreamResponse,
+    request_id: str | None,
+    *,
+    closes: bool,
+) -> None:
+    """Sends what has not been sent of a response.
+
+    Args:
+        request: The request.
+        response: Its response.
+        request_id: Id of the request, for logs; None if it has none.
+        closes: Whether the connection is closed afterwards.
+    """
+    if closes:
+        response.force_close()
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        return
+    try:
+        await response.prepare(request)
+        await response.write_eof()
+    except ConnectionError as error:
+        logs.log(
+            log_events.AnswerNotDelivered(
+                request=request_id, reason=repr(error)
+            )
+        )
+
+
+def drop(
+    request: web_request.BaseRequest, request_id: str | None
+) -> web_response.Response:
+    """Closes a connection on which a request crossed its close.
+
+    The caller sees that the request was not read.
+    """
+    logs.log(
+        log_events.RequestRefused(
+            request=request_id, reason="connection_closed"
+        )
+    )
+    if request.transport is not None:
+        request.transport.close()
+    return web_response.Response(status=outcomes.Failure.REFUSED.value)
+
+
 async def _discard_input(request: web_request.BaseRequest) -> None:
     """Reads what the caller sends, until it closes the connection.
 
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -251,7 +251,12 @@
             with self._connections.track(request, request_id) as tracked:
                 response = await self._respond(request, tracked)
                 tracked.stage = caller_connections.Stage.ANSWERING
-                await self._complete(request, response, tracked)
+                await caller_connections.complete(
+                    request,
+                    response,
+                    request_id,
+                    closes=self._closes_connections,
+                )
         finally:
             self.in_progress -= 1
             if not self.in_progress:
@@ -260,35 +265,13 @@
             await self._connections.finish(request)
         return response
 
-    async def _complete(
-        self,
-        request: web_request.BaseRequest,
-        response: web_response.StreamResponse,
-        tracked: caller_connections.OpenRequest,
-    ) -> None:
-        """Sends what has not been sent of a response."""
-        if self._closes_connections:
-            response.force_close()
-        transport = request.transport
-        if transport is None or transport.is_closing():
-            return
-        try:
-            await response.prepare(request)
-            await response.write_eof()
-        except ConnectionError as error:
-            logs.log(
-                log_events.AnswerNotDelivered(
-                    request=tracked.id, reason=repr(error)
-                )
-            )
-
     async def _respond(
         self,
         request: web_request.BaseRequest,
         tracked: caller_connections.OpenRequest,
     ) -> web_response.StreamResponse:
         if self._connections.is_half_closed(request):
-            return self._drop(request)
+            return caller_connections.drop(request, tracked.id)
         if self.is_closed:
             return self._refuse(request, "stopping")
         if self.in_progress > MAX_REQUESTS_IN_PROGRESS:
@@ -516,23 +499,6 @@
             )
             return _abort(request, sink)
 
-    def _drop(
-        self, request: web_request.BaseRequest
-    ) -> web_response.StreamResponse:
-        """Closes a connection on which a request crossed its close.
-
-        The caller sees that the request was not read.
-        """
-        logs.log(
-            log_events.RequestRefused(
-                request=self._dialect.get_request_id(request.headers),
-                reason="connection_closed",
-            )
-        )
-        if request.transport is not None:
-            request.transport.close()
-        return web_response.Response(status=outcomes.Failure.REFUSED.value)
-
     def _refuse(
         self,
         request: web_request.BaseRequest,
--- a/packages/node/poplarwick_node/_web.py
+++ b/packages/node/poplarwick_node/_web.py
@@ -12,10 +12,8 @@
 from aiohttp import web_protocol
 
 from poplarwick_core import ids
-from poplarwick_core import logs
 from poplarwick_core import waiting_connections
 from poplarwick_forwarding import caller_connections
-from poplarwick_forwarding import log_events
 from poplarwick_peers import transport
 
 SHUTDOWN_TIMEOUT_S = 5.0
@@ -139,10 +137,12 @@
             with self._connections.track(request, None) as tracked:
                 request[_TRACKED_KEY] = tracked
                 if self._connections.is_half_closed(request):
-                    return _drop(request)
+                    return caller_connections.drop(request, None)
                 response = await handler(request)
                 tracked.stage = caller_connections.Stage.ANSWERING
-                await self._complete(request, response, tracked)
+                await caller_connections.complete(
+                    request, response, tracked.id, closes=self.is_leaving
+                )
         finally:
             self.in_progress -= 1
             if not self.in_progress:
@@ -151,36 +151,3 @@
             # TLS connections cannot be closed on one side.
             await self._connections.finish(request)
         return response
-
-    async def _complete(
-        self,
-        request: web.Request,
-        response: web.StreamResponse,
-        tracked: caller_connections.OpenRequest,
-    ) -> None:
-        """Sends what has not been sent of a response."""
-        if self.is_leaving:
-            response.force_close()
-        transport_ = request.transport
-        if transport_ is None or transport_.is_closing():
-            return
-        try:
-            await response.prepare(request)
-            await response.write_eof()
-        except ConnectionError as error:
-            logs.log(
-                log_events.AnswerNotDelivered(
-                    request=tracked.id, reason=repr(error)
-                )
-            )
-
-
-def _drop(request: web.Request) -> web.Response:
-    """Closes a connection on which a request crossed its close.
-
-    The caller sees that the request was not read.
-    """
-    logs.log(log_events.RequestRefused(reason="connection_closed"))
-    if request.transport is not None:
-        request.transport.close()
-    return web.Response(status=503)
