Keep calls of other processes out of a test's service

The trace: two of them are GET /v1/kv-watch, which only an instance's store client sends, and no test of this module has one. It belongs to an instance of another process whose store had ended, and whose port this service was given.

Change: the service answers that call, and no other, with 404 and does not count it. What the entry itself sends is counted as before.

--- a/packages/entry/tests/test_claimed_calls.py
+++ b/packages/entry/tests/test_claimed_calls.py
@@ -10,6 +10,9 @@
 
 from poplarwick_entry import services
 
+STORE_WATCH_PATH = "/v1/kv-watch"
+"""Call that instances of other tests and plays repeat until they end."""
+
 
 class Shop:
     """A plain service that records its calls.
@@ -33,6 +36,9 @@
         self.drops_connections = False
 
     async def handle(self, request):
+        if request.path == STORE_WATCH_PATH:
+            # A client of another process, whose store had this port before.
+            return web.Response(status=404)
         self.runs.append((request.method, request.path, await request.read()))
         self.has_started.set()
         await self.gate.wait()
