Do not take an attempt that the own delay ended for an unreachable endpoint

The new test failed before in both forms (time limit, cancelled): three endpoints that accept, a loop that stands still for 0.6 s, and the instance counted as cut off.

Change: one module for connection attempts; the connector of requests, the relay and the probe ask the kernel.

--- a/packages/bench/poplarwick_bench/proxy.py
+++ b/packages/bench/poplarwick_bench/proxy.py
@@ -13,6 +13,7 @@
 import types
 from collections.abc import Set as AbstractSet
 
+from poplarwick_core import connection_attempt
 from poplarwick_core import socket_buffers
 
 CHUNK_BYTES = 65_536
@@ -175,9 +176,9 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         if self._buffer_bytes is None:
             return await asyncio.open_connection(host, port)
-        sock = await socket_buffers.connect(
-            LOOPBACK, host, port, self._buffer_bytes
-        )
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        socket_buffers.limit_buffers(sock, self._buffer_bytes)
+        await connection_attempt.connect(sock, LOOPBACK, (host, port))
         return await asyncio.open_connection(sock=sock)
 
     async def _pump(
--- a/packages/core/poplarwick_core/socket_buffers.py
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -69,29 +69,3 @@
         sock.close()
         raise
     return sock
-
-
-async def connect(
-    source_host: str, host: str, port: int, size_bytes: int
-) -> socket.socket:
-    """Returns a connected socket with limited buffers.
-
-    Args:
-        source_host: Own address, which the connection is made from.
-        host: Address to connect to.
-        port: Port to connect to.
-        size_bytes: Size of each buffer.
-
-    Raises:
-        OSError: The connection could not be made.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        limit_buffers(sock, size_bytes)
-        sock.bind((source_host, 0))
-        await asyncio.get_running_loop().sock_connect(sock, (host, port))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -18,6 +18,7 @@
 import yarl
 
 from poplarwick_core import clock
+from poplarwick_core import connection_attempt
 from poplarwick_core import socket_buffers
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import dialect
@@ -327,9 +328,10 @@
 def _make_session(
     reach: endpoint_reach.EndpointReach, buffer_bytes: int
 ) -> aiohttp.ClientSession:
-    def make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-        family, kind, protocol, *_ = address
-        sock = socket.socket(family, kind, protocol)
+    def make_socket(
+        address: aiohttp.AddrInfoType,
+    ) -> connection_attempt.AttemptSocket:
+        sock = connector.make_socket(address)
         socket_buffers.limit_buffers(sock, buffer_bytes)
         return sock
 
--- a/packages/reach/poplarwick_reach/connector.py
+++ b/packages/reach/poplarwick_reach/connector.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextvars
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol
 
@@ -13,6 +14,7 @@
 from aiohttp import client_reqrep
 
 from poplarwick_core import clock
+from poplarwick_core import connection_attempt
 
 HANG_S = 0.2
 """Time after which a connection attempt that is given up counts as failed."""
@@ -37,6 +39,16 @@
 """Set by tasks that want to know how their endpoint was reached."""
 
 
+_SOCKET: contextvars.ContextVar[connection_attempt.AttemptSocket | None] = (
+    contextvars.ContextVar("attempt_socket", default=None)
+)
+"""Socket of the connection attempt of a task."""
+
+SocketFactory = Callable[
+    [aiohttp.AddrInfoType], connection_attempt.AttemptSocket
+]
+
+
 class Reach(Protocol):
     """Knows whether endpoints are reached, and how else."""
 
@@ -63,17 +75,43 @@
         ...
 
 
+def make_socket(
+    address: aiohttp.AddrInfoType,
+) -> connection_attempt.AttemptSocket:
+    """Returns a socket for connections to an address."""
+    family, kind, protocol, *_ = address
+    return connection_attempt.AttemptSocket(family, kind, protocol)
+
+
 class ReachConnector(aiohttp.TCPConnector):
     """Connects to endpoints; uses a relay while this instance is cut off.
 
     Args:
         reach: Knows whether endpoints are reached.
         source_host: Own host, from which connections are made.
+        socket_factory: Creates the socket of a connection.
         **options: Options of `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, reach: Reach, source_host: str, **options: Any) -> None:
-        super().__init__(local_addr=(source_host, 0), **options)
+    def __init__(
+        self,
+        reach: Reach,
+        source_host: str,
+        socket_factory: SocketFactory = make_socket,
+        **options: Any,
+    ) -> None:
+        def make_attempt_socket(
+            address: aiohttp.AddrInfoType,
+        ) -> connection_attempt.AttemptSocket:
+            sock = socket_factory(address)
+            _SOCKET.set(sock)
+            return sock
+
+        super().__init__(
+            local_addr=(source_host, 0),
+            socket_factory=make_attempt_socket,
+            **options,
+        )
         self._reach = reach
 
     async def _create_connection(
@@ -88,10 +126,11 @@
             if relayed is not None:
                 return relayed
         began_at_s = clock.now_s()
+        _SOCKET.set(None)
         try:
             return await super()._create_connection(req, traces, timeout)
         except (aiohttp.ClientConnectorError, OSError, TimeoutError):
-            self._reach.record_failed(address)
+            self._record_failed(address)
             if not self._reach.is_cut_off:
                 raise
             relayed = await self._open_relayed(address, req)
@@ -100,9 +139,14 @@
             return relayed
         except asyncio.CancelledError:
             if clock.now_s() - began_at_s >= HANG_S:
-                self._reach.record_failed(address)
+                self._record_failed(address)
             raise
 
+    def _record_failed(self, address: str) -> None:
+        sock = _SOCKET.get()
+        if sock is None or not sock.was_connected:
+            self._reach.record_failed(address)
+
     async def _open_relayed(
         self, address: str, req: client_reqrep.ClientRequest
     ) -> client_proto.ResponseHandler | None:
--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -15,6 +15,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_core import clock
+from poplarwick_core import connection_attempt
 from poplarwick_core import logs
 from poplarwick_reach import connector
 from poplarwick_reach import frames
@@ -203,15 +204,10 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            sock.setblocking(False)
             try:
-                sock.bind((self._host, 0))
-                async with asyncio.timeout(PROBE_TIMEOUT_S):
-                    await loop.sock_connect(sock, (host, int(port)))
-            except TimeoutError:
-                # Where this process was late, both are due at once.
-                if not _is_connected(sock):
-                    return False
+                await connection_attempt.connect(
+                    sock, self._host, (host, int(port)), PROBE_TIMEOUT_S
+                )
             except OSError:
                 return False
             with contextlib.suppress(TimeoutError):
@@ -221,11 +217,3 @@
                     except OSError:
                         return False
             return True
-
-
-def _is_connected(sock: socket.socket) -> bool:
-    try:
-        sock.getpeername()
-    except OSError:
-        return False
-    return True
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import types
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Self
 
 from poplarwick_catalogue import catalogue
+from poplarwick_core import connection_attempt
 from poplarwick_core import logs
 from poplarwick_core import socket_buffers
 from poplarwick_reach import frames
@@ -115,14 +117,18 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(handshake.ENDPOINT_TIMEOUT_S):
-                sock = await socket_buffers.connect(
-                    self._host, host, int(port), self._buffer_bytes
-                )
-                await loop.create_connection(
-                    lambda: _EndpointSide(instance_side, self._buffer_bytes),
-                    sock=sock,
-                )
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            socket_buffers.limit_buffers(sock, self._buffer_bytes)
+            await connection_attempt.connect(
+                sock,
+                self._host,
+                (host, int(port)),
+                handshake.ENDPOINT_TIMEOUT_S,
+            )
+            await loop.create_connection(
+                lambda: _EndpointSide(instance_side, self._buffer_bytes),
+                sock=sock,
+            )
         except (OSError, TimeoutError):
             self._record_failed(address)
             return self._decline(
--- a/packages/reach/tests/test_endpoint_reach.py
+++ b/packages/reach/tests/test_endpoint_reach.py
@@ -81,6 +81,63 @@
     asyncio.run(run())
 
 
+def make_listening_socket():
+    """Returns a socket whose connections the kernel makes."""
+    listening = socket.socket()
+    listening.bind((HOST, 0))
+    listening.listen()
+    return listening
+
+
+async def request_while_late(connector, address, *, timeout_s, is_cancelled):
+    """Sends a request while the event loop stands still."""
+    url = f"http://{address}/"
+    limit = None if is_cancelled else timeout_s
+    async with aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(sock_connect=limit),
+    ) as session:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, time.sleep, 2 * timeout_s)
+        with contextlib.suppress(TimeoutError, aiohttp.ClientError):
+            async with (
+                asyncio.timeout(timeout_s if is_cancelled else None),
+                session.get(url),
+            ):
+                pass
+
+
+# Guards against an instance that takes itself for cut off as its own loop was
+# late by the time limit of its attempts.
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_attempts_that_the_own_delay_ends_are_no_unreachable_endpoints(
+    is_cancelled,
+):
+    async def run():
+        with contextlib.ExitStack() as stack:
+            addresses = [
+                "{}:{}".format(
+                    *stack.enter_context(make_listening_socket()).getsockname()
+                )
+                for _ in range(3)
+            ]
+            reach = make_reach(addresses)
+            await asyncio.gather(
+                *(
+                    request_while_late(
+                        reach.make_connector(),
+                        address,
+                        timeout_s=0.3,
+                        is_cancelled=is_cancelled,
+                    )
+                    for address in addresses
+                )
+            )
+            assert not reach.is_cut_off
+
+    asyncio.run(run())
+
+
 # A proxy in front of an endpoint that has crashed accepts connections.
 @pytest.mark.parametrize(
     ("handle", "expected"), [(stay_open, True), (reset, False), (close, False)]
