Extend the time limits of relays and probes while the own loop is late

A relay's reply that had arrived was discarded, and a probe whose connection was reset during a standstill counted as open: the instance took itself for connected again (instance_reaches_endpoints after freeze_noticed in the logs).

Change: `time_limit.limit_time` extends a limit by the lateness of the loop, at most to twice its length; the relay's handshake and the quiet time of a probe use it.

--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -17,6 +17,7 @@
 from poplarwick_core import clock
 from poplarwick_core import connection_attempt
 from poplarwick_core import logs
+from poplarwick_core import time_limit
 from poplarwick_reach import connector
 from poplarwick_reach import frames
 from poplarwick_reach import handshake
@@ -211,7 +212,7 @@
             except OSError:
                 return False
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PROBE_QUIET_S):
+                async with time_limit.limit_time(PROBE_QUIET_S):
                     try:
                         return bool(await loop.sock_recv(sock, 1))
                     except OSError:
--- a/packages/reach/poplarwick_reach/handshake.py
+++ b/packages/reach/poplarwick_reach/handshake.py
@@ -11,6 +11,7 @@
 import socket
 
 from poplarwick_core import socket_buffers
+from poplarwick_core import time_limit
 
 ENCODING = "ascii"
 GREETING = "poplarwick-relay/1"
@@ -106,7 +107,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with time_limit.limit_time(TIMEOUT_S):
             reply = await _exchange(sock, relay, source_host, address, label)
     except (OSError, TimeoutError, ValueError) as error:
         sock.close()
--- a/packages/reach/tests/test_endpoint_reach.py
+++ b/packages/reach/tests/test_endpoint_reach.py
@@ -12,6 +12,7 @@
 import aiohttp
 import pytest
 
+from poplarwick_core import connection_attempt
 from poplarwick_reach import endpoint_reach
 
 HOST = "127.0.0.1"
@@ -150,6 +151,27 @@
     assert asyncio.run(run()) is expected
 
 
+# Guards against an instance that takes itself for connected again, as a reset
+# came while its own loop was late.
+def test_reset_during_a_standstill_is_no_open_connection(monkeypatch):
+    async def run():
+        async with serve(reset) as address:
+            reach = make_reach([address])
+            loop = asyncio.get_running_loop()
+            connect = connection_attempt.connect
+
+            async def connect_and_stand_still(*arguments):
+                await connect(*arguments)
+                loop.call_soon(time.sleep, 2 * endpoint_reach.PROBE_QUIET_S)
+
+            monkeypatch.setattr(
+                connection_attempt, "connect", connect_and_stand_still
+            )
+            return await reach.is_reachable(address)
+
+    assert asyncio.run(run()) is False
+
+
 def test_endpoint_without_a_listener_is_not_reached():
     async def run():
         async with serve(stay_open) as address:
