Let the tests' network reset connections while the instances stand still

test_instances_cut_off, shape RESET, failed beside other work: the listener that resets connections ran in the event loop of the instances, so a reset came later than the quiet time of a probe after each standstill, and instances took themselves for connected again (instance_reaches_endpoints right after freeze_noticed, 7 and 4 times in the logs of two failed runs). A network does not stand still with an instance.

Change: a thread accepts and resets. The checks and bounds are as they were.

--- a/tests/adapter/network_cuts.py
+++ b/tests/adapter/network_cuts.py
@@ -8,6 +8,7 @@
 import enum
 import socket
 import struct
+import threading
 
 import aiohttp
 
@@ -20,13 +21,37 @@
 """Longest time in which an instance finds out that it is cut off."""
 
 
-def reset(reader, writer):
-    """Resets a connection that was accepted."""
-    del reader
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    writer.transport.abort()
+@contextlib.contextmanager
+def reset_connections():
+    """Resets connections to the address that the context returns.
+
+    In a thread: a network resets them also while the instances stand still.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+
+        def reset():
+            while True:
+                connection, _ = listening.accept()
+                with connection:
+                    if is_over.is_set():
+                        return
+                    connection.setsockopt(
+                        socket.SOL_SOCKET,
+                        socket.SO_LINGER,
+                        struct.pack("ii", 1, 0),
+                    )
+
+        is_over = threading.Event()
+        thread = threading.Thread(target=reset, daemon=True)
+        thread.start()
+        address = listening.getsockname()
+        try:
+            yield address
+        finally:
+            is_over.set()
+            with contextlib.suppress(OSError):
+                socket.create_connection(address).close()
+            thread.join()
 
 
 class Shape(enum.Enum):
@@ -51,8 +76,6 @@
         """Acts on the running loop while the context is open."""
         loop = asyncio.get_running_loop()
         connect = loop.sock_connect
-        resetting = await asyncio.start_server(reset, "127.0.0.1", 0)
-        resetting_address = resetting.sockets[0].getsockname()
 
         async def sock_connect(sock, address):
             if self._is_cut(address):
@@ -64,12 +87,12 @@
                 await asyncio.sleep(HANG_S)
             return await connect(sock, address)
 
-        loop.sock_connect = sock_connect
-        try:
-            yield self
-        finally:
-            del loop.sock_connect
-            resetting.close()
+        with reset_connections() as resetting_address:
+            loop.sock_connect = sock_connect
+            try:
+                yield self
+            finally:
+                del loop.sock_connect
 
     def cut(self, instances, replicas):
         """Cuts instances off from replicas."""
