Release a failed attempt before another one is waited for

What callers saw: nothing at once; memory of several engines stayed set aside for a long prompt whose engine had ended (rule LEAK: no longer than free_ms after the last request that used it), so that other long prompts were refused.

Cause: an attempt that fails while another endpoint is being tried waits for that one's answer inside its own context. Its reservations were renewed, and its load counted by the placer, until the other one answered, or to the deadline.

Change: the failed attempt is ended before the wait; its context then has nothing left to end.

Evidence: the new test failed before (one attempt held, no end recorded, during the wait). packages/forwarding and tests/adapter/test_silent_engines.py pass.

--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -88,6 +88,7 @@
         self._progress = progress
         self._response: upstream.Response | None = None
         self._stack = contextlib.AsyncExitStack()
+        self._is_ended = False
 
     @property
     def written_s(self) -> float | None:
@@ -105,11 +106,24 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        if self._is_ended:
+            return
+        self._is_ended = True
         try:
             await self._stack.__aexit__(kind, error, trace)
         finally:
             self._record_end(error)
 
+    async def end_failed(self, error: upstream.SendError) -> None:
+        """Ends the attempt before its context is exited.
+
+        Nothing is held for it, then, while another attempt is waited for.
+
+        Args:
+            error: Why it has failed.
+        """
+        await self.__aexit__(type(error), error, error.__traceback__)
+
     async def open(self) -> upstream.Response:
         """Sends the request and returns the response once its head has come.
 
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -453,7 +453,8 @@
                 messages.Result.SILENT,
                 may_have_run=True,
             ) from error
-        except upstream.SendError:
+        except upstream.SendError as error:
+            await attempt.end_failed(error)
             successor.set(await silence.wait_for_attempt())
             raise
         finally:
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -20,6 +20,7 @@
 from poplarwick_forwarding import request_progress
 from poplarwick_forwarding import request_runner
 from poplarwick_forwarding import stream_relay
+from poplarwick_forwarding import takeover
 from poplarwick_forwarding import upstream
 from poplarwick_placement import messages
 
@@ -73,22 +74,29 @@
 
 
 class Memory:
-    """Reserves nothing."""
+    """Reserves nothing, and knows for how many attempts."""
+
+    def __init__(self):
+        self.holds = 0
 
     @contextlib.asynccontextmanager
     async def hold(self, helpers):
-        yield ()
+        self.holds += 1
+        try:
+            yield ()
+        finally:
+            self.holds -= 1
 
 
 NOTICES = types.SimpleNamespace(find_blocked=frozenset)
 
 
-def run_request(*, refuses, unreachable=0, placements=None):
+def run_request(*, refuses, unreachable=0, placements=None, memory=None):
     runner = request_runner.RequestRunner(
         placements or Placements(),
         Sender(refuses, unreachable),
         platform_dialect.PlatformDialect(),
-        Memory(),
+        memory or Memory(),
         NOTICES,
         quarantines.Quarantines(),
         graceful_stop.GracefulStop(),
@@ -199,3 +207,21 @@
         [events.Event(b"", first), events.Event(b"", first + 1)], progress
     )
     assert progress.stream_events == first + 1
+
+
+# Guards against memory that stays reserved for an attempt that has failed while
+# another endpoint is waited for (LEAK).
+def test_failed_attempt_holds_no_memory_while_another_one_is_opened(
+    monkeypatch,
+):
+    memory = Memory()
+    placements = Placements()
+    held = []
+
+    async def wait_for_attempt(silence):
+        held.append((memory.holds, len(placements.results)))
+
+    monkeypatch.setattr(takeover.Takeover, "wait_for_attempt", wait_for_attempt)
+    run_request(refuses=True, placements=placements, memory=memory)
+    assert held[:2] == [(0, 1), (0, 2)]
+    assert len(placements.results) == len(held)
