Release memory held for an engine that has ended unseen

The rule: memory must be free free_ms (4 s there) after the last request that used it has ended.

An engine that loses its power while its links are cut closes no connection and stays silent for good. If no other engine answers, the attempt, whose reservations are renewed, lasts to the deadline: the placer refuses, or the attempts are spent, or the request may not be sent again. An attempt that is being opened elsewhere was not limited at all.

An attempt with reservations watches for that and fails then.

--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -13,6 +13,7 @@
 from poplarwick_core import clock
 from poplarwick_forwarding import backpressure
 from poplarwick_forwarding import dialect
+from poplarwick_forwarding import ended_endpoints
 from poplarwick_forwarding import http_exchange
 from poplarwick_forwarding import outcomes
 from poplarwick_forwarding import placement_records
@@ -33,6 +34,7 @@
         wire_dialect: Protocol dialect of the platform.
         memory: Reserves engine memory for very long prompts.
         notices: What endpoints have asked of this instance.
+        ended: Finds out that silent endpoints have ended.
     """
 
     placements: placement_client.PlacementClient
@@ -40,6 +42,7 @@
     wire_dialect: dialect.Dialect
     memory: reservations.Reservations
     notices: endpoint_notices.EndpointNotices
+    ended: ended_endpoints.EndedEndpoints
 
 
 class Attempt:
@@ -87,6 +90,7 @@
         self._sink = sink
         self._progress = progress
         self._response: upstream.Response | None = None
+        self._opening = asyncio.timeout(None)
         self._stack = contextlib.AsyncExitStack()
         self._is_ended = False
 
@@ -141,9 +145,18 @@
             request = self._make_request(held)
             self._progress.is_in_flight = True
             self.sent_at_s = clock.now_s()
-            response = await enter(
-                self._access.sender.send(self.placement.address, request)
-            )
+            if any(reservation for _, reservation in held):
+                self._stack.callback(
+                    asyncio.create_task(self._end_with_endpoint()).cancel
+                )
+            async with self._opening:
+                response = await enter(
+                    self._access.sender.send(self.placement.address, request)
+                )
+        except TimeoutError as error:
+            if not self._opening.expired():
+                raise
+            raise self._make_ended_error() from error
         except dialect.ReservationError as error:
             raise upstream.SendError(
                 str(error), messages.Result.FULL, may_have_run=False
@@ -159,6 +172,33 @@
         )
         return response
 
+    async def _end_with_endpoint(self) -> None:
+        """Fails the attempt if its endpoint ends without closing connections.
+
+        Memory of other engines must not stay reserved for it.
+        """
+        await self._access.ended.wait_until_ended(
+            self.placement, self._read_active_at_s
+        )
+        if self._response is None:
+            self._opening.reschedule(clock.now_s())
+        else:
+            self._response.abandon(self._make_ended_error())
+
+    def _read_active_at_s(self) -> float:
+        """Returns until when the endpoint's silence is no sign of its end."""
+        if self._sink.has_begun and self._sink.is_blocked:
+            return clock.now_s()
+        times_s = (self.sent_at_s, self.answered_at_s, self.last_event_at_s)
+        return max(time_s for time_s in times_s if time_s is not None)
+
+    def _make_ended_error(self) -> upstream.SendError:
+        return upstream.SendError(
+            f"{self.placement.address} has ended without closing connections",
+            messages.Result.SILENT,
+            may_have_run=True,
+        )
+
     def _make_request(
         self, held: reservations.HelperReservations
     ) -> upstream.Request:
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -12,6 +12,7 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_forwarding import dialect
+from poplarwick_forwarding import ended_endpoints
 from poplarwick_forwarding import endpoint_attempt
 from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import http_exchange
@@ -54,6 +55,7 @@
         wire_dialect: Protocol dialect of the platform.
         memory: Reserves engine memory for very long prompts.
         notices: What endpoints have asked of this instance.
+        ended: Finds out that silent endpoints have ended.
         known_quarantines: Requests and parts of prompts that crash endpoints.
         stop: Ends the waits and the runs of requests once this instance stops.
     """
@@ -65,6 +67,7 @@
         wire_dialect: dialect.Dialect,
         memory: reservations.Reservations,
         notices: endpoint_notices.EndpointNotices,
+        ended: ended_endpoints.EndedEndpoints,
         known_quarantines: quarantines.Quarantines,
         stop: graceful_stop.GracefulStop,
     ) -> None:
@@ -73,7 +76,7 @@
         self._quarantines = known_quarantines
         self._placement_client = placements
         self._access = endpoint_attempt.EndpointAccess(
-            placements, sender, wire_dialect, memory, notices
+            placements, sender, wire_dialect, memory, notices, ended
         )
 
     async def run(
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -147,6 +147,10 @@
         )
         return bool(state[0] == TCP_CLOSE)
 
+    def abandon(self, error: SendError) -> None:
+        """Raises an error at whoever reads the body."""
+        self._response.content.set_exception(error)
+
     async def prefetch(self) -> None:
         """Waits for the first part of the body, which is yielded later.
 
--- a/packages/forwarding/tests/test_endpoint_attempt.py
+++ b/packages/forwarding/tests/test_endpoint_attempt.py
@@ -71,6 +71,7 @@
         types.SimpleNamespace(
             record=lambda name, notice: endpoint_notices.Notice()
         ),
+        None,
     )
     sink = types.SimpleNamespace(has_begun=False)
     return endpoint_attempt.Attempt(
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -130,6 +130,7 @@
         platform_dialect.PlatformDialect(),
         None,
         types.SimpleNamespace(find_blocked=frozenset),
+        None,
         quarantines.Quarantines(),
         stop,
     )
--- a/packages/forwarding/tests/test_request_runner.py
+++ b/packages/forwarding/tests/test_request_runner.py
@@ -98,6 +98,7 @@
         platform_dialect.PlatformDialect(),
         memory or Memory(),
         NOTICES,
+        None,
         quarantines.Quarantines(),
         graceful_stop.GracefulStop(),
     )
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -33,6 +33,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import buffer_budget
+from poplarwick_forwarding import ended_endpoints
 from poplarwick_forwarding import frontend
 from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import request_runner
@@ -250,6 +251,11 @@
             platform_dialect,
             self._reservations,
             notices,
+            ended_endpoints.EndedEndpoints(
+                self.catalogue,
+                reach.is_reachable,
+                lambda: instance_deployment.bounds,
+            ),
             self.catalogue.quarantines,
             self._graceful_stop,
         )
--- a/tests/adapter/test_silent_engines.py
+++ b/tests/adapter/test_silent_engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+import network_cuts
 import platform_cluster
 import pytest
 
@@ -13,8 +14,8 @@
 NO_RETRIES = {"retry_budget_ratio": 0, "budget_extra_retries": 0}
 
 
-async def read_stream(cluster):
-    async with cluster.call("/label/", tokens=5_000) as response:
+async def read_stream(cluster, tokens=5_000):
+    async with cluster.call("/label/", tokens=tokens) as response:
         return response.status, (await response.read()).count(b"id: ")
 
 
@@ -170,3 +171,36 @@
             assert await call == (200, 5)
 
     asyncio.run(scenario())
+
+
+# Guards against memory of other engines that stays reserved for a prompt whose
+# engine has ended without closing its connection, as in a power loss (LEAK).
+@pytest.mark.parametrize(
+    "fault", [platform_replica.Fault.SILENT, platform_replica.Fault.STALL]
+)
+def test_memory_is_free_soon_after_an_engine_has_vanished(tmp_path, fault):
+    async def scenario():
+        async with (
+            platform_cluster.run_cluster(
+                tmp_path, pool=4, free_ms=1_000, **NO_RETRIES
+            ) as cluster,
+            network_cuts.NetworkCuts().install() as cuts,
+        ):
+            cuts.shape = network_cuts.Shape.REFUSED
+            for replica in cluster.replicas:
+                replica.fault = fault
+            call = asyncio.create_task(read_stream(cluster, 600_000))
+            await platform_cluster.wait_until(lambda: _list_runs(cluster))
+            (vanished,) = [r for r in cluster.replicas if r.executions]
+            others = [r for r in cluster.replicas if r is not vanished]
+            assert any(r.reservations for r in others)
+            await asyncio.sleep(1.0)
+            assert any(r.reservations for r in others)
+            cuts.cut(cluster.instances, [vanished])
+            await cluster.store.remove(f"servers/{vanished.name}")
+            await platform_cluster.wait_until(
+                lambda: not any(r.reservations for r in others), 2.5
+            )
+            call.cancel()
+
+    asyncio.run(scenario())
