Count the endpoints that answer through a relay as reached

Until 653.25 s the cut instances are served through front-2. Then front-2 takes itself for cut off (instance_cut_off, three engines that have crashed, 652.6 to 652.9 s) and declines for 0.4 s; those asking avoid it for 1 s, their direct attempts spend the retry budget, and nearly all of their requests end as repeat_budget_spent. In the 0.6 s before, three other endpoints had answered through front-2: RelayServer reported the endpoints that it could not connect, but not those that it did.

Change: the relay reports an endpoint as reached with its first bytes. A connection alone proves nothing, as links that are cut may reset what was accepted.

Evidence: test_relay_that_passes_answers_on_is_not_cut_off[answer] failed before. packages/reach and tests/adapter/test_instances_cut_off.py: 50 passed.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -196,6 +196,7 @@
                 self.catalogue,
                 lambda: reach.is_cut_off,
                 reach.record_failed,
+                reach.record_reached,
                 self.buffers.limits.buffer_bytes,
             )
         )
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -10,6 +10,7 @@
 from typing import Self
 
 from poplarwick_catalogue import catalogue
+from poplarwick_core import clock
 from poplarwick_core import connection_attempt
 from poplarwick_core import logs
 from poplarwick_core import socket_buffers
@@ -39,6 +40,8 @@
         catalogue_: Known instances and endpoints.
         is_cut_off: Returns whether this instance reaches no endpoint.
         record_failed: Called with endpoints that could not be connected.
+        record_reached: Called with endpoints that have answered, and the
+            monotonic time at which they were connected.
         buffer_bytes: Size of each buffer of a connection; what one side does
             not read fills them, and then the other side is not read.
     """
@@ -49,6 +52,7 @@
         catalogue_: catalogue.Catalogue,
         is_cut_off: Callable[[], bool],
         record_failed: Callable[[str], None],
+        record_reached: Callable[[str, float], None],
         buffer_bytes: int,
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -56,6 +60,7 @@
         self._catalogue = catalogue_
         self._is_cut_off = is_cut_off
         self._record_failed = record_failed
+        self._record_reached = record_reached
         self._buffer_bytes = buffer_bytes
         self._server: asyncio.Server | None = None
         self._connections: set[_InstanceSide] = set()
@@ -116,6 +121,7 @@
             return self._decline(obstacle)
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        opened_at_s = clock.now_s()
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             socket_buffers.limit_buffers(sock, self._buffer_bytes)
@@ -126,7 +132,11 @@
                 handshake.ENDPOINT_TIMEOUT_S,
             )
             await loop.create_connection(
-                lambda: _EndpointSide(instance_side, self._buffer_bytes),
+                lambda: _EndpointSide(
+                    instance_side,
+                    self._buffer_bytes,
+                    lambda: self._record_reached(address, opened_at_s),
+                ),
                 sock=sock,
             )
         except (OSError, TimeoutError):
@@ -284,9 +294,15 @@
 class _EndpointSide(_Side):
     """Connection to the endpoint."""
 
-    def __init__(self, instance_side: _InstanceSide, buffer_bytes: int) -> None:
+    def __init__(
+        self,
+        instance_side: _InstanceSide,
+        buffer_bytes: int,
+        record_answer: Callable[[], None],
+    ) -> None:
         super().__init__(buffer_bytes)
         self._instance_side = instance_side
+        self._record_answer: Callable[[], None] | None = record_answer
         self._has_eof = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -300,6 +316,9 @@
         self.resume_reading()
 
     def data_received(self, data: bytes) -> None:
+        if self._record_answer is not None:
+            self._record_answer()
+            self._record_answer = None
         self._instance_side.write(data)
 
     def eof_received(self) -> None:
--- a/packages/reach/tests/test_endpoint_reach.py
+++ b/packages/reach/tests/test_endpoint_reach.py
@@ -13,6 +13,9 @@
 import pytest
 
 from poplarwick_reach import endpoint_reach
+from poplarwick_reach import frames
+from poplarwick_reach import handshake
+from poplarwick_reach import relay_server
 
 HOST = "127.0.0.1"
 
@@ -61,11 +64,19 @@
 
 @contextlib.asynccontextmanager
 async def serve(handle):
-    server = await asyncio.start_server(handle, HOST, 0)
+    handlers = set()
+
+    async def record(reader, writer):
+        handlers.add(asyncio.current_task())
+        await handle(reader, writer)
+
+    server = await asyncio.start_server(record, HOST, 0)
     try:
         yield f"{HOST}:{server.sockets[0].getsockname()[1]}"
     finally:
         server.close()
+        if handlers:
+            await asyncio.wait(handlers, timeout=1.0)
 
 
 # Guards against an instance that takes its own delay for a cut of its links.
@@ -237,3 +248,49 @@
                 ]
 
     assert asyncio.run(run()) == [0, 0]
+
+
+async def relay_request(known, reach, address):
+    """Sends a request to an endpoint through a relay that asks `reach`."""
+    with make_listening_socket() as free:
+        port = free.getsockname()[1]
+    async with relay_server.RelayServer(
+        f"{HOST}:{port}",
+        known,
+        lambda: reach.is_cut_off,
+        reach.record_failed,
+        reach.record_reached,
+        4_096,
+    ):
+        sock = await handshake.request_relay((HOST, port), HOST, address, "r")
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            await reader.readexactly(frames.LENGTH_BYTES + 1)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+
+# Guards against a relay that takes itself for cut off, and declines, since some
+# endpoints have crashed while those that it relays to answer.
+@pytest.mark.parametrize(
+    ("handle", "expected"), [(answer, False), (reset, True)]
+)
+def test_relay_that_passes_answers_on_is_not_cut_off(handle, expected):
+    async def run():
+        async with serve(handle) as address:
+            crashed = [f"{HOST}:{port}" for port in (1, 2, 3)]
+            reach = make_reach([address, *crashed])
+            known = types.SimpleNamespace(
+                members={"i1": types.SimpleNamespace(address=f"{HOST}:9")},
+                endpoints=reach._catalogue.endpoints,
+            )
+            reach.record_failed(crashed[0])
+            reach.record_failed(crashed[1])
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await relay_request(known, reach, address)
+            reach.record_failed(crashed[2])
+            return reach.is_cut_off
+
+    assert asyncio.run(run()) is expected
