Find an ended engine within the bound on unused memory

Cause: asks for a silence of 0.75 free_ms before it looks for the end of an engine; with the checks (0.5 s, twice 0.3 s for a connection, 0.5 s between) the memory is free up to 4.6 s after the end, by calculation, where free_ms is 4 s.

Change: half of free_ms, which gives 3.6 s. The entry that is gone and the connections carry the decision.

packages/forwarding and tests/adapter/test_silent_engines.py pass.

--- a/packages/forwarding/poplarwick_forwarding/ended_endpoints.py
+++ b/packages/forwarding/poplarwick_forwarding/ended_endpoints.py
@@ -15,12 +15,15 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_core import clock
-from poplarwick_forwarding import reservations
 from poplarwick_placement import messages
 
 CHECK_PERIOD_S = 0.5
 """Interval between checks."""
 
+SILENCE_SHARE = 0.5
+"""Silence from which an endpoint may have ended, as a fraction of the time
+within which unused memory must be free; the checks take most of the rest."""
+
 FAILED_CONNECTIONS = 2
 """Connections in a row that an endpoint whose entry is gone has to refuse;
 links also lose packets, and busy endpoints refuse some."""
@@ -56,10 +59,10 @@
     ) -> None:
         """Returns once the start of an endpoint that had a request has ended.
 
-        It has if it is silent for the lifetime of a reservation, its entry is
-        gone or describes a later start, and its address belongs to another
-        endpoint or accepts no connections. While the store is out of reach,
-        entries are kept, and nothing counts as ended.
+        It has if it is silent for long enough, its entry is gone or describes a
+        later start, and its address belongs to another endpoint or accepts no
+        connections. While the store is out of reach, entries are kept, and
+        nothing counts as ended.
 
         Args:
             placement: Where the request was sent.
@@ -73,7 +76,7 @@
             known = self._catalogue.find_start(placement.endpoint)
             start = start or known
             silent_s = clock.now_s() - read_active_at_s()
-            limit_s = reservations.HOLD_SHARE * self._read_bounds().free_s
+            limit_s = SILENCE_SHARE * self._read_bounds().free_s
             if start == known or silent_s < limit_s:
                 failures = 0
             elif self._has_endpoint_at(placement.address):
