--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -33,6 +33,7 @@
 from poplarwick_core import ids
 from poplarwick_core import logs
 from poplarwick_forwarding import buffer_budget
+from poplarwick_forwarding import ended_endpoints
 from poplarwick_forwarding import frontend
 from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import request_runner
@@ -195,6 +196,7 @@
                 self.catalogue,
                 lambda: reach.is_cut_off,
                 reach.record_failed,
+                reach.record_reached,
                 self.buffers.limits.buffer_bytes,
             )
         )
@@ -250,6 +252,11 @@
             platform_dialect,
             self._reservations,
             notices,
+            ended_endpoints.EndedEndpoints(
+                self.catalogue,
+                reach.is_reachable,
+                lambda: instance_deployment.bounds,
+            ),
             self.catalogue.quarantines,
             self._graceful_stop,
         )
