--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import dataclasses
+import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -18,6 +21,10 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_PREFIX = "test:"
 STEP_TIMEOUT_S = 1200
+INTERRUPT_TIMEOUT_S = 60
+"""Time in which an interrupted step reports what has finished."""
+
+TIMEOUT_CODE = 124
 UNIT_WORKERS = ("-n", "4", "--dist", "loadfile")
 
 LINTERS = {
@@ -114,7 +121,8 @@
             return
         before = len(tally.failed) + len(tally.known_red)
         _count_report(report, tally, known_red)
-        if code != 0 and len(tally.failed) + len(tally.known_red) == before:
+        is_explained = len(tally.failed) + len(tally.known_red) > before
+        if code == TIMEOUT_CODE or (code != 0 and not is_explained):
             tally.failed.append(f"unit tests exited with code {code}")
 
 
@@ -136,7 +144,8 @@
         before = len(tally.failed) + len(tally.known_red)
         for report in sorted(pathlib.Path(folder).glob("*.xml")):
             _count_report(report, tally, known_red)
-        if code != 0 and len(tally.failed) + len(tally.known_red) == before:
+        is_explained = len(tally.failed) + len(tally.known_red) > before
+        if code == TIMEOUT_CODE or (code != 0 and not is_explained):
             tally.failed.append(f"features exited with code {code}")
 
 
@@ -158,13 +167,25 @@
 
 
 def _run(command: list[str]) -> int:
-    try:
-        process = subprocess.run(
-            command, cwd=ROOT, timeout=STEP_TIMEOUT_S, check=False
-        )
-    except subprocess.TimeoutExpired:
-        return 124
-    return process.returncode
+    # In a session of its own, so that nothing that the step has started
+    # outlives its time limit.
+    with subprocess.Popen(command, cwd=ROOT, start_new_session=True) as process:
+        try:
+            return process.wait(STEP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            return TIMEOUT_CODE
+        finally:
+            if process.returncode is None:
+                _interrupt(process)
+
+
+def _interrupt(process: subprocess.Popen[bytes]) -> None:
+    """Lets a step report what has finished, then kills what is left of it."""
+    process.send_signal(signal.SIGINT)
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        process.wait(INTERRUPT_TIMEOUT_S)
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
 
 
 if __name__ == "__main__":
