Serve accepted connections however late a stop closes its listener

What callers saw: if a step of the event loop takes 0.25 s or more while a stopping instance accepts the connections that wait, some of them are reset, and others get neither an answer nor an end before the process is gone. In tests/adapter/test_ends_of_stops.py, whose instance runs in the process of the test, such a caller waits for ever: a hang of the unit tests.

Cause: accept_all gave up by the clock, also between the step in which the connections are accepted and the next one, in which asyncio attaches them to the server. The server is closed then, so attaching fails (AssertionError in Server._attach, logged only in debug mode), and the socket stays open until something collects it. Before the first accepting step it left them to be reset.

The test in test_ends_of_stops.py, unchanged, hung in readline until a limit of 30 s with 0.3 s added to the step after the accept.

Change: what waited at the beginning is accepted whatever the clock says, and once no more is accepted, what was accepted last keeps its steps. The test waits for its answers with a limit.

--- a/packages/core/poplarwick_core/waiting_connections.py
+++ b/packages/core/poplarwick_core/waiting_connections.py
@@ -16,7 +16,12 @@
 one that was accepted is attached to its server and first read from."""
 
 ACCEPT_TIME_MAX_S = 0.25
-"""Longest wait; callers who go on connecting must not delay a stop."""
+"""Time after which no further connections are accepted; callers who go on
+connecting must not delay a stop."""
+
+ACCEPT_STEPS_MIN = 2
+"""Steps after which what waited at the beginning has been accepted, even if one
+of them takes longer than that."""
 
 
 async def accept_all(server: asyncio.Server) -> None:
@@ -29,7 +34,19 @@
         poller.register(listening, select.POLLIN)
     loop = asyncio.get_running_loop()
     until_s = loop.time() + ACCEPT_TIME_MAX_S
-    quiet_steps = 0
-    while quiet_steps < QUIET_STEPS and loop.time() < until_s:
+    steps = quiet_steps = 0
+    is_accepting = True
+    while quiet_steps < QUIET_STEPS:
         await asyncio.sleep(0)
-        quiet_steps = 0 if poller.poll(0) else quiet_steps + 1
+        steps += 1
+        if (
+            is_accepting
+            and steps >= ACCEPT_STEPS_MIN
+            and loop.time() >= until_s
+        ):
+            # What was accepted last still has its quiet steps.
+            is_accepting = False
+            for listening in server.sockets:
+                loop.remove_reader(listening)
+        is_waiting = is_accepting and bool(poller.poll(0))
+        quiet_steps = 0 if is_waiting else quiet_steps + 1
--- a/tests/adapter/test_ends_of_stops.py
+++ b/tests/adapter/test_ends_of_stops.py
@@ -277,11 +277,14 @@
 
             frontend.accept_waiting = connect_and_accept
             await platform_cluster.wait_until(lambda: sockets)
-            for connected in sockets:
-                connected.setblocking(False)
-                reader, writer = await asyncio.open_connection(sock=connected)
-                assert b" 503 " in await reader.readline()
-                writer.close()
-            await instance.task
+            async with asyncio.timeout(platform_cluster.TIMEOUT_S):
+                for connected in sockets:
+                    connected.setblocking(False)
+                    reader, writer = await asyncio.open_connection(
+                        sock=connected
+                    )
+                    assert b" 503 " in await reader.readline()
+                    writer.close()
+                await instance.task
 
     asyncio.run(scenario())
