Write no log line to a descriptor that its owner has closed

What was seen: the instance of a test wrote its log into a socket that was not its own. What has the number depends on the files that a worker of xdist ran before, and may be any connection of a later test.

Cause: a closed LineWriter went on writing once `write_through` was on: the thread had ended, but `write` and `write_through` wrote themselves. test_logs.py left its writer in place after closing the pipe, and the next instance that stopped in the same process called `write_through`. Since writing through was introduced; before, the lines only stayed in the queue.

Evidence: the new test fails without the change in both cases; the line arrives at the socket that has the number.

Change: nothing is written after `close`, also not by the thread if it outlasts the limit. test_logs.py takes its writer out of use.

--- a/packages/core/poplarwick_core/log_writer.py
+++ b/packages/core/poplarwick_core/log_writer.py
@@ -41,13 +41,19 @@
         self._writes_through = False
         self._wake = threading.Event()
         self._is_closing = False
+        self._is_closed = False
         self._thread = threading.Thread(
             target=self._run, name="log-writer", daemon=True
         )
         self._thread.start()
 
     def write(self, line: str) -> None:
-        """Queues a line, or drops it if the queue is full."""
+        """Queues a line, or drops it if the queue is full.
+
+        After `close` it does nothing.
+        """
+        if self._is_closed:
+            return
         if len(self._lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
@@ -66,12 +72,16 @@
     def close(self, timeout_s: float = 0.5) -> None:
         """Writes the queued lines and stops the thread.
 
+        Nothing is written afterwards, since the descriptor's owner may close
+        it, and its number then stands for something else.
+
         Args:
             timeout_s: Time limit; lines still queued after it are lost.
         """
         self._is_closing = True
         self._wake.set()
         self._thread.join(timeout_s)
+        self._is_closed = True
 
     def _run(self) -> None:
         while not self._is_closing:
@@ -83,7 +93,7 @@
     def _flush(self) -> None:
         """Writes the queued lines, and waits for a slow reader."""
         with self._is_writing:
-            while self._take_batch():
+            while not self._is_closed and self._take_batch():
                 try:
                     self._write(len(self._unwritten))
                 except BlockingIOError:
@@ -93,6 +103,8 @@
 
     def _write_what_fits(self) -> None:
         """Writes queued lines as long as that does not block."""
+        if self._is_closed:
+            return
         if not self._is_writing.acquire(blocking=False):
             # The thread takes the lines that were queued meanwhile, too.
             return
--- a/packages/core/tests/test_log_writer.py
+++ b/packages/core/tests/test_log_writer.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import os
+import socket
 import threading
 import time
 
+import pytest
+
 from poplarwick_core import log_writer
 
 LINES = 4_000
@@ -102,3 +105,22 @@
     reader.join()
     os.close(reading)
     assert len(received) == LINES
+
+
+# Guards against lines that reach what has the descriptor's number afterwards,
+# such as a connection.
+@pytest.mark.parametrize("writes_through_first", [True, False])
+def test_closed_writer_leaves_the_descriptor_alone(writes_through_first):
+    reading, writing = os.pipe()
+    writer = log_writer.LineWriter(writing)
+    if writes_through_first:
+        writer.write_through()
+    writer.close(timeout_s=20.0)
+    near, far = socket.socketpair()
+    with near, far:
+        os.dup2(near.fileno(), writing)
+        writer.write("late\n")
+        writer.write_through()
+        os.close(writing)
+        assert read_available(far.fileno()) == ""
+    os.close(reading)
--- a/packages/core/tests/test_logs.py
+++ b/packages/core/tests/test_logs.py
@@ -34,6 +34,7 @@
     lines = log_writer.LineWriter(writer)
     logs.configure_logs(writer=lines, instance="front-1")
     logs.log(EndpointGone(endpoint="e 1"))
+    logs.configure_logs()
     lines.close()
     os.close(writer)
     parsed = log_lines.parse_line(read_all(reader))
