Wake who waits for an idle replica when a queued request leaves

What was seen: in a test of the stand-in, `Replica.wait_until_idle` never returns. The soak, of which the unit tests run short ones, waits so without a limit before it ends a drained endpoint, and would hang.

Cause: a request that left while it was queued reduced the count without a notification. If the last running request had ended just before, the wait had been woken, had found the queued one, and was not woken again.

Change: a request that leaves the queue notifies as well.

--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -420,14 +420,21 @@
                     lambda: self._running < self.slots
                 )
                 self._running += 1
-        finally:
+        except asyncio.CancelledError:
             self._queued -= 1
+            await self._notify_waiting()
+            raise
+        self._queued -= 1
         try:
             yield
         finally:
             self._running -= 1
-            async with self._slot_released:
-                self._slot_released.notify_all()
+            await self._notify_waiting()
+
+    async def _notify_waiting(self) -> None:
+        """Wakes those that wait for a slot or until no request is left."""
+        async with self._slot_released:
+            self._slot_released.notify_all()
 
     def _release_tokens(self, tokens: int) -> None:
         self._used_tokens -= tokens
