Leave instances that ended in order out of the placer's majority

What callers saw: when two of four instances had ended in order, the placer of the others logged placer_isolated 1.2 s later and stepped down; of two, the one left had no placer until the other came back. Their requests are then placed by each instance alone, undecided ones are submitted anew, and suspected ones wait for a placer.

Cause: has_majority counts the entries of members. An instance that ends leaves its entry in the store; only a placer that has not reached it for 15 s removes it. A placer without a majority steps down after 1.2 s, so that nobody ever removed the entries.

Change: the rule moves into a module, electorate.py. One that vanished without a word counts as before. Entries are removed only while the placer hears the store: calls that time out delayed the heartbeats of its own instance.

Split brain: an instance that has announced its end counts for no placer, so all placers count at least those that have announced nothing, need more than half of them, and each of these follows one placer. Instances that come back behind a cut, from the store too, are not known on its other side: former members count for 15 s while the store is not heard (former_members.py, on each instance, so that a change of the placer makes no difference), unless their host refuses. As before, it takes longer absences to come back unknown.

No message is new. Other counts read the same entries and gain by the removal: the shares of cold endpoints, rates and retries without a placer, the rank of candidates and store followers, the domains of relief, the choice of relays.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -17,6 +17,20 @@
     reason: str
 
 
+class RegistrationNotWithdrawn(logs.Event, frozen=True, kw_only=True):
+    """The member entry of this instance could not be removed as it ends.
+
+    The placer removes it.
+
+    Attributes:
+        reason: Error of the call.
+    """
+
+    level = "WARNING"
+
+    reason: str
+
+
 class QuarantineNotStored(logs.Event, frozen=True, kw_only=True):
     """A quarantine could not be written to the store; the write is retried.
 
@@ -331,7 +345,9 @@
 
 
 class PlacerIsolated(logs.Event, frozen=True, kw_only=True):
-    """This placer reaches less than half of the instances and steps down.
+    """This placer reaches less than half of the others and steps down.
+
+    Instances that ended in order do not count.
 
     Attributes:
         epoch: Epoch of its tenure.
@@ -342,7 +358,7 @@
 
 
 class MemberForgotten(logs.Event, frozen=True, kw_only=True):
-    """The member entry of a long unreachable instance was removed.
+    """The member entry of an instance that no longer runs was removed.
 
     Attributes:
         peer: The instance.
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -17,7 +17,9 @@
 from poplarwick_catalogue import types
 from poplarwick_coordination import candidates
 from poplarwick_coordination import crash_probe
+from poplarwick_coordination import electorate
 from poplarwick_coordination import endpoint_notices
+from poplarwick_coordination import former_members
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
 from poplarwick_coordination import recent_cuts
@@ -132,6 +134,7 @@
         notices: What endpoints have asked of this instance.
         fleet_starts_until_s: Monotonic time until which other instances may
             still be starting.
+        former: Instances that were members lately.
     """
 
     def __init__(
@@ -146,10 +149,10 @@
         receives_store_updates: Callable[[], bool],
         notices: endpoint_notices.EndpointNotices,
         fleet_starts_until_s: float = 0.0,
+        former: former_members.FormerMembers | None = None,
     ) -> None:
-        self._fleet_starts_until_s = fleet_starts_until_s
-        self._not_started: set[ids.InstanceId] = set()
-        self._has_started: set[ids.InstanceId] = set()
+        self._former = former or former_members.FormerMembers(catalogue_)
+        self._electorate = electorate.Electorate(fleet_starts_until_s)
         self._receives_store_updates = receives_store_updates
         self.epoch = epoch
         self._report_poller = reports.ReportPoller(
@@ -210,17 +213,16 @@
 
     @property
     def has_majority(self) -> bool:
-        """Whether at least half of the other instances have a session.
-
-        While a fleet starts, those that have refused all connections count as
-        well: the network reaches them, and they run no requests.
-        """
-        others = [i for i in self._catalogue.members if i != self._instance]
-        known = set(self._sessions)
-        if clock.now_s() < self._fleet_starts_until_s:
-            known |= self._not_started
-        served = sum(i in known for i in others)
-        return 2 * served >= len(others)
+        """Whether at least half of the other voters have a session."""
+        now_s = clock.now_s()
+        return self._electorate.has_majority(
+            self._catalogue.members.keys() - {self._instance},
+            ()
+            if self._receives_store_updates()
+            else self._former.list_recent(now_s).keys() - {self._instance},
+            self._sessions.keys(),
+            now_s,
+        )
 
     def hand_over(self, *, above_strength: float = 0.0) -> bool:
         """Asks another instance to take the tenure over.
@@ -266,8 +268,10 @@
         """Returns the organisations that exceed their shares most."""
         return self._feed.list_largest_users()
 
-    def find_unreachable(self, longer_than_s: float) -> list[ids.InstanceId]:
-        """Returns the instances that were unreachable for longer than a time.
+    def find_ended(self, longer_than_s: float) -> list[ids.InstanceId]:
+        """Returns the instances that no longer run.
+
+        These have announced their end, or were unreachable for a time.
 
         Args:
             longer_than_s: The time in seconds.
@@ -276,7 +280,11 @@
         return [
             instance
             for instance, since_s in self._unreachable_since_s.items()
-            if now_s - since_s > longer_than_s
+            if instance in self._catalogue.members
+            and (
+                now_s - since_s > longer_than_s
+                or self._electorate.has_ended(instance)
+            )
         ]
 
     def open_session(
@@ -568,6 +576,9 @@
     ) -> None:
         session.receives_store_updates = heartbeat.hears_store
         session.is_leaving = heartbeat.is_leaving
+        self._electorate.record_heartbeat(
+            session.instance, is_leaving=heartbeat.is_leaving
+        )
         session.protocol = heartbeat.protocol
         session.asks_for_relief = heartbeat.relief
         session.position = max(
@@ -631,7 +642,8 @@
         session.send(message)
 
     def _dial_members(self) -> None:
-        members = self._catalogue.members
+        former = self._former.list_recent(clock.now_s())
+        members = {**former, **self._catalogue.members}
         for instance, member in members.items():
             if instance == self._instance or instance in self._dials:
                 continue
@@ -643,7 +655,7 @@
         served = self._sessions.keys()
         for instance in self._dials.keys() - members.keys() - served:
             self._dials.pop(instance).cancel()
-            self._not_started.discard(instance)
+            self._electorate.forget(instance)
             self._unreachable_since_s.pop(instance, None)
 
     async def _serve_with_reconnects(
@@ -672,14 +684,12 @@
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 await channel.__connect__()
         except ConnectionRefusedError:
-            if instance not in self._has_started:
-                self._not_started.add(instance)
+            self._electorate.record_refused(instance)
             raise
         except (OSError, TimeoutError):
-            self._not_started.discard(instance)
+            self._electorate.record_unreachable(instance)
             raise
-        self._not_started.discard(instance)
-        self._has_started.add(instance)
+        self._electorate.record_connected(instance)
         stub = placement_grpc.PlacementServiceStub(channel)
         outbox: message_streams.Outbox[placement_pb2.PlacerMessage] = (
             message_streams.Outbox()
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -12,6 +12,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
 from poplarwick_coordination import endpoint_notices
+from poplarwick_coordination import former_members
 from poplarwick_coordination import log_events
 from poplarwick_coordination import message_streams
 from poplarwick_coordination import placement_client
@@ -90,6 +91,7 @@
         notices: endpoint_notices.EndpointNotices,
     ) -> None:
         self._fleet_starts_until_s = clock.now_s() + FLEET_START_S
+        self._former_members = former_members.FormerMembers(catalogue_)
         self._notices = notices
         self._control = control
         self._placer: placer.Placer | None = None
@@ -158,6 +160,7 @@
             self._receives_store_updates,
             self._notices,
             self._fleet_starts_until_s,
+            self._former_members,
         )
         placer_task = asyncio.create_task(local_placer.run())
         try:
@@ -208,8 +211,7 @@
                     local_placer.handle(
                         attached[1], self._placement_client.make_heartbeat()
                     )
-                for instance in local_placer.find_unreachable(MEMBER_REMOVAL_S):
-                    await self._control.remove_member(instance)
+                await self._remove_ended_members(local_placer)
                 await asyncio.sleep(
                     LOCAL_HEARTBEAT_PERIOD_S
                     if attached is not None
@@ -219,6 +221,12 @@
             if attached is not None:
                 self._placement_client.detach(attached[0], "tenure_ended")
 
+    async def _remove_ended_members(self, local_placer: placer.Placer) -> None:
+        # Calls that time out would delay the heartbeats of the own instance.
+        if self._receives_store_updates():
+            for instance in local_placer.find_ended(MEMBER_REMOVAL_S):
+                await self._control.remove_member(instance)
+
     def _attach(
         self, local_placer: placer.Placer, epoch: ids.Epoch
     ) -> tuple[placement_client.PlacerConnection, placer.Session]:
--- a/packages/coordination/poplarwick_coordination/registration.py
+++ b/packages/coordination/poplarwick_coordination/registration.py
@@ -28,9 +28,9 @@
 class Registration:
     """Maintains this instance's member entry in the store.
 
-    The entry has no lease. Instances that have stopped are detected because
-    they do not answer, and the number of lease renewals would grow with the
-    fleet.
+    The entry has no lease. An instance that ends in order withdraws it; others
+    are detected because they do not answer, and the number of lease renewals
+    would grow with the fleet.
 
     Args:
         client: Client of the store.
@@ -61,6 +61,8 @@
         self._value = value
         self._written_in_era: kv.Era | None = None
         self._written_at_s = 0.0
+        self._is_withdrawn = False
+        self._writing = asyncio.Lock()
 
     async def run(self) -> None:
         """Writes the entry whenever it is missing, until cancelled."""
@@ -73,6 +75,30 @@
                 await self._write()
             await asyncio.sleep(CHECK_PERIOD_S)
 
+    async def withdraw(self) -> None:
+        """Removes the entry for good, as this instance is about to end.
+
+        An entry that another process has written under the same name stays.
+        """
+        self._is_withdrawn = True
+        # A write that is on its way would come after the removal.
+        async with self._writing:
+            entry = self._mirror.get(self._key)
+            if (
+                entry is None
+                or entry.value != self._value
+                or self._mirror.is_carried(self._key)
+            ):
+                return
+            try:
+                await self._client.commit(
+                    (kv.KeyUnchanged(self._key, entry.mod_revision),),
+                    (kv.Delete(self._key),),
+                    kv.Purpose.HOUSEKEEPING,
+                )
+            except kv.KvError as error:
+                logs.log(log_events.RegistrationNotWithdrawn(reason=str(error)))
+
     async def _wait_for_configuration(self) -> None:
         """Waits until the store was read, which tells whether to write."""
         known = asyncio.Event()
@@ -105,6 +131,11 @@
         )
 
     async def _write(self) -> None:
+        async with self._writing:
+            if not self._is_withdrawn:
+                await self._put()
+
+    async def _put(self) -> None:
         era = self._mirror.era
         try:
             await self._client.commit(
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -65,6 +65,10 @@
 """Time limit for the next placer to connect, which takes a few network round
 trips."""
 
+WITHDRAWAL_TIMEOUT_S = 0.5
+"""Longest time for which the end waits until the store has removed this
+instance's entry; a few network round trips. The placer removes it otherwise."""
+
 CUT_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
 """Longest wait for requests to end that are cut off, which takes a few steps of
 the event loop."""
@@ -280,7 +284,7 @@
             self,
             self.frontend.set_relieved,
         )
-        instance_registration = registration.Registration(
+        self._registration = registration.Registration(
             client,
             self.mirror,
             self.catalogue,
@@ -298,7 +302,7 @@
         self._start_task(stack, self.placement_client.run)
         self._start_task(stack, reach.run)
         self._start_task(stack, role.run)
-        self._start_task(stack, instance_registration.run)
+        self._start_task(stack, self._registration.run)
         self._start_task(stack, self._make_quarantine_keeper(client).run)
         self._start_task(stack, self.settings.run)
         if self.delay_guard.is_needed:
@@ -446,6 +450,7 @@
         # Requests that are cut off release memory of engines.
         await self.frontend.close_connections(schedule.closes_until_s)
         await self._drain_reservations(schedule.releases_until_s)
+        await self._withdraw(schedule.releases_until_s)
         resigning.cancel()
 
     async def _finish_requests(
@@ -479,6 +484,24 @@
         except TimeoutError:
             logs.log(log_events.ReleasesUnfinished())
 
+    async def _withdraw(self, until_s: float) -> None:
+        """Removes this instance from the members.
+
+        Nothing may follow that counts on others knowing it: limits are divided
+        among the members, and only members are relayed.
+
+        Args:
+            until_s: Monotonic time at which the attempt ends.
+        """
+        timeout_s = min(WITHDRAWAL_TIMEOUT_S, until_s - clock.now_s())
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._registration.withdraw()
+        except TimeoutError as error:
+            logs.log(
+                coordination_events.RegistrationNotWithdrawn(reason=repr(error))
+            )
+
     async def _resign(self) -> None:
         """Hands the tenure over, or gives it up."""
         try:
