Keep the new entry of an instance that came back under its name

What callers saw: nothing lost; an instance that had just come back had no placer for a moment more, until it had written its entry again.

Cause: a placer removes entries of instances that have announced their end and whose host refuses connections. For up to 0.4 s after such an instance has registered again, until the placer has connected, that still held for the process before it. Seen in the logs of test_rolling_replacement_loses_no_request: member_forgotten for front-1 0.2 s after its new process had started.

Change: an instance that registers is known anew, at the change of the catalogue. It counts for the majority from then on as well.

Before: test_placer_of_a_fleet_that_became_smaller[True-True] fails. After: the tests of coordination and test_several_stops pass.

--- a/packages/coordination/poplarwick_coordination/electorate.py
+++ b/packages/coordination/poplarwick_coordination/electorate.py
@@ -28,6 +28,18 @@
         self._has_started: set[ids.InstanceId] = set()
         self._refuses: set[ids.InstanceId] = set()
         self._leaving: set[ids.InstanceId] = set()
+        self._members: AbstractSet[ids.InstanceId] = frozenset()
+
+    def update_members(self, members: AbstractSet[ids.InstanceId]) -> None:
+        """Takes over a change of the members, at once.
+
+        What is known of an instance that has registered is about the process
+        before it.
+        """
+        if members != self._members:
+            for instance in members - self._members:
+                self.forget(instance)
+            self._members = frozenset(members)
 
     def record_connected(self, instance: ids.InstanceId) -> None:
         """Records that an instance has accepted a connection."""
@@ -53,7 +65,7 @@
             self._leaving.discard(instance)
 
     def forget(self, instance: ids.InstanceId) -> None:
-        """Forgets an instance that is no longer a member."""
+        """Forgets whether an instance leaves or its host refuses."""
         self._refuses.discard(instance)
         self._leaving.discard(instance)
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -193,6 +193,8 @@
         )
         self._scheduler = self._feed.scheduler
         store_mirror.add_listener(self._forward_changes)
+        catalogue_.add_listener(self._update_members)
+        self._update_members()
         catalogue_.quarantines.add_listener(self._broadcast_quarantine)
 
     async def run(self) -> None:
@@ -207,6 +209,7 @@
         self._feed.stop()
         self._crash_probe.stop()
         self._mirror.remove_listener(self._forward_changes)
+        self._catalogue.remove_listener(self._update_members)
         self._catalogue.quarantines.remove_listener(self._broadcast_quarantine)
         for dial in self._dials.values():
             dial.cancel()
@@ -641,6 +644,9 @@
         session.behind_since_s = None
         session.send(message)
 
+    def _update_members(self) -> None:
+        self._electorate.update_members(self._catalogue.members.keys())
+
     def _dial_members(self) -> None:
         former = self._former.list_recent(clock.now_s())
         members = {**former, **self._catalogue.members}
--- a/packages/coordination/tests/test_start_of_fleet.py
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -277,6 +277,14 @@
         assert serving.has_majority is has_majority
         ended = {"c", "d", "e"} if is_leaving else set()
         assert set(serving.find_ended(clock.now_s())) == ended
+        members = dict(serving._catalogue.members)
+        serving._catalogue.members.clear()
+        serving._catalogue.refresh()
+        serving._catalogue.members.update(members)
+        serving._catalogue.refresh()
+        # Guards against the removal of an entry that was written anew.
+        assert serving.find_ended(clock.now_s()) == []
+        assert not serving.has_majority
         serving.stop()
 
     asyncio.run(run())
