Decide between two placers that have the same epoch

What callers saw: nothing that was traced to it.

Cause: two placers can begin with the same epoch. One that is behind offers its tenure to an instance, gets no answer in 0.5 s, and later offers the same epoch to another one; and in an outage two instances that do not know of each other have the same rank. Instances took any placer whose epoch was not lower, and a placer ended only if it met a higher one: both went on, and instances went over to whichever had connected last. Also, a hand-over by a placer that an instance no longer follows was accepted, with an epoch that may be over.

Change: of equal epochs the instance whose name comes last goes first, for all. The other one ends its tenure when the first one connects to it. A hand-over counts only from the placer that is followed.

Before: the three new tests of test_handover.py fail ('b' for 'c', 5001 kept twice). After: they pass, with the tests of coordination and node, four files of tests/adapter and tests/versions/test_messages.py. The functions that stand for callbacks in test_recent_cuts.py and probe.py take any arguments now, as did for hand-overs.

--- a/packages/coordination/poplarwick_coordination/placement_client.py
+++ b/packages/coordination/poplarwick_coordination/placement_client.py
@@ -124,7 +124,8 @@
         catalogue_: Routing configuration, endpoints and members.
         store_mirror: Local copy of the store.
         deployment_: Deployment of this instance.
-        observe_epoch: Called with the epoch of each placer that connects.
+        observe_epoch: Called with the epoch of each placer that connects, and
+            with that placer.
         receives_store_updates: Returns whether this instance receives updates
             from the store.
         accept_handover: Called with the epoch that a stopping placer hands
@@ -136,7 +137,7 @@
         catalogue_: catalogue.Catalogue,
         store_mirror: mirror.Mirror,
         deployment_: deployment.Deployment,
-        observe_epoch: Callable[[ids.Epoch], None],
+        observe_epoch: Callable[[ids.Epoch, ids.InstanceId], None],
         receives_store_updates: Callable[[], bool],
         accept_handover: Callable[[ids.Epoch, ids.InstanceId], None],
     ) -> None:
@@ -343,7 +344,9 @@
         )
 
     def attach(self, connection: PlacerConnection) -> bool:
-        """Uses the connection unless the current placer has a later epoch.
+        """Uses the connection unless the current placer goes first.
+
+        The later epoch does, and of equal ones the same for all instances.
 
         Running requests are reported to the new placer and undecided ones are
         submitted to it.
@@ -352,9 +355,14 @@
             Whether the connection is used.
         """
         current = self.connection
-        if current is not None and current.epoch > connection.epoch:
+        if current is not None and (current.epoch, current.placer) > (
+            connection.epoch,
+            connection.placer,
+        ):
             return False
-        self._observe_epoch(ids.Epoch(connection.epoch))
+        self._observe_epoch(
+            ids.Epoch(connection.epoch), ids.InstanceId(connection.placer)
+        )
         self.last_epoch = max(self.last_epoch, connection.epoch)
         self.connection = connection
         logs.log(
@@ -429,10 +437,12 @@
             case "changes":
                 store_changes.apply_changes(self._mirror, message.changes)
             case "handover":
-                self._accept_handover(
-                    ids.Epoch(message.handover.epoch),
-                    ids.InstanceId(connection.placer),
-                )
+                # One that this instance no longer follows is not the placer.
+                if connection is self.connection:
+                    self._accept_handover(
+                        ids.Epoch(message.handover.epoch),
+                        ids.InstanceId(connection.placer),
+                    )
             case "endpoint_leaving":
                 self._catalogue.record_leaving(
                     wire_codec.decode_start(message.endpoint_leaving)
--- a/packages/coordination/poplarwick_coordination/tenure.py
+++ b/packages/coordination/poplarwick_coordination/tenure.py
@@ -168,9 +168,19 @@
                 self._take_over_in_outage()
                 await asyncio.sleep(RENEW_PERIOD_S)
 
-    def observe_epoch(self, epoch: ids.Epoch) -> None:
-        """Ends this instance's tenure if another instance has a later epoch."""
-        if self.epoch is not None and epoch > self.epoch:
+    def observe_epoch(self, epoch: ids.Epoch, placer: ids.InstanceId) -> None:
+        """Ends this instance's tenure if that of another placer goes first.
+
+        Args:
+            epoch: Epoch of the placer. Two may begin with the same one: they
+                were handed it in turn, or took over in an outage without
+                knowing of each other.
+            placer: Instance of the placer; decides between equal epochs.
+        """
+        if self.epoch is not None and (epoch, placer) > (
+            self.epoch,
+            self._instance,
+        ):
             logs.log(log_events.TenureSuperseded(own=self.epoch, later=epoch))
             self._lease = None
             self._set_epoch(None)
--- a/packages/coordination/tests/test_handover.py
+++ b/packages/coordination/tests/test_handover.py
@@ -5,8 +5,11 @@
 import asyncio
 import contextlib
 
+from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
+from poplarwick_coordination import placement_client
 from poplarwick_coordination import tenure
+from poplarwick_peers.wire import placement_pb2
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
@@ -131,3 +134,57 @@
         assert await candidate.has_campaigned(3 * tenure.INCUMBENT_WAIT_S)
 
     run_candidate("a", scenario)
+
+
+def make_client(candidate):
+    return placement_client.PlacementClient(
+        catalogue.Catalogue(candidate.mirror, lambda *_: None),
+        candidate.mirror,
+        examples.make_deployment(),
+        candidate.tenure.observe_epoch,
+        lambda: True,
+        candidate.tenure.accept_handover,
+    )
+
+
+def make_connection(placer, epoch):
+    return placement_client.PlacerConnection(
+        placer, epoch, lambda message: None, 0.0
+    )
+
+
+# Guards against instances that follow two placers of one epoch in turn: both
+# were handed it, or began in an outage with the same rank.
+def test_instances_choose_the_same_of_two_placers_with_one_epoch():
+    async def scenario(candidate):
+        for order in (("b", "c"), ("c", "b")):
+            client = make_client(candidate)
+            for placer in (*order, *order):
+                client.attach(make_connection(placer, HANDED_OVER))
+            assert client.connection.placer == "c"
+
+    run_candidate("a", scenario)
+
+
+def test_one_of_two_placers_with_one_epoch_ends_its_tenure():
+    async def scenario(candidate):
+        candidate.tenure.accept_handover(HANDED_OVER, "a")
+        for placer, is_kept in (("a", True), ("b", True), ("c", False)):
+            make_client(candidate).attach(make_connection(placer, HANDED_OVER))
+            assert (candidate.tenure.epoch is not None) is is_kept
+
+    run_candidate("b", scenario)
+
+
+def test_hand_over_by_a_placer_that_is_no_longer_followed_is_ignored():
+    async def scenario(candidate):
+        client = make_client(candidate)
+        former = make_connection("b", HANDED_OVER - 1)
+        client.attach(former)
+        client.attach(make_connection("a", HANDED_OVER + 1))
+        message = placement_pb2.PlacerMessage()
+        message.handover.epoch = HANDED_OVER
+        client.handle(former, message)
+        assert candidate.tenure.epoch is None
+
+    run_candidate("c", scenario)
--- a/packages/coordination/tests/test_recent_cuts.py
+++ b/packages/coordination/tests/test_recent_cuts.py
@@ -54,9 +54,9 @@
         found,
         store_mirror,
         examples.make_deployment(),
-        lambda epoch: None,
+        lambda *observed: None,
         lambda: True,
-        lambda epoch: None,
+        lambda *handover: None,
     )
 
 
--- a/tests/versions/probe.py
+++ b/tests/versions/probe.py
@@ -241,7 +241,7 @@
             known,
             store_mirror,
             deployment,
-            lambda epoch: None,
+            lambda *observed: None,
             lambda: True,
             lambda *handover: None,
         )
