Start the placer again after an error ended its role

What callers saw: nobody has a placer for as long as the instance that holds the tenure runs. Each instance places its own requests only.

Cause: an unexpected error outside the placer's own task, as in attaching the own instance, ends PlacerRole.run. The composition root runs it again, but it then waits for a change of the epoch. The tenure is renewed meanwhile, so no other instance campaigns.

Change: a run begins with the tenure that is held.

Evidence: test_placer_begins_again_after_an_unexpected_error fails before.

--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -113,6 +113,8 @@
 
     async def run(self) -> None:
         """Runs the placer during each tenure, until cancelled."""
+        # If an error ended an earlier run, the tenure is still held.
+        self._changed.set()
         while True:
             await self._changed.wait()
             self._changed.clear()
--- /dev/null
+++ b/packages/coordination/tests/test_placer_role.py
@@ -0,0 +1,76 @@
+"""The placer of an instance that holds the tenure."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from poplarwick_bench import examples
+from poplarwick_catalogue import catalogue
+from poplarwick_coordination import placement_client
+from poplarwick_coordination import placer_role
+from poplarwick_core import ids
+from poplarwick_platform import mirror
+
+
+class Notices:
+    """What endpoints have asked of this instance: nothing."""
+
+    def is_paused(self, address):
+        return False
+
+
+class FailingClient(placement_client.PlacementClient):
+    """Fails at the first placer that it is attached to."""
+
+    has_failed = False
+
+    def attach(self, connection):
+        if not self.has_failed:
+            self.has_failed = True
+            raise RuntimeError("unexpected")
+        return super().attach(connection)
+
+
+def make_client(found, store_mirror, kind):
+    return kind(
+        found,
+        store_mirror,
+        examples.make_deployment(),
+        lambda *observed: None,
+        lambda: True,
+        lambda *handover: None,
+    )
+
+
+# Guards against a tenure that is renewed without a placer and free for no one.
+def test_placer_begins_again_after_an_unexpected_error():
+    async def run():
+        store_mirror = mirror.Mirror()
+        found = catalogue.Catalogue(store_mirror, lambda key, value: None)
+        client = make_client(found, store_mirror, FailingClient)
+        role = placer_role.PlacerRole(
+            ids.InstanceId("placer"),
+            found,
+            store_mirror,
+            examples.make_deployment(),
+            lambda address: None,
+            client,
+            None,
+            lambda: True,
+            None,
+            Notices(),
+        )
+        role.set_epoch(ids.Epoch(1))
+        with pytest.raises(RuntimeError):
+            await role.run()
+        assert client.connection is None
+        # As the composition root does with a task that has failed.
+        restarted = asyncio.create_task(role.run())
+        await asyncio.sleep(5 * placer_role.MAJORITY_POLL_PERIOD_S)
+        assert client.connection is not None
+        restarted.cancel()
+        await asyncio.wait((restarted,))
+
+    asyncio.run(run())
