Dial an instance again whatever ended the last attempt

What callers saw: nothing that was traced to it. An instance without a connection places its own requests only.

Cause: a placer starts one task for each member and does not look at it again. An error in opening the channel, as by an entry whose address has no port, and a cancellation from within ended it, and the instance had no placer until the tenure changed. Found by reading, on the search for instances that follow nobody.

Change: opening the channel is part of the attempt, and a task that has ended is started anew.

Before: both cases of the new test fail in its five seconds. After: they pass, with the tests of coordination, test_instances and test_several_stops.

--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -651,7 +651,8 @@
         former = self._former.list_recent(clock.now_s())
         members = {**former, **self._catalogue.members}
         for instance, member in members.items():
-            if instance == self._instance or instance in self._dials:
+            dial = self._dials.get(instance)
+            if instance == self._instance or (dial and not dial.done()):
                 continue
             self._dials[instance] = asyncio.create_task(
                 self._serve_with_reconnects(instance, member.address)
@@ -670,14 +671,12 @@
         while True:
             if instance not in self._sessions:
                 self._unreachable_since_s.setdefault(instance, clock.now_s())
-            channel = self._open_channel(address)
             try:
-                await self._serve(instance, channel)
+                with contextlib.closing(self._open_channel(address)) as channel:
+                    await self._serve(instance, channel)
             except Exception as error:
                 # Whatever one instance causes, the others are served.
                 logs.log(log_events.PeerLost(peer=instance, reason=repr(error)))
-            finally:
-                channel.close()
             await asyncio.sleep(REDIAL_DELAY_S)
             current = self._catalogue.members.get(instance)
             if current is not None:
--- a/packages/coordination/tests/test_start_of_fleet.py
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -320,3 +320,33 @@
         serving.stop()
 
     asyncio.run(run())
+
+
+# Guards against an instance that has no placer for as long as this one places.
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_instance_is_dialled_again_whatever_ended_the_last_attempt(
+    is_cancelled, monkeypatch
+):
+    monkeypatch.setattr(placer, "REDIAL_DELAY_S", 0.01)
+    dialled = []
+
+    def fail(address):
+        dialled.append(address)
+        raise ValueError("not an address")
+
+    async def run():
+        serving = make_placer((REFUSED,), 0.0)
+        serving._open_channel = fail
+        serving._dial_members()
+        await wait_until(lambda: len(dialled) >= 4)
+        if is_cancelled:
+            # As when a library cancels the task that uses a lost connection.
+            for dial in serving._dials.values():
+                dial.cancel()
+            await asyncio.wait(serving._dials.values())
+        dialled.clear()
+        serving._dial_members()
+        await wait_until(lambda: len(set(dialled)) == 4)
+        serving.stop()
+
+    asyncio.run(run())
