Count no former member that still ends in order as a vote

By reading: an instance that has removed its entry stays connected for a moment, and a placer that does not hear the store counted it as reached. An instance that has announced its end counts for no placer, which the argument against two placers needs (docs/design/platform.md).

Before: the new test fails. After: it passes, with test_electorate and test_start_of_fleet.

--- a/packages/coordination/poplarwick_coordination/electorate.py
+++ b/packages/coordination/poplarwick_coordination/electorate.py
@@ -100,8 +100,9 @@
         if now_s < self._fleet_starts_until_s:
             reached |= self._refuses - self._has_started
         voters = [
-            *(i for i in others if not self._is_excluded(i, served)),
-            *(i for i in former if i not in self._refuses),
+            i
+            for i in (*others, *(f for f in former if f not in self._refuses))
+            if not self._is_excluded(i, served)
         ]
         return 2 * sum(i in reached for i in voters) >= len(voters)
 
--- a/packages/coordination/tests/test_electorate.py
+++ b/packages/coordination/tests/test_electorate.py
@@ -70,6 +70,11 @@
     assert voters.has_majority(OTHERS[:2], "ef", served, NOW_S)
 
 
+def test_former_member_that_is_still_ending_is_no_vote():
+    voters = make_electorate("cd")
+    assert not voters.has_majority("b", "cd", {"c", "d"}, NOW_S)
+
+
 def test_no_cut_gives_two_placers_a_majority():
     """Each instance follows one placer and tells it whether it is leaving.
 
