Send on what a stopping relay has not sent, and say that it ends

Seen by callers of an instance that is cut off, when the instance that relays for it stops: answers that the endpoint had completed, and that their callers read slowly, were cut and run once more; streams that outlast the stop were cut, and the endpoint counted as one that breaks answers (backoff; evidence that a request crashes endpoints).

Cause: the relay aborted its connections when its process ended, with what was in their write buffers. At the origin, the end of the relay looked like one of the endpoint.

Change: as for callers, the kernel takes what is unsent at the stop's `prepares_at_s` and before the cut. Connections that are left are ended at `cuts_at_s`, as the instance's own streams are, in order, behind all that was received, and with a mark of their own; `relayed_connection_cut` is logged for each. The origin resumes as before, and counts the attempt as given up. An older origin that does not know the mark sees a connection without the mark of the end, as before.

--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -290,6 +290,10 @@
                 response.close()
         except SendError as error:
             error.relay = info.relay
+            if info.has_relay_ended and error.is_cut:
+                # The endpoint has not caused the end.
+                error.result = messages.Result.GIVEN_UP
+                error.is_cut = False
             raise
 
     async def _open(
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -439,9 +439,8 @@
         await asyncio.sleep(schedule.listens_until_s - clock.now_s())
         await self.frontend.accept_waiting()
         self.frontend.stop_listening()
-        await self._finish_requests(schedule)
-        await self.relay_server.wait_until_idle(
-            schedule.cuts_at_s - clock.now_s()
+        await asyncio.gather(
+            self._finish_requests(schedule), self._finish_relayed(schedule)
         )
         # Requests that are cut off release memory of engines.
         await self.frontend.close_connections(schedule.closes_until_s)
@@ -471,6 +470,22 @@
         )
         await wait_until_idle(CUT_TIMEOUT_S)
 
+    async def _finish_relayed(
+        self, schedule: stop_schedule.StopSchedule
+    ) -> None:
+        """Waits for the connections that are relayed until they are cut."""
+        relays = self.relay_server
+        if await relays.wait_until_idle(schedule.prepares_at_s - clock.now_s()):
+            return
+        relays.hand_over_unsent(self.buffers.limits.total_bytes)
+        if await relays.wait_until_idle(schedule.cuts_at_s - clock.now_s()):
+            return
+        # Reads what arrived while the process stood still.
+        await asyncio.sleep(graceful_stop.CATCH_UP_S)
+        relays.hand_over_unsent(self.buffers.limits.total_bytes)
+        relays.cut_connections()
+        await relays.wait_until_idle(schedule.closes_until_s - clock.now_s())
+
     async def _drain_reservations(self, until_s: float) -> None:
         """Waits for releases of memory until a monotonic time."""
         try:
--- a/packages/reach/poplarwick_reach/connector.py
+++ b/packages/reach/poplarwick_reach/connector.py
@@ -27,10 +27,16 @@
     Attributes:
         label: Id of the request, for logs.
         relay: Instance that relays the connection; None if it is direct.
+        has_relay_ended: Whether that instance has ended it by stopping.
     """
 
     label: str = ""
     relay: str | None = None
+    has_relay_ended: bool = False
+
+    def record_relay_end(self) -> None:
+        """Records that the relay has ended the connection by stopping."""
+        self.has_relay_ended = True
 
 
 CONNECTION_INFO: contextvars.ContextVar[ConnectionInfo | None] = (
--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -177,7 +177,8 @@
             info.relay = member.instance
             loop = asyncio.get_running_loop()
             await loop.create_connection(
-                lambda: frames.FrameReader(protocol), sock=sock
+                lambda: frames.FrameReader(protocol, info.record_relay_end),
+                sock=sock,
             )
             return True
         return False
--- a/packages/reach/poplarwick_reach/frames.py
+++ b/packages/reach/poplarwick_reach/frames.py
@@ -2,18 +2,24 @@
 
 A connection that ends may be that of the endpoint, whose answer may end with
 it, or that of a relay that was killed. Frames tell them apart: the relay marks
-the orderly end. Towards the endpoint bytes need no frames.
+the orderly end. It also marks an end of its own, which says nothing of the
+endpoint. Towards the endpoint bytes need no frames.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 LENGTH_BYTES = 4
 
 END = bytes(LENGTH_BYTES)
 """Marks that the endpoint has closed its connection in order."""
 
+RELAY_END = b"\xff" * LENGTH_BYTES
+"""Marks that the relay ends; no frame is as long. A reader that does not know
+the mark waits for content and sees a connection without the mark of an end."""
+
 
 def encode(data: bytes) -> bytes:
     """Returns a frame with bytes of the endpoint."""
@@ -25,10 +31,16 @@
 
     Args:
         protocol: Sees the connection as one to the endpoint.
+        record_relay_end: Called if the relay ends before the endpoint does.
     """
 
-    def __init__(self, protocol: asyncio.Protocol) -> None:
+    def __init__(
+        self,
+        protocol: asyncio.Protocol,
+        record_relay_end: Callable[[], None] = lambda: None,
+    ) -> None:
         self.protocol = protocol
+        self._record_relay_end = record_relay_end
         self._transport: asyncio.Transport | None = None
         self._header = b""
         self._remaining = 0
@@ -60,6 +72,10 @@
                 if self._transport.is_reading():
                     self._transport.close()
                 return
+            if self._header == RELAY_END:
+                # The end of the connection follows.
+                self._record_relay_end()
+                return
             self._remaining = int.from_bytes(self._header, "big")
             self._header = b""
 
--- a/packages/reach/poplarwick_reach/log_events.py
+++ b/packages/reach/poplarwick_reach/log_events.py
@@ -51,3 +51,21 @@
     origin: str
     address: str
     request: str | None = None
+
+
+class RelayedConnectionCut(logs.Event, frozen=True, kw_only=True):
+    """This instance ends before a connection that it relays.
+
+    The instance that it is relayed for goes on elsewhere if it may.
+
+    Attributes:
+        origin: Host of that instance.
+        request: Id of the request that it is for, if it is for one.
+        unsent_bytes: What the kernel has not taken of the answer.
+    """
+
+    level = "WARNING"
+
+    origin: str
+    request: str | None = None
+    unsent_bytes: int
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import types
 from collections.abc import Awaitable
@@ -103,6 +104,23 @@
             await asyncio.sleep(IDLE_CHECK_S)
         return True
 
+    def hand_over_unsent(self, total_bytes: int) -> None:
+        """Lets the kernel take what instances have not read yet.
+
+        It goes on sending after the process has ended.
+
+        Args:
+            total_bytes: Memory for all connections.
+        """
+        unsent = [c for c in self._connections if c.unsent_bytes]
+        for connection in unsent:
+            connection.extend_send_buffer(total_bytes // len(unsent))
+
+    def cut_connections(self) -> None:
+        """Ends all connections, and tells their instances that it does."""
+        for connection in list(self._connections):
+            connection.cut()
+
     async def _connect(
         self, origin: str, line: bytes, instance_side: _InstanceSide
     ) -> handshake.Reply:
@@ -143,6 +161,7 @@
                 origin=origin, address=address, request=label
             )
         )
+        instance_side.label = label
         return handshake.Reply.CONNECTED
 
     def _find_obstacle(
@@ -217,6 +236,42 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.endpoint_side: _EndpointSide | None = None
+        self.label: str | None = None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the kernel has not taken."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    def extend_send_buffer(self, size_bytes: int) -> None:
+        """Lets the kernel take some bytes that the instance does not read."""
+        assert self.transport is not None
+        # The instance may have reset it; the event loop will notice.
+        with contextlib.suppress(OSError):
+            socket_buffers.extend_send_buffer(self.transport, size_bytes)
+
+    def cut(self) -> None:
+        """Ends the connection behind what has been received."""
+        if self.transport is None:
+            return
+        logs.log(
+            log_events.RelayedConnectionCut(
+                origin=self.transport.get_extra_info("peername")[0],
+                request=self.label,
+                unsent_bytes=self.unsent_bytes,
+            )
+        )
+        if self.transport.is_closing():
+            # The endpoint has ended; only its last bytes are unsent.
+            return
+        if self.endpoint_side is None:
+            self.abort()
+            return
+        self.transport.write(frames.RELAY_END)
+        self.transport.close()
+        self.endpoint_side.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -272,7 +327,7 @@
 
     def end(self, *, is_orderly: bool) -> None:
         """Ends the connection as the endpoint has ended its own."""
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             return
         if is_orderly:
             self.transport.write(frames.END)
