Answer requests without an answer at the end of a stop in the own mode

Seen by callers in the product's own mode: a request that an endpoint still ran, or whose body was incomplete, when a stop ended saw its connection closed in place of an answer.

Cause: the end of the grace period was applied to requests that wait for a grant only. The users' platform mode ends the others at the schedule's `ends_at_s`; the own mode closed their connections at `cuts_at_s`.

Change: the handlers of callers' requests run within GracefulStop.limit_answer, which ends those whose response has not begun. Their lifecycle decides, as for any other end: 502 if an endpoint may have run the request (`failed`, or `unknown` if it is not idempotent), else 503 `draining`; `request_ended` is logged for each. A claimed call goes on as it does without its caller, and is not sent any more if it was not yet. Streams that have begun are cut when they were before; where both times are the same, answers get 0.1 s to be sent.

The fixture open_entry takes further dependencies; nothing else in it changes.

--- a/packages/entry/poplarwick_entry/application.py
+++ b/packages/entry/poplarwick_entry/application.py
@@ -49,6 +49,7 @@
         client_max_size=MAX_BODY_BYTES, middlewares=[_handle_errors]
     )
     application[context.CONTEXT_KEY] = entry
+    application.on_response_prepare.append(_record_begin)
     routes = application.router
     routes.add_post(
         parameters.Api.COMPLETIONS.value, completions.handle_completions
@@ -62,13 +63,24 @@
     return application
 
 
+async def _record_begin(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Records that the caller receives the beginning of a response."""
+    del response
+    request[context.HAS_BEGUN_KEY] = True
+
+
 @web.middleware
 async def _handle_errors(
     request: web.Request, handler: _Handler
 ) -> web.StreamResponse:
     entry = request.app[context.CONTEXT_KEY]
     try:
-        response = await handler(request)
+        async with entry.limit_answer(
+            lambda: request.get(context.HAS_BEGUN_KEY, False)
+        ):
+            response = await handler(request)
     except request_errors.RequestEndedError as ended:
         response = _respond_to_ending(request, ended.ending)
     except web.HTTPException as error:
--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 
@@ -18,6 +19,18 @@
 from poplarwick_outcomes import lifecycle
 from poplarwick_outcomes import verdicts
 
+LimitAnswer = Callable[
+    [Callable[[], bool]], contextlib.AbstractAsyncContextManager[None]
+]
+"""Ends a request with `RequestEndedError` if the instance ends before its
+caller has received something; the argument returns whether the caller has."""
+
+
+def _answer_without_limit(
+    has_begun: Callable[[], bool],
+) -> contextlib.AbstractAsyncContextManager[None]:
+    return contextlib.nullcontext()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryContext:
@@ -39,6 +52,7 @@
             further requests, or None when it does; those that it has accepted
             go on.
         record_running: Is told of each request that has been read whole.
+        limit_answer: Limits how long a caller waits for the answer.
         retry_budget: Limits the retries of this instance.
     """
 
@@ -54,6 +68,7 @@
     record_running: Callable[[web.Request, ids.RequestId], None] = (
         lambda request, request_id: None
     )
+    limit_answer: LimitAnswer = _answer_without_limit
     retry_budget: retry_budget.RetryBudget = dataclasses.field(
         default_factory=retry_budget.RetryBudget
     )
@@ -91,6 +106,7 @@
 
 
 LIFECYCLE_KEY = web.RequestKey("lifecycle", lifecycle.Lifecycle)
+HAS_BEGUN_KEY = web.RequestKey("has_begun", bool)
 REQUEST_ID_KEY = web.RequestKey("request_id", str)
 CONTEXT_KEY = web.AppKey("entry_context", EntryContext)
 
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -143,12 +143,15 @@
 
 
 @contextlib.asynccontextmanager
-async def open_entry(endpoint, limit=application.MAX_BODY_BYTES):
+async def open_entry(
+    endpoint, limit=application.MAX_BODY_BYTES, **dependencies
+):
     """Yields an entry whose only endpoint is an HTTP handler.
 
     Args:
         endpoint: Handler of every request to the endpoint.
         limit: Maximum body size at the endpoint, in bytes.
+        **dependencies: Further dependencies of the handlers.
     """
     service = KvFake()
     claims = services.ClaimService(KvFakeClient(service), "test")
@@ -172,6 +175,7 @@
             read_view=make_view,
             read_unready_reason=lambda: None,
             read_refusal_reason=lambda: None,
+            **dependencies,
         )
         entry_server = await enter(
             test_utils.TestServer(
--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import NamedTuple
 from typing import TypeVar
 
@@ -66,6 +67,7 @@
         self._waits: dict[asyncio.Timeout, float] = {}
         self._runs: dict[asyncio.Timeout, outcomes.Sink] = {}
         self._reads: dict[asyncio.Timeout, None] = {}
+        self._answers: dict[asyncio.Timeout, Callable[[], bool]] = {}
 
     def begin(
         self, starts_until_s: float, ends_at_s: float, cuts_at_s: float
@@ -130,8 +132,26 @@
         async with _limit(self._reads, None, None):
             yield
 
+    @contextlib.asynccontextmanager
+    async def limit_answer(
+        self, has_begun: Callable[[], bool]
+    ) -> AsyncIterator[None]:
+        """Limits the time until the caller of a request receives something.
+
+        Args:
+            has_begun: Returns whether the caller has; the request goes on then.
+
+        Raises:
+            StoppingError: This instance ends before that.
+        """
+        async with _limit(self._answers, has_begun, None):
+            yield
+
     def _end_unanswered(self) -> None:
         """Ends the requests whose callers have received nothing."""
+        for timer, has_begun in self._answers.items():
+            if not has_begun() and not timer.expired():
+                timer.reschedule(clock.now_s())
         for timer in self._reads:
             if not timer.expired():
                 timer.reschedule(clock.now_s())
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -261,3 +261,18 @@
         has_begun=has_begun, ends_s=0.1, cuts_s=0.2, standstill_s=0.4
     )
     assert received == b"end"
+
+
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_only_answers_that_have_not_begun_end_before_the_process(has_begun):
+    async def run():
+        stop = graceful_stop.GracefulStop()
+        begin(stop, ends_s=0.05, cuts_s=0.1)
+        async with stop.limit_answer(lambda: has_begun):
+            await asyncio.sleep(0.5)
+
+    if has_begun:
+        asyncio.run(run())
+        return
+    with pytest.raises(graceful_stop.StoppingError):
+        asyncio.run(run())
--- a/packages/node/poplarwick_node/_stopping.py
+++ b/packages/node/poplarwick_node/_stopping.py
@@ -1,8 +1,9 @@
-"""Refuses requests that a stopping instance can no longer serve in time.
+"""Ends requests that a stopping instance can no longer serve in time.
 
 Load pattern: an instance is stopped while requests queue for busy engines, at
 its own dispatcher or at that of another instance. One that starts too late is
-cut off by the end of the grace period.
+cut off by the end of the grace period. So is one that runs on an engine for
+longer; its caller needs an answer before that.
 """
 
 from __future__ import annotations
@@ -22,6 +23,35 @@
 """Time after which a caller may retry at another instance."""
 
 
+class AnswerLimit:
+    """Answers requests without an answer before the instance ends.
+
+    Args:
+        stop: Knows when the instance ends.
+    """
+
+    def __init__(self, stop: graceful_stop.GracefulStop) -> None:
+        self._stop = stop
+
+    @contextlib.asynccontextmanager
+    async def limit(self, has_begun: Callable[[], bool]) -> AsyncIterator[None]:
+        """Limits the time until a caller receives something.
+
+        Args:
+            has_begun: Returns whether the caller has.
+
+        Raises:
+            request_errors.RequestEndedError: The instance ends before that.
+        """
+        try:
+            async with self._stop.limit_answer(has_begun):
+                yield
+        except graceful_stop.StoppingError as error:
+            raise _make_refusal(
+                "the instance stops before the request is answered"
+            ) from error
+
+
 class WaitLimit:
     """Limits how long requests queue once the instance is told to stop.
 
@@ -52,10 +82,8 @@
             async with self._stop.limit_wait(duration_s):
                 yield
         except graceful_stop.StoppingError as error:
-            raise request_errors.make_refusal(
-                verdicts.Reason.DRAINING,
-                "the instance stops before it could serve the request",
-                retry_after_s=RETRY_AFTER_S,
+            raise _make_refusal(
+                "the instance stops before it could serve the request"
             ) from error
 
     def _calculate_shortest_duration_s(
@@ -75,3 +103,9 @@
             grant_request.prompt_tokens / model.prefill_tokens_per_s
             + grant_request.output_tokens / model.decode_tokens_per_s
         )
+
+
+def _make_refusal(detail: str) -> request_errors.RequestEndedError:
+    return request_errors.make_refusal(
+        verdicts.Reason.DRAINING, detail, retry_after_s=RETRY_AFTER_S
+    )
--- a/packages/node/poplarwick_node/builder.py
+++ b/packages/node/poplarwick_node/builder.py
@@ -97,7 +97,7 @@
         limit_components,
         built,
         callers,
-        _stopping.WaitLimit(stop, connections.read_view),
+        stop,
         stack,
     )
     await callers.start(_make_caller_application(entry), stack)
@@ -331,7 +331,7 @@
     limit_components: _Limits,
     built: instances.Instance,
     callers: _web.WebServer,
-    wait_limit: _stopping.WaitLimit,
+    stop: graceful_stop.GracefulStop,
     stack: contextlib.AsyncExitStack,
 ) -> context.EntryContext:
     claims = await stack.enter_async_context(
@@ -348,7 +348,10 @@
     return context.EntryContext(
         instance=connections.instance,
         grant_client=await _make_grant_client(
-            connections, ownership, wait_limit, stack
+            connections,
+            ownership,
+            _stopping.WaitLimit(stop, connections.read_view),
+            stack,
         ),
         session=connections.endpoint_session,
         limiter=limit_components.limiter,
@@ -360,6 +363,7 @@
         read_refusal_reason=built.read_refusal_reason,
         read_stop_reason=built.read_stop_reason,
         record_running=callers.record_running,
+        limit_answer=_stopping.AnswerLimit(stop).limit,
     )
 
 
--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -33,6 +33,11 @@
 mode it has more modules to clean up."""
 
 
+ANSWER_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
+"""Longest wait for requests to end that are answered at the end, which takes a
+few steps of the event loop."""
+
+
 class Instance:
     """The running components of one instance.
 
@@ -158,6 +163,8 @@
                     after_s=clock.now_s() - stop_signal.earliest_at_s,
                 )
             )
+            # Answers of requests that end now are on their way.
+            await self._callers.wait_until_idle(ANSWER_TIMEOUT_S)
         await self._callers.close_connections(schedule.closes_until_s)
         until_s = min(
             schedule.releases_until_s, clock.now_s() + RELEASE_TIMEOUT_S
