Take no new lease after the handover of a leaving instance

Seen in the product's own mode: after it had handed over its resources and revoked its lease, an instance that stops acquired a new one within the next renewal. It counted as a holder until that expired, up to 10 s after the end of the process.

Cause: the task that keeps the lease takes a revoked lease for a lost one and replaces it.

Change: the lease is revoked for good; one that is being acquired then is revoked as soon as it is. Claims were refused from the handover on before.

Evidence: test_instance_that_has_handed_over_takes_no_new_lease failed before in both cases (the instance was among the holders of another one's view), passes now.

--- a/packages/ownership/poplarwick_ownership/_lease.py
+++ b/packages/ownership/poplarwick_ownership/_lease.py
@@ -56,6 +56,7 @@
         self.valid_until_s = 0.0
         self.is_unavailable = False
         self._previous_leases: set[kv.LeaseId] = set()
+        self._is_revoked = False
         self._retry_requested = asyncio.Event()
         self._client = client
         self._instance = instance
@@ -73,8 +74,8 @@
         return lease in self._previous_leases
 
     async def maintain(self) -> None:
-        """Acquires and renews the lease until cancelled."""
-        while True:
+        """Acquires and renews the lease until it is revoked or cancelled."""
+        while not self._is_revoked:
             try:
                 if self.held is None:
                     await self._acquire()
@@ -120,7 +121,11 @@
         return True
 
     async def revoke(self) -> None:
-        """Revokes the lease before a planned shutdown."""
+        """Revokes the lease before a planned shutdown, for good.
+
+        One that is being acquired is revoked once it is.
+        """
+        self._is_revoked = True
         held = self.held
         if held is None:
             return
@@ -147,6 +152,8 @@
         self.held = HeldLease(lease, key, result.revision)
         self._extend(sent_s, self._ttl_s)
         logs.log_event("lease_acquired", lease=lease)
+        if self._is_revoked:
+            await self.revoke()
 
     async def _renew(self, held: HeldLease) -> None:
         # The lifetime counts from before the call, so that the lease never
--- a/packages/ownership/tests/test_leases.py
+++ b/packages/ownership/tests/test_leases.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 import simulated
 import virtual_time
 
@@ -30,6 +31,28 @@
     virtual_time.run(scenario, monkeypatch)
 
 
+# Guards against leaving instances that hold a new lease until it expires.
+@pytest.mark.parametrize("is_acquiring", [False, True])
+def test_instance_that_has_handed_over_takes_no_new_lease(
+    monkeypatch, is_acquiring
+):
+    async def scenario(loop):
+        async with simulated.running(count=2) as fleet:
+            await fleet.settle(5)
+            leaving = fleet.instances["i-0"]
+            if is_acquiring:
+                fleet.service.delay_s = (0.5, 0.5)
+                leaving = await fleet.start("i-2")
+                await asyncio.sleep(0.7)
+            await leaving.ownership.release_all()
+            fleet.service.delay_s = (0.001, 0.01)
+            await fleet.run_for(TTL_S / 2)
+            holders = fleet.instances["i-1"].ownership._view.holders
+            assert leaving.name not in holders
+
+    virtual_time.run(scenario, monkeypatch)
+
+
 def test_instances_that_start_together_share_without_hand_over(monkeypatch):
     async def scenario(loop):
         async with simulated.running(count=4, resources=16) as fleet:
