Begin no second attempt that the end of a stop would cut

Seen at engines: an instance that stops placed a request of a silent endpoint at another one however late it was. An attempt that could not end before `ends_at_s` used engine time for an answer that nobody got.

Cause: `_place_elsewhere` did not ask when the instance ends; first attempts and repeats after a failure do.

Change: the same limit applies, the end less twice the request's duration on an idle engine. Only the time from which requests are refused does not: it stands for other instances that can serve the caller, and the caller of a request that runs is connected to this one. Streams that have begun are resumed as before. Once it is too late, `silent_endpoint_kept reason=stopping` is logged, and the silent endpoint keeps the request.

Evidence: the case of test_second_endpoint_is_asked_only_if_it_can_answer_ before_the_end that is too late failed before, passes now; the cases that are in time, or have begun, passed before and do now.

--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -39,6 +39,18 @@
     """The instance stops before the request could be served."""
 
 
+class _Start(NamedTuple):
+    """A request that waits for its start.
+
+    Attributes:
+        duration_s: Its duration once it is started.
+        is_second: Whether an endpoint runs it already.
+    """
+
+    duration_s: float
+    is_second: bool
+
+
 class _Window(NamedTuple):
     """Times of a stop.
 
@@ -51,12 +63,15 @@
     starts_until_s: float
     ends_at_s: float
 
-    def calculate_latest_start_s(self, duration_s: float) -> float:
-        """Returns the latest monotonic start of a request of some duration."""
-        return min(
-            self.starts_until_s,
-            self.ends_at_s - SHARED_ENGINE_FACTOR * duration_s,
-        )
+    def calculate_latest_start_s(self, start: _Start) -> float:
+        """Returns the latest monotonic time of a start.
+
+        No other instance can serve the caller of a request that runs already.
+        """
+        latest_s = self.ends_at_s - SHARED_ENGINE_FACTOR * start.duration_s
+        if start.is_second:
+            return latest_s
+        return min(self.starts_until_s, latest_s)
 
 
 class GracefulStop:
@@ -64,7 +79,7 @@
 
     def __init__(self) -> None:
         self._window: _Window | None = None
-        self._waits: dict[asyncio.Timeout, float] = {}
+        self._waits: dict[asyncio.Timeout, _Start] = {}
         self._runs: dict[asyncio.Timeout, outcomes.Sink] = {}
         self._reads: dict[asyncio.Timeout, None] = {}
         self._answers: dict[asyncio.Timeout, Callable[[], bool]] = {}
@@ -81,8 +96,8 @@
             cuts_at_s: Monotonic time at which streams are cut off.
         """
         self._window = _Window(starts_until_s, ends_at_s)
-        for timer, duration_s in self._waits.items():
-            timer.reschedule(self._window.calculate_latest_start_s(duration_s))
+        for timer, start in self._waits.items():
+            timer.reschedule(self._window.calculate_latest_start_s(start))
         loop = asyncio.get_running_loop()
         for at_s, end in (
             (ends_at_s, self._end_unanswered),
@@ -92,21 +107,26 @@
             loop.call_at(at_s, loop.call_later, CATCH_UP_S, end)
 
     @contextlib.asynccontextmanager
-    async def limit_wait(self, duration_s: float) -> AsyncIterator[None]:
+    async def limit_wait(
+        self, duration_s: float, *, is_second: bool = False
+    ) -> AsyncIterator[None]:
         """Limits the wait inside the context to the latest start of a request.
 
         Args:
             duration_s: Duration of the request once it is started.
+            is_second: Whether an endpoint runs it already, so that it is only
+                limited by its end.
 
         Raises:
             StoppingError: The wait took too long for this instance.
         """
         until_s = None
+        start = _Start(duration_s, is_second)
         if self._window is not None:
-            until_s = self._window.calculate_latest_start_s(duration_s)
+            until_s = self._window.calculate_latest_start_s(start)
             if clock.now_s() >= until_s:
                 raise StoppingError
-        async with _limit(self._waits, duration_s, until_s):
+        async with _limit(self._waits, start, until_s):
             yield
 
     @contextlib.asynccontextmanager
--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -235,18 +235,27 @@
         progress: request_progress.RequestProgress,
         placement: messages.Placement,
     ) -> placement_client.PlacementOutcome:
-        """Waits for a placement while a silent endpoint runs the request."""
+        """Waits for a placement while a silent endpoint runs the request.
+
+        Raises:
+            graceful_stop.StoppingError: This instance stops too soon.
+        """
         avoided = progress.avoided | self._notices.find_blocked()
-        return await self._placement_client.place(
-            exchange.make_placement_request(
-                avoided | {placement.endpoint},
-                broken_at_s=clock.now_s() if sink.has_begun else None,
-                is_retry=True,
-                was_placed=True,
-                unreachable=progress.unreachable,
-                was_cut_off=progress.was_cut_off,
-            )
+        request = exchange.make_placement_request(
+            avoided | {placement.endpoint},
+            broken_at_s=clock.now_s() if sink.has_begun else None,
+            is_retry=True,
+            was_placed=True,
+            unreachable=progress.unreachable,
+            was_cut_off=progress.was_cut_off,
         )
+        if sink.has_begun:
+            return await self._placement_client.place(request)
+        duration_s = graceful_stop.calculate_shortest_duration_s(
+            request, exchange.engine
+        )
+        async with self._stop.limit_wait(duration_s, is_second=True):
+            return await self._placement_client.place(request)
 
     async def _open_elsewhere(
         self,
--- a/packages/forwarding/poplarwick_forwarding/takeover.py
+++ b/packages/forwarding/poplarwick_forwarding/takeover.py
@@ -19,6 +19,7 @@
 from poplarwick_core import clock
 from poplarwick_core import logs
 from poplarwick_forwarding import endpoint_attempt
+from poplarwick_forwarding import graceful_stop
 from poplarwick_forwarding import log_events
 from poplarwick_placement import messages
 
@@ -82,7 +83,8 @@
         request: Id of the request, for logs.
         attempt: Ends the attempt at the silent endpoint.
         may_ask: Returns whether the request may be sent once more.
-        place_elsewhere: Waits for a placement at another endpoint.
+        place_elsewhere: Waits for a placement at another endpoint; raises
+            `graceful_stop.StoppingError` if it is too late for one.
         open_elsewhere: Sends the request to the endpoint of a placement and
             waits for its answer; returns None if there is none.
     """
@@ -170,7 +172,11 @@
     async def _ask(self) -> None:
         while self._may_ask():
             began_s = clock.now_s()
-            outcome = await self._place_elsewhere()
+            try:
+                outcome = await self._place_elsewhere()
+            except graceful_stop.StoppingError:
+                self._log_kept("stopping")
+                return
             match outcome.decision:
                 case messages.Placement():
                     if await self._open(outcome):
@@ -178,13 +184,14 @@
                             self._attempt.reschedule(clock.now_s())
                         return
                 case messages.Refusal(reason=reason):
-                    logs.log(
-                        log_events.SilentEndpointKept(
-                            request=self._request, reason=reason.value
-                        )
-                    )
+                    self._log_kept(reason.value)
             await asyncio.sleep(began_s + ASK_AGAIN_S - clock.now_s())
 
+    def _log_kept(self, reason: str) -> None:
+        logs.log(
+            log_events.SilentEndpointKept(request=self._request, reason=reason)
+        )
+
     async def _open(self, outcome: placement_client.PlacementOutcome) -> bool:
         """Tries an endpoint and returns whether it answers."""
         opening = asyncio.get_running_loop().create_future()
--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -14,6 +14,7 @@
 from poplarwick_adapter import dialect as platform_dialect
 from poplarwick_catalogue import quarantines
 from poplarwick_catalogue import types as catalogue_types
+from poplarwick_coordination import placement_client
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_forwarding import graceful_stop
@@ -27,6 +28,8 @@
 GRACE_S = 7.4
 FOREVER_S = 60.0
 
+PLACEMENT = messages.Placement(ids.EndpointId("e"), "h:1", (), 0.1, "test")
+
 ENGINE = catalogue_types.EngineProfile(
     slots=8,
     memory_tokens=405_000,
@@ -171,6 +174,63 @@
     )
 
 
+class SilentFleet:
+    """Places requests; its endpoints never answer."""
+
+    def __init__(self):
+        self.sent = 0
+
+    async def place(self, request):
+        del request
+        self.sent += 1
+        return placement_client.PlacementOutcome(1, PLACEMENT, "own", 0.0)
+
+
+# Guards against attempts at a second endpoint that the stop ends unanswered.
+@pytest.mark.parametrize(
+    ("ends_s", "has_begun", "is_asked"),
+    [(0.0, False, False), (GRACE_S, False, True), (0.0, True, True)],
+)
+def test_second_endpoint_is_asked_only_if_it_can_answer_before_the_end(
+    ends_s, has_begun, is_asked
+):
+    fleet = SilentFleet()
+    stop = graceful_stop.GracefulStop()
+    runner = request_runner.RequestRunner(
+        fleet,
+        None,
+        None,
+        None,
+        types.SimpleNamespace(find_blocked=frozenset),
+        quarantines.Quarantines(),
+        stop,
+    )
+    progress = request_progress.RequestProgress(None)
+    sink = types.SimpleNamespace(has_begun=has_begun)
+
+    async def open_elsewhere(outcome):
+        del outcome
+        await asyncio.sleep(FOREVER_S)
+
+    async def scenario():
+        begin(stop, ends_s)
+        silence = takeover.Takeover(
+            "r",
+            None,
+            lambda: True,
+            lambda: runner._place_elsewhere(
+                exchanges.make_exchange(), sink, progress, PLACEMENT
+            ),
+            open_elsewhere,
+        )
+        silence.reschedule(clock.now_s())
+        await asyncio.sleep(0.1)
+        silence.stop()
+
+    asyncio.run(scenario())
+    assert bool(fleet.sent) is is_asked
+
+
 def run_while_stopping(*, has_begun, ends_s, cuts_s):
     """Returns how long a request runs in a stop; None if it is not ended."""
 
