Read the ends of relayed answers before they are cut

Seen in a test: an answer that its endpoint had completed between the stop's preparations and its cut, behind data that the origin did not read, was cut by the relay and would be run once more.

Cause: while a relay has unsent data it does not read the endpoint. Unsent data was handed to the kernel in the step in which connections were cut, so the rest was not read any more. A connection whose endpoint had ended was also logged as cut, though the kernel sent its last bytes.

Change: data is handed over before the time for reading what has arrived. `relayed_connection_cut` is logged for connections that are cut, and at the end of the process for those that still have unsent bytes; once for each.

Evidence: test_complete_answer_that_is_unread_at_the_end_is_not_cut failed with the former order (the content was truncated), passes now.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -480,10 +480,9 @@
         relays.hand_over_unsent(self.buffers.limits.total_bytes)
         if await relays.wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
-        # Reads what arrived while the process stood still.
-        await asyncio.sleep(graceful_stop.CATCH_UP_S)
-        relays.hand_over_unsent(self.buffers.limits.total_bytes)
-        relays.cut_connections()
+        await relays.end_connections(
+            self.buffers.limits.total_bytes, graceful_stop.CATCH_UP_S
+        )
         await relays.wait_until_idle(schedule.closes_until_s - clock.now_s())
 
     async def _drain_reservations(self, until_s: float) -> None:
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -84,6 +84,8 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
+            if connection.is_ending and connection.unsent_bytes:
+                connection.log_cut()
             connection.abort()
 
     @property
@@ -116,8 +118,21 @@
         for connection in unsent:
             connection.extend_send_buffer(total_bytes // len(unsent))
 
-    def cut_connections(self) -> None:
-        """Ends all connections, and tells their instances that it does."""
+    async def end_connections(
+        self, total_bytes: int, catch_up_s: float
+    ) -> None:
+        """Ends all connections behind what their endpoints have sent.
+
+        The instances that they are relayed for are told.
+
+        Args:
+            total_bytes: Memory for all connections.
+            catch_up_s: Time for reading what arrived while the process stood
+                still, or while there was unsent data.
+        """
+        self.hand_over_unsent(total_bytes)
+        await asyncio.sleep(catch_up_s)
+        self.hand_over_unsent(total_bytes)
         for connection in list(self._connections):
             connection.cut()
 
@@ -237,6 +252,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self.endpoint_side: _EndpointSide | None = None
         self.label: str | None = None
+        self._is_cut_logged = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -245,17 +261,17 @@
             return 0
         return self.transport.get_write_buffer_size()
 
-    def extend_send_buffer(self, size_bytes: int) -> None:
-        """Lets the kernel take some bytes that the instance does not read."""
-        assert self.transport is not None
-        # The instance may have reset it; the event loop will notice.
-        with contextlib.suppress(OSError):
-            socket_buffers.extend_send_buffer(self.transport, size_bytes)
+    @property
+    def is_ending(self) -> bool:
+        """Whether the endpoint has ended; only its last bytes are unsent."""
+        return self.transport is not None and self.transport.is_closing()
 
-    def cut(self) -> None:
-        """Ends the connection behind what has been received."""
-        if self.transport is None:
+    def log_cut(self) -> None:
+        """Logs once that the connection ends with this instance."""
+        if self._is_cut_logged:
             return
+        self._is_cut_logged = True
+        assert self.transport is not None
         logs.log(
             log_events.RelayedConnectionCut(
                 origin=self.transport.get_extra_info("peername")[0],
@@ -263,9 +279,19 @@
                 unsent_bytes=self.unsent_bytes,
             )
         )
-        if self.transport.is_closing():
-            # The endpoint has ended; only its last bytes are unsent.
+
+    def extend_send_buffer(self, size_bytes: int) -> None:
+        """Lets the kernel take some bytes that the instance does not read."""
+        assert self.transport is not None
+        # The instance may have reset it; the event loop will notice.
+        with contextlib.suppress(OSError):
+            socket_buffers.extend_send_buffer(self.transport, size_bytes)
+
+    def cut(self) -> None:
+        """Ends the connection behind what has been received."""
+        if self.transport is None or self.is_ending:
             return
+        self.log_cut()
         if self.endpoint_side is None:
             self.abort()
             return
--- a/packages/reach/tests/test_relay_server.py
+++ b/packages/reach/tests/test_relay_server.py
@@ -135,9 +135,7 @@
     lines,
 ):
     async def scenario(site):
-        site.relay.hand_over_unsent(HANDOVER_BYTES)
-        await asyncio.sleep(0.1)
-        site.relay.cut_connections()
+        await site.relay.end_connections(HANDOVER_BYTES, 0.1)
         assert await site.relay.wait_until_idle(1.0)
         content, end, is_told = await site.read()
         assert content == PART * PARTS
@@ -149,6 +147,21 @@
     assert "request=r1" in line
 
 
+# Guards against complete answers that a relay cuts, as it did not read their
+# ends while it had unsent data.
+def test_complete_answer_that_is_unread_at_the_end_is_not_cut(lines):
+    async def scenario(site):
+        await site.relay.end_connections(HANDOVER_BYTES, 0.1)
+        assert await site.relay.wait_until_idle(1.0)
+        content, end, is_told = await site.read()
+        assert content == PART * PARTS
+        assert end is None
+        assert not is_told
+
+    run(scenario, PARTS, is_ended=True)
+    assert not [x for x in lines if "event=relayed_connection_cut" in x]
+
+
 def test_relay_that_is_killed_says_nothing():
     async def scenario(site):
         await site.relay.__aexit__(None, None, None)
