--- a/packages/forwarding/tests/test_graceful_stop.py
+++ b/packages/forwarding/tests/test_graceful_stop.py
@@ -203,6 +203,7 @@
         None,
         None,
         types.SimpleNamespace(find_blocked=frozenset),
+        None,
         quarantines.Quarantines(),
         stop,
     )
--- a/packages/reach/tests/test_relay_server.py
+++ b/packages/reach/tests/test_relay_server.py
@@ -87,6 +87,7 @@
                 ),
                 lambda: False,
                 lambda address: None,
+                lambda address, opened_at_s: None,
                 BUFFER_BYTES,
             )
             await stack.enter_async_context(relay)
