--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Settings of all unit tests, and what tests that hang were doing."""
+"""Settings and fixtures of all unit tests; what tests that hang were doing."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 import hypothesis
 import pytest
 
+from poplarwick_core import logs
+
 # The time of an example, and of making it, depends on the machine: the first
 # text takes seconds where hypothesis builds its table of characters. No test
 # has a bound on time.
@@ -23,6 +25,26 @@
 )
 hypothesis.settings.load_profile("untimed")
 
+
+class _Lines(list[str]):
+    """Keeps log lines in place of a `log_writer.LineWriter`."""
+
+    def write(self, line: str) -> None:
+        self.append(line)
+
+    def write_through(self) -> None:
+        """Lines are kept at once anyway."""
+
+
+@pytest.fixture(name="lines")
+def fixture_lines() -> Iterator[list[str]]:
+    """Lines of the log."""
+    lines = _Lines()
+    logs.configure_logs(writer=lines)
+    yield lines
+    logs.configure_logs()
+
+
 TIMEOUT_REPEAT_S = 60.0
 """Time after which a test fails again: a callback of the event loop, or tasks
 that ignore their cancellation, may swallow the failure."""
--- a/packages/entry/tests/test_relayed_streams.py
+++ b/packages/entry/tests/test_relayed_streams.py
@@ -11,7 +11,6 @@
 
 from poplarwick_core import clock
 from poplarwick_core import ids
-from poplarwick_core import logs
 from poplarwick_entry import grants
 from poplarwick_peers.wire import grant_pb2
 
@@ -19,20 +18,6 @@
 EVENT_COUNT = 8
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 def make_event(stream, seq, text, *, is_last=False):
     fields = {
         "choices": [
--- a/packages/node/tests/test_answer_limit.py
+++ b/packages/node/tests/test_answer_limit.py
@@ -9,7 +9,6 @@
 from aiohttp import web
 
 from poplarwick_core import clock
-from poplarwick_core import logs
 from poplarwick_forwarding import graceful_stop
 from poplarwick_node import _stopping
 
@@ -18,20 +17,6 @@
 STOCK = "/services/shop/stock"
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 class Site:
     """An entry whose endpoint does not answer, and its stop."""
 
--- a/packages/node/tests/test_daemon.py
+++ b/packages/node/tests/test_daemon.py
@@ -5,10 +5,7 @@
 import asyncio
 import types
 
-import pytest
-
 from poplarwick_core import clock
-from poplarwick_core import logs
 from poplarwick_node import builder
 from poplarwick_node import daemon
 
@@ -25,20 +22,6 @@
         del stop_signal, lateness_s
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 def run_daemon(monkeypatch, exits_by_s, close):
     """Runs an instance that is stopped at once, with a component to close."""
     closed = []
--- a/packages/node/tests/test_web.py
+++ b/packages/node/tests/test_web.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 
 from poplarwick_core import clock
-from poplarwick_core import logs
 from poplarwick_node import _web
 
 CALLERS = 20
@@ -18,20 +17,6 @@
 WAIT_S = 20.0
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 class Site:
     """A server whose requests to `/wait` last until `release` is set."""
 
--- a/packages/reach/tests/test_relay_server.py
+++ b/packages/reach/tests/test_relay_server.py
@@ -7,9 +7,6 @@
 import socket
 import types
 
-import pytest
-
-from poplarwick_core import logs
 from poplarwick_reach import frames
 from poplarwick_reach import handshake
 from poplarwick_reach import relay_server
@@ -103,20 +100,6 @@
     asyncio.run(run_with_site())
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 # Guards against complete answers that end in a relay that stops.
 def test_unsent_end_of_an_answer_is_sent_after_the_end_of_the_relay():
     async def scenario(site):
--- a/tests/adapter/test_closed_connections.py
+++ b/tests/adapter/test_closed_connections.py
@@ -8,28 +8,9 @@
 import platform_cluster
 import pytest
 
-from poplarwick_core import logs
-
 GRACE_S = 4.0
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-        def write_through(self):
-            """Lines are kept at once anyway."""
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 def make_head(request_id, path="/order/", extra="Content-Length: 1\r\n"):
     return (
         f"POST {path} HTTP/1.1\r\nHost: {platform_cluster.HOST}\r\n"
--- a/tests/adapter/test_relayed_streams.py
+++ b/tests/adapter/test_relayed_streams.py
@@ -8,34 +8,14 @@
 import crashing_fleet
 import network_cuts
 import platform_cluster
-import pytest
 import slow_callers
 import stop_calls
 
-from poplarwick_core import logs
-
 GRACE_S = 4.0
 EVENTS = 40
 EVENT_BYTES = 20_000
 
 
-@pytest.fixture(name="lines")
-def fixture_lines():
-    """Lines of the log."""
-
-    class Writer(list):
-        def write(self, line):
-            self.append(line)
-
-        def write_through(self):
-            pass
-
-    lines = Writer()
-    logs.configure_logs(writer=lines)
-    yield lines
-    logs.configure_logs()
-
-
 @contextlib.asynccontextmanager
 async def run_cut_cluster(tmp_path, **replica_settings):
     """Yields a cluster and its instance that is cut off."""
