Count each received part of an answer as a sign of life of its endpoint

By review: an attempt that holds memory at other engines, and whose answer is passed on as a whole, counted as silent from its head on, though parts of its body arrived (`last_event_at_s` is set for events of streams only). With its entry gone its answer could be discarded as that of an ended engine.

Change: the response keeps the time at which its last part was received. The new test asks for that time, so it could not run before. 149 tests of reach, forwarding and tests/adapter/test_silent_engines pass.

--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -189,8 +189,10 @@
         """Returns until when the endpoint's silence is no sign of its end."""
         if self._sink.has_begun and self._sink.is_blocked:
             return clock.now_s()
-        times_s = (self.sent_at_s, self.answered_at_s, self.last_event_at_s)
-        return max(time_s for time_s in times_s if time_s is not None)
+        if self._response is not None:
+            return self._response.received_at_s
+        assert self.sent_at_s is not None
+        return self.sent_at_s
 
     def _make_ended_error(self) -> upstream.SendError:
         return upstream.SendError(
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -97,7 +97,11 @@
 
 
 class Response:
-    """An endpoint's response whose body is still being received."""
+    """An endpoint's response whose body is still being received.
+
+    Attributes:
+        received_at_s: Monotonic time at which a part of it was last received.
+    """
 
     def __init__(
         self,
@@ -107,6 +111,7 @@
     ) -> None:
         self.head = head
         self.relay = relay
+        self.received_at_s = clock.now_s()
         self.status = response.status
         self.headers = headers.select_headers(response.headers)
         self._response = response
@@ -175,6 +180,7 @@
             return prefetched
         try:
             chunk = await self._response.content.readany()
+            self.received_at_s = clock.now_s()
             if not chunk:
                 await self._check_body_end()
             return chunk
