Keep an attempt at an engine whose address resets, or that only relays could ask

By review of: an engine that drains has withdrawn its entry and may go on for long. If it is silent and full, it resets accepted connections, and an instance that is cut off is refused by all relays, as the address has no entry. Both counted as "accepts no connections", twice in a row, and ended a sound attempt, which then ran again.

Change: only a connection that is refused or hangs is evidence, and none while the instance is cut off. The new test fails with `is_reachable` in its place.

--- a/packages/forwarding/poplarwick_forwarding/ended_endpoints.py
+++ b/packages/forwarding/poplarwick_forwarding/ended_endpoints.py
@@ -25,8 +25,8 @@
 within which unused memory must be free; the checks take most of the rest."""
 
 FAILED_CONNECTIONS = 2
-"""Connections in a row that an endpoint whose entry is gone has to refuse;
-links also lose packets, and busy endpoints refuse some."""
+"""Connections in a row that have to be refused or to hang at the address of an
+endpoint whose entry is gone; links also lose packets."""
 
 
 class EndedEndpoints:
@@ -37,19 +37,19 @@
 
     Args:
         catalogue_: Known endpoints.
-        is_reachable: Returns whether the endpoint at an address accepts a
-            connection.
+        refuses_connections: Returns whether nothing accepts connections at an
+            address; not if that is unknown.
         read_bounds: Returns the bounds in force.
     """
 
     def __init__(
         self,
         catalogue_: catalogue.Catalogue,
-        is_reachable: Callable[[str], Awaitable[bool]],
+        refuses_connections: Callable[[str], Awaitable[bool]],
         read_bounds: Callable[[], deployment.Bounds],
     ) -> None:
         self._catalogue = catalogue_
-        self._is_reachable = is_reachable
+        self._refuses_connections = refuses_connections
         self._read_bounds = read_bounds
 
     async def wait_until_ended(
@@ -61,7 +61,8 @@
 
         It has if it is silent for long enough, its entry is gone or describes a
         later start, and its address belongs to another endpoint or accepts no
-        connections. While the store is out of reach, entries are kept, and
+        connections. A busy endpoint that resets what it has accepted has not
+        ended. While the store is out of reach, entries are kept, and
         nothing counts as ended.
 
         Args:
@@ -81,10 +82,10 @@
                 failures = 0
             elif self._has_endpoint_at(placement.address):
                 return
-            elif await self._is_reachable(placement.address):
-                failures = 0
-            else:
+            elif await self._refuses_connections(placement.address):
                 failures += 1
+            else:
+                failures = 0
 
     def _has_endpoint_at(self, address: str) -> bool:
         return any(
--- a/packages/forwarding/tests/test_ended_endpoints.py
+++ b/packages/forwarding/tests/test_ended_endpoints.py
@@ -43,17 +43,19 @@
         tracked = self.endpoints.get(name)
         return None if tracked is None else tracked.endpoint.start
 
-    async def is_reachable(self, address):
+    async def refuses_connections(self, address):
         assert address == ADDRESS
         self.connections += 1
-        return next(self.accepts, False)
+        return not next(self.accepts, False)
 
 
 def find_whether_ended(monkeypatch, fleet, registered, silent_s=9.0):
     """Returns whether an endpoint has ended, as its entry has changed."""
     monkeypatch.setattr(ended_endpoints, "CHECK_PERIOD_S", 0.01)
     ended = ended_endpoints.EndedEndpoints(
-        fleet, fleet.is_reachable, lambda: examples.make_bounds(free_s=4.0)
+        fleet,
+        fleet.refuses_connections,
+        lambda: examples.make_bounds(free_s=4.0),
     )
     active_at_s = clock.now_s() - silent_s
 
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -258,7 +258,7 @@
             notices,
             ended_endpoints.EndedEndpoints(
                 self.catalogue,
-                reach.is_reachable,
+                reach.refuses_connections,
                 lambda: instance_deployment.bounds,
             ),
             self.catalogue.quarantines,
--- a/packages/reach/poplarwick_reach/endpoint_reach.py
+++ b/packages/reach/poplarwick_reach/endpoint_reach.py
@@ -134,6 +134,25 @@
         except OSError:
             return False
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Returns whether nothing accepts connections at an address.
+
+        A reset of an accepted connection shows a process, which may be busy.
+        Relays connect to registered addresses only, so nothing is known while
+        this instance is cut off.
+
+        Args:
+            address: Host and port, which need not be registered.
+        """
+        if self.is_cut_off:
+            return False
+        try:
+            sock = await self._connect(address)
+        except OSError:
+            return True
+        sock.close()
+        return False
+
     async def open_relayed(
         self,
         address: str,
@@ -203,19 +222,23 @@
 
     async def _connect_directly(self, address: str) -> bool:
         """Returns whether a direct connection is made and stays open."""
-        host, _, port = address.rpartition(":")
+        try:
+            sock = await self._connect(address)
+        except OSError:
+            return False
         loop = asyncio.get_running_loop()
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            try:
-                await connection_attempt.connect(
-                    sock, self._host, (host, int(port)), PROBE_TIMEOUT_S
-                )
-            except OSError:
-                return False
-            with contextlib.suppress(TimeoutError):
-                async with time_limit.limit_time(PROBE_QUIET_S):
-                    try:
-                        return bool(await loop.sock_recv(sock, 1))
-                    except OSError:
-                        return False
-            return True
+        with sock, contextlib.suppress(TimeoutError):
+            async with time_limit.limit_time(PROBE_QUIET_S):
+                try:
+                    return bool(await loop.sock_recv(sock, 1))
+                except OSError:
+                    return False
+        return True
+
+    async def _connect(self, address: str) -> socket.socket:
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        await connection_attempt.connect(
+            sock, self._host, (host, int(port)), PROBE_TIMEOUT_S
+        )
+        return sock
--- a/packages/reach/tests/test_endpoint_reach.py
+++ b/packages/reach/tests/test_endpoint_reach.py
@@ -183,6 +183,23 @@
     assert asyncio.run(run()) is False
 
 
+# Guards against a draining engine that is taken for ended, as it resets
+# connections beyond its limit, or as relays refuse addresses without an entry.
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_endpoint_that_resets_connections_does_not_refuse_them(is_cut_off):
+    async def run():
+        async with serve(reset) as address:
+            reach = make_reach([address])
+            if is_cut_off:
+                reach.record_failed(address)
+            assert reach.is_cut_off is is_cut_off
+            assert not await reach.refuses_connections(address)
+        return await reach.refuses_connections(address)
+
+    # Without a listener, an instance that is cut off knows nothing.
+    assert asyncio.run(run()) is not is_cut_off
+
+
 def test_endpoint_without_a_listener_is_not_reached():
     async def run():
         async with serve(stay_open) as address:
