Print where generators wait when a test hangs

By review: a generator has no gi_await, so a Python `__await__` in a task ended the handler before the test failed. Shown with a scratch test that hangs in one.

--- a/conftest.py
+++ b/conftest.py
@@ -49,6 +49,9 @@
 """Time after which a test fails again: a callback of the event loop, or tasks
 that ignore their cancellation, may swallow the failure."""
 
+_AWAITED = {"cr": "cr_await", "gi": "gi_yieldfrom", "ag": "ag_await"}
+"""What coroutines and generators wait for, by the prefix of their attributes."""
+
 _unfinished: dict[str, None] = {}
 """Tests that have begun and not ended, in their order."""
 
@@ -94,10 +97,12 @@
     print(f"task {task.get_name()}:")
     awaited: Any = task.get_coro()
     while awaited is not None:
-        names = [name for name in dir(awaited) if name.endswith("_frame")]
-        frame = getattr(awaited, names[0]) if names else None
+        prefix = next(
+            (p for p in _AWAITED if hasattr(awaited, f"{p}_frame")), ""
+        )
+        frame = getattr(awaited, f"{prefix}_frame", None)
         if frame is None:
             print(f"  waits for {awaited!r}")
             return
         traceback.print_stack(frame, limit=1, file=sys.stdout)
-        awaited = getattr(awaited, names[0].replace("frame", "await"))
+        awaited = getattr(awaited, _AWAITED[prefix])
