--- a/conftest.py
+++ b/conftest.py
@@ -50,7 +50,7 @@
 that ignore their cancellation, may swallow the failure."""
 
 _AWAITED = {"cr": "cr_await", "gi": "gi_yieldfrom", "ag": "ag_await"}
-"""What coroutines and generators wait for, by the prefix of their attributes."""
+"""Attributes with what coroutines and generators wait for, by their prefix."""
 
 _unfinished: dict[str, None] = {}
 """Tests that have begun and not ended, in their order."""
--- a/packages/forwarding/tests/test_received_parts.py
+++ b/packages/forwarding/tests/test_received_parts.py
@@ -33,8 +33,8 @@
     writer.close()
 
 
-# Guards against an endpoint that counts as silent, and its answer as lost, while
-# parts of an answer arrive that is passed on as a whole.
+# Guards against an endpoint that counts as silent, and its answer as lost,
+# while parts of an answer arrive that is passed on as a whole.
 def test_part_of_a_body_ends_the_silence_of_its_endpoint():
     async def run():
         async with contextlib.AsyncExitStack() as stack:
