Read reports of engines that came while the own loop stood still

By review: after a standstill of 0.4 s all reports that the placer had asked for counted as missing. A missing one confirms a crash that is suspected, which can quarantine a request, and two in a row make engines doubted, whose requests are then tried elsewhere as well.

The new test fails without it.

--- a/packages/coordination/poplarwick_coordination/crash_probe.py
+++ b/packages/coordination/poplarwick_coordination/crash_probe.py
@@ -13,6 +13,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_coordination import reports
 from poplarwick_core import ids
+from poplarwick_core import time_limit
 
 
 class CrashProbe:
@@ -75,6 +76,6 @@
     async def _connect(self, endpoint: ids.EndpointId, address: str) -> None:
         is_reachable = False
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(reports.REPORT_TIMEOUT_S):
+            async with time_limit.limit_time(reports.REPORT_TIMEOUT_S):
                 is_reachable = await self._reader.is_reachable(address)
         self._on_connection(endpoint, is_reachable)
--- a/packages/coordination/poplarwick_coordination/reports.py
+++ b/packages/coordination/poplarwick_coordination/reports.py
@@ -13,6 +13,7 @@
 from poplarwick_catalogue import catalogue
 from poplarwick_core import clock
 from poplarwick_core import ids
+from poplarwick_core import time_limit
 from poplarwick_placement import engine_report
 
 REPORT_PERIOD_S = 1.0
@@ -72,7 +73,7 @@
         address: Host and port of the engine.
     """
     try:
-        async with asyncio.timeout(REPORT_TIMEOUT_S):
+        async with time_limit.limit_time(REPORT_TIMEOUT_S):
             return await reader.read_report(address)
     except (ReportError, TimeoutError):
         return None
--- a/packages/coordination/tests/test_reports.py
+++ b/packages/coordination/tests/test_reports.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 import types
 
 from poplarwick_catalogue import types as catalogue_types
@@ -68,3 +70,24 @@
     ]
     assert rates[0] == 24
     assert max(rates) <= 201
+
+
+# Guards against engines that are doubted, or counted as crashed, as the own loop
+# stood still when their reports came.
+def test_report_that_came_while_the_loop_stood_still_is_read():
+    own, engine = socket.socketpair()
+    own.setblocking(False)
+
+    class Reader:
+        async def read_report(self, address):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(stand_still)
+            await loop.sock_recv(own, 1)
+            return engine_report.EngineReport(1.0)
+
+    def stand_still():
+        time.sleep(1.5 * reports.REPORT_TIMEOUT_S)
+        engine.sendall(b"x")
+
+    with own, engine:
+        assert asyncio.run(reports.read(Reader(), "a")) is not None
