--- a/packages/coordination/tests/test_reports.py
+++ b/packages/coordination/tests/test_reports.py
@@ -72,8 +72,8 @@
     assert max(rates) <= 201
 
 
-# Guards against engines that are doubted, or counted as crashed, as the own loop
-# stood still when their reports came.
+# Guards against engines that are doubted, or counted as crashed, as the own
+# loop stood still when their reports came.
 def test_report_that_came_while_the_loop_stood_still_is_read():
     own, engine = socket.socketpair()
     own.setblocking(False)
