Count no standstill of the own process as silence of a peer

By review: a placer that stood still for over 0.8 s closed its sessions, as the check for silence was due before the messages that had arrived were read, and could then take itself for isolated. Instances left a placer in the same way.

Change: the lateness of the check does not count. The new test failed before; 140 tests of coordination, test_instances and test_placer_sessions pass.

--- a/packages/coordination/poplarwick_coordination/message_streams.py
+++ b/packages/coordination/poplarwick_coordination/message_streams.py
@@ -105,7 +105,14 @@
         while clock.now_s() - self.last_received_at_s < self._timeout_s:
             if has_overflowed():
                 return
+            due_at_s = clock.now_s() + HEARTBEAT_PERIOD_S
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
+            now_s = clock.now_s()
+            # What the peer has sent while this process stood still is unread.
+            lateness_s = max(now_s - due_at_s, 0.0)
+            self.last_received_at_s = min(
+                self.last_received_at_s + lateness_s, now_s
+            )
 
 
 class Receiver(Generic[Message]):
