Do not report an endpoint as unreachable that the own delay has missed

By review of: the instance no longer took itself for cut off, but the attempt still ended as "unreachable". The placer backs off from such an endpoint for all instances, and counts it as a sign that a request has crashed it.

Change: if the kernel had made the connection, the attempt is given up; nothing was sent, so it may be repeated, and counts as received by nobody. The new test failed before (UNREACHABLE); 138 tests of forwarding and reach pass.

--- a/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
+++ b/packages/forwarding/poplarwick_forwarding/endpoint_attempt.py
@@ -245,7 +245,9 @@
                 result, blamed = error.result, error.blamed
                 if result is messages.Result.UNREACHABLE:
                     self._progress.unreachable |= {self.placement.endpoint}
-                else:
+                elif (
+                    error.may_have_run or result is not messages.Result.GIVEN_UP
+                ):
                     self._progress.receipts += 1
                 if error.is_cut:
                     answer = self._make_answer_end(is_complete=False)
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -323,7 +323,9 @@
         ) as error:
             raise SendError(
                 f"cannot connect to {address}: {error!r}",
-                messages.Result.UNREACHABLE,
+                messages.Result.GIVEN_UP
+                if info.is_late
+                else messages.Result.UNREACHABLE,
                 may_have_run=False,
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/packages/reach/poplarwick_reach/connector.py
+++ b/packages/reach/poplarwick_reach/connector.py
@@ -28,11 +28,14 @@
         label: Id of the request, for logs.
         relay: Instance that relays the connection; None if it is direct.
         has_relay_ended: Whether that instance has ended it by stopping.
+        is_late: Whether a direct connection was made, but so late was this
+            process that its time limit ended it.
     """
 
     label: str = ""
     relay: str | None = None
     has_relay_ended: bool = False
+    is_late: bool = False
 
     def record_relay_end(self) -> None:
         """Records that the relay has ended the connection by stopping."""
@@ -152,6 +155,8 @@
         sock = _SOCKET.get()
         if sock is None or not sock.was_connected:
             self._reach.record_failed(address)
+        elif info := CONNECTION_INFO.get():
+            info.is_late = True
 
     async def _open_relayed(
         self, address: str, req: client_reqrep.ClientRequest
