Remove an ended instance's entry only as it is known

A process that starts under the name of an ended instance could lose the entry that it has just written. Until it writes it again, 2 s later, its requests have no placer and it counts for no limit and no relay.

Cause: the placer's removal was a Delete without a condition. The list of ended instances was taken before calls that are made one after the other, and the mirror may lag. After a restore of the store, it was also sent for entries that the store no longer has. Also, Electorate.update_members compared names: if the removal of an entry and the next one arrived in one batch, the announced end of the former process was held against the new one.

Change: the removal depends on the known revision of the entry, as in Registration.withdraw; a conflict is no error, and a carried entry is left. Whether an instance has ended is checked again before its call. MemberItem has the revision of its entry, by which the electorate notices that an instance has registered anew.

Left: a process that finds the former entry with its own address writes none, so that this entry may still be removed; it writes it again at its next check.

--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -56,12 +56,16 @@
         address: Host and port of its service for other instances.
         strength: Processor time and network bandwidth relative to a typical
             instance, at most 1.
+        domain: Its failure domain; empty if it is unknown.
+        revision: Revision of the store at which the entry was written, in the
+            era in which this instance learned of it.
     """
 
     instance: ids.InstanceId
     address: str
     strength: float = 1.0
     domain: ids.DomainId = ids.DomainId("")
+    revision: kv.Revision = kv.Revision(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -288,7 +292,9 @@
                     log_events.DomainTakenOut(domain=domain, revision=revision)
                 )
             case MemberItem(instance):
-                self.members[instance] = item
+                self.members[instance] = dataclasses.replace(
+                    item, revision=revision
+                )
             case QuarantineItem(quarantine):
                 self.quarantines.merge(quarantine)
             case InvalidItem():
--- a/packages/coordination/poplarwick_coordination/electorate.py
+++ b/packages/coordination/poplarwick_coordination/electorate.py
@@ -10,8 +10,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 
+from poplarwick_catalogue import catalogue
 from poplarwick_core import ids
 
 
@@ -28,18 +30,21 @@
         self._has_started: set[ids.InstanceId] = set()
         self._refuses: set[ids.InstanceId] = set()
         self._leaving: set[ids.InstanceId] = set()
-        self._members: AbstractSet[ids.InstanceId] = frozenset()
+        self._members: dict[ids.InstanceId, catalogue.MemberItem] = {}
 
-    def update_members(self, members: AbstractSet[ids.InstanceId]) -> None:
+    def update_members(
+        self, members: Mapping[ids.InstanceId, catalogue.MemberItem]
+    ) -> None:
         """Takes over a change of the members, at once.
 
         What is known of an instance that has registered is about the process
-        before it.
+        before it, also if the removal of its entry was learned with that.
         """
         if members != self._members:
-            for instance in members - self._members:
-                self.forget(instance)
-            self._members = frozenset(members)
+            for instance, member in members.items():
+                if member != self._members.get(instance):
+                    self.forget(instance)
+            self._members = dict(members)
 
     def record_connected(self, instance: ids.InstanceId) -> None:
         """Records that an instance has accepted a connection."""
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -645,7 +645,7 @@
         session.send(message)
 
     def _update_members(self) -> None:
-        self._electorate.update_members(self._catalogue.members.keys())
+        self._electorate.update_members(self._catalogue.members)
 
     def _dial_members(self) -> None:
         former = self._former.list_recent(clock.now_s())
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -56,7 +56,10 @@
         ...
 
     async def remove_member(self, instance: ids.InstanceId) -> None:
-        """Removes the member entry of an instance."""
+        """Removes the member entry of an instance as it is known here.
+
+        An entry that was written anew meanwhile stays.
+        """
         ...
 
 
@@ -227,7 +230,9 @@
         # Calls that time out would delay the heartbeats of the own instance.
         if self._receives_store_updates():
             for instance in local_placer.find_ended(MEMBER_REMOVAL_S):
-                await self._control.remove_member(instance)
+                # It may have come back during the calls before.
+                if instance in local_placer.find_ended(MEMBER_REMOVAL_S):
+                    await self._control.remove_member(instance)
 
     def _attach(
         self, local_placer: placer.Placer, epoch: ids.Epoch
--- a/packages/coordination/tests/test_placer_role.py
+++ b/packages/coordination/tests/test_placer_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import types
 
 import pytest
 
@@ -44,24 +45,28 @@
     )
 
 
+def make_role(client, found, store_mirror, control=None):
+    return placer_role.PlacerRole(
+        ids.InstanceId("placer"),
+        found,
+        store_mirror,
+        examples.make_deployment(),
+        lambda address: None,
+        client,
+        None,
+        lambda: True,
+        control,
+        Notices(),
+    )
+
+
 # Guards against a tenure that is renewed without a placer and free for no one.
 def test_placer_begins_again_after_an_unexpected_error():
     async def run():
         store_mirror = mirror.Mirror()
         found = catalogue.Catalogue(store_mirror, lambda key, value: None)
         client = make_client(found, store_mirror, FailingClient)
-        role = placer_role.PlacerRole(
-            ids.InstanceId("placer"),
-            found,
-            store_mirror,
-            examples.make_deployment(),
-            lambda address: None,
-            client,
-            None,
-            lambda: True,
-            None,
-            Notices(),
-        )
+        role = make_role(client, found, store_mirror)
         role.set_epoch(ids.Epoch(1))
         with pytest.raises(RuntimeError):
             await role.run()
@@ -74,3 +79,25 @@
         await asyncio.wait((restarted,))
 
     asyncio.run(run())
+
+
+# Guards against the removal of a new entry, as the calls before it were slow.
+def test_instance_that_came_back_during_a_removal_keeps_its_entry():
+    ended, removed = ["b", "c", "d"], []
+
+    async def remove(instance):
+        removed.append(instance)
+        ended[:] = ["d"]
+
+    async def run():
+        store_mirror = mirror.Mirror()
+        found = catalogue.Catalogue(store_mirror, lambda key, value: None)
+        control = types.SimpleNamespace(remove_member=remove)
+        role = make_role(None, found, store_mirror, control)
+        local_placer = types.SimpleNamespace(
+            find_ended=lambda longer_than_s: list(ended)
+        )
+        await role._remove_ended_members(local_placer)
+        assert removed == ["b", "d"]
+
+    asyncio.run(run())
--- a/packages/coordination/tests/test_start_of_fleet.py
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -206,8 +206,10 @@
         pass
 
 
-def make_placer(errors, fleet_starts_until_s, *, hears_store=True):
-    instance_catalogue = catalogue.Catalogue(mirror.Mirror(), lambda *_: None)
+def make_placer(errors, fleet_starts_until_s, *, hears_store=True, known=None):
+    instance_catalogue = known or catalogue.Catalogue(
+        mirror.Mirror(), lambda *_: None
+    )
     instance_catalogue.members.update(make_members())
     # The last error repeats.
     errors_by_address = {
@@ -290,6 +292,38 @@
     asyncio.run(run())
 
 
+# Guards against a new process that is taken for the one before it, as the
+# placer hears of its entry and of the removal at once.
+def test_instance_that_came_back_between_two_changes_has_not_ended():
+    async def run():
+        store_mirror = mirror.Mirror()
+        known = catalogue.Catalogue(
+            store_mirror, lambda key, value: catalogue.MemberItem(key, "c:1")
+        )
+        read_store(store_mirror)
+        serving = make_placer((REFUSED,), 0.0, known=known)
+        electorate = serving._electorate
+        store_mirror.apply_changes(
+            (kv.Change("c", kv.Entry("c", b"", 10, 10), 10),),
+            kv.Position(0, 10),
+        )
+        electorate.record_heartbeat("c", is_leaving=True)
+        electorate.record_refused("c")
+        known.refresh()
+        assert electorate.has_ended("c")
+        store_mirror.apply_changes(
+            (
+                kv.Change("c", None, 11),
+                kv.Change("c", kv.Entry("c", b"", 12, 12), 12),
+            ),
+            kv.Position(0, 12),
+        )
+        assert not electorate.has_ended("c")
+        serving.stop()
+
+    asyncio.run(run())
+
+
 # Guards against two placers: those that are gone may be back behind a cut.
 @pytest.mark.parametrize(
     ("hears_store", "error", "has_majority"),
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -361,16 +361,25 @@
             logs.log(log_events.HandoverUnanswered())
 
     async def remove_member(self, instance: ids.InstanceId) -> None:
-        """Removes the store entry of an instance that no longer runs."""
+        """Removes the store entry of an instance that no longer runs.
+
+        An entry that its next process has written meanwhile stays.
+        """
         key = keys.MEMBER_PREFIX + instance
+        entry = self.mirror.get(key)
+        if entry is None or self.mirror.is_carried(key):
+            return
         try:
-            await self.store_client.commit(
-                (), (kv.Delete(key),), kv.Purpose.HOUSEKEEPING
+            result = await self.store_client.commit(
+                (kv.KeyUnchanged(key, entry.mod_revision),),
+                (kv.Delete(key),),
+                kv.Purpose.HOUSEKEEPING,
             )
         except kv.KvError as error:
             logs.log(coordination_events.TenureCallFailed(reason=str(error)))
             return
-        logs.log(coordination_events.MemberForgotten(peer=instance))
+        if isinstance(result, kv.Committed):
+            logs.log(coordination_events.MemberForgotten(peer=instance))
 
     def _read_takeover_state(self) -> tenure.TakeoverState:
         disconnected_s = None
