Remove ended members beside the supervision of the placer

While the store is slow, requests of the placer's own instance could be placed late or alone, and a placer could go on for seconds after its tenure or its majority.

Cause: the calls that remove entries were awaited in the loop that sends the own heartbeats and checks majority and tenure, one after the other and up to 1 s each. If they failed, the loop made them again in each of its rounds, every 20 to 200 ms.

Change: they run in a task of their own, every 0.5 s, or 2 to 5 s after a failure. A failure ends the round and is logged as member_not_forgotten in place of tenure_call_failed. The task ends with the tenure.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -367,6 +367,20 @@
     peer: str
 
 
+class MemberNotForgotten(logs.Event, frozen=True, kw_only=True):
+    """The member entry of an ended instance could not be removed.
+
+    The placer tries again some seconds later.
+
+    Attributes:
+        reason: The error.
+    """
+
+    level = "WARNING"
+
+    reason: str
+
+
 class PlacerTold(logs.Event, frozen=True, kw_only=True):
     """The placer was sent store changes that it had not received itself.
 
--- a/packages/coordination/poplarwick_coordination/placer_role.py
+++ b/packages/coordination/poplarwick_coordination/placer_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Protocol
@@ -47,6 +48,13 @@
 """Time after which an unreachable instance is removed from the members. An
 instance that was only partitioned writes its entry again."""
 
+REMOVAL_PERIOD_S = 0.5
+"""Interval at which the placer removes the entries of ended instances."""
+
+REMOVAL_RETRY_MIN_S = 2.0
+REMOVAL_RETRY_MAX_S = 5.0
+"""Bounds of the delay after a removal that failed, drawn at random."""
+
 
 class ClusterControl(Protocol):
     """Changes that the placer makes to cluster state in the store."""
@@ -59,6 +67,9 @@
         """Removes the member entry of an instance as it is known here.
 
         An entry that was written anew meanwhile stays.
+
+        Raises:
+            kv.KvError: The store does not answer; try again later.
         """
         ...
 
@@ -168,10 +179,13 @@
             self._former_members,
         )
         placer_task = asyncio.create_task(local_placer.run())
+        # Calls to a slow store must not delay the supervision.
+        removal_task = asyncio.create_task(self._run_removals(local_placer))
         try:
             await self._supervise(local_placer, epoch, placer_task)
         finally:
             self._placer = None
+            removal_task.cancel()
             placer_task.cancel()
             await asyncio.wait((placer_task,))
             local_placer.stop()
@@ -216,7 +230,6 @@
                     local_placer.handle(
                         attached[1], self._placement_client.make_heartbeat()
                     )
-                await self._remove_ended_members(local_placer)
                 await asyncio.sleep(
                     LOCAL_HEARTBEAT_PERIOD_S
                     if attached is not None
@@ -226,8 +239,21 @@
             if attached is not None:
                 self._placement_client.detach(attached[0], "tenure_ended")
 
+    async def _run_removals(self, local_placer: placer.Placer) -> None:
+        """Removes the entries of ended instances until cancelled."""
+        while True:
+            pause_s = REMOVAL_PERIOD_S
+            try:
+                await self._remove_ended_members(local_placer)
+            except Exception as error:
+                logs.log(log_events.MemberNotForgotten(reason=repr(error)))
+                pause_s = random.uniform(
+                    REMOVAL_RETRY_MIN_S, REMOVAL_RETRY_MAX_S
+                )
+            await asyncio.sleep(pause_s)
+
     async def _remove_ended_members(self, local_placer: placer.Placer) -> None:
-        # Calls that time out would delay the heartbeats of the own instance.
+        # Without its updates, entries may be newer than they are known here.
         if self._receives_store_updates():
             for instance in local_placer.find_ended(MEMBER_REMOVAL_S):
                 # It may have come back during the calls before.
--- a/packages/coordination/tests/test_placer_role.py
+++ b/packages/coordination/tests/test_placer_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import types
 
 import pytest
@@ -10,8 +11,10 @@
 from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
 from poplarwick_coordination import placement_client
+from poplarwick_coordination import placer
 from poplarwick_coordination import placer_role
 from poplarwick_core import ids
+from poplarwick_platform import kv
 from poplarwick_platform import mirror
 
 
@@ -101,3 +104,74 @@
         assert removed == ["b", "d"]
 
     asyncio.run(run())
+
+
+class SlowControl:
+    """Removes members as its store allows; records calls."""
+
+    def __init__(self, answer):
+        self.calls = 0
+        self._answer = answer
+
+    async def remove_member(self, instance):
+        self.calls += 1
+        await self._answer()
+
+
+async def wait_forever():
+    await asyncio.Event().wait()
+
+
+async def fail():
+    raise kv.UnavailableError("away")
+
+
+@contextlib.asynccontextmanager
+async def removing(monkeypatch, answer):
+    """Runs a role whose placer has a member to remove."""
+    monkeypatch.setattr(
+        placer.Placer, "find_ended", lambda self, longer_than_s: ["b"]
+    )
+    monkeypatch.setattr(placer_role, "LOCAL_HEARTBEAT_PERIOD_S", 0.01)
+    store_mirror = mirror.Mirror()
+    found = catalogue.Catalogue(store_mirror, lambda key, value: None)
+    client = make_client(found, store_mirror, placement_client.PlacementClient)
+    control = SlowControl(answer)
+    role = make_role(client, found, store_mirror, control)
+    role.set_epoch(ids.Epoch(1))
+    running = asyncio.create_task(role.run())
+    try:
+        async with asyncio.timeout(5.0):
+            while not control.calls or client.connection is None:
+                await asyncio.sleep(0.001)
+        yield role, client, control
+    finally:
+        running.cancel()
+        await asyncio.wait((running,))
+
+
+# Guards against a slow store that keeps a placer beyond its tenure, or delays
+# the heartbeats of its own instance.
+def test_supervision_does_not_wait_for_removals(monkeypatch):
+    async def run():
+        async with removing(monkeypatch, wait_forever) as (role, client, _):
+            heard_at_s = client.connection.last_received_at_s
+            async with asyncio.timeout(5.0):
+                while client.connection.last_received_at_s == heard_at_s:
+                    await asyncio.sleep(0.001)
+                role.set_epoch(None)
+                while client.connection is not None:
+                    await asyncio.sleep(0.001)
+
+    asyncio.run(run())
+
+
+# Guards against calls without a pause while the store fails.
+def test_removal_that_failed_is_not_repeated_at_once(monkeypatch):
+    async def run():
+        async with removing(monkeypatch, fail) as (_, client, control):
+            await asyncio.sleep(0.3)
+            assert client.connection is not None
+            assert control.calls == 1
+
+    asyncio.run(run())
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -364,20 +364,19 @@
         """Removes the store entry of an instance that no longer runs.
 
         An entry that its next process has written meanwhile stays.
+
+        Raises:
+            kv.KvError: The store does not answer.
         """
         key = keys.MEMBER_PREFIX + instance
         entry = self.mirror.get(key)
         if entry is None or self.mirror.is_carried(key):
             return
-        try:
-            result = await self.store_client.commit(
-                (kv.KeyUnchanged(key, entry.mod_revision),),
-                (kv.Delete(key),),
-                kv.Purpose.HOUSEKEEPING,
-            )
-        except kv.KvError as error:
-            logs.log(coordination_events.TenureCallFailed(reason=str(error)))
-            return
+        result = await self.store_client.commit(
+            (kv.KeyUnchanged(key, entry.mod_revision),),
+            (kv.Delete(key),),
+            kv.Purpose.HOUSEKEEPING,
+        )
         if isinstance(result, kv.Committed):
             logs.log(coordination_events.MemberForgotten(peer=instance))
 
