--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -361,16 +361,24 @@
             logs.log(log_events.HandoverUnanswered())
 
     async def remove_member(self, instance: ids.InstanceId) -> None:
-        """Removes the store entry of an instance that no longer runs."""
+        """Removes the store entry of an instance that no longer runs.
+
+        An entry that its next process has written meanwhile stays.
+
+        Raises:
+            kv.KvError: The store does not answer.
+        """
         key = keys.MEMBER_PREFIX + instance
-        try:
-            await self.store_client.commit(
-                (), (kv.Delete(key),), kv.Purpose.HOUSEKEEPING
-            )
-        except kv.KvError as error:
-            logs.log(coordination_events.TenureCallFailed(reason=str(error)))
+        entry = self.mirror.get(key)
+        if entry is None or self.mirror.is_carried(key):
             return
-        logs.log(coordination_events.MemberForgotten(peer=instance))
+        result = await self.store_client.commit(
+            (kv.KeyUnchanged(key, entry.mod_revision),),
+            (kv.Delete(key),),
+            kv.Purpose.HOUSEKEEPING,
+        )
+        if isinstance(result, kv.Committed):
+            logs.log(coordination_events.MemberForgotten(peer=instance))
 
     def _read_takeover_state(self) -> tenure.TakeoverState:
         disconnected_s = None
