Cap what the kernel takes of a relayed connection, as for callers

Seen in a review: from 8 GiB of memory on, a stopping instance with one unsent relayed connection cut all its own streams at the stop's `prepares_at_s`.

Cause: the relays' hand-over gave a single connection all of the memory for buffers. setsockopt refuses a size of 2**31 with a TypeError, which ended the stop. The callers' hand-over had a cap for each connection.

Change: both use `socket_buffers.hand_over_unsent`, which has the cap and passes over connections that have been reset.

Evidence: test_large_memory_for_a_single_connection_is_handed_over (2**40 bytes) failed before with "TypeError: a bytes-like object is required, not 'int'", passes now. packages/reach, packages/forwarding and packages/core pass.

--- a/packages/core/poplarwick_core/socket_buffers.py
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -7,7 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+from collections.abc import Iterable
+
+MAX_HANDOVER_BYTES = 8 << 20
+"""Most that the kernel takes of one connection at the end: the largest response
+that is gathered in memory (`upstream.MAX_BODY_BYTES`)."""
 
 
 def limit_buffers(sock: socket.socket, size_bytes: int) -> None:
@@ -24,24 +30,40 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
 
 
-def extend_send_buffer(
-    transport: asyncio.BaseTransport, size_bytes: int
-) -> None:
-    """Sets the size of a connection's send buffer.
-
-    What it holds is sent on after the process has ended.
+def list_unsent(
+    transports: Iterable[asyncio.Transport | None],
+) -> list[asyncio.Transport]:
+    """Returns the connections with data that the kernel has not taken.
 
     Args:
-        transport: A connection.
-        size_bytes: Size of the buffer; Linux doubles it for its own records and
-            limits it to that of the system (`net.core.wmem_max`).
+        transports: Connections; None for those that have ended.
+    """
+    return [
+        transport
+        for transport in transports
+        if transport is not None and transport.get_write_buffer_size()
+    ]
 
-    Raises:
-        OSError: The connection is closed.
+
+def hand_over_unsent(unsent: list[asyncio.Transport], total_bytes: int) -> None:
+    """Lets the kernel take what the other sides have not read yet.
+
+    It goes on sending after the process has ended. Linux limits each buffer to
+    that of the system (`net.core.wmem_max`).
+
+    Args:
+        unsent: Connections with unsent data.
+        total_bytes: Memory for all connections.
     """
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes
-    )
+    if not unsent:
+        return
+    size_bytes = min(total_bytes // len(unsent), MAX_HANDOVER_BYTES)
+    for transport in unsent:
+        # The other side may have reset it; the event loop will notice.
+        with contextlib.suppress(OSError):
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes
+            )
 
 
 def make_listening_socket(
--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -36,11 +36,6 @@
 """Interval between checks whether callers have closed their connections."""
 
 
-MAX_HANDOVER_BYTES = 8 << 20
-"""Most that the kernel takes of one connection at the end: the largest answer
-that is gathered in memory."""
-
-
 class Stage(enum.Enum):
     """How far the request of a connection has come."""
 
@@ -172,19 +167,12 @@
         Args:
             total_bytes: Memory for all connections.
         """
-        unsent = [
-            transport
-            for connection in self._read_connections()
-            if (transport := connection.transport) is not None
-            and transport.get_write_buffer_size()
-        ]
-        if not unsent:
-            return
-        size_bytes = min(total_bytes // len(unsent), MAX_HANDOVER_BYTES)
-        for transport in unsent:
-            # The caller may have reset it; the event loop will notice.
-            with contextlib.suppress(OSError):
-                socket_buffers.extend_send_buffer(transport, size_bytes)
+        socket_buffers.hand_over_unsent(
+            socket_buffers.list_unsent(
+                connection.transport for connection in self._read_connections()
+            ),
+            total_bytes,
+        )
 
     def log_open(self) -> None:
         """Logs each connection that is cut at the end of a stop."""
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import types
 from collections.abc import Awaitable
@@ -119,9 +118,12 @@
         Args:
             total_bytes: Memory for all connections.
         """
-        unsent = [c for c in self._connections if c.unsent_bytes]
-        for connection in unsent:
-            connection.extend_send_buffer(total_bytes // len(unsent))
+        socket_buffers.hand_over_unsent(
+            socket_buffers.list_unsent(
+                connection.transport for connection in self._connections
+            ),
+            total_bytes,
+        )
 
     async def end_connections(
         self, total_bytes: int, catch_up_s: float
@@ -290,13 +292,6 @@
             )
         )
 
-    def extend_send_buffer(self, size_bytes: int) -> None:
-        """Lets the kernel take some bytes that the instance does not read."""
-        assert self.transport is not None
-        # The instance may have reset it; the event loop will notice.
-        with contextlib.suppress(OSError):
-            socket_buffers.extend_send_buffer(self.transport, size_bytes)
-
     def cut(self) -> None:
         """Ends the connection behind what has been received."""
         if self.transport is None or self.is_ending:
--- a/packages/reach/tests/test_relay_server.py
+++ b/packages/reach/tests/test_relay_server.py
@@ -131,6 +131,19 @@
     run(scenario, PARTS, is_ended=True)
 
 
+# Guards against stops that fail as the memory of the instance, divided among
+# few connections, exceeds what the system takes for the size of a buffer.
+def test_large_memory_for_a_single_connection_is_handed_over():
+    async def scenario(site):
+        await site.relay.end_connections(1 << 40, 0.1)
+        assert await site.relay.wait_until_idle(1.0)
+        content, end, _ = await site.read()
+        assert content == PART * PARTS
+        assert end is None
+
+    run(scenario, PARTS, is_ended=True)
+
+
 # Guards against endpoints that are blamed for the end of a relay.
 def test_relay_that_cuts_a_stream_says_so_after_all_that_it_has_received(
     lines,
