Don't reduce the send buffers that a stop has extended

Seen in a review: a stop hands unsent data to the kernel several times. With more connections at a later time, buffers that had been extended got a smaller share, so the kernel took no more of their data until it had sent the excess.

Cause: each time, all connections got an equal share of the memory.

Change: buffers that are larger than an equal share keep their sizes; the others share what is left.

Evidence: test_extended_buffer_is_not_reduced_for_later_connections failed before (70,997 bytes in place of 131,072), passes now. packages/core, packages/reach and packages/forwarding pass.

--- a/packages/core/poplarwick_core/socket_buffers.py
+++ b/packages/core/poplarwick_core/socket_buffers.py
@@ -49,16 +49,25 @@
     """Lets the kernel take what the other sides have not read yet.
 
     It goes on sending after the process has ended. Linux limits each buffer to
-    that of the system (`net.core.wmem_max`).
+    that of the system (`net.core.wmem_max`). Buffers that are larger than an
+    equal share keep their sizes, and the others share what is left.
 
     Args:
         unsent: Connections with unsent data.
         total_bytes: Memory for all connections.
     """
-    if not unsent:
-        return
-    size_bytes = min(total_bytes // len(unsent), MAX_HANDOVER_BYTES)
-    for transport in unsent:
+    sizes = sorted(
+        ((_read_send_buffer(transport), transport) for transport in unsent),
+        key=lambda pair: pair[0],
+        reverse=True,
+    )
+    for index, (present_bytes, transport) in enumerate(sizes):
+        size_bytes = min(
+            total_bytes // (len(sizes) - index), MAX_HANDOVER_BYTES
+        )
+        total_bytes -= max(size_bytes, present_bytes)
+        if size_bytes <= present_bytes:
+            continue
         # The other side may have reset it; the event loop will notice.
         with contextlib.suppress(OSError):
             transport.get_extra_info("socket").setsockopt(
@@ -66,6 +75,17 @@
             )
 
 
+def _read_send_buffer(transport: asyncio.Transport) -> int:
+    """Returns the size that was set for a send buffer; 0 if it is closed."""
+    try:
+        doubled_bytes: int = transport.get_extra_info("socket").getsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF
+        )
+    except OSError:
+        return 0
+    return doubled_bytes // 2
+
+
 def make_listening_socket(
     host: str, port: int, size_bytes: int
 ) -> socket.socket:
