End own requests in order when the end of relayed connections fails

Seen in a review: an error in the part of a stop that ends relayed connections cut all own requests of the instance at once, without the log lines, the releases of memory and the withdrawal from the store that follow.

Cause: the part is awaited together with the own requests, and only the callers' preparations were guarded.

Change: its errors are logged (`task_failed`). When only the hand-over fails, relayed connections still have their time.

--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import Any
 
@@ -466,11 +467,9 @@
         wait_until_idle = self.frontend.wait_until_idle
         if await wait_until_idle(schedule.prepares_at_s - clock.now_s()):
             return
-        try:
+        # Requests still have their time.
+        with _log_faults():
             self.frontend.prepare_for_end()
-        except Exception as error:
-            # Requests still have their time.
-            logs.log(log_events.TaskFailed(reason=repr(error)))
         if await wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
         assert self._stop_signal is not None
@@ -486,10 +485,17 @@
         self, schedule: stop_schedule.StopSchedule
     ) -> None:
         """Waits for the connections that are relayed until they are cut."""
+        # The requests of callers end in order whatever becomes of them.
+        with _log_faults():
+            await self._end_relayed(schedule)
+
+    async def _end_relayed(self, schedule: stop_schedule.StopSchedule) -> None:
         relays = self.relay_server
         if await relays.wait_until_idle(schedule.prepares_at_s - clock.now_s()):
             return
-        relays.hand_over_unsent(self.buffers.limits.total_bytes)
+        # Connections still have their time.
+        with _log_faults():
+            relays.hand_over_unsent(self.buffers.limits.total_bytes)
         if await relays.wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
         await relays.end_connections(
@@ -572,6 +578,15 @@
     await instance.run(stop)
 
 
+@contextlib.contextmanager
+def _log_faults() -> Iterator[None]:
+    """Logs an error that must not end a stop."""
+    try:
+        yield
+    except Exception as error:
+        logs.log(log_events.TaskFailed(reason=repr(error)))
+
+
 async def _run_with_restarts(
     run_component: Callable[[], Coroutine[Any, Any, None]],
 ) -> None:
--- a/tests/adapter/test_relayed_streams.py
+++ b/tests/adapter/test_relayed_streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import crashing_fleet
 import network_cuts
 import platform_cluster
@@ -142,3 +143,46 @@
     ]
     assert "result=given_up" in failure
     assert [line for line in lines if "event=relayed_connection_cut" in line]
+
+
+@pytest.mark.parametrize("step", ["hand_over_unsent", "wait_until_idle"])
+# Guards against own requests that are cut at once, as the end of a relayed
+# connection fails.
+def test_own_requests_end_in_order_whatever_becomes_of_relayed_ones(
+    tmp_path, lines, monkeypatch, step
+):
+    def fail(*_):
+        raise TypeError("no size of a buffer")
+
+    async def scenario():
+        async with run_cut_cluster(tmp_path, event_interval_s=0.15) as (
+            cluster,
+            cut,
+        ):
+
+            async def stream(instance):
+                async with stop_calls.make_call(
+                    cluster,
+                    instance=cluster.instances.index(instance),
+                    tokens=3_000,
+                ) as response:
+                    return await response.read()
+
+            relayed = asyncio.create_task(stream(cut))
+            relay = await find_relay(cluster)
+            own = asyncio.create_task(stream(relay))
+            await platform_cluster.wait_until(
+                lambda: len(find_executions(cluster)) == 2
+            )
+            monkeypatch.setattr(relay.node.relay_server, step, fail)
+            relay.stop.set()
+            await relay.task
+            await relayed
+            # It outlasts the stop.
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await own
+
+    asyncio.run(scenario())
+    assert [line for line in lines if "event=task_failed" in line]
+    (cuts,) = [line for line in lines if "event=stop_cuts_requests" in line]
+    assert "in_progress=1" in cuts
