--- a/tests/adapter/test_relayed_streams.py
+++ b/tests/adapter/test_relayed_streams.py
@@ -9,6 +9,7 @@
 import crashing_fleet
 import network_cuts
 import platform_cluster
+import pytest
 import slow_callers
 import stop_calls
 
