Leave the removal of the own entry time beside slow releases

An instance whose releases of memory are slow at the end of its stop left its entry in the store, and nothing in the log told of one that had changed.

Cause: the releases and the removal of the entry had the same end, one after the other, so that releases that use up their time left the removal none. A conflict in Registration.withdraw was no error and was dropped.

Slow releases go on beside it; both end by releases_until_s. Not side by side from the start: a release may open a connection through a relay, which serves members only. A conflict is logged as registration_not_withdrawn with what has become of the entry.

Before: test_entry_is_removed_in_time_and_after_releases_that_end[True] and both cases of test_entry_that_changed_before_its_removal_is_logged fail. After: these pass; coordination, platform, test_platform_instance, test_stop_schedule and test_several_stops (181 passed); test_stopping, test_ends_of_stops, test_store_restore, test_foreign_values and test_codecs (115 passed).

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -18,12 +18,12 @@
 
 
 class RegistrationNotWithdrawn(logs.Event, frozen=True, kw_only=True):
-    """The member entry of this instance could not be removed as it ends.
+    """This instance did not remove its member entry as it ends.
 
-    The placer removes it.
+    The placer removes it, unless another process has written it.
 
     Attributes:
-        reason: Error of the call.
+        reason: Error of the call, or how the entry has changed meanwhile.
     """
 
     level = "WARNING"
--- a/packages/coordination/poplarwick_coordination/registration.py
+++ b/packages/coordination/poplarwick_coordination/registration.py
@@ -91,13 +91,17 @@
             ):
                 return
             try:
-                await self._client.commit(
+                result = await self._client.commit(
                     (kv.KeyUnchanged(self._key, entry.mod_revision),),
                     (kv.Delete(self._key),),
                     kv.Purpose.HOUSEKEEPING,
                 )
             except kv.KvError as error:
                 logs.log(log_events.RegistrationNotWithdrawn(reason=str(error)))
+                return
+        if isinstance(result, kv.Conflict):
+            reason = "written anew" if result.current else "already removed"
+            logs.log(log_events.RegistrationNotWithdrawn(reason=reason))
 
     async def _wait_for_configuration(self) -> None:
         """Waits until the store was read, which tells whether to write."""
--- a/packages/coordination/tests/test_registration.py
+++ b/packages/coordination/tests/test_registration.py
@@ -8,6 +8,7 @@
 import pytest
 
 from poplarwick_catalogue import catalogue
+from poplarwick_coordination import log_events
 from poplarwick_coordination import registration
 from poplarwick_platform import kv
 from poplarwick_platform import mirror
@@ -19,6 +20,8 @@
 class Store:
     """Client of a store that records what is committed."""
 
+    result = kv.Committed(kv.Revision(10), 0)
+
     def __init__(self, error=None):
         self.commits = []
         self.may_answer = asyncio.Event()
@@ -30,7 +33,7 @@
         self.commits.append((conditions, operations))
         if self._error is not None:
             raise self._error
-        return kv.Committed(kv.Revision(10), 0)
+        return self.result
 
 
 def make_registration(store, value=VALUE):
@@ -74,6 +77,23 @@
     asyncio.run(run())
 
 
+# Guards against an entry that stays without a word in the log.
+@pytest.mark.parametrize("current", [(kv.Entry(KEY, b"a:2", 5, 8),), ()])
+def test_entry_that_changed_before_its_removal_is_logged(current, monkeypatch):
+    logged = []
+    monkeypatch.setattr(registration.logs, "log", logged.append)
+
+    async def run():
+        store = Store()
+        store.result = kv.Conflict(kv.Revision(9), current)
+        await make_registration(store).withdraw()
+
+    asyncio.run(run())
+    (event,) = logged
+    assert isinstance(event, log_events.RegistrationNotWithdrawn)
+    assert ("anew" in event.reason) is bool(current)
+
+
 # Guards against an entry that is written while the instance removes it.
 def test_removed_entry_is_not_written_again():
     async def run():
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -70,6 +70,10 @@
 """Longest time for which the end waits until the store has removed this
 instance's entry; a few network round trips. The placer removes it otherwise."""
 
+WITHDRAWAL_SHARE = 0.5
+"""Part of the time for releases of memory that is left to the removal of the
+entry if they are slow."""
+
 CUT_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
 """Longest wait for requests to end that are cut off, which takes a few steps of
 the event loop."""
@@ -463,8 +467,7 @@
         )
         # Requests that are cut off release memory of engines.
         await self.frontend.close_connections(schedule.closes_until_s)
-        await self._drain_reservations(schedule.releases_until_s)
-        await self._withdraw(schedule.releases_until_s)
+        await self._finish_releases_and_withdraw(schedule.releases_until_s)
         resigning.cancel()
 
     async def _finish_requests(
@@ -505,6 +508,21 @@
         )
         await relays.wait_until_idle(schedule.closes_until_s - clock.now_s())
 
+    async def _finish_releases_and_withdraw(self, until_s: float) -> None:
+        """Waits for releases of memory, then leaves the members.
+
+        Releases may pass through a relay, which needs the entry. Those that
+        are slow go on beside the withdrawal, so that it has time too.
+
+        Args:
+            until_s: Monotonic time at which both end.
+        """
+        left_s = until_s - clock.now_s()
+        withdrawal_s = min(WITHDRAWAL_TIMEOUT_S, WITHDRAWAL_SHARE * left_s)
+        draining = asyncio.create_task(self._drain_reservations(until_s))
+        await asyncio.wait((draining,), timeout=max(left_s - withdrawal_s, 0.0))
+        await asyncio.gather(draining, self._withdraw(until_s))
+
     async def _drain_reservations(self, until_s: float) -> None:
         """Waits for releases of memory until a monotonic time."""
         try:
@@ -516,8 +534,8 @@
     async def _withdraw(self, until_s: float) -> None:
         """Removes this instance from the members.
 
-        Nothing may follow that counts on others knowing it: limits are divided
-        among the members, and only members are relayed.
+        Nothing may begin afterwards that counts on others knowing it: limits
+        are divided among the members, and only members are relayed.
 
         Args:
             until_s: Monotonic time at which the attempt ends.
