Share the memory for unsent data between callers and relays

Seen in a review: at a stop, unsent connections of callers together, and relayed ones together, each got all the memory for buffers, so twice of it.

Cause: two hand-overs that did not know of each other.

Change: `Frontend.hand_over_unsent` hands over both, at the times of both; the relay server lists its connections. An error in listing them is logged, and what callers have not read is handed over.

Tests: those of the relay server hand over what it lists in place of calling its removed method, with the same sizes and checks. The test of the order of a stop fails the listing in its place, and `end_connections` in addition.

--- a/packages/forwarding/poplarwick_forwarding/caller_connections.py
+++ b/packages/forwarding/poplarwick_forwarding/caller_connections.py
@@ -159,19 +159,10 @@
                 )
             )
 
-    def hand_over_unsent(self, total_bytes: int) -> None:
-        """Lets the kernel take what callers have not read yet.
-
-        It goes on sending after the process has ended.
-
-        Args:
-            total_bytes: Memory for all connections.
-        """
-        socket_buffers.hand_over_unsent(
-            socket_buffers.list_unsent(
-                connection.transport for connection in self._read_connections()
-            ),
-            total_bytes,
+    def list_unsent(self) -> list[asyncio.Transport]:
+        """Returns the connections whose callers have not read all yet."""
+        return socket_buffers.list_unsent(
+            connection.transport for connection in self._read_connections()
         )
 
     def log_open(self) -> None:
--- a/packages/forwarding/poplarwick_forwarding/frontend.py
+++ b/packages/forwarding/poplarwick_forwarding/frontend.py
@@ -80,6 +80,8 @@
         runner: Runs requests at endpoints.
         budget: Counts the buffered data.
         stop: Ends the reading of requests once this instance stops.
+        list_unsent_relayed: Returns the connections with unsent data that the
+            instance relays; they share the memory with those of callers.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         runner: request_runner.RequestRunner,
         budget: buffer_budget.BufferBudget,
         stop: graceful_stop.GracefulStop,
+        list_unsent_relayed: Callable[[], list[asyncio.Transport]],
     ) -> None:
         self.is_leaving = False
         self._is_relieved = False
@@ -107,6 +110,7 @@
         self._runner = runner
         self._budget = budget
         self._stop = stop
+        self._list_unsent_relayed = list_unsent_relayed
         self._connections = caller_connections.CallerConnections(
             lambda: self.connections
         )
@@ -214,7 +218,17 @@
     def prepare_for_end(self) -> None:
         """Reduces what callers and the log lose if the process is killed."""
         self._connections.log_requests()
-        self._connections.hand_over_unsent(self._budget.limits.total_bytes)
+        self.hand_over_unsent()
+
+    def hand_over_unsent(self) -> None:
+        """Lets the kernel take what callers and origins have not read yet.
+
+        It goes on sending after the process has ended.
+        """
+        socket_buffers.hand_over_unsent(
+            self._connections.list_unsent() + self._list_unsent_relayed(),
+            self._budget.limits.total_bytes,
+        )
 
     async def close_connections(self, until_s: float = 0.0) -> None:
         """Closes all connections, and cuts off requests in progress.
@@ -225,7 +239,7 @@
         """
         if self._server is None:
             return
-        self._connections.hand_over_unsent(self._budget.limits.total_bytes)
+        self.hand_over_unsent()
         await self._connections.close_idle(until_s)
         self._connections.log_open()
         await self._server.shutdown(CLOSE_TIMEOUT_S)
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -273,6 +273,7 @@
                 runner,
                 self.buffers,
                 self._graceful_stop,
+                self._list_unsent_relayed,
             )
         )
         self.catalogue.add_listener(self.frontend.handle_configuration)
@@ -495,14 +496,20 @@
             return
         # Connections still have their time.
         with _log_faults():
-            relays.hand_over_unsent(self.buffers.limits.total_bytes)
+            self.frontend.hand_over_unsent()
         if await relays.wait_until_idle(schedule.cuts_at_s - clock.now_s()):
             return
         await relays.end_connections(
-            self.buffers.limits.total_bytes, graceful_stop.CATCH_UP_S
+            self.frontend.hand_over_unsent, graceful_stop.CATCH_UP_S
         )
         await relays.wait_until_idle(schedule.closes_until_s - clock.now_s())
 
+    def _list_unsent_relayed(self) -> list[asyncio.Transport]:
+        # What callers have not read is handed over whatever becomes of it.
+        with _log_faults():
+            return self.relay_server.list_unsent()
+        return []
+
     async def _drain_reservations(self, until_s: float) -> None:
         """Waits for releases of memory until a monotonic time."""
         try:
--- a/packages/reach/poplarwick_reach/relay_server.py
+++ b/packages/reach/poplarwick_reach/relay_server.py
@@ -110,36 +110,27 @@
             await asyncio.sleep(IDLE_CHECK_S)
         return True
 
-    def hand_over_unsent(self, total_bytes: int) -> None:
-        """Lets the kernel take what instances have not read yet.
-
-        It goes on sending after the process has ended.
-
-        Args:
-            total_bytes: Memory for all connections.
-        """
-        socket_buffers.hand_over_unsent(
-            socket_buffers.list_unsent(
-                connection.transport for connection in self._connections
-            ),
-            total_bytes,
+    def list_unsent(self) -> list[asyncio.Transport]:
+        """Returns the connections whose instances have not read all yet."""
+        return socket_buffers.list_unsent(
+            connection.transport for connection in self._connections
         )
 
     async def end_connections(
-        self, total_bytes: int, catch_up_s: float
+        self, hand_over_unsent: Callable[[], None], catch_up_s: float
     ) -> None:
         """Ends all connections behind what their endpoints have sent.
 
         The instances that they are relayed for are told.
 
         Args:
-            total_bytes: Memory for all connections.
+            hand_over_unsent: Lets the kernel take what `list_unsent` returns.
             catch_up_s: Time for reading what arrived while the process stood
                 still, or while there was unsent data.
         """
-        self.hand_over_unsent(total_bytes)
+        hand_over_unsent()
         await asyncio.sleep(catch_up_s)
-        self.hand_over_unsent(total_bytes)
+        hand_over_unsent()
         for connection in list(self._connections):
             connection.cut()
 
--- a/packages/reach/tests/test_relay_server.py
+++ b/packages/reach/tests/test_relay_server.py
@@ -10,6 +10,7 @@
 import pytest
 
 from poplarwick_core import logs
+from poplarwick_core import socket_buffers
 from poplarwick_reach import frames
 from poplarwick_reach import handshake
 from poplarwick_reach import relay_server
@@ -43,6 +44,10 @@
         self.relay = relay
         self._origin = origin
 
+    def hand_over(self, total_bytes=HANDOVER_BYTES):
+        """Lets the kernel take what is unsent."""
+        socket_buffers.hand_over_unsent(self.relay.list_unsent(), total_bytes)
+
     async def read(self):
         """Reads all; returns the content, the end and whether it is told."""
         told = []
@@ -120,7 +125,7 @@
 # Guards against complete answers that end in a relay that stops.
 def test_unsent_end_of_an_answer_is_sent_after_the_end_of_the_relay():
     async def scenario(site):
-        site.relay.hand_over_unsent(HANDOVER_BYTES)
+        site.hand_over()
         assert await site.relay.wait_until_idle(1.0)
         await site.relay.__aexit__(None, None, None)
         content, end, is_told = await site.read()
@@ -135,7 +140,7 @@
 # few connections, exceeds what the system takes for the size of a buffer.
 def test_large_memory_for_a_single_connection_is_handed_over():
     async def scenario(site):
-        await site.relay.end_connections(1 << 40, 0.1)
+        await site.relay.end_connections(lambda: site.hand_over(1 << 40), 0.1)
         assert await site.relay.wait_until_idle(1.0)
         content, end, _ = await site.read()
         assert content == PART * PARTS
@@ -149,7 +154,7 @@
     lines,
 ):
     async def scenario(site):
-        await site.relay.end_connections(HANDOVER_BYTES, 0.1)
+        await site.relay.end_connections(site.hand_over, 0.1)
         assert await site.relay.wait_until_idle(1.0)
         content, end, is_told = await site.read()
         assert content == PART * PARTS
@@ -165,7 +170,7 @@
 # ends while it had unsent data.
 def test_complete_answer_that_is_unread_at_the_end_is_not_cut(lines):
     async def scenario(site):
-        await site.relay.end_connections(HANDOVER_BYTES, 0.1)
+        await site.relay.end_connections(site.hand_over, 0.1)
         assert await site.relay.wait_until_idle(1.0)
         content, end, is_told = await site.read()
         assert content == PART * PARTS
--- a/tests/adapter/test_relayed_streams.py
+++ b/tests/adapter/test_relayed_streams.py
@@ -145,7 +145,9 @@
     assert [line for line in lines if "event=relayed_connection_cut" in line]
 
 
-@pytest.mark.parametrize("step", ["hand_over_unsent", "wait_until_idle"])
+@pytest.mark.parametrize(
+    "step", ["list_unsent", "wait_until_idle", "end_connections"]
+)
 # Guards against own requests that are cut at once, as the end of a relayed
 # connection fails.
 def test_own_requests_end_in_order_whatever_becomes_of_relayed_ones(
