Keep the revision of a member's entry beside what the entry says

Change: the catalogue keeps revisions apart, and the placer's electorate gets those. 201 tests of coordination, catalogue, versions (store entries, messages) and several stops pass.

--- a/packages/catalogue/poplarwick_catalogue/catalogue.py
+++ b/packages/catalogue/poplarwick_catalogue/catalogue.py
@@ -57,15 +57,12 @@
         strength: Processor time and network bandwidth relative to a typical
             instance, at most 1.
         domain: Its failure domain; empty if it is unknown.
-        revision: Revision of the store at which the entry was written, in the
-            era in which this instance learned of it.
     """
 
     instance: ids.InstanceId
     address: str
     strength: float = 1.0
     domain: ids.DomainId = ids.DomainId("")
-    revision: kv.Revision = kv.Revision(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +129,8 @@
         endpoints: Endpoints by id, including those that have lapsed.
         evacuated: Failure domains taken out of service.
         members: Member entries of the instances.
+        member_revisions: Revisions of the store at which these were written, in
+            the era in which this instance learned of them.
         leaving: Endpoints that have said themselves that they leave.
         quarantines: Parts of prompts that crash endpoints.
         rate_limits: Rates of requests that endpoints have named.
@@ -143,6 +142,7 @@
         self.endpoints: dict[ids.EndpointId, TrackedEndpoint] = {}
         self.evacuated: set[ids.DomainId] = set()
         self.members: dict[ids.InstanceId, MemberItem] = {}
+        self.member_revisions: dict[ids.InstanceId, kv.Revision] = {}
         self.leaving: frozenset[ids.EndpointId] = frozenset()
         self.quarantines = quarantines.Quarantines()
         self.rate_limits = rate_limits.RateLimits()
@@ -292,9 +292,8 @@
                     log_events.DomainTakenOut(domain=domain, revision=revision)
                 )
             case MemberItem(instance):
-                self.members[instance] = dataclasses.replace(
-                    item, revision=revision
-                )
+                self.members[instance] = item
+                self.member_revisions[instance] = revision
             case QuarantineItem(quarantine):
                 self.quarantines.merge(quarantine)
             case InvalidItem():
@@ -356,6 +355,7 @@
                 logs.log(log_events.DomainTakenBack(domain=domain))
             case MemberItem(instance):
                 self.members.pop(instance, None)
+                self.member_revisions.pop(instance, None)
             case _:
                 # The last routing configuration stays in force after its entry
                 # is removed.
--- a/packages/coordination/poplarwick_coordination/electorate.py
+++ b/packages/coordination/poplarwick_coordination/electorate.py
@@ -13,8 +13,8 @@
 from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 
-from poplarwick_catalogue import catalogue
 from poplarwick_core import ids
+from poplarwick_platform import kv
 
 
 class Electorate:
@@ -30,19 +30,22 @@
         self._has_started: set[ids.InstanceId] = set()
         self._refuses: set[ids.InstanceId] = set()
         self._leaving: set[ids.InstanceId] = set()
-        self._members: dict[ids.InstanceId, catalogue.MemberItem] = {}
+        self._members: dict[ids.InstanceId, kv.Revision] = {}
 
     def update_members(
-        self, members: Mapping[ids.InstanceId, catalogue.MemberItem]
+        self, members: Mapping[ids.InstanceId, kv.Revision]
     ) -> None:
         """Takes over a change of the members, at once.
 
         What is known of an instance that has registered is about the process
         before it, also if the removal of its entry was learned with that.
+
+        Args:
+            members: Revision of the entry of each member.
         """
         if members != self._members:
-            for instance, member in members.items():
-                if member != self._members.get(instance):
+            for instance, revision in members.items():
+                if revision != self._members.get(instance):
                     self.forget(instance)
             self._members = dict(members)
 
--- a/packages/coordination/poplarwick_coordination/placer.py
+++ b/packages/coordination/poplarwick_coordination/placer.py
@@ -645,7 +645,13 @@
         session.send(message)
 
     def _update_members(self) -> None:
-        self._electorate.update_members(self._catalogue.members)
+        revisions = self._catalogue.member_revisions
+        self._electorate.update_members(
+            {
+                instance: revisions.get(instance, kv.Revision(0))
+                for instance in self._catalogue.members
+            }
+        )
 
     def _dial_members(self) -> None:
         former = self._former.list_recent(clock.now_s())
