Wait for both kinds of placements by one method

Cause: _place and _place_elsewhere repeated the rule for requests that have begun and the limit of a stopping instance.

Change: both call _wait_for_placement.

--- a/packages/forwarding/poplarwick_forwarding/request_runner.py
+++ b/packages/forwarding/poplarwick_forwarding/request_runner.py
@@ -222,14 +222,9 @@
             unreachable=progress.unreachable,
             was_cut_off=progress.was_cut_off,
         )
-        if sink.has_begun:
-            # It can only be cut off, so it is resumed as long as possible.
-            return await self._placement_client.place(request)
-        duration_s = graceful_stop.calculate_shortest_duration_s(
-            request, exchange.engine
+        return await self._wait_for_placement(
+            exchange, sink, request, is_second=False
         )
-        async with self._stop.limit_wait(duration_s):
-            return await self._placement_client.place(request)
 
     async def _place_elsewhere(
         self,
@@ -252,12 +247,25 @@
             unreachable=progress.unreachable,
             was_cut_off=progress.was_cut_off,
         )
+        return await self._wait_for_placement(
+            exchange, sink, request, is_second=True
+        )
+
+    async def _wait_for_placement(
+        self,
+        exchange: http_exchange.Exchange,
+        sink: outcomes.Sink,
+        request: messages.PlacementRequest,
+        *,
+        is_second: bool,
+    ) -> placement_client.PlacementOutcome:
         if sink.has_begun:
+            # It can only be cut off, so it is resumed as long as possible.
             return await self._placement_client.place(request)
         duration_s = graceful_stop.calculate_shortest_duration_s(
             request, exchange.engine
         )
-        async with self._stop.limit_wait(duration_s, is_second=True):
+        async with self._stop.limit_wait(duration_s, is_second=is_second):
             return await self._placement_client.place(request)
 
     async def _open_elsewhere(
