Keep one table for requests whose callers have received nothing

Cause: GracefulStop had a table for reads and one for answers, and three loops that end their timers in the same way. Both modes stated the longest wait for requests that a stop ends.

Change: a read is an answer that has not begun; one function ends a timer; the wait is graceful_stop.END_TIMEOUT_S.

--- a/packages/forwarding/poplarwick_forwarding/graceful_stop.py
+++ b/packages/forwarding/poplarwick_forwarding/graceful_stop.py
@@ -34,6 +34,10 @@
 """Time for reading what arrived while the process stood still, before requests
 are ended."""
 
+END_TIMEOUT_S = CATCH_UP_S + 0.05
+"""Longest wait for requests to end that the stop ends, which takes a few steps
+of the event loop."""
+
 
 class StoppingError(Exception):
     """The instance stops before the request could be served."""
@@ -80,8 +84,7 @@
     def __init__(self) -> None:
         self._window: _Window | None = None
         self._waits: dict[asyncio.Timeout, _Start] = {}
-        self._runs: dict[asyncio.Timeout, outcomes.Sink] = {}
-        self._reads: dict[asyncio.Timeout, None] = {}
+        self._runs: dict[asyncio.Timeout, Callable[[], bool]] = {}
         self._answers: dict[asyncio.Timeout, Callable[[], bool]] = {}
 
     def begin(
@@ -139,7 +142,7 @@
         Raises:
             StoppingError: This instance ends before the request.
         """
-        async with _limit(self._runs, sink, None):
+        async with _limit(self._runs, lambda: sink.has_begun, None):
             yield
 
     @contextlib.asynccontextmanager
@@ -149,7 +152,7 @@
         Raises:
             StoppingError: This instance ends before the request is read.
         """
-        async with _limit(self._reads, None, None):
+        async with self.limit_answer(lambda: False):
             yield
 
     @contextlib.asynccontextmanager
@@ -169,22 +172,20 @@
 
     def _end_unanswered(self) -> None:
         """Ends the requests whose callers have received nothing."""
-        for timer, has_begun in self._answers.items():
-            if not has_begun() and not timer.expired():
-                timer.reschedule(clock.now_s())
-        for timer in self._reads:
-            if not timer.expired():
-                timer.reschedule(clock.now_s())
-        for timer, sink in self._runs.items():
-            if not sink.has_begun and not timer.expired():
-                timer.reschedule(clock.now_s())
+        for timer, has_begun in (*self._answers.items(), *self._runs.items()):
+            if not has_begun():
+                _end(timer)
 
     def _end_all(self) -> None:
         """Ends all requests."""
         for timer in self._runs:
-            # One that is ended may still release what it holds.
-            if not timer.expired():
-                timer.reschedule(clock.now_s())
+            _end(timer)
+
+
+def _end(timer: asyncio.Timeout) -> None:
+    # One that is ended may still release what it holds.
+    if not timer.expired():
+        timer.reschedule(clock.now_s())
 
 
 @contextlib.asynccontextmanager
--- a/packages/node/poplarwick_node/instance.py
+++ b/packages/node/poplarwick_node/instance.py
@@ -33,11 +33,6 @@
 mode it has more modules to clean up."""
 
 
-ANSWER_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
-"""Longest wait for requests to end that are answered at the end, which takes a
-few steps of the event loop."""
-
-
 class Instance:
     """The running components of one instance.
 
@@ -164,7 +159,7 @@
                 )
             )
             # Answers of requests that end now are on their way.
-            await self._callers.wait_until_idle(ANSWER_TIMEOUT_S)
+            await self._callers.wait_until_idle(graceful_stop.END_TIMEOUT_S)
         await self._callers.close_connections(schedule.closes_until_s)
         until_s = min(
             schedule.releases_until_s, clock.now_s() + RELEASE_TIMEOUT_S
--- a/packages/node/poplarwick_node/platform_instance.py
+++ b/packages/node/poplarwick_node/platform_instance.py
@@ -75,10 +75,6 @@
 """Part of the time for releases of memory that is left to the removal of the
 entry if they are slow."""
 
-CUT_TIMEOUT_S = graceful_stop.CATCH_UP_S + 0.05
-"""Longest wait for requests to end that are cut off, which takes a few steps of
-the event loop."""
-
 FREEZE_THRESHOLD_S = 0.5
 """Lateness of the periodic check that counts as a freeze; far above the delay
 caused by a busy event loop."""
@@ -491,7 +487,7 @@
                 after_s=clock.now_s() - self._stop_signal.earliest_at_s,
             )
         )
-        await wait_until_idle(CUT_TIMEOUT_S)
+        await wait_until_idle(graceful_stop.END_TIMEOUT_S)
 
     async def _finish_relayed(
         self, schedule: stop_schedule.StopSchedule
