Read the bytes of a file in one place

Cause: poplarwick-platform-check repeated how jsonc.read_text reads a file and reports an error.

Change: both call jsonc.read_bytes. No behaviour changes; the tests of core, node, entry, administration and tests/adapter/test_check_command.py pass.

--- a/packages/core/poplarwick_core/jsonc.py
+++ b/packages/core/poplarwick_core/jsonc.py
@@ -43,11 +43,19 @@
     Raises:
         errors.DocumentError: The file cannot be read or is not UTF-8.
     """
+    return decode_utf8(read_bytes(path), str(path))
+
+
+def read_bytes(path: pathlib.Path) -> bytes:
+    """Reads a file.
+
+    Raises:
+        errors.DocumentError: The file cannot be read.
+    """
     try:
-        content = path.read_bytes()
+        return path.read_bytes()
     except (OSError, ValueError) as error:
         raise errors.DocumentError(str(path), "$", str(error)) from error
-    return decode_utf8(content, str(path))
 
 
 def decode_utf8(content: bytes, source: str) -> str:
--- a/packages/node/poplarwick_node/check_command.py
+++ b/packages/node/poplarwick_node/check_command.py
@@ -16,6 +16,7 @@
 from poplarwick_core import cli
 from poplarwick_core import errors
 from poplarwick_core import ids
+from poplarwick_core import jsonc
 from poplarwick_platform import kv
 
 
@@ -49,7 +50,7 @@
     parsed = parser.parse_args(arguments)
     source = str(parsed.file)
     try:
-        value = _read_file(parsed.file)
+        value = jsonc.read_bytes(parsed.file)
         reference = _read_reference(parsed)
         report = configuration_check.check_configuration(
             value, source, reference, _read_regions(parsed.settings)
@@ -68,7 +69,7 @@
         case check_options.IN_FORCE:
             return asyncio.run(_read_in_force(parsed.store))
         case path:
-            return path, _read_file(pathlib.Path(path))
+            return path, jsonc.read_bytes(pathlib.Path(path))
 
 
 def _read_regions(path: pathlib.Path | None) -> frozenset[ids.RegionId] | None:
@@ -78,13 +79,6 @@
     return frozenset(deployment.regions_by_domain.values())
 
 
-def _read_file(path: pathlib.Path) -> bytes:
-    try:
-        return path.read_bytes()
-    except (OSError, ValueError) as error:
-        raise errors.DocumentError(str(path), "$", str(error)) from error
-
-
 async def _read_in_force(address: str | None) -> tuple[str, bytes | None]:
     """Reads the configuration in force.
 
