State in one place what a stopping instance tells a refused caller

Cause: entry and node each made the refusal of a stopping instance, with their own constant of one second.

Change: both call request_errors.make_stop_refusal.

--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -82,9 +82,7 @@
         """
         stop_reason = self.read_stop_reason()
         if stop_reason is not None:
-            raise request_errors.make_refusal(
-                verdicts.Reason.DRAINING, stop_reason, retry_after_s=1.0
-            )
+            raise request_errors.make_stop_refusal(stop_reason)
         return self.require_view()
 
     def require_view(self) -> document.View:
--- a/packages/entry/poplarwick_entry/request_errors.py
+++ b/packages/entry/poplarwick_entry/request_errors.py
@@ -9,6 +9,9 @@
 from poplarwick_outcomes import replies
 from poplarwick_outcomes import verdicts
 
+STOP_RETRY_AFTER_S = 1.0
+"""Time after which a caller may retry at another instance."""
+
 
 class RequestEndedError(errors.PoplarwickError):
     """A request ended; its lifecycle decides the outcome to report.
@@ -41,6 +44,17 @@
     )
 
 
+def make_stop_refusal(detail: str) -> RequestEndedError:
+    """Returns the error for a request that a stopping instance refuses.
+
+    Args:
+        detail: Error message for the caller.
+    """
+    return make_refusal(
+        verdicts.Reason.DRAINING, detail, retry_after_s=STOP_RETRY_AFTER_S
+    )
+
+
 def log_end(verdict: verdicts.Verdict, request_id: str | None) -> None:
     """Logs the end of a request without a complete answer.
 
--- a/packages/node/poplarwick_node/_stopping.py
+++ b/packages/node/poplarwick_node/_stopping.py
@@ -17,10 +17,6 @@
 from poplarwick_entry import grants
 from poplarwick_entry import request_errors
 from poplarwick_forwarding import graceful_stop
-from poplarwick_outcomes import verdicts
-
-RETRY_AFTER_S = 1.0
-"""Time after which a caller may retry at another instance."""
 
 
 class AnswerLimit:
@@ -47,7 +43,7 @@
             async with self._stop.limit_answer(has_begun):
                 yield
         except graceful_stop.StoppingError as error:
-            raise _make_refusal(
+            raise request_errors.make_stop_refusal(
                 "the instance stops before the request is answered"
             ) from error
 
@@ -82,7 +78,7 @@
             async with self._stop.limit_wait(duration_s):
                 yield
         except graceful_stop.StoppingError as error:
-            raise _make_refusal(
+            raise request_errors.make_stop_refusal(
                 "the instance stops before it could serve the request"
             ) from error
 
@@ -103,9 +99,3 @@
             grant_request.prompt_tokens / model.prefill_tokens_per_s
             + grant_request.output_tokens / model.decode_tokens_per_s
         )
-
-
-def _make_refusal(detail: str) -> request_errors.RequestEndedError:
-    return request_errors.make_refusal(
-        verdicts.Reason.DRAINING, detail, retry_after_s=RETRY_AFTER_S
-    )
