--- a/tests/adapter/test_silent_engines.py
+++ b/tests/adapter/test_silent_engines.py
@@ -55,6 +55,22 @@
     return [e for r in cluster.replicas for e in r.executions]
 
 
+async def start_at_pausing_engine(cluster):
+    """Returns the engine that runs a stream and pauses, another, and the call.
+
+    The pause begins at the engine that gets the request.
+    """
+    pausing, other = cluster.replicas[:2]
+    for replica in (pausing, other):
+        replica.fault_plan = [platform_replica.Fault.PAUSE]
+    call = asyncio.create_task(read_stream(cluster))
+    await platform_cluster.wait_until(lambda: _list_runs(cluster))
+    if not pausing.executions:
+        pausing, other = other, pausing
+    other.fault_plan = []
+    return pausing, other, call
+
+
 # Guards against streams that a sound engine runs and that move to another one
 # which then refuses them, or fails, or is as silent (LOST).
 @pytest.mark.parametrize(
@@ -72,15 +88,7 @@
         async with platform_cluster.run_cluster(
             tmp_path, retry_budget_ratio=0, budget_extra_retries=8
         ) as cluster:
-            pausing, other = cluster.replicas[:2]
-            for replica in (pausing, other):
-                # The pause begins at the engine that gets the request.
-                replica.fault_plan = [platform_replica.Fault.PAUSE]
-            call = asyncio.create_task(read_stream(cluster))
-            await platform_cluster.wait_until(lambda: _list_runs(cluster))
-            if not pausing.executions:
-                pausing, other = other, pausing
-            other.fault_plan = []
+            pausing, other, call = await start_at_pausing_engine(cluster)
             other.fault = elsewhere
             if elsewhere is platform_replica.Fault.CUT_BEFORE_END:
                 other.event_count = 3
@@ -156,14 +164,8 @@
         async with platform_cluster.run_cluster(
             tmp_path, retry_budget_ratio=0, budget_extra_retries=8
         ) as cluster:
-            pausing, other = cluster.replicas[:2]
-            for replica in (pausing, other):
-                replica.fault_plan = [platform_replica.Fault.PAUSE]
-            call = asyncio.create_task(read_stream(cluster))
-            await platform_cluster.wait_until(lambda: _list_runs(cluster))
-            if not pausing.executions:
-                pausing, other = other, pausing
-            other.fault_plan, other.event_interval_s = [], 0.25
+            _, other, call = await start_at_pausing_engine(cluster)
+            other.event_interval_s = 0.25
             await platform_cluster.wait_until(lambda: other.executions)
             await asyncio.sleep(0.1)
             # Both engines' next events are due while the process is late.
