Share the stand-ins of the placer's role among its tests

Cause: two files had the same recording store, two the same client, role and notices.

No check changes; the tests of coordination pass.

--- a/packages/coordination/tests/test_handover.py
+++ b/packages/coordination/tests/test_handover.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 
+import role_fakes
+
 from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
 from poplarwick_coordination import placement_client
@@ -23,28 +25,11 @@
 """Epoch that `b` hands over."""
 
 
-class RecordingStore:
-    """Client of a store that accepts everything; records the commits."""
-
-    def __init__(self):
-        self.commits = []
-
-    async def grant_lease(self, ttl_s, purpose):
-        return kv.LeaseId(1)
-
-    async def keep_alive(self, lease):
-        return 1.0
-
-    async def commit(self, conditions, operations, purpose):
-        self.commits.append((conditions, operations))
-        return kv.Committed(kv.Revision(10 + len(self.commits)), 0)
-
-
 class Candidate:
     """An instance's tenure, and what decides about it."""
 
     def __init__(self, name):
-        self.store = RecordingStore()
+        self.store = role_fakes.RecordingStore()
         self.mirror = mirror.Mirror()
         self.mirror.apply_snapshot(kv.Snapshot((HELD_BY_B,), 9, 0))
         self.disconnected_s = None
--- a/packages/coordination/tests/test_placer_role.py
+++ b/packages/coordination/tests/test_placer_role.py
@@ -7,8 +7,8 @@
 import types
 
 import pytest
+import role_fakes
 
-from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
 from poplarwick_coordination import placement_client
 from poplarwick_coordination import placer
@@ -18,13 +18,6 @@
 from poplarwick_platform import mirror
 
 
-class Notices:
-    """What endpoints have asked of this instance: nothing."""
-
-    def is_paused(self, address):
-        return False
-
-
 class FailingClient(placement_client.PlacementClient):
     """Fails at the first placer that it is attached to."""
 
@@ -37,39 +30,13 @@
         return super().attach(connection)
 
 
-def make_client(found, store_mirror, kind):
-    return kind(
-        found,
-        store_mirror,
-        examples.make_deployment(),
-        lambda *observed: None,
-        lambda: True,
-        lambda *handover: None,
-    )
-
-
-def make_role(client, found, store_mirror, control=None):
-    return placer_role.PlacerRole(
-        ids.InstanceId("placer"),
-        found,
-        store_mirror,
-        examples.make_deployment(),
-        lambda address: None,
-        client,
-        None,
-        lambda: True,
-        control,
-        Notices(),
-    )
-
-
 # Guards against a tenure that is renewed without a placer and free for no one.
 def test_placer_begins_again_after_an_unexpected_error():
     async def run():
         store_mirror = mirror.Mirror()
         found = catalogue.Catalogue(store_mirror, lambda key, value: None)
-        client = make_client(found, store_mirror, FailingClient)
-        role = make_role(client, found, store_mirror)
+        client = role_fakes.make_client(found, store_mirror, FailingClient)
+        role = role_fakes.make_role(client, found, store_mirror)
         role.set_epoch(ids.Epoch(1))
         with pytest.raises(RuntimeError):
             await role.run()
@@ -96,7 +63,7 @@
         store_mirror = mirror.Mirror()
         found = catalogue.Catalogue(store_mirror, lambda key, value: None)
         control = types.SimpleNamespace(remove_member=remove)
-        role = make_role(None, found, store_mirror, control)
+        role = role_fakes.make_role(None, found, store_mirror, control)
         local_placer = types.SimpleNamespace(
             find_ended=lambda longer_than_s: list(ended)
         )
@@ -135,9 +102,9 @@
     monkeypatch.setattr(placer_role, "LOCAL_HEARTBEAT_PERIOD_S", 0.01)
     store_mirror = mirror.Mirror()
     found = catalogue.Catalogue(store_mirror, lambda key, value: None)
-    client = make_client(found, store_mirror, placement_client.PlacementClient)
+    client = role_fakes.make_client(found, store_mirror)
     control = SlowControl(answer)
-    role = make_role(client, found, store_mirror, control)
+    role = role_fakes.make_role(client, found, store_mirror, control)
     role.set_epoch(ids.Epoch(1))
     running = asyncio.create_task(role.run())
     try:
--- a/packages/coordination/tests/test_recent_cuts.py
+++ b/packages/coordination/tests/test_recent_cuts.py
@@ -5,6 +5,8 @@
 import asyncio
 import dataclasses
 
+import role_fakes
+
 from poplarwick_bench import examples
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import types
@@ -42,24 +44,6 @@
     )
 
 
-class Notices:
-    """What endpoints have asked of this instance: nothing."""
-
-    def is_paused(self, address):
-        return False
-
-
-def make_client(found, store_mirror):
-    return placement_client.PlacementClient(
-        found,
-        store_mirror,
-        examples.make_deployment(),
-        lambda *observed: None,
-        lambda: True,
-        lambda *handover: None,
-    )
-
-
 def make_placer(found, store_mirror):
     return placer.Placer(
         ids.InstanceId("placer"),
@@ -70,7 +54,7 @@
         ids.Epoch(1),
         None,
         lambda: True,
-        Notices(),
+        role_fakes.Notices(),
     )
 
 
@@ -123,7 +107,7 @@
     async def scenario():
         store_mirror = mirror.Mirror()
         found = catalogue.Catalogue(store_mirror, lambda key, value: None)
-        client = make_client(found, store_mirror)
+        client = role_fakes.make_client(found, store_mirror)
         client._cuts.record(make_cut(1, clock.now_s()))
         sent = {}
         for protocol in (0, 1):
@@ -170,7 +154,7 @@
     """
     store_mirror = mirror.Mirror()
     found = catalogue.Catalogue(store_mirror, lambda key, value: None)
-    client = make_client(found, store_mirror)
+    client = role_fakes.make_client(found, store_mirror)
     now_s = clock.now_s()
     if answers_another:
         sound = dataclasses.replace(
@@ -193,18 +177,7 @@
         )
     for number in range(1, 4):
         client._cuts.record(make_cut(number, now_s - 5 + number))
-    role = placer_role.PlacerRole(
-        ids.InstanceId("placer"),
-        found,
-        store_mirror,
-        examples.make_deployment(),
-        lambda address: None,
-        client,
-        None,
-        lambda: True,
-        None,
-        Notices(),
-    )
+    role = role_fakes.make_role(client, found, store_mirror)
     role.set_epoch(ids.Epoch(1))
     running = asyncio.create_task(role.run())
     await asyncio.sleep(5 * placer_role.MAJORITY_POLL_PERIOD_S)
--- a/packages/coordination/tests/test_start_of_fleet.py
+++ b/packages/coordination/tests/test_start_of_fleet.py
@@ -12,6 +12,7 @@
 import types
 
 import pytest
+import role_fakes
 
 from poplarwick_catalogue import catalogue
 from poplarwick_catalogue import deployment
@@ -43,23 +44,6 @@
 )
 
 
-class RecordingStore:
-    """Client of a store that accepts everything; records the commits."""
-
-    def __init__(self):
-        self.commits = []
-
-    async def grant_lease(self, ttl_s, purpose):
-        return kv.LeaseId(1)
-
-    async def keep_alive(self, lease):
-        return 1.0
-
-    async def commit(self, conditions, operations, purpose):
-        self.commits.append((conditions, operations))
-        return kv.Committed(kv.Revision(10 + len(self.commits)), 0)
-
-
 def make_members(names=NAMES):
     return {
         name: catalogue.MemberItem(name, f"{name}:1", 100 - number)
@@ -109,7 +93,8 @@
     members = {}
 
     async def run():
-        store, store_mirror = RecordingStore(), mirror.Mirror()
+        store = role_fakes.RecordingStore()
+        store_mirror = mirror.Mirror()
         holder = make_tenure(store, store_mirror, lambda: members)
         async with running(holder.run()):
             await asyncio.sleep(0.05)
@@ -127,7 +112,8 @@
     members = {}
 
     async def run():
-        store, store_mirror = RecordingStore(), mirror.Mirror()
+        store = role_fakes.RecordingStore()
+        store_mirror = mirror.Mirror()
         holder = make_tenure(store, store_mirror, lambda: members, "e")
         async with running(holder.run()):
             await asyncio.sleep(0.05)
@@ -141,7 +127,8 @@
 
 def test_restarted_placer_does_not_wait_for_its_own_lease_to_expire():
     async def run():
-        store, store_mirror = RecordingStore(), mirror.Mirror()
+        store = role_fakes.RecordingStore()
+        store_mirror = mirror.Mirror()
         holder = make_tenure(store, store_mirror, make_members)
         read_store(store_mirror, kv.Entry(KEY, b"a 01", 5, 5, kv.LeaseId(7)))
         async with running(holder.run()):
@@ -154,7 +141,8 @@
 
 def test_key_of_another_placer_is_left_until_its_lease_expires():
     async def run():
-        store, store_mirror = RecordingStore(), mirror.Mirror()
+        store = role_fakes.RecordingStore()
+        store_mirror = mirror.Mirror()
         holder = make_tenure(store, store_mirror, make_members)
         read_store(store_mirror, kv.Entry(KEY, b"b 01", 5, 5, kv.LeaseId(7)))
         async with running(holder.run()):
@@ -173,7 +161,8 @@
     monkeypatch.setattr(registration, "CHECK_PERIOD_S", 1_000.0)
 
     async def run():
-        store, store_mirror = RecordingStore(), mirror.Mirror()
+        store = role_fakes.RecordingStore()
+        store_mirror = mirror.Mirror()
         instance_catalogue = catalogue.Catalogue(store_mirror, lambda *_: None)
         registered = registration.Registration(
             store, store_mirror, instance_catalogue, "a", "a:1", "key", b""
