Log what a crash speaks against, and crashes that are retracted

Change: endpoint_crashed names the parts, the most suspected first, and how many answers were cut off before their heads; crash_retracted gives the cause. The scheduler takes the evidence in place of its listener. No decision changes; the tests of placement and coordination pass.

--- a/packages/coordination/poplarwick_coordination/log_events.py
+++ b/packages/coordination/poplarwick_coordination/log_events.py
@@ -52,6 +52,8 @@
         endpoint: Id of the endpoint.
         cuts: Number of answers that it cut off.
         suspects: Number of requests that may have caused it.
+        headless: Number of answers that it cut off before their heads.
+        parts: Parts of the suspects' prompts, the most suspected first.
     """
 
     level = "WARNING"
@@ -59,6 +61,22 @@
     endpoint: str
     cuts: int
     suspects: int
+    headless: int
+    parts: str | None
+
+
+class CrashRetracted(logs.Event, frozen=True, kw_only=True):
+    """An endpoint that cut answers off lives; this speaks against no request.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        cause: What showed it: report or progress.
+        was_confirmed: Whether `endpoint_crashed` was logged before.
+    """
+
+    endpoint: str
+    cause: str
+    was_confirmed: bool
 
 
 class EndpointSlow(logs.Event, frozen=True, kw_only=True):
--- a/packages/coordination/poplarwick_coordination/scheduler_feed.py
+++ b/packages/coordination/poplarwick_coordination/scheduler_feed.py
@@ -22,6 +22,9 @@
 from poplarwick_placement import organisation_shares
 from poplarwick_placement import scheduler
 
+LOGGED_PARTS = 8
+"""Suspected parts of prompts that the log line of a crash names."""
+
 LISTED_ORGANISATIONS = 3
 """Organisations that logs and metrics name; there may be very many."""
 
@@ -71,7 +74,9 @@
                 )
                 is not None
             ),
-            on_crash=_log_crash,
+            evidence=crash_evidence.CrashEvidence(
+                _log_crash, _log_retracted_crash
+            ),
             management=self._management,
         )
         catalogue_.quarantines.add_listener(self._forgive)
@@ -244,6 +249,20 @@
 def _log_crash(crash: crash_evidence.ConfirmedCrash) -> None:
     logs.log(
         log_events.EndpointCrashed(
-            endpoint=crash.endpoint, cuts=crash.cuts, suspects=crash.suspects
+            endpoint=crash.endpoint,
+            cuts=crash.cuts,
+            suspects=crash.suspects,
+            headless=crash.headless,
+            parts=",".join(crash.parts[:LOGGED_PARTS]) or None,
+        )
+    )
+
+
+def _log_retracted_crash(crash: crash_evidence.RetractedCrash) -> None:
+    logs.log(
+        log_events.CrashRetracted(
+            endpoint=crash.endpoint,
+            cause=crash.cause.value,
+            was_confirmed=crash.was_confirmed,
         )
     )
--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -16,6 +16,7 @@
 
 import collections
 import dataclasses
+import enum
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -85,11 +86,36 @@
         endpoint: The endpoint.
         cuts: Number of answers that it cut off.
         suspects: Number of requests that may have caused it.
+        headless: Number of answers cut off before their heads.
+        parts: Parts of the suspects' prompts, the most suspected first.
     """
 
     endpoint: ids.EndpointId
     cuts: int
     suspects: int
+    headless: int
+    parts: tuple[ids.PromptPartId, ...]
+
+
+class RetractionCause(enum.Enum):
+    """What showed that an endpoint has not crashed."""
+
+    REPORT = "report"
+    PROGRESS = "progress"
+
+
+class RetractedCrash(NamedTuple):
+    """An endpoint that cut answers off and was found to live.
+
+    Attributes:
+        endpoint: The endpoint.
+        cause: What showed it.
+        was_confirmed: Whether it had been found to have ended.
+    """
+
+    endpoint: ids.EndpointId
+    cause: RetractionCause
+    was_confirmed: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,13 +143,16 @@
 
     Args:
         on_confirmed: Called with each crash once it is confirmed.
+        on_retracted: Called with each crash that turns out to be none.
     """
 
     def __init__(
         self,
         on_confirmed: Callable[[ConfirmedCrash], None] = lambda crash: None,
+        on_retracted: Callable[[RetractedCrash], None] = lambda crash: None,
     ) -> None:
         self._on_confirmed = on_confirmed
+        self._on_retracted = on_retracted
         self._crashes: dict[types.EndpointStart, crash_records.Crash] = {}
         self._sound: collections.OrderedDict[
             tuple[crash_records.Scope, ids.PromptPartId], _SoundRecord
@@ -260,7 +289,7 @@
         """Records that an endpoint has made progress on a request."""
         crash = self._crashes.get(endpoint.start)
         if crash is not None and now_s - crash.at_s > MESSAGE_DELAY_S:
-            self._retract(endpoint)
+            self._retract(endpoint, RetractionCause.PROGRESS)
 
     def record_report(
         self, endpoint: types.Endpoint, *, answered: bool, now_s: float
@@ -275,7 +304,7 @@
             crash.confirmed_at_s is None
             or now_s - crash.confirmed_at_s <= RETRACTION_S
         ):
-            self._retract(endpoint)
+            self._retract(endpoint, RetractionCause.REPORT)
 
     def record_unanswered(self, endpoint: types.Endpoint, now_s: float) -> None:
         """Records that an endpoint cannot be reached."""
@@ -290,14 +319,23 @@
             self._confirm(crash, float("-inf"))
 
     def _confirm(self, crash: crash_records.Crash, now_s: float) -> None:
-        if not crash.is_confirmed:
-            self._on_confirmed(
-                ConfirmedCrash(
-                    crash.endpoint, len(crash.cuts), len(crash.find_suspects())
-                )
-            )
+        was_confirmed = crash.is_confirmed
         crash.confirmed_at_s = now_s
         self._invalidate(has_new_crash=True)
+        if not was_confirmed:
+            self._on_confirmed(self._describe(crash))
+
+    def _describe(self, crash: crash_records.Crash) -> ConfirmedCrash:
+        suspects = crash.find_suspects()
+        scores = self._score(crash.scope)
+        parts = set().union(*suspects)
+        return ConfirmedCrash(
+            crash.endpoint,
+            len(crash.cuts),
+            len(suspects),
+            sum(cut.written_s is None for cut in crash.cuts),
+            tuple(sorted(parts, key=lambda p: (-scores.get(p, 0), p))),
+        )
 
     def is_unconfirmed(self, endpoint: types.Endpoint) -> bool:
         """Returns whether it is open if an endpoint has crashed."""
@@ -375,9 +413,14 @@
                 del self._crashes[start]
         self._invalidate()
 
-    def _retract(self, endpoint: types.Endpoint) -> None:
-        del self._crashes[endpoint.start]
+    def _retract(
+        self, endpoint: types.Endpoint, cause: RetractionCause
+    ) -> None:
+        crash = self._crashes.pop(endpoint.start)
         self._invalidate()
+        self._on_retracted(
+            RetractedCrash(endpoint.id, cause, crash.is_confirmed)
+        )
 
     def _invalidate(self, *, has_new_crash: bool = False) -> None:
         self._scores.clear()
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -73,7 +73,7 @@
         rng: Source of randomness.
         make_budget: Creates the retry budget of a service.
         is_quarantined: Returns whether no endpoint may get a request.
-        on_crash: Called with each endpoint that is found to have crashed.
+        evidence: What crashes of endpoints say of requests.
         management: Optional decisions under load.
 
     Attributes:
@@ -89,14 +89,12 @@
         is_quarantined: Callable[
             [messages.PlacementRequest], bool
         ] = lambda request: False,
-        on_crash: Callable[
-            [crash_evidence.ConfirmedCrash], None
-        ] = lambda crash: None,
+        evidence: crash_evidence.CrashEvidence | None = None,
         management: load_management.LoadManagement | None = None,
     ) -> None:
         self._management = management or load_management.LoadManagement()
         self._is_quarantined = is_quarantined
-        self.evidence = crash_evidence.CrashEvidence(on_crash)
+        self.evidence = evidence or crash_evidence.CrashEvidence()
         self._make_budget = make_budget
         self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
         self._is_global = is_global
