Reproduce a crashing part that is passed on, with real processes (failing)

Requests with a part that crashes engines still reached engines long after the fifth crash. The stand-ins crashed in one form only: the head had been sent, the connection was closed, the address refused.

--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -17,6 +17,7 @@
 import time
 import types
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 from typing import Self
@@ -24,6 +25,8 @@
 import multidict
 from aiohttp import web
 
+from poplarwick_standins import crash_forms
+
 PREFILL_TOKENS_PER_S = 154_000
 """Prefill rate of an engine without helpers, from the users' data sheets."""
 
@@ -180,6 +183,7 @@
             it begins to write an answer on them; replicas may share one set.
         crashing_bodies: Bodies of requests that crash the replica when it
             begins to run them; replicas may share one set.
+        choose_crash_form: Returns how the replica crashes on a request.
         crash_causes: Parts of the prompt, or the body, that crashed the
             replica; empty if none did.
         crashed_at_s: Monotonic time of that crash; None if there was none.
@@ -224,6 +228,9 @@
         self.fault_plan: list[Fault] = []
         self.crashing_parts: set[str] = set()
         self.crashing_bodies: set[bytes] = set()
+        self.choose_crash_form: Callable[[], crash_forms.CrashForm] = (
+            crash_forms.CrashForm
+        )
         self.crash_causes: set[str] = set()
         self.crashed_at_s: float | None = None
         self.head_part: bytes | None = None
@@ -251,6 +258,7 @@
         self._used_tokens = 0
         self._slot_released = asyncio.Condition()
         self._is_open = False
+        self._is_silent = False
         self._crash: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -280,12 +288,24 @@
         """Whether the replica runs."""
         return self._is_open
 
-    async def crash(self) -> None:
-        """Stops at once and cuts off running requests."""
-        if not self._is_open:
+    async def crash(
+        self, ending: crash_forms.Ending = crash_forms.Ending.CLOSE
+    ) -> None:
+        """Stops at once and cuts off running requests.
+
+        A silent replica still has to be crashed in another way at the end.
+        """
+        if not self._is_open and not self._is_silent:
             return
         self._is_open = False
+        self._is_silent = ending is crash_forms.Ending.SILENCE
+        if self._is_silent:
+            return
         self._listener.close()
+        if ending is crash_forms.Ending.RESET:
+            for connection in list(self._server.connections):
+                if connection.transport is not None:
+                    _set_reset(connection.transport)
         self.reset_connections()
         await self._server.shutdown(0)
 
@@ -319,6 +339,7 @@
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self._stop_if_silent()
         if request.path == "/v1/report":
             if self.report_body is not None:
                 return web.Response(
@@ -596,7 +617,9 @@
         if "Token-Counts" in request.headers:
             return await self._stream(request, execution, headers)
         await asyncio.sleep(self.response_delay_s)
-        await self._crash_on(execution)
+        form = self.choose_crash_form()
+        await self._crash_on(execution, form, form.stage)
+        await self._stop_if_silent()
         return web.Response(
             headers=headers, text=self.make_body(execution.request_id)
         )
@@ -655,19 +678,38 @@
         while True:
             await response.write(b"x" * ENDLESS_PART_BYTES)
 
-    async def _crash_on(self, execution: Execution) -> None:
-        """Crashes if the request or a part of its prompt does so."""
+    async def _crash_on(
+        self,
+        execution: Execution,
+        form: crash_forms.CrashForm,
+        stage: crash_forms.Stage,
+    ) -> None:
+        """Crashes if the request or a part of its prompt does so.
+
+        Args:
+            execution: The request.
+            form: How it crashes the replica.
+            stage: How much of the answer has been sent.
+        """
+        if form.stage is not stage:
+            return
         causes = set(_read_parts(execution.headers)) & self.crashing_parts
         if execution.body in self.crashing_bodies:
             causes.add(execution.body.decode(errors="replace"))
         if not causes:
             return
-        self.crash_causes = causes
-        self.crashed_at_s = time.monotonic()
-        # In a task of its own, because the crash ends this request too.
-        self._crash = asyncio.create_task(self.crash())
+        await asyncio.sleep(form.delay_s)
+        if self._is_open:
+            self.crash_causes = causes
+            self.crashed_at_s = time.monotonic()
+            # In a task of its own, because the crash ends this request too.
+            self._crash = asyncio.create_task(self.crash(form.ending))
         await asyncio.sleep(HANG_S)
 
+    async def _stop_if_silent(self) -> None:
+        if self._is_silent:
+            await asyncio.sleep(HANG_S)
+
     async def prepare_events(
         self, prompt_tokens: int, headers: Mapping[str, str]
     ) -> None:
@@ -686,6 +728,9 @@
         headers: Mapping[str, str],
     ) -> web.StreamResponse:
         prompt_tokens, _ = _read_counts(request.headers)
+        form = self.choose_crash_form()
+        await self._crash_on(execution, form, crash_forms.Stage.BEFORE_HEAD)
+        await self._stop_if_silent()
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
@@ -696,11 +741,12 @@
                 socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BUFFER_BYTES
             )
         await self.prepare_events(prompt_tokens, request.headers)
-        await self._crash_on(execution)
+        await self._crash_on(execution, form, crash_forms.Stage.AFTER_HEAD)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         events = self.choose_event_count(request.headers)
         for number in range(first, events + 1):
             await self.wait_for_event()
+            await self._stop_if_silent()
             event = self.make_event(execution.request_id, number)
             if self.event_bytes:
                 event = _enlarge(event, self.event_bytes)
@@ -727,6 +773,10 @@
                 _abort(request)
                 return response
             await self._write(request, response, event)
+            if number == first:
+                await self._crash_on(
+                    execution, form, crash_forms.Stage.AFTER_EVENT
+                )
         await response.write_eof()
         return response
 
@@ -813,7 +863,12 @@
 def _reset(request: web.BaseRequest) -> None:
     """Discards what is under way and resets the connection."""
     if request.transport is not None:
-        request.transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+        _set_reset(request.transport)
         request.transport.abort()
+
+
+def _set_reset(transport: asyncio.BaseTransport) -> None:
+    """Lets the end of a connection be a reset."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
