Let crashes before the head speak against the parts of their requests

Cause: if any answer of a crashed engine had just begun, only such answers were suspected. A crash that comes before the head, or overtakes it, then speaks against a sound bystander alone. The class: evidence that counts only in the form in which our stand-ins gave it, here always a head and nothing else.

Change: part_evidence.py weighs parts. Every request without a head or with a begun answer is suspected; what tells the culprit from bystanders is that it is in more crashes and in no answer. Of equal counts begun answers go first, and sets from different requests wait for the next crash, five at most. A crash counts from when its request was sent, so that retries within 0.1 s count each. Bystanders of two crashes are sent again unless they lead in one.

--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -17,6 +17,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -25,6 +26,7 @@
 from poplarwick_core import ids
 from poplarwick_placement import crash_records
 from poplarwick_placement import messages
+from poplarwick_placement import part_evidence
 from poplarwick_placement import request_evidence
 
 CULPRIT_CRASHES = 3
@@ -41,8 +43,8 @@
 """Time after a cut within which instances may still tell of earlier progress of
 the endpoint."""
 
-MAX_CREDIT = 10
-"""Complete answers that count in favour of a part, at most."""
+AMBIGUOUS_CRASHES = 5
+"""The same for parts of different requests that have the same score."""
 
 MAX_CRASHES = 256
 """Crashes that are remembered."""
@@ -55,9 +57,6 @@
 """Sound answers of a service that one instance tells a new placer: one of them
 is to another request than any that is accused."""
 
-MAX_RECORDED_PARTS = 4_096
-"""Parts whose complete answers are remembered, the latest ones."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Culprit:
@@ -118,12 +117,6 @@
     was_confirmed: bool
 
 
-@dataclasses.dataclass(slots=True)
-class _SoundRecord:
-    credit: int = 0
-    last_at_s: float = 0.0
-
-
 class SoundAnswer(NamedTuple):
     """An answer that shows which request does not crash endpoints.
 
@@ -154,9 +147,7 @@
         self._on_confirmed = on_confirmed
         self._on_retracted = on_retracted
         self._crashes: dict[types.EndpointStart, crash_records.Crash] = {}
-        self._sound: collections.OrderedDict[
-            tuple[crash_records.Scope, ids.PromptPartId], _SoundRecord
-        ] = collections.OrderedDict()
+        self._parts = part_evidence.PartEvidence()
         self._culprits: dict[
             crash_records.Scope, set[frozenset[ids.PromptPartId]]
         ] = {}
@@ -167,9 +158,7 @@
         self._accused: (
             frozenset[tuple[ids.ServiceId, ids.RequestFingerprint]] | None
         ) = None
-        self._scores: dict[
-            crash_records.Scope, dict[ids.PromptPartId, int]
-        ] = {}
+        self._scores: dict[crash_records.Scope, part_evidence.Scores] = {}
         self._has_new_crash = False
 
     def record_cut(
@@ -217,7 +206,7 @@
         now_s: float,
     ) -> None:
         """Records a complete answer to a request."""
-        self._record_sound(endpoint, request, 1, now_s)
+        self._record_sound(endpoint, request, now_s, is_complete=True)
 
     def record_writing(
         self,
@@ -226,14 +215,15 @@
         now_s: float,
     ) -> None:
         """Records an answer that has been written for a time."""
-        self._record_sound(endpoint, request, 0, now_s)
+        self._record_sound(endpoint, request, now_s, is_complete=False)
 
     def _record_sound(
         self,
         endpoint: types.Endpoint,
         request: messages.PlacementRequest,
-        credit: int,
         now_s: float,
+        *,
+        is_complete: bool,
     ) -> None:
         scope = crash_records.get_scope(endpoint)
         self._contrasts.setdefault(
@@ -246,13 +236,9 @@
         if request.fingerprint is not None and self.is_accused(request):
             self._requests.record_answer(scope, request.fingerprint, now_s)
             self._accused = None
-        for part in request.shared_parts:
-            record = self._sound.pop((scope, part), None) or _SoundRecord()
-            record.credit = min(record.credit + credit, MAX_CREDIT)
-            record.last_at_s = now_s
-            self._sound[scope, part] = record
-        while len(self._sound) > MAX_RECORDED_PARTS:
-            self._sound.popitem(last=False)
+        self._parts.record_answer(
+            scope, request.shared_parts, now_s, is_complete=is_complete
+        )
         self._scores.pop(scope, None)
 
     def list_sound_answers(
@@ -328,13 +314,22 @@
     def _describe(self, crash: crash_records.Crash) -> ConfirmedCrash:
         suspects = crash.find_suspects()
         scores = self._score(crash.scope)
-        parts = set().union(*suspects)
+        parts = set().union(*(cut.parts for cut in suspects))
         return ConfirmedCrash(
             crash.endpoint,
             len(crash.cuts),
             len(suspects),
-            sum(cut.written_s is None for cut in crash.cuts),
-            tuple(sorted(parts, key=lambda p: (-scores.get(p, 0), p))),
+            sum(not cut.had_begun for cut in crash.cuts),
+            tuple(
+                sorted(
+                    parts,
+                    key=lambda part: (
+                        scores.get(part, part_evidence.NO_SCORE),
+                        part,
+                    ),
+                    reverse=True,
+                )
+            ),
         )
 
     def is_unconfirmed(self, endpoint: types.Endpoint) -> bool:
@@ -368,12 +363,31 @@
                 copies = self._requests.score(self._list_unexplained(scope))
                 if copies.get(request.fingerprint, 0) >= SUSPECT_CRASHES:
                     return True
-            blamed = set().union(*self._culprits.get(scope, ()))
-            scores = self._score(scope)
-            if any(
-                scores.get(part, 0) >= SUSPECT_CRASHES
-                for part in request.shared_parts
-                if part not in blamed
+            if self._is_part_suspected(scope, request):
+                return True
+        return False
+
+    def _is_part_suspected(
+        self, scope: crash_records.Scope, request: messages.PlacementRequest
+    ) -> bool:
+        """Returns whether two crashes speak most against a part of a request.
+
+        What merely ran on the same endpoints is tried again.
+        """
+        blamed = set().union(*self._culprits.get(scope, ()))
+        parts = set(request.shared_parts) - blamed
+        scores = self._score(scope)
+        if not any(
+            scores.get(part, part_evidence.NO_SCORE).crashes >= SUSPECT_CRASHES
+            for part in parts
+        ):
+            return False
+        for crash in self._list_confirmed(scope):
+            score, leaders = part_evidence.find_leaders(
+                self._accuse(crash), scores
+            )
+            if score.crashes >= SUSPECT_CRASHES and any(
+                not parts.isdisjoint(leader) for leader in leaders
             ):
                 return True
         return False
@@ -436,37 +450,46 @@
         for crash in self._list_confirmed(scope):
             if self._requests.find_blamed(crash):
                 continue
-            for parts in crash.find_suspects():
-                if not parts or any(known.issubset(parts) for known in blamed):
-                    continue
-                scores = self._score(scope)
-                highest = max(scores.get(part, 0) for part in parts)
-                if highest < CULPRIT_CRASHES:
-                    continue
-                # Parts that cannot be told apart yet are blamed together, so
-                # that requests with only one of them are still served.
-                culprit = frozenset(
-                    part for part in parts if scores.get(part) == highest
-                )
-                if not self._is_distinguished(scope, culprit):
-                    self._has_new_crash = True
-                    continue
-                blamed.add(culprit)
-                self._scores.clear()
+            if any(crash.involves(parts) for parts in blamed):
+                continue
+            for parts in self._find_guilty_parts(crash):
+                blamed.add(parts)
+                self._scores.pop(scope, None)
                 found.append(
                     Culprit(
                         scope.service,
                         scope.software_version,
-                        culprit,
+                        parts,
                         tuple(
                             confirmed.endpoint
                             for confirmed in self._list_confirmed(scope)
-                            if confirmed.involves(culprit)
+                            if confirmed.involves(parts)
                         ),
                     )
                 )
         return found
 
+    def _find_guilty_parts(
+        self, crash: crash_records.Crash
+    ) -> list[frozenset[ids.PromptPartId]]:
+        """Returns the sets of parts to blame for a crash, if any."""
+        score, leaders = part_evidence.find_leaders(
+            self._accuse(crash), self._score(crash.scope)
+        )
+        if score.crashes < CULPRIT_CRASHES:
+            return []
+        guilty = [
+            parts
+            for parts in sorted(leaders, key=sorted)
+            if self._is_distinguished(crash.scope, parts)
+        ]
+        if not guilty:
+            # The next sound answer may tell them from the service.
+            self._has_new_crash = True
+        if len(guilty) > 1 and score.crashes < AMBIGUOUS_CRASHES:
+            return []
+        return guilty
+
     def _find_request_culprits(
         self, scope: crash_records.Scope
     ) -> list[Culprit]:
@@ -570,62 +593,46 @@
             if crash.scope == scope and crash.is_confirmed
         ]
 
-    def _score(self, scope: crash_records.Scope) -> dict[ids.PromptPartId, int]:
-        """Returns the crashes less the complete answers of each part."""
+    def _score(self, scope: crash_records.Scope) -> part_evidence.Scores:
         scores = self._scores.get(scope)
         if scores is None:
-            scores = self._scores[scope] = self._calculate_scores(scope)
-        return scores
-
-    def _calculate_scores(
-        self, scope: crash_records.Scope
-    ) -> dict[ids.PromptPartId, int]:
-        moments: dict[ids.PromptPartId, set[int]] = {}
-        moment, began_at_s = 0, float("-inf")
-        crashes = sorted(self._list_confirmed(scope), key=lambda c: c.at_s)
-        for crash in crashes:
-            if crash.at_s - began_at_s > crash_records.SIMULTANEOUS_S:
-                moment, began_at_s = moment + 1, crash.at_s
-            is_explained = bool(self._requests.find_blamed(crash))
-            for part in self._find_blamable(crash):
-                record = self._sound.get((scope, part))
-                if record is None or crash.at_s > record.last_at_s:
-                    # All crashes by one request count once against the parts
-                    # of its prompt.
-                    moments.setdefault(part, set()).add(
-                        0 if is_explained else moment
-                    )
-        scores = {}
-        for part, counted in moments.items():
-            record = self._sound.get((scope, part))
-            scores[part] = len(counted) - (record.credit if record else 0)
+            scores = self._scores[scope] = self._parts.score(
+                scope,
+                itertools.chain.from_iterable(
+                    map(self._accuse, self._list_confirmed(scope))
+                ),
+            )
         return scores
 
-    def _find_blamable(
+    def _accuse(
         self, crash: crash_records.Crash
-    ) -> set[ids.PromptPartId]:
-        """Returns the parts that a crash speaks against.
+    ) -> list[part_evidence.Accusation]:
+        """Returns what a crash speaks against.
 
-        A crash that a known culprit explains speaks against no other part, and
-        one that a blamed request explains only against its parts.
+        A crash that known culprits explain speaks against no other parts, and
+        one that blamed requests explain only against theirs.
         """
+        suspects = crash.find_suspects()
         explaining = [
             culprit
             for culprit in self._culprits.get(crash.scope, ())
             if crash.involves(culprit)
         ]
         if explaining:
-            return set().union(*explaining)
+            return [
+                part_evidence.Accusation(crash, cut, culprit)
+                for culprit in explaining
+                for cut in suspects
+                if culprit.issubset(cut.parts)
+            ]
         requests = self._requests.find_blamed(crash)
-        if requests:
-            return set().union(
-                *(
-                    cut.parts
-                    for cut in crash.find_suspected_requests()
-                    if cut.fingerprint in requests
-                )
+        return [
+            part_evidence.Accusation(
+                crash, cut, frozenset(cut.parts), bool(requests)
             )
-        return set().union(*crash.find_suspects())
+            for cut in suspects
+            if not requests or cut.fingerprint in requests
+        ]
 
 
 def _choose_different(answers: Iterable[SoundAnswer]) -> list[SoundAnswer]:
--- a/packages/placement/poplarwick_placement/crash_records.py
+++ b/packages/placement/poplarwick_placement/crash_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from poplarwick_catalogue import types
@@ -26,6 +27,32 @@
     software_version: str
 
 
+class Span(NamedTuple):
+    """When a crash can have happened.
+
+    Attributes:
+        from_s: Earliest monotonic time.
+        to_s: Latest monotonic time.
+    """
+
+    from_s: float
+    to_s: float
+
+
+def count_moments(spans: Iterable[Span]) -> int:
+    """Returns at how many different moments crashes happened at least.
+
+    Crashes whose spans overlap may have one cause, as the loss of a failure
+    domain, and count once.
+    """
+    moments, last_s = 0, float("-inf")
+    for span in sorted(spans, key=lambda span: span.to_s):
+        if span.from_s > last_s:
+            moments += 1
+            last_s = span.to_s
+    return moments
+
+
 def get_scope(endpoint: types.Endpoint) -> Scope:
     """Returns the scope of an endpoint."""
     return Scope(endpoint.service, endpoint.software_version)
@@ -48,6 +75,23 @@
     written_s: float | None
     sent_at_s: float
 
+    @property
+    def had_begun(self) -> bool:
+        """Whether the head of its answer had arrived."""
+        return self.written_s is not None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it may have caused the crash.
+
+        Answers without a head are among them although others had just begun:
+        the end of the endpoint may have overtaken the head, or have come before
+        it.
+        """
+        return (
+            self.written_s is None or self.written_s <= messages.ANSWER_START_S
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Crash:
@@ -72,9 +116,13 @@
         """Whether the endpoint was found to have ended."""
         return self.confirmed_at_s is not None
 
+    def calculate_span(self, cut: Cut) -> Span:
+        """Returns when a request can have caused the crash."""
+        return Span(max(cut.sent_at_s, self.at_s - SIMULTANEOUS_S), self.at_s)
+
     def involves(self, parts: frozenset[ids.PromptPartId]) -> bool:
         """Returns whether a suspect has all of these parts."""
-        return any(parts.issubset(s) for s in self.find_suspects())
+        return any(parts.issubset(cut.parts) for cut in self.find_suspects())
 
     def involves_request(self, fingerprint: ids.RequestFingerprint) -> bool:
         """Returns whether a copy of a request may have caused the crash."""
@@ -83,28 +131,10 @@
             for cut in self.find_suspected_requests()
         )
 
-    def find_suspects(self) -> list[tuple[ids.PromptPartId, ...]]:
-        """Returns the parts of each request that may have caused the crash."""
-        begun = [
-            cut.parts
-            for cut in self.cuts
-            if cut.written_s is not None
-            and cut.written_s <= messages.ANSWER_START_S
-        ]
-        return begun or [c.parts for c in self.cuts if c.written_s is None]
+    def find_suspects(self) -> list[Cut]:
+        """Returns the requests that may have caused the crash."""
+        return [cut for cut in self.cuts if cut.is_suspect]
 
     def find_suspected_requests(self) -> list[Cut]:
-        """Returns the requests that had no answer yet, or hardly any.
-
-        One without a head is among them although the answer to another one had
-        just begun: the end of the endpoint may have overtaken its head.
-        """
-        return [
-            cut
-            for cut in self.cuts
-            if cut.fingerprint is not None
-            and (
-                cut.written_s is None
-                or cut.written_s <= messages.ANSWER_START_S
-            )
-        ]
+        """Returns the suspects whose copies can be recognised."""
+        return [cut for cut in self.find_suspects() if cut.fingerprint]
--- /dev/null
+++ b/packages/placement/poplarwick_placement/part_evidence.py
@@ -0,0 +1,185 @@
+"""Weighs crashes of endpoints against the parts of prompts.
+
+Load pattern: one part of a prompt ends each engine that begins to write an
+answer on it, before the head, after it or behind some events. Beside it run
+sound requests, of which some wait without a head as well and others have just
+begun; several requests with the part crash several engines at once.
+
+The part is in every crash and in no answer. Sound parts are in some crashes by
+chance, but each answer on them clears them.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from poplarwick_core import ids
+from poplarwick_placement import crash_records
+
+MAX_CREDIT = 10
+"""Complete answers that count in favour of a part, at most."""
+
+MAX_RECORDED_PARTS = 4_096
+"""Parts whose complete answers are remembered, the latest ones."""
+
+
+class Accusation(NamedTuple):
+    """A request that may have caused a crash.
+
+    Attributes:
+        crash: The crash.
+        cut: The request.
+        parts: Parts of its prompt that the crash speaks against.
+        is_request_blamed: Whether the request is blamed as a whole.
+    """
+
+    crash: crash_records.Crash
+    cut: crash_records.Cut
+    parts: frozenset[ids.PromptPartId]
+    is_request_blamed: bool = False
+
+    @property
+    def span(self) -> crash_records.Span:
+        """When the request can have caused the crash."""
+        return self.crash.calculate_span(self.cut)
+
+
+class Score(NamedTuple):
+    """What speaks against a part; the highest score is blamed first.
+
+    Attributes:
+        crashes: Crashes at different moments, less complete answers.
+        begun: Moments at which an answer on the part had just begun. An engine
+            crashes on a part when it begins to write, so that this tells two
+            parts apart that are in equally many crashes.
+    """
+
+    crashes: int
+    begun: int
+
+
+NO_SCORE = Score(0, 0)
+
+Scores = dict[ids.PromptPartId, Score]
+
+
+class _SoundRecord:
+    """Complete answers on a part and the time of the last sign of soundness."""
+
+    __slots__ = ("credit", "last_at_s")
+
+    def __init__(self) -> None:
+        self.credit = 0
+        self.last_at_s = 0.0
+
+
+class PartEvidence:
+    """Remembers the answers on parts and scores crashes against them."""
+
+    def __init__(self) -> None:
+        self._sound: collections.OrderedDict[
+            tuple[crash_records.Scope, ids.PromptPartId], _SoundRecord
+        ] = collections.OrderedDict()
+
+    @property
+    def recorded_count(self) -> int:
+        """Number of parts whose answers are remembered."""
+        return len(self._sound)
+
+    def record_answer(
+        self,
+        scope: crash_records.Scope,
+        parts: Iterable[ids.PromptPartId],
+        now_s: float,
+        *,
+        is_complete: bool,
+    ) -> None:
+        """Records an answer that shows that parts are sound."""
+        for part in parts:
+            record = self._sound.pop((scope, part), None) or _SoundRecord()
+            if is_complete:
+                record.credit = min(record.credit + 1, MAX_CREDIT)
+            record.last_at_s = now_s
+            self._sound[scope, part] = record
+        while len(self._sound) > MAX_RECORDED_PARTS:
+            self._sound.popitem(last=False)
+
+    def score(
+        self, scope: crash_records.Scope, accusations: Iterable[Accusation]
+    ) -> Scores:
+        """Returns the scores of the parts in the accusations of one scope.
+
+        All crashes by blamed requests count once: that a request crashes
+        endpoints says little about what it shares with others.
+        """
+        spans: dict[ids.PromptPartId, list[Accusation]] = {}
+        blamed: dict[ids.PromptPartId, set[str | None]] = {}
+        for accusation in accusations:
+            for part in accusation.parts:
+                record = self._sound.get((scope, part))
+                if (
+                    record is not None
+                    and accusation.crash.at_s <= record.last_at_s
+                ):
+                    continue
+                if accusation.is_request_blamed:
+                    requests = blamed.setdefault(part, set())
+                    requests.add(None)
+                else:
+                    spans.setdefault(part, []).append(accusation)
+        return {
+            part: self._make_score(
+                scope, part, spans.get(part, ()), len(blamed.get(part, ()))
+            )
+            for part in spans.keys() | blamed.keys()
+        }
+
+    def _make_score(
+        self,
+        scope: crash_records.Scope,
+        part: ids.PromptPartId,
+        accusations: Iterable[Accusation],
+        blamed_requests: int,
+    ) -> Score:
+        record = self._sound.get((scope, part))
+        moments = crash_records.count_moments(a.span for a in accusations)
+        begun = crash_records.count_moments(
+            a.span for a in accusations if a.cut.had_begun
+        )
+        credit = 0 if record is None else record.credit
+        return Score(moments + blamed_requests - credit, begun)
+
+
+def find_leaders(
+    accusations: Iterable[Accusation], scores: Scores
+) -> tuple[Score, set[frozenset[ids.PromptPartId]]]:
+    """Returns the parts that a crash speaks against most, and their score.
+
+    Parts of one request with equally many crashes cannot be told apart and go
+    together. Several sets come from several requests.
+
+    Args:
+        accusations: What the crash speaks against.
+        scores: Scores of all parts.
+    """
+    highest = NO_SCORE
+    leaders: set[frozenset[ids.PromptPartId]] = set()
+    for accusation in accusations:
+        score = max(
+            (scores.get(part, NO_SCORE) for part in accusation.parts),
+            default=NO_SCORE,
+        )
+        if score < highest or score.crashes <= 0:
+            continue
+        if score > highest:
+            highest, leaders = score, set()
+        leaders.add(
+            frozenset(
+                part
+                for part in accusation.parts
+                if scores.get(part, NO_SCORE).crashes == score.crashes
+            )
+        )
+    return highest, leaders
--- a/packages/placement/tests/test_crash_evidence.py
+++ b/packages/placement/tests/test_crash_evidence.py
@@ -10,6 +10,7 @@
 
 from poplarwick_placement import crash_evidence
 from poplarwick_placement import messages
+from poplarwick_placement import part_evidence
 
 COMMON = "c0"
 """Part that all requests of the service share."""
@@ -151,7 +152,7 @@
     evidence = crash_evidence.CrashEvidence()
     for number in range(100):
         complete(evidence, COMMON, now_s=number * 0.01)
-    crashes = crash_evidence.MAX_CREDIT + crash_evidence.CULPRIT_CRASHES
+    crashes = part_evidence.MAX_CREDIT + crash_evidence.CULPRIT_CRASHES
     for number in range(crashes):
         assert not evidence.find_culprits()
         crash(
@@ -408,7 +409,7 @@
 
 def test_memory_for_parts_is_bounded():
     evidence = crash_evidence.CrashEvidence()
-    for number in range(2 * crash_evidence.MAX_RECORDED_PARTS):
+    for number in range(2 * part_evidence.MAX_RECORDED_PARTS):
         complete(evidence, f"p{number}", now_s=0.0)
     for number in range(2 * crash_evidence.MAX_CRASHES):
         crash(
@@ -418,5 +419,117 @@
             float(number),
         )
         evidence.find_culprits()
-    assert len(evidence._sound) == crash_evidence.MAX_RECORDED_PARTS
+    assert evidence._parts.recorded_count == part_evidence.MAX_RECORDED_PARTS
     assert len(evidence._crashes) == crash_evidence.MAX_CRASHES
+
+
+# Guards against a part that is not blamed because other answers had begun when
+# its engines crashed before their heads (BUDGET).
+def test_part_that_crashes_engines_before_heads_is_blamed():
+    evidence = crash_evidence.CrashEvidence()
+    complete(evidence, COMMON, now_s=0.0)
+    for number in range(3):
+        crash(
+            evidence,
+            make_endpoint(number),
+            [
+                ((COMMON, f"session-{number}"), JUST_BEGUN_S),
+                ((COMMON, "bad"), None),
+                ((COMMON, f"old-{number}"), LONG_BEGUN_S),
+            ],
+            1.0 + 0.3 * number,
+        )
+    assert find_parts(evidence) == [{"bad"}]
+
+
+def test_parts_of_different_requests_in_equal_crashes_are_told_apart():
+    """Two requests without heads lose each of three engines, one a fourth."""
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(3):
+        crash(
+            evidence,
+            make_endpoint(number),
+            [(("bad",), None), (("unlucky",), None)],
+            1.0 + 0.3 * number,
+        )
+        assert not evidence.find_culprits()
+    crash(evidence, make_endpoint(3), [(("bad",), None)], 3.0)
+    assert find_parts(evidence) == [{"bad"}]
+
+
+def test_sound_request_that_ran_on_two_crashed_engines_is_sent_again():
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(3):
+        cuts = [(("bad",), None), (("unlucky",), JUST_BEGUN_S)]
+        crash(
+            evidence,
+            make_endpoint(number),
+            cuts[: 1 + (number < 2)],
+            1.0 + 0.3 * number,
+        )
+    assert not evidence.is_suspected(make_request("unlucky", was_cut_off=True))
+    assert evidence.is_suspected(make_request("bad", was_cut_off=True))
+
+
+def test_engines_that_are_crashed_by_retries_within_a_moment_count_each():
+    """Each request is sent again 20 ms after the end of its engine."""
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(3):
+        now_s = 1.0 + 0.04 * number
+        evidence.record_cut(
+            make_endpoint(number),
+            make_request(COMMON, "bad"),
+            None,
+            now_s,
+            sent_at_s=now_s - 0.02,
+        )
+        evidence.record_unanswered(make_endpoint(number), now_s)
+    complete(evidence, COMMON, now_s=2.0)
+    assert find_parts(evidence) == [{"bad"}]
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("is_headless", [False, True])
+def test_storm_beside_answers_without_heads_condemns_the_culprit_only(
+    seed, is_headless
+):
+    """Heads come after 0 to 0.4 s; the part crashes engines before or after."""
+    rng = random.Random(seed)
+    evidence = crash_evidence.CrashEvidence()
+    engines = {n: [] for n in range(16)}
+    blamed, crashes = [], 0
+    numbers = itertools.count(16)
+    for step in range(600):
+        now_s = step / 30
+        is_bad = step > 60 and rng.random() < 1 / 10 and {"bad"} not in blamed
+        parts = (COMMON, "bad" if is_bad else f"session-{rng.randrange(20)}")
+        number = rng.choice(list(engines))
+        head_at_s = now_s + (0.0 if is_bad else rng.uniform(0.0, 0.4))
+        engines[number].append((parts, now_s, head_at_s))
+        for running in engines.values():
+            for job in [j for j in running if now_s > j[2] + 1.4]:
+                running.remove(job)
+                complete(evidence, *job[0], now_s=now_s)
+        crashing = {number} if is_bad else set()
+        if step % 30 == 0:
+            crashing.add(rng.choice(list(engines)))
+        crashes += is_bad
+        for number in crashing:
+            endpoint = make_endpoint(number)
+            for job_parts, sent_at_s, job_head_at_s in engines.pop(number):
+                written_s = None
+                is_hidden = is_headless and "bad" in job_parts
+                if now_s >= job_head_at_s and not is_hidden:
+                    written_s = now_s - job_head_at_s
+                evidence.record_cut(
+                    endpoint,
+                    make_request(*job_parts),
+                    written_s,
+                    now_s + 0.05,
+                    sent_at_s,
+                )
+            evidence.record_unanswered(endpoint, now_s + 0.06)
+            engines[next(numbers)] = []
+        blamed.extend(find_parts(evidence))
+    assert blamed == [{"bad"}]
+    assert crashes <= 2 * crash_evidence.CULPRIT_CRASHES
