Count each blamed request against the parts of its prompt

What callers saw: a part stayed in use although several requests with it had been put in quarantine one by one, each after three crashes.

Cause: crashes that blamed requests explain counted once in all, however many requests they were, and a part was blamed only for a crash that no request explains. Where each request is sent again until it is blamed, the part stood at one.

Change: each blamed request counts once, and crashes that blamed requests explain can blame a part. One crashing request still blames no part.

--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -448,8 +448,6 @@
         found = self._find_request_culprits(scope)
         blamed = self._culprits.setdefault(scope, set())
         for crash in self._list_confirmed(scope):
-            if self._requests.find_blamed(crash):
-                continue
             if any(crash.involves(parts) for parts in blamed):
                 continue
             for parts in self._find_guilty_parts(crash):
--- a/packages/placement/poplarwick_placement/part_evidence.py
+++ b/packages/placement/poplarwick_placement/part_evidence.py
@@ -111,7 +111,7 @@
     ) -> Scores:
         """Returns the scores of the parts in the accusations of one scope.
 
-        All crashes by blamed requests count once: that a request crashes
+        All crashes by one blamed request count once: that a request crashes
         endpoints says little about what it shares with others.
         """
         spans: dict[ids.PromptPartId, list[Accusation]] = {}
@@ -126,7 +126,7 @@
                     continue
                 if accusation.is_request_blamed:
                     requests = blamed.setdefault(part, set())
-                    requests.add(None)
+                    requests.add(accusation.cut.fingerprint)
                 else:
                     spans.setdefault(part, []).append(accusation)
         return {
--- a/packages/placement/tests/test_request_evidence.py
+++ b/packages/placement/tests/test_request_evidence.py
@@ -192,6 +192,24 @@
     assert crashes <= 5
 
 
+# Guards against a part that stays in use because its requests are blamed one by
+# one before it (BUDGET).
+def test_part_of_several_blamed_requests_is_blamed():
+    fleet = Fleet()
+    for request in range(CRASHES):
+        for copy in range(CRASHES):
+            fleet.crash(
+                request + 0.3 * copy,
+                make_request(f"bad {request}", parts=(COMMON, "bad")),
+            )
+            fleet.answer(
+                make_request("other", parts=(COMMON,)),
+                request + 0.3 * copy + 0.1,
+            )
+        blamed = fleet.find_blamed()
+    assert {"bad"} in blamed
+
+
 def test_request_and_part_that_crash_at_the_same_time_are_both_blamed():
     fleet = Fleet()
     blamed = []
