Blame a part after five crashes also if it was answered before

Cause: up to ten complete answers counted against as many later crashes, whatever their age, and the crashes of each blamed request counted once, however many requests with the part crashed engines. The platform's bound is five crashes and knows neither.

A blamed request counts as often as other requests with the part crash engines; one alone still counts once.

Evidence: test_part_that_was_sound_before_is_blamed_after_five_crashes fails before.

--- a/packages/placement/poplarwick_placement/part_evidence.py
+++ b/packages/placement/poplarwick_placement/part_evidence.py
@@ -18,8 +18,9 @@
 from poplarwick_core import ids
 from poplarwick_placement import crash_records
 
-MAX_CREDIT = 10
-"""Complete answers that count in favour of a part, at most."""
+MAX_CREDIT = 2
+"""Complete answers that count in favour of a part, at most. The platform allows
+five crashes by a part, also by one that was sound before."""
 
 MAX_RECORDED_PARTS = 4_096
 """Parts whose complete answers are remembered, the latest ones."""
@@ -109,47 +110,49 @@
     def score(
         self, scope: crash_records.Scope, accusations: Iterable[Accusation]
     ) -> Scores:
-        """Returns the scores of the parts in the accusations of one scope.
-
-        All crashes by one blamed request count once: that a request crashes
-        endpoints says little about what it shares with others.
-        """
-        spans: dict[ids.PromptPartId, list[Accusation]] = {}
-        blamed: dict[ids.PromptPartId, set[str | None]] = {}
+        """Returns the scores of the parts in the accusations of one scope."""
+        counted: dict[ids.PromptPartId, list[Accusation]] = {}
         for accusation in accusations:
             for part in accusation.parts:
                 record = self._sound.get((scope, part))
-                if (
-                    record is not None
-                    and accusation.crash.at_s <= record.last_at_s
-                ):
-                    continue
-                if accusation.is_request_blamed:
-                    requests = blamed.setdefault(part, set())
-                    requests.add(accusation.cut.fingerprint)
-                else:
-                    spans.setdefault(part, []).append(accusation)
+                if record is None or accusation.crash.at_s > record.last_at_s:
+                    counted.setdefault(part, []).append(accusation)
         return {
-            part: self._make_score(
-                scope, part, spans.get(part, ()), len(blamed.get(part, ()))
-            )
-            for part in spans.keys() | blamed.keys()
+            part: self._make_score(scope, part, against)
+            for part, against in counted.items()
         }
 
     def _make_score(
         self,
         scope: crash_records.Scope,
         part: ids.PromptPartId,
-        accusations: Iterable[Accusation],
-        blamed_requests: int,
+        accusations: list[Accusation],
     ) -> Score:
         record = self._sound.get((scope, part))
-        moments = crash_records.count_moments(a.span for a in accusations)
+        credit = 0 if record is None else record.credit
+        crashes = _count_crashes(accusations)
         begun = crash_records.count_moments(
             a.span for a in accusations if a.cut.had_begun
         )
-        credit = 0 if record is None else record.credit
-        return Score(moments + blamed_requests - credit, begun)
+        return Score(crashes - credit, begun)
+
+
+def _count_crashes(accusations: list[Accusation]) -> int:
+    """Returns the crashes that count against a part.
+
+    That one request crashes endpoints again and again says little about what
+    it shares with others: a blamed request counts once, or as often as other
+    requests with the part crash endpoints as well.
+    """
+    total = crash_records.count_moments(a.span for a in accusations)
+    by_request: dict[str | None, list[crash_records.Span]] = {}
+    for accusation in accusations:
+        if accusation.is_request_blamed:
+            spans = by_request.setdefault(accusation.cut.fingerprint, [])
+            spans.append(accusation.span)
+    most = max(map(crash_records.count_moments, by_request.values()), default=0)
+    others = total - most
+    return others + min(most, max(others, 1))
 
 
 def find_leaders(
--- a/packages/placement/tests/test_crash_evidence.py
+++ b/packages/placement/tests/test_crash_evidence.py
@@ -164,6 +164,18 @@
     assert find_parts(evidence) == [{COMMON}]
 
 
+# Guards against a part whose earlier answers outweigh more crashes than the
+# platform allows (BUDGET).
+def test_part_that_was_sound_before_is_blamed_after_five_crashes():
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(100):
+        complete(evidence, "bad", now_s=number * 0.01)
+    for number in range(5):
+        assert not evidence.find_culprits()
+        crash(evidence, make_endpoint(number), [(("bad",), None)], 2.0 + number)
+    assert find_parts(evidence) == [{"bad"}]
+
+
 def test_failure_domain_that_loses_power_condemns_nothing():
     evidence = crash_evidence.CrashEvidence()
     for number in range(7):
