Take engines that fall silent for crashed ones

What callers saw: a part that crashes engines together with their hosts, so that connections stay open and nothing comes, was never put in quarantine; 14 of 16 engines fell silent in 14 s, and their callers waited until their deadlines.

Cause: only answers that a connection's end cuts off are evidence. Silent ones end with their deadlines, or by another endpoint's answer, and say nothing; a stream silent after its first event counted as an answer written for a time and cleared the part.

An engine that misses two reports has crashed under what it runs, until a report comes. Such a crash may have happened at any time since the last sign of life, and crashes whose times overlap count once in a failure domain, twice in several: a cut link or lost power is no evidence against anyone. That holds for all crashes now, those in several domains at once included. Requests are scored by the same count.

--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -28,6 +28,7 @@
 from poplarwick_placement import messages
 from poplarwick_placement import part_evidence
 from poplarwick_placement import request_evidence
+from poplarwick_placement import silent_ends
 
 CULPRIT_CRASHES = 3
 """Crashes, less complete answers, after which a part is blamed."""
@@ -183,20 +184,53 @@
             return
         if written_s is not None and written_s > messages.ANSWER_START_S:
             self.record_writing(endpoint, request, now_s)
+        self._add_cut(
+            endpoint,
+            crash_records.Cut(
+                request.shared_parts, request.fingerprint, written_s, sent_at_s
+            ),
+            now_s,
+        )
+
+    def record_silence(
+        self,
+        endpoint: types.Endpoint,
+        requests: Iterable[silent_ends.SilentRequest],
+        now_s: float,
+    ) -> None:
+        """Records that an engine answers neither requests nor reports."""
+        for silent in requests:
+            request = silent.request
+            if request.shared_parts or request.fingerprint is not None:
+                self._add_cut(
+                    endpoint,
+                    crash_records.Cut(
+                        request.shared_parts,
+                        request.fingerprint,
+                        silent.written_s,
+                        silent.silent_since_s,
+                        silent.silent_since_s,
+                    ),
+                    now_s,
+                )
+        self.record_unanswered(endpoint, now_s)
+
+    def _add_cut(
+        self, endpoint: types.Endpoint, cut: crash_records.Cut, now_s: float
+    ) -> None:
         start = endpoint.start
         crash = self._crashes.get(start)
         if crash is None:
             crash = crash_records.Crash(
-                crash_records.get_scope(endpoint), endpoint.id, now_s
+                crash_records.get_scope(endpoint),
+                endpoint.id,
+                endpoint.domain,
+                now_s,
             )
             self._crashes[start] = crash
             while len(self._crashes) > MAX_CRASHES:
                 del self._crashes[next(iter(self._crashes))]
-        crash.cuts.append(
-            crash_records.Cut(
-                request.shared_parts, request.fingerprint, written_s, sent_at_s
-            )
-        )
+        crash.cuts.append(cut)
         self._invalidate(has_new_crash=crash.is_confirmed)
 
     def record_complete(
@@ -288,6 +322,7 @@
             self.record_unanswered(endpoint, now_s)
         elif (
             crash.confirmed_at_s is None
+            or crash.is_silent
             or now_s - crash.confirmed_at_s <= RETRACTION_S
         ):
             self._retract(endpoint, RetractionCause.REPORT)
--- a/packages/placement/poplarwick_placement/crash_records.py
+++ b/packages/placement/poplarwick_placement/crash_records.py
@@ -14,6 +14,9 @@
 """Crashes within this time count once: a failure domain that loses power takes
 its engines with it in an instant."""
 
+MAX_SIMULTANEOUS = 2
+"""Crashes in different failure domains that count at the same moment."""
+
 
 class Scope(NamedTuple):
     """Endpoints that a request affects alike.
@@ -28,29 +31,36 @@
 
 
 class Span(NamedTuple):
-    """When a crash can have happened.
+    """When a crash can have happened, and where.
 
     Attributes:
         from_s: Earliest monotonic time.
         to_s: Latest monotonic time.
+        domain: Failure domain of the endpoint.
     """
 
     from_s: float
     to_s: float
+    domain: ids.DomainId
 
 
-def count_moments(spans: Iterable[Span]) -> int:
-    """Returns at how many different moments crashes happened at least.
+def count_crashes(spans: Iterable[Span]) -> int:
+    """Returns how many crashes have causes of their own at least.
 
-    Crashes whose spans overlap may have one cause, as the loss of a failure
-    domain, and count once.
+    Crashes whose spans overlap may have one cause. In one failure domain that
+    is its loss, and they count once; in several they count twice, as the whole
+    fleet may be lost.
     """
-    moments, last_s = 0, float("-inf")
+    crashes, last_s = 0, float("-inf")
+    domains: set[ids.DomainId] = set()
     for span in sorted(spans, key=lambda span: span.to_s):
         if span.from_s > last_s:
-            moments += 1
+            domains = set()
             last_s = span.to_s
-    return moments
+        if span.domain not in domains and len(domains) < MAX_SIMULTANEOUS:
+            crashes += 1
+        domains.add(span.domain)
+    return crashes
 
 
 def get_scope(endpoint: types.Endpoint) -> Scope:
@@ -68,12 +78,15 @@
         written_s: Time from the head of the answer to its last event; None
             without a head.
         sent_at_s: Monotonic time at which the request was placed.
+        silent_since_s: Monotonic time since which the endpoint has been silent;
+            None if the connection ended.
     """
 
     parts: tuple[ids.PromptPartId, ...]
     fingerprint: ids.RequestFingerprint | None
     written_s: float | None
     sent_at_s: float
+    silent_since_s: float | None = None
 
     @property
     def had_begun(self) -> bool:
@@ -100,6 +113,7 @@
     Attributes:
         scope: Endpoints that it is alike.
         endpoint: The endpoint.
+        domain: Its failure domain.
         at_s: Monotonic time of the first cut.
         confirmed_at_s: Monotonic time at which it was found to have ended.
         cuts: Requests whose answers were cut off.
@@ -107,6 +121,7 @@
 
     scope: Scope
     endpoint: ids.EndpointId
+    domain: ids.DomainId
     at_s: float
     confirmed_at_s: float | None = None
     cuts: list[Cut] = dataclasses.field(default_factory=list)
@@ -116,9 +131,20 @@
         """Whether the endpoint was found to have ended."""
         return self.confirmed_at_s is not None
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing but silence speaks for the crash."""
+        return all(cut.silent_since_s is not None for cut in self.cuts)
+
     def calculate_span(self, cut: Cut) -> Span:
         """Returns when a request can have caused the crash."""
-        return Span(max(cut.sent_at_s, self.at_s - SIMULTANEOUS_S), self.at_s)
+        if cut.silent_since_s is not None:
+            return Span(cut.silent_since_s, self.at_s, self.domain)
+        return Span(
+            max(cut.sent_at_s, self.at_s - SIMULTANEOUS_S),
+            self.at_s,
+            self.domain,
+        )
 
     def involves(self, parts: frozenset[ids.PromptPartId]) -> bool:
         """Returns whether a suspect has all of these parts."""
--- a/packages/placement/poplarwick_placement/part_evidence.py
+++ b/packages/placement/poplarwick_placement/part_evidence.py
@@ -131,7 +131,7 @@
         record = self._sound.get((scope, part))
         credit = 0 if record is None else record.credit
         crashes = _count_crashes(accusations)
-        begun = crash_records.count_moments(
+        begun = crash_records.count_crashes(
             a.span for a in accusations if a.cut.had_begun
         )
         return Score(crashes - credit, begun)
@@ -144,13 +144,13 @@
     it shares with others: a blamed request counts once, or as often as other
     requests with the part crash endpoints as well.
     """
-    total = crash_records.count_moments(a.span for a in accusations)
+    total = crash_records.count_crashes(a.span for a in accusations)
     by_request: dict[str | None, list[crash_records.Span]] = {}
     for accusation in accusations:
         if accusation.is_request_blamed:
             spans = by_request.setdefault(accusation.cut.fingerprint, [])
             spans.append(accusation.span)
-    most = max(map(crash_records.count_moments, by_request.values()), default=0)
+    most = max(map(crash_records.count_crashes, by_request.values()), default=0)
     others = total - most
     return others + min(most, max(others, 1))
 
--- a/packages/placement/poplarwick_placement/request_evidence.py
+++ b/packages/placement/poplarwick_placement/request_evidence.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -34,12 +33,6 @@
 Accused = tuple[crash_records.Scope, ids.RequestFingerprint]
 
 
-@dataclasses.dataclass(slots=True)
-class _Count:
-    crashes: int
-    last_at_s: float
-
-
 class RequestEvidence:
     """Weighs crashes against the requests that may have caused them."""
 
@@ -109,19 +102,11 @@
         Args:
             crashes: Confirmed crashes of one scope.
         """
-        counts: dict[ids.RequestFingerprint, _Count] = {}
-        for crash in sorted(crashes, key=lambda c: c.at_s):
-            for fingerprint, sent_at_s in self._find_suspects(crash).items():
-                count = counts.get(fingerprint)
-                if count is None:
-                    counts[fingerprint] = _Count(1, crash.at_s)
-                elif (
-                    crash.at_s - count.last_at_s > crash_records.SIMULTANEOUS_S
-                    or sent_at_s > count.last_at_s
-                ):
-                    count.crashes += 1
-                    count.last_at_s = crash.at_s
-        return {f: count.crashes for f, count in counts.items()}
+        spans: dict[ids.RequestFingerprint, list[crash_records.Span]] = {}
+        for crash in crashes:
+            for fingerprint, span in self._find_suspects(crash).items():
+                spans.setdefault(fingerprint, []).append(span)
+        return {f: crash_records.count_crashes(s) for f, s in spans.items()}
 
     def find_culprits(
         self,
@@ -158,14 +143,14 @@
 
     def _find_suspects(
         self, crash: crash_records.Crash
-    ) -> dict[ids.RequestFingerprint, float]:
+    ) -> dict[ids.RequestFingerprint, crash_records.Span]:
         """Returns the requests that a crash speaks against.
 
-        The values are the monotonic times at which their last copies were sent.
-        A crash that a blamed request explains speaks against no other.
+        The values are when their last copies can have caused it. A crash that a
+        blamed request explains speaks against no other.
         """
         explaining = self.find_blamed(crash)
-        suspects: dict[ids.RequestFingerprint, float] = {}
+        suspects: dict[ids.RequestFingerprint, crash_records.Span] = {}
         for cut in crash.find_suspected_requests():
             fingerprint = cut.fingerprint
             if fingerprint is None or (
@@ -174,7 +159,8 @@
                 continue
             answered_at_s = self._answered_at_s.get((crash.scope, fingerprint))
             if answered_at_s is None or crash.at_s > answered_at_s:
+                span = crash.calculate_span(cut)
                 suspects[fingerprint] = max(
-                    cut.sent_at_s, suspects.get(fingerprint, cut.sent_at_s)
+                    span, suspects.get(fingerprint, span)
                 )
         return suspects
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -24,6 +24,7 @@
 from poplarwick_placement import retry_budget
 from poplarwick_placement import running_requests
 from poplarwick_placement import service_pool
+from poplarwick_placement import silent_ends
 from poplarwick_placement import spreading
 
 Key = running_requests.Key
@@ -302,8 +303,10 @@
         if running is None:
             return
         state = self._states.get(running.endpoint)
-        if state is not None and state.load.has_written_for(
-            key, messages.ANSWER_START_S, now_s
+        if (
+            state is not None
+            and not state.health.missed_report_count
+            and state.load.has_written_for(key, messages.ANSWER_START_S, now_s)
         ):
             self.evidence.record_writing(
                 state.candidate.endpoint, running.request, now_s
@@ -395,10 +398,20 @@
             state.candidate.endpoint, answered=answered, now_s=now_s
         )
         if report is not None:
+            state.last_report_at_s = now_s
             state.load.set_slowdown(max(report.slowdown, 1.0))
             if report.work is not None:
                 self._record_work(state, report.work, now_s)
-        return state.health.is_unresponsive and not was_unresponsive
+        is_newly_unresponsive = (
+            state.health.is_unresponsive and not was_unresponsive
+        )
+        if is_newly_unresponsive and state.candidate.is_open:
+            self.evidence.record_silence(
+                state.candidate.endpoint,
+                silent_ends.find_silent_requests(state, self._running),
+                now_s,
+            )
+        return is_newly_unresponsive
 
     def _record_work(
         self,
--- a/packages/placement/poplarwick_placement/service_pool.py
+++ b/packages/placement/poplarwick_placement/service_pool.py
@@ -56,6 +56,7 @@
         cold_limiter: Limits the sends while the endpoint is cold.
         send_limiter: Limits the sends to the rate that the endpoint takes;
             None without a limit.
+        last_report_at_s: Monotonic time of its last report.
     """
 
     candidate: Candidate
@@ -63,6 +64,7 @@
     health: endpoint_health.EndpointHealth
     cold_limiter: cold_start_limiter.ColdStartLimiter
     send_limiter: rate_limiter.Limiter | None = None
+    last_report_at_s: float = 0.0
 
     def set_rate_limit(self, limit: rate_limiter.RateLimit | None) -> None:
         """Replaces the rate that the endpoint takes."""
--- a/packages/placement/tests/crash_fixtures.py
+++ b/packages/placement/tests/crash_fixtures.py
@@ -7,12 +7,12 @@
 from poplarwick_placement import messages
 
 
-def make_endpoint(name, *, service="pool", version="v1"):
+def make_endpoint(name, *, service="pool", version="v1", domain="a"):
     return types.Endpoint(
         ids.EndpointId(f"i-{name}"),
         ids.ServiceId(service),
         f"10.0.0.{name}:80",
-        ids.DomainId("a"),
+        ids.DomainId(domain),
         types.EndpointState.READY,
         8,
         0.0,
--- a/packages/placement/tests/test_crash_evidence.py
+++ b/packages/placement/tests/test_crash_evidence.py
@@ -188,6 +188,34 @@
     assert not evidence.find_culprits()
 
 
+def test_fleet_that_loses_power_condemns_nothing():
+    """All domains, with two requests of a session in each; others go on."""
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(12):
+        crash(
+            evidence,
+            make_endpoint(number, domain="abcdef"[number // 2]),
+            [((COMMON, "session"), None)],
+            1.0 + number * 0.008,
+        )
+    complete(evidence, "other", now_s=3.0)
+    assert not evidence.find_culprits()
+
+
+# Guards against a part that crashes engines of several failure domains at once
+# and is taken for the loss of a domain (BUDGET).
+def test_part_that_crashes_engines_of_several_domains_at_once_is_blamed():
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(4):
+        crash(
+            evidence,
+            make_endpoint(number, domain="ab"[number % 2]),
+            [(("bad",), None)],
+            1.0 + number // 2 + 0.01 * (number % 2),
+        )
+    assert find_parts(evidence) == [{"bad"}]
+
+
 def test_engine_that_lives_has_not_crashed():
     """Answers are broken off, and the engine still returns its report."""
     evidence = crash_evidence.CrashEvidence()
