Do not let a pause after the first event clear the part that causes it

Cause: when a crash is weighed, answers that run and had their first event 0.5 s before count as written for a time, which clears their parts. The placer knows of the first event only; one that the engine did not survive looked the same.

Change: a running answer counts after a second. Answers that end still tell how long they were written, to 0.5 s.

Evidence: test_stream_that_pauses_after_its_first_event... fails with 0.5 s.

--- a/packages/placement/poplarwick_placement/messages.py
+++ b/packages/placement/poplarwick_placement/messages.py
@@ -16,6 +16,11 @@
 """Time of writing up to which an answer has just begun. Engines that a prompt
 crashes do so within a few token steps; other answers take seconds."""
 
+UNCUT_ANSWER_S = 1.0
+"""Time from the first event after which a running answer counts as written for
+a time. Only its instance knows of later events, and an engine may be silent for
+half a second before it crashes."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementRequest:
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -295,10 +295,10 @@
         if not self.evidence.has_new_crash:
             return []
         for key in self._running:
-            self._record_writing(key, now_s)
+            self._record_writing(key, messages.UNCUT_ANSWER_S, now_s)
         return self.evidence.find_culprits()
 
-    def _record_writing(self, key: Key, now_s: float) -> None:
+    def _record_writing(self, key: Key, time_s: float, now_s: float) -> None:
         running = self._running.get(key)
         if running is None:
             return
@@ -306,7 +306,7 @@
         if (
             state is not None
             and not state.health.missed_report_count
-            and state.load.has_written_for(key, messages.ANSWER_START_S, now_s)
+            and state.load.has_written_for(key, time_s, now_s)
         ):
             self.evidence.record_writing(
                 state.candidate.endpoint, running.request, now_s
@@ -600,7 +600,7 @@
         assert request.fingerprint is not None
         copies = self._running.find_copies(request.fingerprint)
         for key in copies:
-            self._record_writing(key, now_s)
+            self._record_writing(key, messages.ANSWER_START_S, now_s)
         return bool(copies) and self.evidence.is_accused(request)
 
     def _find_endpoints_of_accused(self) -> frozenset[ids.EndpointId]:
--- a/packages/placement/tests/test_silent_ends.py
+++ b/packages/placement/tests/test_silent_ends.py
@@ -7,6 +7,7 @@
 
 from poplarwick_bench.replay import engines
 from poplarwick_placement import engine_report
+from poplarwick_placement import messages
 from poplarwick_placement import service_pool
 
 REPORT_S = 1.0
@@ -112,3 +113,25 @@
         fleet.report(engine, now_s + 1.7, answered=False)
         fleet.answer_other(now_s + 2.0)
     assert fleet.find_blamed(20.0) == [{"bad"}]
+
+
+# Guards against a part whose engines pause for half a second between the first
+# event and the crash: that pause is no answer written for a time (BUDGET).
+def test_stream_that_pauses_after_its_first_event_does_not_clear_its_part():
+    """Each engine crashes 0.6 s after the first event, 0.3 s after another."""
+    fleet = SilentFleet()
+    running = [fleet.run(10.0, "bad", has_begun=True)]
+    for number in range(3):
+        running.append(fleet.run(10.3 + 0.3 * number, "bad", has_begun=True))
+        key, engine = running.pop(0)
+        now_s = 10.6 + 0.3 * number
+        fleet.scheduler.record_end(
+            key,
+            messages.Result.BROKEN,
+            now_s,
+            answer=messages.AnswerEnd(False, 0.04),
+        )
+        fleet.report(engine, now_s, answered=False)
+        fleet.answer_other(now_s)
+        blamed = fleet.find_blamed(now_s + 0.25)
+    assert blamed == [{"bad"}]
