Let a running answer speak for its part only while its engine reports

Cause: until an engine misses a report, up to 1.4 s, a stream that had its first event a second ago counted as written for a time and cleared the part. What a silent stream had written is known by the last report only, and 0.5 s of it exonerated the request.

Change: a running answer counts once its engine has reported 0.5 s after the first event; endpoints that never reported count until they miss a report. Silent requests are suspected up to a second of writing.

--- a/packages/placement/poplarwick_placement/crash_records.py
+++ b/packages/placement/poplarwick_placement/crash_records.py
@@ -101,9 +101,12 @@
         the end of the endpoint may have overtaken the head, or have come before
         it.
         """
-        return (
-            self.written_s is None or self.written_s <= messages.ANSWER_START_S
-        )
+        if self.written_s is None:
+            return True
+        if self.silent_since_s is not None:
+            # What was written is known by the last sign of life only.
+            return self.written_s <= messages.UNCUT_ANSWER_S
+        return self.written_s <= messages.ANSWER_START_S
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/placement/poplarwick_placement/scheduler.py
+++ b/packages/placement/poplarwick_placement/scheduler.py
@@ -305,7 +305,7 @@
         state = self._states.get(running.endpoint)
         if (
             state is not None
-            and not state.health.missed_report_count
+            and not silent_ends.may_have_ended(state, key)
             and state.load.has_written_for(key, time_s, now_s)
         ):
             self.evidence.record_writing(
--- a/packages/placement/poplarwick_placement/silent_ends.py
+++ b/packages/placement/poplarwick_placement/silent_ends.py
@@ -55,3 +55,24 @@
             written_s,
             max(last_sign_at_s, allocation.allocated_at_s),
         )
+
+
+def may_have_ended(
+    state: service_pool.EndpointState, key: running_requests.Key
+) -> bool:
+    """Returns whether an engine may have ended on an answer that has begun.
+
+    It has not if it reported after the first events. Of endpoints that have
+    never reported nothing is known until they miss a report.
+
+    Args:
+        state: The engine.
+        key: The request.
+    """
+    allocation = state.load.primary_allocations.get(key)
+    if allocation is None or allocation.first_event_at_s is None:
+        return False
+    if state.health.missed_report_count:
+        return True
+    written_at_s = allocation.first_event_at_s + messages.ANSWER_START_S
+    return 0.0 < state.last_report_at_s < written_at_s
