Draw the forms of crashes in one place

Cause: crash_forms.draw_form had no caller; the play of crashing parts drew its forms by hand, and draw_form could not choose stages.

No check changes.

--- a/packages/standins/poplarwick_standins/crash_forms.py
+++ b/packages/standins/poplarwick_standins/crash_forms.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Sequence
 
 DELAYS_S = (0.0, 0.005, 0.08, 0.5)
 """Times from a request to its crash that `draw_form` chooses from."""
@@ -54,14 +55,15 @@
 
 
 def draw_form(
-    rng: random.Random, endings: tuple[Ending, ...] = tuple(Ending)
+    rng: random.Random, stages: Sequence[Stage], endings: Sequence[Ending]
 ) -> CrashForm:
     """Returns a random form.
 
     Args:
         rng: Source of randomness.
+        stages: Stages to choose from.
         endings: Endings to choose from.
     """
     return CrashForm(
-        rng.choice(tuple(Stage)), rng.choice(DELAYS_S), rng.choice(endings)
+        rng.choice(stages), rng.choice(DELAYS_S), rng.choice(endings)
     )
--- a/tests/processes/crashing_parts.py
+++ b/tests/processes/crashing_parts.py
@@ -255,11 +255,7 @@
     async with CrashFleet(
         folder, records.Record(), instances=instances, engines=engines, plain=1
     ) as system:
-        system.choose_form = lambda: crash_forms.CrashForm(
-            rng.choice(stages),
-            rng.choice(crash_forms.DELAYS_S),
-            rng.choice(endings),
-        )
+        system.choose_form = lambda: crash_forms.draw_form(rng, stages, endings)
         senders = [
             Caller(system, number, seed, share, parts)
             for number in range(callers)
