Record cuts and silent requests by one path

Cause: record_cut and record_silence each checked for parts or a fingerprint, and record_cut repeated the limit of writing that Cut.is_suspect has. The test's fleet worked out each engine twice, with its number written three times.

Change: Cut.is_recognisable, asked once in _add_cut; what is no suspect has been written for a time. ENGINES in the test.

--- a/packages/placement/poplarwick_placement/crash_evidence.py
+++ b/packages/placement/poplarwick_placement/crash_evidence.py
@@ -181,17 +181,12 @@
             now_s: Monotonic time.
             sent_at_s: Monotonic time at which the request was placed.
         """
-        if not request.shared_parts and request.fingerprint is None:
-            return
-        if written_s is not None and written_s > messages.ANSWER_START_S:
-            self.record_writing(endpoint, request, now_s)
-        self._add_cut(
-            endpoint,
-            crash_records.Cut(
-                request.shared_parts, request.fingerprint, written_s, sent_at_s
-            ),
-            now_s,
+        cut = crash_records.Cut(
+            request.shared_parts, request.fingerprint, written_s, sent_at_s
         )
+        if not cut.is_suspect and cut.is_recognisable:
+            self.record_writing(endpoint, request, now_s)
+        self._add_cut(endpoint, cut, now_s)
 
     def record_silence(
         self,
@@ -201,24 +196,24 @@
     ) -> None:
         """Records that an engine answers neither requests nor reports."""
         for silent in requests:
-            request = silent.request
-            if request.shared_parts or request.fingerprint is not None:
-                self._add_cut(
-                    endpoint,
-                    crash_records.Cut(
-                        request.shared_parts,
-                        request.fingerprint,
-                        silent.written_s,
-                        silent.silent_since_s,
-                        silent.silent_since_s,
-                    ),
-                    now_s,
-                )
+            self._add_cut(
+                endpoint,
+                crash_records.Cut(
+                    silent.request.shared_parts,
+                    silent.request.fingerprint,
+                    silent.written_s,
+                    silent.silent_since_s,
+                    silent.silent_since_s,
+                ),
+                now_s,
+            )
         self.record_unanswered(endpoint, now_s)
 
     def _add_cut(
         self, endpoint: types.Endpoint, cut: crash_records.Cut, now_s: float
     ) -> None:
+        if not cut.is_recognisable:
+            return
         start = endpoint.start
         crash = self._crashes.get(start)
         if crash is None:
--- a/packages/placement/poplarwick_placement/crash_records.py
+++ b/packages/placement/poplarwick_placement/crash_records.py
@@ -88,6 +88,11 @@
     sent_at_s: float
     silent_since_s: float | None = None
 
+    @property
+    def is_recognisable(self) -> bool:
+        """Whether it has anything that a crash can speak against."""
+        return bool(self.parts) or self.fingerprint is not None
+
     @property
     def had_begun(self) -> bool:
         """Whether the head of its answer had arrived."""
--- a/packages/placement/tests/test_silent_ends.py
+++ b/packages/placement/tests/test_silent_ends.py
@@ -10,6 +10,8 @@
 from poplarwick_placement import messages
 from poplarwick_placement import service_pool
 
+ENGINES = 8
+
 REPORT_S = 1.0
 """Interval between reports."""
 
@@ -19,13 +21,13 @@
 class SilentFleet:
     """Engines that run one request each and fall silent."""
 
-    def __init__(self, engine_count=8):
+    def __init__(self):
         self.scheduler = engines.make_scheduler(is_global=True, seed=1)
         self.scheduler.set_candidates(
             service_pool.Candidate(
                 engines.make_endpoint(n), engines.PROFILE, True, 0.0, 36.0
             )
-            for n in range(engine_count)
+            for n in range(ENGINES)
         )
         self._keys = 0
 
@@ -35,14 +37,11 @@
         request = crash_fixtures.make_request(
             *parts, service=engines.POOL, fingerprint=fingerprint
         )
+        engine = engines.make_endpoint((self._keys - 1) % ENGINES).id
         self.scheduler.adopt(
-            self._keys,
-            request,
-            engines.make_endpoint((self._keys - 1) % 8).id,
-            at_s,
-            has_begun=has_begun,
+            self._keys, request, engine, at_s, has_begun=has_begun
         )
-        return self._keys, engines.make_endpoint((self._keys - 1) % 8).id
+        return self._keys, engine
 
     def report(self, engine, at_s, *, answered):
         self.scheduler.record_report(engine, ALIVE if answered else None, at_s)
@@ -53,7 +52,7 @@
 
     def answer_other(self, at_s):
         self.scheduler.evidence.record_complete(
-            engines.make_endpoint(7),
+            engines.make_endpoint(ENGINES - 1),
             crash_fixtures.make_request("other", service=engines.POOL),
             at_s,
         )
