--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -187,9 +187,10 @@
         crash_causes: Parts of the prompt, or the body, that crashed the
             replica; empty if none did.
         crashed_at_s: Monotonic time of that crash; None if there was none.
-        head_part: Beginning of a head after which the connection ends, in place
-            of every response to a request or a command; None for whole heads.
-        resets_head: Whether the connection is reset then.
+        raw_answer: Bytes that are sent in place of every response to a request
+            without a planned fault or to a command, and after which the
+            connection ends; None for proper responses.
+        resets_raw_answer: Whether the connection is reset then.
         notice_headers: Headers that are added to every response.
         report_body: Body of its reports; None for a proper one.
         event_count: Number of events per stream.
@@ -233,8 +234,8 @@
         )
         self.crash_causes: set[str] = set()
         self.crashed_at_s: float | None = None
-        self.head_part: bytes | None = None
-        self.resets_head = False
+        self.raw_answer: bytes | None = None
+        self.resets_raw_answer = False
         self.notice_headers: dict[str, str] = {}
         self.report_body: bytes | None = None
         self.event_count = 5
@@ -356,8 +357,8 @@
             )
         if request.path == "/v1/order":
             carried_out = await self._execute_command(request)
-            if self.head_part is not None:
-                return await self._send_head_part(request)
+            if self.raw_answer is not None:
+                return await self._send_raw(request)
             return carried_out
         arrival = Arrival(request.headers["Request-Id"], time.monotonic())
         if request.headers.get("Expect-Instance") != self.name:
@@ -541,12 +542,12 @@
         del headers
         return self.event_count
 
-    async def _send_head_part(self, request: web.BaseRequest) -> web.Response:
-        """Sends the beginning of a head and ends the connection."""
+    async def _send_raw(self, request: web.BaseRequest) -> web.Response:
+        """Sends `raw_answer` and ends the connection."""
         transport = request.transport
-        assert transport is not None and self.head_part is not None
-        transport.write(self.head_part)
-        if self.resets_head:
+        assert transport is not None and self.raw_answer is not None
+        transport.write(self.raw_answer)
+        if self.resets_raw_answer:
             await asyncio.sleep(HEAD_RESET_DELAY_S)
             _reset(request)
         else:
@@ -556,8 +557,8 @@
     async def _run(
         self, request: web.BaseRequest, execution: Execution
     ) -> web.StreamResponse:
-        if self.head_part is not None:
-            return await self._send_head_part(request)
+        if self.raw_answer is not None and execution.fault is Fault.NONE:
+            return await self._send_raw(request)
         if execution.fault is Fault.SILENT:
             await asyncio.sleep(HANG_S)
         headers = {
--- a/tests/adapter/test_partial_heads.py
+++ b/tests/adapter/test_partial_heads.py
@@ -82,8 +82,8 @@
         async with _run_situation(tmp_path, situation) as cluster:
             for part in HEAD_PARTS:
                 for replica in cluster.replicas:
-                    replica.head_part = part
-                    replica.resets_head = resets
+                    replica.raw_answer = part
+                    replica.resets_raw_answer = resets
                 ends = await asyncio.gather(
                     _call(cluster, "/label/", 5_000),
                     _call(cluster, "/order/"),
@@ -108,8 +108,8 @@
             tmp_path, _do_nothing, pool=6, free_ms=2_000
         ) as cluster:
             faulty = cluster.replicas[0]
-            faulty.head_part = HEAD_PARTS[2]
-            faulty.resets_head = resets
+            faulty.raw_answer = HEAD_PARTS[2]
+            faulty.resets_raw_answer = resets
             for _ in range(3):
                 status, body = await _call(cluster, "/label/", 600_000)
                 assert status != 200 or body.count(b"id: ") == 5
