Reject responses whose status line is no HTTP/1

What callers saw: a replica in trouble sent the status 000, and they got it as an answer; also 001 to 099, 101, 600 to 999, and heads of HTTP/0.9, HTTP/2.0 and RTSP/1.0. Towards callers the status line became "HTTP/1.1 0", which is none.

Cause: nothing between the parser of the HTTP library, which accepts any three digits and any protocol, and the caller asked whether the response is one.

Change: response_syntax checks the bytes of each head before they are parsed, within 64 KiB for a head and the interim ones before it. response_protocol puts the check under every connection of a session, so that requests, resumed streams, relayed connections, commands, reports, both stores, lists and the administration client have it; http_session makes all sessions. A response that fails it is one that may have run: an order is not sent again.

Why it works: the check sees what arrives, not what the parser has made of it, and a connection that fails it is closed before anything is parsed.

--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -14,6 +14,7 @@
 from poplarwick_administration import _requests
 from poplarwick_administration import messages
 from poplarwick_core import errors
+from poplarwick_platform import http_session
 
 TIMEOUT_S = 30.0
 
@@ -70,7 +71,7 @@
     async def __aenter__(self) -> AdministrationClient:
         """Opens the connection pool."""
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-        self._session = aiohttp.ClientSession(
+        self._session = http_session.make_shared_session(
             headers=self._headers, timeout=timeout
         )
         return self
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from poplarwick_platform import response_protocol
+
 if TYPE_CHECKING:
     import ssl
 
@@ -77,7 +79,16 @@
     # run a request twice. It has no public option to turn this off;
     # test_http_session.py checks that the private one works.
     session._retry_connection = False
-    return session
+    return response_protocol.check_responses(session)
+
+
+def make_shared_session(**options: Any) -> aiohttp.ClientSession:
+    """Returns a session that uses connections again.
+
+    Args:
+        **options: Options of `aiohttp.ClientSession`.
+    """
+    return response_protocol.check_responses(aiohttp.ClientSession(**options))
 
 
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
@@ -98,4 +109,4 @@
 
 def make_timed_session(timeout_s: float) -> aiohttp.ClientSession:
     """Returns a session whose calls time out after `timeout_s` seconds."""
-    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=timeout_s))
+    return make_shared_session(timeout=aiohttp.ClientTimeout(total=timeout_s))
--- /dev/null
+++ b/packages/platform/poplarwick_platform/response_syntax.py
@@ -0,0 +1,96 @@
+"""Checks the bytes of HTTP/1 responses before they are parsed (RFC 9112).
+
+The parser of the HTTP library is lenient, and its result does not show what it
+has repaired or dropped. A faulty server may send any bytes, so they are checked
+as they arrive. The cost is one pass over each head.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+
+MAX_HEAD_BYTES = 65_536
+"""Largest head, with the interim responses before it."""
+
+FINAL_STATUSES = range(200, 600)
+
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+"""Without 101: no request offers another protocol."""
+
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([0-9]{3})(?: " + _TEXT + rb")?")
+_HEAD_END = re.compile(rb"\n\r?\n")
+_QUOTED_BYTES = 80
+
+
+class ResponseSyntaxError(ValueError):
+    """The bytes are no HTTP/1 response; the message quotes them."""
+
+
+class _Stage(enum.Enum):
+    HEAD = "head"
+    UNCHECKED = "unchecked"
+
+
+class ResponseCheck:
+    """Checks one response as it arrives, with interim ones before it."""
+
+    def __init__(self) -> None:
+        self._stage = _Stage.HEAD
+        self._head = b""
+        self._head_bytes = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Checks bytes of the response.
+
+        Returns:
+            The bytes that may be parsed; heads are held back until they are
+            complete.
+
+        Raises:
+            ResponseSyntaxError: The bytes are no response.
+        """
+        if self._stage is _Stage.HEAD:
+            return self._feed_heads(data)
+        return data
+
+    def _feed_heads(self, data: bytes) -> bytes:
+        heads = b""
+        while self._stage is _Stage.HEAD:
+            # The end may have begun in the bytes before.
+            start = max(len(self._head) - 2, 0)
+            self._head += data
+            end = _HEAD_END.search(self._head, start)
+            length = len(self._head) if end is None else end.end()
+            if self._head_bytes + length > MAX_HEAD_BYTES:
+                raise ResponseSyntaxError(
+                    f"head larger than {MAX_HEAD_BYTES} bytes"
+                )
+            if end is None:
+                return heads
+            head, data = self._head[:length], self._head[length:]
+            self._head = b""
+            self._head_bytes += length
+            self._stage = self._check_head(head)
+            heads += head
+        return heads + self.feed(data) if data else heads
+
+    def _check_head(self, head: bytes) -> _Stage:
+        """Checks a head and returns what follows it."""
+        status_line = head.partition(b"\n")[0].removesuffix(b"\r")
+        match = _STATUS_LINE.fullmatch(status_line)
+        if match is None:
+            raise _make_error("status line", status_line)
+        status = int(match[2])
+        if status in INTERIM_STATUSES:
+            next_stage = _Stage.HEAD
+        elif status in FINAL_STATUSES:
+            next_stage = _Stage.UNCHECKED
+        else:
+            raise _make_error("status", status_line)
+        return next_stage
+
+
+def _make_error(part: str, text: bytes) -> ResponseSyntaxError:
+    return ResponseSyntaxError(f"invalid {part}: {text[:_QUOTED_BYTES]!r}")
--- a/packages/standins/poplarwick_standins/raw_endpoint.py
+++ b/packages/standins/poplarwick_standins/raw_endpoint.py
@@ -39,6 +39,8 @@
     b"HTTP/1.1 2x0 OK",
     b"HTTP/1.1 101 Switching Protocols",
     b"HTTP/1.1 200 O\x01K",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 700 ",
     b"HTTP/0.9 200 OK",
     b"HTTP/2.0 200 OK",
     b"RTSP/1.0 200 OK",
@@ -57,7 +59,16 @@
     b"Transfer-Encoding : chunked",
     b"Transfer-Encoding\t: chunked",
     b"Transfer\x01-Encoding: chunked",
+    *(
+        b"Transfer-Encoding: " + coding
+        for coding in (b"", b"identity", b"gzip", b"xchunked", b"chunked;q=1")
+    ),
+    b"Transfer-Encoding: chunked, chunked",
+    b"Transfer-Encoding: gzip, chunked",
     b"Content-Length : 3",
+    b"Content-Length : 5",
+    b"Content-Length: +5",
+    b"Content-Length: 0x5",
     b"Content-Length\x0b: 3",
     b" Content-Length: 3",
     b"Connection : close",
