Reject responses with fields that are no HTTP

What callers saw: 200 with the line passed on, for "Transfer-Encoding : chunked", "Content-Length : 5" and "Connection : close"; a folded line joined to the value before it; control bytes in values. With a transfer coding that is not "chunked" (identity, gzip, xchunked, "chunked;q=1", chunked twice) a body that still held the coding, which the caller was not told of.

Cause: the parser joins, repairs or ignores such lines, so that what it returns does not show them.

Change: response_syntax checks each line of a head against the grammar of fields (RFC 9112, section 5), and the transfer coding. A folded line is refused, which section 5.2 allows a gateway.

--- a/packages/platform/poplarwick_platform/response_syntax.py
+++ b/packages/platform/poplarwick_platform/response_syntax.py
@@ -9,6 +9,7 @@
 
 import enum
 import re
+from collections.abc import Sequence
 
 MAX_HEAD_BYTES = 65_536
 """Largest head, with the interim responses before it."""
@@ -20,6 +21,8 @@
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([0-9]{3})(?: " + _TEXT + rb")?")
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(" + _TEXT + rb")")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;" + _TEXT + rb")?\r\n")
 _HEAD_END = re.compile(rb"\n\r?\n")
 _QUOTED_BYTES = 80
 
@@ -78,7 +81,7 @@
 
     def _check_head(self, head: bytes) -> _Stage:
         """Checks a head and returns what follows it."""
-        status_line = head.partition(b"\n")[0].removesuffix(b"\r")
+        status_line, *lines = _split_lines(head)
         match = _STATUS_LINE.fullmatch(status_line)
         if match is None:
             raise _make_error("status line", status_line)
@@ -89,8 +92,51 @@
             next_stage = _Stage.UNCHECKED
         else:
             raise _make_error("status", status_line)
+        fields = [_check_field(line) for line in lines]
+        _check_transfer_coding(
+            [value for name, value in fields if name == b"transfer-encoding"],
+            is_version_1_1=match[1] == b"1",
+        )
         return next_stage
 
 
+def _split_lines(head: bytes) -> list[bytes]:
+    """Returns the lines of a head without the empty one at its end.
+
+    A line feed alone ends a line too (RFC 9112, section 2.2).
+    """
+    lines = [_strip_line_end(line) for line in head.split(b"\n")]
+    return lines[:-2]
+
+
+def _strip_line_end(line: bytes) -> bytes:
+    return line.removesuffix(b"\n").removesuffix(b"\r")
+
+
+def _check_field(line: bytes) -> tuple[bytes, bytes]:
+    """Returns the name, in lower case, and the value of a field.
+
+    A line that continues the one before is refused, as a gateway may do (RFC
+    9112, section 5.2).
+    """
+    match = _FIELD.fullmatch(line)
+    if match is None:
+        raise _make_error("field", line)
+    return match[1].lower(), match[2].strip(b" \t")
+
+
+def _check_transfer_coding(
+    codings: Sequence[bytes], *, is_version_1_1: bool
+) -> bool:
+    """Returns whether the body is chunked; no request offers another coding."""
+    if not codings:
+        return False
+    if [coding.lower() for coding in codings] != [b"chunked"]:
+        raise _make_error("transfer coding", b", ".join(codings))
+    if not is_version_1_1:
+        raise ResponseSyntaxError("chunks in a response of HTTP/1.0")
+    return True
+
+
 def _make_error(part: str, text: bytes) -> ResponseSyntaxError:
     return ResponseSyntaxError(f"invalid {part}: {text[:_QUOTED_BYTES]!r}")
