Reject chunked bodies whose framing is broken

What callers saw: a complete answer, though a chunk's data ended with a line feed alone or a blank stood behind its size.

Cause: the parser repairs the framing of chunks as it repairs heads.

--- a/packages/platform/poplarwick_platform/response_protocol.py
+++ b/packages/platform/poplarwick_platform/response_protocol.py
@@ -19,7 +19,9 @@
 
     def set_response_params(self, **options: Any) -> None:
         """Begins the response to the next request on the connection."""
-        self._check = response_syntax.ResponseCheck()
+        self._check = response_syntax.ResponseCheck(
+            has_body=not options.get("skip_payload", False)
+        )
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/platform/tests/test_response_bodies.py
+++ b/packages/platform/tests/test_response_bodies.py
@@ -64,3 +64,20 @@
     ]
     bodies = fetch_all(answers, raw_endpoint.UPLOAD)
     assert bodies == [b"a part and another"] * len(SEEDS)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"5\r\nhello\n0\r\n\r\n", b"5 \r\nhello\r\n0\r\n\r\n"],
+    ids=["line feed alone", "blank behind the size"],
+)
+def test_body_of_broken_chunks_is_not_complete(body):
+    head = raw_endpoint.make_head(
+        raw_endpoint.OK, [b"Transfer-Encoding: chunked"]
+    )
+    answers = [
+        raw_endpoint.draw_answer(random.Random(seed), head + body)
+        for seed in SEEDS
+    ]
+    results = fetch_all(answers, b"")
+    assert [r for r in results if not isinstance(r, aiohttp.ClientError)] == []
