Take a body that was reset for incomplete in all readers

What callers saw, in the product's own mode: a plain service answered 200 without a length, sent part of its body and reset the connection, behind an upload that was still being written or behind none; they got that part as the complete answer.

Cause: the HTTP library ends a body without a length the same way however its connection ends. Only forwarding asked how.

Change: what forwarding did is http_session.BodyEnd; read_body asks it, and calls to plain services use read_body in place of a loop of their own. A connection whose end was not seen is no orderly end; it counted as one before.

--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -12,7 +12,6 @@
 
 from poplarwick_configuration import document
 from poplarwick_core import clock
-from poplarwick_core import errors
 from poplarwick_core import http_headers
 from poplarwick_core import ids
 from poplarwick_core import logs
@@ -33,6 +32,7 @@
 from poplarwick_outcomes import verdicts
 from poplarwick_outcomes.claims import keys
 from poplarwick_peers.wire import grant_pb2
+from poplarwick_platform import http_session
 
 MAX_ATTEMPTS = 3
 CALL_COST_TOKENS = 1
@@ -52,10 +52,6 @@
 _REFUSAL_TYPES = frozenset(("stale_epoch", "overloaded", "cold_overload"))
 
 
-class _ResponseTooLargeError(errors.PoplarwickError):
-    """The response of an endpoint exceeds `MAX_RESPONSE_BYTES`."""
-
-
 class _RefusalDetail(msgspec.Struct):
     type: str
 
@@ -307,8 +303,8 @@
             timeout=aiohttp.ClientTimeout(total=remaining_s),
             allow_redirects=False,
         ) as response:
-            body = await _read_body(response)
-    except _ResponseTooLargeError as error:
+            body = await http_session.read_body(response, MAX_RESPONSE_BYTES)
+    except http_session.BodyTooLargeError as error:
         grant.record_end(grant_pb2.REPORT_FAILED, detail="too_large")
         raise request_errors.RequestEndedError(
             verdicts.EndpointFailed(
@@ -338,15 +334,6 @@
     return _make_caller_response(response, body, call, grant)
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    body = bytearray()
-    async for data in response.content.iter_any():
-        body += data
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise _ResponseTooLargeError
-    return bytes(body)
-
-
 def _is_refusal(status: int, body: bytes) -> bool:
     """Returns whether a response states that the call was not run."""
     if status not in _REFUSAL_STATUSES or len(body) > MAX_REFUSAL_BYTES:
--- a/packages/forwarding/poplarwick_forwarding/upstream.py
+++ b/packages/forwarding/poplarwick_forwarding/upstream.py
@@ -45,9 +45,6 @@
 TCP_CLOSE = 7
 """State of a connection that was reset (`TCP_CLOSE` of Linux)."""
 
-CLOSE_TIMEOUT_S = 0.2
-"""Longest wait for a connection to close after its last bytes."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -115,13 +112,13 @@
         self.status = response.status
         self.headers = headers.select_headers(response.headers)
         self._response = response
-        self._closed = _watch_close(response)
+        self._end = http_session.BodyEnd(response)
         self._prefetched = b""
 
     @property
     def is_delimited(self) -> bool:
         """Whether the response has a length or chunks."""
-        return self._closed is None
+        return self._end.is_delimited
 
     @property
     def is_received(self) -> bool:
@@ -182,7 +179,7 @@
             chunk = await self._response.content.readany()
             self.received_at_s = clock.now_s()
             if not chunk:
-                await self._check_body_end()
+                await self._end.check()
             return chunk
         except (aiohttp.ClientError, OSError) as error:
             raise SendError(
@@ -216,17 +213,6 @@
             raise
         return bytes(body)
 
-    async def _check_body_end(self) -> None:
-        # A body without a length ends with its connection; it is complete only
-        # if the connection was closed cleanly.
-        if self._closed is None:
-            return
-        try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
-                await self._closed
-        except TimeoutError as error:
-            raise ConnectionError("the connection was not closed") from error
-
 
 def _make_size_error(body_bytes: int, reason: str) -> SendError:
     is_ordinary = body_bytes <= ORDINARY_BODY_BYTES
@@ -237,18 +223,6 @@
     )
 
 
-def _watch_close(
-    response: aiohttp.ClientResponse,
-) -> asyncio.Future[None] | None:
-    has_length = "Content-Length" in response.headers
-    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "")
-    connection = response.connection
-    if has_length or is_chunked or connection is None:
-        return None
-    protocol = connection.protocol
-    return None if protocol is None else protocol.closed
-
-
 class Upstream(http_session.SessionOwner):
     """Sends requests to endpoints while its context is open.
 
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
@@ -11,11 +12,24 @@
 import aiohttp
 
 from poplarwick_platform import response_protocol
+from poplarwick_platform import response_syntax
 
 if TYPE_CHECKING:
     import ssl
 
 
+CLOSE_TIMEOUT_S = 0.2
+"""Longest wait for a connection to close after its last bytes."""
+
+MAX_ANSWER_BYTES = 8 << 20
+"""Largest answer that is gathered where nothing else is said; lists and states
+of a large fleet have some hundred kilobytes."""
+
+
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """A body is larger than what may be gathered."""
+
+
 class SessionOwner:
     """Base class that owns an HTTP session while its context is open.
 
@@ -91,19 +105,76 @@
     return response_protocol.check_responses(aiohttp.ClientSession(**options))
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Returns the body of a response.
+class BodyEnd:
+    """How the body of a response ends.
+
+    A body without a length and without chunks ends with its connection; it is
+    complete only if the connection was closed in order.
+
+    Args:
+        response: The response, before its body is read.
+
+    Attributes:
+        is_delimited: Whether the body has a length or chunks, or is none.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self.is_delimited = _is_delimited(response)
+        connection = response.connection
+        protocol = None if connection is None else connection.protocol
+        self._closed = None if protocol is None else protocol.closed
+
+    async def check(self) -> None:
+        """Checks that the body is complete after its last byte.
+
+        Raises:
+            aiohttp.ClientPayloadError: It may not be.
+        """
+        if self.is_delimited:
+            return
+        if self._closed is None:
+            # How it ended was not seen.
+            raise aiohttp.ClientPayloadError("the connection has ended before")
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._closed
+        except TimeoutError as error:
+            raise aiohttp.ClientPayloadError(
+                "the connection was not closed"
+            ) from error
+        except aiohttp.ClientConnectionError as error:
+            raise aiohttp.ClientPayloadError(repr(error)) from error
+
+
+def _is_delimited(response: aiohttp.ClientResponse) -> bool:
+    return (
+        "Content-Length" in response.headers
+        or "Transfer-Encoding" in response.headers
+        or response.status in response_syntax.BODILESS_STATUSES
+        or response.method == "HEAD"
+    )
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_ANSWER_BYTES
+) -> bytes:
+    """Returns the complete body of a response.
+
+    Args:
+        response: The response, before its body is read.
+        max_bytes: Largest body that is gathered.
 
     Raises:
-        aiohttp.ClientPayloadError: The body is larger than `max_bytes`.
+        BodyTooLargeError: The body is larger than `max_bytes`.
+        aiohttp.ClientPayloadError: The body is not complete.
     """
+    end = BodyEnd(response)
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
         if len(body) > max_bytes:
-            raise aiohttp.ClientPayloadError(
-                f"body larger than {max_bytes} bytes"
-            )
+            raise BodyTooLargeError(f"body larger than {max_bytes} bytes")
+    await end.check()
     return bytes(body)
 
 
