Bound the answers that are gathered from engines, stores and lists

What an operator of another system saw: a faulty replica sent bytes without end, its caller kept them all and ran out of memory, and the requests of others ended with it. Requests on the users' platform, commands and reports are bounded (test_endless_answers, passed before).

Cause: they gathered whole bodies, limited by time only.

Change: they use http_session.read_body, which gives up at 8 MiB, or 32 MiB for stores and documents, and refuses a body that is reset.

--- a/packages/administration/poplarwick_administration/client.py
+++ b/packages/administration/poplarwick_administration/client.py
@@ -18,6 +18,9 @@
 
 TIMEOUT_S = 30.0
 
+MAX_ANSWER_BYTES = 32 << 20
+"""Largest answer that is gathered, such as a document or an audit trail."""
+
 HELD_STATUS = 202
 FIRST_ERROR_STATUS = 400
 
@@ -324,7 +327,10 @@
             async with self._session.request(
                 method, url, data=body, headers=headers, ssl=self._tls or True
             ) as response:
-                return response.status, await response.read()
+                content = await http_session.read_body(
+                    response, MAX_ANSWER_BYTES
+                )
+                return response.status, content
         except (aiohttp.ClientError, TimeoutError) as error:
             reason = str(error) or "timeout"
             raise UnreachableError(f"{self._base_url}: {reason}") from error
--- a/packages/endpoints/poplarwick_endpoints/engine.py
+++ b/packages/endpoints/poplarwick_endpoints/engine.py
@@ -14,6 +14,7 @@
 from poplarwick_core import ids
 from poplarwick_endpoints import errors
 from poplarwick_endpoints import messages
+from poplarwick_platform import http_session
 
 CALL_TIMEOUT_S = 5.0
 EPOCH_HEADER = "Endpoint-Epoch"
@@ -257,7 +258,7 @@
             async with self._session.request(
                 method, self._base_url + path, timeout=timeout, **options
             ) as response:
-                content = await response.read()
+                content = await http_session.read_body(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise errors.EndpointUnreachableError(
                 f"{self.address}: {error!r}"
--- a/packages/platform/poplarwick_platform/gateway.py
+++ b/packages/platform/poplarwick_platform/gateway.py
@@ -26,6 +26,9 @@
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 WATCH_IDLE_TIMEOUT_S = 15.0
+MAX_REPLY_BYTES = 32 << 20
+"""Largest reply that is gathered; a range may hold many large values."""
+
 MIN_WATCH_RETRY_DELAY_S = 0.1
 MAX_WATCH_RETRY_DELAY_S = 2.0
 INSTANCE_HEADER = "x-poplarwick-instance"
@@ -305,7 +308,7 @@
     async def _send(self, url: str, body: bytes, kind: type[Reply]) -> Reply:
         session = self._open_session()
         async with session.post(url, data=body) as response:
-            content = await response.read()
+            content = await http_session.read_body(response, MAX_REPLY_BYTES)
             if response.status == _HTTP_OK:
                 return codec.decode(content, kind)
             raise codec.make_error(response.status, content)
--- a/packages/platform/poplarwick_platform/instances.py
+++ b/packages/platform/poplarwick_platform/instances.py
@@ -68,7 +68,7 @@
             async with self._session.get(self._url) as response:
                 if response.status != _HTTP_OK:
                     raise InstanceListError(f"status {response.status}")
-                content = await response.read()
+                content = await http_session.read_body(response)
             return msgspec.json.decode(content, type=tuple[ListedInstance, ...])
         except (aiohttp.ClientError, TimeoutError) as error:
             raise InstanceListError(repr(error)) from error
--- a/packages/platform/poplarwick_platform/weights.py
+++ b/packages/platform/poplarwick_platform/weights.py
@@ -97,7 +97,8 @@
                     raise UnknownVersionError(path)
                 if response.status != _HTTP_OK:
                     raise WeightStoreError(f"{path}: {response.status}")
-                return msgspec.json.decode(await response.read(), type=kind)
+                content = await http_session.read_body(response)
+            return msgspec.json.decode(content, type=kind)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise WeightStoreError(repr(error)) from error
         except msgspec.DecodeError as error:
