Bound the responses of plain services that are gathered together

What an operator of another system saw: faulty replicas sent bytes without end until the machine that had called them ran out of memory. In the product's own mode each call to a plain service gathered up to 32 MiB, whatever others did.

Cause: a limit for each response, and none for all.

Change: response_memory counts what exceeds 1 MiB of each response that is being gathered, 128 MiB in all; a large response beyond it is given up as failed. Ordinary responses are gathered whatever others take.

--- a/packages/entry/poplarwick_entry/context.py
+++ b/packages/entry/poplarwick_entry/context.py
@@ -15,6 +15,7 @@
 from poplarwick_entry import claimed_calls
 from poplarwick_entry import grants
 from poplarwick_entry import request_errors
+from poplarwick_entry import response_memory
 from poplarwick_entry import retry_budget
 from poplarwick_outcomes import lifecycle
 from poplarwick_outcomes import verdicts
@@ -54,6 +55,7 @@
         record_running: Is told of each request that has been read whole.
         limit_answer: Limits how long a caller waits for the answer.
         retry_budget: Limits the retries of this instance.
+        response_memory: Bounds the memory of responses that are gathered.
     """
 
     instance: ids.InstanceId
@@ -72,6 +74,9 @@
     retry_budget: retry_budget.RetryBudget = dataclasses.field(
         default_factory=retry_budget.RetryBudget
     )
+    response_memory: response_memory.ResponseMemory = dataclasses.field(
+        default_factory=response_memory.ResponseMemory
+    )
 
     def accept_request(self) -> document.View:
         """Returns the configuration in force for a further request.
--- a/packages/entry/poplarwick_entry/services.py
+++ b/packages/entry/poplarwick_entry/services.py
@@ -27,6 +27,7 @@
 from poplarwick_entry import metrics
 from poplarwick_entry import parameters
 from poplarwick_entry import request_errors
+from poplarwick_entry import response_memory
 from poplarwick_outcomes import lifecycle as lifecycles
 from poplarwick_outcomes import replies
 from poplarwick_outcomes import verdicts
@@ -303,7 +304,17 @@
             timeout=aiohttp.ClientTimeout(total=remaining_s),
             allow_redirects=False,
         ) as response:
-            body = await http_session.read_body(response, MAX_RESPONSE_BYTES)
+            with entry.response_memory.hold() as held:
+                body = await http_session.read_body(
+                    response, MAX_RESPONSE_BYTES, held.add
+                )
+    except response_memory.ResponseMemoryError as error:
+        grant.record_end(grant_pb2.REPORT_FAILED, detail="no_memory")
+        raise request_errors.RequestEndedError(
+            verdicts.EndpointFailed(
+                "there is no memory for such a large response"
+            )
+        ) from error
     except http_session.BodyTooLargeError as error:
         grant.record_end(grant_pb2.REPORT_FAILED, detail="too_large")
         raise request_errors.RequestEndedError(
--- a/packages/entry/tests/test_broken_answers.py
+++ b/packages/entry/tests/test_broken_answers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import resource
 
 import entry_fakes
 import pytest
@@ -13,6 +15,11 @@
 STOCK = "/services/shop/stock"
 SEEDS = 10
 
+CALLS_AT_ONCE = 20
+MAX_GROWTH_KB = 2 * (128 + CALLS_AT_ONCE) * 1_024
+"""Memory for what is counted and for the ordinary part of each answer, twice, as
+a buffer that grows may be copied."""
+
 
 async def call_with_answers(answers, path, method, **options):
     """Returns the ends of one call for each answer of the endpoint."""
@@ -69,3 +76,29 @@
 
     ends = entry_fakes.run(main)
     assert [status for status, _, _ in ends] == [502] * SEEDS
+
+
+def test_answers_without_end_at_the_same_time_do_not_take_all_memory():
+    answer = raw_endpoint.Answer(
+        (raw_endpoint.make_head(raw_endpoint.OK, ()),), endless=b"x" * 65_536
+    )
+
+    async def main():
+        async with (
+            entry_fakes.open_entry(lambda request: web.Response()) as entry,
+            raw_endpoint.RawEndpoint(answer) as endpoint,
+        ):
+            entry.grant_client.address = endpoint.address
+            ends = await asyncio.gather(
+                *(
+                    entry.call(key=entry_fakes.make_key(), data=b"one")
+                    for _ in range(CALLS_AT_ONCE)
+                )
+            )
+            return [status for status, _, _ in ends]
+
+    before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    statuses = entry_fakes.run(main)
+    grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
+    assert statuses == [502] * CALLS_AT_ONCE
+    assert grown_kb < MAX_GROWTH_KB
--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -156,13 +156,17 @@
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, max_bytes: int = MAX_ANSWER_BYTES
+    response: aiohttp.ClientResponse,
+    max_bytes: int = MAX_ANSWER_BYTES,
+    record_bytes: Callable[[int], None] = lambda count: None,
 ) -> bytes:
     """Returns the complete body of a response.
 
     Args:
         response: The response, before its body is read.
         max_bytes: Largest body that is gathered.
+        record_bytes: Called with the number of bytes that have arrived; what
+            it raises ends the reading.
 
     Raises:
         BodyTooLargeError: The body is larger than `max_bytes`.
@@ -171,6 +175,7 @@
     end = BodyEnd(response)
     body = bytearray()
     async for chunk in response.content.iter_any():
+        record_bytes(len(chunk))
         body += chunk
         if len(body) > max_bytes:
             raise BodyTooLargeError(f"body larger than {max_bytes} bytes")
--- a/packages/standins/poplarwick_standins/raw_endpoint.py
+++ b/packages/standins/poplarwick_standins/raw_endpoint.py
@@ -113,7 +113,7 @@
         ending: What becomes of the connection then.
         reads_body: Whether the body of the request is read first.
         endless: Bytes that are repeated behind the parts until the caller
-            closes the connection, or `MAX_ENDLESS_BYTES` have been sent.
+            closes the connection, or `MAX_ENDLESS_BYTES` have been sent on it.
     """
 
     parts: tuple[bytes, ...]
@@ -199,7 +199,8 @@
     Attributes:
         answer: The answer.
         connections: Number of connections that were accepted.
-        endless_bytes: Number of bytes that were repeated behind answers.
+        endless_bytes: Number of bytes that were repeated behind answers, on
+            all connections.
     """
 
     def __init__(self, answer: Answer | None = None) -> None:
@@ -264,9 +265,11 @@
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(answer.pause_s)
-        while answer.endless and self.endless_bytes < MAX_ENDLESS_BYTES:
+        sent_bytes = 0
+        while answer.endless and sent_bytes < MAX_ENDLESS_BYTES:
             writer.write(answer.endless)
             await writer.drain()
+            sent_bytes += len(answer.endless)
             self.endless_bytes += len(answer.endless)
             # Without a pause the endpoint would keep the event loop.
             await asyncio.sleep(0)
