--- a/packages/entry/tests/test_broken_answers.py
+++ b/packages/entry/tests/test_broken_answers.py
@@ -17,8 +17,8 @@
 
 CALLS_AT_ONCE = 20
 MAX_GROWTH_KB = 2 * (128 + CALLS_AT_ONCE) * 1_024
-"""Memory for what is counted and for the ordinary part of each answer, twice, as
-a buffer that grows may be copied."""
+"""Memory for what is counted and the ordinary part of each answer, twice, as a
+buffer that grows may be copied."""
 
 
 async def call_with_answers(answers, path, method, **options):
