--- a/packages/platform/poplarwick_platform/http_session.py
+++ b/packages/platform/poplarwick_platform/http_session.py
@@ -120,9 +120,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self.is_delimited = _is_delimited(response)
-        connection = response.connection
-        protocol = None if connection is None else connection.protocol
-        self._closed = None if protocol is None else protocol.closed
+        self._closed = None if self.is_delimited else _watch_close(response)
 
     async def check(self) -> None:
         """Checks that the body is complete after its last byte.
@@ -133,8 +131,9 @@
         if self.is_delimited:
             return
         if self._closed is None:
-            # How it ended was not seen.
-            raise aiohttp.ClientPayloadError("the connection has ended before")
+            raise aiohttp.ClientPayloadError(
+                "the connection ended before it was watched"
+            )
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self._closed
@@ -146,6 +145,15 @@
             raise aiohttp.ClientPayloadError(repr(error)) from error
 
 
+def _watch_close(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Returns how the connection ends; None if it already has."""
+    connection = response.connection
+    protocol = None if connection is None else connection.protocol
+    return None if protocol is None else protocol.closed
+
+
 def _is_delimited(response: aiohttp.ClientResponse) -> bool:
     return (
         "Content-Length" in response.headers
--- a/packages/standins/poplarwick_standins/raw_endpoint.py
+++ b/packages/standins/poplarwick_standins/raw_endpoint.py
@@ -83,7 +83,6 @@
 PAUSES_S = (0.0, 0.002, 0.03)
 """Times between the parts of an answer that `draw_answer` chooses from."""
 
-
 MAX_ENDLESS_BYTES = 128 << 20
 """Bytes that stand for an answer without end; less than half of the memory of
 the smallest instance."""
