--- a/packages/platform/tests/test_response_heads.py
+++ b/packages/platform/tests/test_response_heads.py
@@ -18,39 +18,7 @@
     "timed": lambda: http_session.make_timed_session(TIMEOUT_S),
 }
 
-OK = raw_endpoint.OK
-LENGTH = b"Content-Length: 5"
-CHUNKED = b"5\r\nhello\r\n0\r\n\r\n"
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-
-
-def make_answer(status_line, *fields, body=raw_endpoint.BODY):
-    return raw_endpoint.make_head(status_line, fields) + body
-
-
-SOUND_ANSWERS = {
-    "length": make_answer(OK, LENGTH),
-    "ends_with_its_connection": make_answer(OK),
-    "chunks": make_answer(OK, b"Transfer-Encoding: chunked", body=CHUNKED),
-    "chunks_in_capitals": make_answer(
-        OK, b"transfer-encoding: CHUNKED", body=CHUNKED
-    ),
-    "no_reason": make_answer(b"HTTP/1.1 200", LENGTH),
-    "empty_reason": make_answer(b"HTTP/1.1 200 ", LENGTH),
-    "long_reason": make_answer(b"HTTP/1.1 200 all \xe4\tis well", LENGTH),
-    "version_1_0": make_answer(b"HTTP/1.0 200 OK", LENGTH),
-    "continue_first": CONTINUE + make_answer(OK, LENGTH),
-    "several_interim": CONTINUE + HINTS * 3 + make_answer(OK, LENGTH),
-    "line_feeds": make_answer(OK, LENGTH).replace(b"\r\n", b"\n"),
-    "odd_but_allowed_fields": make_answer(
-        OK, LENGTH, b"!#$%&'*+-.^_`|~9z:\t a\x80\xff\t ", b"X-Empty:"
-    ),
-    **{
-        str(status): make_answer(b"HTTP/1.1 %d Any" % status, LENGTH)
-        for status in (200, 299, 302, 404, 418, 500, 599)
-    },
-}
+SOUND_ANSWERS = raw_endpoint.make_sound_answers()
 
 
 async def fetch(make_session, answer):
@@ -98,20 +66,22 @@
 def test_proper_head_is_a_response(session):
     for rng in map(random.Random, range(SEEDS)):
         answers = [
-            raw_endpoint.draw_answer(rng, data, (raw_endpoint.Ending.CLOSE,))
-            for data in SOUND_ANSWERS.values()
+            raw_endpoint.draw_answer(
+                rng, answer.data, (raw_endpoint.Ending.CLOSE,)
+            )
+            for answer in SOUND_ANSWERS.values()
         ]
         results = fetch_all(session, answers)
         assert dict(zip(SOUND_ANSWERS, results, strict=True)) == {
-            name: (int(name) if name.isdigit() else 200, raw_endpoint.BODY)
-            for name in SOUND_ANSWERS
+            name: (answer.status, raw_endpoint.BODY)
+            for name, answer in SOUND_ANSWERS.items()
         }
 
 
 @pytest.mark.parametrize("part", raw_endpoint.Part)
 def test_head_is_checked_again_on_a_kept_connection(part):
     rng = random.Random(51)
-    sound = SOUND_ANSWERS["length"]
+    sound = SOUND_ANSWERS["length"].data
 
     async def run(broken):
         async with (
@@ -130,3 +100,20 @@
 
     for head in raw_endpoint.make_broken_heads(rng, part):
         asyncio.run(run(head + raw_endpoint.BODY))
+
+
+@pytest.mark.parametrize("session", sorted(SESSIONS))
+def test_response_to_head_has_no_body_to_check(session):
+    head = raw_endpoint.make_head(
+        raw_endpoint.OK, [b"Transfer-Encoding: chunked"]
+    )
+
+    async def run():
+        async with (
+            raw_endpoint.RawEndpoint(raw_endpoint.Answer((head,))) as endpoint,
+            SESSIONS[session]() as open_session,
+            open_session.head(f"http://{endpoint.address}") as response,
+        ):
+            return await http_session.read_body(response, 1)
+
+    assert asyncio.run(run()) == b""
--- a/packages/standins/poplarwick_standins/raw_endpoint.py
+++ b/packages/standins/poplarwick_standins/raw_endpoint.py
@@ -127,6 +127,65 @@
     return b"\r\n".join((status_line, *fields, b"", b""))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoundAnswer:
+    """A proper response with `BODY`, which ends with its connection.
+
+    Attributes:
+        status: Its status.
+        data: Its bytes.
+    """
+
+    status: int
+    data: bytes
+
+
+def make_sound_answers(fields: Sequence[bytes] = ()) -> dict[str, SoundAnswer]:
+    """Returns responses of all forms that HTTP/1 allows, by their form.
+
+    Args:
+        fields: Further fields of all responses.
+    """
+    length = b"Content-Length: %d" % len(BODY)
+    chunked = b"%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY)
+    interim = make_head(b"HTTP/1.1 100 Continue", ())
+    hints = make_head(b"HTTP/1.1 103 Early Hints", [b"Link: </a>"])
+
+    def make(
+        status_line: bytes, *more: bytes, body: bytes = BODY, status: int = 200
+    ) -> SoundAnswer:
+        head = make_head(status_line, (*fields, *more))
+        return SoundAnswer(status, head + body)
+
+    def precede(answer: SoundAnswer, *heads: bytes) -> SoundAnswer:
+        return SoundAnswer(answer.status, b"".join((*heads, answer.data)))
+
+    return {
+        "length": make(OK, length),
+        "ends_with_its_connection": make(OK),
+        "chunks": make(OK, b"Transfer-Encoding: chunked", body=chunked),
+        "capitals": make(OK, b"transfer-encoding: CHUNKED", body=chunked),
+        "no_reason": make(b"HTTP/1.1 200", length),
+        "empty_reason": make(b"HTTP/1.1 200 ", length),
+        "long_reason": make(b"HTTP/1.1 200 all \xe4\tis well", length),
+        "version_1_0": make(b"HTTP/1.0 200 OK", length),
+        "continue_first": precede(make(OK, length), interim),
+        "several_interim": precede(make(OK, length), interim, hints, hints),
+        "line_feeds": SoundAnswer(
+            200, make(OK, length).data.replace(b"\r\n", b"\n")
+        ),
+        "odd_fields": make(
+            OK, length, b"!#$%&'*+-.^_`|~9z:\t a\t\x80\xff\t ", b"X-Empty:"
+        ),
+        **{
+            f"status_{status}": make(
+                b"HTTP/1.1 %d Any" % status, length, status=status
+            )
+            for status in (200, 299, 302, 404, 418, 500, 599)
+        },
+    }
+
+
 class Part(enum.Enum):
     """Part of a head that is broken."""
 
--- a/tests/adapter/test_broken_answers.py
+++ b/tests/adapter/test_broken_answers.py
@@ -96,6 +96,30 @@
     asyncio.run(scenario())
 
 
+# Guards against sound answers that a check takes for broken ones (DENIED).
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_sound_answer_reaches_the_caller_as_it_is(tmp_path, is_cut_off):
+    answers = raw_endpoint.make_sound_answers([b"Response-Stamp: s-raw"])
+
+    async def scenario():
+        async with (
+            network_cuts.NetworkCuts().install() as cuts,
+            platform_cluster.run_cluster(tmp_path, instances=3) as cluster,
+        ):
+            cuts.shape = network_cuts.Shape.REFUSED
+            await crashing_fleet.wait_for_placer(cluster)
+            if is_cut_off:
+                await cut_off(cluster, cuts)
+            replica = cluster.replicas[-1]
+            for name, answer in answers.items():
+                replica.raw_answer = answer.data
+                end = await call(cluster, "/order/")
+                expected = (answer.status, "s-raw", raw_endpoint.BODY, True)
+                assert end == expected, name
+
+    asyncio.run(scenario())
+
+
 # Guards against streams that go on with an answer that is none (ORDER).
 @pytest.mark.parametrize("part", raw_endpoint.Part)
 def test_stream_is_not_resumed_with_an_improper_head(tmp_path, part):
