Go on parsing after a reader has paused

Cause: aiohttp calls data_received without bytes to go on parsing when a paused reader goes on. The check passed on only what it had bytes for.

--- a/packages/platform/poplarwick_platform/response_protocol.py
+++ b/packages/platform/poplarwick_platform/response_protocol.py
@@ -25,7 +25,10 @@
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Checks bytes and parses them."""
+        """Checks bytes and parses them.
+
+        aiohttp calls it without bytes to go on after a reader has paused.
+        """
         if self._check is None:
             # No request has been sent on the connection.
             super().data_received(data)
@@ -38,7 +41,7 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        if checked:
+        if checked or not data:
             super().data_received(checked)
 
 
--- a/packages/platform/tests/test_response_bodies.py
+++ b/packages/platform/tests/test_response_bodies.py
@@ -81,3 +81,36 @@
     ]
     results = fetch_all(answers, b"")
     assert [r for r in results if not isinstance(r, aiohttp.ClientError)] == []
+
+
+CHUNK_BYTES = 20_000
+CHUNKS = 60
+PAUSE_S = 0.002
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_body_that_is_read_slowly_is_complete(is_chunked):
+    part = b"x" * CHUNK_BYTES
+    framed = b"%x\r\n%b\r\n" % (CHUNK_BYTES, part)
+    head = raw_endpoint.make_head(
+        raw_endpoint.OK,
+        [b"Transfer-Encoding: chunked"] if is_chunked else (),
+    )
+    body = framed * CHUNKS + b"0\r\n\r\n" if is_chunked else part * CHUNKS
+
+    async def run():
+        async with (
+            raw_endpoint.RawEndpoint(
+                raw_endpoint.Answer((head + body,))
+            ) as endpoint,
+            http_session.make_unshared_session(read_bufsize=8_192) as session,
+            asyncio.timeout(TIMEOUT_S),
+            session.get(f"http://{endpoint.address}") as response,
+        ):
+            received = 0
+            while data := await response.content.readany():
+                received += len(data)
+                await asyncio.sleep(PAUSE_S)
+            return received
+
+    assert asyncio.run(run()) == CHUNKS * CHUNK_BYTES
