Bound the answers of engines that are gathered, in the own mode

What an operator of another system saw: a faulty replica sent without end, and the machine that had called it ran out of memory. An engine that goes on sending events for an answer that its caller wants as a whole did the same here, until the deadline; streamed answers are held back by their callers.

Cause: the buffer of such an answer had no bound.

Change: it is counted in response_memory, as the responses of plain services are, and given up as failed.

Evidence: test_buffered_answer_without_end_is_given_up failed before (each run of the engine sent all of its 68 events of 0.5 MB, eight times the bound of the test), and passes.

--- a/packages/entry/poplarwick_entry/answers.py
+++ b/packages/entry/poplarwick_entry/answers.py
@@ -16,6 +16,7 @@
 from poplarwick_entry import headers
 from poplarwick_entry import parameters
 from poplarwick_entry import request_errors
+from poplarwick_entry import response_memory
 from poplarwick_outcomes import replies
 from poplarwick_outcomes import stream
 from poplarwick_outcomes import verdicts
@@ -140,13 +141,18 @@
     Args:
         completion: The validated request.
         instance: Id of this instance.
+        held: Counts the buffered events.
     """
 
     def __init__(
-        self, completion: parameters.CompletionRequest, instance: ids.InstanceId
+        self,
+        completion: parameters.CompletionRequest,
+        instance: ids.InstanceId,
+        held: response_memory.HeldResponse,
     ) -> None:
         self._completion = completion
         self._instance = instance
+        self._held = held
         self._endpoint = ids.EndpointId("")
         self._texts: list[str] = []
         self._finish_reason: str | None = None
@@ -168,10 +174,23 @@
         """Discards buffered text and starts the answer of an endpoint."""
         self._endpoint = endpoint
         self._texts.clear()
+        self._held.release()
         self._tokens = 0
 
     async def write(self, events: bytes) -> None:
-        """Buffers the text of the events."""
+        """Buffers the text of the events.
+
+        Raises:
+            request_errors.RequestEndedError: The answer takes too much memory.
+        """
+        try:
+            self._held.add(len(events))
+        except response_memory.ResponseMemoryError as error:
+            raise request_errors.RequestEndedError(
+                verdicts.EndpointFailed(
+                    "there is no memory for such a large answer"
+                )
+            ) from error
         for event in events.split(b"\n\n"):
             if event.startswith(_DATA_PREFIX):
                 self._append_event(
--- a/packages/entry/poplarwick_entry/completions.py
+++ b/packages/entry/poplarwick_entry/completions.py
@@ -40,20 +40,21 @@
         priority=request.headers.get(headers.PRIORITY),
         timeout=request.headers.get(headers.TIMEOUT),
     )
-    answer: answers.Answer
-    if completion.is_streamed:
-        answer = answers.StreamedAnswer(request, completion, entry.instance)
-    else:
-        answer = answers.BufferedAnswer(completion, entry.instance)
     lifecycle = context.begin_lifecycle(
         request, completion.request_id, is_idempotent=True
     )
     grant_request = _make_grant_request(completion)
     tokens = completion.prompt_tokens + completion.output_tokens
-    async with admission.admit(entry.limiter, organisation, tokens):
-        await relay.relay_completion(
-            entry, grant_request, completion, answer, lifecycle
-        )
+    answer: answers.Answer
+    with entry.response_memory.hold() as held:
+        if completion.is_streamed:
+            answer = answers.StreamedAnswer(request, completion, entry.instance)
+        else:
+            answer = answers.BufferedAnswer(completion, entry.instance, held)
+        async with admission.admit(entry.limiter, organisation, tokens):
+            await relay.relay_completion(
+                entry, grant_request, completion, answer, lifecycle
+            )
     return answer.response
 
 
--- a/packages/entry/poplarwick_entry/response_memory.py
+++ b/packages/entry/poplarwick_entry/response_memory.py
@@ -43,7 +43,7 @@
         try:
             yield held
         finally:
-            self.counted_bytes -= held.counted_bytes
+            held.release()
 
 
 class HeldResponse:
@@ -75,3 +75,9 @@
             raise ResponseMemoryError(
                 f"{self._memory.counted_bytes} bytes in large responses"
             )
+
+    def release(self) -> None:
+        """Counts nothing any more."""
+        self._memory.counted_bytes -= self.counted_bytes
+        self.counted_bytes = 0
+        self._bytes = 0
--- a/packages/entry/tests/test_relayed_streams.py
+++ b/packages/entry/tests/test_relayed_streams.py
@@ -12,6 +12,7 @@
 from poplarwick_core import clock
 from poplarwick_core import ids
 from poplarwick_entry import grants
+from poplarwick_entry import response_memory
 from poplarwick_peers.wire import grant_pb2
 
 PATH = "/v1/completions"
@@ -219,6 +220,31 @@
     entry_fakes.run(main)
 
 
+def test_buffered_answer_without_end_is_given_up(monkeypatch):
+    max_bytes = 4 << 20
+    monkeypatch.setattr(response_memory, "MAX_COUNTED_BYTES", max_bytes)
+    payload = "x" * 500_000
+    sent_events = []
+
+    async def send_events(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        sent_events.append(0)
+        while len(payload) * sent_events[-1] < 8 * max_bytes:
+            stream = request.headers["Endpoint-Stream"]
+            await response.write(make_event(stream, sent_events[-1], payload))
+            sent_events[-1] += 1
+        return response
+
+    async def main():
+        async with entry_fakes.open_entry(send_events) as entry:
+            return await entry.call(PATH, data=make_body(is_streamed=False))
+
+    status, headers, _ = entry_fakes.run(main)
+    assert (status, headers["Poplarwick-Outcome"]) == (502, "failed")
+    assert len(payload) * max(sent_events) < 8 * max_bytes
+
+
 def test_stream_is_cancelled_when_its_caller_disconnects():
     async def main():
         engine = Engine()
