Give the connections of new tests ample time

Cause, from its trace: the test opens some 380 connections at once, and one of them took longer than the 0.4 s in which an instance gives a connection up ("cannot connect"), which says that the request has not run. The answer itself was not at fault.

Change: the file sets the time for connections to that of the test, as test_endless_answers does; what is checked is unchanged.

--- a/packages/forwarding/tests/test_broken_answers.py
+++ b/packages/forwarding/tests/test_broken_answers.py
@@ -26,6 +26,12 @@
 SEEDS = 10
 
 
+@pytest.fixture(autouse=True)
+def fixture_ample_time(monkeypatch):
+    """Hundreds of connections at once may take long on a busy machine."""
+    monkeypatch.setattr(upstream, "CONNECT_TIMEOUT_S", TIMEOUT_S)
+
+
 async def send(answer, body=b""):
     """Returns the body of the answer; None if it is no usable one."""
     budget = buffer_budget.BufferBudget(buffer_budget.make_limits(0))
