Share the resets of the stand-ins and the direct reach of their tests

Change: standins/_resets.py and tests/direct_reach.py. No product code, no check and no bound changes.

--- a/packages/forwarding/tests/test_broken_answers.py
+++ b/packages/forwarding/tests/test_broken_answers.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import random
-import types
 
-import aiohttp
+import direct_reach
 import pytest
 
 from poplarwick_adapter import dialect
@@ -14,13 +13,6 @@
 from poplarwick_forwarding import upstream
 from poplarwick_standins import raw_endpoint
 
-DIRECT = types.SimpleNamespace(
-    make_connector=aiohttp.TCPConnector,
-    record_reached=lambda address, opened_at_s: None,
-    record_failed=lambda address: None,
-)
-"""Connects to endpoints directly."""
-
 TIMEOUT_S = 20
 BUFFER_BYTES = 65_536
 SEEDS = 10
@@ -38,7 +30,7 @@
     async with (
         raw_endpoint.RawEndpoint(answer) as endpoint,
         upstream.Upstream(
-            dialect.PlatformDialect(), DIRECT, BUFFER_BYTES
+            dialect.PlatformDialect(), direct_reach.DIRECT, BUFFER_BYTES
         ) as sender,
         asyncio.timeout(TIMEOUT_S),
     ):
--- a/packages/forwarding/tests/test_endless_answers.py
+++ b/packages/forwarding/tests/test_endless_answers.py
@@ -4,22 +4,14 @@
 
 import asyncio
 import resource
-import types
 
-import aiohttp
+import direct_reach
 import pytest
 
 from poplarwick_adapter import dialect
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import upstream
 
-DIRECT = types.SimpleNamespace(
-    make_connector=aiohttp.TCPConnector,
-    record_reached=lambda address, opened_at_s: None,
-    record_failed=lambda address: None,
-)
-"""Connects to endpoints directly."""
-
 ENDPOINTS = 50
 TIME_LEFT_S = 1.5
 START_TIMEOUT_S = 60
@@ -98,7 +90,9 @@
         port = server.sockets[0].getsockname()[1]
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         async with upstream.Upstream(
-            dialect.PlatformDialect(), DIRECT, budget.limits.buffer_bytes
+            dialect.PlatformDialect(),
+            direct_reach.DIRECT,
+            budget.limits.buffer_bytes,
         ) as client:
             timers = [asyncio.timeout(None) for _ in range(ENDPOINTS)]
             requests = [
--- a/packages/forwarding/tests/test_received_parts.py
+++ b/packages/forwarding/tests/test_received_parts.py
@@ -4,22 +4,14 @@
 
 import asyncio
 import contextlib
-import types
 
-import aiohttp
+import direct_reach
 
 from poplarwick_adapter import dialect
 from poplarwick_core import clock
 from poplarwick_forwarding import buffer_budget
 from poplarwick_forwarding import upstream
 
-DIRECT = types.SimpleNamespace(
-    make_connector=aiohttp.TCPConnector,
-    record_reached=lambda address, opened_at_s: None,
-    record_failed=lambda address: None,
-)
-"""Connects to endpoints directly."""
-
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
 PAUSE_S = 0.2
 
@@ -42,7 +34,9 @@
             stack.callback(server.close)
             port = server.sockets[0].getsockname()[1]
             sender = await stack.enter_async_context(
-                upstream.Upstream(dialect.PlatformDialect(), DIRECT, 65_536)
+                upstream.Upstream(
+                    dialect.PlatformDialect(), direct_reach.DIRECT, 65_536
+                )
             )
             response = await stack.enter_async_context(
                 sender.send(
--- a/packages/standins/poplarwick_standins/platform_replica.py
+++ b/packages/standins/poplarwick_standins/platform_replica.py
@@ -13,7 +13,6 @@
 import enum
 import json
 import socket
-import struct
 import time
 import types
 from collections.abc import AsyncIterator
@@ -25,6 +24,7 @@
 import multidict
 from aiohttp import web
 
+from poplarwick_standins import _resets
 from poplarwick_standins import crash_forms
 
 PREFILL_TOKENS_PER_S = 154_000
@@ -306,7 +306,7 @@
         if ending is crash_forms.Ending.RESET:
             for connection in list(self._server.connections):
                 if connection.transport is not None:
-                    _set_reset(connection.transport)
+                    _resets.set_reset(connection.transport)
         self.reset_connections()
         await self._server.shutdown(0)
 
@@ -864,12 +864,5 @@
 def _reset(request: web.BaseRequest) -> None:
     """Discards what is under way and resets the connection."""
     if request.transport is not None:
-        _set_reset(request.transport)
+        _resets.set_reset(request.transport)
         request.transport.abort()
-
-
-def _set_reset(transport: asyncio.BaseTransport) -> None:
-    """Lets the end of a connection be a reset."""
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
--- a/packages/standins/poplarwick_standins/raw_endpoint.py
+++ b/packages/standins/poplarwick_standins/raw_endpoint.py
@@ -11,12 +11,12 @@
 import enum
 import itertools
 import random
-import socket
-import struct
 import types
 from collections.abc import Sequence
 from typing import Self
 
+from poplarwick_standins import _resets
+
 OK = b"HTTP/1.1 200 OK"
 
 FIELDS = (b"Response-Stamp: s-raw", b"X-Trace: 1", b"Content-Type: text/plain")
@@ -332,7 +332,8 @@
             # Without a pause the endpoint would keep the event loop.
             await asyncio.sleep(0)
         if answer.ending is Ending.RESET:
-            _reset(writer)
+            _resets.set_reset(writer.transport)
+            writer.transport.abort()
         return answer.ending
 
 
@@ -342,10 +343,3 @@
         if name.lower() == b"content-length":
             return int(value)
     return 0
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    writer.transport.abort()
